Serve a request from end to end, thin

The path is here: caller, two or more entry hosts, engine and service stand-ins, platform stand-in, forwarding of repeats to a key's owner.

Ruled out: pydantic for settings (its memory stands against 32 MB a host; voluptuous is the nearest to the house's habits), one connection pool towards engines (a reused connection blurs 'nothing was sent').

Both are next.

--- /dev/null
+++ b/libraries/core/tarragonward_core/__init__.py
@@ -0,0 +1,52 @@
+"""Names, result codes, errors, logs, metrics and invariants that all libraries use."""
+
+from .codes import Conclusion, Repeat, ResultCode
+from .core import (
+    Address,
+    HostIdentity,
+    estimate_tokens,
+    new_incarnation,
+    new_request_id,
+)
+from .exceptions import (
+    ConfigurationError,
+    ConnectionLostError,
+    FrameError,
+    InvariantViolationError,
+    NotConnectedError,
+    RequestRefusedError,
+    SettingsError,
+    TargetError,
+    TarragonwardError,
+)
+from .invariants import Invariants, invariants
+from .logs import format_event, log_event, setup_logging
+from .metrics import LENGTH_CLASSES, Metrics, get_length_class
+
+__all__ = [
+    "LENGTH_CLASSES",
+    "Address",
+    "Conclusion",
+    "ConfigurationError",
+    "ConnectionLostError",
+    "FrameError",
+    "HostIdentity",
+    "InvariantViolationError",
+    "Invariants",
+    "Metrics",
+    "NotConnectedError",
+    "Repeat",
+    "RequestRefusedError",
+    "ResultCode",
+    "SettingsError",
+    "TargetError",
+    "TarragonwardError",
+    "estimate_tokens",
+    "format_event",
+    "get_length_class",
+    "invariants",
+    "log_event",
+    "new_incarnation",
+    "new_request_id",
+    "setup_logging",
+]
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/__init__.py
@@ -0,0 +1,6 @@
+"""The daemon: one entry host, its tasks and its routes."""
+
+from .app import Daemon
+from .main import run
+
+__all__ = ["Daemon", "run"]
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -0,0 +1,117 @@
+"""Put one host together: its tasks, in the order they depend on each other."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import Any
+
+from tarragonward_config import Settings
+from tarragonward_core import HostIdentity, log_event, new_incarnation
+from tarragonward_wire import HttpLimits, HttpServer, PeerLinks, PeerServer
+
+from . import const as c
+from .callers import CallerRoutes
+from .calls import ServiceCalls
+from .configuration import ConfigurationTask
+from .core import HostState
+from .engines import Releases, ReportTask
+from .membership import MembershipTask
+from .models import ModelRequests
+from .operators import OperatorRoutes
+from .peers import PeerMessages
+
+__all__ = ["Daemon"]
+
+
+class Daemon:
+    """One entry host; async_run serves until it was drained or told to stop."""
+
+    def __init__(self, settings: Settings) -> None:
+        identity = HostIdentity(settings.peers, new_incarnation())
+        self.host = HostState(settings, identity)
+        self._drain_asked = asyncio.Event()
+        self._stop_asked = asyncio.Event()
+        self._build_tasks()
+
+    def _build_tasks(self) -> None:
+        host, settings = self.host, self.host.settings
+        self.links = PeerLinks(host.identity, settings.peer_key)
+        self.configuration = ConfigurationTask(host)
+        self.membership = MembershipTask(host)
+        self.reports = ReportTask(host)
+        self.releases = Releases()
+        self.calls = ServiceCalls(host, self.links, self.membership)
+        self.models = ModelRequests(host, self.reports, self.releases, self.membership)
+        messages = PeerMessages(self.calls)
+        self.peers = PeerServer(
+            host.identity, settings.peer_key, messages.async_handle, host.metrics
+        )
+        callers = CallerRoutes(host, self.models, self.calls)
+        self.callers = HttpServer(
+            settings.callers, callers.async_handle, self._build_limits()
+        )
+        operators = OperatorRoutes(host, self.membership, self.reports, self.ask_drain)
+        self.operators = HttpServer(settings.operators, operators.async_handle)
+
+    def _build_limits(self) -> HttpLimits:
+        limits = self.host.settings.limits
+        return HttpLimits(
+            max_head_bytes=limits.max_head_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            max_connections=limits.max_connections,
+            head_timeout=limits.sender_timeout_seconds,
+            body_timeout=limits.sender_timeout_seconds,
+        )
+
+    def ask_drain(self) -> None:
+        """Leave the balancer, end what is in progress, then stop; twice: stop now."""
+        if self._drain_asked.is_set():
+            self._stop_asked.set()
+        self._drain_asked.set()
+
+    async def async_run(self) -> None:
+        """Serve until drained or stopped."""
+        async with AsyncExitStack() as stack:
+            for part in self._get_parts():
+                await part.async_setup()
+                stack.push_async_callback(part.async_unload)
+            stack.push_async_callback(self.links.async_unload)
+            log_event("host_started", identity=self.host.identity)
+            await self._drain_asked.wait()
+            await self._async_drain()
+        log_event("host_stopped", identity=self.host.identity)
+
+    def _get_parts(self) -> list[Any]:
+        return [
+            self.configuration,
+            self.membership,
+            self.reports,
+            self.releases,
+            self.peers,
+            self.operators,
+            self.callers,
+        ]
+
+    async def _async_drain(self) -> None:
+        """Wait until all requests in progress have ended, or the time is over."""
+        self.host.is_draining = True
+        log_event("drain_started", in_flight=self.host.requests_in_flight)
+        stopped = asyncio.create_task(self._stop_asked.wait())
+        drained = asyncio.create_task(self._async_wait_idle())
+        timeout = self.host.settings.limits.drain_timeout_seconds
+        await asyncio.wait(
+            {stopped, drained},
+            timeout=timeout,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in (stopped, drained):
+            task.cancel()
+        log_event("drain_ended", in_flight=self.host.requests_in_flight)
+
+    async def _async_wait_idle(self) -> None:
+        # The balancer goes on sending until it has seen the health check fail.
+        await asyncio.sleep(c.BALANCER_NOTICE_SECONDS)
+        await self.callers.async_stop_listening()
+        while self.host.requests_in_flight:
+            await self.host.idle.wait()
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/const.py
@@ -0,0 +1,36 @@
+"""Hold the daemon's intervals, routes and header names."""
+
+from __future__ import annotations
+
+HEADER_CALL_KEY = "x-call-key"
+HEADER_KEY_PREFIX = "x-key-prefix"
+HEADER_REQUEST_ID = "x-request-id"
+HEADER_RESULT_CODE = "x-result-code"
+HEADER_TIME_LIMIT = "x-time-limit-seconds"
+
+ROUTE_CHAT = "/v1/chat/completions"
+ROUTE_COMPLETIONS = "/v1/completions"
+ROUTE_CONFIGURATION = "/v1/configuration"
+ROUTE_DRAIN = "/v1/drain"
+ROUTE_HEALTH = "/health"
+ROUTE_KEY_PREFIX = "/v1/key-prefix"
+ROUTE_METRICS = "/metrics"
+ROUTE_MODELS = "/v1/models"
+ROUTE_SERVICES = "/v1/services/"
+ROUTE_STATUS = "/v1/status"
+ROUTE_TARGETS = "/v1/targets"
+
+BALANCER_NOTICE_SECONDS = 0.5
+CANCEL_RETRY_SECONDS = 0.5
+CANCEL_RETRY_LIMIT_SECONDS = 60.0
+CANCEL_TIMEOUT_SECONDS = 2.0
+CONFIGURATION_RETRY_SECONDS = 0.5
+CONFIGURATION_WATCH_SECONDS = 5.0
+DEFAULT_MAX_TOKENS = 256
+ENGINE_SILENCE_SECONDS = 5.0
+FORWARD_MARGIN_SECONDS = 0.2
+HOST_LIST_SECONDS = 2.0
+PLATFORM_TIMEOUT_SECONDS = 8.0
+REPORT_SECONDS = 0.5
+REPORT_TIMEOUT_SECONDS = 1.0
+SERVICE_CONNECT_SECONDS = 1.0
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/core.py
@@ -0,0 +1,83 @@
+"""Hold what the tasks of one host share."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from tarragonward_config import (
+    ClientAccount,
+    Configuration,
+    ConfigurationState,
+    Settings,
+)
+from tarragonward_core import (
+    HostIdentity,
+    Metrics,
+    RequestRefusedError,
+    ResultCode,
+)
+
+__all__ = ["HostState"]
+
+NOT_READY_RETRY_SECONDS = 1.0
+DRAINING_RETRY_SECONDS = 1.0
+
+
+@dataclass
+class HostState:
+    """One host's identity, its configuration in force, and whether it is leaving."""
+
+    settings: Settings
+    identity: HostIdentity
+    metrics: Metrics = field(default_factory=Metrics)
+    configuration_state: ConfigurationState | None = None
+    is_draining: bool = False
+    started_at: float = field(default_factory=time.monotonic)
+    requests_in_flight: int = 0
+    idle: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force; refuse work where there is none yet."""
+        if self.configuration_state is None:
+            raise RequestRefusedError(
+                ResultCode.NOT_READY, retry_after_seconds=NOT_READY_RETRY_SECONDS
+            )
+        return self.configuration_state.configuration
+
+    @property
+    def configuration_number(self) -> int:
+        """Return the number in force, or -1 where there is none yet."""
+        if self.configuration_state is None:
+            return -1
+        return self.configuration_state.number
+
+    def authenticate(self, authorization: str | None) -> ClientAccount:
+        """Return the client account of an Authorization header's bearer token."""
+        scheme, _, token = (authorization or "").partition(" ")
+        if scheme.lower() != "bearer" or not token.strip():
+            raise RequestRefusedError(ResultCode.TOKEN_MISSING)
+        account = self.configuration.find_account(token.strip())
+        if account is None:
+            raise RequestRefusedError(ResultCode.TOKEN_WRONG)
+        return account
+
+    def check_admitting(self) -> None:
+        """Refuse new work on a host that is leaving."""
+        if self.is_draining:
+            raise RequestRefusedError(
+                ResultCode.DRAINING, retry_after_seconds=DRAINING_RETRY_SECONDS
+            )
+
+    def enter_request(self) -> None:
+        """Count a request in progress; drain waits until all have left."""
+        self.requests_in_flight += 1
+        self.idle.clear()
+
+    def leave_request(self) -> None:
+        """Count a request as ended."""
+        self.requests_in_flight -= 1
+        if self.requests_in_flight == 0:
+            self.idle.set()
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/main.py
@@ -0,0 +1,49 @@
+"""Run the daemon `tarragonwardd`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from tarragonward_config import Settings, load_settings
+from tarragonward_core import SettingsError, log_event, setup_logging
+
+from .app import Daemon
+
+__all__ = ["run"]
+
+EXIT_BAD_SETTINGS = 2
+
+
+def run(arguments: list[str] | None = None) -> int:
+    """Run one entry host; return the process's exit code."""
+    parser = argparse.ArgumentParser(prog="tarragonwardd", description=__doc__)
+    parser.add_argument("--settings", type=Path, required=True, help="a TOML file")
+    options = parser.parse_args(arguments)
+    setup_logging()
+    try:
+        settings = load_settings(options.settings)
+    except SettingsError as err:
+        print(err, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    asyncio.run(_async_run(settings))
+    return 0
+
+
+async def _async_run(settings: Settings) -> None:
+    daemon = Daemon(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.ask_drain)
+    try:
+        await daemon.async_run()
+    except OSError as err:
+        log_event("host_failed", error=repr(err))
+        raise SystemExit(1) from None
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/operators.py
@@ -0,0 +1,116 @@
+"""Serve the operators' routes, on a port of their own."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Callable
+from typing import Any
+
+from tarragonward_core import RequestRefusedError, ResultCode, invariants
+from tarragonward_wire import HttpRequest, Responder
+
+from . import const as c
+from .core import HostState
+from .engines import ReportTask
+from .membership import MembershipTask
+
+__all__ = ["OperatorRoutes"]
+
+EXPOSITION = {"content-type": "text/plain; version=0.0.4; charset=utf-8"}
+
+
+class OperatorRoutes:
+    """Answer the balancer, scrapers and operators."""
+
+    def __init__(
+        self,
+        host: HostState,
+        membership: MembershipTask,
+        reports: ReportTask,
+        drain: Callable[[], None],
+    ) -> None:
+        self._host = host
+        self._membership = membership
+        self._reports = reports
+        self._drain = drain
+
+    async def async_handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one request."""
+        match request.method, request.path:
+            case "GET", c.ROUTE_HEALTH:
+                healthy = self._is_healthy()
+                status = 200 if healthy else 503
+                await responder.async_send_json(status, {"healthy": healthy})
+                return
+            case "GET", c.ROUTE_METRICS:
+                body = self._host.metrics.write_exposition()
+                await responder.async_send_bytes(200, body, EXPOSITION)
+                return
+        self._authenticate(request)
+        match request.method, request.path:
+            case "GET", c.ROUTE_STATUS:
+                await responder.async_send_json(200, self._build_status())
+            case "GET", c.ROUTE_TARGETS:
+                await responder.async_send_json(200, self._list_targets())
+            case "GET", c.ROUTE_CONFIGURATION:
+                await responder.async_send_json(200, self._show_configuration())
+            case "POST", c.ROUTE_DRAIN:
+                self._drain()
+                await responder.async_send_json(200, {"draining": True})
+            case _:
+                raise RequestRefusedError(ResultCode.UNKNOWN_ROUTE)
+
+    def _authenticate(self, request: HttpRequest) -> None:
+        expected = f"Bearer {self._host.settings.operator_token}".encode()
+        given = request.headers.get("authorization", "").encode("latin-1")
+        if not hmac.compare_digest(given, expected):
+            raise RequestRefusedError(ResultCode.TOKEN_WRONG)
+
+    def _is_healthy(self) -> bool:
+        has_configuration = self._host.configuration_state is not None
+        return has_configuration and not self._host.is_draining
+
+    def _build_status(self) -> dict[str, Any]:
+        members = self._membership.membership.get_members()
+        return {
+            "name": self._host.settings.name,
+            "identity": str(self._host.identity),
+            "failure_domain": self._host.settings.failure_domain,
+            "configuration_number": self._host.configuration_number,
+            "draining": self._host.is_draining,
+            "in_flight": self._host.requests_in_flight,
+            "invariant_violations": invariants.count,
+            "members": [
+                {
+                    "name": member.listed.name,
+                    "address": str(member.listed.address),
+                    "state": member.state.value,
+                }
+                for member in members
+            ],
+        }
+
+    def _list_targets(self) -> dict[str, Any]:
+        targets = self._host.configuration.targets.values()
+        return {
+            "targets": [
+                {
+                    "name": target.name,
+                    "kind": target.kind,
+                    "address": str(target.address),
+                    "failure_domain": target.failure_domain,
+                    "leaving": target.name in self._membership.leaving_targets,
+                }
+                for target in targets
+            ]
+        }
+
+    def _show_configuration(self) -> dict[str, Any]:
+        state = self._host.configuration_state
+        if state is None:
+            raise RequestRefusedError(ResultCode.NOT_READY)
+        return {
+            "number": state.number,
+            "sequence": state.sequence,
+            "document": state.document,
+        }
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/peers.py
@@ -0,0 +1,31 @@
+"""Answer what other hosts send, by the message's type."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Any
+
+from tarragonward_core import FrameError, HostIdentity
+
+from .calls import CallAnswer, ForwardCall, ServiceCalls
+
+__all__ = ["PeerMessages"]
+
+
+class PeerMessages:
+    """Hand each kind of message to the task that it is for."""
+
+    def __init__(self, calls: ServiceCalls) -> None:
+        self._calls = calls
+
+    async def async_handle(self, peer: HostIdentity, message: Any) -> Any:
+        """Return the answer to a peer's message, or None."""
+        return await self._async_handle(message, peer)
+
+    @singledispatchmethod
+    async def _async_handle(self, message: Any, peer: HostIdentity) -> Any:
+        raise FrameError(f"no task takes {type(message).__name__}")
+
+    @_async_handle.register
+    async def _(self, message: ForwardCall, peer: HostIdentity) -> CallAnswer:
+        return await self._calls.async_handle_forwarded(message)
--- /dev/null
+++ b/libraries/standins/tarragonward_standins/engine.py
@@ -0,0 +1,211 @@
+"""Stand in for a model engine, over HTTP."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from dataclasses import dataclass, field
+
+import orjson
+
+from tarragonward_core import Address, estimate_tokens
+from tarragonward_wire import HttpLimits, HttpRequest, HttpServer, Responder
+
+from . import const as c
+from .answers import AnswerText
+from .engine_model import EngineModel, EngineSizes, EngineWork
+from .process import run_server
+
+__all__ = ["EngineStandIn"]
+
+STREAMS = "/v1/streams"
+RESERVATIONS = "/v1/reservations"
+HTTP_NO_MEMORY = 507
+
+
+@dataclass
+class _Stream:
+    owner: str
+    text: AnswerText
+    max_tokens: int
+    first_offset: int
+    tokens: list[str] = field(default_factory=list)
+    finish_reason: str = ""
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def produce(self) -> None:
+        if self.text.is_at_stop():
+            self.finish_reason = "stop"
+        else:
+            self.tokens.append(self.text.next_token())
+            if len(self.tokens) >= self.max_tokens:
+                self.finish_reason = "length"
+        self.changed.set()
+
+
+class EngineStandIn:
+    """One engine: a model of its steps, and the streams that read its tokens.
+
+    A stream keeps its memory until it was read to its end or cancelled, so memory
+    that its owner forgets stays lost: that is what the system must not let happen.
+    """
+
+    def __init__(self, address: Address, sizes: EngineSizes) -> None:
+        self.model = EngineModel(sizes)
+        self._streams: dict[str, _Stream] = {}
+        self._owners: dict[str, str] = {}
+        self._server = HttpServer(
+            address, self._async_handle, HttpLimits(max_body_bytes=c.MAX_BODY_BYTES)
+        )
+        self._stepping: asyncio.Task[None] | None = None
+        self._fencing = 0
+
+    @property
+    def address(self) -> Address:
+        """Return the address in use."""
+        return self._server.address
+
+    async def async_setup(self) -> None:
+        """Start to serve."""
+        await self._server.async_setup()
+        self._stepping = asyncio.create_task(self._async_step())
+
+    async def async_unload(self) -> None:
+        """Stop."""
+        if self._stepping is not None:
+            self._stepping.cancel()
+        await self._server.async_unload()
+
+    async def _async_step(self) -> None:
+        while True:
+            result = self.model.step(self._is_done)
+            if result is None:
+                await asyncio.sleep(c.IDLE_SECONDS)
+                continue
+            await asyncio.sleep(result.seconds)
+            for stream_id in result.tokens_for:
+                if stream_id in self._streams:
+                    self._streams[stream_id].produce()
+
+    def _is_done(self, work_id: str) -> bool:
+        return bool(self._streams[work_id].finish_reason)
+
+    async def _async_handle(self, request: HttpRequest, responder: Responder) -> None:
+        stream_id = request.path.removeprefix(STREAMS + "/")
+        match request.method, request.path:
+            case "POST", path if path == STREAMS:
+                await self._async_open(orjson.loads(request.body), responder)
+            case "GET", "/v1/load":
+                await responder.async_send_json(200, self._report())
+            case "POST", path if path == RESERVATIONS:
+                await self._async_reserve(orjson.loads(request.body), responder)
+            case "POST", "/v1/orders":
+                await self._async_order(orjson.loads(request.body), responder)
+            case "DELETE", path if path.startswith(RESERVATIONS + "/"):
+                reservation_id = path.removeprefix(RESERVATIONS + "/")
+                self._owners.pop(reservation_id, None)
+                found = self.model.release(reservation_id)
+                await responder.async_send_json(200, {"found": found})
+            case "DELETE", _ if stream_id in self._streams:
+                self._drop(stream_id)
+                await responder.async_send_json(200, {"found": True})
+            case "DELETE", _:
+                await responder.async_send_json(200, {"found": False})
+            case "GET", _ if stream_id in self._streams:
+                offset = int(request.query.get("offset", "0"))
+                await self._async_read(stream_id, offset, responder)
+            case _:
+                await responder.async_send_json(404, {"error": "not found"})
+
+    async def _async_open(self, body: dict, responder: Responder) -> None:
+        stream_id, prompt = body["stream_id"], body["prompt"]
+        work = EngineWork(
+            stream_id,
+            estimate_tokens(len(prompt.encode())),
+            body["max_tokens"],
+            body.get("priority", 0),
+        )
+        if stream_id in self._streams:
+            await responder.async_send_json(409, {"error": "stream id in use"})
+            return
+        if not self.model.submit(work):
+            await responder.async_send_json(HTTP_NO_MEMORY, {"error": "no memory"})
+            return
+        offset = body.get("offset", 0)
+        self._streams[stream_id] = _Stream(
+            body["owner"], AnswerText(prompt), body["max_tokens"], offset
+        )
+        await self._async_read(stream_id, offset, responder)
+
+    async def _async_read(
+        self, stream_id: str, offset: int, responder: Responder
+    ) -> None:
+        stream = self._streams[stream_id]
+        await responder.async_start(200, {"content-type": "application/x-ndjson"})
+        position = offset - stream.first_offset
+        while True:
+            await stream.changed.wait()
+            stream.changed.clear()
+            if stream_id not in self._streams:
+                raise ConnectionAbortedError("cancelled")
+            lines = [
+                orjson.dumps(
+                    {"offset": stream.first_offset + at, "text": stream.tokens[at]}
+                )
+                for at in range(position, len(stream.tokens))
+            ]
+            position = len(stream.tokens)
+            if stream.finish_reason:
+                total = stream.first_offset + position
+                end = {"finish_reason": stream.finish_reason, "tokens": total}
+                lines.append(orjson.dumps(end))
+            if lines:
+                await responder.async_send_chunk(b"\n".join(lines) + b"\n")
+            if stream.finish_reason:
+                await responder.async_finish()
+                self._drop(stream_id)
+                return
+
+    async def _async_reserve(self, body: dict, responder: Responder) -> None:
+        granted = self.model.reserve(body["reservation_id"], body["tokens"])
+        if granted:
+            self._owners[body["reservation_id"]] = body["owner"]
+        status = 200 if granted else 409
+        await responder.async_send_json(status, {"granted": granted})
+
+    async def _async_order(self, body: dict, responder: Responder) -> None:
+        is_current = body["fencing"] >= self._fencing
+        if is_current:
+            self._fencing = body["fencing"]
+        await responder.async_send_json(200 if is_current else 409, {"ok": is_current})
+
+    def _drop(self, stream_id: str) -> None:
+        stream = self._streams.pop(stream_id, None)
+        if stream is not None:
+            self.model.remove(stream_id)
+            stream.changed.set()
+
+    def _report(self) -> dict:
+        return {
+            "kv_tokens": self.model.sizes.kv_tokens,
+            "free_kv_tokens": self.model.free_kv_tokens,
+            "queued_prefill_tokens": self.model.queued_prefill_tokens,
+            "running": self.model.running,
+            "fencing": self._fencing,
+            "streams": {name: s.owner for name, s in self._streams.items()},
+            "reservations": self._owners,
+        }
+
+
+def main() -> None:
+    """Run one engine stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", type=Address.parse, required=True)
+    parser.add_argument("--kv-tokens", type=int, default=c.DEFAULT_KV_TOKENS)
+    arguments = parser.parse_args()
+    sizes = EngineSizes(kv_tokens=arguments.kv_tokens)
+    run_server(EngineStandIn(arguments.address, sizes))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -0,0 +1,325 @@
+"""Start and break a small site of real processes on one loopback address."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import secrets
+import signal
+import sys
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from tarragonward_config import hash_token
+from tarragonward_core import Address, TargetError
+from tarragonward_wire import HttpAnswer, async_send_http
+
+from . import const as c
+
+__all__ = ["Site", "SiteHost", "SitePlan"]
+
+# Below the ports that the kernel gives to outgoing connections.
+FIRST_PORT = 10_000
+PORTS_A_SITE = 200
+SETUP_SECONDS = 20.0
+STOP_SECONDS = 5.0
+_site_numbers = itertools.count()
+
+
+@dataclass(frozen=True)
+class SitePlan:
+    """What a site has; accounts are by name with their weight."""
+
+    failure_domains: tuple[str, ...] = ("north", "south")
+    hosts_per_domain: int = 2
+    engines_per_domain: int = 2
+    services_per_domain: int = 1
+    kv_tokens: int = c.DEFAULT_KV_TOKENS
+    model: str = "planogram-1"
+    context_tokens: int = 1_200_000
+    accounts: dict[str, float] = field(
+        default_factory=lambda: {"shelfwise": 2.0, "camara": 1.0}
+    )
+    service_delay_seconds: float = 0.0
+    limits: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class SiteHost:
+    """One entry host's name and addresses."""
+
+    name: str
+    failure_domain: str
+    callers: Address
+    operators: Address
+    peers: Address
+
+
+class Site:
+    """The processes of a site: platform, engines, services and entry hosts.
+
+    Each site has a loopback address of its own made from the process id, and each of
+    its processes a fixed port, so sites that run side by side never meet.
+    """
+
+    def __init__(self, folder: Path, plan: SitePlan) -> None:
+        self.folder = folder
+        self.plan = plan
+        self.operator_token = secrets.token_hex(16)
+        self.tokens = {name: secrets.token_hex(16) for name in plan.accounts}
+        pid = os.getpid()
+        self._ip = f"127.{16 + (pid >> 16) % 200}.{(pid >> 8) % 256}.{pid % 256}"
+        first = FIRST_PORT + (next(_site_numbers) % 100) * PORTS_A_SITE
+        self._ports = itertools.count(first)
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._commands: dict[str, list[str]] = {}
+        self.platform = self.new_address()
+        self.engines: dict[str, Address] = {}
+        self.services: dict[str, Address] = {}
+        self.hosts: dict[str, SiteHost] = {}
+        self._domains: dict[str, str] = {}
+        self._lay_out()
+
+    def new_address(self) -> Address:
+        """Return an address of this site that nothing else uses."""
+        return Address(self._ip, next(self._ports))
+
+    def _lay_out(self) -> None:
+        plan = self.plan
+        for domain in plan.failure_domains:
+            for number in range(1, plan.engines_per_domain + 1):
+                self._add_target(self.engines, f"engine-{domain}-{number}", domain)
+            for number in range(1, plan.services_per_domain + 1):
+                self._add_target(self.services, f"app-{domain}-{number}", domain)
+            for number in range(1, plan.hosts_per_domain + 1):
+                name = f"entry-{domain}-{number}"
+                addresses = (self.new_address() for _ in range(3))
+                self.hosts[name] = SiteHost(name, domain, *addresses)
+
+    def _add_target(self, kind: dict[str, Address], name: str, domain: str) -> None:
+        kind[name] = self.new_address()
+        self._domains[name] = domain
+
+    def build_document(self) -> dict[str, Any]:
+        """Return the configuration that the platform publishes at first."""
+        plan = self.plan
+        engines = {
+            name: {
+                "kind": "engine",
+                "address": str(address),
+                "failure_domain": self._domains[name],
+                "models": [plan.model],
+                "kv_tokens": plan.kv_tokens,
+                "checks_fencing": True,
+            }
+            for name, address in self.engines.items()
+        }
+        services = {
+            name: {
+                "kind": "service",
+                "address": str(address),
+                "failure_domain": self._domains[name],
+                "service": "approvals",
+            }
+            for name, address in self.services.items()
+        }
+        operations = {
+            "approve": {"idempotent": False, "not_run_statuses": [429]},
+            "look-up": {"idempotent": True},
+        }
+        return {
+            "client_accounts": {
+                name: {"token_sha256": [hash_token(token)], "weight": weight}
+                for (name, weight), token in zip(
+                    plan.accounts.items(), self.tokens.values(), strict=True
+                )
+            },
+            "models": {plan.model: {"context_tokens": plan.context_tokens}},
+            "services": {"approvals": {"operations": operations}},
+            "targets": {**engines, **services},
+        }
+
+    def build_host_list(self) -> list[dict[str, Any]]:
+        """Return the platform's host list."""
+        entries = [
+            _list_host("entry", h.name, h.peers, h.failure_domain)
+            for h in self.hosts.values()
+        ]
+        targets = [
+            _list_host("target", name, address, self._domains[name])
+            for name, address in {**self.engines, **self.services}.items()
+        ]
+        return entries + targets
+
+    async def async_setup(self) -> None:
+        """Write the files, start all processes and wait until hosts are healthy."""
+        self._write_files()
+        self._build_commands()
+        await asyncio.gather(*(self.async_start(name) for name in self._commands))
+        await asyncio.gather(*(self.async_wait_healthy(name) for name in self.hosts))
+
+    async def async_unload(self) -> None:
+        """End all processes that are left; none stays behind."""
+        async with AsyncExitStack() as stack:
+            for name in list(self._processes):
+                stack.push_async_callback(self.async_kill, name)
+
+    async def async_start(self, name: str) -> None:
+        """Start a process of the site, again after it ended."""
+        log = (self.folder / f"{name}.log").open("ab")
+        with log:
+            self._processes[name] = await asyncio.create_subprocess_exec(
+                *self._commands[name], stdout=log, stderr=log
+            )
+
+    async def async_kill(self, name: str) -> None:
+        """End a process at once, frozen or not."""
+        process = self._processes.pop(name, None)
+        if process is not None and process.returncode is None:
+            process.send_signal(signal.SIGKILL)
+            await process.wait()
+
+    async def async_terminate(self, name: str, timeout: float) -> int:
+        """Ask a process to stop and return its exit code; raise TimeoutError."""
+        process = self._processes[name]
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(timeout):
+            code = await process.wait()
+        self._processes.pop(name, None)
+        return code
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process, such as SIGSTOP to freeze it."""
+        self._processes[name].send_signal(number)
+
+    async def async_wait_healthy(self, name: str) -> None:
+        """Wait until an entry host's health check passes."""
+        address = self.hosts[name].operators
+        async with asyncio.timeout(SETUP_SECONDS):
+            while True:
+                try:
+                    answer = await async_send_http(
+                        address, "GET", "/health", timeout=1.0
+                    )
+                    if answer.status == 200:
+                        return
+                except TargetError:
+                    pass
+                await asyncio.sleep(0.05)
+
+    async def async_ask_operators(
+        self, name: str, path: str, method: str = "GET"
+    ) -> Any:
+        """Return the JSON of an operators' route of an entry host."""
+        headers = {"authorization": f"Bearer {self.operator_token}"}
+        answer = await async_send_http(
+            self.hosts[name].operators, method, path, headers=headers, timeout=5.0
+        )
+        return answer.parse_json()
+
+    async def async_publish(self, base: int, operations: list[dict[str, Any]]) -> int:
+        """Publish a patch through the platform and return its sequence."""
+        answer = await self._async_platform(
+            "POST",
+            "/v1/configuration/patches",
+            {"base": base, "operations": operations},
+        )
+        return answer.parse_json()["sequence"]
+
+    async def async_set_hosts(self, hosts: list[dict[str, Any]]) -> None:
+        """Replace the platform's host list."""
+        await self._async_platform("PUT", "/v1/hosts", {"hosts": hosts})
+
+    async def _async_platform(self, method: str, path: str, body: Any) -> HttpAnswer:
+        return await async_send_http(
+            self.platform, method, path, body=orjson.dumps(body), timeout=5.0
+        )
+
+    def _write_files(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        (self.folder / "peer.key").write_text(secrets.token_hex(32))
+        (self.folder / "operator.token").write_text(self.operator_token)
+        document = orjson.dumps(self.build_document())
+        (self.folder / "document.json").write_bytes(document)
+        hosts = orjson.dumps({"hosts": self.build_host_list()})
+        (self.folder / "hosts.json").write_bytes(hosts)
+        for host in self.hosts.values():
+            self._write_settings(host)
+
+    def _write_settings(self, host: SiteHost) -> None:
+        limits = "\n".join(f"{key} = {value}" for key, value in self._limits().items())
+        (self.folder / f"{host.name}.toml").write_text(
+            f"""\
+[host]
+name = "{host.name}"
+region = "local"
+failure_domain = "{host.failure_domain}"
+
+[addresses]
+callers = "{host.callers}"
+operators = "{host.operators}"
+peers = "{host.peers}"
+
+[platform]
+configuration = ["{self.platform}"]
+host_list = ["{self.platform}"]
+
+[credentials]
+peer_key_file = "peer.key"
+operator_token_file = "operator.token"
+
+[limits]
+{limits}
+"""
+        )
+
+    def _limits(self) -> dict[str, Any]:
+        return {"drain_timeout_seconds": 30, **self.plan.limits}
+
+    def _build_commands(self) -> None:
+        folder, plan = self.folder, self.plan
+        self._commands["platform"] = _run_module(
+            "tarragonward_standins.platform",
+            address=self.platform,
+            document=folder / "document.json",
+            hosts=folder / "hosts.json",
+        )
+        for name, address in self.engines.items():
+            self._commands[name] = _run_module(
+                "tarragonward_standins.engine",
+                address=address,
+                kv_tokens=plan.kv_tokens,
+            )
+        for name, address in self.services.items():
+            self._commands[name] = _run_module(
+                "tarragonward_standins.service",
+                address=address,
+                delay_seconds=plan.service_delay_seconds,
+            )
+        for name in self.hosts:
+            self._commands[name] = _run_module(
+                "tarragonward_daemon.main", settings=folder / f"{name}.toml"
+            )
+
+
+def _run_module(module: str, **options: Any) -> list[str]:
+    command = [sys.executable, "-m", module]
+    for name, value in options.items():
+        command += [f"--{name.replace('_', '-')}", str(value)]
+    return command
+
+
+def _list_host(kind: str, name: str, address: Address, domain: str) -> dict[str, Any]:
+    return {
+        "kind": kind,
+        "name": name,
+        "address": str(address),
+        "failure_domain": domain,
+        "region": "local",
+        "state": "live",
+    }
--- /dev/null
+++ b/libraries/wire/tarragonward_wire/__init__.py
@@ -0,0 +1,32 @@
+"""HTTP/1.1 on both sides, and authenticated msgpack streams between hosts."""
+
+from .codec import decode_message, encode_message, register_message
+from .frames import FrameStream, async_shake_hands
+from .http_client import HttpAnswer, HttpStream, async_open_http, async_send_http
+from .http_server import (
+    HttpLimits,
+    HttpRequest,
+    HttpServer,
+    Responder,
+    build_error_body,
+)
+from .peers import PeerLinks, PeerServer
+
+__all__ = [
+    "FrameStream",
+    "HttpAnswer",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpServer",
+    "HttpStream",
+    "PeerLinks",
+    "PeerServer",
+    "Responder",
+    "async_open_http",
+    "async_send_http",
+    "async_shake_hands",
+    "build_error_body",
+    "decode_message",
+    "encode_message",
+    "register_message",
+]
--- /dev/null
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -0,0 +1,188 @@
+"""Send HTTP/1.1 requests with h11, one connection for each request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import h11
+import orjson
+
+from tarragonward_core import (
+    Address,
+    ConnectionLostError,
+    NotConnectedError,
+    TargetError,
+)
+
+from .const import DEFAULT_CONNECT_TIMEOUT_SECONDS, READ_BYTES
+
+__all__ = ["HttpAnswer", "HttpStream", "async_open_http", "async_send_http"]
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes = field(repr=False)
+
+    def parse_json(self) -> Any:
+        """Return the body's JSON; raise TargetError where it is not valid."""
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError as err:
+            raise TargetError(f"the answer is not JSON: {err}") from None
+
+
+class HttpStream:
+    """An answer whose body is still coming."""
+
+    def __init__(
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._h11 = connection
+        self._reader = reader
+        self._writer = writer
+        self.status = 0
+        self.headers: dict[str, str] = {}
+
+    async def async_read_head(self) -> None:
+        """Read the status and the headers."""
+        event = await self._async_next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._async_next_event()
+        if not isinstance(event, h11.Response):
+            raise ConnectionLostError("closed before the answer")
+        self.status = event.status_code
+        self.headers = {
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in event.headers
+        }
+
+    async def async_iterate_chunks(self) -> AsyncIterator[bytes]:
+        """Give the body as it comes; raise ConnectionLostError if it is cut short."""
+        while True:
+            event = await self._async_next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise ConnectionLostError("closed within the answer")
+
+    async def async_iterate_lines(self) -> AsyncIterator[bytes]:
+        """Give the body line by line, without line ends."""
+        rest = b""
+        async for chunk in self.async_iterate_chunks():
+            *lines, rest = (rest + chunk).split(b"\n")
+            for line in lines:
+                yield line.rstrip(b"\r")
+        if rest:
+            yield rest
+
+    async def async_read_body(self) -> bytes:
+        """Read the rest of the body."""
+        body = bytearray()
+        async for chunk in self.async_iterate_chunks():
+            body += chunk
+            if len(body) > MAX_ANSWER_BYTES:
+                raise TargetError("the answer is too large")
+        return bytes(body)
+
+    async def _async_next_event(self) -> Any:
+        try:
+            while True:
+                event = self._h11.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._h11.receive_data(await self._reader.read(READ_BYTES))
+        except (OSError, h11.RemoteProtocolError) as err:
+            raise ConnectionLostError(str(err)) from err
+
+
+@asynccontextmanager
+async def async_open_http(
+    address: Address,
+    method: str,
+    path: str,
+    *,
+    headers: dict[str, str] | None = None,
+    body: bytes = b"",
+    connect_timeout: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
+) -> AsyncIterator[HttpStream]:
+    """Send a request and give its answer as a stream; closed on every path.
+
+    Raise NotConnectedError only where nothing can have been sent, and
+    ConnectionLostError where something may have been.
+    """
+    try:
+        async with asyncio.timeout(connect_timeout):
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+    except (OSError, TimeoutError) as err:
+        raise NotConnectedError(f"{address}: {err}") from err
+    connection = h11.Connection(h11.CLIENT)
+    all_headers = {
+        "host": str(address),
+        "content-length": str(len(body)),
+        "connection": "close",
+        **(headers or {}),
+    }
+    request = h11.Request(method=method, target=path, headers=list(all_headers.items()))
+    try:
+        writer.write(connection.send(request))
+        if body:
+            writer.write(connection.send(h11.Data(data=body)))
+        writer.write(connection.send(h11.EndOfMessage()))
+        stream = HttpStream(connection, reader, writer)
+        try:
+            await writer.drain()
+        except OSError as err:
+            raise ConnectionLostError(str(err)) from err
+        await stream.async_read_head()
+        yield stream
+    finally:
+        writer.transport.abort()
+
+
+async def async_send_http(
+    address: Address,
+    method: str,
+    path: str,
+    *,
+    headers: dict[str, str] | None = None,
+    body: bytes = b"",
+    timeout: float,
+    connect_timeout: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
+) -> HttpAnswer:
+    """Send a request and return its whole answer within timeout seconds.
+
+    Raise NotConnectedError or ConnectionLostError as async_open_http does; running
+    out of time counts as ConnectionLostError.
+    """
+    try:
+        async with (
+            asyncio.timeout(timeout),
+            async_open_http(
+                address,
+                method,
+                path,
+                headers=headers,
+                body=body,
+                connect_timeout=min(connect_timeout, timeout),
+            ) as stream,
+        ):
+            return HttpAnswer(
+                stream.status, stream.headers, await stream.async_read_body()
+            )
+    except TimeoutError as err:
+        raise ConnectionLostError(f"{address}: no answer in {timeout:.3g} s") from err
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,20 @@
+"""Fixtures of the tests with real processes."""
+
+import pytest
+
+from tarragonward_standins.site import Site, SitePlan
+
+
+@pytest.fixture
+async def make_site(tmp_path):
+    sites = []
+
+    async def async_make(plan=None):
+        site = Site(tmp_path / f"site-{len(sites)}", plan or SitePlan())
+        sites.append(site)
+        await site.async_setup()
+        return site
+
+    yield async_make
+    for site in sites:
+        await site.async_unload()
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,37 @@
+"""Tests of the whole path with real processes."""
+
+from tarragonward_core import ResultCode
+from tarragonward_standins.client import (
+    Outcome,
+    async_call,
+    async_complete,
+    async_get_key_prefix,
+)
+
+
+async def test_a_completion_and_a_call_go_through_every_host(make_site):
+    site = await make_site()
+    token = site.tokens["shelfwise"]
+    for host in site.hosts.values():
+        result = await async_complete(
+            host.callers, token, site.plan.model, f"bay at {host.name}", 12, 10
+        )
+        assert result.outcome is Outcome.WHOLE, result
+
+
+async def test_a_repeat_through_another_host_gets_the_same_bytes(make_site):
+    """The clerk's phone repeats a confirmation through another host.
+
+    The key names the first host as owner; the second forwards the repeat to it and
+    gives the recorded answer. The service has run once.
+    """
+    site = await make_site()
+    token = site.tokens["camara"]
+    first, second, *_ = site.hosts.values()
+    prefix = await async_get_key_prefix(first.callers, token)
+    key = f"{prefix}.booking-1"
+    one = await async_call(first.callers, token, "approve", b"combine", key)
+    two = await async_call(second.callers, token, "approve", b"combine", key)
+    assert one.code == ResultCode.OK.number
+    assert (two.code, two.body) == (one.code, one.body)
+    assert b'"run":1' in two.body
