--- a/libraries/standins/tarragonward_standins/demo.py
+++ b/libraries/bench/tarragonward_bench/demo.py
@@ -13,9 +13,7 @@
 from pathlib import Path
 
 from tarragonward_core import ResultCode, TargetError, get_length_class
-from tarragonward_wire import async_send_http
-
-from .client import (
+from tarragonward_standins.client import (
     CompletionResult,
     Outcome,
     async_call,
@@ -23,7 +21,8 @@
     async_get_key_prefix,
     compute_body_hash,
 )
-from .site import Site, SitePlan
+from tarragonward_standins.site import Site, SitePlan
+from tarragonward_wire import async_send_http
 
 __all__ = ["Demo"]
 
--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -15,11 +15,12 @@
 from .calls import ServiceCalls
 from .configuration import ConfigurationTask
 from .core import HostState
-from .engines import Releases, ReportTask
+from .engines import Releases
 from .membership import MembershipTask
 from .models import ModelRequests
 from .operators import OperatorRoutes
 from .peers import PeerMessages
+from .reports import ReportTask
 
 __all__ = ["Daemon"]
 
--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -39,11 +39,11 @@
 from .engines import (
     EngineStream,
     Releases,
-    ReportTask,
     StreamEnd,
     async_read_stream,
 )
 from .membership import MembershipTask
+from .reports import ReportTask
 
 __all__ = ["ModelRequests", "Sink"]
 
--- a/libraries/daemon/tarragonward_daemon/operators.py
+++ b/libraries/daemon/tarragonward_daemon/operators.py
@@ -11,8 +11,8 @@
 
 from . import const as c
 from .core import HostState
-from .engines import ReportTask
 from .membership import MembershipTask
+from .reports import ReportTask
 
 __all__ = ["OperatorRoutes"]
 
