Mark failing engines at once, and tell a frozen engine from a long prefill

The life cycle now knows why an attempt failed (AttemptFault): a refused connection costs a tenth of a retry, a resume a fifth, a failover a whole one, out of a share of the first attempts of the last 30 s. Outlier detection leaves a target out after a refusal, a silence or three failures, and takes it back after a probe. Offsets that overlap give only the new part; a lost end after the last token ends whole; "not run" codes are kept for requests of which no attempt can have run.

--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -89,6 +89,7 @@
             self.membership,
             self.reports,
             self.releases,
+            self.models,
             self.peers,
             self.operators,
             self.callers,
--- a/libraries/daemon/tarragonward_daemon/callers.py
+++ b/libraries/daemon/tarragonward_daemon/callers.py
@@ -120,7 +120,10 @@
             context.request_id, context.account, completion, context.deadline, answer
         )
         self._log_end(context.request_id, context.account.name, end.code)
-        await answer.async_end(end)
+        # A caller that reads nothing must not hold its request. Symptom: a drain that
+        # waits for it. Running out of time here ends the caller's connection.
+        async with asyncio.timeout(c.END_ANSWER_SECONDS):
+            await answer.async_end(end)
 
     async def _async_call(
         self, context: _Context, request: HttpRequest, responder: Responder
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/engine_probes.py
@@ -0,0 +1,119 @@
+"""Ask silent and excluded engines whether they are alive, at no caller's cost."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Protocol
+
+from tarragonward_config import Target
+from tarragonward_core import ConnectionLostError, TargetError, log_event
+from tarragonward_requests import OutlierDetector
+from tarragonward_wire import async_send_http
+
+from . import const as c
+from .core import HostState
+from .engines import EngineSilentError
+
+__all__ = ["EngineProbes", "WatchedStream"]
+
+
+class WatchedStream(Protocol):
+    """A stream that is being read, as the probes see it."""
+
+    stream_id: str
+    target: Target
+    silent_since: float | None
+
+    def interrupt(self, error: TargetError) -> None:
+        """End the reading with an error."""
+
+
+class EngineProbes:
+    """Own the probes: one at a time to an engine, whatever the number of streams.
+
+    A prefill of a million tokens is silent for most of a minute, and a frozen engine
+    is silent too. Symptom of a plain timeout: the longest prompts are given up and
+    begun again, or a frozen engine holds its callers for a minute. Asking the engine
+    itself tells the two apart.
+    """
+
+    def __init__(self, host: HostState, outliers: OutlierDetector) -> None:
+        self._host = host
+        self._outliers = outliers
+        self._streams: set[WatchedStream] = set()
+        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to watch."""
+        self._task = asyncio.create_task(self._async_watch())
+
+    async def async_unload(self) -> None:
+        """Stop."""
+        tasks = [*self._probes.values(), *([self._task] if self._task else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def watch(self, stream: WatchedStream) -> None:
+        """Watch a stream until forget()."""
+        self._streams.add(stream)
+
+    def forget(self, stream: WatchedStream) -> None:
+        """Watch a stream no longer."""
+        self._streams.discard(stream)
+
+    async def _async_watch(self) -> None:
+        while True:
+            now = asyncio.get_running_loop().time()
+            for target in self._get_due(now):
+                if target.name not in self._probes:
+                    task = asyncio.create_task(self._async_probe(target))
+                    self._probes[target.name] = task
+                    task.add_done_callback(
+                        lambda _, name=target.name: self._probes.pop(name, None)
+                    )
+            await asyncio.sleep(c.PROBE_TICK_SECONDS)
+
+    def _get_due(self, now: float) -> list[Target]:
+        due = {s.target.name: s.target for s in self._streams if _is_silent(s, now)}
+        state = self._host.configuration_state
+        if state is not None:
+            targets = state.configuration.targets
+            self._outliers.forget_others(targets)
+            for name in self._outliers.get_due_probes(now):
+                due[name] = targets[name]
+        return list(due.values())
+
+    async def _async_probe(self, target: Target) -> None:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        try:
+            answer = await async_send_http(
+                target.address, "GET", "/v1/load", timeout=c.PROBE_TIMEOUT_SECONDS
+            )
+            report, error = answer.parse_json(), ""
+        except TargetError as err:
+            report, error = None, repr(err)
+        now = loop.time()
+        self._outliers.record_probe(target.name, report is not None, now)
+        self._judge_streams(target, report, began_at)
+        if report is None:
+            log_event("probe_failed", target=target.name, reason=error)
+        await asyncio.sleep(c.PROBE_INTERVAL_SECONDS)
+
+    def _judge_streams(self, target: Target, report: Any, began_at: float) -> None:
+        for stream in list(self._streams):
+            # Streams that were not silent when the probe began are not judged by it.
+            if stream.target.name != target.name or not _is_silent(stream, began_at):
+                continue
+            if report is None:
+                stream.interrupt(EngineSilentError(f"{target.name} is silent"))
+            elif stream.stream_id not in report.get("streams", ()):
+                # The report may lag; resuming the stream tells for certain.
+                stream.interrupt(ConnectionLostError("the stream is not reported"))
+
+
+def _is_silent(stream: WatchedStream, now: float) -> bool:
+    since = stream.silent_since
+    return since is not None and now - since >= c.ENGINE_SILENCE_SECONDS
--- a/libraries/daemon/tarragonward_daemon/engines.py
+++ b/libraries/daemon/tarragonward_daemon/engines.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import singledispatch
 from typing import Any
 
 import orjson
@@ -14,23 +16,80 @@
 from tarragonward_core import (
     ConnectionLostError,
     HostIdentity,
+    NotConnectedError,
     TargetError,
     log_event,
 )
+from tarragonward_requests import AttemptFault
 from tarragonward_wire import HttpStream, async_open_http, async_send_http
 
 from . import const as c
 
-__all__ = ["EngineStream", "Releases", "StreamEnd", "StreamText"]
+__all__ = [
+    "EngineRefusedError",
+    "EngineSilentError",
+    "EngineStream",
+    "Releases",
+    "StreamEnd",
+    "StreamGoneError",
+    "StreamText",
+    "async_read_stream",
+    "get_fault",
+]
+
+HTTP_GONE = frozenset({404, 410})
+HTTP_REFUSED = frozenset({429, 503, 507})
+
+
+class EngineRefusedError(TargetError):
+    """Report that the engine had no room and ran nothing."""
+
+
+class StreamGoneError(TargetError):
+    """Report that the engine does not know the stream."""
+
+
+class EngineSilentError(TargetError):
+    """Report that the engine answers nothing at all."""
+
+
+@singledispatch
+def get_fault(error: TargetError) -> AttemptFault:
+    """Return what the life cycle calls an error of an engine."""
+    return AttemptFault.INVALID
+
+
+@get_fault.register
+def _(error: NotConnectedError) -> AttemptFault:
+    return AttemptFault.NOT_CONNECTED
+
+
+@get_fault.register
+def _(error: ConnectionLostError) -> AttemptFault:
+    return AttemptFault.CONNECTION_LOST
+
+
+@get_fault.register
+def _(error: EngineRefusedError) -> AttemptFault:
+    return AttemptFault.REFUSED
+
+
+@get_fault.register
+def _(error: StreamGoneError) -> AttemptFault:
+    return AttemptFault.STREAM_GONE
+
+
+@get_fault.register
+def _(error: EngineSilentError) -> AttemptFault:
+    return AttemptFault.SILENT
 
 
 @dataclass(frozen=True)
 class StreamText:
-    """Text of an engine's stream after offset tokens of the answer."""
+    """Text of an engine's stream after offset tokens of the answer, one piece each."""
 
     offset: int
-    tokens: int
-    text: str
+    pieces: tuple[str, ...]
 
 
 @dataclass(frozen=True)
@@ -56,8 +115,7 @@
         async with async_open_http(
             self.target.address, "POST", "/v1/streams", body=orjson.dumps(payload)
         ) as stream:
-            if stream.status != 200:
-                raise TargetError(f"{self.target.name} answered {stream.status}")
+            self._check_status(stream.status)
             yield stream
 
     @asynccontextmanager
@@ -65,52 +123,54 @@
         """Go on reading after offset tokens; raise TargetError if it is gone."""
         path = f"/v1/streams/{self.stream_id}?offset={offset}"
         async with async_open_http(self.target.address, "GET", path) as stream:
-            if stream.status != 200:
-                raise TargetError(f"{self.target.name} answered {stream.status}")
+            self._check_status(stream.status)
             yield stream
 
+    def _check_status(self, status: int) -> None:
+        if status == 200:
+            return
+        message = f"{self.target.name} answered {status}"
+        if status in HTTP_REFUSED:
+            raise EngineRefusedError(message)
+        if status in HTTP_GONE:
+            raise StreamGoneError(message)
+        raise TargetError(message)
+
 
 async def async_read_stream(
     stream: HttpStream,
 ) -> AsyncIterator[StreamText | StreamEnd]:
     """Give what an engine's stream says; lines that came together are one text.
 
-    Raise ConnectionLostError where it stays silent or breaks off, TargetError where
-    it says what is not understood.
+    Raise ConnectionLostError where it breaks off, TargetError where it says what is
+    not understood. How long it may stay silent is for EngineProbes to say.
     """
-    chunks = stream.async_iterate_chunks()
     rest = b""
-    while True:
-        try:
-            async with asyncio.timeout(c.ENGINE_SILENCE_SECONDS):
-                chunk = await anext(chunks)
-        except TimeoutError:
-            raise ConnectionLostError("the engine is silent") from None
-        except StopAsyncIteration:
-            return
+    async for chunk in stream.async_iterate_chunks():
         *lines, rest = (rest + chunk).split(b"\n")
         for item in _join_lines(lines):
             yield item
 
 
 def _join_lines(lines: list[bytes]) -> list[StreamText | StreamEnd]:
+    joined: list[StreamText | StreamEnd] = []
+    pieces: list[str] = []
+    first = 0
     try:
-        items = [orjson.loads(line) for line in lines if line]
-        texts = [item for item in items if "text" in item]
-        joined: list[StreamText | StreamEnd] = []
-        if texts:
-            offsets = [item["offset"] for item in texts]
-            if offsets != list(range(offsets[0], offsets[0] + len(offsets))):
-                raise TargetError("the engine's offsets have a gap")
-            text = "".join(item["text"] for item in texts)
-            joined.append(StreamText(offsets[0], len(texts), text))
-        joined += [
-            StreamEnd(item["tokens"], item["finish_reason"])
-            for item in items
-            if "finish_reason" in item
-        ]
-    except (orjson.JSONDecodeError, KeyError, TypeError) as err:
+        for item in (orjson.loads(line) for line in lines if line):
+            is_text = "text" in item
+            if pieces and not (is_text and item["offset"] == first + len(pieces)):
+                joined.append(StreamText(first, tuple(pieces)))
+                pieces = []
+            if is_text:
+                first = first if pieces else int(item["offset"])
+                pieces.append(str(item["text"]))
+            else:
+                joined.append(StreamEnd(int(item["tokens"]), item["finish_reason"]))
+    except (ValueError, KeyError, TypeError) as err:
         raise TargetError(f"the engine's stream is not valid: {err!r}") from None
+    if pieces:
+        joined.append(StreamText(first, tuple(pieces)))
     return joined
 
 
@@ -120,11 +180,18 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def pending(self) -> int:
+        """Return how many streams and reservations are still to be cancelled."""
+        return len(self._tasks)
+
     def release_stream(self, target: Target, stream_id: str) -> None:
         """Cancel a stream in the background until the engine has said it is gone."""
-        task = asyncio.create_task(self._async_cancel(target, stream_id))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._start(target, f"/v1/streams/{stream_id}")
+
+    def release_reservation(self, target: Target, reservation_id: str) -> None:
+        """Cancel a reservation in the background, in the same way."""
+        self._start(target, f"/v1/reservations/{reservation_id}")
 
     async def async_setup(self) -> None:
         """Do nothing: releases start as they come."""
@@ -137,18 +204,26 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _async_cancel(self, target: Target, stream_id: str) -> None:
+    def _start(self, target: Target, path: str) -> None:
+        task = asyncio.create_task(self._async_cancel(target, path))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _async_cancel(self, target: Target, path: str) -> None:
+        # A cancel can be lost with its connection or its frozen engine. Symptom: the
+        # engine keeps memory for a stream that nobody reads. Repeating it until it was
+        # answered is enough: it is idempotent, jitter keeps many hosts' repeats apart,
+        # and what outlives the limit is found by the sweep.
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + c.CANCEL_RETRY_LIMIT_SECONDS
+        delay = c.CANCEL_RETRY_SECONDS
         while loop.time() < give_up_at:
             try:
                 await async_send_http(
-                    target.address,
-                    "DELETE",
-                    f"/v1/streams/{stream_id}",
-                    timeout=c.CANCEL_TIMEOUT_SECONDS,
+                    target.address, "DELETE", path, timeout=c.CANCEL_TIMEOUT_SECONDS
                 )
                 return
             except TargetError:
-                await asyncio.sleep(c.CANCEL_RETRY_SECONDS)
-        log_event("release_failed", target=target.name, stream_id=stream_id)
+                await asyncio.sleep(delay * random.uniform(0.5, 1.5))
+                delay = min(delay * 2, c.CANCEL_RETRY_CAP_SECONDS)
+        log_event("release_failed", target=target.name, path=path)
--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack
+import random
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, ExitStack
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Protocol
@@ -21,12 +23,15 @@
 from tarragonward_requests import (
     AttemptFailed,
     AttemptFinished,
+    CallerLeft,
     CancelAttempt,
     DeadlinePassed,
     DeliverText,
     Effect,
     EndRequest,
     Event,
+    HostStopping,
+    OutlierDetector,
     PlacementRefused,
     RequestLifecycle,
     RetryBudget,
@@ -34,13 +39,17 @@
     TextArrived,
 )
 
+from . import const as c
 from .completions import Completion
 from .core import HostState
+from .engine_probes import EngineProbes
 from .engines import (
     EngineStream,
     Releases,
     StreamEnd,
+    StreamText,
     async_read_stream,
+    get_fault,
 )
 from .membership import MembershipTask
 from .reports import ReportTask
@@ -57,13 +66,39 @@
         """Give text to the caller; wait while it has no room."""
 
 
-@dataclass
+@dataclass(eq=False)
+class _Reading:
+    """One stream on one engine while it is read; silent_since is in loop time."""
+
+    stream: EngineStream
+    task: asyncio.Task[None]
+    silent_since: float | None = None
+    is_released: bool = False
+    interruption: TargetError | None = None
+
+    @property
+    def target(self) -> Target:
+        return self.stream.target
+
+    @property
+    def stream_id(self) -> str:
+        return self.stream.stream_id
+
+    def interrupt(self, error: TargetError) -> None:
+        if self.interruption is None and not self.task.done():
+            self.interruption = error
+            self.task.cancel()
+
+
+@dataclass(eq=False)
 class _Attempt:
+    """One attempt's task, and its reading once it was placed."""
+
     number: int
-    engine: Target
-    stream: EngineStream
     task: asyncio.Task[None] | None = None
-    is_released: bool = False
+    reading: _Reading | None = None
+    is_left: bool = False
+    resumed: EngineStream | None = None
 
 
 class ModelRequests:
@@ -82,12 +117,28 @@
         self.membership = membership
         self.placement = Placement()
         self.budget = RetryBudget()
+        self.outliers = OutlierDetector()
+        self.probes = EngineProbes(host, self.outliers)
+        self.active_streams: set[str] = set()
+        self._runs: set[_ModelRequest] = set()
+
+    async def async_setup(self) -> None:
+        """Start to watch the engines that work waits for."""
+        await self.probes.async_setup()
+
+    async def async_unload(self) -> None:
+        """Stop watching."""
+        await self.probes.async_unload()
+
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a target must get no new work."""
+        published = self.host.configuration.targets.get(target.name)
+        return published is None or target.name in self.membership.leaving_targets
 
     def get_engines(self, model: str) -> list[Target]:
         """Return the engines of a model that take new work."""
-        leaving = self.membership.leaving_targets
         engines = self.host.configuration.get_engines(model)
-        return [engine for engine in engines if engine.name not in leaving]
+        return [engine for engine in engines if not self.is_leaving(engine)]
 
     async def async_run(
         self,
@@ -102,8 +153,22 @@
             raise RequestRefusedError(ResultCode.UNKNOWN_MODEL)
         run = _ModelRequest(self, request_id, account, completion, deadline, sink)
         async with AsyncExitStack() as stack:
+            self._runs.add(run)
+            stack.callback(self._runs.discard, run)
             stack.push_async_callback(run.async_unload)
-            return await run.async_run()
+            end = await run.async_run()
+        # The process may have been paused since the end was decided. Symptom: a whole
+        # answer that its caller has given up on. No await stands between this look at
+        # the clock and the answer's first byte.
+        is_late = asyncio.get_running_loop().time() >= deadline
+        if end.code is ResultCode.OK and is_late:
+            return EndRequest(ResultCode.DEADLINE_EXCEEDED, end.finish_reason)
+        return end
+
+    def stop_all(self) -> None:
+        """End every request in progress, each with its answer."""
+        for run in list(self._runs):
+            run.stop()
 
 
 class _ModelRequest:
@@ -124,7 +189,9 @@
         self._completion = completion
         self._sink = sink
         self._loop = asyncio.get_running_loop()
-        self._lifecycle = RequestLifecycle(request_id, deadline, shared.budget)
+        self._lifecycle = RequestLifecycle(
+            request_id, deadline, shared.budget, completion.max_tokens
+        )
         # Bounded: a slow reader stops the attempt's reading, and so the engine's.
         self._events: asyncio.Queue[Event] = asyncio.Queue(MAX_QUEUED_EVENTS)
         self._given_out: list[str] = []
@@ -145,9 +212,18 @@
 
     async def async_unload(self) -> None:
         """Release what the request still holds, however it ended."""
+        if not self._lifecycle.has_ended:
+            self._lifecycle.handle(CallerLeft(), self._loop.time())
+            self._count("requests", str(ResultCode.CALLER_LEFT.number))
         await self._async_leave_attempt()
         self._shared.placement.release(self._request_id)
 
+    def stop(self) -> None:
+        """End the request before anything that waits in its queue."""
+        while not self._events.empty():
+            self._events.get_nowait()
+        self._events.put_nowait(HostStopping())
+
     async def _async_next_event(self) -> Event:
         try:
             async with asyncio.timeout_at(self._lifecycle.deadline):
@@ -161,22 +237,12 @@
 
     @_async_apply.register
     async def _(self, effect: StartAttempt) -> None:
-        if effect.resume and self._attempt is not None:
-            attempt = _Attempt(
-                effect.attempt, self._attempt.engine, self._attempt.stream
-            )
-            self._attempt.is_released = True
-            await self._async_leave_attempt()
-        else:
-            await self._async_leave_attempt()
-            placed = self._place()
-            if isinstance(placed, Refused):
-                refused = PlacementRefused(
-                    effect.attempt, placed.code, placed.retry_after_seconds
-                )
-                self._events.put_nowait(refused)
-                return
-            attempt = self._build_attempt(effect.attempt, placed)
+        attempt = _Attempt(effect.attempt)
+        earlier = self._attempt
+        if effect.resume and earlier is not None and earlier.reading is not None:
+            attempt.resumed = earlier.reading.stream
+            earlier.reading.is_released = True
+        await self._async_leave_attempt()
         self._attempt = attempt
         attempt.task = asyncio.create_task(self._async_attempt(attempt, effect))
 
@@ -194,96 +260,170 @@
                 get_length_class(self._completion.prompt_tokens),
             )
         self._given_out.append(effect.text)
-        await self._sink.async_deliver(effect.text)
+        # A caller that reads nothing must not hold its engine. Symptom: the request
+        # waits here past its deadline. The next event then finds the deadline passed.
+        timeout = asyncio.timeout_at(self._lifecycle.deadline)
+        try:
+            async with timeout:
+                await self._sink.async_deliver(effect.text)
+        except TimeoutError:
+            if not timeout.expired():
+                raise
 
     @_async_apply.register
     async def _(self, effect: EndRequest) -> None:
         self._end = effect
 
+    async def _async_attempt(self, attempt: _Attempt, effect: StartAttempt) -> None:
+        try:
+            await asyncio.sleep(effect.delay_seconds * random.uniform(0.5, 1.5))
+            await self._events.put(await self._async_run_attempt(attempt, effect))
+        except TargetError as err:
+            await self._events.put(self._note_failure(attempt, err))
+        except asyncio.CancelledError:
+            reading = attempt.reading
+            if attempt.is_left or reading is None or reading.interruption is None:
+                raise
+            failure = self._note_failure(attempt, reading.interruption)
+            await self._events.put(failure)
+
+    async def _async_run_attempt(
+        self, attempt: _Attempt, effect: StartAttempt
+    ) -> Event:
+        # The process may have been paused since the attempt was decided on. Symptom:
+        # work for a caller that has given up. A pause after this check costs no more
+        # than the engine's work until the deadline's event cancels the stream.
+        if self._loop.time() >= self._lifecycle.deadline:
+            return DeadlinePassed()
+        stream = attempt.resumed
+        if stream is not None and self._shared.is_leaving(stream.target):
+            self._shared.releases.release_stream(stream.target, stream.stream_id)
+            stream = None
+        is_resumed = stream is not None
+        if stream is None:
+            placed = self._place()
+            if isinstance(placed, Refused):
+                return PlacementRefused(
+                    effect.attempt, placed.code, placed.retry_after_seconds
+                )
+            stream = self._build_stream(effect.attempt, placed)
+        assert attempt.task is not None
+        attempt.reading = _Reading(stream, attempt.task)
+        with ExitStack() as stack:
+            self._shared.probes.watch(attempt.reading)
+            stack.callback(self._shared.probes.forget, attempt.reading)
+            return await self._async_read_attempt(attempt, effect, is_resumed)
+
     def _place(self) -> Placed | Refused:
-        engines = self._shared.get_engines(self._completion.model)
-        usable = [e for e in engines if e.name not in self._failed_engines]
         now = self._loop.time()
+        engines = self._shared.get_engines(self._completion.model)
+        names = [e.name for e in engines if e.name not in self._failed_engines]
+        names = self._shared.outliers.select(names or [e.name for e in engines], now)
         self._shared.placement.release(self._request_id)
         request = PlacementRequest(
             request_id=self._request_id,
             account=self._account.name,
             model=self._completion.model,
-            prompt_tokens=self._completion.prompt_tokens,
-            max_tokens=self._completion.max_tokens,
+            prompt_tokens=self._completion.prompt_tokens
+            + self._lifecycle.delivered_tokens,
+            max_tokens=self._completion.max_tokens - self._lifecycle.delivered_tokens,
             priority=self._completion.priority or self._account.priority,
             remaining_seconds=self._lifecycle.deadline - now,
         )
-        views = self._shared.reports.build_views(usable or engines, now)
+        usable = [engine for engine in engines if engine.name in names]
+        views = self._shared.reports.build_views(usable, now)
         return self._shared.placement.place(request, views, now)
 
-    def _build_attempt(self, number: int, placed: Placed) -> _Attempt:
+    def _build_stream(self, number: int, placed: Placed) -> EngineStream:
         engine = self._shared.host.configuration.targets[placed.engines[0]]
         stream_id = f"{self._request_id}-{number}"
-        stream = EngineStream(engine, stream_id, self._shared.host.identity)
-        return _Attempt(number, engine, stream)
-
-    async def _async_attempt(self, attempt: _Attempt, effect: StartAttempt) -> None:
-        try:
-            await self._async_read_attempt(attempt, effect)
-        except ConnectionLostError as err:
-            await self._async_fail(attempt, True, repr(err))
-        except TargetError as err:
-            await self._async_fail(attempt, False, repr(err))
-
-    async def _async_fail(
-        self, attempt: _Attempt, can_resume: bool, reason: str
-    ) -> None:
+        return EngineStream(engine, stream_id, self._shared.host.identity)
+
+    def _note_failure(self, attempt: _Attempt, error: TargetError) -> Event:
+        fault = get_fault(error)
+        self._count("attempts_failed", fault.name)
+        target = ""
+        if attempt.reading is not None:
+            target = attempt.reading.target.name
+            is_new = self._shared.outliers.record_failure(
+                target, fault, self._loop.time()
+            )
+            if is_new:
+                log_event("target_excluded", target=target, reason=fault.value)
+            self._failed_engines.add(target)
         log_event(
             "attempt_failed",
             request_id=self._request_id,
             client_account=self._account.name,
-            target=attempt.engine.name,
-            reason=reason,
+            target=target,
+            reason=repr(error),
         )
-        if not can_resume:
-            self._failed_engines.add(attempt.engine.name)
-        await self._events.put(AttemptFailed(attempt.number, can_resume, reason))
+        return AttemptFailed(attempt.number, fault)
+
+    def _count(self, name: str, label: str) -> None:
+        self._shared.host.metrics.count(name, label, self._account.name)
 
     async def _async_read_attempt(
-        self, attempt: _Attempt, effect: StartAttempt
-    ) -> None:
-        if effect.resume:
-            opening = attempt.stream.async_resume(effect.offset)
+        self, attempt: _Attempt, effect: StartAttempt, is_resumed: bool
+    ) -> Event:
+        reading = attempt.reading
+        assert reading is not None
+        reading.silent_since = self._loop.time()
+        self._shared.active_streams.add(reading.stream_id)
+        if is_resumed:
+            opening = reading.stream.async_resume(effect.offset)
         else:
-            opening = attempt.stream.async_open(
-                {
-                    "model": self._completion.model,
-                    "prompt": self._completion.prompt + "".join(self._given_out),
-                    "max_tokens": self._completion.max_tokens - effect.offset,
-                    "offset": effect.offset,
-                }
-            )
+            opening = reading.stream.async_open(self._build_body(effect.offset))
         async with opening as stream:
-            async for item in async_read_stream(stream):
+            items = async_read_stream(stream)
+            async for item in items:
                 if isinstance(item, StreamEnd):
-                    attempt.is_released = True
-                    event: Event = AttemptFinished(
+                    await self._async_read_to_end(reading, items)
+                    self._shared.outliers.record_success(reading.target.name)
+                    return AttemptFinished(
                         attempt.number, item.tokens, item.finish_reason
                     )
-                else:
-                    event = TextArrived(
-                        attempt.number, item.offset, item.tokens, item.text
-                    )
-                await self._events.put(event)
-                if attempt.is_released:
-                    return
+                reading.silent_since = None
+                await self._events.put(
+                    TextArrived(attempt.number, item.offset, item.pieces)
+                )
+                reading.silent_since = self._loop.time()
         raise ConnectionLostError("the stream ended without its finish")
 
+    def _build_body(self, offset: int) -> dict[str, object]:
+        return {
+            "model": self._completion.model,
+            "prompt": self._completion.prompt + "".join(self._given_out),
+            "max_tokens": self._completion.max_tokens - offset,
+            "offset": offset,
+        }
+
+    async def _async_read_to_end(
+        self, reading: _Reading, items: AsyncIterator[StreamText | StreamEnd]
+    ) -> None:
+        # An engine frees a stream that was read to its end. Symptom of closing on the
+        # finish line: the engine sees a lost reader and keeps the memory. Where the
+        # end does not come, the stream is cancelled like any other.
+        try:
+            async with asyncio.timeout(c.STREAM_END_SECONDS):
+                async for _ in items:
+                    pass
+            reading.is_released = True
+        except (TimeoutError, TargetError):
+            pass
+
     async def _async_leave_attempt(self) -> None:
         attempt, self._attempt = self._attempt, None
         if attempt is None:
             return
+        attempt.is_left = True
         if attempt.task is not None:
             attempt.task.cancel()
             await asyncio.gather(attempt.task, return_exceptions=True)
-        if not attempt.is_released:
-            attempt.is_released = True
-            self._shared.releases.release_stream(
-                attempt.engine, attempt.stream.stream_id
-            )
+        reading = attempt.reading
+        stream = attempt.resumed if reading is None else reading.stream
+        if stream is None:
+            return
+        self._shared.active_streams.discard(stream.stream_id)
+        if reading is None or not reading.is_released:
+            self._shared.releases.release_stream(stream.target, stream.stream_id)
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -5,6 +5,7 @@
 from .lifecycle import RequestLifecycle
 from .messages import (
     AttemptFailed,
+    AttemptFault,
     AttemptFinished,
     CallerLeft,
     CancelAttempt,
@@ -13,14 +14,17 @@
     Effect,
     EndRequest,
     Event,
+    HostStopping,
     PlacementRefused,
     StartAttempt,
     TextArrived,
 )
+from .outliers import ListLifetime, OutlierDetector, PlainBackoff, ProbedBackoff
 from .retries import RetryBudget
 
 __all__ = [
     "AttemptFailed",
+    "AttemptFault",
     "AttemptFinished",
     "CallKey",
     "CallLedger",
@@ -32,6 +36,11 @@
     "Effect",
     "EndRequest",
     "Event",
+    "HostStopping",
+    "ListLifetime",
+    "OutlierDetector",
+    "PlainBackoff",
+    "ProbedBackoff",
     "PlacementRefused",
     "RecordedAnswer",
     "Reply",
--- a/libraries/requests/tarragonward_requests/lifecycle.py
+++ b/libraries/requests/tarragonward_requests/lifecycle.py
@@ -6,9 +6,10 @@
 
 from tarragonward_core import ResultCode, invariants
 
-from .const import DEFAULT_RETRY_AFTER_SECONDS, MAX_ATTEMPTS
+from . import const as c
 from .messages import (
     AttemptFailed,
+    AttemptFault,
     AttemptFinished,
     CallerLeft,
     CancelAttempt,
@@ -17,6 +18,7 @@
     Effect,
     EndRequest,
     Event,
+    HostStopping,
     PlacementRefused,
     StartAttempt,
     TextArrived,
@@ -25,37 +27,48 @@
 
 __all__ = ["RequestLifecycle"]
 
+FINISH_ERROR = "error"
+FINISH_LENGTH = "length"
+
 
 class RequestLifecycle:
     """The life of one admitted model request.
 
     It takes events with the time (monotonic seconds) and returns effects; it holds no
-    socket, clock, randomness or task. Exactly one EndRequest is ever returned.
+    socket, clock, randomness or task. Exactly one EndRequest is ever returned, and
+    nothing after it. At most max_tokens tokens are delivered.
     """
 
-    def __init__(self, request_id: str, deadline: float, budget: RetryBudget) -> None:
+    def __init__(
+        self, request_id: str, deadline: float, budget: RetryBudget, max_tokens: int
+    ) -> None:
         self.request_id = request_id
         self.deadline = deadline
+        self.max_tokens = max_tokens
         self.delivered_tokens = 0
         self.has_ended = False
         self._budget = budget
         self._attempt = 0
+        self._fruitless_attempts = 0
+        self._is_resumed = False
+        self._may_have_run = False
 
     def start(self, now: float) -> list[Effect]:
         """Return the effects of admission."""
-        self._budget.record_first_attempt()
+        self._check(self._attempt == 0, "request_started_once")
+        self._budget.record_first_attempt(now)
         if now >= self.deadline:
             return self._end(ResultCode.DEADLINE_EXCEEDED)
-        return self._start_attempt(resume=False)
+        return [self._start_attempt(resume=False)]
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Return the effects of an event at the time now."""
         if self.has_ended:
             return []
         # A process that was paused wakes with events that came long ago. Symptom: it
-        # gives out text after the caller was told of a timeout elsewhere. The check
-        # is enough here because no await stands between it and the effects.
-        if now >= self.deadline:
+        # gives out text, or starts an attempt, for a caller that has long given up.
+        # The check is enough here because no await stands between it and the effects.
+        if now >= self.deadline and not isinstance(event, CallerLeft):
             return self._end(ResultCode.DEADLINE_EXCEEDED)
         return self._handle(event, now)
 
@@ -67,30 +80,50 @@
     def _(self, event: TextArrived, now: float) -> list[Effect]:
         if event.attempt != self._attempt:
             return []
-        if event.offset != self.delivered_tokens:
-            return self._fail_attempt(can_resume=False, now=now)
-        self.delivered_tokens += event.tokens
-        return [DeliverText(event.text, event.tokens)]
+        self._may_have_run = True
+        if event.offset > self.delivered_tokens:
+            return self._recover(AttemptFault.CONNECTION_LOST, now)
+        # A resumed stream may begin before the offset asked for. Symptom: the caller
+        # reads some tokens twice. Only what is past the delivered tokens is new, and
+        # nothing past max_tokens was asked for.
+        pieces = event.pieces[self.delivered_tokens - event.offset :]
+        pieces = pieces[: self.max_tokens - self.delivered_tokens]
+        if not pieces:
+            return []
+        self._fruitless_attempts = 0
+        self._is_resumed = False
+        self.delivered_tokens += len(pieces)
+        return [DeliverText("".join(pieces), len(pieces))]
 
     @_handle.register
     def _(self, event: AttemptFinished, now: float) -> list[Effect]:
         if event.attempt != self._attempt:
             return []
-        if event.tokens != self.delivered_tokens:
-            return self._fail_attempt(can_resume=True, now=now)
-        return self._end(ResultCode.OK, event.finish_reason, cancel=False)
+        self._may_have_run = True
+        if event.tokens == self.delivered_tokens:
+            return self._end(ResultCode.OK, event.finish_reason)
+        if event.tokens < self.delivered_tokens:
+            return self._recover(AttemptFault.INVALID, now)
+        return self._recover(AttemptFault.CONNECTION_LOST, now)
 
     @_handle.register
     def _(self, event: AttemptFailed, now: float) -> list[Effect]:
         if event.attempt != self._attempt:
             return []
-        return self._fail_attempt(event.can_resume, now)
+        self._may_have_run = self._may_have_run or not event.fault.is_before_run
+        return self._recover(event.fault, now)
 
     @_handle.register
     def _(self, event: PlacementRefused, now: float) -> list[Effect]:
         if event.attempt != self._attempt:
             return []
-        return self._end(event.code, retry_after_seconds=event.retry_after_seconds)
+        # An engine may have run a part already. Symptom: the caller is told "not run"
+        # of a request whose text it has read. So a refusal ends the request as it
+        # stands only where no attempt can have run; else a place is waited for.
+        if not self._may_have_run:
+            return self._end(event.code, retry_after_seconds=event.retry_after_seconds)
+        delay = min(event.retry_after_seconds, c.REFUSED_BACKOFF_CAP_SECONDS)
+        return self._retry(False, c.RETRY_COST_REFUSED, delay, now)
 
     @_handle.register
     def _(self, event: CallerLeft, now: float) -> list[Effect]:
@@ -100,32 +133,69 @@
     def _(self, event: DeadlinePassed, now: float) -> list[Effect]:
         return []
 
-    def _start_attempt(self, resume: bool) -> list[Effect]:
+    @_handle.register
+    def _(self, event: HostStopping, now: float) -> list[Effect]:
+        return self._end(
+            ResultCode.HOST_STOPPED, retry_after_seconds=c.DEFAULT_RETRY_AFTER_SECONDS
+        )
+
+    def _recover(self, fault: AttemptFault, now: float) -> list[Effect]:
+        # The end of the stream can be lost after its last token. Symptom: another
+        # engine is asked for no tokens, and gives one too many. All that was asked
+        # for has been given, so the answer is whole.
+        if self.delivered_tokens >= self.max_tokens:
+            return self._end(ResultCode.OK, FINISH_LENGTH)
+        if fault is AttemptFault.CONNECTION_LOST and not self._is_resumed:
+            return self._retry(True, c.RETRY_COST_RESUME, 0.0, now)
+        if fault is AttemptFault.REFUSED:
+            delay = c.REFUSED_BACKOFF_SECONDS * 2**self._fruitless_attempts
+            delay = min(delay, c.REFUSED_BACKOFF_CAP_SECONDS)
+            return self._retry(False, c.RETRY_COST_REFUSED, delay, now)
+        if fault is AttemptFault.NOT_CONNECTED:
+            return self._retry(False, c.RETRY_COST_REFUSED, 0.0, now)
+        return self._retry(False, c.RETRY_COST_FAILOVER, 0.0, now)
+
+    def _retry(
+        self, resume: bool, cost: float, delay: float, now: float
+    ) -> list[Effect]:
+        self._fruitless_attempts += 1
+        if (
+            self._attempt >= c.MAX_ATTEMPTS
+            or self._fruitless_attempts >= c.MAX_FRUITLESS_ATTEMPTS
+            or now + delay >= self.deadline
+            or not self._budget.draw(cost, now)
+        ):
+            return self._give_up()
+        effects: list[Effect] = [] if resume else [CancelAttempt(self._attempt)]
+        return [*effects, self._start_attempt(resume, delay)]
+
+    def _start_attempt(self, resume: bool, delay: float = 0.0) -> StartAttempt:
         self._attempt += 1
-        return [StartAttempt(self._attempt, self.delivered_tokens, resume)]
+        self._is_resumed = resume
+        return StartAttempt(self._attempt, self.delivered_tokens, resume, delay)
 
-    def _fail_attempt(self, can_resume: bool, now: float) -> list[Effect]:
-        if self._attempt >= MAX_ATTEMPTS or not self._budget.draw_retry():
-            return self._end(
-                ResultCode.ENGINES_FAILED,
-                retry_after_seconds=DEFAULT_RETRY_AFTER_SECONDS,
-            )
-        cancelled: list[Effect] = [] if can_resume else [CancelAttempt(self._attempt)]
-        return cancelled + self._start_attempt(resume=can_resume)
+    def _give_up(self) -> list[Effect]:
+        code = ResultCode.ENGINES_FAILED
+        if not self._may_have_run:
+            code = ResultCode.OVERLOADED
+        return self._end(code, retry_after_seconds=c.DEFAULT_RETRY_AFTER_SECONDS)
 
     def _end(
         self,
         code: ResultCode,
-        finish_reason: str = "error",
+        finish_reason: str = FINISH_ERROR,
         retry_after_seconds: float | None = None,
-        cancel: bool = True,
     ) -> list[Effect]:
-        invariants.check(
-            not self.has_ended, "one_terminal_event", request_id=self.request_id
+        self._check(not self.has_ended, "one_terminal_event")
+        self._check(
+            self.delivered_tokens <= self.max_tokens, "no_more_tokens_than_asked"
         )
         self.has_ended = True
         effects: list[Effect] = []
-        if cancel and self._attempt:
+        if self._attempt:
             effects.append(CancelAttempt(self._attempt))
         effects.append(EndRequest(code, finish_reason, retry_after_seconds))
         return effects
+
+    def _check(self, holds: bool, name: str) -> None:
+        invariants.check(holds, name, request_id=self.request_id)
--- a/libraries/requests/tarragonward_requests/messages.py
+++ b/libraries/requests/tarragonward_requests/messages.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from tarragonward_core import ResultCode
 
 __all__ = [
     "AttemptFailed",
+    "AttemptFault",
     "AttemptFinished",
     "CallerLeft",
     "CancelAttempt",
@@ -16,20 +18,39 @@
     "Effect",
     "EndRequest",
     "Event",
+    "HostStopping",
     "PlacementRefused",
     "StartAttempt",
     "TextArrived",
 ]
 
 
+class AttemptFault(Enum):
+    """Why an attempt ended without its finish."""
+
+    NOT_CONNECTED = "not connected"
+    REFUSED = "refused"
+    STREAM_GONE = "stream gone"
+    CONNECTION_LOST = "connection lost"
+    SILENT = "silent"
+    INVALID = "invalid"
+
+    @property
+    def is_before_run(self) -> bool:
+        """Return whether the engine certainly ran nothing of the attempt."""
+        return self in (AttemptFault.NOT_CONNECTED, AttemptFault.REFUSED)
+
+
 @dataclass(frozen=True)
 class TextArrived:
-    """Text came from an attempt; offset counts the tokens before it in the answer."""
+    """Text came from an attempt; offset counts the tokens before it in the answer.
+
+    pieces holds one text for each token.
+    """
 
     attempt: int
     offset: int
-    tokens: int
-    text: str
+    pieces: tuple[str, ...]
 
 
 @dataclass(frozen=True)
@@ -43,11 +64,10 @@
 
 @dataclass(frozen=True)
 class AttemptFailed:
-    """An attempt ended without its finish; can_resume where the stream may live on."""
+    """An attempt ended without its finish."""
 
     attempt: int
-    can_resume: bool
-    reason: str
+    fault: AttemptFault
 
 
 @dataclass(frozen=True)
@@ -69,6 +89,11 @@
     """The time limit may have passed; also sent after a pause of the process."""
 
 
+@dataclass(frozen=True)
+class HostStopping:
+    """The host's time to drain is over."""
+
+
 Event = (
     TextArrived
     | AttemptFinished
@@ -76,6 +101,7 @@
     | PlacementRefused
     | CallerLeft
     | DeadlinePassed
+    | HostStopping
 )
 
 
@@ -84,12 +110,14 @@
     """Start an attempt that begins after offset tokens of the answer.
 
     resume asks for the same stream on the same engine; otherwise another engine goes
-    on from the prompt plus the text already given out.
+    on from the prompt plus the text already given out. delay_seconds is to be spread
+    by jitter.
     """
 
     attempt: int
     offset: int
     resume: bool
+    delay_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
