Drain in order: health, then admission, then answers with HOST_STOPPED

Cause: the thin path refused new work at once while the balancer still sent it, shut the listening socket with connections in its backlog, and cut off what was left at the time limit without an answer. Now the health check fails first, work is admitted for the balancer's notice, refused with a number after it, each answer carries "connection: close", and at the limit or a second SIGTERM every model request gets its HOST_STOPPED event before its connection ends. Touches callers' http_server.py (close_after_answers, one header) and core.py (is_admitting beside is_draining).

--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from typing import Any
 
 from tarragonward_config import Settings
@@ -97,7 +97,6 @@
 
     async def _async_drain(self) -> None:
         """Wait until all requests in progress have ended, or the time is over."""
-        self.host.is_draining = True
         log_event("drain_started", in_flight=self.host.requests_in_flight)
         stopped = asyncio.create_task(self._stop_asked.wait())
         drained = asyncio.create_task(self._async_wait_idle())
@@ -110,10 +109,24 @@
         for task in (stopped, drained):
             task.cancel()
         log_event("drain_ended", in_flight=self.host.requests_in_flight)
+        await self._async_stop_requests()
 
     async def _async_wait_idle(self) -> None:
-        # The balancer goes on sending until it has seen the health check fail.
+        # The balancer goes on sending until it has seen the health check fail. Symptom
+        # of refusing at once: callers read errors during each replacement. So work is
+        # admitted for the time that the balancer needs.
+        self.host.is_draining = True
         await asyncio.sleep(c.BALANCER_NOTICE_SECONDS)
-        await self.callers.async_stop_listening()
+        self.host.is_admitting = False
+        self.callers.close_after_answers()
         while self.host.requests_in_flight:
             await self.host.idle.wait()
+
+    async def _async_stop_requests(self) -> None:
+        """Give what is still in progress its answer before the connections end."""
+        self.host.is_draining, self.host.is_admitting = True, False
+        self.models.stop_all()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(c.STOP_ANSWERS_SECONDS):
+                while self.host.requests_in_flight:
+                    await self.host.idle.wait()
--- a/libraries/daemon/tarragonward_daemon/core.py
+++ b/libraries/daemon/tarragonward_daemon/core.py
@@ -27,13 +27,17 @@
 
 @dataclass
 class HostState:
-    """One host's identity, its configuration in force, and whether it is leaving."""
+    """One host's identity, its configuration in force, and whether it is leaving.
+
+    is_draining fails the health check; work is admitted for a little longer.
+    """
 
     settings: Settings
     identity: HostIdentity
     metrics: Metrics = field(default_factory=Metrics)
     configuration_state: ConfigurationState | None = None
     is_draining: bool = False
+    is_admitting: bool = True
     started_at: float = field(default_factory=time.monotonic)
     requests_in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
@@ -66,7 +70,7 @@
 
     def check_admitting(self) -> None:
         """Refuse new work on a host that is leaving."""
-        if self.is_draining:
+        if not self.is_admitting:
             raise RequestRefusedError(
                 ResultCode.DRAINING, retry_after_seconds=DRAINING_RETRY_SECONDS
             )
--- a/libraries/wire/tarragonward_wire/http_server.py
+++ b/libraries/wire/tarragonward_wire/http_server.py
@@ -86,10 +86,12 @@
         connection: h11.Connection,
         writer: asyncio.StreamWriter,
         write_timeout: float,
+        is_closing: Callable[[], bool] = lambda: False,
     ) -> None:
         self._connection = connection
         self._writer = writer
         self._write_timeout = write_timeout
+        self._is_closing = is_closing
         self.is_started = False
         self.is_finished = False
 
@@ -127,6 +129,8 @@
     async def async_start(self, status: int, headers: Headers) -> None:
         """Send the head; without a content-length the body goes in chunks."""
         self.is_started = True
+        if self._is_closing():
+            headers = {**headers, "connection": "close"}
         response = h11.Response(status_code=status, headers=list(headers.items()))
         self._write(response)
 
@@ -182,9 +186,18 @@
             backlog=1024,
         )
 
+    def close_after_answers(self) -> None:
+        """End each connection after its answer; go on taking new ones.
+
+        Closing the listening socket resets the connections that wait in its backlog.
+        Symptom: a caller's request is cut off while this host drains. So it listens
+        until nothing is in progress, and says "connection: close" in each answer.
+        """
+        self.is_closing = True
+
     async def async_stop_listening(self) -> None:
         """Take no new connection; those that are open end after their request."""
-        self.is_closing = True
+        self.close_after_answers()
         if self._server is not None:
             self._server.close()
 
@@ -258,7 +271,12 @@
             timeout = self._limits.idle_timeout
 
     async def _async_serve_one(self, timeout: float) -> bool:
-        responder = Responder(self._h11, self._writer, self._limits.write_timeout)
+        responder = Responder(
+            self._h11,
+            self._writer,
+            self._limits.write_timeout,
+            lambda: self._server.is_closing,
+        )
         try:
             request = await self._async_read_request(timeout)
         except h11.RemoteProtocolError as err:
