--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -21,6 +21,7 @@
 from .operators import OperatorRoutes
 from .peers import PeerMessages
 from .reports import ReportTask
+from .sweep import SweepTask
 
 __all__ = ["Daemon"]
 
@@ -44,6 +45,7 @@
         self.releases = Releases()
         self.calls = ServiceCalls(host, self.links, self.membership)
         self.models = ModelRequests(host, self.reports, self.releases, self.membership)
+        self.sweep = SweepTask(host, self.models, self.releases, self.membership)
         messages = PeerMessages(self.calls)
         self.peers = PeerServer(
             host.identity, settings.peer_key, messages.async_handle, host.metrics
@@ -90,6 +92,7 @@
             self.reports,
             self.releases,
             self.models,
+            self.sweep,
             self.peers,
             self.operators,
             self.callers,
--- a/libraries/daemon/tarragonward_daemon/engines.py
+++ b/libraries/daemon/tarragonward_daemon/engines.py
@@ -178,20 +178,20 @@
     """Own the cancelling of streams, so that it outlives the request it is for."""
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], str] = {}
 
     @property
-    def pending(self) -> int:
-        """Return how many streams and reservations are still to be cancelled."""
-        return len(self._tasks)
+    def held_ids(self) -> set[str]:
+        """Return the ids of streams and reservations that are being cancelled."""
+        return set(self._tasks.values())
 
     def release_stream(self, target: Target, stream_id: str) -> None:
         """Cancel a stream in the background until the engine has said it is gone."""
-        self._start(target, f"/v1/streams/{stream_id}")
+        self._start(target, "/v1/streams/", stream_id)
 
     def release_reservation(self, target: Target, reservation_id: str) -> None:
         """Cancel a reservation in the background, in the same way."""
-        self._start(target, f"/v1/reservations/{reservation_id}")
+        self._start(target, "/v1/reservations/", reservation_id)
 
     async def async_setup(self) -> None:
         """Do nothing: releases start as they come."""
@@ -204,10 +204,12 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _start(self, target: Target, path: str) -> None:
-        task = asyncio.create_task(self._async_cancel(target, path))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+    def _start(self, target: Target, route: str, held_id: str) -> None:
+        if held_id in self._tasks.values():
+            return
+        task = asyncio.create_task(self._async_cancel(target, route + held_id))
+        self._tasks[task] = held_id
+        task.add_done_callback(self._tasks.pop)
 
     async def _async_cancel(self, target: Target, path: str) -> None:
         # A cancel can be lost with its connection or its frozen engine. Symptom: the
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/sweep.py
@@ -0,0 +1,139 @@
+"""Cancel on engines what hosts that are gone, or this host itself, left behind."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from tarragonward_config import Target
+from tarragonward_core import FrameError, HostIdentity, TargetError, log_event
+from tarragonward_requests import HeldMemory, OwnerSign, Sweep
+from tarragonward_wire import async_send_http, async_shake_hands
+
+from . import const as c
+from .core import HostState
+from .engines import Releases
+from .membership import MembershipTask
+from .models import ModelRequests
+
+__all__ = ["SweepTask"]
+
+
+class SweepTask:
+    """Own the sweep of the engines that this host watches."""
+
+    def __init__(
+        self,
+        host: HostState,
+        models: ModelRequests,
+        releases: Releases,
+        membership: MembershipTask,
+    ) -> None:
+        self._host = host
+        self._models = models
+        self._releases = releases
+        self._membership = membership
+        self._sweep = Sweep(host.identity)
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to sweep."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _async_run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(c.SWEEP_SECONDS * random.uniform(0.8, 1.2))
+            targets = self._get_watched()
+            reports = await asyncio.gather(*map(_async_read_held, targets.values()))
+            reported = dict(zip(targets, reports, strict=True))
+            reported = {name: r for name, r in reported.items() if r is not None}
+            held = [item for report in reported.values() for item in report]
+            own_active = self._models.active_streams | self._releases.held_ids
+            cancels = self._sweep.note_reports(
+                held, reported.keys(), own_active, loop.time()
+            )
+            self._cancel(cancels, targets)
+            await self._async_look_at_owners()
+
+    def _get_watched(self) -> dict[str, Target]:
+        state = self._host.configuration_state
+        targets = [] if state is None else state.configuration.targets.values()
+        domain = self._host.settings.failure_domain
+        return {
+            target.name: target
+            for target in targets
+            if target.models and target.failure_domain == domain
+        }
+
+    def _cancel(self, cancels: list[HeldMemory], targets: dict[str, Target]) -> None:
+        for item in cancels:
+            log_event(
+                "sweep_cancels",
+                target=item.target,
+                held_id=item.held_id,
+                owner=item.owner,
+            )
+            self._host.metrics.count("sweep_cancels")
+            target = targets[item.target]
+            if item.is_reservation:
+                self._releases.release_reservation(target, item.held_id)
+            else:
+                self._releases.release_stream(target, item.held_id)
+
+    async def _async_look_at_owners(self) -> None:
+        owners = self._sweep.get_owners()
+        looked_at = random.sample(owners, min(len(owners), c.MAX_OWNER_LOOKS))
+        signs = await asyncio.gather(*map(self._async_look, looked_at))
+        now = asyncio.get_running_loop().time()
+        for identity, sign in zip(looked_at, signs, strict=True):
+            self._sweep.note_owner(identity, sign, now)
+
+    async def _async_look(self, owner: HostIdentity) -> OwnerSign:
+        """Return what answers at an owner's address: it, another, or nobody."""
+        try:
+            async with asyncio.timeout(c.OWNER_LOOK_SECONDS):
+                reader, writer = await asyncio.open_connection(
+                    owner.address.host, owner.address.port
+                )
+        except ConnectionRefusedError:
+            return OwnerSign.REFUSED
+        except (OSError, TimeoutError):
+            return OwnerSign.UNREACHABLE
+        key = self._host.settings.peer_key
+        try:
+            stream = await async_shake_hands(
+                reader, writer, self._host.identity, key, is_client=True
+            )
+        except (OSError, EOFError, FrameError):
+            return OwnerSign.UNREACHABLE
+        finally:
+            writer.transport.abort()
+        return OwnerSign.ALIVE if stream.peer == owner else OwnerSign.REPLACED
+
+
+async def _async_read_held(target: Target) -> list[HeldMemory] | None:
+    """Return what is held on an engine, or None where it does not answer."""
+    try:
+        answer = await async_send_http(
+            target.address, "GET", "/v1/load", timeout=c.REPORT_TIMEOUT_SECONDS
+        )
+        report = answer.parse_json()
+        streams = [
+            HeldMemory(target.name, held_id, owner)
+            for held_id, owner in report.get("streams", {}).items()
+        ]
+        reservations = [
+            HeldMemory(target.name, held_id, owner, is_reservation=True)
+            for held_id, owner in report.get("reservations", {}).items()
+        ]
+    except (TargetError, AttributeError) as err:
+        log_event("sweep_read_failed", target=target.name, reason=repr(err))
+        return None
+    return streams + reservations
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -21,6 +21,7 @@
 )
 from .outliers import ListLifetime, OutlierDetector, PlainBackoff, ProbedBackoff
 from .retries import RetryBudget
+from .sweep import HeldMemory, OwnerSign, Sweep
 
 __all__ = [
     "AttemptFailed",
@@ -36,9 +37,11 @@
     "Effect",
     "EndRequest",
     "Event",
+    "HeldMemory",
     "HostStopping",
     "ListLifetime",
     "OutlierDetector",
+    "OwnerSign",
     "PlainBackoff",
     "ProbedBackoff",
     "PlacementRefused",
@@ -48,6 +51,7 @@
     "RetryBudget",
     "Send",
     "StartAttempt",
+    "Sweep",
     "TextArrived",
     "mint_key_prefix",
     "parse_key",
