--- /dev/null
+++ b/libraries/standins/tarragonward_standins/observe.py
@@ -0,0 +1,141 @@
+"""Look at a site from outside, as its balancer and its engines' operators do."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import Any
+
+import orjson
+
+from tarragonward_core import Address, TargetError
+from tarragonward_wire import async_send_http
+
+from .answers import expect_answer
+from .fault_proxy import FaultProxy
+from .site import Site, SiteHost
+
+__all__ = [
+    "Balancer",
+    "async_put_proxy_before",
+    "async_read_load",
+    "async_wait_engines",
+    "async_wait_idle",
+    "build_completion_body",
+    "make_prompt",
+]
+
+HEALTH_SECONDS = 0.2
+HEALTH_TIMEOUT_SECONDS = 0.5
+POLL_SECONDS = 0.1
+
+
+def make_prompt(name: str, min_tokens: int) -> str:
+    """Return a prompt whose answer does not stop before min_tokens tokens."""
+    for number in itertools.count():
+        prompt = f"{name} {number}"
+        if expect_answer(prompt, min_tokens).finish_reason == "length":
+            return prompt
+    raise AssertionError("unreachable")
+
+
+async def async_read_load(address: Address) -> dict[str, Any] | None:
+    """Return an engine's load report, or None where it does not answer."""
+    try:
+        answer = await async_send_http(address, "GET", "/v1/load", timeout=1.0)
+        return answer.parse_json()
+    except TargetError:
+        return None
+
+
+async def async_wait_engines(site: Site) -> None:
+    """Wait until every engine answers; a site's setup waits for its hosts only."""
+    for address in site.engines.values():
+        while await async_read_load(address) is None:
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def async_wait_idle(site: Site, seconds: float) -> dict[str, Any]:
+    """Wait until no engine that answers holds anything; return what is still held."""
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + seconds
+    while True:
+        held = {}
+        for name, address in site.engines.items():
+            report = await async_read_load(address)
+            if report and report["free_kv_tokens"] != report["kv_tokens"]:
+                held[name] = report
+        if not held or loop.time() > give_up_at:
+            return held
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def async_put_proxy_before(site: Site, engine: str, base: int = 0) -> FaultProxy:
+    """Publish a fault-injecting proxy as an engine's address, and wait for all hosts.
+
+    base is the configuration's number before it.
+    """
+    proxy = FaultProxy(site.new_address(), site.engines[engine])
+    await proxy.async_setup()
+    path = f"/targets/{engine}/address"
+    operation = {"op": "replace", "path": path, "value": str(proxy.address)}
+    await site.async_publish(base, [operation])
+    for host in site.hosts:
+        while True:
+            status = await site.async_ask_operators(host, "/v1/status")
+            if status["configuration_number"] > base:
+                break
+            await asyncio.sleep(POLL_SECONDS)
+    return proxy
+
+
+class Balancer:
+    """Send callers to the hosts whose health check passes, in turn."""
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+        self._healthy: dict[str, SiteHost] = dict(site.hosts)
+        self._turn = itertools.count()
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to check."""
+        self._task = asyncio.create_task(self._async_check_all())
+
+    async def async_unload(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def choose(self) -> SiteHost:
+        """Return the next healthy host; any host where none is healthy."""
+        hosts = list((self._healthy or self._site.hosts).values())
+        return hosts[next(self._turn) % len(hosts)]
+
+    async def _async_check_all(self) -> None:
+        while True:
+            hosts = self._site.hosts.values()
+            results = await asyncio.gather(*map(_async_is_healthy, hosts))
+            self._healthy = {
+                host.name: host
+                for host, is_healthy in zip(hosts, results, strict=True)
+                if is_healthy
+            }
+            await asyncio.sleep(HEALTH_SECONDS)
+
+
+async def _async_is_healthy(host: SiteHost) -> bool:
+    try:
+        answer = await async_send_http(
+            host.operators, "GET", "/health", timeout=HEALTH_TIMEOUT_SECONDS
+        )
+    except TargetError:
+        return False
+    return answer.status == 200
+
+
+def build_completion_body(site: Site, prompt: str, max_tokens: int) -> bytes:
+    """Return the body of a streamed completion."""
+    body = {"model": site.plan.model, "prompt": prompt, "max_tokens": max_tokens}
+    return orjson.dumps({**body, "stream": True})
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tarragonward_standins.observe import async_wait_engines
 from tarragonward_standins.site import Site, SitePlan
 
 
@@ -13,6 +14,7 @@
         site = Site(tmp_path / f"site-{len(sites)}", plan or SitePlan())
         sites.append(site)
         await site.async_setup()
+        await async_wait_engines(site)
         return site
 
     yield async_make
--- /dev/null
+++ b/tests/test_models.py
@@ -0,0 +1,267 @@
+"""Tests of model requests under failure, with real processes."""
+
+import asyncio
+import signal
+from contextlib import AsyncExitStack
+
+import orjson
+import pytest
+
+from tarragonward_core import ResultCode
+from tarragonward_standins.client import Outcome, async_complete
+from tarragonward_standins.observe import (
+    async_put_proxy_before,
+    async_read_load,
+    async_wait_idle,
+    build_completion_body,
+    make_prompt,
+)
+from tarragonward_standins.site import SitePlan
+from tarragonward_wire import async_open_http
+
+TOKENS = 150
+LIMIT = 20.0
+ONE_DOMAIN = SitePlan(failure_domains=("north",), services_per_domain=0)
+
+
+def ask(site, name, host="entry-north-1", tokens=TOKENS, limit=LIMIT):
+    prompt = make_prompt(name, tokens)
+    token = site.tokens["shelfwise"]
+    callers = site.hosts[host].callers
+    return asyncio.ensure_future(
+        async_complete(callers, token, site.plan.model, prompt, tokens, limit)
+    )
+
+
+async def count_streams(site, engine):
+    report = await async_read_load(site.engines[engine])
+    # A site is up when its hosts are; an engine may still be starting.
+    return 0 if report is None else len(report["streams"])
+
+
+async def wait_for_streams(site, engine, count=1):
+    async with asyncio.timeout(10):
+        while await count_streams(site, engine) < count:
+            await asyncio.sleep(0.02)
+
+
+def assert_all_whole(results):
+    assert [r for r in results if r.outcome is not Outcome.WHOLE] == []
+
+
+@pytest.fixture
+async def proxies():
+    async with AsyncExitStack() as stack:
+
+        async def async_make(site, engine, base=0):
+            proxy = await async_put_proxy_before(site, engine, base)
+            stack.push_async_callback(proxy.async_unload)
+            return proxy
+
+        yield async_make
+
+
+async def test_an_engine_killed_mid_stream_leaves_every_answer_whole(make_site):
+    """Merchandisers read rewrites of bays when an engine dies under half of them.
+
+    Its connections end, the resume meets a closed port, and the other engine goes on
+    from the prompt plus the text that was given out; the callers see a short gap.
+    """
+    site = await make_site(ONE_DOMAIN)
+    asking = [ask(site, f"bay {n}") for n in range(6)]
+    await wait_for_streams(site, "engine-north-1", 2)
+    await asyncio.sleep(0.3)
+    await site.async_kill("engine-north-1")
+    assert_all_whole(await asyncio.gather(*asking))
+    assert await async_wait_idle(site, 10) == {}
+
+
+async def test_a_connection_dropped_mid_frame_is_resumed(make_site, proxies):
+    """Half a line comes from the engine, then its connection ends, again and again.
+
+    The stream lives on there; the host asks for it from the offset of the last whole
+    token, and the caller reads each token once.
+    """
+    plan = SitePlan(("north",), engines_per_domain=1, services_per_domain=0)
+    site = await make_site(plan)
+    proxy = await proxies(site, "engine-north-1")
+    proxy.faults.drop_after_bytes = 2_001
+    assert_all_whole([await ask(site, "aisle")])
+    assert await async_wait_idle(site, 10) == {}
+
+
+async def test_a_frozen_engine_is_left_and_its_memory_comes_back(make_site):
+    """An engine stops answering, its connections stay open, nothing is refused.
+
+    The stream is silent, the probe of the engine is not answered, so the other engine
+    goes on; when the frozen one wakes, the repeated cancel frees what it held.
+    """
+    site = await make_site(ONE_DOMAIN)
+    asking = [ask(site, f"bay {n}") for n in range(4)]
+    await wait_for_streams(site, "engine-north-1")
+    await asyncio.sleep(0.3)
+    site.send_signal("engine-north-1", signal.SIGSTOP)
+    assert_all_whole(await asyncio.gather(*asking))
+    site.send_signal("engine-north-1", signal.SIGCONT)
+    assert await async_wait_idle(site, 15) == {}
+
+
+async def test_a_long_prefill_is_not_taken_for_a_frozen_engine(make_site):
+    """A season's ledger is read for seconds before its first token.
+
+    The stream is silent for longer than a silence is borne, but the engine answers
+    the probe and lists the stream, so the one attempt goes on.
+    """
+    plan = SitePlan(("north",), engines_per_domain=1, services_per_domain=0)
+    site = await make_site(plan)
+    ledger = make_prompt("ledger " * 50_000, 8)
+    host = site.hosts["entry-north-1"]
+    asking = asyncio.ensure_future(
+        async_complete(
+            host.callers, site.tokens["camara"], site.plan.model, ledger, 8, LIMIT
+        )
+    )
+    await wait_for_streams(site, "engine-north-1")
+    seen = set()
+    while not asking.done():
+        report = await async_read_load(site.engines["engine-north-1"])
+        seen |= set(report["streams"])
+        await asyncio.sleep(0.1)
+    assert_all_whole([await asking])
+    assert len(seen) == 1
+
+
+async def test_a_killed_hosts_memory_is_swept(make_site):
+    """A host dies while its callers' streams run; they read to nobody's end.
+
+    Its port refuses for some seconds, so another host of the domain cancels what the
+    dead incarnation held, and free memory returns to its idle figure.
+    """
+    site = await make_site(ONE_DOMAIN)
+    asking = [ask(site, f"bay {n}", "entry-north-2", 400) for n in range(4)]
+    await wait_for_streams(site, "engine-north-1", 2)
+    await site.async_kill("entry-north-2")
+    results = await asyncio.gather(*asking)
+    assert all(r.outcome is Outcome.FAILED_IN_TIME for r in results)
+    assert await async_wait_idle(site, 15) == {}
+
+
+async def test_a_host_woken_past_the_limit_writes_no_text(make_site):
+    """A host is frozen in the middle of an answer until its time limit has passed.
+
+    Tokens wait in its sockets meanwhile. Awake, it must not pass them on: the caller
+    reads the deadline's error and nothing else, and the engine's memory comes back.
+    """
+    site = await make_site(ONE_DOMAIN)
+    prompt = make_prompt("bay", 600)
+    headers = {
+        "authorization": f"Bearer {site.tokens['shelfwise']}",
+        "x-time-limit-seconds": "1.5",
+    }
+    body = build_completion_body(site, prompt, 600)
+    texts = []
+    reading = asyncio.ensure_future(read_events(site, headers, body, texts))
+    while len(texts) < 20:
+        await asyncio.sleep(0.02)
+    site.send_signal("entry-north-1", signal.SIGSTOP)
+    await asyncio.sleep(1.0)
+    read_before = len(texts)
+    await asyncio.sleep(1.0)
+    site.send_signal("entry-north-1", signal.SIGCONT)
+    await reading
+    codes = [event["error"]["code"] for event in texts[read_before:]]
+    assert codes == [ResultCode.DEADLINE_EXCEEDED.number]
+    assert await async_wait_idle(site, 10) == {}
+
+
+async def test_a_caller_that_reads_nothing_holds_no_engine(make_site):
+    """A phone in the field stops reading a long answer but keeps its connection.
+
+    The answer fills the sockets' buffers and the host waits for room; at the time
+    limit it cancels the stream all the same, and soon ends the connection.
+    """
+    site = await make_site(ONE_DOMAIN)
+    address = site.hosts["entry-north-1"].callers
+    body = build_completion_body(site, make_prompt("bay", 600), 600)
+    reader, writer = await asyncio.open_connection(address.host, address.port, limit=1)
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nx-time-limit-seconds: 2\r\n"
+        f"authorization: Bearer {site.tokens['camara']}\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    writer.write(head.encode() + body)
+    await asyncio.sleep(2.5)
+    assert await async_wait_idle(site, 2) == {}
+    writer.transport.abort()
+
+
+async def test_a_leaving_engine_gets_no_new_work_and_ends_what_it_has(make_site):
+    """An engine is about to be replaced; the platform's list says that it is leaving.
+
+    The stream in progress there ends whole. Some seconds later nothing new is opened
+    on it, also not a failover when the other engine dies: better refused than there.
+    """
+    site = await make_site(ONE_DOMAIN)
+    asking = [ask(site, f"aisle {n}", tokens=400) for n in range(2)]
+    await wait_for_streams(site, "engine-north-1")
+    hosts = site.build_host_list()
+    for item in hosts:
+        if item["name"] == "engine-north-1":
+            item["state"] = "leaving"
+    await site.async_set_hosts(hosts)
+    assert_all_whole(await asyncio.gather(*asking))
+    await asyncio.sleep(3.0)
+    later = [ask(site, f"bay {n}") for n in range(6)]
+    await wait_for_streams(site, "engine-north-2", 6)
+    assert await count_streams(site, "engine-north-1") == 0
+    await site.async_kill("engine-north-2")
+    results = await asyncio.gather(*later)
+    assert {r.code for r in results} == {ResultCode.ENGINES_FAILED.number}
+    assert await count_streams(site, "engine-north-1") == 0
+
+
+async def test_an_engine_taken_out_of_the_configuration_gets_no_failover(make_site):
+    """The published configuration drops an engine while its streams run.
+
+    They end whole where they are; the engine is not chosen by any host afterwards.
+    """
+    site = await make_site(ONE_DOMAIN)
+    asking = [ask(site, f"aisle {n}", tokens=300) for n in range(2)]
+    await wait_for_streams(site, "engine-north-1")
+    await site.async_publish(0, [{"op": "remove", "path": "/targets/engine-north-1"}])
+    assert_all_whole(await asyncio.gather(*asking))
+    later = [ask(site, f"bay {n}") for n in range(4)]
+    await wait_for_streams(site, "engine-north-2", 4)
+    assert await count_streams(site, "engine-north-1") == 0
+    assert_all_whole(await asyncio.gather(*later))
+
+
+async def test_two_faults_at_once(make_site, proxies):
+    """One engine dies while the other's connections are reset and the platform is down.
+
+    Those on the dead engine fail over, those on the other resume their streams, and
+    nobody asks the platform for anything on the way.
+    """
+    site = await make_site(ONE_DOMAIN)
+    proxy = await proxies(site, "engine-north-2")
+    asking = [ask(site, f"bay {n}") for n in range(6)]
+    await wait_for_streams(site, "engine-north-1", 2)
+    await wait_for_streams(site, "engine-north-2", 2)
+    await site.async_kill("platform")
+    await site.async_kill("engine-north-1")
+    proxy.end_connections()
+    assert_all_whole(await asyncio.gather(*asking))
+    assert await async_wait_idle(site, 10) == {}
+
+
+async def read_events(site, headers, body, events):
+    async with async_open_http(
+        site.hosts["entry-north-1"].callers,
+        "POST",
+        "/v1/completions",
+        headers=headers,
+        body=body,
+    ) as stream:
+        async for line in stream.async_iterate_lines():
+            if line.startswith(b"data: {"):
+                events.append(orjson.loads(line[6:]))
