--- a/libraries/requests/tarragonward_requests/lifecycle.py
+++ b/libraries/requests/tarragonward_requests/lifecycle.py
@@ -52,6 +52,7 @@
         self._fruitless_attempts = 0
         self._is_resumed = False
         self._may_have_run = False
+        self._has_stream_run = False
 
     def start(self, now: float) -> list[Effect]:
         """Return the effects of admission."""
@@ -80,7 +81,7 @@
     def _(self, event: TextArrived, now: float) -> list[Effect]:
         if event.attempt != self._attempt:
             return []
-        self._may_have_run = True
+        self._note_run()
         if event.offset > self.delivered_tokens:
             return self._recover(AttemptFault.CONNECTION_LOST, now)
         # A resumed stream may begin before the offset asked for. Symptom: the caller
@@ -99,7 +100,7 @@
     def _(self, event: AttemptFinished, now: float) -> list[Effect]:
         if event.attempt != self._attempt:
             return []
-        self._may_have_run = True
+        self._note_run()
         if event.tokens == self.delivered_tokens:
             return self._end(ResultCode.OK, event.finish_reason)
         if event.tokens < self.delivered_tokens:
@@ -110,7 +111,8 @@
     def _(self, event: AttemptFailed, now: float) -> list[Effect]:
         if event.attempt != self._attempt:
             return []
-        self._may_have_run = self._may_have_run or not event.fault.is_before_run
+        if not event.fault.is_before_run:
+            self._note_run()
         return self._recover(event.fault, now)
 
     @_handle.register
@@ -150,10 +152,18 @@
         if fault is AttemptFault.REFUSED:
             delay = c.REFUSED_BACKOFF_SECONDS * 2**self._fruitless_attempts
             delay = min(delay, c.REFUSED_BACKOFF_CAP_SECONDS)
-            return self._retry(False, c.RETRY_COST_REFUSED, delay, now)
-        if fault is AttemptFault.NOT_CONNECTED:
-            return self._retry(False, c.RETRY_COST_REFUSED, 0.0, now)
-        return self._retry(False, c.RETRY_COST_FAILOVER, 0.0, now)
+            return self._retry(False, self._compute_failover_cost(), delay, now)
+        return self._retry(False, self._compute_failover_cost(), 0.0, now)
+
+    def _compute_failover_cost(self) -> float:
+        # What an engine has done is done again by the next one. Where the stream that
+        # is left never ran, the next attempt is in truth the first.
+        if self._has_stream_run:
+            return c.RETRY_COST_FAILOVER
+        return c.RETRY_COST_REFUSED
+
+    def _note_run(self) -> None:
+        self._may_have_run = self._has_stream_run = True
 
     def _retry(
         self, resume: bool, cost: float, delay: float, now: float
@@ -172,6 +182,7 @@
     def _start_attempt(self, resume: bool, delay: float = 0.0) -> StartAttempt:
         self._attempt += 1
         self._is_resumed = resume
+        self._has_stream_run = self._has_stream_run and resume
         return StartAttempt(self._attempt, self.delivered_tokens, resume, delay)
 
     def _give_up(self) -> list[Effect]:
