Run a call at most once through pauses, leaving callers and full ledgers

Cause: 'sent' was written before the connection was made, so a pause between connecting and writing sent a call past its limit; a caller that left cancelled the sending and the outcome was known to nobody; a record could be forgotten while its call was in flight (KeyError); a draining or unready host told a repeat 'not run' of a call that had run; bounds were missing and mint times hung on the wall clock.

A refused key leaves no record, so the ledger closes for all unknown keys of that age: one number, and 'not run' stays true.

Ruled out: tombstones for refused keys (unbounded), OVERLOADED without the closing (its delayed copy could run after 'not run' was told).

--- a/libraries/config/tarragonward_config/document.py
+++ b/libraries/config/tarragonward_config/document.py
@@ -109,6 +109,11 @@
         """Return the engines that serve a model."""
         return [t for t in self.targets.values() if model in t.models]
 
+    def find_operation(self, service: str, operation: str) -> Operation | None:
+        """Return an operation of a plain service, or None if it is not published."""
+        found = self.services.get(service)
+        return None if found is None else found.operations.get(operation)
+
     def get_service_targets(self, service: str) -> list[Target]:
         """Return the targets of a plain service."""
         return [
--- a/libraries/config/tarragonward_config/settings.py
+++ b/libraries/config/tarragonward_config/settings.py
@@ -46,6 +46,7 @@
     peer_key: bytes = field(repr=False)
     operator_token: str = field(repr=False)
     limits: Limits = field(default_factory=Limits)
+    peers_listen: Address | None = None
 
 
 def _parse_address(value: Any) -> Address:
@@ -80,6 +81,7 @@
             vol.Required(c.CONF_CALLERS): _parse_address,
             vol.Required(c.CONF_OPERATORS): _parse_address,
             vol.Required(c.CONF_PEERS): _parse_address,
+            vol.Optional(c.CONF_PEERS_LISTEN): _parse_address,
         },
         vol.Required(c.CONF_PLATFORM): {
             vol.Required(c.CONF_CONFIGURATION): _ADDRESSES,
--- a/libraries/core/tarragonward_core/codes.py
+++ b/libraries/core/tarragonward_core/codes.py
@@ -155,6 +155,13 @@
         Repeat.SAME_KEY,
         "The first call with this key has not ended yet.",
     )
+    ANSWER_NOT_KEPT = _Code(
+        4003,
+        410,
+        Conclusion.RUN,
+        Repeat.ASK_SERVICE,
+        "The call has run; its answer was too large to keep for repeats.",
+    )
 
     BAD_FRAME = _not_run(5001, 400, "A frame between hosts was refused.")
     WRONG_VERSION = _not_run(5002, 400, "The peer speaks another protocol version.")
--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -37,7 +37,7 @@
 
     def _build_tasks(self) -> None:
         host, settings = self.host, self.host.settings
-        self.links = PeerLinks(host.identity, settings.peer_key)
+        self.links = PeerLinks(host.identity, settings.peer_key, host.metrics)
         self.configuration = ConfigurationTask(host)
         self.membership = MembershipTask(host)
         self.reports = ReportTask(host)
@@ -46,7 +46,11 @@
         self.models = ModelRequests(host, self.reports, self.releases, self.membership)
         messages = PeerMessages(self.calls)
         self.peers = PeerServer(
-            host.identity, settings.peer_key, messages.async_handle, host.metrics
+            host.identity,
+            settings.peer_key,
+            messages.async_handle,
+            host.metrics,
+            settings.peers_listen,
         )
         callers = CallerRoutes(host, self.models, self.calls)
         self.callers = HttpServer(
@@ -89,6 +93,7 @@
             self.membership,
             self.reports,
             self.releases,
+            self.calls,
             self.peers,
             self.operators,
             self.callers,
@@ -97,6 +102,7 @@
     async def _async_drain(self) -> None:
         """Wait until all requests in progress have ended, or the time is over."""
         self.host.is_draining = True
+        self.calls.start_drain()
         log_event("drain_started", in_flight=self.host.requests_in_flight)
         stopped = asyncio.create_task(self._stop_asked.wait())
         drained = asyncio.create_task(self._async_wait_idle())
--- a/libraries/daemon/tarragonward_daemon/callers.py
+++ b/libraries/daemon/tarragonward_daemon/callers.py
@@ -18,7 +18,7 @@
 from tarragonward_wire import HttpRequest, Responder, build_error_body
 
 from . import const as c
-from .calls import ServiceCall, ServiceCalls
+from .calls import ServiceCall, ServiceCalls, judge_refusal
 from .completions import Completion, CompletionWriter, parse_chat, parse_completion
 from .core import HostState
 from .models import ModelRequests
@@ -54,7 +54,8 @@
             stack.callback(self._host.leave_request)
             try:
                 await self._async_route(request_id, request, responder)
-            except RequestRefusedError as err:
+            except RequestRefusedError as refusal:
+                err = judge_refusal(refusal, c.HEADER_CALL_KEY in request.headers)
                 self._log_end(request_id, "", err.code)
                 await responder.async_send_error(
                     err.code, err.detail, request_id, err.retry_after_seconds
@@ -125,7 +126,6 @@
     async def _async_call(
         self, context: _Context, request: HttpRequest, responder: Responder
     ) -> None:
-        self._host.check_admitting()
         parts = request.path.removeprefix(c.ROUTE_SERVICES).split("/")
         if len(parts) != 2:
             raise RequestRefusedError(ResultCode.UNKNOWN_SERVICE)
@@ -161,7 +161,11 @@
 ) -> None:
     if reply.answer is None:
         await responder.async_send_error(
-            reply.code, "", context.request_id, headers=context.headers
+            reply.code,
+            "",
+            context.request_id,
+            reply.retry_after_seconds,
+            headers=context.headers,
         )
         return
     headers = {
--- a/libraries/daemon/tarragonward_daemon/calls.py
+++ b/libraries/daemon/tarragonward_daemon/calls.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import hashlib
-import time
+import random
 from dataclasses import dataclass, field
 
 from tarragonward_config import Operation, Target
@@ -13,11 +13,11 @@
     NotConnectedError,
     RequestRefusedError,
     ResultCode,
+    TargetError,
     log_event,
 )
 from tarragonward_requests import (
     CallKey,
-    CallLedger,
     RecordedAnswer,
     Reply,
     mint_key_prefix,
@@ -28,10 +28,20 @@
 from . import const as c
 from .core import HostState
 from .membership import MembershipTask
+from .owned_calls import OwnedCalls
 
-__all__ = ["CallAnswer", "ForwardCall", "ServiceCall", "ServiceCalls"]
+__all__ = ["CallAnswer", "ForwardCall", "ServiceCall", "ServiceCalls", "judge_refusal"]
 
 DIGEST_SEPARATOR = b"\0"
+# Codes that a host gives before it has looked at a key, or without being its owner.
+UNFOUNDED_CODES = frozenset(
+    {
+        ResultCode.ACCOUNT_LIMIT,
+        ResultCode.DRAINING,
+        ResultCode.NOT_READY,
+        ResultCode.OVERLOADED,
+    }
+)
 
 
 @dataclass(frozen=True)
@@ -54,7 +64,11 @@
 @register_message
 @dataclass(frozen=True)
 class ForwardCall:
-    """A call on its way to its key's owner; remaining_seconds, not a clock, travels."""
+    """A call on its way to its key's owner; deadline is a point of the owner's clock.
+
+    A copy that the network holds back past its time limit is late by the owner's own
+    clock, however long it was on its way.
+    """
 
     key: str
     account: str
@@ -62,22 +76,26 @@
     operation: str
     content_type: str
     body: bytes
-    remaining_seconds: float
+    deadline: float
 
 
 @register_message
 @dataclass(frozen=True)
 class CallAnswer:
-    """The owner's answer; status 0 means that there is no answer of the target."""
+    """The owner's answer; status 0 means that there is no answer of the target.
+
+    retry_after_seconds is 0 where the owner names no time.
+    """
 
     code: int
     status: int
     content_type: str
     body: bytes
+    retry_after_seconds: float
 
 
 class ServiceCalls:
-    """Run idempotent calls, and own the ledger of those that are not."""
+    """Run idempotent calls here, and take the others to the owner of their key."""
 
     def __init__(
         self, host: HostState, links: PeerLinks, membership: MembershipTask
@@ -86,143 +104,104 @@
         self._links = links
         self._membership = membership
         self._secret = host.settings.peer_key
-        self.ledger = CallLedger(host.settings.limits.key_retention_seconds)
+        self._owned = OwnedCalls(host, self.get_targets)
+
+    async def async_setup(self) -> None:
+        """Be ready."""
+
+    async def async_unload(self) -> None:
+        """End what is still being sent."""
+        await self._owned.async_unload()
 
     def mint_prefix(self) -> str:
         """Return a key prefix that names this host and incarnation as owner."""
-        return mint_key_prefix(self._host.identity, int(time.time()), self._secret)
+        minted_at = self._owned.choose_mint_time()
+        return mint_key_prefix(self._host.identity, minted_at, self._secret)
 
     async def async_run(self, call: ServiceCall, key_text: str | None) -> Reply:
         """Run a call that a caller sent to this host."""
-        operation = self._find_operation(call)
-        if operation.is_idempotent:
+        operation = self._host.configuration.find_operation(
+            call.service, call.operation
+        )
+        if operation is not None and operation.is_idempotent:
+            self._host.check_admitting()
             return await self._async_run_idempotent(call, operation)
         if key_text is None:
-            raise RequestRefusedError(ResultCode.KEY_MISSING)
+            code = ResultCode.KEY_MISSING if operation else ResultCode.UNKNOWN_SERVICE
+            raise RequestRefusedError(code)
+        # The same limit on every host: a body that one forwards and another refuses
+        # would be told "not run" after it ran.
+        if len(call.body) > c.MAX_CALL_BODY_BYTES:
+            raise RequestRefusedError(ResultCode.BODY_TOO_LARGE)
         key = parse_key(key_text, self._secret)
         if key.owner == self._host.identity:
-            return await self.async_run_owned(call, key)
+            return await self._owned.async_run(call, key)
         return await self._async_forward(call, key)
 
     async def async_handle_forwarded(self, message: ForwardCall) -> CallAnswer:
         """Run a call that another host forwarded to this one as its key's owner."""
-        now = asyncio.get_running_loop().time()
         call = ServiceCall(
             message.account,
             message.service,
             message.operation,
             message.content_type,
             message.body,
-            now + message.remaining_seconds,
+            message.deadline,
         )
         try:
             key = parse_key(message.key, self._secret)
             if key.owner != self._host.identity:
                 reply = Reply(ResultCode.OUTCOME_UNKNOWN)
             else:
-                reply = await self.async_run_owned(call, key)
+                reply = await self._owned.async_run(call, key)
         except RequestRefusedError as err:
             reply = Reply(err.code)
-        answer = reply.answer or RecordedAnswer(0, "", b"")
-        return CallAnswer(
-            reply.code.number, answer.status, answer.content_type, answer.body
-        )
-
-    async def async_run_owned(self, call: ServiceCall, key: CallKey) -> Reply:
-        """Run a call under a key that this incarnation owns, at most once."""
-        operation = self._find_operation(call)
-        decision = self.ledger.accept(
-            key.text, call.compute_digest(), key.minted_at, time.time()
-        )
-        if isinstance(decision, Reply):
-            return decision
-        return await self._async_send_once(call, key, operation)
-
-    async def _async_send_once(
-        self, call: ServiceCall, key: CallKey, operation: Operation
-    ) -> Reply:
-        for target in self._get_targets(call.service):
-            remaining = call.deadline - asyncio.get_running_loop().time()
-            # A paused owner wakes after the caller was told "unknown" or given up on.
-            # Symptom: a booking appears long after its time limit. No await stands
-            # between this check, the write of "sent" and the connection's start.
-            if remaining <= 0 or not self.ledger.mark_sent(key.text):
-                break
-            try:
-                answer = await self._async_send(call, target, remaining, key.text)
-            except NotConnectedError:
-                self.ledger.mark_unsent(key.text)
-                continue
-            except ConnectionLostError as err:
-                log_event("call_outcome_unknown", key=key.text, error=repr(err))
-                return self.ledger.record_unknown(key.text)
-            if answer.status in operation.not_run_statuses:
-                return self.ledger.record_not_run(key.text, ResultCode.TARGET_REFUSED)
-            return self.ledger.record_answer(key.text, answer)
-        return self.ledger.record_not_run(key.text, ResultCode.CALL_NOT_RUN)
+        return _build_answer(reply)
 
     async def _async_run_idempotent(
         self, call: ServiceCall, operation: Operation
     ) -> Reply:
-        for target in self._get_targets(call.service):
+        for target in self.get_targets(call.service):
             remaining = call.deadline - asyncio.get_running_loop().time()
             if remaining <= 0:
                 return Reply(ResultCode.DEADLINE_EXCEEDED)
             try:
-                answer = await self._async_send(call, target, remaining, "")
-            except (NotConnectedError, ConnectionLostError):
+                answer = await _async_send(call, target, remaining)
+            except TargetError:
                 continue
             if answer.status not in operation.not_run_statuses:
                 return Reply(ResultCode.OK, answer)
-        return Reply(ResultCode.NO_TARGET)
+        return Reply(ResultCode.NO_TARGET, retry_after_seconds=c.RETRY_AFTER_SECONDS)
 
     async def _async_forward(self, call: ServiceCall, key: CallKey) -> Reply:
-        remaining = call.deadline - asyncio.get_running_loop().time()
-        message = ForwardCall(
-            key.text,
-            call.account,
-            call.service,
-            call.operation,
-            call.content_type,
-            call.body,
-            max(0.0, remaining - c.FORWARD_MARGIN_SECONDS),
-        )
-        try:
-            answer = await self._links.async_ask(
-                key.owner.address, message, remaining, key.owner.incarnation
-            )
-        except (NotConnectedError, ConnectionLostError) as err:
-            # An earlier copy of the call may have reached the owner through another
-            # host, so not even a failed connection here proves that it did not run.
-            log_event("owner_out_of_reach", owner=key.owner, error=repr(err))
-            return Reply(ResultCode.OUTCOME_UNKNOWN)
-        recorded = None
-        if answer.status:
-            recorded = RecordedAnswer(answer.status, answer.content_type, answer.body)
-        return Reply(ResultCode.from_number(answer.code), recorded)
-
-    async def _async_send(
-        self, call: ServiceCall, target: Target, remaining: float, key: str
-    ) -> RecordedAnswer:
-        answer = await async_send_http(
-            target.address,
-            "POST",
-            f"/operations/{call.operation}",
-            headers={"content-type": call.content_type, c.HEADER_CALL_KEY: key},
-            body=call.body,
-            timeout=remaining,
-            connect_timeout=c.SERVICE_CONNECT_SECONDS,
-        )
-        content_type = answer.headers.get("content-type", "application/octet-stream")
-        return RecordedAnswer(answer.status, content_type, answer.body)
+        """Ask the owner, again where the link was lost: the owner runs it once."""
+        for _ in range(c.FORWARD_ATTEMPTS):
+            try:
+                return await self._async_ask_owner(call, key)
+            except NotConnectedError as err:
+                # An earlier copy of the call may have reached the owner through
+                # another host, so not even this proves that it did not run.
+                log_event("owner_out_of_reach", owner=key.owner, error=repr(err))
+                break
+            except ConnectionLostError as err:
+                log_event("owner_link_lost", owner=key.owner, error=repr(err))
+            await asyncio.sleep(c.FORWARD_RETRY_SECONDS * random.uniform(0.5, 1.5))
+        return _reply_unknown()
 
-    def _find_operation(self, call: ServiceCall) -> Operation:
-        service = self._host.configuration.services.get(call.service)
-        if service is None or call.operation not in service.operations:
-            raise RequestRefusedError(ResultCode.UNKNOWN_SERVICE)
-        return service.operations[call.operation]
+    async def _async_ask_owner(self, call: ServiceCall, key: CallKey) -> Reply:
+        deadline = call.deadline - c.FORWARD_MARGIN_SECONDS
+        remaining = deadline - asyncio.get_running_loop().time()
+        if remaining <= 0:
+            return _reply_unknown()
+        answer = await self._links.async_ask_with_clock(
+            key.owner.address,
+            lambda offset: _build_forward(call, key, deadline + offset),
+            remaining,
+            key.owner.incarnation,
+        )
+        return _read_answer(answer)
 
-    def _get_targets(self, service: str) -> list[Target]:
+    def get_targets(self, service: str) -> list[Target]:
         """Return the service's targets, those of this failure domain first."""
         domain = self._host.settings.failure_domain
         leaving = self._membership.leaving_targets
@@ -232,3 +211,76 @@
             if target.name not in leaving
         ]
         return sorted(targets, key=lambda target: target.failure_domain != domain)
+
+    def start_drain(self) -> None:
+        """Take no new call under this host's keys; repeats are still answered."""
+        self._owned.close()
+
+
+def judge_refusal(err: RequestRefusedError, has_key: bool) -> RequestRefusedError:
+    """Return what to tell a caller whose copy of a call was refused unread.
+
+    A host that is not ready says "not run" of the copy that it refuses. Symptom: the
+    clerk's repeat is told "not run" of a booking that ran before, and books again with
+    a new key. Where there is a key, only its owner may say so.
+    """
+    if not has_key or err.code not in UNFOUNDED_CODES:
+        return err
+    return RequestRefusedError(
+        ResultCode.OUTCOME_UNKNOWN,
+        f"{err.detail} What became of earlier copies is not known here.",
+        err.retry_after_seconds or c.RETRY_AFTER_SECONDS,
+    )
+
+
+def _reply_unknown() -> Reply:
+    return Reply(ResultCode.OUTCOME_UNKNOWN, retry_after_seconds=c.RETRY_AFTER_SECONDS)
+
+
+def _build_forward(call: ServiceCall, key: CallKey, deadline: float) -> ForwardCall:
+    return ForwardCall(
+        key.text,
+        call.account,
+        call.service,
+        call.operation,
+        call.content_type,
+        call.body,
+        deadline,
+    )
+
+
+def _build_answer(reply: Reply) -> CallAnswer:
+    code, answer = reply.code, reply.answer or RecordedAnswer(0, "", b"")
+    if len(answer.body) > c.MAX_FORWARDED_ANSWER_BYTES:
+        code, answer = ResultCode.ANSWER_NOT_KEPT, RecordedAnswer(0, "", b"")
+    return CallAnswer(
+        code.number,
+        answer.status,
+        answer.content_type,
+        answer.body,
+        reply.retry_after_seconds or 0.0,
+    )
+
+
+def _read_answer(answer: CallAnswer) -> Reply:
+    recorded = None
+    if answer.status:
+        recorded = RecordedAnswer(answer.status, answer.content_type, answer.body)
+    code = ResultCode.from_number(answer.code)
+    return Reply(code, recorded, answer.retry_after_seconds or None)
+
+
+async def _async_send(
+    call: ServiceCall, target: Target, remaining: float
+) -> RecordedAnswer:
+    answer = await async_send_http(
+        target.address,
+        "POST",
+        f"/operations/{call.operation}",
+        headers={"content-type": call.content_type},
+        body=call.body,
+        timeout=remaining,
+        connect_timeout=c.SERVICE_CONNECT_SECONDS,
+    )
+    content_type = answer.headers.get("content-type", c.DEFAULT_CONTENT_TYPE)
+    return RecordedAnswer(answer.status, content_type, answer.body)
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -1,7 +1,7 @@
 """Decisions, without I/O, about model requests and non-idempotent calls."""
 
 from .keys import CallKey, mint_key_prefix, parse_key
-from .ledger import CallLedger, CallState, RecordedAnswer, Reply, Send
+from .ledger import CallLedger, CallState, RecordedAnswer, Reply, Send, Wait
 from .lifecycle import RequestLifecycle
 from .messages import (
     AttemptFailed,
@@ -40,6 +40,7 @@
     "Send",
     "StartAttempt",
     "TextArrived",
+    "Wait",
     "mint_key_prefix",
     "parse_key",
 ]
--- a/libraries/requests/tarragonward_requests/keys.py
+++ b/libraries/requests/tarragonward_requests/keys.py
@@ -18,7 +18,8 @@
 class CallKey:
     """A key: the owner's identity, the time its prefix was minted, and the whole text.
 
-    minted_at is in wall-clock seconds of the owner; only the owner compares it.
+    minted_at is in whole seconds of the owner's monotonic clock; only the owner
+    compares it, so no other clock and no jump of the wall clock matters.
     """
 
     owner: HostIdentity
--- a/libraries/requests/tarragonward_requests/ledger.py
+++ b/libraries/requests/tarragonward_requests/ledger.py
@@ -8,9 +8,9 @@
 
 from tarragonward_core import ResultCode, invariants
 
-from .const import MAX_RECORDED_ANSWER_BYTES, MAX_RECORDED_BYTES
+from . import const as c
 
-__all__ = ["CallLedger", "CallState", "RecordedAnswer", "Send", "Reply"]
+__all__ = ["CallLedger", "CallState", "RecordedAnswer", "Reply", "Send", "Wait"]
 
 
 class CallState(Enum):
@@ -23,6 +23,9 @@
     UNKNOWN = "unknown"
 
 
+IN_FLIGHT = frozenset({CallState.ACCEPTED, CallState.SENT})
+
+
 @dataclass(frozen=True)
 class RecordedAnswer:
     """What a target answered; given again, the same bytes, for each repeat."""
@@ -37,103 +40,212 @@
     """Decision: send the call to a target."""
 
 
+@dataclass(frozen=True)
+class Wait:
+    """Decision: an earlier copy is in flight; wait for its end, then read the reply."""
+
+
 @dataclass(frozen=True)
 class Reply:
     """Decision: answer the caller with a code and, where there is one, an answer."""
 
     code: ResultCode
     answer: RecordedAnswer | None = None
+    retry_after_seconds: float | None = None
 
 
 @dataclass
 class _Record:
     digest: bytes
-    minted_at: float
+    deadline: float
     state: CallState = CallState.ACCEPTED
     answer: RecordedAnswer | None = None
     code: ResultCode = ResultCode.IN_PROGRESS
+    ended_at: float = 0.0
 
 
 class CallLedger:
     """The records of one incarnation of one owner; nobody else runs its keys.
 
-    Records live for the retention after their key's prefix was minted; keys older
-    than that are refused, so memory is bounded and a forgotten key can't run again.
+    All times are seconds of the owner's monotonic clock, minted_at too: the wall
+    clock may jump. A key takes new calls until the retention has passed since its
+    prefix was minted; a record stays until the retention has passed since its end,
+    so it is never forgotten while its key could still run.
     """
 
-    def __init__(self, retention_seconds: float) -> None:
+    def __init__(
+        self,
+        retention_seconds: float,
+        max_records: int = c.MAX_RECORDS,
+        max_recorded_bytes: int = c.MAX_RECORDED_BYTES,
+    ) -> None:
         self._retention = retention_seconds
-        self._records: OrderedDict[str, _Record] = OrderedDict()
+        self._max_records = max_records
+        self._max_recorded_bytes = max_recorded_bytes
+        self._in_flight: dict[str, _Record] = {}
+        self._ended: OrderedDict[str, _Record] = OrderedDict()
+        self._closed_up_to = -1.0
         self._recorded_bytes = 0
 
     def __len__(self) -> int:
-        return len(self._records)
+        return len(self._in_flight) + len(self._ended)
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many calls have not ended."""
+        return len(self._in_flight)
+
+    @property
+    def recorded_bytes(self) -> int:
+        """Return the bytes of the recorded answers."""
+        return self._recorded_bytes
+
+    def choose_mint_time(self, now: float) -> int:
+        """Return the mint time for a new prefix, one that takes new calls."""
+        if self._closed_up_to == float("inf"):
+            return int(now)
+        return max(int(now), int(self._closed_up_to) + 1)
 
     def accept(
-        self, key: str, digest: bytes, minted_at: float, now: float
-    ) -> Send | Reply:
-        """Decide about a call that arrived, first or again; times in wall seconds."""
+        self, key: str, digest: bytes, minted_at: float, now: float, deadline: float
+    ) -> Send | Wait | Reply:
+        """Decide about a copy of a call that arrived, the first or a later one."""
         self._forget_old(now)
+        record = self._find(key)
+        if record is not None:
+            return self._answer_repeat(record, key, digest, now)
         if now >= minted_at + self._retention:
             return Reply(ResultCode.KEY_EXPIRED)
-        record = self._records.get(key)
+        if minted_at <= self._closed_up_to:
+            return Reply(
+                ResultCode.CALL_NOT_RUN, retry_after_seconds=c.NEW_KEY_RETRY_SECONDS
+            )
+        if not self._has_room():
+            return self._refuse_for_want_of_room(minted_at, now)
+        self._in_flight[key] = _Record(digest, deadline)
+        if now >= deadline:
+            return self.record_not_run(key, ResultCode.CALL_NOT_RUN, now)
+        return Send()
+
+    def close(self) -> None:
+        """Take no new call any more, under no key; repeats are still answered."""
+        self._closed_up_to = float("inf")
+
+    def read(self, key: str, now: float) -> Reply:
+        """Return what is known of a call, for a copy whose time to wait is over."""
+        record = self._find(key)
         if record is None:
-            self._records[key] = _Record(digest, minted_at)
-            return Send()
-        if record.digest != digest:
-            return Reply(ResultCode.KEY_REUSED)
-        return Reply(record.code, record.answer)
-
-    def mark_sent(self, key: str) -> bool:
-        """Write "sent" before the first byte goes out; False forbids to send."""
-        record = self._records.get(key)
-        may_send = record is not None and record.state is CallState.ACCEPTED
-        invariants.check(may_send, "sent_at_most_once", key=key)
-        if record is None or not may_send:
+            return Reply(ResultCode.OUTCOME_UNKNOWN)
+        if record.state is CallState.ACCEPTED and now >= record.deadline:
+            return self.record_not_run(key, ResultCode.CALL_NOT_RUN, now)
+        return _build_reply(record)
+
+    def mark_sent(self, key: str, now: float) -> bool:
+        """Write "sent" right before the first byte goes out; False forbids to send."""
+        record = self._in_flight.get(key)
+        # A paused process wakes past the time limit, and a repeat that looked first
+        # has already been told "not run". Symptom: the booking appears afterwards.
+        # No await stands between this check and the write, so checking here is enough.
+        if record is None or record.state is not CallState.ACCEPTED:
+            return False
+        if now >= record.deadline:
+            self.record_not_run(key, ResultCode.CALL_NOT_RUN, now)
             return False
         record.state = CallState.SENT
-        record.code = ResultCode.OUTCOME_UNKNOWN
         return True
 
-    def mark_unsent(self, key: str) -> None:
-        """Take "sent" back: the connection was never made, nothing went out."""
-        record = self._records[key]
-        invariants.check(record.state is CallState.SENT, "unsent_after_sent", key=key)
+    def is_sent(self, key: str) -> bool:
+        """Tell whether a call in flight may have reached its target."""
+        record = self._in_flight.get(key)
+        return record is not None and record.state is CallState.SENT
+
+    def mark_refused(self, key: str) -> None:
+        """Take "sent" back: the target answered that it did not run the call."""
+        record = self._in_flight[key]
+        invariants.check(record.state is CallState.SENT, "refused_after_sent", key=key)
         record.state = CallState.ACCEPTED
-        record.code = ResultCode.IN_PROGRESS
-
-    def record_answer(self, key: str, answer: RecordedAnswer) -> Reply:
-        """Keep the target's answer for repeats."""
-        record = self._records[key]
-        record.state = CallState.ANSWERED
-        record.code = ResultCode.OK
-        if (
-            len(answer.body) <= MAX_RECORDED_ANSWER_BYTES
-            and self._recorded_bytes + len(answer.body) <= MAX_RECORDED_BYTES
-        ):
+
+    def record_answer(self, key: str, answer: RecordedAnswer, now: float) -> Reply:
+        """Keep the target's answer for repeats; return the reply to the first copy."""
+        record = self._end(key, CallState.ANSWERED, ResultCode.OK, now)
+        size = len(answer.body)
+        if size > c.MAX_RECORDED_ANSWER_BYTES or not self._has_bytes_for(size):
+            record.code = ResultCode.ANSWER_NOT_KEPT
+        else:
             record.answer = answer
-            self._recorded_bytes += len(answer.body)
+            self._recorded_bytes += size
         return Reply(ResultCode.OK, answer)
 
-    def record_not_run(self, key: str, code: ResultCode) -> Reply:
+    def record_not_run(self, key: str, code: ResultCode, now: float) -> Reply:
         """Leave a tombstone: this key did not run and never will."""
-        record = self._records[key]
-        record.state = CallState.NOT_RUN
-        record.code = code
-        return Reply(code)
-
-    def record_unknown(self, key: str) -> Reply:
+        record = self._in_flight.get(key)
+        may_say_so = record is not None and record.state is CallState.ACCEPTED
+        invariants.check(may_say_so, "not_run_only_where_never_sent", key=key)
+        if not may_say_so:
+            return self.read(key, now)
+        return _build_reply(self._end(key, CallState.NOT_RUN, code, now))
+
+    def record_unknown(self, key: str, now: float) -> Reply:
         """Note that the call may have run; it is never sent again."""
-        record = self._records[key]
-        record.state = CallState.UNKNOWN
-        record.code = ResultCode.OUTCOME_UNKNOWN
-        return Reply(record.code)
+        code = ResultCode.OUTCOME_UNKNOWN
+        return _build_reply(self._end(key, CallState.UNKNOWN, code, now))
+
+    def record_failure(self, key: str, now: float) -> Reply:
+        """End a call, if it has not ended, whose sending broke off anywhere."""
+        if key not in self._in_flight:
+            return self.read(key, now)
+        if self.is_sent(key):
+            return self.record_unknown(key, now)
+        return self.record_not_run(key, ResultCode.CALL_NOT_RUN, now)
+
+    def _find(self, key: str) -> _Record | None:
+        return self._in_flight.get(key) or self._ended.get(key)
+
+    def _answer_repeat(
+        self, record: _Record, key: str, digest: bytes, now: float
+    ) -> Wait | Reply:
+        if record.digest != digest:
+            return Reply(ResultCode.KEY_REUSED)
+        reply = self.read(key, now)
+        return Wait() if reply.code is ResultCode.IN_PROGRESS else reply
+
+    def _end(self, key: str, state: CallState, code: ResultCode, now: float) -> _Record:
+        record = self._in_flight.pop(key)
+        invariants.check(record.state in IN_FLIGHT, "ends_once", key=key)
+        record.state, record.code, record.ended_at = state, code, now
+        self._ended[key] = record
+        return record
+
+    def _has_room(self) -> bool:
+        has_bytes = self._has_bytes_for(c.RESERVED_ANSWER_BYTES)
+        return len(self) < self._max_records and has_bytes
+
+    def _has_bytes_for(self, size: int) -> bool:
+        """Tell whether size bytes fit beside what is reserved for calls in flight."""
+        reserved = len(self._in_flight) * c.RESERVED_ANSWER_BYTES
+        return self._recorded_bytes + size + reserved <= self._max_recorded_bytes
+
+    def _refuse_for_want_of_room(self, minted_at: float, now: float) -> Reply:
+        # A refused call leaves no record. Symptom: its delayed copy runs after the
+        # caller was told "not run" and took a new key. Closing the ledger for all
+        # unknown keys of that age and older is enough, and takes one number.
+        self._closed_up_to = max(self._closed_up_to, minted_at)
+        wait = c.NEW_KEY_RETRY_SECONDS
+        if self._ended:
+            oldest = next(iter(self._ended.values()))
+            wait = max(wait, oldest.ended_at + self._retention - now)
+        return Reply(ResultCode.OVERLOADED, retry_after_seconds=wait)
 
     def _forget_old(self, now: float) -> None:
-        while self._records:
-            key, record = next(iter(self._records.items()))
-            if now < record.minted_at + self._retention:
+        while self._ended:
+            key, record = next(iter(self._ended.items()))
+            if now < record.ended_at + self._retention:
                 return
-            del self._records[key]
+            del self._ended[key]
             if record.answer is not None:
                 self._recorded_bytes -= len(record.answer.body)
+
+
+def _build_reply(record: _Record) -> Reply:
+    wait = c.NEW_KEY_RETRY_SECONDS if record.state is not CallState.ANSWERED else None
+    return Reply(record.code, record.answer, wait)
