Run non-idempotent calls against an adversarial network, by seed

Cause: at most once under kills, pauses, late and doubled copies is more than focused tests can cover. script/soak runs machines on a fake clock by seed; the calls machine drives the real ledger through three hosts that are killed, paused, closed and full, and checks the history against a plain model: one run a key, no run before or after 'not run', the same bytes for each repeat, nothing sent past its limit.

--- /dev/null
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -0,0 +1,91 @@
+"""Run the randomised machines for a while: `script/soak --seed N --minutes M`."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+import traceback
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from absl import logging
+
+from tarragonward_core import TarragonwardError, invariants
+
+from .soak_calls import run_calls_seed
+
+__all__ = ["MACHINES", "SeedResult", "run_seed"]
+
+SECONDS_A_MINUTE = 60.0
+
+# A machine takes a seed and returns how many events it ran. It raises AssertionError
+# or InvariantViolationError where a promise or an invariant is broken.
+Machine = Callable[[int], int]
+MACHINES: dict[str, Machine] = {
+    "calls": run_calls_seed,
+}
+
+
+@dataclass(frozen=True)
+class SeedResult:
+    """One machine's run of one seed; violation is empty where all held."""
+
+    machine: str
+    seed: int
+    events: int
+    violation: str = ""
+
+
+def run_seed(machine: str, seed: int) -> SeedResult:
+    """Run one machine with one seed, invariants raised at once."""
+    was_strict, invariants.strict = invariants.strict, True
+    try:
+        return SeedResult(machine, seed, MACHINES[machine](seed))
+    except (AssertionError, TarragonwardError):
+        return SeedResult(machine, seed, 0, traceback.format_exc())
+    finally:
+        invariants.strict = was_strict
+
+
+def main() -> int:
+    """Run seeds until the time is over; return 1 where there was a violation."""
+    parser = argparse.ArgumentParser(prog="script/soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=0, help="how many; 0: no limit")
+    parser.add_argument("--minutes", type=float, default=1.0)
+    parser.add_argument("--machine", choices=sorted(MACHINES), action="append")
+    options = parser.parse_args()
+    logging.set_verbosity(logging.FATAL)
+    return _run_until_end(
+        options.machine or sorted(MACHINES),
+        options.seed,
+        options.seeds,
+        time.monotonic() + options.minutes * SECONDS_A_MINUTE,
+    )
+
+
+def _run_until_end(machines: list[str], first: int, limit: int, end: float) -> int:
+    seeds = events = violations = 0
+    while time.monotonic() < end and (not limit or seeds < limit):
+        for machine in machines:
+            result = run_seed(machine, first + seeds)
+            events += result.events
+            if result.violation:
+                violations += 1
+                _print_violation(result)
+        seeds += 1
+    print(f"seeds={seeds} events={events} violations={violations}")
+    return 1 if violations else 0
+
+
+def _print_violation(result: SeedResult) -> None:
+    print(f"violation: machine={result.machine} seed={result.seed}")
+    print(result.violation)
+    print(
+        f"replay: script/soak --seed {result.seed} --seeds 1 --machine {result.machine}"
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
