Hand published patches on between hosts; never start from an old state

Cause: a new host took whatever one replica showed, so a stale replica or a platform back from a backup undid patches on it; a host cut from the platform never heard of a patch; a log restored and grown again was applied on top of another history; what became of a patch was logged nowhere; a watch of 5 s a replica could pass 8 s.

Now ConfigurationHistory decides: a longer log only, the same entries where both are known (else a fork, counted and refused), a number that never falls. Hosts push new entries (64 KiB at most) to five fixed neighbours and pull from one every 2 s; a new host asks twelve peers, and engines for the highest fencing number, before it admits work. Below that number it waits, visibly: serving by a revoked configuration breaks a promise, refusing breaks none. Verdicts are kept with number and reason.

Ruled out: putting an old state in force after some seconds for want of a newer one; entries in msgpack (lists come back as tuples, so verdicts would differ by host). A wholly lost platform (host list too) still keeps new hosts out.

--- a/libraries/config/tarragonward_config/patches.py
+++ b/libraries/config/tarragonward_config/patches.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 import jsonpatch
+import orjson
 
 from tarragonward_core import ConfigurationError
 
@@ -15,13 +17,31 @@
 
 __all__ = [
     "ConfigurationState",
+    "Judgement",
     "LogEntry",
     "Verdict",
     "apply_entries",
     "apply_entry",
     "build_state",
+    "compute_digest",
+    "judge_entry",
 ]
 
+DIGEST_BYTES = 16
+MAX_REASON_CHARACTERS = 200
+# What an operator's operations may raise in the library, whatever is in them.
+INVALID_PATCH_ERRORS = (
+    jsonpatch.JsonPatchException,
+    jsonpatch.JsonPointerException,
+    ConfigurationError,
+    AttributeError,
+    IndexError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 
 class Verdict(Enum):
     """What became of a patch."""
@@ -57,6 +77,16 @@
     configuration: Configuration = field(repr=False, compare=False)
 
 
+@dataclass(frozen=True)
+class Judgement:
+    """What became of one entry: the state after it, and why it was refused if so."""
+
+    state: ConfigurationState
+    entry: LogEntry
+    verdict: Verdict
+    reason: str = ""
+
+
 def build_state(sequence: int, number: int, document: Any) -> ConfigurationState:
     """Return the state that a snapshot holds; raise ConfigurationError if invalid."""
     if not 0 <= number <= sequence:
@@ -71,6 +101,15 @@
 ) -> tuple[ConfigurationState, Verdict]:
     """Return the state after one more entry, and what became of the entry.
 
+    Raise ConfigurationError where the entry is not the next one in the log.
+    """
+    judgement = judge_entry(state, entry)
+    return judgement.state, judgement.verdict
+
+
+def judge_entry(state: ConfigurationState, entry: LogEntry) -> Judgement:
+    """Judge the log's next entry: a pure function, so that all hosts agree.
+
     A patch written against another number than the one in force changes nothing.
     Raise ConfigurationError where the entry is not the next one in the log.
     """
@@ -79,18 +118,18 @@
             f"log: found entry {entry.sequence}: expected {state.sequence + 1}"
         )
     if entry.base != state.number:
-        return _skip(state, entry), Verdict.STALE
+        reason = f"written against {entry.base}, but {state.number} was in force"
+        return Judgement(_skip(state, entry), entry, Verdict.STALE, reason)
     try:
         document = jsonpatch.apply_patch(state.document, list(entry.operations))
         configuration = parse_configuration(document, f"patch {entry.sequence}")
-    except (jsonpatch.JsonPatchException, ConfigurationError):
-        return _skip(state, entry), Verdict.INVALID
-    except (jsonpatch.JsonPointerException, TypeError, KeyError):
-        return _skip(state, entry), Verdict.INVALID
+    except INVALID_PATCH_ERRORS as err:
+        reason = f"{type(err).__name__}: {err}"[:MAX_REASON_CHARACTERS]
+        return Judgement(_skip(state, entry), entry, Verdict.INVALID, reason)
     accepted = ConfigurationState(
         entry.sequence, entry.sequence, document, configuration
     )
-    return accepted, Verdict.ACCEPTED
+    return Judgement(accepted, entry, Verdict.ACCEPTED)
 
 
 def apply_entries(
@@ -107,6 +146,12 @@
     return state
 
 
+def compute_digest(state: ConfigurationState) -> bytes:
+    """Return what tells this state's document from another one at its sequence."""
+    text = orjson.dumps(state.document, option=orjson.OPT_SORT_KEYS)
+    return hashlib.sha256(text).digest()[:DIGEST_BYTES]
+
+
 def _skip(state: ConfigurationState, entry: LogEntry) -> ConfigurationState:
     return ConfigurationState(
         entry.sequence, state.number, state.document, state.configuration
--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -38,13 +38,13 @@
     def _build_tasks(self) -> None:
         host, settings = self.host, self.host.settings
         self.links = PeerLinks(host.identity, settings.peer_key, host.metrics)
-        self.configuration = ConfigurationTask(host)
         self.membership = MembershipTask(host)
+        self.configuration = ConfigurationTask(host, self.links, self.membership)
         self.reports = ReportTask(host)
         self.releases = Releases()
         self.calls = ServiceCalls(host, self.links, self.membership)
         self.models = ModelRequests(host, self.reports, self.releases, self.membership)
-        messages = PeerMessages(self.calls)
+        messages = PeerMessages(self.calls, self.configuration.peers)
         self.peers = PeerServer(
             host.identity,
             settings.peer_key,
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/configuration_peers.py
@@ -0,0 +1,202 @@
+"""Hand published patches on between hosts, for those that the platform can't reach."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import orjson
+
+from tarragonward_config import (
+    ConfigurationHistory,
+    LogEntry,
+    Outcome,
+    Taken,
+    build_state,
+    decode_entries,
+    encode_entries,
+)
+from tarragonward_core import Address, ConfigurationError, TargetError, log_event
+from tarragonward_membership import Member
+from tarragonward_wire import PeerLinks, register_message
+
+from . import const as c
+from .core import HostState
+from .membership import MembershipTask
+
+__all__ = ["ConfigurationNews", "ConfigurationPeers", "PullConfiguration"]
+
+
+@register_message
+@dataclass(frozen=True)
+class PullConfiguration:
+    """Ask for what is new after a sequence; -1 asks for a whole snapshot."""
+
+    sequence: int
+    digest: bytes
+
+
+@register_message
+@dataclass(frozen=True)
+class ConfigurationNews:
+    """What a host has: entries as JSON, or a snapshot as JSON where it must be.
+
+    Also told, without being asked for, to neighbours when entries were taken over.
+    """
+
+    sequence: int
+    number: int
+    digest: bytes
+    entries: bytes
+    snapshot: bytes
+
+
+class ConfigurationPeers:
+    """Push what was taken over to a few neighbours, and pull from one now and then."""
+
+    def __init__(
+        self,
+        host: HostState,
+        links: PeerLinks,
+        membership: MembershipTask,
+        history: ConfigurationHistory,
+        show_taken: Callable[[Taken, str], None],
+    ) -> None:
+        self._host = host
+        self._links = links
+        self._membership = membership
+        self._history = history
+        self._show_taken = show_taken
+        self._pushing: set[asyncio.Task[None]] = set()
+
+    async def async_unload(self) -> None:
+        """End what is being pushed."""
+        for task in list(self._pushing):
+            task.cancel()
+        await asyncio.gather(*self._pushing, return_exceptions=True)
+
+    def push(self, taken: Taken) -> None:
+        """Tell the neighbours of entries that were taken over just now."""
+        entries = [judgement.entry for judgement in taken.judgements]
+        if not entries:
+            return
+        news = self._build_news(tuple(entries), b"")
+        if len(news.entries) > c.MAX_PUSH_BYTES:
+            return
+        for member in self._choose_neighbours():
+            task = asyncio.create_task(self._async_push(member.listed.address, news))
+            self._pushing.add(task)
+            task.add_done_callback(self._pushing.discard)
+
+    async def async_ask_many(self) -> None:
+        """Ask several hosts for what they have; bounded in time where cut off."""
+        await self._async_wait_for_members()
+        members = self._membership.membership.get_members()
+        chosen = random.sample(members, min(len(members), c.START_PEERS))
+        pulls = [self._async_pull(member.listed.address) for member in chosen]
+        await asyncio.gather(*pulls)
+
+    async def async_pull_one(self) -> None:
+        """Ask one neighbour for what it has."""
+        neighbours = self._choose_neighbours()
+        if neighbours:
+            await self._async_pull(random.choice(neighbours).listed.address)
+
+    def answer_pull(self, message: PullConfiguration) -> ConfigurationNews:
+        """Return what is new to the host that asks."""
+        self._compare_digest(message.sequence, message.digest, "peer")
+        if message.sequence >= self._history.sequence:
+            return self._build_news((), b"")
+        entries = self._history.get_entries_after(message.sequence)
+        if message.sequence >= 0 and entries is not None:
+            return self._build_news(entries, b"")
+        return self._build_news((), self._encode_snapshot())
+
+    def take_news(self, news: ConfigurationNews, source: str) -> Outcome:
+        """Take over what a peer has; raise ConfigurationError where it is not valid."""
+        self._compare_digest(news.sequence, news.digest, source)
+        if news.snapshot:
+            data = orjson.loads(news.snapshot)
+            state = build_state(news.sequence, news.number, data)
+            taken = self._history.take_snapshot(state)
+        else:
+            taken = self._history.extend(decode_entries(news.entries or b"[]"))
+        self._show_taken(taken, source)
+        return taken.outcome
+
+    async def async_handle_news(self, news: ConfigurationNews, peer: Address) -> None:
+        """Take over what a peer pushed; ask it for what lies between where needed."""
+        outcome = self.take_news(news, str(peer))
+        if outcome is Outcome.GAP:
+            await self._async_pull(peer)
+
+    async def _async_pull(self, address: Address) -> None:
+        question = PullConfiguration(self._history.sequence, self._history.digest)
+        try:
+            news = await self._links.async_ask(
+                address, question, c.CONFIGURATION_ASK_SECONDS
+            )
+            if isinstance(news, ConfigurationNews):
+                self.take_news(news, str(address))
+        except TargetError:
+            return
+        except (ConfigurationError, orjson.JSONDecodeError) as err:
+            log_event("configuration_news_refused", peer=address, error=repr(err))
+
+    async def _async_push(self, address: Address, news: ConfigurationNews) -> None:
+        try:
+            await self._links.async_tell(address, news, c.CONFIGURATION_ASK_SECONDS)
+        except TargetError as err:
+            log_event("configuration_push_failed", peer=address, error=repr(err))
+
+    async def _async_wait_for_members(self) -> None:
+        """Wait a bounded time for the first host list; it may be empty or cut off."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + c.START_MEMBERS_SECONDS
+        while not self._membership.membership.get_members() and loop.time() < end:
+            await asyncio.sleep(c.START_POLL_SECONDS)
+
+    def _choose_neighbours(self) -> list[Member]:
+        """Return the few hosts that this one always exchanges with.
+
+        The same ones each time, so that links stay few; some in other domains, as one
+        domain's platform may be cut off while another's is not.
+        """
+        ours = str(self._host.settings.peers)
+        domain = self._host.settings.failure_domain
+        members = sorted(
+            self._membership.membership.get_members(),
+            key=lambda member: _score(ours, str(member.listed.address)),
+        )
+        near = [m for m in members if m.listed.failure_domain == domain]
+        far = [m for m in members if m.listed.failure_domain != domain]
+        return near[: c.NEIGHBOURS_NEAR] + far[: c.NEIGHBOURS_FAR]
+
+    def _build_news(
+        self, entries: tuple[LogEntry, ...], snapshot: bytes
+    ) -> ConfigurationNews:
+        state = self._history.state
+        return ConfigurationNews(
+            self._history.sequence,
+            -1 if state is None else state.number,
+            self._history.digest,
+            encode_entries(entries) if entries else b"",
+            snapshot,
+        )
+
+    def _encode_snapshot(self) -> bytes:
+        state = self._history.state
+        return b"" if state is None else orjson.dumps(state.document)
+
+    def _compare_digest(self, sequence: int, digest: bytes, source: str) -> None:
+        if sequence < 0 or sequence != self._history.sequence:
+            return
+        if digest != self._history.digest:
+            self._show_taken(Taken(Outcome.FORK), source)
+
+
+def _score(ours: str, theirs: str) -> bytes:
+    return hashlib.blake2b(f"{ours}|{theirs}".encode(), digest_size=8).digest()
--- a/libraries/daemon/tarragonward_daemon/peers.py
+++ b/libraries/daemon/tarragonward_daemon/peers.py
@@ -8,6 +8,11 @@
 from tarragonward_core import FrameError, HostIdentity
 
 from .calls import CallAnswer, ForwardCall, ServiceCalls
+from .configuration_peers import (
+    ConfigurationNews,
+    ConfigurationPeers,
+    PullConfiguration,
+)
 
 __all__ = ["PeerMessages"]
 
@@ -15,8 +20,9 @@
 class PeerMessages:
     """Hand each kind of message to the task that it is for."""
 
-    def __init__(self, calls: ServiceCalls) -> None:
+    def __init__(self, calls: ServiceCalls, configuration: ConfigurationPeers) -> None:
         self._calls = calls
+        self._configuration = configuration
 
     async def async_handle(self, peer: HostIdentity, message: Any) -> Any:
         """Return the answer to a peer's message, or None."""
@@ -29,3 +35,13 @@
     @_async_handle.register
     async def _(self, message: ForwardCall, peer: HostIdentity) -> CallAnswer:
         return await self._calls.async_handle_forwarded(message)
+
+    @_async_handle.register
+    async def _(
+        self, message: PullConfiguration, peer: HostIdentity
+    ) -> ConfigurationNews:
+        return self._configuration.answer_pull(message)
+
+    @_async_handle.register
+    async def _(self, message: ConfigurationNews, peer: HostIdentity) -> None:
+        await self._configuration.async_handle_news(message, peer.address)
--- a/libraries/standins/tarragonward_standins/platform.py
+++ b/libraries/standins/tarragonward_standins/platform.py
@@ -19,6 +19,8 @@
 
 __all__ = ["PlatformStandIn"]
 
+CONFIGURATION = "/v1/configuration/"
+
 
 class PlatformStandIn:
     """Publishes a numbered snapshot, the log of patches, and the host list.
@@ -32,6 +34,8 @@
         self.hosts = hosts
         self.log: list[LogEntry] = []
         self.reads = 0
+        self.is_configuration_down = False
+        self.stale_at: int | None = None
         self._first = build_state(0, 0, document)
         self._changed = asyncio.Condition()
         self._server = HttpServer(address, self._async_handle)
@@ -59,6 +63,10 @@
 
     async def _async_handle(self, request: HttpRequest, responder: Responder) -> None:
         self.reads += request.method == "GET"
+        is_configuration = request.path.startswith(CONFIGURATION)
+        if is_configuration and self.is_configuration_down and request.method == "GET":
+            await responder.async_send_json(503, {"error": "down"})
+            return
         match request.method, request.path:
             case "GET", "/v1/configuration/snapshot":
                 await responder.async_send_json(200, self._build_snapshot())
@@ -71,6 +79,9 @@
                 patch = orjson.loads(request.body)
                 sequence = await self.async_publish(patch["base"], patch["operations"])
                 await responder.async_send_json(200, {"sequence": sequence})
+            case "PUT", "/v1/faults":
+                self._set_faults(orjson.loads(request.body))
+                await responder.async_send_json(200, {})
             case "GET", "/v1/hosts":
                 await responder.async_send_json(200, {"hosts": self.hosts})
             case "PUT", "/v1/hosts":
@@ -79,14 +90,22 @@
             case _:
                 await responder.async_send_json(404, {"error": "not found"})
 
+    def _set_faults(self, faults: dict[str, Any]) -> None:
+        """Be down for the configuration, or show no more than its first entries."""
+        self.is_configuration_down = faults.get("configuration_down", False)
+        self.stale_at = faults.get("stale_at")
+
+    def _get_shown_log(self) -> list[LogEntry]:
+        return self.log if self.stale_at is None else self.log[: self.stale_at]
+
     async def _async_wait(self, after: int, seconds: float) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds), self._changed:
-                await self._changed.wait_for(lambda: len(self.log) > after)
+                await self._changed.wait_for(lambda: len(self._get_shown_log()) > after)
 
     def _build_snapshot(self) -> dict[str, Any]:
         state = self._first
-        for entry in self.log:
+        for entry in self._get_shown_log():
             state, _ = apply_entry(state, entry)
         return {
             "sequence": state.sequence,
@@ -95,15 +114,16 @@
         }
 
     def _list_entries(self, after: int) -> dict[str, Any]:
+        shown = self._get_shown_log()
         entries = [
             {
                 "sequence": entry.sequence,
                 "base": entry.base,
                 "operations": list(entry.operations),
             }
-            for entry in self.log[after:]
+            for entry in shown[after:]
         ]
-        return {"latest": len(self.log), "entries": entries}
+        return {"latest": len(shown), "entries": entries}
 
 
 def main() -> None:
--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -20,6 +20,7 @@
 from tarragonward_wire import HttpAnswer, async_send_http
 
 from . import const as c
+from .fault_proxy import FaultProxy
 
 __all__ = ["Site", "SiteHost", "SitePlan"]
 
@@ -47,6 +48,8 @@
     )
     service_delay_seconds: float = 0.0
     limits: dict[str, Any] = field(default_factory=dict)
+    has_proxies: bool = False
+    engines_check_fencing: bool = True
 
 
 @dataclass(frozen=True)
@@ -83,6 +86,8 @@
         self.services: dict[str, Address] = {}
         self.hosts: dict[str, SiteHost] = {}
         self._domains: dict[str, str] = {}
+        self._listen: dict[str, Address] = {}
+        self.proxies: dict[str, FaultProxy] = {}
         self._lay_out()
 
     def new_address(self) -> Address:
@@ -100,6 +105,22 @@
                 name = f"entry-{domain}-{number}"
                 addresses = (self.new_address() for _ in range(3))
                 self.hosts[name] = SiteHost(name, domain, *addresses)
+        if plan.has_proxies:
+            self._lay_out_proxies()
+
+    def _lay_out_proxies(self) -> None:
+        """Stand a proxy before each service, host's peers, and a host's platform.
+
+        They are named NAME, peers-HOST and platform-HOST, and run in this process.
+        """
+        for name, address in self.services.items():
+            self.proxies[name] = FaultProxy(self.new_address(), address)
+        for name, host in self.hosts.items():
+            self._listen[name] = self.new_address()
+            self.proxies[f"peers-{name}"] = FaultProxy(host.peers, self._listen[name])
+            self.proxies[f"platform-{name}"] = FaultProxy(
+                self.new_address(), self.platform
+            )
 
     def _add_target(self, kind: dict[str, Address], name: str, domain: str) -> None:
         kind[name] = self.new_address()
@@ -115,14 +136,14 @@
                 "failure_domain": self._domains[name],
                 "models": [plan.model],
                 "kv_tokens": plan.kv_tokens,
-                "checks_fencing": True,
+                "checks_fencing": plan.engines_check_fencing,
             }
             for name, address in self.engines.items()
         }
         services = {
             name: {
                 "kind": "service",
-                "address": str(address),
+                "address": str(self._get_seen_address(name, address)),
                 "failure_domain": self._domains[name],
                 "service": "approvals",
             }
@@ -144,6 +165,10 @@
             "targets": {**engines, **services},
         }
 
+    def _get_seen_address(self, name: str, address: Address) -> Address:
+        proxy = self.proxies.get(name)
+        return address if proxy is None else proxy.address
+
     def build_host_list(self) -> list[dict[str, Any]]:
         """Return the platform's host list."""
         entries = [
@@ -160,6 +185,7 @@
         """Write the files, start all processes and wait until hosts are healthy."""
         self._write_files()
         self._build_commands()
+        await asyncio.gather(*(proxy.async_setup() for proxy in self.proxies.values()))
         await asyncio.gather(*(self.async_start(name) for name in self._commands))
         await asyncio.gather(*(self.async_wait_healthy(name) for name in self.hosts))
 
@@ -168,6 +194,8 @@
         async with AsyncExitStack() as stack:
             for name in list(self._processes):
                 stack.push_async_callback(self.async_kill, name)
+            for proxy in self.proxies.values():
+                stack.push_async_callback(proxy.async_unload)
 
     async def async_start(self, name: str) -> None:
         """Start a process of the site, again after it ended."""
@@ -231,6 +259,10 @@
         )
         return answer.parse_json()["sequence"]
 
+    async def async_set_platform_faults(self, **faults: Any) -> None:
+        """Let the configuration be down (configuration_down) or stale (stale_at)."""
+        await self._async_platform("PUT", "/v1/faults", faults)
+
     async def async_set_hosts(self, hosts: list[dict[str, Any]]) -> None:
         """Replace the platform's host list."""
         await self._async_platform("PUT", "/v1/hosts", {"hosts": hosts})
@@ -253,6 +285,8 @@
 
     def _write_settings(self, host: SiteHost) -> None:
         limits = "\n".join(f"{key} = {value}" for key, value in self._limits().items())
+        listen = self._listen.get(host.name, host.peers)
+        platform = self._get_seen_address(f"platform-{host.name}", self.platform)
         (self.folder / f"{host.name}.toml").write_text(
             f"""\
 [host]
@@ -264,10 +298,11 @@
 callers = "{host.callers}"
 operators = "{host.operators}"
 peers = "{host.peers}"
+peers_listen = "{listen}"
 
 [platform]
-configuration = ["{self.platform}"]
-host_list = ["{self.platform}"]
+configuration = ["{platform}"]
+host_list = ["{platform}"]
 
 [credentials]
 peer_key_file = "peer.key"
@@ -295,6 +330,8 @@
                 address=address,
                 kv_tokens=plan.kv_tokens,
             )
+            if not plan.engines_check_fencing:
+                self._commands[name].append("--ignores-fencing")
         for name, address in self.services.items():
             self._commands[name] = _run_module(
                 "tarragonward_standins.service",
