Order engines by the published number, and put right what went wrong

Cause: nobody told engines which model versions and adapters to load. The order of an engine follows from the published document and its number alone (the fencing number), so two hosts can only give the same one. Two hosts of the domain, by rendezvous hash, watch each engine every 2 s and order where its report differs.

Engines that ignore fencing are ordered only right after a look at all replicas, and not if more than 1 s passed between the look and the first byte (checked with no await before the write). An old order held up on the wire is put right by the next check. An engine that reports a higher number makes its watcher catch up instead.

Measured: the tests with both kinds of engine pass: a frozen host that wakes, an old order taken, no order without a fresh look.

--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -19,6 +19,7 @@
 from .membership import MembershipTask
 from .models import ModelRequests
 from .operators import OperatorRoutes
+from .orders import OrderTask
 from .peers import PeerMessages
 from .reports import ReportTask
 
@@ -40,6 +41,7 @@
         self.links = PeerLinks(host.identity, settings.peer_key, host.metrics)
         self.membership = MembershipTask(host)
         self.configuration = ConfigurationTask(host, self.links, self.membership)
+        self.orders = OrderTask(host, self.membership, self.configuration)
         self.reports = ReportTask(host)
         self.releases = Releases()
         self.calls = ServiceCalls(host, self.links, self.membership)
@@ -91,6 +93,7 @@
         return [
             self.configuration,
             self.membership,
+            self.orders,
             self.reports,
             self.releases,
             self.calls,
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/orders.py
@@ -0,0 +1,179 @@
+"""Order engines to load what is published, and check that they did."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+from typing import Any
+
+import orjson
+
+from tarragonward_config import (
+    EngineOrder,
+    EngineOrderState,
+    OrderDecision,
+    Target,
+    build_orders,
+    decide_order,
+)
+from tarragonward_core import TargetError, log_event
+from tarragonward_membership import Member, MemberState
+from tarragonward_wire import async_send_http
+
+from . import const as c
+from .configuration import ConfigurationTask
+from .core import HostState
+from .membership import MembershipTask
+
+__all__ = ["OrderTask", "choose_watchers"]
+
+GONE = frozenset({MemberState.DEAD, MemberState.LEAVING})
+
+
+class _OrderTooOldError(Exception):
+    """Stop before the first byte: the look that allowed the order is too long ago."""
+
+
+class OrderTask:
+    """Own the watch over the engines that are this host's to order about.
+
+    Which hosts watch an engine is a hint: whoever sends, all send the same order.
+    """
+
+    def __init__(
+        self,
+        host: HostState,
+        membership: MembershipTask,
+        configuration: ConfigurationTask,
+    ) -> None:
+        self._host = host
+        self._membership = membership
+        self._configuration = configuration
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to watch."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _async_run(self) -> None:
+        while True:
+            await asyncio.sleep(c.ORDER_SECONDS * random.uniform(0.75, 1.25))
+            try:
+                await self._async_check_all()
+            except Exception as err:
+                log_event("order_check_failed", error=repr(err))
+
+    async def _async_check_all(self) -> None:
+        state = self._host.configuration_state
+        if state is None:
+            return
+        orders = build_orders(state.configuration, state.number)
+        ours = [
+            state.configuration.targets[name] for name in orders if self._watches(name)
+        ]
+        checks = [self._async_check(engine, orders[engine.name]) for engine in ours]
+        await asyncio.gather(*checks)
+
+    def _watches(self, engine: str) -> bool:
+        settings = self._host.settings
+        members = [
+            str(member.listed.address)
+            for member in self._membership.membership.get_members()
+            if member.state not in GONE and _is_near(member, settings.failure_domain)
+        ]
+        target = self._host.configuration.targets[engine]
+        if target.failure_domain != settings.failure_domain:
+            return False
+        return str(settings.peers) in choose_watchers(
+            engine, [*members, str(settings.peers)]
+        )
+
+    async def _async_check(self, engine: Target, order: EngineOrder) -> None:
+        try:
+            reported = await self._async_read_state(engine)
+        except TargetError:
+            return
+        match decide_order(order, reported, engine.checks_fencing):
+            case OrderDecision.CATCH_UP:
+                assert reported is not None
+                self._configuration.see_fencing(reported.fencing)
+            case OrderDecision.SEND:
+                await self._async_send(engine, order)
+            case OrderDecision.LOOK_THEN_SEND:
+                await self._async_look_then_send(engine, order)
+
+    async def _async_read_state(self, engine: Target) -> EngineOrderState | None:
+        answer = await async_send_http(
+            engine.address, "GET", "/v1/load", timeout=c.REPORT_TIMEOUT_SECONDS
+        )
+        return EngineOrderState.parse(answer.parse_json())
+
+    async def _async_look_then_send(self, engine: Target, order: EngineOrder) -> None:
+        if not await self._configuration.async_look():
+            log_event("order_held_back", engine=engine.name, reason="no fresh look")
+            return
+        if self._host.configuration_number == order.fencing:
+            await self._async_send(engine, order)
+
+    async def _async_send(self, engine: Target, order: EngineOrder) -> None:
+        decided_at = _now()
+
+        def check_age() -> None:
+            # A host paused after its look wakes with an old order. Symptom: an engine
+            # that ignores fencing goes back to an old version. No await stands between
+            # this check and the write; what is paused on the wire after it is put
+            # right by the next check of another host.
+            is_current = self._host.configuration_number == order.fencing
+            if not is_current or _now() - decided_at > c.ORDER_MAX_AGE_SECONDS:
+                raise _OrderTooOldError
+
+        try:
+            answer = await async_send_http(
+                engine.address,
+                "POST",
+                "/v1/orders",
+                headers={"content-type": "application/json"},
+                body=orjson.dumps(order.build_body()),
+                timeout=c.ORDER_TIMEOUT_SECONDS,
+                before_write=check_age,
+            )
+        except (TargetError, _OrderTooOldError) as err:
+            self._show(engine, order, "failed", error=repr(err))
+            return
+        self._show(engine, order, "taken" if answer.status == 200 else "refused")
+
+    def _show(
+        self, engine: Target, order: EngineOrder, result: str, **fields: Any
+    ) -> None:
+        self._host.metrics.count("orders", result)
+        log_event(
+            "engine_ordered",
+            engine=engine.name,
+            fencing=order.fencing,
+            result=result,
+            **fields,
+        )
+
+
+def choose_watchers(engine: str, hosts: list[str]) -> list[str]:
+    """Return the few hosts that watch an engine, by rendezvous hash."""
+    return sorted(hosts, key=lambda host: _score(engine, host))[: c.ORDER_WATCHERS]
+
+
+def _score(engine: str, host: str) -> bytes:
+    return hashlib.blake2b(f"{engine}|{host}".encode(), digest_size=8).digest()
+
+
+def _is_near(member: Member, failure_domain: str) -> bool:
+    return member.listed.failure_domain == failure_domain
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/libraries/standins/tarragonward_standins/engine.py
+++ b/libraries/standins/tarragonward_standins/engine.py
@@ -50,7 +50,11 @@
     that its owner forgets stays lost: that is what the system must not let happen.
     """
 
-    def __init__(self, address: Address, sizes: EngineSizes) -> None:
+    def __init__(
+        self, address: Address, sizes: EngineSizes, ignores_fencing: bool = False
+    ) -> None:
+        self._ignores_fencing = ignores_fencing
+        self._orders: dict | None = None
         self.model = EngineModel(sizes)
         self._streams: dict[str, _Stream] = {}
         self._owners: dict[str, str] = {}
@@ -174,9 +178,10 @@
         await responder.async_send_json(status, {"granted": granted})
 
     async def _async_order(self, body: dict, responder: Responder) -> None:
-        is_current = body["fencing"] >= self._fencing
+        is_current = self._ignores_fencing or body["fencing"] >= self._fencing
         if is_current:
             self._fencing = body["fencing"]
+            self._orders = body
         await responder.async_send_json(200 if is_current else 409, {"ok": is_current})
 
     def _drop(self, stream_id: str) -> None:
@@ -192,6 +197,7 @@
             "queued_prefill_tokens": self.model.queued_prefill_tokens,
             "running": self.model.running,
             "fencing": self._fencing,
+            "orders": self._orders,
             "streams": {name: s.owner for name, s in self._streams.items()},
             "reservations": self._owners,
         }
@@ -202,9 +208,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--address", type=Address.parse, required=True)
     parser.add_argument("--kv-tokens", type=int, default=c.DEFAULT_KV_TOKENS)
+    parser.add_argument("--ignores-fencing", action="store_true")
     arguments = parser.parse_args()
     sizes = EngineSizes(kv_tokens=arguments.kv_tokens)
-    run_server(EngineStandIn(arguments.address, sizes))
+    run_server(EngineStandIn(arguments.address, sizes, arguments.ignores_fencing))
 
 
 if __name__ == "__main__":
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,9 +1,11 @@
 """Tests of the configuration and of orders to engines with real processes."""
 
 import asyncio
+import signal
 
 import pytest
 
+from tarragonward_core import TargetError
 from tarragonward_standins.site import SitePlan
 from tarragonward_wire import async_send_http
 
@@ -134,3 +136,89 @@
     await site.async_start(name)
     await site.async_wait_healthy(name)
     assert await async_get_numbers(site, [name]) == [1]
+
+
+async def test_hosts_all_replaced_beside_a_stale_platform_do_not_go_back(make_site):
+    """All hosts are replaced while the platform shows a snapshot from before a patch.
+
+    No host is left that knows number 1, but the engines were ordered under it. The
+    new hosts see that their own number is below and admit no work until the
+    platform shows the patch again; no caller meets the old configuration.
+    """
+    site = await make_site(SMALL)
+    await site.async_publish(0, set_weight(5))
+    for engine in site.engines:
+        await async_wait_for_version(site, engine, "1", 1)
+    for name in ["platform", *site.hosts]:
+        await site.async_kill(name)
+    for name in ["platform", *site.hosts]:
+        await site.async_start(name)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(5):
+            await site.async_wait_healthy("entry-north-1")
+    await site.async_publish(0, set_weight(5))
+    for name in site.hosts:
+        await site.async_wait_healthy(name)
+    assert set(await async_get_numbers(site)) == {1}
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+async def test_a_frozen_hosts_old_order_does_no_lasting_harm(make_site, checks_fencing):
+    """A host is frozen, a new version is published, and the host wakes with old views.
+
+    Its old order is refused by an engine that checks fencing. One that ignores it is
+    ordered only after a fresh look, which shows the host that it is late. Either way
+    every engine has the new version and keeps it.
+    """
+    plan = SitePlan(engines_per_domain=2, engines_check_fencing=checks_fencing)
+    site = await make_site(plan)
+    for engine in site.engines:
+        await async_wait_for_version(site, engine, "1", 0)
+    site.send_signal("entry-north-1", signal.SIGSTOP)
+    await site.async_publish(0, set_version(plan.model, "2"))
+    await asyncio.sleep(1)
+    for engine in site.engines:
+        await async_wait_for_version(site, engine, "2", 1)
+    site.send_signal("entry-north-1", signal.SIGCONT)
+    await asyncio.sleep(3)
+    for engine in site.engines:
+        await async_wait_for_version(site, engine, "2", 1)
+
+
+async def test_an_old_order_that_an_engine_took_is_put_right(make_site):
+    """An order held up on the wire reaches an engine that ignores fencing.
+
+    Nothing can stop it there. The hosts that watch the engine see another state than
+    they ordered, look at the service, and order again within seconds.
+    """
+    plan = SitePlan(engines_per_domain=1, engines_check_fencing=False)
+    site = await make_site(plan)
+    await site.async_publish(0, set_version(plan.model, "2"))
+    await async_wait_for_version(site, "engine-north-1", "2", 1)
+    body = b'{"fencing":0,"models":{"%b":{"version":"1"}}}' % plan.model.encode()
+    address = site.engines["engine-north-1"]
+    await async_send_http(address, "POST", "/v1/orders", body=body, timeout=5)
+    await async_wait_for_version(site, "engine-north-1", "2", 1)
+
+
+async def test_no_order_goes_to_an_engine_without_fencing_while_cut_off(make_site):
+    """Without a fresh look nothing shows that a host's number is the newest."""
+    plan = SitePlan(
+        failure_domains=("north",),
+        hosts_per_domain=1,
+        engines_per_domain=1,
+        engines_check_fencing=False,
+        has_proxies=True,
+    )
+    site = await make_site(plan)
+    await async_wait_for_version(site, "engine-north-1", "1", 0)
+    await site.async_kill("platform")
+    await site.async_kill("engine-north-1")
+    await site.async_start("engine-north-1")
+    await asyncio.sleep(6)
+    try:
+        assert await async_get_order(site, "engine-north-1") == {}
+    except TargetError:
+        pytest.fail("the engine is down")
+    await site.async_start("platform")
+    await async_wait_for_version(site, "engine-north-1", "1", 0)
