--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from typing import Any
 
 from tarragonward_config import Settings
@@ -22,6 +22,7 @@
 from .orders import OrderTask
 from .peers import PeerMessages
 from .reports import ReportTask
+from .sweep import SweepTask
 
 __all__ = ["Daemon"]
 
@@ -46,6 +47,7 @@
         self.releases = Releases()
         self.calls = ServiceCalls(host, self.links, self.membership)
         self.models = ModelRequests(host, self.reports, self.releases, self.membership)
+        self.sweep = SweepTask(host, self.models, self.releases, self.membership)
         messages = PeerMessages(self.calls, self.configuration.peers)
         self.peers = PeerServer(
             host.identity,
@@ -97,6 +99,8 @@
             self.reports,
             self.releases,
             self.calls,
+            self.models,
+            self.sweep,
             self.peers,
             self.operators,
             self.callers,
@@ -104,8 +108,6 @@
 
     async def _async_drain(self) -> None:
         """Wait until all requests in progress have ended, or the time is over."""
-        self.host.is_draining = True
-        self.calls.start_drain()
         log_event("drain_started", in_flight=self.host.requests_in_flight)
         stopped = asyncio.create_task(self._stop_asked.wait())
         drained = asyncio.create_task(self._async_wait_idle())
@@ -118,10 +120,25 @@
         for task in (stopped, drained):
             task.cancel()
         log_event("drain_ended", in_flight=self.host.requests_in_flight)
+        await self._async_stop_requests()
 
     async def _async_wait_idle(self) -> None:
-        # The balancer goes on sending until it has seen the health check fail.
+        # The balancer goes on sending until it has seen the health check fail. Symptom
+        # of refusing at once: callers read errors during each replacement. So work is
+        # admitted for the time that the balancer needs.
+        self.host.is_draining = True
         await asyncio.sleep(c.BALANCER_NOTICE_SECONDS)
-        await self.callers.async_stop_listening()
+        self.host.is_admitting = False
+        self.calls.start_drain()
+        self.callers.close_after_answers()
         while self.host.requests_in_flight:
             await self.host.idle.wait()
+
+    async def _async_stop_requests(self) -> None:
+        """Give what is still in progress its answer before the connections end."""
+        self.host.is_draining, self.host.is_admitting = True, False
+        self.models.stop_all()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(c.STOP_ANSWERS_SECONDS):
+                while self.host.requests_in_flight:
+                    await self.host.idle.wait()
