Model an engine's context, cache, chunks and reservations

The thin engine model knew neither the cost of context, nor a prefix cache, nor chunk sizes, nor work on a reservation, so no measurement of lengths could rest on it. The model now has them, without I/O, and the stand-in serves them over HTTP: lagging reports, cache events with gaps, export and import of KV.

--- a/libraries/standins/tarragonward_standins/answers.py
+++ b/libraries/standins/tarragonward_standins/answers.py
@@ -18,6 +18,7 @@
     """
 
     def __init__(self, context: str) -> None:
+        self.context = context
         self._hash = hashlib.sha256(context.encode("utf-8", "surrogatepass"))
 
     def is_at_stop(self) -> bool:
--- a/libraries/standins/tarragonward_standins/engine.py
+++ b/libraries/standins/tarragonward_standins/engine.py
@@ -4,7 +4,10 @@
 
 import argparse
 import asyncio
-from dataclasses import dataclass, field
+from collections import deque
+from dataclasses import asdict, dataclass, field, replace
+from pathlib import Path
+from typing import Any
 
 import orjson
 
@@ -13,16 +16,26 @@
 
 from . import const as c
 from .answers import AnswerText
-from .engine_model import EngineModel, EngineSizes, EngineWork
+from .engine_model import EngineModel, EngineSizes, EngineWork, KvExport
 from .process import run_server
 
-__all__ = ["EngineStandIn"]
+__all__ = ["EngineStandIn", "HintFaults"]
 
 STREAMS = "/v1/streams"
 RESERVATIONS = "/v1/reservations"
+CACHE_EVENTS = "/v1/cache-events"
+KV = "/v1/kv"
 HTTP_NO_MEMORY = 507
 
 
+@dataclass(frozen=True)
+class HintFaults:
+    """How late and how incomplete an engine's hints are; lag_seconds is for both."""
+
+    lag_seconds: float = 0.0
+    lose_every: int = 0
+
+
 @dataclass
 class _Stream:
     owner: str
@@ -50,8 +63,12 @@
     that its owner forgets stays lost: that is what the system must not let happen.
     """
 
-    def __init__(self, address: Address, sizes: EngineSizes) -> None:
+    def __init__(
+        self, address: Address, sizes: EngineSizes, faults: HintFaults | None = None
+    ) -> None:
         self.model = EngineModel(sizes)
+        self._faults = faults or HintFaults()
+        self._reports: deque[tuple[float, dict[str, Any]]] = deque()
         self._streams: dict[str, _Stream] = {}
         self._owners: dict[str, str] = {}
         self._server = HttpServer(
@@ -78,17 +95,21 @@
 
     async def _async_step(self) -> None:
         while True:
-            result = self.model.step(self._is_done)
+            self._keep_report()
+            result = self.model.step()
             if result is None:
                 await asyncio.sleep(c.IDLE_SECONDS)
                 continue
             await asyncio.sleep(result.seconds)
             for stream_id in result.tokens_for:
                 if stream_id in self._streams:
-                    self._streams[stream_id].produce()
+                    self._produce(stream_id)
 
-    def _is_done(self, work_id: str) -> bool:
-        return bool(self._streams[work_id].finish_reason)
+    def _produce(self, stream_id: str) -> None:
+        stream = self._streams[stream_id]
+        stream.produce()
+        if stream.finish_reason:
+            self.model.finish(stream_id)
 
     async def _async_handle(self, request: HttpRequest, responder: Responder) -> None:
         stream_id = request.path.removeprefix(STREAMS + "/")
@@ -96,7 +117,14 @@
             case "POST", path if path == STREAMS:
                 await self._async_open(orjson.loads(request.body), responder)
             case "GET", "/v1/load":
-                await responder.async_send_json(200, self._report())
+                await responder.async_send_json(200, self._get_late_report())
+            case "GET", path if path == CACHE_EVENTS:
+                after = int(request.query.get("after", "0"))
+                await responder.async_send_json(200, self._get_cache_events(after))
+            case "POST", path if path == KV:
+                await self._async_import(orjson.loads(request.body), responder)
+            case "POST", path if path.startswith(KV + "/"):
+                await self._async_export(path.removeprefix(KV + "/"), responder)
             case "POST", path if path == RESERVATIONS:
                 await self._async_reserve(orjson.loads(request.body), responder)
             case "POST", "/v1/orders":
@@ -124,6 +152,9 @@
             estimate_tokens(len(prompt.encode())),
             body["max_tokens"],
             body.get("priority", 0),
+            body.get("chunk_tokens", 0),
+            tuple(body.get("prefix_hashes", ())),
+            body.get("reservations", {}).get(body.get("leader", ""), ""),
         )
         if stream_id in self._streams:
             await responder.async_send_json(409, {"error": "stream id in use"})
@@ -144,7 +175,8 @@
         await responder.async_start(200, {"content-type": "application/x-ndjson"})
         position = offset - stream.first_offset
         while True:
-            await stream.changed.wait()
+            if position >= len(stream.tokens) and not stream.finish_reason:
+                await stream.changed.wait()
             stream.changed.clear()
             if stream_id not in self._streams:
                 raise ConnectionAbortedError("cancelled")
@@ -179,21 +211,84 @@
             self._fencing = body["fencing"]
         await responder.async_send_json(200 if is_current else 409, {"ok": is_current})
 
+    async def _async_export(self, stream_id: str, responder: Responder) -> None:
+        stream = self._streams.get(stream_id)
+        if stream is None:
+            await responder.async_send_json(404, {"error": "no such stream"})
+            return
+        exported = self.model.export_kv(stream_id)
+        self._drop(stream_id)
+        state = {
+            "work": asdict(exported.work),
+            "owner": stream.owner,
+            "context": stream.text.context,
+            "tokens": stream.tokens,
+            "first_offset": stream.first_offset,
+        }
+        await responder.async_send_json(200, state)
+
+    async def _async_import(self, body: dict, responder: Responder) -> None:
+        work = EngineWork(**body["work"])
+        if not self.model.import_kv(KvExport(work)):
+            await responder.async_send_json(HTTP_NO_MEMORY, {"error": "no memory"})
+            return
+        text = AnswerText(body["context"])
+        tokens = list(body["tokens"])
+        for _ in tokens:
+            text.next_token()
+        self._streams[work.work_id] = _Stream(
+            body["owner"], text, work.max_tokens, body["first_offset"], tokens
+        )
+        await responder.async_send_json(200, {"imported": True})
+
     def _drop(self, stream_id: str) -> None:
         stream = self._streams.pop(stream_id, None)
         if stream is not None:
             self.model.remove(stream_id)
             stream.changed.set()
 
+    def _keep_report(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._reports and now - self._reports[-1][0] < c.REPORT_INTERVAL_SECONDS:
+            return
+        if not self._faults.lag_seconds:
+            return
+        self._reports.append((now, self._report()))
+        while len(self._reports) > 1 and self._is_late_enough(self._reports[1], now):
+            self._reports.popleft()
+
+    def _is_late_enough(self, kept: tuple[float, dict[str, Any]], now: float) -> bool:
+        return now - kept[0] >= self._faults.lag_seconds
+
+    def _get_late_report(self) -> dict:
+        return self._reports[0][1] if self._reports else self._report()
+
+    def _get_cache_events(self, after: int) -> dict:
+        last = self._get_late_report()["cache_sequence"]
+        lost = self._faults.lose_every
+        events = [
+            asdict(event)
+            for event in self.model.get_cache_events(after)
+            if event.sequence <= last and not (lost and event.sequence % lost == 0)
+        ]
+        return {"sequence": last, "events": events}
+
     def _report(self) -> dict:
         return {
             "kv_tokens": self.model.sizes.kv_tokens,
             "free_kv_tokens": self.model.free_kv_tokens,
             "queued_prefill_tokens": self.model.queued_prefill_tokens,
+            "queued_by_priority": {
+                str(priority): tokens
+                for priority, tokens in self.model.get_queued_by_priority().items()
+            },
             "running": self.model.running,
+            "prefill_tokens_per_second": self.model.prefill_tokens_per_second,
+            "seconds_per_token": self.model.seconds_per_token,
+            "cache_sequence": self.model.cache.sequence,
             "fencing": self._fencing,
             "streams": {name: s.owner for name, s in self._streams.items()},
-            "reservations": self._owners,
+            "reservations": dict(self._owners),
         }
 
 
@@ -201,10 +296,19 @@
     """Run one engine stand-in as a process."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--address", type=Address.parse, required=True)
-    parser.add_argument("--kv-tokens", type=int, default=c.DEFAULT_KV_TOKENS)
+    parser.add_argument("--kv-tokens", type=int)
+    parser.add_argument("--assumptions", type=Path, help="a TOML file of EngineSizes")
+    parser.add_argument("--time-scale", type=float, default=1.0)
+    parser.add_argument("--lag-seconds", type=float, default=0.0)
+    parser.add_argument("--lose-every", type=int, default=0)
     arguments = parser.parse_args()
-    sizes = EngineSizes(kv_tokens=arguments.kv_tokens)
-    run_server(EngineStandIn(arguments.address, sizes))
+    path = arguments.assumptions
+    sizes = EngineSizes() if path is None else EngineSizes.load(path)
+    if arguments.kv_tokens is not None:
+        sizes = replace(sizes, kv_tokens=arguments.kv_tokens)
+    faults = HintFaults(arguments.lag_seconds, arguments.lose_every)
+    sizes = sizes.scale(arguments.time_scale)
+    run_server(EngineStandIn(arguments.address, sizes, faults))
 
 
 if __name__ == "__main__":
