--- a/libraries/standins/tarragonward_standins/engine_model.py
+++ b/libraries/standins/tarragonward_standins/engine_model.py
@@ -88,6 +88,7 @@
     seconds: float
     tokens_for: tuple[str, ...] = field(default=())
     first_tokens_for: tuple[str, ...] = field(default=())
+    finished: tuple[str, ...] = field(default=())
 
 
 class EngineModel:
@@ -228,8 +229,8 @@
         for work in first:
             self._start_decoding(work)
         first_ids = tuple(work.work_id for work in first)
-        self._finish_full([*decoded, *first_ids])
-        return StepResult(seconds, (*decoded, *first_ids), first_ids)
+        ids = (*decoded, *first_ids)
+        return StepResult(seconds, ids, first_ids, self._finish_full(ids))
 
     def _prefill(self) -> tuple[int, float, list[EngineWork]]:
         sizes = self.sizes
@@ -270,11 +271,13 @@
                 rate - self.prefill_tokens_per_second
             )
 
-    def _finish_full(self, ids: list[str]) -> None:
-        for work_id in ids:
-            work = self._work[work_id]
-            if work.generated >= work.max_tokens:
-                self.finish(work_id)
+    def _finish_full(self, ids: tuple[str, ...]) -> tuple[str, ...]:
+        full = tuple(
+            i for i in ids if self._work[i].generated >= self._work[i].max_tokens
+        )
+        for work_id in full:
+            self.finish(work_id)
+        return full
 
     def _start_decoding(self, work: EngineWork) -> None:
         self._decoding[work.work_id] = work
