Place by predicted time to first token, with a lane, groups and limits

The thin path placed by requests in flight alone and knew no groups. Now modules without I/O: predictions from own work and aged reports, sampled candidates, a lane for long prompts, groups reserved all or nothing, prefix hints, admission against the time limit, weighted shares.

--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -1,6 +1,50 @@
 """Decisions, without I/O, about where prompts run and which are admitted."""
 
-from .messages import EngineView, Placed, PlacementRequest, Refused
+from .affinity import CacheUpdate, PrefixIndex, hash_blocks
+from .const import BLOCK_TOKENS
+from .groups import (
+    GroupEffect,
+    GroupMember,
+    GroupReady,
+    GroupReservation,
+    ReleasePart,
+    ReservationGranted,
+    ReservationRefused,
+    ReservePart,
+    RetryGroup,
+)
+from .limits import AccountLimits, share_by_weight
+from .messages import (
+    EngineView,
+    FleetView,
+    Placed,
+    PlacementPolicy,
+    PlacementRequest,
+    Refused,
+)
 from .placement import Placement
 
-__all__ = ["EngineView", "Placed", "Placement", "PlacementRequest", "Refused"]
+__all__ = [
+    "BLOCK_TOKENS",
+    "AccountLimits",
+    "CacheUpdate",
+    "EngineView",
+    "FleetView",
+    "GroupEffect",
+    "GroupMember",
+    "GroupReady",
+    "GroupReservation",
+    "Placed",
+    "Placement",
+    "PlacementPolicy",
+    "PlacementRequest",
+    "PrefixIndex",
+    "Refused",
+    "ReleasePart",
+    "ReservationGranted",
+    "ReservationRefused",
+    "ReservePart",
+    "RetryGroup",
+    "hash_blocks",
+    "share_by_weight",
+]
--- /dev/null
+++ b/libraries/placement/tarragonward_placement/admission.py
@@ -0,0 +1,45 @@
+"""Refuse at once what cannot end in time, and say when to come back."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from tarragonward_core import ResultCode
+
+from . import const as c
+from .messages import EngineView, PlacementRequest, Refused
+
+__all__ = ["check_memory", "check_time", "refuse"]
+
+
+def refuse(code: ResultCode, retry_after_seconds: float, detail: str = "") -> Refused:
+    """Return a refusal whose time to come back is neither none nor endless."""
+    seconds = max(retry_after_seconds, c.DEFAULT_RETRY_AFTER_SECONDS)
+    return Refused(code, min(seconds, c.MAX_RETRY_AFTER_SECONDS), detail)
+
+
+def check_memory(
+    request: PlacementRequest, views: Sequence[EngineView]
+) -> Refused | None:
+    """Refuse a prompt that all the engines of a group could not hold when idle."""
+    largest = sorted((view.kv_tokens for view in views), reverse=True)
+    room = sum(largest[: c.MAX_GROUP_ENGINES]) * (1 - c.GROUP_MEMORY_MARGIN)
+    if request.kv_tokens <= max(room, largest[0]):
+        return None
+    detail = f"{request.kv_tokens} tokens of KV memory, at most {int(room)}"
+    return Refused(ResultCode.PROMPT_TOO_LONG, c.DEFAULT_RETRY_AFTER_SECONDS, detail)
+
+
+def check_time(
+    request: PlacementRequest, view: EngineView, ttft_seconds: float
+) -> Refused | None:
+    """Refuse what would not have its whole answer when its time is over.
+
+    The answer is taken to be as long as it may be, as none knows where it stops.
+    """
+    answer_seconds = (request.max_tokens - 1) * view.seconds_per_token
+    missing = ttft_seconds + answer_seconds - request.remaining_seconds
+    if missing <= 0:
+        return None
+    detail = f"{missing:.1f} s short"
+    return refuse(ResultCode.CANNOT_FINISH, missing, detail)
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -3,4 +3,43 @@
 from __future__ import annotations
 
 DEFAULT_PREFILL_TOKENS_PER_SECOND = 10_000.0
+DEFAULT_SECONDS_PER_TOKEN = 0.03
 DEFAULT_RETRY_AFTER_SECONDS = 1.0
+MAX_RETRY_AFTER_SECONDS = 60.0
+
+# Prompts above this share an engine badly: one holds it for seconds.
+LONG_PROMPT_TOKENS = 32_000
+# (prompts up to this many tokens, engine priority, chunk tokens or 0 for the engine's)
+LENGTH_TREATMENTS = (
+    (4_000, 0, 0),
+    (LONG_PROMPT_TOKENS, 1, 1_024),
+    (100_000, 2, 512),
+    (1 << 62, 3, 512),
+)
+
+SAMPLED_CANDIDATES = 4
+# A report says what was so some time before it was read.
+ASSUMED_REPORT_LAG_SECONDS = 0.5
+CORRECTION_WEIGHT = 0.2
+MIN_CORRECTION = 0.5
+MAX_CORRECTION = 8.0
+
+LANE_DRAIN_SECONDS = 20.0
+MAX_LANE_SHARE = 0.5
+# What shorter prompts may take of an engine with long ones: the rest is the bound on
+# the progress of long prompts under any short load.
+LANE_SHORT_SHARE = 0.5
+LANE_BURST_SECONDS = 2.0
+
+MAX_GROUP_ENGINES = 8
+GROUP_MEMORY_MARGIN = 0.02
+GROUP_FIRST_DELAY_SECONDS = 0.1
+GROUP_MAX_DELAY_SECONDS = 5.0
+
+CAPACITY_SHARE = 0.85
+DEMAND_SECONDS = 5.0
+BURST_SECONDS = 4.0
+SCARCE_MEMORY_SHARE = 0.25
+
+MAX_KNOWN_BLOCKS = 8_192
+BLOCK_TOKENS = 512
--- /dev/null
+++ b/libraries/placement/tarragonward_placement/lanes.py
@@ -0,0 +1,87 @@
+"""Bound the part of the engines that long prompts use, and what others use of it."""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from . import const as c
+from .messages import EngineView
+
+__all__ = ["ShortBudget", "choose_lane", "get_treatment"]
+
+_LONG_PRIORITY = min(
+    priority
+    for limit, priority, _ in c.LENGTH_TREATMENTS
+    if limit > c.LONG_PROMPT_TOKENS
+)
+
+
+def get_treatment(prompt_tokens: int) -> tuple[int, int, int]:
+    """Return the length class, engine priority and chunk tokens of a prompt."""
+    for index, (limit, priority, chunk) in enumerate(c.LENGTH_TREATMENTS):
+        if prompt_tokens <= limit:
+            return index, priority, chunk
+    raise ValueError(f"no treatment for {prompt_tokens} tokens")
+
+
+def count_long_tokens(view: EngineView) -> int:
+    """Return the unread tokens of long prompts that an engine reports."""
+    return sum(n for level, n in view.queued_by_priority if level >= _LONG_PRIORITY)
+
+
+def choose_lane(
+    views: Sequence[EngineView], new_tokens: int, min_engines: int = 1
+) -> list[EngineView]:
+    """Return the engines that long prompts may use, in an order all hosts share.
+
+    The lane is sized by the reported long work, which all hosts see alike but for
+    the reports' lag: as many engines as read it in LANE_DRAIN_SECONDS, at most
+    MAX_LANE_SHARE of all, so that most engines never meet a long prompt.
+    """
+    ordered = sorted(views, key=_get_lane_order)
+    backlog = new_tokens + sum(count_long_tokens(view) for view in views)
+    rate = sum(view.prefill_tokens_per_second for view in views) / max(len(views), 1)
+    wanted = math.ceil(backlog / (rate * c.LANE_DRAIN_SECONDS)) if backlog else 0
+    most = max(math.floor(len(views) * c.MAX_LANE_SHARE), 1)
+    if backlog:
+        wanted = max(wanted, min_engines)
+    return ordered[: min(wanted, most)]
+
+
+def _get_lane_order(view: EngineView) -> tuple[int, str]:
+    return zlib.crc32(view.name.encode()), view.name
+
+
+@dataclass
+class _Bucket:
+    level: float
+    filled_at: float
+
+
+class ShortBudget:
+    """What this host may give of shorter prompts to engines that read long ones.
+
+    Without it any load of short prompts goes before a long one's on its engine, and
+    the long one never ends. Each host keeps to its part of LANE_SHORT_SHARE of the
+    engine's rate, so over all hosts a long prompt keeps the rest.
+    """
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+
+    def can_take(self, view: EngineView, live_hosts: int, now: float) -> bool:
+        """Return whether a shorter prompt may go to this engine of the lane."""
+        rate = view.prefill_tokens_per_second * c.LANE_SHORT_SHARE / live_hosts
+        most = rate * c.LANE_BURST_SECONDS
+        bucket = self._buckets.setdefault(view.name, _Bucket(most, now))
+        bucket.level = min(most, bucket.level + rate * (now - bucket.filled_at))
+        bucket.filled_at = now
+        return bucket.level > 0
+
+    def take(self, engine: str, tokens: int) -> None:
+        """Spend tokens on an engine; a prompt longer than what is left makes a debt."""
+        if engine in self._buckets:
+            self._buckets[engine].level -= tokens
--- a/libraries/placement/tarragonward_placement/messages.py
+++ b/libraries/placement/tarragonward_placement/messages.py
@@ -2,18 +2,29 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from tarragonward_core import ResultCode
 
-__all__ = ["EngineView", "Placed", "PlacementRequest", "Refused"]
+from . import const as c
+
+__all__ = [
+    "EngineView",
+    "FleetView",
+    "Placed",
+    "PlacementPolicy",
+    "PlacementRequest",
+    "Refused",
+]
 
 
 @dataclass(frozen=True)
 class PlacementRequest:
     """A prompt that wants an engine; sizes in tokens, times in seconds.
 
-    prefix_hashes are those of the prompt's leading blocks, the shortest first.
+    prefix_hashes are those of the prompt's leading blocks, the shortest first. The
+    lower priority number goes first among the requests of one account.
     """
 
     request_id: str
@@ -25,12 +36,23 @@
     remaining_seconds: float
     prefix_hashes: tuple[int, ...] = ()
 
+    @property
+    def kv_tokens(self) -> int:
+        """Return the KV memory that the prompt and its answer need."""
+        return self.prompt_tokens + self.max_tokens
+
+    @property
+    def is_long(self) -> bool:
+        """Return whether the prompt belongs to the long lane."""
+        return self.prompt_tokens > c.LONG_PROMPT_TOKENS
+
 
 @dataclass(frozen=True)
 class EngineView:
     """What one host knows of one engine: its last report and the report's age.
 
     The host's own work there, begun since the report, is added by placement itself.
+    queued_by_priority holds pairs (engine priority, prompt tokens still to be read).
     """
 
     name: str
@@ -39,16 +61,49 @@
     queued_prefill_tokens: int
     running: int
     report_age_seconds: float
+    queued_by_priority: tuple[tuple[int, int], ...] = ()
+    prefill_tokens_per_second: float = c.DEFAULT_PREFILL_TOKENS_PER_SECOND
+    seconds_per_token: float = c.DEFAULT_SECONDS_PER_TOKEN
+
+
+@dataclass(frozen=True)
+class FleetView:
+    """What a host knows of the others; all of it a hint.
+
+    other_demand is the other hosts' tokens per second by client account; None where
+    the host hears of no other, so that only an even split is left.
+    """
+
+    live_hosts: int = 1
+    weights: Mapping[str, float] = field(default_factory=dict)
+    other_demand: Mapping[str, float] | None = None
+
+
+@dataclass(frozen=True)
+class PlacementPolicy:
+    """Which parts of the policy are in use; the measurement switches them off."""
+
+    uses_prediction: bool = True
+    uses_sampling: bool = True
+    uses_lane: bool = True
+    uses_chunks: bool = True
+    uses_affinity: bool = True
+    uses_admission: bool = True
+    uses_limits: bool = True
 
 
 @dataclass(frozen=True)
 class Placed:
-    """Run on these engines; more than one where one can't hold the prompt."""
+    """Run on these engines; more than one where one can't hold the prompt.
+
+    The first engine leads: it computes. parts are the KV tokens on each of a group.
+    """
 
     engines: tuple[str, ...]
     predicted_ttft_seconds: float
     engine_priority: int = 0
     chunk_tokens: int = 0
+    parts: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/libraries/placement/tarragonward_placement/predictions.py
@@ -0,0 +1,139 @@
+"""Predict the time to first token from own work in flight and aged reports."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from . import const as c
+from .messages import EngineView, PlacementRequest
+
+__all__ = ["Corrections", "InFlight", "InFlightBook", "predict_ttft"]
+
+
+@dataclass
+class InFlight:
+    """One placed prompt: where its memory is and what was predicted for it."""
+
+    request_id: str
+    account: str
+    parts: dict[str, int]
+    leader: str
+    unread_tokens: int
+    engine_priority: int
+    placed_at: float
+    predicted_ttft_seconds: float
+    length_class: int = 0
+    has_first_token: bool = False
+
+
+class InFlightBook:
+    """The host's own prompts on engines, found by request and by engine."""
+
+    def __init__(self) -> None:
+        self._work: dict[str, InFlight] = {}
+        self._by_engine: dict[str, dict[str, InFlight]] = {}
+
+    def __len__(self) -> int:
+        return len(self._work)
+
+    def add(self, work: InFlight) -> None:
+        """Count a prompt until it is removed."""
+        self._work[work.request_id] = work
+        for engine in work.parts:
+            self._by_engine.setdefault(engine, {})[work.request_id] = work
+
+    def remove(self, request_id: str) -> None:
+        """Forget a prompt; do nothing where it is not known."""
+        work = self._work.pop(request_id, None)
+        if work is None:
+            return
+        for engine in work.parts:
+            self._by_engine[engine].pop(request_id)
+            if not self._by_engine[engine]:
+                del self._by_engine[engine]
+
+    def get(self, request_id: str) -> InFlight | None:
+        """Return a prompt in flight."""
+        return self._work.get(request_id)
+
+    def iterate_engine(self, engine: str) -> Iterator[InFlight]:
+        """Give the prompts on an engine."""
+        yield from self._by_engine.get(engine, {}).values()
+
+    def count_account_tokens(self, account: str) -> int:
+        """Return the KV memory that an account's prompts hold through this host."""
+        return sum(
+            sum(work.parts.values())
+            for work in self._work.values()
+            if work.account == account
+        )
+
+    def count_unread(self, view: EngineView, priority: int, now: float) -> float:
+        """Return the prompt tokens that a new prompt of this priority waits for.
+
+        A report tells of the time before it was made: what this host placed since is
+        added, as hosts that all trust the same old report send all their work to the
+        engine that looked idle.
+        """
+        reported = sum(
+            tokens for level, tokens in view.queued_by_priority if level <= priority
+        )
+        if not view.queued_by_priority:
+            reported = view.queued_prefill_tokens
+        read = view.report_age_seconds * view.prefill_tokens_per_second
+        own = sum(
+            work.unread_tokens
+            for work in self._iterate_unreported(view, now)
+            if work.leader == view.name
+            and not work.has_first_token
+            and work.engine_priority <= priority
+        )
+        return max(0.0, reported - read) + own
+
+    def count_free_kv(self, view: EngineView, now: float) -> int:
+        """Return the KV memory that is free for all that this host knows."""
+        unreported = self._iterate_unreported(view, now)
+        return view.free_kv_tokens - sum(work.parts[view.name] for work in unreported)
+
+    def _iterate_unreported(self, view: EngineView, now: float) -> Iterator[InFlight]:
+        made_at = now - view.report_age_seconds - c.ASSUMED_REPORT_LAG_SECONDS
+        for work in self.iterate_engine(view.name):
+            if work.placed_at >= made_at:
+                yield work
+
+
+class Corrections:
+    """The measured over the predicted time to first token, by length class.
+
+    Prefill slows down with the length of the context, which a rate in tokens does
+    not show; the ratio of what came to what was predicted does.
+    """
+
+    def __init__(self) -> None:
+        self._ratios = [1.0] * len(c.LENGTH_TREATMENTS)
+
+    def get(self, length_class: int) -> float:
+        """Return the factor for predictions of this class."""
+        return self._ratios[length_class]
+
+    def observe(self, work: InFlight, now: float) -> None:
+        """Learn from a first token that has come."""
+        measured = now - work.placed_at
+        ratio = measured / max(work.predicted_ttft_seconds, 1e-3)
+        ratio *= self._ratios[work.length_class]
+        ratio = min(max(ratio, c.MIN_CORRECTION), c.MAX_CORRECTION)
+        known = self._ratios[work.length_class]
+        self._ratios[work.length_class] = known + c.CORRECTION_WEIGHT * (ratio - known)
+
+
+def predict_ttft(
+    request: PlacementRequest, view: EngineView, waiting: float, cached: int
+) -> float:
+    """Return the seconds until the first token, with waiting tokens before it.
+
+    A step that runs already must end first, whoever it is for.
+    """
+    uncached = max(request.prompt_tokens - cached, 1)
+    step = view.seconds_per_token
+    return (waiting + uncached) / view.prefill_tokens_per_second + step
