--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -19,6 +19,7 @@
 from .membership import MembershipTask
 from .models import ModelRequests
 from .operators import OperatorRoutes
+from .orders import OrderTask
 from .peers import PeerMessages
 from .reports import ReportTask
 from .sweep import SweepTask
@@ -38,17 +39,22 @@
 
     def _build_tasks(self) -> None:
         host, settings = self.host, self.host.settings
-        self.links = PeerLinks(host.identity, settings.peer_key)
-        self.configuration = ConfigurationTask(host)
+        self.links = PeerLinks(host.identity, settings.peer_key, host.metrics)
         self.membership = MembershipTask(host)
+        self.configuration = ConfigurationTask(host, self.links, self.membership)
+        self.orders = OrderTask(host, self.membership, self.configuration)
         self.reports = ReportTask(host)
         self.releases = Releases()
         self.calls = ServiceCalls(host, self.links, self.membership)
         self.models = ModelRequests(host, self.reports, self.releases, self.membership)
         self.sweep = SweepTask(host, self.models, self.releases, self.membership)
-        messages = PeerMessages(self.calls)
+        messages = PeerMessages(self.calls, self.configuration.peers)
         self.peers = PeerServer(
-            host.identity, settings.peer_key, messages.async_handle, host.metrics
+            host.identity,
+            settings.peer_key,
+            messages.async_handle,
+            host.metrics,
+            settings.peers_listen,
         )
         callers = CallerRoutes(host, self.models, self.calls)
         self.callers = HttpServer(
@@ -89,8 +95,10 @@
         return [
             self.configuration,
             self.membership,
+            self.orders,
             self.reports,
             self.releases,
+            self.calls,
             self.models,
             self.sweep,
             self.peers,
@@ -121,6 +129,7 @@
         self.host.is_draining = True
         await asyncio.sleep(c.BALANCER_NOTICE_SECONDS)
         self.host.is_admitting = False
+        self.calls.start_drain()
         self.callers.close_after_answers()
         while self.host.requests_in_flight:
             await self.host.idle.wait()
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -1,7 +1,7 @@
 """Decisions, without I/O, about model requests and non-idempotent calls."""
 
 from .keys import CallKey, mint_key_prefix, parse_key
-from .ledger import CallLedger, CallState, RecordedAnswer, Reply, Send
+from .ledger import CallLedger, CallState, RecordedAnswer, Reply, Send, Wait
 from .lifecycle import RequestLifecycle
 from .messages import (
     AttemptFailed,
@@ -53,6 +53,7 @@
     "StartAttempt",
     "Sweep",
     "TextArrived",
+    "Wait",
     "mint_key_prefix",
     "parse_key",
 ]
