Find out who is there by gossip

Until now a host knew only the published list, so nobody could say whether an owner of an engine stream is gone, who watches a target, or what other hosts are asked for. Load, demand and the log's sequence ride on probes and their answers below a byte cap.

Ruled out: passing death on (a host that was cut off would declare all others dead to everybody after the heal); ordering lives by incarnation, as incarnations are random (a version that only the host itself raises orders the records of one address, and an answer to a probe tells which lives are over); probes on the links of forwarded calls (a large answer ahead of a probe looks like a dead peer).

--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -40,11 +40,11 @@
         self.links = PeerLinks(host.identity, settings.peer_key)
         self.configuration = ConfigurationTask(host)
         self.membership = MembershipTask(host)
-        self.reports = ReportTask(host)
+        self.reports = ReportTask(host, self.membership)
         self.releases = Releases()
         self.calls = ServiceCalls(host, self.links, self.membership)
         self.models = ModelRequests(host, self.reports, self.releases, self.membership)
-        messages = PeerMessages(self.calls)
+        messages = PeerMessages(self.calls, self.membership)
         self.peers = PeerServer(
             host.identity, settings.peer_key, messages.async_handle, host.metrics
         )
@@ -97,6 +97,7 @@
     async def _async_drain(self) -> None:
         """Wait until all requests in progress have ended, or the time is over."""
         self.host.is_draining = True
+        self.membership.set_leaving()
         log_event("drain_started", in_flight=self.host.requests_in_flight)
         stopped = asyncio.create_task(self._stop_asked.wait())
         drained = asyncio.create_task(self._async_wait_idle())
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/gossip.py
@@ -0,0 +1,157 @@
+"""Carry gossip between the decisions of membership and the other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from functools import singledispatchmethod
+from typing import Any
+
+from tarragonward_core import Address, FrameError, TargetError, log_event
+from tarragonward_membership import (
+    AskHelper,
+    Effect,
+    Event,
+    Gossip,
+    HelperAnswered,
+    IndirectAck,
+    IndirectProbe,
+    MemberChanged,
+    MemberRecord,
+    Membership,
+    PeerIsAhead,
+    ProbeAnswered,
+    ProbeFailed,
+    RecordState,
+    SendAnswer,
+    SendProbe,
+)
+from tarragonward_wire import PeerLinks, register_message
+
+from . import const as c
+from .core import HostState
+
+__all__ = ["GossipCarrier"]
+
+for message_type in (Gossip, IndirectProbe, IndirectAck):
+    register_message(message_type)
+
+
+class GossipCarrier:
+    """Own the links of gossip, and hand events in and effects out.
+
+    The links are not those of forwarded calls: a large answer ahead of a probe would
+    make the peer look dead, and a link that is given up with a silent peer would take
+    calls in progress with it.
+    """
+
+    def __init__(self, host: HostState, membership: Membership) -> None:
+        self._host = host
+        self._membership = membership
+        self._links = PeerLinks(host.identity, host.settings.peer_key)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.on_peer_ahead: list[Any] = []
+
+    async def async_unload(self) -> None:
+        """End what is under way, and all links."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._links.async_unload()
+
+    def handle(self, event: Event) -> Gossip | None:
+        """Let membership decide about an event; return its answer, if it gives one."""
+        answer = None
+        now = asyncio.get_running_loop().time()
+        for effect in self._membership.handle(event, now):
+            if isinstance(effect, SendAnswer):
+                answer = effect.message
+            else:
+                self._apply(effect)
+        return answer
+
+    async def async_help(self, message: IndirectProbe) -> IndirectAck:
+        """Probe a host for another that gets no answer from it."""
+        address = Address(message.host, message.port)
+        now = asyncio.get_running_loop().time()
+        probe = self._membership.build_probe(address, now)
+        answer = await self._async_ask(address, probe, c.GOSSIP_TIMEOUT_SECONDS)
+        if not isinstance(answer, Gossip):
+            return IndirectAck(())
+        identity = self._links.get_peer(address)
+        if identity is None:
+            return IndirectAck(())
+        record = MemberRecord(identity, answer.version, RecordState(answer.state))
+        return IndirectAck(record.pack())
+
+    @singledispatchmethod
+    def _apply(self, effect: Effect) -> None:
+        raise TypeError(f"not an effect: {effect!r}")
+
+    @_apply.register
+    def _(self, effect: SendProbe) -> None:
+        self._start(self._async_probe(effect))
+
+    @_apply.register
+    def _(self, effect: AskHelper) -> None:
+        self._start(self._async_ask_helper(effect))
+
+    @_apply.register
+    def _(self, effect: PeerIsAhead) -> None:
+        for callback in self.on_peer_ahead:
+            callback(effect.address, effect.sequence)
+
+    @_apply.register
+    def _(self, effect: MemberChanged) -> None:
+        log_event(
+            "member_changed",
+            address=effect.address,
+            identity=effect.identity,
+            old=effect.old.value,
+            new=effect.new.value,
+        )
+
+    def _start(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _async_probe(self, effect: SendProbe) -> None:
+        answer = await self._async_ask(
+            effect.address, effect.message, c.GOSSIP_TIMEOUT_SECONDS
+        )
+        if not isinstance(answer, Gossip):
+            self.handle(ProbeFailed(effect.number))
+            return
+        with self._refuse_bad(effect.address):
+            self.handle(ProbeAnswered(effect.number, answer))
+
+    async def _async_ask_helper(self, effect: AskHelper) -> None:
+        question = IndirectProbe(effect.address.host, effect.address.port)
+        answer = await self._async_ask(
+            effect.helper, question, c.INDIRECT_PROBE_SECONDS
+        )
+        if isinstance(answer, IndirectAck) and answer.record:
+            with self._refuse_bad(effect.helper):
+                record = MemberRecord.unpack(answer.record)
+                self.handle(HelperAnswered(effect.number, record))
+
+    @contextmanager
+    def _refuse_bad(self, peer: Address) -> Iterator[None]:
+        """Drop what a peer of another version may say, and go on."""
+        try:
+            yield
+        except FrameError as err:
+            self._host.metrics.count("bad_frames", type(err).__name__)
+            log_event("frame_refused", peer=peer, code=err.code.number, error=err)
+
+    async def _async_ask(self, address: Address, message: Any, timeout: float) -> Any:
+        try:
+            return await self._links.async_ask(address, message, timeout)
+        except (TargetError, FrameError):
+            # After a cut, TCP sends again at growing intervals. Symptom: the peer
+            # stays silent for as long again as the cut was. A new connection does
+            # not wait.
+            await self._links.async_drop(address)
+            return None
--- a/libraries/daemon/tarragonward_daemon/membership.py
+++ b/libraries/daemon/tarragonward_daemon/membership.py
@@ -1,17 +1,32 @@
-"""Read the host list and keep the view of the other hosts."""
+"""Read the host list, and keep the view of the other hosts by gossip."""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
+import random
+from collections.abc import Callable, Mapping
 from typing import Any
 
-from tarragonward_core import Address, TargetError, log_event
-from tarragonward_membership import ListedHost, Membership
+from tarragonward_core import Address, FrameError, HostIdentity, TargetError, log_event
+from tarragonward_membership import (
+    Gossip,
+    GossipArrived,
+    IndirectAck,
+    IndirectProbe,
+    ListedHost,
+    ListedTarget,
+    ListRead,
+    LoadReport,
+    Membership,
+    TargetList,
+    Tick,
+)
 from tarragonward_wire import async_send_http
 
 from . import const as c
 from .core import HostState
+from .gossip import GossipCarrier
 
 __all__ = ["MembershipTask"]
 
@@ -20,23 +35,114 @@
 
 
 class MembershipTask:
-    """Own the reading of the host list; know which targets are leaving."""
+    """Own the reading of the host list, the gossip and its clock.
+
+    All that it tells is a hint, which may be late or wrong and costs speed only.
+    """
 
     def __init__(self, host: HostState) -> None:
-        self.membership = Membership(host.identity)
+        settings = host.settings
+        self._host = host
+        self.membership = Membership(
+            host.identity, settings.failure_domain, settings.region, random.Random()
+        )
         self.leaving_targets: frozenset[str] = frozenset()
+        self._targets = TargetList()
+        self._carrier = GossipCarrier(host, self.membership)
         self._replicas = itertools.cycle(host.settings.host_list)
-        self._task: asyncio.Task[None] | None = None
+        self._published: Any = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def async_setup(self) -> None:
-        """Start to read."""
-        self._task = asyncio.create_task(self._async_read())
+        """Start to read and to gossip."""
+        self._tasks = [
+            asyncio.create_task(self._async_read()),
+            asyncio.create_task(self._async_tick()),
+        ]
 
     async def async_unload(self) -> None:
         """Stop."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._carrier.async_unload()
+
+    def is_gone(self, identity: HostIdentity) -> bool:
+        """Return whether that life of a host is over, as far as this host can tell.
+
+        A hint: an engine stream of an owner that is alive after all is cancelled
+        and started again.
+        """
+        return self.membership.is_gone(identity, _get_time())
+
+    def is_watcher(self, target_name: str) -> bool:
+        """Return whether this host is one of the few that watch a target."""
+        state = self._host.configuration_state
+        target = state and state.configuration.targets.get(target_name)
+        if not target:
+            return False
+        return self.membership.is_watcher(target_name, target.failure_domain)
+
+    def count_live_hosts(self) -> int:
+        """Return how many hosts are there, this one with them."""
+        return self.membership.count_live_hosts()
+
+    def get_demand(self) -> dict[str, float]:
+        """Return tokens a second by client account on the other live hosts.
+
+        Under REST_ACCOUNT is the sum of accounts too small to be told apart.
+        """
+        return self.membership.get_demand(_get_time())
+
+    def set_own_demand(self, rates: Mapping[str, float]) -> None:
+        """Set this host's own demand in tokens a second by client account."""
+        self.membership.demands.set_own(rates, _get_time())
+
+    def set_leaving(self) -> None:
+        """Tell the other hosts that this one drains."""
+        self.membership.set_leaving()
+
+    def record_load(self, report: LoadReport) -> None:
+        """Take over a load report that this host read itself."""
+        self.membership.loads.record(report)
+
+    def get_load(self, target_name: str) -> LoadReport | None:
+        """Return the newest load report of a target, wherever it was read."""
+        return self.membership.loads.get(target_name)
+
+    def add_peer_ahead_listener(self, callback: Callable[[Address, int], None]) -> None:
+        """Call back with a peer's address and log sequence when it is ahead."""
+        self._carrier.on_peer_ahead.append(callback)
+
+    def handle_gossip(self, peer: HostIdentity, message: Gossip) -> Gossip:
+        """Answer another host's probe."""
+        answer = self._carrier.handle(GossipArrived(peer, message))
+        if answer is None:
+            raise FrameError("a probe without an answer")
+        return answer
+
+    async def async_help(self, message: IndirectProbe) -> IndirectAck:
+        """Probe a host for another that gets no answer from it."""
+        return await self._carrier.async_help(message)
+
+    async def _async_tick(self) -> None:
+        while True:
+            self._take_configuration()
+            self._carrier.handle(Tick())
+            await asyncio.sleep(c.MEMBERSHIP_TICK_SECONDS)
+
+    def _take_configuration(self) -> None:
+        state = self._host.configuration_state
+        if state is None or state is self._published:
+            return
+        self._published = state
+        own_domain = self._host.settings.failure_domain
+        targets = state.configuration.targets.values()
+        self.membership.sequence = state.sequence
+        self.membership.loads.set_targets(
+            {target.name: target.failure_domain == own_domain for target in targets}
+        )
+        self.membership.demands.set_accounts(state.configuration.client_accounts)
 
     async def _async_read(self) -> None:
         while True:
@@ -45,7 +151,7 @@
                 await self._async_read_list(replica)
             except (TargetError, KeyError, TypeError, ValueError) as err:
                 log_event("host_list_read_failed", replica=replica, error=repr(err))
-            await asyncio.sleep(c.HOST_LIST_SECONDS)
+            await asyncio.sleep(c.HOST_LIST_SECONDS * random.uniform(0.8, 1.2))
 
     async def _async_read_list(self, replica: Address) -> None:
         answer = await async_send_http(
@@ -53,13 +159,23 @@
         )
         hosts = answer.parse_json()["hosts"]
         entries = [_parse_host(item) for item in hosts if item["kind"] == KIND_ENTRY]
-        now = asyncio.get_running_loop().time()
-        self.membership.replace_list(entries, now)
-        self.leaving_targets = frozenset(
-            item["name"]
+        self._carrier.handle(ListRead(tuple(entries)))
+        targets = [
+            ListedTarget(item["name"], item["state"] == STATE_LEAVING)
             for item in hosts
-            if item["kind"] != KIND_ENTRY and item["state"] == STATE_LEAVING
-        )
+            if item["kind"] != KIND_ENTRY
+        ]
+        self._targets.take_list(targets, _get_time())
+        self._update_leaving()
+
+    def _update_leaving(self) -> None:
+        state = self._host.configuration_state
+        published = () if state is None else state.configuration.targets
+        self.leaving_targets = self._targets.get_leaving(published, _get_time())
+
+
+def _get_time() -> float:
+    return asyncio.get_running_loop().time()
 
 
 def _parse_host(item: dict[str, Any]) -> ListedHost:
--- a/libraries/daemon/tarragonward_daemon/peers.py
+++ b/libraries/daemon/tarragonward_daemon/peers.py
@@ -6,8 +6,10 @@
 from typing import Any
 
 from tarragonward_core import FrameError, HostIdentity
+from tarragonward_membership import Gossip, IndirectAck, IndirectProbe
 
 from .calls import CallAnswer, ForwardCall, ServiceCalls
+from .membership import MembershipTask
 
 __all__ = ["PeerMessages"]
 
@@ -15,8 +17,9 @@
 class PeerMessages:
     """Hand each kind of message to the task that it is for."""
 
-    def __init__(self, calls: ServiceCalls) -> None:
+    def __init__(self, calls: ServiceCalls, membership: MembershipTask) -> None:
         self._calls = calls
+        self._membership = membership
 
     async def async_handle(self, peer: HostIdentity, message: Any) -> Any:
         """Return the answer to a peer's message, or None."""
@@ -29,3 +32,11 @@
     @_async_handle.register
     async def _(self, message: ForwardCall, peer: HostIdentity) -> CallAnswer:
         return await self._calls.async_handle_forwarded(message)
+
+    @_async_handle.register
+    async def _(self, message: Gossip, peer: HostIdentity) -> Gossip:
+        return self._membership.handle_gossip(peer, message)
+
+    @_async_handle.register
+    async def _(self, message: IndirectProbe, peer: HostIdentity) -> IndirectAck:
+        return await self._membership.async_help(message)
--- a/libraries/daemon/tarragonward_daemon/reports.py
+++ b/libraries/daemon/tarragonward_daemon/reports.py
@@ -1,27 +1,33 @@
-"""Read the load reports of engines and show them to placement."""
+"""Read the load reports of watched engines, and show all to placement."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+import random
 
 from tarragonward_config import Target
 from tarragonward_core import TargetError
+from tarragonward_membership import LoadReport
 from tarragonward_placement import EngineView
 from tarragonward_wire import async_send_http
 
 from . import const as c
 from .core import HostState
+from .membership import MembershipTask
 
 __all__ = ["ReportTask"]
 
 
 class ReportTask:
-    """Own the reading of the engines' load reports."""
+    """Own the reading of load reports.
 
-    def __init__(self, host: HostState) -> None:
+    Each engine is read by the few hosts of its domain that watch it; the others
+    hear of it by gossip, with the report's age.
+    """
+
+    def __init__(self, host: HostState, membership: MembershipTask) -> None:
         self._host = host
-        self._reports: dict[str, tuple[float, dict[str, Any]]] = {}
+        self._membership = membership
         self._task: asyncio.Task[None] | None = None
 
     async def async_setup(self) -> None:
@@ -39,23 +45,41 @@
         return [self._build_view(engine, now) for engine in engines]
 
     def _build_view(self, engine: Target, now: float) -> EngineView:
-        read_at, report = self._reports.get(engine.name, (now, {}))
+        report = self._membership.get_load(engine.name)
+        if report is None:
+            return EngineView(
+                name=engine.name,
+                kv_tokens=engine.kv_tokens,
+                free_kv_tokens=engine.kv_tokens,
+                queued_prefill_tokens=0,
+                running=0,
+                report_age_seconds=c.UNKNOWN_REPORT_AGE_SECONDS,
+            )
         return EngineView(
             name=engine.name,
             kv_tokens=engine.kv_tokens,
-            free_kv_tokens=report.get("free_kv_tokens", engine.kv_tokens),
-            queued_prefill_tokens=report.get("queued_prefill_tokens", 0),
-            running=report.get("running", 0),
-            report_age_seconds=now - read_at,
+            free_kv_tokens=min(report.free_kv_tokens, engine.kv_tokens),
+            queued_prefill_tokens=report.queued_prefill_tokens,
+            running=report.running,
+            report_age_seconds=max(now - report.reported_at, 0.0),
         )
 
     async def _async_read(self) -> None:
         while True:
             state = self._host.configuration_state
             targets = [] if state is None else state.configuration.targets.values()
-            engines = [target for target in targets if target.models]
-            await asyncio.gather(*(self._async_read_one(e) for e in engines))
-            await asyncio.sleep(c.REPORT_SECONDS)
+            watched = [
+                target
+                for target in targets
+                if target.models and self._membership.is_watcher(target.name)
+            ]
+            await asyncio.gather(*(self._async_read_one(e) for e in watched))
+            await asyncio.sleep(self._get_interval() * random.uniform(0.8, 1.2))
+
+    def _get_interval(self) -> float:
+        """Return the seconds between reads: more with more hosts, as gossip's round."""
+        seconds = self._membership.count_live_hosts() * c.REPORT_SECONDS_A_HOST
+        return min(max(seconds, c.REPORT_SECONDS), c.REPORT_SECONDS_LIMIT)
 
     async def _async_read_one(self, engine: Target) -> None:
         try:
@@ -65,4 +89,12 @@
             report = answer.parse_json()
         except TargetError:
             return
-        self._reports[engine.name] = (asyncio.get_running_loop().time(), report)
+        self._membership.record_load(
+            LoadReport(
+                target=engine.name,
+                free_kv_tokens=int(report.get("free_kv_tokens", engine.kv_tokens)),
+                queued_prefill_tokens=int(report.get("queued_prefill_tokens", 0)),
+                running=int(report.get("running", 0)),
+                reported_at=asyncio.get_running_loop().time(),
+            )
+        )
--- a/libraries/membership/tarragonward_membership/__init__.py
+++ b/libraries/membership/tarragonward_membership/__init__.py
@@ -1,6 +1,62 @@
 """Decisions, without I/O, about which hosts are there and what they tell each other."""
 
+from .demands import REST_ACCOUNT
+from .loads import LoadReport
 from .membership import Membership
-from .messages import ListedHost, Member, MemberState
+from .messages import (
+    AskHelper,
+    Effect,
+    Event,
+    Gossip,
+    GossipArrived,
+    HelperAnswered,
+    IndirectAck,
+    IndirectProbe,
+    ListedHost,
+    ListRead,
+    Member,
+    MemberChanged,
+    MemberRecord,
+    MemberState,
+    PeerIsAhead,
+    ProbeAnswered,
+    ProbeFailed,
+    RecordState,
+    SendAnswer,
+    SendProbe,
+    Tick,
+)
+from .probing import get_round_seconds
+from .targets import ListedTarget, TargetList
+from .watchers import choose_hosts
 
-__all__ = ["ListedHost", "Member", "MemberState", "Membership"]
+__all__ = [
+    "REST_ACCOUNT",
+    "AskHelper",
+    "Effect",
+    "Event",
+    "Gossip",
+    "GossipArrived",
+    "HelperAnswered",
+    "IndirectAck",
+    "IndirectProbe",
+    "ListRead",
+    "ListedHost",
+    "ListedTarget",
+    "LoadReport",
+    "Member",
+    "MemberChanged",
+    "MemberRecord",
+    "MemberState",
+    "Membership",
+    "PeerIsAhead",
+    "ProbeAnswered",
+    "ProbeFailed",
+    "RecordState",
+    "SendAnswer",
+    "SendProbe",
+    "TargetList",
+    "Tick",
+    "choose_hosts",
+    "get_round_seconds",
+]
--- a/libraries/membership/tarragonward_membership/membership.py
+++ b/libraries/membership/tarragonward_membership/membership.py
@@ -1,35 +1,463 @@
-"""Decide who is there: the published list says who should be."""
+"""Decide who is there: the host list says who should be, gossip finds out who is."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+import random
+from dataclasses import dataclass
+from functools import singledispatchmethod
 
-from tarragonward_core import Address, HostIdentity
+from tarragonward_core import Address, FrameError, HostIdentity, invariants
 
-from .messages import ListedHost, Member, MemberState
+from . import const as c
+from .demands import DemandDigest
+from .doubts import Doubts
+from .loads import LoadDigest
+from .members import KnownHost, Members
+from .messages import (
+    AskHelper,
+    Effect,
+    Event,
+    Gossip,
+    GossipArrived,
+    HelperAnswered,
+    ListRead,
+    Member,
+    MemberChanged,
+    MemberRecord,
+    MemberState,
+    PeerIsAhead,
+    ProbeAnswered,
+    ProbeFailed,
+    RecordState,
+    SendAnswer,
+    SendProbe,
+    Tick,
+)
+from .probing import ProbeSchedule, get_round_seconds, get_suspicion_seconds
+from .rumours import Rumours, measure_record
+from .sightings import Sightings
+from .watchers import choose_hosts
 
 __all__ = ["Membership"]
 
 
+@dataclass
+class _Probe:
+    address: Address
+    sent_at: float
+    deadline: float
+    is_indirect: bool = False
+
+
 class Membership:
     """Hold this host's view of the others: a hint, never ground for a promise."""
 
-    def __init__(self, identity: HostIdentity) -> None:
+    def __init__(
+        self,
+        identity: HostIdentity,
+        failure_domain: str = "",
+        region: str = "",
+        rng: random.Random | None = None,
+    ) -> None:
         self.identity = identity
-        self._members: dict[Address, Member] = {}
+        self.failure_domain = failure_domain
+        self._rng = rng or random.Random(identity.incarnation)
+        self._own = MemberRecord(identity, 0, RecordState.ALIVE)
+        self._members = Members(identity.address)
+        self._schedule = ProbeSchedule(
+            identity.address, failure_domain, region, self._rng
+        )
+        self._rumours = Rumours()
+        self._sightings = Sightings()
+        self._probes: dict[int, _Probe] = {}
+        self._probe_number = 0
+        self._doubts = Doubts()
+        self._watched: dict[str, bool] = {}
+        self._suspects: set[Address] = set()
+        self._rotation: list[Address] = []
+        self._last_tick: float | None = None
+        self._next_round = 0.0
+        self._next_heartbeat = 0.0
+        self._effects: list[Effect] = []
+        self.sequence = 0
+        self.loads = LoadDigest()
+        self.demands = DemandDigest(identity.address, failure_domain)
 
-    def replace_list(self, hosts: Iterable[ListedHost], now: float) -> None:
-        """Take over a host list as published."""
-        listed = {host.address: host for host in hosts}
-        listed.pop(self.identity.address, None)
-        self._members = {
-            address: self._build_member(host) for address, host in listed.items()
-        }
+    # What others ask.
 
     def get_members(self) -> list[Member]:
-        """Return all other hosts that are listed."""
-        return list(self._members.values())
+        """Return all other hosts that are listed or were heard of."""
+        return [host.build_member() for host in self._members]
+
+    def count_live_hosts(self) -> int:
+        """Return how many hosts are there, this one with them."""
+        return 1 + self._members.count_heard()
+
+    def is_watcher(self, target_name: str, failure_domain: str) -> bool:
+        """Return whether this host is one of the few of the domain for a target.
+
+        Where a domain has no host left, hosts of all others take its targets over.
+        """
+        if target_name not in self._watched:
+            own = self.identity.address
+            hosts = self._get_watching_hosts(failure_domain)
+            watchers = choose_hosts(f"target {target_name}", hosts, c.TARGET_WATCHERS)
+            self._watched[target_name] = own in watchers
+        return self._watched[target_name]
+
+    def _get_watching_hosts(self, failure_domain: str) -> list[Address]:
+        there = self._members.get_there(failure_domain)
+        if failure_domain == self.failure_domain:
+            return [*there, self.identity.address]
+        if there:
+            return there
+        heard = [host.address for host in self._members if host.is_heard]
+        return [*heard, self.identity.address]
+
+    def is_gone(self, identity: HostIdentity, now: float) -> bool:
+        """Return whether that life of a host is over, as far as this host can tell.
+
+        True only where it was declared dead after suspicion, or another incarnation
+        has answered at its address since. A life never heard of is probed, and the
+        answer is known some seconds later.
+        """
+        if identity == self.identity or self._was_frozen(now):
+            return False
+        address = identity.address
+        if address == self.identity.address:
+            return True
+        if self._sightings.is_over(address, identity.incarnation):
+            return True
+        host = self._members.get(address)
+        if host is not None and host.record is not None:
+            if host.record.identity == identity:
+                return host.is_dead
+        self._sightings.note(address, identity.incarnation, now)
+        self._doubts.add(identity, now)
+        return self._doubts.is_silent(identity, self._get_suspicion_seconds(), now)
+
+    def get_demand(self, now: float) -> dict[str, float]:
+        """Return tokens a second by client account on the other live hosts."""
+        live = [host for host in self._members if host.is_heard]
+        addresses = {host.address for host in live}
+        domains = {host.failure_domain for host in live}
+        return self.demands.get_demand(addresses, domains, now)
+
+    def set_leaving(self) -> None:
+        """Tell the others that this host drains."""
+        self._raise_version(self._own.version + 1, RecordState.LEAVING)
+
+    # What happens.
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take an event and return what is to be done; now in monotonic seconds."""
+        self._effects = []
+        self._notice_freeze(now)
+        self._handle(event, now)
+        invariants.check(
+            self._own.identity == self.identity
+            and self._own.state in (RecordState.ALIVE, RecordState.LEAVING),
+            "own_record_is_own",
+            found=self._own,
+        )
+        effects, self._effects = self._effects, []
+        return effects
+
+    def build_probe(self, address: Address, now: float) -> Gossip:
+        """Return what this host says to a peer now."""
+        limit = self._get_message_bytes()
+        belief = self._members.get(address)
+        record = belief.record if belief is not None else None
+        domain = belief.failure_domain if belief is not None else ""
+        is_near = domain == self.failure_domain
+        return Gossip(
+            incarnation=self.identity.incarnation,
+            version=self._own.version,
+            state=int(self._own.state),
+            failure_domain=self.failure_domain,
+            sequence=self.sequence,
+            belief=() if record is None else record.pack(),
+            records=tuple(r.pack() for r in self._choose_records(address)),
+            loads=self.loads.take(int(limit * c.LOAD_BYTES_SHARE), is_near, now),
+            demands=self.demands.take(int(limit * c.DEMAND_BYTES_SHARE), is_near, now),
+        )
+
+    @singledispatchmethod
+    def _handle(self, event: Event, now: float) -> None:
+        raise TypeError(f"not an event: {event!r}")
+
+    @_handle.register
+    def _(self, event: ListRead, now: float) -> None:
+        self._members.take_list(event.hosts, now)
+        self._watched.clear()
+
+    @_handle.register
+    def _(self, event: Tick, now: float) -> None:
+        self._expire_probes(now)
+        self._expire_suspicions(now)
+        for address in self._doubts.take_due(now):
+            self._probe(address, now)
+        if now >= self._next_heartbeat:
+            self._beat(now)
+        if now >= self._next_round:
+            self._start_round(now)
+
+    @_handle.register
+    def _(self, event: GossipArrived, now: float) -> None:
+        message = event.message
+        self._sightings.note(event.peer.address, event.peer.incarnation, now)
+        record = _read_sender(event.peer, message)
+        self._take_direct(record, message.failure_domain, now)
+        self._take_news(event.peer.address, message, now)
+        answer = self.build_probe(event.peer.address, now)
+        self._effects.append(SendAnswer(answer))
+
+    @_handle.register
+    def _(self, event: ProbeAnswered, now: float) -> None:
+        probe = self._probes.pop(event.number, None)
+        if probe is None:
+            return
+        message = event.message
+        peer = HostIdentity(probe.address, message.incarnation)
+        self._sightings.note_answer(probe.address, peer.incarnation, probe.sent_at)
+        self._doubts.note_answer(probe.address)
+        self._sightings.note(probe.address, peer.incarnation, now)
+        self._take_direct(_read_sender(peer, message), message.failure_domain, now)
+        self._take_news(probe.address, message, now)
+
+    @_handle.register
+    def _(self, event: HelperAnswered, now: float) -> None:
+        probe = self._probes.get(event.number)
+        if probe is None or event.record.identity.address != probe.address:
+            return
+        del self._probes[event.number]
+        self._doubts.note_answer(probe.address)
+        self._take_direct(event.record, "", now)
+
+    @_handle.register
+    def _(self, event: ProbeFailed, now: float) -> None:
+        probe = self._probes.get(event.number)
+        if probe is not None and not probe.is_indirect:
+            self._ask_helpers(event.number, probe, now)
+
+    # Rounds.
+
+    def _start_round(self, now: float) -> None:
+        # Spread by a random part, so that hosts started together don't keep step.
+        length = get_round_seconds(len(self._members) + 1)
+        self._next_round = now + length * self._rng.uniform(0.8, 1.2)
+        self._members.forget_silent(now)
+        for address in self._schedule.choose(self._members):
+            self._probe(address, now)
+
+    def _probe(self, address: Address, now: float) -> None:
+        self._probe_number += 1
+        deadline = now + c.PROBE_TIMEOUT_SECONDS
+        self._probes[self._probe_number] = _Probe(address, now, deadline)
+        message = self.build_probe(address, now)
+        self._effects.append(SendProbe(self._probe_number, address, message))
+
+    def _expire_probes(self, now: float) -> None:
+        for number, probe in list(self._probes.items()):
+            if now < probe.deadline:
+                continue
+            if probe.is_indirect:
+                del self._probes[number]
+                self._suspect(probe, now)
+            else:
+                self._ask_helpers(number, probe, now)
+
+    def _ask_helpers(self, number: int, probe: _Probe, now: float) -> None:
+        """Let others try: one broken path is no death."""
+        probe.is_indirect = True
+        probe.deadline = now + c.INDIRECT_TIMEOUT_SECONDS
+        host = self._members.get(probe.address)
+        is_dead = host is None or host.is_dead
+        if is_dead and not self._doubts.is_asked(probe.address):
+            return
+        for helper in self._schedule.choose_helpers(self._members, probe.address):
+            self._effects.append(AskHelper(number, helper, probe.address))
+
+    def _suspect(self, probe: _Probe, now: float) -> None:
+        self._doubts.note_failure(probe.address, probe.sent_at)
+        host = self._members.get(probe.address)
+        if host is None:
+            return
+        if host.record is None:
+            host.is_unreachable = True
+            self._watched.clear()
+            return
+        if host.heard_at > probe.sent_at or host.record.state >= RecordState.SUSPECT:
+            return
+        self._take_record(_restate(host.record, RecordState.SUSPECT), now)
+
+    def _expire_suspicions(self, now: float) -> None:
+        for address in list(self._suspects):
+            host = self._members.get(address)
+            if host is None or host.state is not MemberState.SUSPECT:
+                self._suspects.discard(address)
+            elif now >= host.suspect_until:
+                self._suspects.discard(address)
+                self._declare_dead(host)
+
+    def _declare_dead(self, host: KnownHost) -> None:
+        record = host.record
+        invariants.check(
+            record is not None and record.state is RecordState.SUSPECT,
+            "death_follows_suspicion",
+            address=host.address,
+        )
+        if record is None:
+            return
+        # Death is never passed on. A host that was cut off declares everybody dead;
+        # if others took its word, live hosts would be dead to all until each had
+        # refuted. Suspicion is passed on, and each host waits for itself.
+        self._rumours.discard(host.address)
+        self._replace(host, _restate(record, RecordState.DEAD))
+
+    def _beat(self, now: float) -> None:
+        """Raise the own version, by which hosts that took it for dead learn better."""
+        hosts = len(self._members) + 1
+        period = max(hosts * c.HEARTBEAT_SECONDS_A_HOST, c.MIN_HEARTBEAT_SECONDS)
+        self._next_heartbeat = now + period * self._rng.uniform(0.8, 1.2)
+        self._raise_version(self._own.version + 1, self._own.state)
+
+    def _raise_version(self, version: int, state: RecordState) -> None:
+        invariants.check(
+            version > self._own.version, "own_version_only_grows", found=version
+        )
+        self._own = MemberRecord(self.identity, version, state)
+
+    # A pause of this process.
+
+    def _was_frozen(self, now: float) -> bool:
+        return self._last_tick is not None and now - self._last_tick > c.FREEZE_SECONDS
+
+    def _notice_freeze(self, now: float) -> None:
+        # A paused process wakes with all probes overdue. Symptom: it declares every
+        # other host dead, though it was itself that did not listen. Dropping the
+        # probes and starting suspicions afresh is enough, as nothing else here
+        # measures the others' silence.
+        if self._was_frozen(now):
+            self._probes.clear()
+            self._doubts.start_again(now)
+            for address in self._suspects:
+                host = self._members.get(address)
+                if host is not None:
+                    host.suspect_until = now + self._get_suspicion_seconds()
+        self._last_tick = now
+
+    # Records.
+
+    def _take_direct(self, record: MemberRecord, domain: str, now: float) -> None:
+        host = self._take_record(record, now)
+        if host is None:
+            return
+        host.heard_at = now
+        if host.listed is None and domain:
+            host.failure_domain = domain
+
+    def _take_record(self, record: MemberRecord, now: float) -> KnownHost | None:
+        """Take over a record if it is newer than the one held."""
+        address = record.identity.address
+        if address == self.identity.address:
+            self._refute(record)
+            return None
+        host = self._members.get(address)
+        if host is None:
+            host = self._members.add_unlisted(address, now)
+        if record.state is RecordState.DEAD:
+            record = _restate(record, RecordState.SUSPECT)
+        if host is None or not _is_newer(record, host.record):
+            return host
+        self._sightings.note(address, record.identity.incarnation, now)
+        host.heard_at = now
+        host.is_unreachable = False
+        if record.state is RecordState.SUSPECT:
+            host.suspect_until = now + self._get_suspicion_seconds()
+            self._suspects.add(address)
+        self._pass_on(host, record)
+        self._replace(host, record)
+        return host
+
+    def _pass_on(self, host: KnownHost, record: MemberRecord) -> None:
+        old = host.record
+        is_heartbeat = (
+            old is not None
+            and old.identity == record.identity
+            and old.state == record.state
+        )
+        doublings = math.ceil(math.log2(len(self._members) + 2))
+        transmissions = (
+            c.HEARTBEAT_TRANSMISSIONS
+            if is_heartbeat
+            else c.CHANGE_TRANSMISSIONS_A_DOUBLING * doublings
+        )
+        self._rumours.add(record, transmissions)
+
+    def _replace(self, host: KnownHost, record: MemberRecord) -> None:
+        old_state = host.state
+        host.record = record
+        if host.state is not old_state:
+            self._watched.clear()
+            self._effects.append(
+                MemberChanged(record.identity, host.address, old_state, host.state)
+            )
+
+    def _refute(self, record: MemberRecord) -> None:
+        """Rise above what is said of this address, if it is not what is so."""
+        if record != self._own and record.order >= self._own.order:
+            self._raise_version(record.version + 1, self._own.state)
+
+    def _take_news(self, peer: Address, message: Gossip, now: float) -> None:
+        if message.belief:
+            self._take_record(MemberRecord.unpack(message.belief), now)
+        for item in message.records:
+            self._take_record(MemberRecord.unpack(item), now)
+        self.loads.merge(message.loads, now)
+        self.demands.merge(message.demands, now)
+        if message.sequence > self.sequence:
+            self._effects.append(PeerIsAhead(peer, message.sequence))
+
+    def _choose_records(self, receiver: Address) -> list[MemberRecord]:
+        """Return rumours, then a few records in turn, so that none is missed."""
+        chosen = self._rumours.take(c.MAX_RECORDS_BYTES)
+        spare = c.MAX_RECORDS_BYTES - sum(measure_record(r) for r in chosen)
+        for _ in range(min(c.ROTATED_RECORDS, spare // c.MAX_RECORD_BYTES)):
+            record = self._take_rotated()
+            if record is not None and record.identity.address != receiver:
+                chosen.append(record)
+        return chosen
+
+    def _take_rotated(self) -> MemberRecord | None:
+        if not self._rotation:
+            self._rotation = [host.address for host in self._members if host.is_heard]
+            self._rng.shuffle(self._rotation)
+        if not self._rotation:
+            return None
+        host = self._members.get(self._rotation.pop())
+        return host.record if host is not None and host.is_heard else None
+
+    def _get_suspicion_seconds(self) -> float:
+        return get_suspicion_seconds(len(self._members) + 1)
+
+    def _get_message_bytes(self) -> int:
+        is_large = len(self._members) >= c.LARGE_FLEET_HOSTS
+        return c.MAX_MESSAGE_BYTES if is_large else c.MAX_MESSAGE_BYTES_SMALL
+
+
+def _read_sender(peer: HostIdentity, message: Gossip) -> MemberRecord:
+    try:
+        state = RecordState(message.state)
+    except ValueError as err:
+        raise FrameError(f"not a member's state: {message.state}") from err
+    return MemberRecord(peer, message.version, state)
+
+
+def _restate(record: MemberRecord, state: RecordState) -> MemberRecord:
+    return MemberRecord(record.identity, record.version, state)
+
 
-    def _build_member(self, host: ListedHost) -> Member:
-        state = MemberState.LEAVING if host.is_leaving else MemberState.LISTED
-        return Member(host, None, state)
+def _is_newer(record: MemberRecord, held: MemberRecord | None) -> bool:
+    return held is None or record.order > held.order
--- a/libraries/wire/tarragonward_wire/peers.py
+++ b/libraries/wire/tarragonward_wire/peers.py
@@ -223,6 +223,17 @@
         except (OSError, TimeoutError) as err:
             raise ConnectionLostError(f"{address}: {err!r}") from err
 
+    def get_peer(self, address: Address) -> HostIdentity | None:
+        """Return who answers at an address, where there is a link to it."""
+        link = self._links.get(address)
+        return link.stream.peer if link is not None and link.is_open else None
+
+    async def async_drop(self, address: Address) -> None:
+        """End the link to one peer; the next message makes a new one."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            await link.async_unload()
+
     async def async_unload(self) -> None:
         """End all links."""
         links, self._links = list(self._links.values()), {}
