Run membership with random faults, and tell the dead in turn

A death was known only to hosts that had heard the suspicion. The records told in turn now hold the dead too; a receiver takes them as suspicion and waits itself, so an isolated host's word still makes nobody dead.

Ruled out: passing death on as death (see the test of the isolated host), more transmissions of the rumour (makes it rarer, not impossible).

--- /dev/null
+++ b/libraries/bench/tarragonward_bench/membership_runs.py
@@ -0,0 +1,163 @@
+"""Randomised runs of membership: faults one after another, then it must agree."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tarragonward_core import InvariantViolationError, invariants
+
+from .membership_network import FakeHost, FakeNetwork, NetworkPlan
+
+__all__ = ["MembershipRun", "run_membership"]
+
+MAX_MESSAGE_BYTES = 1_100
+MAX_BYTES_A_SECOND = 12_000
+STEP_SECONDS = 0.25
+# Two turns of probes, the suspicion, and a heartbeat that every view gets to see.
+AGREE_SECONDS = 60.0
+FAULTS = 8
+GONE_PATIENCE_SECONDS = 30.0
+
+
+@dataclass(frozen=True)
+class MembershipRun:
+    """What one run did; seconds are those of the fake clock."""
+
+    seed: int
+    faults: Counter[str]
+    agreed_after_seconds: float
+    largest_message: int
+    bytes_a_second: float
+
+
+def run_membership(seed: int, faults: int = FAULTS) -> MembershipRun:
+    """Run one seed; raise InvariantViolationError where a promise is broken."""
+    return _Run(seed).run(faults)
+
+
+class _Run:
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._rng = random.Random(seed)
+        plan = NetworkPlan(
+            failure_domains=("a", "b", "c")[: self._rng.randint(1, 3)],
+            hosts_per_domain=self._rng.randint(2, 6),
+            loss=self._rng.choice((0.0, 0.01, 0.05)),
+            max_delay=self._rng.choice((0.005, 0.05)),
+        )
+        self._network = FakeNetwork(plan, seed)
+        self._faults: Counter[str] = Counter()
+
+    def run(self, faults: int) -> MembershipRun:
+        self._agree()
+        actions = (
+            self._kill,
+            self._return,
+            self._freeze,
+            self._wake,
+            self._cut_domain,
+            self._cut_one_way,
+            self._heal,
+        )
+        for _ in range(faults):
+            action = self._rng.choice(actions)
+            self._faults[action.__name__.strip("_")] += 1
+            action()
+            self._network.run(self._rng.choice((0.1, 1.0, 5.0, 20.0)))
+        self._mend()
+        agreed_after = self._agree()
+        self._check_former_lives()
+        return self._report(agreed_after)
+
+    def _mend(self) -> None:
+        self._network.heal()
+        for host in self._network.hosts.values():
+            if host.frozen is not None:
+                self._network.wake(host)
+
+    def _agree(self) -> float:
+        """Run until all views are right; no live host may stay declared dead."""
+        begin = self._network.now
+        while (wrong := self._network.find_disagreement()) is not None:
+            seconds = self._network.now - begin
+            if seconds > AGREE_SECONDS:
+                self._fail("views_agree", wrong)
+            self._network.run(STEP_SECONDS)
+        return self._network.now - begin
+
+    def _check_former_lives(self) -> None:
+        """Each life that has ended is known to be over soon after it is asked about."""
+        patience = self._network.now + GONE_PATIENCE_SECONDS
+        while (wrong := self._find_not_gone()) is not None:
+            if self._network.now > patience:
+                self._fail("ended_lives_are_gone", wrong)
+            self._network.run(STEP_SECONDS)
+
+    def _find_not_gone(self) -> str | None:
+        now = self._network.now
+        for host in self._network.get_up():
+            for other in self._network.hosts.values():
+                if other is host:
+                    continue
+                for life in other.former:
+                    if not host.membership.is_gone(life, now):
+                        return f"{host.address} of {life}"
+        return None
+
+    def _report(self, agreed_after: float) -> MembershipRun:
+        hosts = self._network.hosts.values()
+        largest = max(host.largest_message for host in hosts)
+        rate = max(host.bytes_sent for host in hosts) / self._network.now
+        if largest > MAX_MESSAGE_BYTES or rate > MAX_BYTES_A_SECOND:
+            self._fail("bytes_are_bounded", f"message={largest} a_second={rate:.0f}")
+        return MembershipRun(self._seed, self._faults, agreed_after, largest, rate)
+
+    def _fail(self, name: str, what: str) -> None:
+        invariants.check(False, name, seed=self._seed, found=what)
+        raise InvariantViolationError(f"{name}: seed {self._seed}: {what}")
+
+    # Faults.
+
+    def _pick(self, fits: Callable[[FakeHost], bool]) -> FakeHost | None:
+        hosts = [h for h in self._network.hosts.values() if fits(h)]
+        return self._rng.choice(hosts) if hosts else None
+
+    def _kill(self) -> None:
+        host = self._pick(lambda h: h.is_up)
+        if host is not None:
+            self._network.kill(host)
+
+    def _return(self) -> None:
+        host = self._pick(lambda h: not h.is_up)
+        if host is not None:
+            self._network.start(host)
+
+    def _freeze(self) -> None:
+        host = self._pick(lambda h: h.is_up)
+        if host is not None:
+            self._network.freeze(host)
+
+    def _wake(self) -> None:
+        host = self._pick(lambda h: h.frozen is not None)
+        if host is not None:
+            self._network.wake(host)
+
+    def _cut_domain(self) -> None:
+        domain = self._rng.choice(self._network.plan.failure_domains)
+        hosts = list(self._network.hosts.values())
+        ones = [h for h in hosts if h.listed.failure_domain == domain]
+        others = [h for h in hosts if h not in ones]
+        self._network.cut(ones, others)
+        self._network.cut(others, ones)
+
+    def _cut_one_way(self) -> None:
+        hosts = list(self._network.hosts.values())
+        ones = self._rng.sample(hosts, self._rng.randint(1, len(hosts) - 1))
+        others = self._rng.sample(hosts, self._rng.randint(1, len(hosts) - 1))
+        self._network.cut(ones, others)
+
+    def _heal(self) -> None:
+        self._network.heal()
--- a/libraries/membership/tarragonward_membership/membership.py
+++ b/libraries/membership/tarragonward_membership/membership.py
@@ -310,9 +310,10 @@
         )
         if record is None:
             return
-        # Death is never passed on. A host that was cut off declares everybody dead;
-        # if others took its word, live hosts would be dead to all until each had
-        # refuted. Suspicion is passed on, and each host waits for itself.
+        # Nobody takes another's word for a death. A host that was cut off declares
+        # everybody dead; were it believed, live hosts would be dead to all until each
+        # had refuted. What is passed on counts as suspicion, and each host waits for
+        # itself whether it is refuted.
         self._rumours.discard(host.address)
         self._replace(host, _restate(record, RecordState.DEAD))
 
@@ -432,12 +433,12 @@
 
     def _take_rotated(self) -> MemberRecord | None:
         if not self._rotation:
-            self._rotation = [host.address for host in self._members if host.is_heard]
+            self._rotation = [host.address for host in self._members if host.record]
             self._rng.shuffle(self._rotation)
         if not self._rotation:
             return None
         host = self._members.get(self._rotation.pop())
-        return host.record if host is not None and host.is_heard else None
+        return host.record if host is not None else None
 
     def _get_suspicion_seconds(self) -> float:
         return get_suspicion_seconds(len(self._members) + 1)
