--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -128,6 +128,7 @@
         # of refusing at once: callers read errors during each replacement. So work is
         # admitted for the time that the balancer needs.
         self.host.is_draining = True
+        self.membership.set_leaving()
         await asyncio.sleep(c.BALANCER_NOTICE_SECONDS)
         self.host.is_admitting = False
         self.calls.start_drain()
--- a/libraries/daemon/tarragonward_daemon/sweep.py
+++ b/libraries/daemon/tarragonward_daemon/sweep.py
@@ -65,11 +65,10 @@
     def _get_watched(self) -> dict[str, Target]:
         state = self._host.configuration_state
         targets = [] if state is None else state.configuration.targets.values()
-        domain = self._host.settings.failure_domain
         return {
             target.name: target
             for target in targets
-            if target.models and target.failure_domain == domain
+            if target.models and self._membership.is_watcher(target.name)
         }
 
     def _cancel(self, cancels: list[HeldMemory], targets: dict[str, Target]) -> None:
@@ -96,7 +95,12 @@
             self._sweep.note_owner(identity, sign, now)
 
     async def _async_look(self, owner: HostIdentity) -> OwnerSign:
-        """Return what answers at an owner's address: it, another, or nobody."""
+        """Return what answers at an owner's address: it, another, or nobody.
+
+        Membership says who is worth a look; its view is a hint, so the look decides.
+        """
+        if not self._membership.is_gone(owner):
+            return OwnerSign.ALIVE
         try:
             async with asyncio.timeout(c.OWNER_LOOK_SECONDS):
                 reader, writer = await asyncio.open_connection(
--- /dev/null
+++ b/libraries/daemon/tests/test_models.py
@@ -0,0 +1,76 @@
+"""Tests of model requests against an engine stand-in in the same process."""
+
+import asyncio
+
+import pytest
+
+from tarragonward_config import Settings, build_state, hash_token
+from tarragonward_core import Address, ResultCode
+from tarragonward_daemon.app import Daemon
+from tarragonward_daemon.completions import Completion
+from tarragonward_placement import Placement, PlacementPolicy
+from tarragonward_standins.engine import EngineStandIn
+from tarragonward_standins.engine_model import EngineSizes
+
+NOWHERE = Address("127.0.0.1", 1)
+COMPLETION = Completion("m", "bay 4", 2, 400, True, False, None)
+
+
+class StuckSink:
+    async def async_deliver(self, text):
+        await asyncio.Event().wait()
+
+
+@pytest.fixture
+async def engine():
+    engine = EngineStandIn(Address("127.0.0.1", 0), EngineSizes())
+    await engine.async_setup()
+    yield engine
+    await engine.async_unload()
+
+
+@pytest.fixture
+async def daemon(engine):
+    settings = Settings(
+        "a", "r", "north", NOWHERE, NOWHERE, NOWHERE, (NOWHERE,), (NOWHERE,),
+        b"k" * 32, "t",
+    )  # fmt: skip
+    daemon = Daemon(settings)
+    target = {
+        "kind": "engine",
+        "address": str(engine.address),
+        "failure_domain": "north",
+        "models": ["m"],
+        "kv_tokens": 400_000,
+        "checks_fencing": True,
+    }
+    document = {
+        "client_accounts": {"x": {"token_sha256": [hash_token("x")], "weight": 1.0}},
+        "models": {"m": {"context_tokens": 10_000}},
+        "services": {},
+        "targets": {"engine": target},
+    }
+    daemon.host.configuration_state = build_state(0, 0, document)
+    daemon.models.placement = Placement(policy=PlacementPolicy(uses_admission=False))
+    await daemon.models.async_setup()
+    yield daemon
+    await daemon.models.async_unload()
+    await daemon.releases.async_unload()
+
+
+async def test_a_caller_that_reads_nothing_holds_no_engine(daemon, engine):
+    """A phone in the field stops reading a long answer but keeps its connection.
+
+    The delivery waits for room that never comes; at the time limit the request ends
+    all the same, and its stream on the engine is cancelled before its answer is whole.
+    """
+    loop = asyncio.get_running_loop()
+    account = daemon.host.configuration.client_accounts["x"]
+    deadline = loop.time() + 0.5
+    running = daemon.models.async_run("r", account, COMPLETION, deadline, StuckSink())
+    async with asyncio.timeout(2):
+        end = await running
+        while engine.model.running:
+            await asyncio.sleep(0.01)
+    assert end.code is ResultCode.DEADLINE_EXCEEDED
+    assert daemon.models.active_streams == set()
