--- a/libraries/standins/tarragonward_standins/fault_proxy.py
+++ b/libraries/standins/tarragonward_standins/fault_proxy.py
@@ -77,7 +77,7 @@
         self._writers.add(writer)
         try:
             await self._async_connect(reader, writer)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             self._tasks.discard(task)
--- a/libraries/standins/tarragonward_standins/observe.py
+++ b/libraries/standins/tarragonward_standins/observe.py
@@ -90,9 +90,13 @@
 
 
 class Balancer:
-    """Send callers to the hosts whose health check passes, in turn."""
+    """Send callers to the hosts whose health check passes, in turn.
+
+    failure_domains holds those whose hosts it may choose; empty means all.
+    """
 
     def __init__(self, site: Site) -> None:
+        self.failure_domains: frozenset[str] = frozenset()
         self._site = site
         self._healthy: dict[str, SiteHost] = dict(site.hosts)
         self._turn = itertools.count()
@@ -110,7 +114,11 @@
 
     def choose(self) -> SiteHost:
         """Return the next healthy host; any host where none is healthy."""
-        hosts = list((self._healthy or self._site.hosts).values())
+        hosts = [
+            host
+            for host in (self._healthy or self._site.hosts).values()
+            if not self.failure_domains or host.failure_domain in self.failure_domains
+        ]
         return hosts[next(self._turn) % len(hosts)]
 
     async def _async_check_all(self) -> None:
--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -48,6 +48,7 @@
     )
     service_delay_seconds: float = 0.0
     limits: dict[str, Any] = field(default_factory=dict)
+    host_module: str = "tarragonward_daemon.main"
     has_proxies: bool = False
     engines_check_fencing: bool = True
 
@@ -340,7 +341,7 @@
             )
         for name in self.hosts:
             self._commands[name] = _run_module(
-                "tarragonward_daemon.main", settings=folder / f"{name}.toml"
+                plan.host_module, settings=folder / f"{name}.toml"
             )
 
 
