Write one family for each metric name, and take gauges and status sections

Cause: every histogram wrote a family of its own, so a scrape with two client accounts held the same HELP and TYPE lines twice, which scrapers refuse or drop; the sum was worked out from a rounded mean. Now one family a name with all label values, exact sums, gauges read at the scrape (in flight, number, members, draining, violations), and HostState.add_status_section and Metrics.add_gauge as the places where tasks add theirs. Ruled out: one registry object kept for good, as collect() reads all anew anyway.

--- a/libraries/core/tarragonward_core/metrics.py
+++ b/libraries/core/tarragonward_core/metrics.py
@@ -1,13 +1,18 @@
-"""Keep bounded histograms and counters, and write them for scrapers."""
+"""Keep bounded histograms, counters and gauges, and write them for scrapers."""
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    SummaryMetricFamily,
+)
 from prometheus_client.exposition import generate_latest
+from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import CollectorRegistry
 
 __all__ = ["LENGTH_CLASSES", "Metrics", "get_length_class"]
@@ -16,10 +21,13 @@
 HIGHEST_MICROSECONDS = 3_600_000_000
 # One digit took 3.5 KB a histogram and two digits 17 KB; one is enough to alarm on.
 SIGNIFICANT_DIGITS = 1
+MAX_COUNTERS = 1_024
 MAX_HISTOGRAMS = 256
+NAME_PREFIX = "tarragonward_"
 OTHER_ACCOUNT = "other"
 QUANTILES = (0.5, 0.95, 0.99)
 MICROSECONDS = 1_000_000
+HISTOGRAM_LABELS = ("client_account", "length_class")
 
 LENGTH_CLASSES = (
     (4_000, "to_4k"),
@@ -28,6 +36,8 @@
     (1 << 62, "over_100k"),
 )
 
+HistogramKey = tuple[str, str, str]
+
 
 def get_length_class(prompt_tokens: int) -> str:
     """Return the name of the class that a prompt of this many tokens is in."""
@@ -40,29 +50,47 @@
 class Metrics:
     """Histograms by (name, client account, length class), made when first used.
 
-    Past MAX_HISTOGRAMS a new client account is counted under "other": what one
-    process holds stays bounded however many accounts there are.
+    Past the maximum a new client account is counted under "other": what one process
+    holds stays bounded however many accounts there are. Names, labels and length
+    classes must come from the code, never from a caller.
     """
 
-    def __init__(self, max_histograms: int = MAX_HISTOGRAMS) -> None:
+    def __init__(
+        self,
+        max_histograms: int = MAX_HISTOGRAMS,
+        max_counters: int = MAX_COUNTERS,
+    ) -> None:
         self._max_histograms = max_histograms
-        self._histograms: dict[tuple[str, str, str], HdrHistogram] = {}
+        self._max_counters = max_counters
+        self._histograms: dict[HistogramKey, HdrHistogram] = {}
+        self._sums: Counter[HistogramKey] = Counter()
         self._counters: Counter[tuple[str, str, str]] = Counter()
+        self._gauges: dict[str, Callable[[], float]] = {}
+        self._help: dict[str, str] = {}
+
+    def set_help(self, name: str, text: str) -> None:
+        """Set the help text that scrapers show for a metric."""
+        self._help[name] = text
+
+    def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a value that is read anew at each scrape."""
+        self._gauges[name] = read
+        self.set_help(name, text)
 
     def observe(
         self, name: str, seconds: float, account: str = "", length_class: str = ""
     ) -> None:
         """Record a duration in seconds."""
-        histogram = self._get_histogram(name, account, length_class)
+        key = self._bound_histogram_key((name, account, length_class))
         microseconds = int(seconds * MICROSECONDS)
-        histogram.record_value(
-            min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
-        )
+        bounded = min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
+        self._histograms[key].record_value(bounded)
+        self._sums[key] += bounded
 
     def count(self, name: str, label: str = "", account: str = "", by: int = 1) -> None:
         """Add to the counter name; label is what it is split by, such as a code."""
         key = (name, label, account)
-        if key not in self._counters and len(self._counters) >= self._max_histograms:
+        if key not in self._counters and len(self._counters) >= self._max_counters:
             key = (name, label, OTHER_ACCOUNT)
         self._counters[key] += by
 
@@ -81,18 +109,17 @@
             return None
         return histogram.get_value_at_percentile(quantile * 100) / MICROSECONDS
 
-    def collect(self) -> Iterator[CounterMetricFamily | SummaryMetricFamily]:
+    def collect(self) -> Iterator[Metric]:
         """Give all values in the form that prometheus_client writes out."""
         for name in sorted({key[0] for key in self._counters}):
-            family = CounterMetricFamily(
-                f"tarragonward_{name}", name, labels=["label", "client_account"]
-            )
-            for (counter, label, account), value in self._counters.items():
-                if counter == name:
-                    family.add_metric([label, account], value)
-            yield family
-        for (name, account, length_class), histogram in self._histograms.items():
-            yield from _summarise(name, account, length_class, histogram)
+            yield self._collect_counter(name)
+        for name in sorted(self._gauges):
+            full_name, text = NAME_PREFIX + name, self._get_help(name)
+            yield GaugeMetricFamily(full_name, text, value=self._gauges[name]())
+        # One family for all histograms of a name: a scraper refuses, or drops, a
+        # family whose HELP and TYPE lines come twice.
+        for name in sorted({key[0] for key in self._histograms}):
+            yield self._collect_histograms(name)
 
     def write_exposition(self) -> bytes:
         """Return all values in the text exposition format."""
@@ -100,36 +127,48 @@
         registry.register(self)
         return generate_latest(registry)
 
-    def _get_histogram(
-        self, name: str, account: str, length_class: str
-    ) -> HdrHistogram:
-        key = (name, account, length_class)
-        if (
-            key not in self._histograms
-            and len(self._histograms) >= self._max_histograms
-        ):
-            key = (name, OTHER_ACCOUNT, length_class)
+    def _get_help(self, name: str) -> str:
+        return self._help.get(name, name.replace("_", " "))
+
+    def _bound_histogram_key(self, key: HistogramKey) -> HistogramKey:
+        is_full = len(self._histograms) >= self._max_histograms
+        if key not in self._histograms and is_full:
+            key = (key[0], OTHER_ACCOUNT, key[2])
         if key not in self._histograms:
             self._histograms[key] = HdrHistogram(
                 LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
             )
-        return self._histograms[key]
-
-
-def _summarise(
-    name: str, account: str, length_class: str, histogram: HdrHistogram
-) -> Iterator[SummaryMetricFamily]:
-    labels = ["client_account", "length_class"]
-    values = [account, length_class]
-    total = histogram.get_total_count()
-    family = SummaryMetricFamily(f"tarragonward_{name}_seconds", name, labels=labels)
-    mean_seconds = histogram.get_mean_value() / MICROSECONDS
-    family.add_metric(values, count_value=total, sum_value=mean_seconds * total)
-    for quantile in QUANTILES:
-        seconds = histogram.get_value_at_percentile(quantile * 100) / MICROSECONDS
-        family.add_sample(
-            family.name,
-            dict(zip([*labels, "quantile"], [*values, str(quantile)], strict=True)),
-            seconds,
+        return key
+
+    def _collect_counter(self, name: str) -> Metric:
+        family = CounterMetricFamily(
+            NAME_PREFIX + name, self._get_help(name), labels=["label", "client_account"]
+        )
+        for (counter, label, account), value in sorted(self._counters.items()):
+            if counter == name:
+                family.add_metric([label, account], value)
+        return family
+
+    def _collect_histograms(self, name: str) -> Metric:
+        family = SummaryMetricFamily(
+            f"{NAME_PREFIX}{name}_seconds",
+            self._get_help(name),
+            labels=HISTOGRAM_LABELS,
+        )
+        for key in sorted(key for key in self._histograms if key[0] == name):
+            self._add_histogram(family, key)
+        return family
+
+    def _add_histogram(self, family: SummaryMetricFamily, key: HistogramKey) -> None:
+        histogram = self._histograms[key]
+        values = key[1:]
+        labels = dict(zip(HISTOGRAM_LABELS, values, strict=True))
+        for quantile in QUANTILES:
+            seconds = histogram.get_value_at_percentile(quantile * 100) / MICROSECONDS
+            quantile_labels = {**labels, "quantile": str(quantile)}
+            family.add_sample(family.name, quantile_labels, seconds)
+        family.add_metric(
+            values,
+            count_value=histogram.get_total_count(),
+            sum_value=self._sums[key] / MICROSECONDS,
         )
-    yield family
--- a/libraries/daemon/tarragonward_daemon/core.py
+++ b/libraries/daemon/tarragonward_daemon/core.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from tarragonward_config import (
     ClientAccount,
@@ -17,6 +19,7 @@
     Metrics,
     RequestRefusedError,
     ResultCode,
+    invariants,
 )
 
 __all__ = ["HostState"]
@@ -37,6 +40,30 @@
     started_at: float = field(default_factory=time.monotonic)
     requests_in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
+    status_sections: dict[str, Callable[[], Any]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        add_gauge = self.metrics.add_gauge
+        add_gauge(
+            "requests_in_flight",
+            "Requests in progress.",
+            lambda: self.requests_in_flight,
+        )
+        add_gauge(
+            "configuration_number",
+            "The configuration number in force, -1 where there is none yet.",
+            lambda: self.configuration_number,
+        )
+        add_gauge(
+            "invariant_violations",
+            "Invariants found broken since the process started.",
+            lambda: invariants.count,
+        )
+        add_gauge("draining", "1 while the host is leaving.", lambda: self.is_draining)
+
+    def add_status_section(self, name: str, read: Callable[[], Any]) -> None:
+        """Add a task's part of the operators' status; read returns JSON data."""
+        self.status_sections[name] = read
 
     @property
     def configuration(self) -> Configuration:
--- a/libraries/daemon/tarragonward_daemon/operators.py
+++ b/libraries/daemon/tarragonward_daemon/operators.py
@@ -33,6 +33,11 @@
         self._membership = membership
         self._reports = reports
         self._drain = drain
+        host.metrics.add_gauge(
+            "members",
+            "Other hosts in this host's view.",
+            lambda: len(membership.membership.get_members()),
+        )
 
     async def async_handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
@@ -88,6 +93,7 @@
                 }
                 for member in members
             ],
+            **{name: read() for name, read in self._host.status_sections.items()},
         }
 
     def _list_targets(self) -> dict[str, Any]:
