Check callers' heads before bodies, count tokens, and refuse what is unsupported

Now the head is checked at once (account, route, method, draining, time limit), fit_to_context refuses by PROMPT_TOO_LONG or shortens only a default answer, include_usage works, sampling fields travel to the engine, and request_ended carries target, duration and tokens. Drain waits for requests from their head on. SLOW_SENDER may be repeated. Ruled out: passing unknown fields silently.

--- a/libraries/config/tarragonward_config/settings.py
+++ b/libraries/config/tarragonward_config/settings.py
@@ -23,6 +23,7 @@
 
     drain_timeout_seconds: float = c.DEFAULT_DRAIN_TIMEOUT_SECONDS
     key_retention_seconds: float = c.DEFAULT_KEY_RETENTION_SECONDS
+    max_bodies_bytes: int = c.DEFAULT_MAX_BODIES_BYTES
     max_body_bytes: int = c.DEFAULT_MAX_BODY_BYTES
     max_connections: int = c.DEFAULT_MAX_CONNECTIONS
     max_head_bytes: int = c.DEFAULT_MAX_HEAD_BYTES
@@ -92,6 +93,7 @@
         vol.Optional(c.CONF_LIMITS, default=dict): {
             vol.Optional(c.CONF_DRAIN_TIMEOUT_SECONDS): _number(0, 3_600),
             vol.Optional(c.CONF_KEY_RETENTION_SECONDS): _number(1, DAY_SECONDS),
+            vol.Optional(c.CONF_MAX_BODIES_BYTES): _integer(1_024, 1 << 36),
             vol.Optional(c.CONF_MAX_BODY_BYTES): _integer(1_024, 1 << 28),
             vol.Optional(c.CONF_MAX_CONNECTIONS): _integer(1, 100_000),
             vol.Optional(c.CONF_MAX_HEAD_BYTES): _integer(1_024, 1 << 20),
--- a/libraries/core/tarragonward_core/codes.py
+++ b/libraries/core/tarragonward_core/codes.py
@@ -50,7 +50,9 @@
     INVALID_REQUEST = _not_run(1003, 400, "A field is missing, unknown or not valid.")
     HEAD_TOO_LARGE = _not_run(1004, 431, "The request's head is too large.")
     BODY_TOO_LARGE = _not_run(1005, 413, "The request's body is too large.")
-    SLOW_SENDER = _not_run(1006, 408, "The request did not arrive in time.")
+    SLOW_SENDER = _not_run(
+        1006, 408, "The request did not arrive in time.", Repeat.AFTER_DELAY
+    )
     UNKNOWN_ROUTE = _not_run(1007, 404, "There is no such route.")
     METHOD_NOT_ALLOWED = _not_run(1008, 405, "The route does not take this method.")
     TOKEN_MISSING = _not_run(1009, 401, "No bearer token was given.")
@@ -58,7 +60,7 @@
     UNKNOWN_MODEL = _not_run(1011, 404, "The model is not published.")
     UNKNOWN_SERVICE = _not_run(1012, 404, "The service or operation is not published.")
     PROMPT_TOO_LONG = _not_run(
-        1013, 400, "The prompt is longer than any group of engines can hold."
+        1013, 400, "Prompt and answer are over the model's context."
     )
     DEADLINE_IN_PAST = _not_run(1014, 400, "The time limit is not in the future.")
     KEY_MISSING = _not_run(
--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -8,7 +8,7 @@
 
 from tarragonward_config import Settings
 from tarragonward_core import HostIdentity, log_event, new_incarnation
-from tarragonward_wire import HttpLimits, HttpServer, PeerLinks, PeerServer
+from tarragonward_wire import BodyBudget, HttpLimits, HttpServer, PeerLinks, PeerServer
 
 from . import const as c
 from .callers import CallerRoutes
@@ -50,7 +50,17 @@
         )
         callers = CallerRoutes(host, self.models, self.calls)
         self.callers = HttpServer(
-            settings.callers, callers.async_handle, self._build_limits()
+            settings.callers,
+            callers.async_handle,
+            self._build_limits(),
+            check_head=callers.check_head,
+            note_refused=callers.note_refused,
+            bodies=BodyBudget(settings.limits.max_bodies_bytes),
+        )
+        host.metrics.add_gauge(
+            "bodies_held_bytes",
+            "Request bodies held in memory, in bytes.",
+            lambda: self.callers.bodies.held_bytes,
         )
         operators = OperatorRoutes(host, self.membership, self.reports, self.ask_drain)
         self.operators = HttpServer(settings.operators, operators.async_handle)
@@ -97,6 +107,7 @@
     async def _async_drain(self) -> None:
         """Wait until all requests in progress have ended, or the time is over."""
         self.host.is_draining = True
+        self.callers.begin_closing()
         log_event("drain_started", in_flight=self.host.requests_in_flight)
         stopped = asyncio.create_task(self._stop_asked.wait())
         drained = asyncio.create_task(self._async_wait_idle())
@@ -114,5 +125,6 @@
         # The balancer goes on sending until it has seen the health check fail.
         await asyncio.sleep(c.BALANCER_NOTICE_SECONDS)
         await self.callers.async_stop_listening()
-        while self.host.requests_in_flight:
-            await self.host.idle.wait()
+        # Counted from its head on: a request whose body still comes in is refused by
+        # number, not cut off.
+        await self.callers.async_wait_idle()
--- a/libraries/daemon/tarragonward_daemon/callers.py
+++ b/libraries/daemon/tarragonward_daemon/callers.py
@@ -3,35 +3,42 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import ExitStack
 from dataclasses import dataclass
 from typing import Any
 
 from tarragonward_config import ClientAccount
-from tarragonward_core import (
-    RequestRefusedError,
-    ResultCode,
-    log_event,
-    new_request_id,
-)
-from tarragonward_requests import EndRequest, Reply
-from tarragonward_wire import HttpRequest, Responder, build_error_body
+from tarragonward_core import RequestRefusedError, ResultCode, log_event
+from tarragonward_requests import Reply
+from tarragonward_wire import HttpHead, HttpRequest, Responder
 
 from . import const as c
+from .answers import CompletionAnswer
 from .calls import ServiceCall, ServiceCalls
-from .completions import Completion, CompletionWriter, parse_chat, parse_completion
+from .completions import Completion, fit_to_context, parse_chat, parse_completion
 from .core import HostState
 from .models import ModelRequests
 
-__all__ = ["CallerRoutes"]
+__all__ = ["CallerContext", "CallerRoutes"]
 
-EVENT_STREAM = {"content-type": "text/event-stream", "cache-control": "no-cache"}
+METHODS = {
+    c.ROUTE_CHAT: ("POST",),
+    c.ROUTE_COMPLETIONS: ("POST",),
+    c.ROUTE_KEY_PREFIX: ("GET", "POST"),
+    c.ROUTE_MODELS: ("GET",),
+}
+PREFIX_METHODS = {f"{c.ROUTE_MODELS}/": ("GET",), c.ROUTE_SERVICES: ("POST",)}
+PARSERS = {c.ROUTE_CHAT: parse_chat, c.ROUTE_COMPLETIONS: parse_completion}
 
 
 @dataclass(frozen=True)
-class _Context:
+class CallerContext:
+    """What the head of a request says; times are the loop's, in seconds."""
+
     request_id: str
     account: ClientAccount
+    started_at: float
     deadline: float
     headers: dict[str, str]
 
@@ -46,84 +53,114 @@
         self._models = models
         self._calls = calls
 
+    def check_head(self, head: HttpHead) -> CallerContext:
+        """Refuse what its head already forbids, before its body costs memory."""
+        account = self._host.authenticate(head.headers.get("authorization"))
+        _check_route(head)
+        if head.path in PARSERS or head.path.startswith(c.ROUTE_SERVICES):
+            self._host.check_admitting()
+        now = asyncio.get_running_loop().time()
+        headers = {
+            c.HEADER_REQUEST_ID: head.request_id,
+            c.HEADER_KEY_PREFIX: self._calls.mint_prefix(),
+        }
+        deadline = now + self._read_time_limit(head)
+        return CallerContext(head.request_id, account, now, deadline, headers)
+
+    def note_refused(self, request_id: str, code: ResultCode) -> None:
+        """Log and count a request that was refused before it reached a route."""
+        self._log_end(request_id, "", code)
+
     async def async_handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
-        request_id = new_request_id()
+        context: CallerContext = request.context
+        responder.give_up_at = context.deadline
         with ExitStack() as stack:
             self._host.enter_request()
             stack.callback(self._host.leave_request)
             try:
-                await self._async_route(request_id, request, responder)
+                await self._async_route(context, request, responder)
             except RequestRefusedError as err:
-                self._log_end(request_id, "", err.code)
+                self._log_context_end(context, err.code)
                 await responder.async_send_error(
-                    err.code, err.detail, request_id, err.retry_after_seconds
+                    err.code,
+                    err.detail,
+                    retry_after_seconds=err.retry_after_seconds,
+                    headers=context.headers,
                 )
+            except (OSError, TimeoutError, asyncio.CancelledError):
+                self._log_context_end(context, ResultCode.CALLER_LEFT)
+                raise
 
     async def _async_route(
-        self, request_id: str, request: HttpRequest, responder: Responder
+        self, context: CallerContext, request: HttpRequest, responder: Responder
     ) -> None:
-        account = self._host.authenticate(request.headers.get("authorization"))
-        headers = {
-            c.HEADER_REQUEST_ID: request_id,
-            c.HEADER_KEY_PREFIX: self._calls.mint_prefix(),
-        }
-        context = _Context(
-            request_id, account, self._compute_deadline(request), headers
-        )
-        match request.method, request.path:
-            case "POST", c.ROUTE_COMPLETIONS:
-                completion = parse_completion(request.body)
-                await self._async_complete(context, completion, responder)
-            case "POST", c.ROUTE_CHAT:
-                completion = parse_chat(request.body)
-                await self._async_complete(context, completion, responder)
-            case "GET", c.ROUTE_MODELS:
-                await responder.async_send_json(200, self._list_models(), headers)
-            case (("GET" | "POST"), c.ROUTE_KEY_PREFIX):
-                prefix = {"key_prefix": headers[c.HEADER_KEY_PREFIX]}
-                await responder.async_send_json(200, prefix, headers)
-            case "POST", path if path.startswith(c.ROUTE_SERVICES):
-                await self._async_call(context, request, responder)
-            case _, (c.ROUTE_COMPLETIONS | c.ROUTE_CHAT | c.ROUTE_MODELS):
-                raise RequestRefusedError(ResultCode.METHOD_NOT_ALLOWED)
-            case _:
-                raise RequestRefusedError(ResultCode.UNKNOWN_ROUTE)
-
-    def _compute_deadline(self, request: HttpRequest) -> float:
+        if request.path in PARSERS:
+            completion = PARSERS[request.path](request.body)
+            await self._async_complete(context, completion, responder)
+        elif request.path.startswith(c.ROUTE_SERVICES):
+            await self._async_call(context, request, responder)
+        elif request.path == c.ROUTE_KEY_PREFIX:
+            prefix = {"key_prefix": context.headers[c.HEADER_KEY_PREFIX]}
+            await responder.async_send_json(200, prefix, context.headers)
+        else:
+            models = self._show_models(request.path)
+            await responder.async_send_json(200, models, context.headers)
+
+    def _read_time_limit(self, head: HttpHead) -> float:
+        """Return the seconds that the caller gives its request, at most the limit."""
         limits = self._host.settings.limits
-        text = request.headers.get(c.HEADER_TIME_LIMIT)
+        text = head.headers.get(c.HEADER_TIME_LIMIT)
+        if text is None:
+            return limits.time_limit_seconds
         try:
-            seconds = limits.time_limit_seconds if text is None else float(text)
+            seconds = float(text)
         except ValueError:
-            detail = f"{c.HEADER_TIME_LIMIT} is not a number"
-            raise RequestRefusedError(ResultCode.INVALID_REQUEST, detail) from None
-        if not seconds > 0:
+            seconds = math.nan
+        if not math.isfinite(seconds):
+            detail = f"{c.HEADER_TIME_LIMIT}: expected a number of seconds"
+            raise RequestRefusedError(ResultCode.INVALID_REQUEST, detail)
+        if seconds <= 0:
             raise RequestRefusedError(ResultCode.DEADLINE_IN_PAST)
-        seconds = min(seconds, limits.max_time_limit_seconds)
-        return asyncio.get_running_loop().time() + seconds
+        return min(seconds, limits.max_time_limit_seconds)
 
-    def _list_models(self) -> dict[str, Any]:
-        models = [
-            {"id": name, "object": "model", "owned_by": "tarragonward", "created": 0}
+    def _show_models(self, path: str) -> dict[str, Any]:
+        models = {
+            name: {"id": name, "object": "model", "owned_by": "operators", "created": 0}
             for name in self._host.configuration.models
-        ]
-        return {"object": "list", "data": models}
+        }
+        if path == c.ROUTE_MODELS:
+            return {"object": "list", "data": list(models.values())}
+        name = path.removeprefix(f"{c.ROUTE_MODELS}/")
+        if name not in models:
+            raise RequestRefusedError(ResultCode.UNKNOWN_MODEL)
+        return models[name]
 
     async def _async_complete(
-        self, context: _Context, completion: Completion, responder: Responder
+        self, context: CallerContext, completion: Completion, responder: Responder
     ) -> None:
         self._host.check_admitting()
-        writer = CompletionWriter(completion, context.request_id)
-        answer = _Answer(context, completion, writer, responder)
+        model = self._host.configuration.models.get(completion.model)
+        if model is None:
+            raise RequestRefusedError(ResultCode.UNKNOWN_MODEL)
+        completion = fit_to_context(completion, model.context_tokens)
+        answer = CompletionAnswer(
+            completion, context.request_id, context.headers, responder
+        )
         end = await self._models.async_run(
             context.request_id, context.account, completion, context.deadline, answer
         )
-        self._log_end(context.request_id, context.account.name, end.code)
         await answer.async_end(end)
+        self._log_context_end(
+            context,
+            end.code,
+            target=answer.target or None,
+            prompt_tokens=completion.prompt_tokens,
+            completion_tokens=answer.tokens,
+        )
 
     async def _async_call(
-        self, context: _Context, request: HttpRequest, responder: Responder
+        self, context: CallerContext, request: HttpRequest, responder: Responder
     ) -> None:
         self._host.check_admitting()
         parts = request.path.removeprefix(c.ROUTE_SERVICES).split("/")
@@ -142,27 +179,52 @@
         reply = await self._calls.async_run(
             call, request.headers.get(c.HEADER_CALL_KEY)
         )
-        self._log_end(context.request_id, context.account.name, reply.code)
         await _async_send_reply(reply, context, responder)
+        self._log_context_end(
+            context, reply.code, service=call.service, operation=call.operation
+        )
+
+    def _log_context_end(
+        self, context: CallerContext, code: ResultCode, **fields: Any
+    ) -> None:
+        seconds = asyncio.get_running_loop().time() - context.started_at
+        account = context.account.name
+        self._host.metrics.observe("request_duration", seconds, account)
+        self._log_end(
+            context.request_id, account, code, duration_seconds=seconds, **fields
+        )
 
-    def _log_end(self, request_id: str, account: str, code: ResultCode) -> None:
+    def _log_end(
+        self, request_id: str, account: str, code: ResultCode, **fields: Any
+    ) -> None:
         self._host.metrics.count("requests", str(code.number), account)
         log_event(
             "request_ended",
             request_id=request_id,
-            client_account=account,
+            client_account=account or None,
             code=code.number,
             name=code.name,
+            **fields,
         )
 
 
+def _check_route(head: HttpHead) -> None:
+    methods = METHODS.get(head.path)
+    for prefix, prefix_methods in PREFIX_METHODS.items():
+        if head.path.startswith(prefix):
+            methods = prefix_methods
+    if methods is None:
+        raise RequestRefusedError(ResultCode.UNKNOWN_ROUTE)
+    if head.method not in methods:
+        detail = f"The route takes {' and '.join(methods)}."
+        raise RequestRefusedError(ResultCode.METHOD_NOT_ALLOWED, detail)
+
+
 async def _async_send_reply(
-    reply: Reply, context: _Context, responder: Responder
+    reply: Reply, context: CallerContext, responder: Responder
 ) -> None:
     if reply.answer is None:
-        await responder.async_send_error(
-            reply.code, "", context.request_id, headers=context.headers
-        )
+        await responder.async_send_error(reply.code, headers=context.headers)
         return
     headers = {
         **context.headers,
@@ -170,63 +232,3 @@
         c.HEADER_RESULT_CODE: str(reply.code.number),
     }
     await responder.async_send_bytes(reply.answer.status, reply.answer.body, headers)
-
-
-class _Answer:
-    """Write a model request's answer, streamed or whole."""
-
-    def __init__(
-        self,
-        context: _Context,
-        completion: Completion,
-        writer: CompletionWriter,
-        responder: Responder,
-    ) -> None:
-        self._context = context
-        self._completion = completion
-        self._writer = writer
-        self._responder = responder
-        self._parts: list[str] = []
-
-    async def async_deliver(self, text: str) -> None:
-        """Give text to the caller."""
-        if not self._completion.is_streaming:
-            self._parts.append(text)
-            return
-        await self._async_start()
-        await self._responder.async_send_chunk(self._writer.build_event(text))
-
-    async def async_end(self, end: EndRequest) -> None:
-        """End the answer with its finish reason or with an error, never silently."""
-        if end.code is not ResultCode.OK:
-            await self._async_end_with_error(end)
-        elif self._completion.is_streaming:
-            await self._async_start()
-            await self._responder.async_send_chunk(
-                self._writer.build_end(end.finish_reason)
-            )
-            await self._responder.async_finish()
-        else:
-            text = "".join(self._parts)
-            body = self._writer.build_whole(text, len(self._parts), end.finish_reason)
-            await self._responder.async_send_json(200, body, self._context.headers)
-
-    async def _async_start(self) -> None:
-        if not self._responder.is_started:
-            headers = {**EVENT_STREAM, **self._context.headers}
-            await self._responder.async_start(200, headers)
-
-    async def _async_end_with_error(self, end: EndRequest) -> None:
-        request_id = self._context.request_id
-        if not self._responder.is_started:
-            await self._responder.async_send_error(
-                end.code,
-                "",
-                request_id,
-                end.retry_after_seconds,
-                headers=self._context.headers,
-            )
-            return
-        error = build_error_body(end.code, "", request_id)
-        await self._responder.async_send_chunk(self._writer.build_error(error))
-        await self._responder.async_finish()
--- a/libraries/daemon/tarragonward_daemon/completions.py
+++ b/libraries/daemon/tarragonward_daemon/completions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
@@ -13,52 +13,132 @@
 
 from .const import DEFAULT_MAX_TOKENS
 
-__all__ = ["Completion", "CompletionWriter", "parse_chat", "parse_completion"]
+__all__ = [
+    "Completion",
+    "CompletionWriter",
+    "fit_to_context",
+    "parse_chat",
+    "parse_completion",
+]
 
 MAX_ANSWER_TOKENS = 1_000_000
+MAX_PRIORITY = 100
 DONE_EVENT = b"data: [DONE]\n\n"
+SAMPLING_FIELDS = (
+    "frequency_penalty",
+    "presence_penalty",
+    "seed",
+    "temperature",
+    "top_p",
+)
+
+
+@dataclass(frozen=True)
+class Completion:
+    """A model request as the caller wrote it, in one form for both routes.
+
+    max_tokens is None until fit_to_context where the caller gave none; sampling holds
+    the fields that only the engine understands.
+    """
+
+    model: str
+    prompt: str = field(repr=False)
+    prompt_tokens: int
+    max_tokens: int
+    is_streaming: bool
+    is_chat: bool
+    priority: int | None
+    is_max_tokens_given: bool = True
+    includes_usage: bool = False
+    sampling: dict[str, Any] = field(default_factory=dict)
 
+
+def _integer(minimum: int, maximum: int) -> Any:
+    def check(value: Any) -> int | None:
+        if value is None:
+            return None
+        if type(value) is not int or not minimum <= value <= maximum:
+            raise vol.Invalid(f"expected a whole number from {minimum} to {maximum}")
+        return value
+
+    return check
+
+
+def _one_string(value: Any) -> str:
+    if not isinstance(value, str):
+        raise vol.Invalid("expected one string; lists and token ids are not supported")
+    return value
+
+
+def _text_content(value: Any) -> str:
+    if isinstance(value, str):
+        return value
+    parts = value if isinstance(value, list) else [None]
+    texts = [p.get("text") for p in parts if isinstance(p, dict)]
+    if len(texts) != len(parts) or not all(isinstance(t, str) for t in texts):
+        raise vol.Invalid("expected a string or a list of text parts")
+    return "".join(texts)
+
+
+def _unsupported(*allowed: Any) -> Any:
+    # A field that changes the answer must not be passed over: the caller would take
+    # another answer for the one it asked for.
+    def check(value: Any) -> Any:
+        if value not in (None, *allowed):
+            raise vol.Invalid(f"not supported; expected one of {[None, *allowed]}")
+        return value
+
+    return check
+
+
+_STREAM_OPTIONS = vol.Any(
+    None,
+    vol.Schema({vol.Optional("include_usage"): bool}, extra=vol.ALLOW_EXTRA),
+)
 _COMMON = {
     vol.Required("model"): str,
-    vol.Optional("max_tokens"): vol.All(int, vol.Range(min=1, max=MAX_ANSWER_TOKENS)),
-    vol.Optional("stream"): bool,
-    vol.Optional("priority"): vol.All(int, vol.Range(min=-100, max=100)),
-    # What stock clients send besides changes nothing about where a prompt runs.
+    vol.Optional("max_tokens"): _integer(1, MAX_ANSWER_TOKENS),
+    vol.Optional("stream"): vol.Any(None, bool),
+    vol.Optional("stream_options"): _STREAM_OPTIONS,
+    vol.Optional("priority"): _integer(-MAX_PRIORITY, MAX_PRIORITY),
+    vol.Optional("n"): _unsupported(1),
+    vol.Optional("stop"): _unsupported([]),
+    vol.Optional("logit_bias"): _unsupported({}),
+    # What else stock clients send changes nothing about the answer's text.
     vol.Extra: object,
 }
-COMPLETION_SCHEMA = vol.Schema({vol.Required("prompt"): str, **_COMMON})
+COMPLETION_SCHEMA = vol.Schema(
+    {
+        vol.Required("prompt"): _one_string,
+        vol.Optional("best_of"): _unsupported(1),
+        vol.Optional("echo"): _unsupported(False),
+        vol.Optional("logprobs"): _unsupported(),
+        vol.Optional("suffix"): _unsupported(""),
+        **_COMMON,
+    }
+)
 CHAT_SCHEMA = vol.Schema(
     {
         vol.Required("messages"): vol.All(
             [
                 vol.Schema(
-                    {vol.Required("role"): str, vol.Required("content"): str},
+                    {vol.Required("role"): str, vol.Required("content"): _text_content},
                     extra=vol.ALLOW_EXTRA,
                 )
             ],
             vol.Length(min=1),
         ),
-        vol.Optional("max_completion_tokens"): vol.All(
-            int, vol.Range(min=1, max=MAX_ANSWER_TOKENS)
-        ),
+        vol.Optional("max_completion_tokens"): _integer(1, MAX_ANSWER_TOKENS),
+        vol.Optional("functions"): _unsupported([]),
+        vol.Optional("logprobs"): _unsupported(False),
+        vol.Optional("modalities"): _unsupported(["text"]),
+        vol.Optional("response_format"): _unsupported({"type": "text"}),
+        vol.Optional("tools"): _unsupported([]),
         **_COMMON,
     }
 )
 
 
-@dataclass(frozen=True)
-class Completion:
-    """A model request as the caller wrote it, in one form for both routes."""
-
-    model: str
-    prompt: str = field(repr=False)
-    prompt_tokens: int
-    max_tokens: int
-    is_streaming: bool
-    is_chat: bool
-    priority: int | None
-
-
 def parse_completion(body: bytes) -> Completion:
     """Return the request in a body of /v1/completions; refuse what is not valid."""
     data = _parse(body, COMPLETION_SCHEMA)
@@ -72,6 +152,23 @@
     return _build(data, "".join(turns) + "assistant:", is_chat=True)
 
 
+def fit_to_context(completion: Completion, context_tokens: int) -> Completion:
+    """Return the completion with an answer that fits; refuse a prompt that does not.
+
+    Prompt and answer share context_tokens. An answer length that the caller named is
+    never cut: it would get a shorter answer than the one it counts on.
+    """
+    room = context_tokens - completion.prompt_tokens
+    wanted = completion.max_tokens if completion.is_max_tokens_given else 1
+    if room < wanted:
+        raise RequestRefusedError(
+            ResultCode.PROMPT_TOO_LONG,
+            f"The prompt of {completion.prompt_tokens} tokens and an answer of"
+            f" {wanted} are over the model's {context_tokens}.",
+        )
+    return replace(completion, max_tokens=min(completion.max_tokens, room))
+
+
 def _parse(body: bytes, schema: vol.Schema) -> dict[str, Any]:
     try:
         data = orjson.loads(body)
@@ -90,9 +187,14 @@
         prompt=prompt,
         prompt_tokens=estimate_tokens(len(prompt.encode())),
         max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
-        is_streaming=data.get("stream", False),
+        is_streaming=bool(data.get("stream")),
         is_chat=is_chat,
         priority=data.get("priority"),
+        is_max_tokens_given=max_tokens is not None,
+        includes_usage=bool((data.get("stream_options") or {}).get("include_usage")),
+        sampling={
+            name: data[name] for name in SAMPLING_FIELDS if data.get(name) is not None
+        },
     )
 
 
@@ -114,17 +216,17 @@
         if self._is_chat:
             delta = {"role": "assistant", "content": text}
             choice: dict[str, Any] = {"index": 0, "delta": delta}
-            kind = "chat.completion.chunk"
         else:
             choice = {"index": 0, "text": text, "logprobs": None}
-            kind = "text_completion"
         choice["finish_reason"] = finish_reason
-        event = {**self._base, "object": kind, "choices": [choice]}
-        return b"data: " + orjson.dumps(event) + b"\n\n"
+        return self._build_event([choice])
 
-    def build_end(self, finish_reason: str) -> bytes:
-        """Return the events that end a whole answer."""
-        return self.build_event("", finish_reason) + DONE_EVENT
+    def build_end(self, finish_reason: str, tokens: int) -> bytes:
+        """Return the events that end a whole answer of so many tokens."""
+        usage = b""
+        if self._completion.includes_usage:
+            usage = self._build_event([], usage=self._build_usage(tokens))
+        return self.build_event("", finish_reason) + usage + DONE_EVENT
 
     def build_error(self, error: dict[str, Any]) -> bytes:
         """Return the event that ends an answer that is not whole."""
@@ -140,10 +242,18 @@
             choice = {"index": 0, "text": text, "logprobs": None}
             kind = "text_completion"
         choice["finish_reason"] = finish_reason
+        usage = self._build_usage(tokens)
+        return {**self._base, "object": kind, "choices": [choice], "usage": usage}
+
+    def _build_event(self, choices: list[dict[str, Any]], **fields: Any) -> bytes:
+        kind = "chat.completion.chunk" if self._is_chat else "text_completion"
+        event = {**self._base, "object": kind, "choices": choices, **fields}
+        return b"data: " + orjson.dumps(event) + b"\n\n"
+
+    def _build_usage(self, tokens: int) -> dict[str, int]:
         prompt_tokens = self._completion.prompt_tokens
-        usage = {
+        return {
             "prompt_tokens": prompt_tokens,
             "completion_tokens": tokens,
             "total_tokens": prompt_tokens + tokens,
         }
-        return {**self._base, "object": kind, "choices": [choice], "usage": usage}
--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -53,8 +53,11 @@
 class Sink(Protocol):
     """Where an answer's text goes."""
 
-    async def async_deliver(self, text: str) -> None:
-        """Give text to the caller; wait while it has no room."""
+    def note_target(self, target: str) -> None:
+        """Note which engine the answer comes from."""
+
+    async def async_deliver(self, text: str, tokens: int) -> None:
+        """Give text of so many tokens to the caller; wait while it has no room."""
 
 
 @dataclass
@@ -178,6 +181,7 @@
                 return
             attempt = self._build_attempt(effect.attempt, placed)
         self._attempt = attempt
+        self._sink.note_target(attempt.engine.name)
         attempt.task = asyncio.create_task(self._async_attempt(attempt, effect))
 
     @_async_apply.register
@@ -194,7 +198,7 @@
                 get_length_class(self._completion.prompt_tokens),
             )
         self._given_out.append(effect.text)
-        await self._sink.async_deliver(effect.text)
+        await self._sink.async_deliver(effect.text, effect.tokens)
 
     @_async_apply.register
     async def _(self, effect: EndRequest) -> None:
@@ -257,6 +261,7 @@
                     "prompt": self._completion.prompt + "".join(self._given_out),
                     "max_tokens": self._completion.max_tokens - effect.offset,
                     "offset": effect.offset,
+                    "sampling": self._completion.sampling,
                 }
             )
         async with opening as stream:
