Wait until a site's targets listen before a test begins

Cause: Site waited for healthy entry hosts only. On a busy machine an engine began to listen after its host was healthy, and the first request failed with ENGINES_FAILED (its only engine refused the connection): 4 of 8 runs of tests/ at load 9 were red in one test or another. Ruled out: retrying in the tests, which would hide real refusals.

--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -157,10 +157,14 @@
         return entries + targets
 
     async def async_setup(self) -> None:
-        """Write the files, start all processes and wait until hosts are healthy."""
+        """Write the files, start all processes and wait until all of them serve."""
         self._write_files()
         self._build_commands()
         await asyncio.gather(*(self.async_start(name) for name in self._commands))
+        # A host is healthy before a slow target listens. Symptom: the first requests
+        # of a test fail with "every attempt failed" on a busy machine.
+        targets = [*self.engines.values(), *self.services.values()]
+        await asyncio.gather(*(self.async_wait_listening(a) for a in targets))
         await asyncio.gather(*(self.async_wait_healthy(name) for name in self.hosts))
 
     async def async_unload(self) -> None:
@@ -197,6 +201,16 @@
         """Send a signal to a process, such as SIGSTOP to freeze it."""
         self._processes[name].send_signal(number)
 
+    async def async_wait_listening(self, address: Address) -> None:
+        """Wait until a process of the site takes connections."""
+        async with asyncio.timeout(SETUP_SECONDS):
+            while True:
+                try:
+                    await async_send_http(address, "GET", "/", timeout=1.0)
+                    return
+                except TargetError:
+                    await asyncio.sleep(0.05)
+
     async def async_wait_healthy(self, name: str) -> None:
         """Wait until an entry host's health check passes."""
         address = self.hosts[name].operators
