Carry header values as the bytes they came, and test the callers' routes

Cause: a caller's content type with a byte above 127 was forwarded as text that h11 encodes as ASCII; the host failed after it had written sent, so a booking that nobody ran had an unknown outcome (seen in the new test as UnicodeEncodeError). Headers now go out as the latin-1 bytes that came in, on both sides. Ruled out: refusing such headers, as HTTP allows them.

--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -19,6 +19,7 @@
 )
 
 from .const import DEFAULT_CONNECT_TIMEOUT_SECONDS, READ_BYTES
+from .http_messages import encode_headers
 
 __all__ = ["HttpAnswer", "HttpStream", "async_open_http", "async_send_http"]
 
@@ -137,7 +138,9 @@
         "connection": "close",
         **(headers or {}),
     }
-    request = h11.Request(method=method, target=path, headers=list(all_headers.items()))
+    request = h11.Request(
+        method=method, target=path, headers=encode_headers(all_headers)
+    )
     try:
         writer.write(connection.send(request))
         if body:
--- a/libraries/wire/tarragonward_wire/http_messages.py
+++ b/libraries/wire/tarragonward_wire/http_messages.py
@@ -20,7 +20,14 @@
     DEFAULT_WRITE_TIMEOUT_SECONDS,
 )
 
-__all__ = ["Headers", "HttpHead", "HttpLimits", "HttpRequest", "parse_head"]
+__all__ = [
+    "Headers",
+    "HttpHead",
+    "HttpLimits",
+    "HttpRequest",
+    "encode_headers",
+    "parse_head",
+]
 
 Headers = dict[str, str]
 
@@ -84,6 +91,14 @@
     return HttpHead(request_id, method, path, query, headers)
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return headers as they go out; values that came in as bytes go out the same."""
+    return [
+        (name.encode("ascii"), value.encode("latin-1"))
+        for name, value in headers.items()
+    ]
+
+
 def _join_headers(request: h11.Request) -> Headers:
     headers: Headers = {}
     for raw_name, raw_value in request.headers:
--- a/libraries/wire/tarragonward_wire/http_responder.py
+++ b/libraries/wire/tarragonward_wire/http_responder.py
@@ -12,7 +12,7 @@
 from tarragonward_core import Repeat, ResultCode
 
 from .const import DEFAULT_RETRY_AFTER_SECONDS, WRITE_BUFFER_BYTES
-from .http_messages import Headers
+from .http_messages import Headers, encode_headers
 
 __all__ = ["Responder", "build_error_body", "compute_retry_after"]
 
@@ -115,7 +115,7 @@
         self.is_started = True
         if self._is_closing():
             headers = {**headers, "connection": "close"}
-        response = h11.Response(status_code=status, headers=list(headers.items()))
+        response = h11.Response(status_code=status, headers=encode_headers(headers))
         self._write(response)
 
     async def async_send_chunk(self, data: bytes) -> None:
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,183 @@
+"""Tests of what callers get for bad, hostile and unusual requests, through a host."""
+
+import asyncio
+
+import orjson
+
+from tarragonward_core import ResultCode
+from tarragonward_standins.answers import expect_answer
+from tarragonward_standins.site import SitePlan
+from tarragonward_wire import async_open_http, async_send_http
+
+SMALL = SitePlan(
+    failure_domains=("north",),
+    hosts_per_domain=1,
+    engines_per_domain=1,
+    context_tokens=1_000,
+    limits={"max_body_bytes": 100_000, "max_time_limit_seconds": 30},
+)
+PROMPT = {"model": "planogram-1", "prompt": "Rewrite bay 4", "max_tokens": 3}
+CHAT = {"model": "planogram-1", "messages": [{"role": "user", "content": "bay"}]}
+
+
+async def async_post(site, path, payload, **headers):
+    host = next(iter(site.hosts.values()))
+    body = payload if isinstance(payload, bytes) else orjson.dumps(payload)
+    return await async_send_http(
+        host.callers,
+        headers.pop("method", "POST"),
+        path,
+        headers={
+            "authorization": f"Bearer {site.tokens['camara']}",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        },
+        body=body,
+        timeout=10,
+    )
+
+
+REFUSALS = [
+    ("/v1/completions", b"{", {}, ResultCode.MALFORMED_JSON),
+    ("/v1/completions", b'{"a":' * 5000, {}, ResultCode.MALFORMED_JSON),
+    ("/v1/completions", b'{"prompt": "\\ud800"}', {}, ResultCode.MALFORMED_JSON),
+    ("/v1/completions", [], {}, ResultCode.INVALID_REQUEST),
+    ("/v1/completions", {"prompt": "a"}, {}, ResultCode.INVALID_REQUEST),
+    ("/v1/completions", {**PROMPT, "prompt": ["a"]}, {}, ResultCode.INVALID_REQUEST),
+    ("/v1/completions", {**PROMPT, "n": 2}, {}, ResultCode.INVALID_REQUEST),
+    ("/v1/completions", {**PROMPT, "stop": "."}, {}, ResultCode.INVALID_REQUEST),
+    ("/v1/completions", {**PROMPT, "max_tokens": 0}, {}, ResultCode.INVALID_REQUEST),
+    ("/v1/completions", {**PROMPT, "max_tokens": True}, {}, ResultCode.INVALID_REQUEST),
+    ("/v1/completions", {**PROMPT, "model": "x"}, {}, ResultCode.UNKNOWN_MODEL),
+    (
+        "/v1/completions",
+        {**PROMPT, "prompt": "a" * 5_000},
+        {},
+        ResultCode.PROMPT_TOO_LONG,
+    ),
+    (
+        "/v1/completions",
+        {**PROMPT, "max_tokens": 999},
+        {},
+        ResultCode.PROMPT_TOO_LONG,
+    ),
+    ("/v1/completions", b"a" * 200_000, {}, ResultCode.BODY_TOO_LARGE),
+    ("/v1/chat/completions", PROMPT, {}, ResultCode.INVALID_REQUEST),
+    ("/v1/chat/completions", {**CHAT, "tools": [1]}, {}, ResultCode.INVALID_REQUEST),
+    (
+        "/v1/chat/completions",
+        {**CHAT, "messages": [{"role": "user", "content": [{"type": "image_url"}]}]},
+        {},
+        ResultCode.INVALID_REQUEST,
+    ),
+    ("/v1/nothing", {}, {}, ResultCode.UNKNOWN_ROUTE),
+    ("/v1/status", {}, {}, ResultCode.UNKNOWN_ROUTE),
+    ("/v1/completions", b"", {"method": "GET"}, ResultCode.METHOD_NOT_ALLOWED),
+    ("/v1/models/x", b"", {"method": "GET"}, ResultCode.UNKNOWN_MODEL),
+    ("/v1/services/approvals", b"", {}, ResultCode.UNKNOWN_SERVICE),
+    ("/v1/services/approvals/%2e%2e", b"", {}, ResultCode.UNKNOWN_SERVICE),
+    ("/v1/services/approvals/approve", b"", {}, ResultCode.KEY_MISSING),
+    (
+        "/v1/services/approvals/approve",
+        b"",
+        {"x_call_key": "a.b.c"},
+        ResultCode.KEY_INVALID,
+    ),
+    ("/v1/models", b"", {"authorization": ""}, ResultCode.TOKEN_MISSING),
+    ("/v1/models", b"", {"authorization": "Basic x"}, ResultCode.TOKEN_MISSING),
+    ("/v1/models", b"", {"authorization": "Bearer \xff%00"}, ResultCode.TOKEN_WRONG),
+]
+TIME_LIMITS = {
+    "0": ResultCode.DEADLINE_IN_PAST,
+    "-5": ResultCode.DEADLINE_IN_PAST,
+    "-0.0": ResultCode.DEADLINE_IN_PAST,
+    "nan": ResultCode.INVALID_REQUEST,
+    "inf": ResultCode.INVALID_REQUEST,
+    "-inf": ResultCode.INVALID_REQUEST,
+    "soon": ResultCode.INVALID_REQUEST,
+}
+
+
+async def test_every_refusal_is_numbered_and_says_whether_to_repeat(make_site):
+    site = await make_site(SMALL)
+    cases = [*REFUSALS]
+    cases += [
+        ("/v1/completions", PROMPT, {"x_time_limit_seconds": text}, code)
+        for text, code in TIME_LIMITS.items()
+    ]
+    for path, payload, headers, code in cases:
+        answer = await async_post(site, path, payload, **headers)
+        error = answer.parse_json()["error"]
+        found = (answer.status, error["code"], answer.headers["x-result-code"])
+        wanted = (code.http_status, code.number, str(code.number))
+        assert found == wanted, (path, headers, error)
+        assert error["request_id"] and error["message"]
+        assert ("retry-after" in answer.headers) == (
+            error["retry_after_seconds"] is not None
+        )
+
+
+async def test_a_hostile_content_type_reaches_the_target_as_it_came(make_site):
+    """A call's content type holds bytes that are not ASCII.
+
+    They once made the host fail after it had written "sent", so that a booking which
+    nobody ran had an unknown outcome. They travel unchanged.
+    """
+    site = await make_site(SMALL)
+    prefix = (await async_post(site, "/v1/key-prefix", b"")).parse_json()["key_prefix"]
+    path = "/v1/services/approvals/approve"
+    answer = await async_post(
+        site, path, b"slot", content_type="text/\xff", x_call_key=f"{prefix}.1"
+    )
+    assert (answer.status, answer.parse_json()["run"]) == (200, 1)
+
+
+async def test_answers_of_the_same_prompt_count_the_same_tokens(make_site):
+    """Several tokens of an engine arrive joined in one piece.
+
+    The usage once counted the pieces. Streamed and whole answers must both give the
+    number of tokens that the engine made.
+    """
+    site = await make_site(SMALL)
+    prompt = {**PROMPT, "max_tokens": 40}
+    expected = expect_answer(PROMPT["prompt"], 40)
+    whole = (await async_post(site, "/v1/completions", prompt)).parse_json()
+    assert whole["choices"][0]["text"] == expected.text
+    assert whole["usage"]["completion_tokens"] == expected.tokens
+    streamed = {**prompt, "stream": True, "stream_options": {"include_usage": True}}
+    answer = await async_post(site, "/v1/completions", streamed)
+    *events, last, done = answer.body.decode().strip().split("\n\n")
+    assert done == "data: [DONE]"
+    usage = orjson.loads(last.removeprefix("data: "))
+    assert (usage["choices"], usage["usage"]) == ([], whole["usage"])
+    texts = [orjson.loads(e.removeprefix("data: "))["choices"][0] for e in events]
+    assert "".join(choice["text"] for choice in texts) == expected.text
+
+
+async def test_a_reader_that_stops_reading_gives_the_engine_back_in_time(make_site):
+    """A phone loses its network in the middle of a long answer and reads no more.
+
+    Its request holds engine memory until its own time limit at the latest, not until
+    some timeout of the socket, and the engine's memory returns to its idle figure.
+    """
+    site = await make_site(SMALL)
+    host = next(iter(site.hosts.values()))
+    engine = next(iter(site.engines.values()))
+    request = {**PROMPT, "max_tokens": 900, "stream": True}
+    async with async_open_http(
+        host.callers,
+        "POST",
+        "/v1/completions",
+        headers={
+            "authorization": f"Bearer {site.tokens['camara']}",
+            "x-time-limit-seconds": "1",
+        },
+        body=orjson.dumps(request),
+    ) as stream:
+        assert stream.status == 200
+        async with asyncio.timeout(10):
+            while True:
+                report = await async_send_http(engine, "GET", "/v1/load", timeout=2)
+                load = report.parse_json()
+                if load["free_kv_tokens"] == load["kv_tokens"]:
+                    break
+                await asyncio.sleep(0.1)
