--- a/libraries/cli/tarragonward_cli/codes.py
+++ b/libraries/cli/tarragonward_cli/codes.py
@@ -2,24 +2,22 @@
 
 from __future__ import annotations
 
-import json
-
-from cleo.commands.command import Command
-from cleo.helpers import option
-
 from tarragonward_core import ResultCode
 
+from .command import JSON_OPTION, ToolCommand
+from .const import EXIT_OK
+
 __all__ = ["CodesCommand"]
 
 
-class CodesCommand(Command):
+class CodesCommand(ToolCommand):
     """Print each result code, what may be concluded, and whether to repeat."""
 
     name = "codes"
     description = "Shows the table of result codes."
-    options = [option("json", None, "Print JSON.")]
+    options = [JSON_OPTION]
 
-    def handle(self) -> int:
+    async def async_run(self) -> int:
         """Print the table; return the exit code."""
         rows = [
             {
@@ -33,14 +31,8 @@
             for code in ResultCode
         ]
         if self.option("json"):
-            self.line(json.dumps(rows, indent=2))
-            return 0
-        table = self.table(
-            ["number", "name", "conclusion", "repeat"],
-            [
-                [str(row["number"]), row["name"], row["conclusion"], row["repeat"]]
-                for row in rows
-            ],
-        )
-        table.render()
-        return 0
+            self.print_json(rows)
+            return EXIT_OK
+        shown = ("number", "name", "conclusion", "repeat")
+        self.print_table([{name: row[name] for name in shown} for row in rows])
+        return EXIT_OK
