--- a/libraries/daemon/tarragonward_daemon/callers.py
+++ b/libraries/daemon/tarragonward_daemon/callers.py
@@ -15,7 +15,7 @@
 
 from . import const as c
 from .answers import CompletionAnswer
-from .calls import ServiceCall, ServiceCalls
+from .calls import ServiceCall, ServiceCalls, judge_refusal
 from .completions import Completion, fit_to_context, parse_chat, parse_completion
 from .core import HostState
 from .models import ModelRequests
@@ -57,7 +57,7 @@
         """Refuse what its head already forbids, before its body costs memory."""
         account = self._host.authenticate(head.headers.get("authorization"))
         _check_route(head)
-        if head.path in PARSERS or head.path.startswith(c.ROUTE_SERVICES):
+        if head.path in PARSERS:
             self._host.check_admitting()
         now = asyncio.get_running_loop().time()
         headers = {
@@ -67,6 +67,12 @@
         deadline = now + self._read_time_limit(head)
         return CallerContext(head.request_id, account, now, deadline, headers)
 
+    def judge_refusal(
+        self, head: HttpHead, error: RequestRefusedError
+    ) -> RequestRefusedError:
+        """Return what to say of a request that was refused before its body was read."""
+        return judge_refusal(error, c.HEADER_CALL_KEY in head.headers)
+
     def note_refused(self, request_id: str, code: ResultCode) -> None:
         """Log and count a request that was refused before it reached a route."""
         self._log_end(request_id, "", code)
@@ -80,7 +86,8 @@
             stack.callback(self._host.leave_request)
             try:
                 await self._async_route(context, request, responder)
-            except RequestRefusedError as err:
+            except RequestRefusedError as refusal:
+                err = judge_refusal(refusal, c.HEADER_CALL_KEY in request.headers)
                 self._log_context_end(context, err.code)
                 await responder.async_send_error(
                     err.code,
@@ -150,7 +157,10 @@
         end = await self._models.async_run(
             context.request_id, context.account, completion, context.deadline, answer
         )
-        await answer.async_end(end)
+        # A caller that reads nothing must not hold its request. Symptom: a drain that
+        # waits for it. Running out of time here ends the caller's connection.
+        async with asyncio.timeout(c.END_ANSWER_SECONDS):
+            await answer.async_end(end)
         self._log_context_end(
             context,
             end.code,
@@ -162,7 +172,6 @@
     async def _async_call(
         self, context: CallerContext, request: HttpRequest, responder: Responder
     ) -> None:
-        self._host.check_admitting()
         parts = request.path.removeprefix(c.ROUTE_SERVICES).split("/")
         if len(parts) != 2:
             raise RequestRefusedError(ResultCode.UNKNOWN_SERVICE)
@@ -224,7 +233,11 @@
     reply: Reply, context: CallerContext, responder: Responder
 ) -> None:
     if reply.answer is None:
-        await responder.async_send_error(reply.code, headers=context.headers)
+        await responder.async_send_error(
+            reply.code,
+            retry_after_seconds=reply.retry_after_seconds,
+            headers=context.headers,
+        )
         return
     headers = {
         **context.headers,
--- a/libraries/wire/tarragonward_wire/__init__.py
+++ b/libraries/wire/tarragonward_wire/__init__.py
@@ -2,14 +2,16 @@
 
 from .body_budget import BodyBudget
 from .codec import decode_message, encode_message, register_message
-from .frames import FrameStream, async_shake_hands
+from .frames import BadFrame, FrameStream, RefusedFrameError, async_shake_hands
 from .http_client import HttpAnswer, HttpStream, async_open_http, async_send_http
 from .http_messages import HttpHead, HttpLimits, HttpRequest
 from .http_responder import Responder, build_error_body
 from .http_server import HttpServer
-from .peers import PeerLinks, PeerServer
+from .links import PeerLinks
+from .peers import PeerServer
 
 __all__ = [
+    "BadFrame",
     "BodyBudget",
     "FrameStream",
     "HttpAnswer",
@@ -20,6 +22,7 @@
     "HttpStream",
     "PeerLinks",
     "PeerServer",
+    "RefusedFrameError",
     "Responder",
     "async_open_http",
     "async_send_http",
--- a/libraries/wire/tarragonward_wire/http_connection.py
+++ b/libraries/wire/tarragonward_wire/http_connection.py
@@ -129,9 +129,12 @@
     async def _async_read_and_handle(self, responder: Responder) -> bool:
         head = await self._async_read_head(responder.request_id)
         responder.method = head.method
-        context = self._server.check_head(head)
         with self._server.count_active():
-            body = await self._async_read_body(head)
+            try:
+                context = self._server.check_head(head)
+                body = await self._async_read_body(head)
+            except RequestRefusedError as err:
+                raise self._server.judge_refusal(head, err) from None
             request = HttpRequest(
                 method=head.method,
                 path=head.path,
--- a/libraries/wire/tarragonward_wire/http_server.py
+++ b/libraries/wire/tarragonward_wire/http_server.py
@@ -21,6 +21,7 @@
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 HeadCheck = Callable[[HttpHead], Any]
+RefusalJudge = Callable[[HttpHead, RequestRefusedError], RequestRefusedError]
 RefusalNote = Callable[[str, ResultCode], None]
 
 
@@ -28,8 +29,9 @@
     """Listen on an address and hand whole requests to a handler.
 
     check_head sees a request before its body is read: it raises RequestRefusedError,
-    or returns what the handler gets as the request's context. note_refused is told
-    the request id and code of each request that never reached the handler.
+    or returns what the handler gets as the request's context. judge_refusal turns a
+    refusal by a head or body into what its caller is told; note_refused is told the
+    request id and code of each request that never reached the handler.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         limits: HttpLimits | None = None,
         *,
         check_head: HeadCheck = lambda head: None,
+        judge_refusal: RefusalJudge = lambda head, error: error,
         note_refused: RefusalNote | None = None,
         bodies: BodyBudget | None = None,
     ) -> None:
@@ -51,6 +54,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self.check_head = check_head
+        self.judge_refusal = judge_refusal
         self.note_refused = note_refused or _log_refused
         self.bodies = bodies or BodyBudget()
         self.active_requests = 0
@@ -74,13 +78,18 @@
             backlog=1024,
         )
 
-    def begin_closing(self) -> None:
-        """Ask callers to close: each answer from now on ends its connection."""
+    def close_after_answers(self) -> None:
+        """End each connection after its answer; go on taking new ones.
+
+        Closing the listening socket resets the connections that wait in its backlog.
+        Symptom: a caller's request is cut off while this host drains. So it listens
+        until nothing is in progress, and says "connection: close" in each answer.
+        """
         self.is_closing = True
 
     async def async_stop_listening(self) -> None:
         """Take no new connection; those that are open end after their request."""
-        self.begin_closing()
+        self.close_after_answers()
         if self._server is not None:
             self._server.close()
 
