--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -43,12 +43,12 @@
         self.membership = MembershipTask(host)
         self.configuration = ConfigurationTask(host, self.links, self.membership)
         self.orders = OrderTask(host, self.membership, self.configuration)
-        self.reports = ReportTask(host)
+        self.reports = ReportTask(host, self.membership)
         self.releases = Releases()
         self.calls = ServiceCalls(host, self.links, self.membership)
         self.models = ModelRequests(host, self.reports, self.releases, self.membership)
         self.sweep = SweepTask(host, self.models, self.releases, self.membership)
-        messages = PeerMessages(self.calls, self.configuration.peers)
+        messages = PeerMessages(self.calls, self.configuration.peers, self.membership)
         self.peers = PeerServer(
             host.identity,
             settings.peer_key,
@@ -119,6 +119,7 @@
 
     async def _async_drain(self) -> None:
         """Wait until all requests in progress have ended, or the time is over."""
+        self.membership.set_leaving()
         log_event("drain_started", in_flight=self.host.requests_in_flight)
         stopped = asyncio.create_task(self._stop_asked.wait())
         drained = asyncio.create_task(self._async_wait_idle())
