Let the demo's callers behave as behind a balancer, and end with the demo

Cause: the demo's callers picked hosts by a list that the demo itself kept, gave up at the first refusal, and a signal other than Ctrl-C left the site's processes running. Ruled out: a supervisor process to reap children.

--- a/libraries/bench/tarragonward_bench/demo.py
+++ b/libraries/bench/tarragonward_bench/demo.py
@@ -5,38 +5,37 @@
 import argparse
 import asyncio
 import random
+import signal
 import sys
 import tempfile
 import uuid
 from collections import Counter
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 
-from tarragonward_core import ResultCode, TargetError, get_length_class
-from tarragonward_standins.client import (
-    CompletionResult,
-    Outcome,
-    async_call,
-    async_complete,
-    async_get_key_prefix,
-    compute_body_hash,
-)
+from tarragonward_core import Conclusion, TargetError, get_length_class
+from tarragonward_standins.client import CompletionResult, Outcome
 from tarragonward_standins.site import Site, SitePlan
 from tarragonward_wire import async_send_http
 
+from .callers import Balancer, CallEnd, Caller
+
 __all__ = ["Demo"]
 
-LOAD_SECONDS = 10.0
-REQUESTS_PER_SECOND = 6
+LOAD_SECONDS = 10
+PROMPTS_PER_SECOND = 6
 CALLS_PER_SECOND = 4
-TIME_LIMIT_SECONDS = 20.0
-SHORT_TOKENS = 1_000
-LONG_TOKENS = 150_000
-LONG_SHARE = 0.05
+CALL_LIMIT_SECONDS = 8.0
+PROMPT_LIMIT_SECONDS = 30.0
 MAX_TOKENS = 24
 BYTES_PER_TOKEN = 4
-SETTLE_SECONDS = 20.0
+# Of 20 prompts, one is very long and two are middling; the rest is short.
+LENGTHS_TOKENS = ((1, (120_000, 200_000)), (3, (8_000, 30_000)), (20, (1_000, 4_000)))
+LENGTHS_TOTAL = 20
+SETTLE_SECONDS = 15.0
+SETTLE_STEP_SECONDS = 0.5
 SEED = 1
+EXIT_INTERRUPTED = 130
 
 
 class Demo:
@@ -45,39 +44,44 @@
     def __init__(self, site: Site) -> None:
         self._site = site
         self._random = random.Random(SEED)
+        self._balancer = Balancer(site, self._random)
         self._score: Counter[str] = Counter()
+        self._told: dict[str, Conclusion] = {}
         self._ttft: dict[tuple[str, str], list[float]] = {}
-        self._live_hosts = list(site.hosts)
 
     async def async_run(self) -> bool:
         """Run all of it; return whether every promise was kept."""
+        checking = asyncio.create_task(self._balancer.async_check())
         async with asyncio.TaskGroup() as group:
             group.create_task(self._async_break())
             group.create_task(self._async_load(group))
-        leaked = await self._async_count_leaked_tokens()
-        doubled = await self._async_count_doubled()
+        checking.cancel()
+        print("progress waiting for the engines' memory")
+        leaked = await self._async_count_leaked_tokens() * BYTES_PER_TOKEN
+        doubled = await self._async_judge_runs()
         self._print_table()
         score = self._score
         print(
             f"sent={score['sent']} whole={score['whole']}"
             f" failed_in_time={score['failed_in_time']} late={score['late']}"
-            f" wrong={score['wrong']} doubled={doubled}"
-            f" leaked_bytes={leaked * BYTES_PER_TOKEN}"
+            f" wrong={score['wrong']} doubled={doubled} leaked_bytes={leaked}"
         )
         broken = score["late"] + score["wrong"] + doubled + leaked
         ended = score["whole"] + score["failed_in_time"]
         return not broken and score["whole"] > 0 and score["sent"] == ended
 
     async def _async_load(self, group: asyncio.TaskGroup) -> None:
-        ticks = int(LOAD_SECONDS)
-        for tick in range(ticks):
-            print(f"progress second={tick + 1}/{ticks} sent={self._score['sent']}")
-            for _ in range(REQUESTS_PER_SECOND):
-                group.create_task(self._async_send_completion())
-                await asyncio.sleep(0.5 / REQUESTS_PER_SECOND)
-            for _ in range(CALLS_PER_SECOND):
-                group.create_task(self._async_send_call())
-                await asyncio.sleep(0.5 / CALLS_PER_SECOND)
+        kinds = [self._async_send_prompt] * PROMPTS_PER_SECOND
+        kinds += [self._async_send_call] * CALLS_PER_SECOND
+        for second in range(LOAD_SECONDS):
+            print(
+                f"progress second={second + 1}/{LOAD_SECONDS}"
+                f" sent={self._score['sent']} whole={self._score['whole']}"
+            )
+            self._random.shuffle(kinds)
+            for send in kinds:
+                group.create_task(send())
+                await asyncio.sleep(1 / len(kinds))
 
     async def _async_break(self) -> None:
         await asyncio.sleep(LOAD_SECONDS * 0.4)
@@ -85,64 +89,54 @@
         print(f"progress killing target={engine}")
         await self._site.async_kill(engine)
         await asyncio.sleep(LOAD_SECONDS * 0.2)
-        host = self._live_hosts[0]
+        host = next(iter(self._site.hosts))
         print(f"progress killing host={host}")
         await self._site.async_kill(host)
-        await asyncio.sleep(0.5)
-        self._live_hosts.remove(host)
-
-    async def _async_send_completion(self) -> None:
-        is_long = self._random.random() < LONG_SHARE
-        tokens = LONG_TOKENS if is_long else self._random.randint(1, 4) * SHORT_TOKENS
-        prompt = f"{uuid.UUID(int=self._random.getrandbits(128))} "
-        prompt = (prompt * (tokens * BYTES_PER_TOKEN // len(prompt) + 1))[: tokens * 4]
+
+    def _pick_caller(self) -> tuple[str, Caller]:
         account = self._random.choice(list(self._site.tokens))
-        host = self._site.hosts[self._random.choice(self._live_hosts)]
+        return account, Caller(self._site, self._balancer, account)
+
+    def _pick_tokens(self) -> int:
+        number = self._random.randrange(LENGTHS_TOTAL)
+        bounds = next(bounds for below, bounds in LENGTHS_TOKENS if number < below)
+        return self._random.randint(*bounds)
+
+    async def _async_send_prompt(self) -> None:
+        tokens = self._pick_tokens()
+        start = f"{uuid.UUID(int=self._random.getrandbits(128))} "
+        size = tokens * BYTES_PER_TOKEN
+        prompt = (start * (size // len(start) + 1))[:size]
+        account, caller = self._pick_caller()
         self._score["sent"] += 1
-        result = await async_complete(
-            host.callers,
-            self._site.tokens[account],
-            self._site.plan.model,
-            prompt,
-            MAX_TOKENS,
-            TIME_LIMIT_SECONDS,
-        )
-        self._note_completion(account, tokens, result)
+        result = await caller.async_complete(prompt, MAX_TOKENS, PROMPT_LIMIT_SECONDS)
+        self._note_prompt(account, tokens, result)
 
-    def _note_completion(
-        self, account: str, tokens: int, result: CompletionResult
-    ) -> None:
+    def _note_prompt(self, account: str, tokens: int, result: CompletionResult) -> None:
         self._score[result.outcome.value] += 1
         if result.outcome is not Outcome.WHOLE:
-            print(f"progress {result.outcome.value} code={result.code} {result.detail}")
-        if result.ttft_seconds is not None:
+            print(
+                f"progress prompt={result.outcome.value} tokens={tokens}"
+                f" code={result.code} {result.detail}"
+            )
+        elif result.ttft_seconds is not None:
             key = (get_length_class(tokens), account)
             self._ttft.setdefault(key, []).append(result.ttft_seconds)
 
     async def _async_send_call(self) -> None:
-        account = self._random.choice(list(self._site.tokens))
-        token = self._site.tokens[account]
-        host = self._site.hosts[self._random.choice(self._live_hosts)]
-        repeat_host = self._site.hosts[self._random.choice(self._live_hosts)]
-        body = f"slot {self._random.getrandbits(64):x}".encode()
+        _, caller = self._pick_caller()
+        part = f"{self._random.getrandbits(64):x}"
         self._score["sent"] += 1
-        try:
-            prefix = await async_get_key_prefix(host.callers, token)
-            key = f"{prefix}.{self._random.getrandbits(64):x}"
-            result = await async_call(host.callers, token, "approve", body, key)
-            # Each call is repeated through another host: it must not run twice.
-            repeat = await async_call(repeat_host.callers, token, "approve", body, key)
-        except TargetError as err:
-            print(f"progress failed_in_time call {err!r}")
-            self._score["failed_in_time"] += 1
-            return
-        is_whole = result.code == ResultCode.OK.number
-        if is_whole and compute_body_hash(body).encode() not in result.body:
-            self._score["wrong"] += 1
-        elif is_whole and repeat.body != result.body and repeat.status == 200:
-            self._score["wrong"] += 1
-        else:
-            self._score["whole" if is_whole else "failed_in_time"] += 1
+        end = await caller.async_call(f"slot {part}".encode(), part, CALL_LIMIT_SECONDS)
+        self._note_call(end)
+
+    def _note_call(self, end: CallEnd) -> None:
+        self._score[end.outcome.value] += 1
+        if end.key:
+            self._told[end.key] = end.conclusion
+        if end.outcome is not Outcome.WHOLE:
+            told = end.conclusion.value
+            print(f"progress call={end.outcome.value} told={told!r} {end.detail}")
 
     async def _async_count_leaked_tokens(self) -> int:
         loop = asyncio.get_running_loop()
@@ -151,28 +145,32 @@
             held = await self._async_count_held_tokens()
             if held == 0 or loop.time() > give_up_at:
                 return held
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(SETTLE_STEP_SECONDS)
 
     async def _async_count_held_tokens(self) -> int:
         held = 0
         for address in self._site.engines.values():
-            try:
+            with suppress(TargetError):
                 answer = await async_send_http(address, "GET", "/v1/load", timeout=2.0)
-            except TargetError:
-                continue
-            report = answer.parse_json()
-            held += report["kv_tokens"] - report["free_kv_tokens"]
+                report = answer.parse_json()
+                held += report["kv_tokens"] - report["free_kv_tokens"]
         return held
 
-    async def _async_count_doubled(self) -> int:
+    async def _async_judge_runs(self) -> int:
+        """Return how many calls ran twice; what a caller was wrongly told is wrong."""
         runs: Counter[str] = Counter()
         for address in self._site.services.values():
             answer = await async_send_http(address, "GET", "/runs", timeout=2.0)
             runs.update(answer.parse_json())
+        for key, conclusion in self._told.items():
+            ran_untold = conclusion is Conclusion.NOT_RUN and runs[key] > 0
+            told_unrun = conclusion is Conclusion.RUN and runs[key] == 0
+            self._score["wrong"] += ran_untold or told_unrun
         return sum(count > 1 for key, count in runs.items() if key)
 
     def _print_table(self) -> None:
-        print(f"{'length':10} {'client account':16} {'n':>5} {'p50 s':>8} {'p95 s':>8}")
+        print("time to first token, from the caller's first try, in seconds")
+        print(f"{'length':10} {'client account':16} {'n':>5} {'p50':>8} {'p95':>8}")
         for (length, account), values in sorted(self._ttft.items()):
             values.sort()
             middle = values[len(values) // 2]
@@ -188,22 +186,50 @@
         print("progress starting the site")
         await site.async_setup()
         if keep:
-            await _async_keep(site)
-            return True
+            _print_usage(site)
+            await asyncio.Event().wait()
         return await Demo(site).async_run()
 
 
-async def _async_keep(site: Site) -> None:
-    host = next(iter(site.hosts.values()))
+def _print_usage(site: Site) -> None:
+    hosts = list(site.hosts.values())
     account, token = next(iter(site.tokens.items()))
-    print(f"account {account}; the site stays up until Ctrl-C. Send a request with:")
+    first, model = hosts[0], site.plan.model
+    callers = " ".join(f"--host={host.callers}" for host in hosts)
+    operators = " ".join(f"--host={host.operators}" for host in hosts)
     print(
-        f"curl -N http://{host.callers}/v1/completions"
-        f" -H 'Authorization: Bearer {token}' -d"
-        f' \'{{"model": "{site.plan.model}", "prompt": "Rewrite bay 4",'
-        ' "max_tokens": 20, "stream": true}\''
+        f"""\
+The site is up until Ctrl-C; its files are in {site.folder}. In another terminal:
+
+# client account {account}; the tool picks among all hosts
+export TARRAGONWARD_TOKEN={token}
+export TARRAGONWARD_OPERATOR_TOKEN={site.operator_token}
+
+curl -N http://{first.callers}/v1/completions \\
+  -H "Authorization: Bearer $TARRAGONWARD_TOKEN" \\
+  -d '{{"model": "{model}", "prompt": "Rewrite bay 4", "max_tokens": 20, \
+"stream": true}}'
+
+.venv/bin/tarragonward request {model} "Rewrite bay 4" {callers}
+.venv/bin/tarragonward call approvals approve "slot 7" {callers}
+.venv/bin/tarragonward status {operators}
+.venv/bin/tarragonward targets {operators}
+.venv/bin/tarragonward config show {operators}"""
     )
-    await asyncio.Event().wait()
+
+
+async def _async_run_until_signal(keep: bool) -> int:
+    # The site's processes must not outlive the demo, whichever way it is told to end:
+    # a signal cancels the main task, and its exit stack ends them.
+    main_task = asyncio.current_task()
+    assert main_task is not None
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        loop.add_signal_handler(number, main_task.cancel)
+    try:
+        return 0 if await _async_main(keep) else 1
+    except asyncio.CancelledError:
+        return 0 if keep else EXIT_INTERRUPTED
 
 
 def main() -> None:
@@ -211,11 +237,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--keep", action="store_true", help="keep the site up")
     arguments = parser.parse_args()
-    try:
-        kept = asyncio.run(_async_main(arguments.keep))
-    except KeyboardInterrupt:
-        kept = True
-    sys.exit(0 if kept else 1)
+    sys.stdout.reconfigure(line_buffering=True)
+    sys.exit(asyncio.run(_async_run_until_signal(arguments.keep)))
 
 
 if __name__ == "__main__":
--- a/libraries/standins/tarragonward_standins/client.py
+++ b/libraries/standins/tarragonward_standins/client.py
@@ -39,6 +39,7 @@
     seconds: float
     ttft_seconds: float | None
     detail: str = ""
+    retry_after_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -74,7 +75,9 @@
     seconds = loop.time() - started
     ttft = None if reader.first_at is None else reader.first_at - started
     outcome = _judge(reader, prompt, max_tokens, seconds, time_limit)
-    return CompletionResult(outcome, reader.code, seconds, ttft, detail)
+    return CompletionResult(
+        outcome, reader.code, seconds, ttft, detail, reader.retry_after_seconds
+    )
 
 
 def _judge(
@@ -106,6 +109,7 @@
         self.parts: list[str] = []
         self.finish_reason: str | None = None
         self.code = 0
+        self.retry_after_seconds = 0.0
         self.first_at: float | None = None
 
     def take(self, line: bytes) -> None:
@@ -114,7 +118,7 @@
             return
         event = orjson.loads(line.removeprefix(b"data: "))
         if "error" in event:
-            self.code = event["error"]["code"]
+            self.take_error(event["error"])
             return
         choice = event["choices"][0]
         if choice["text"]:
@@ -124,6 +128,11 @@
         if choice["finish_reason"] is not None:
             self.finish_reason = choice["finish_reason"]
 
+    def take_error(self, error: dict[str, Any]) -> None:
+        """Take the numbered error that ended the answer."""
+        self.code = error["code"]
+        self.retry_after_seconds = error["retry_after_seconds"] or 0.0
+
 
 async def _async_read_completion(
     reader: _StreamReader,
@@ -144,7 +153,7 @@
     ) as stream:
         if stream.status != 200:
             error: Any = orjson.loads(await stream.async_read_body())
-            reader.code = error["error"]["code"]
+            reader.take_error(error["error"])
             return
         async for line in stream.async_iterate_lines():
             reader.take(line)
--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -186,7 +186,10 @@
         self._write_files()
         self._build_commands()
         await asyncio.gather(*(proxy.async_setup() for proxy in self.proxies.values()))
-        await asyncio.gather(*(self.async_start(name) for name in self._commands))
+        # A group, not gather: where one fails, no other starts after the unload.
+        async with asyncio.TaskGroup() as group:
+            for name in self._commands:
+                group.create_task(self.async_start(name))
         # A host is healthy before a slow target listens. Symptom: the first requests
         # of a test fail with "every attempt failed" on a busy machine.
         targets = [*self.engines.values(), *self.services.values()]
