--- a/libraries/config/tarragonward_config/settings.py
+++ b/libraries/config/tarragonward_config/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 import tomllib
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -16,6 +18,9 @@
 
 __all__ = ["Limits", "Settings", "describe_invalid", "load_settings"]
 
+MAX_SHOWN_CHARACTERS = 120
+UNKNOWN_KEY = "extra keys not allowed"
+
 
 @dataclass(frozen=True)
 class Limits:
@@ -51,25 +56,53 @@
 
 
 def _parse_address(value: Any) -> Address:
-    if not isinstance(value, str):
-        raise vol.Invalid("expected 'IP:port'")
     try:
-        return Address.parse(value)
-    except ValueError as err:
-        raise vol.Invalid(f"expected 'IP:port': {err}") from None
+        address = Address.parse(value)
+        ipaddress.ip_address(address.host)
+    except (ValueError, AttributeError):
+        raise vol.Invalid("expected 'IP:port', such as '10.0.0.1:8000'") from None
+    return address
 
 
 def _number(minimum: float, maximum: float) -> Callable[[Any], float]:
-    return vol.All(vol.Any(int, float), vol.Range(min=minimum, max=maximum))
+    def check(value: Any) -> float:
+        # Written so that TOML's nan, which is neither below nor above, is refused.
+        is_number = type(value) in (int, float) and minimum <= value <= maximum
+        if not is_number:
+            raise vol.Invalid(f"expected a number from {minimum} to {maximum}")
+        return value
+
+    return check
 
 
 def _integer(minimum: int, maximum: int) -> Callable[[Any], int]:
-    return vol.All(int, vol.Range(min=minimum, max=maximum))
+    def check(value: Any) -> int:
+        if type(value) is not int or not minimum <= value <= maximum:
+            raise vol.Invalid(f"expected a whole number from {minimum} to {maximum}")
+        return value
+
+    return check
 
 
-_NAME = vol.All(str, vol.Match(r"^[a-z0-9][a-z0-9._-]{0,62}$"))
-_ADDRESSES = vol.All([_parse_address], vol.Length(min=1, max=16))
+def _check_name(value: Any) -> str:
+    if not isinstance(value, str) or not NAME_PATTERN.fullmatch(value):
+        raise vol.Invalid(
+            "expected 1 to 63 of a-z, 0-9, '.', '_', '-', the first a letter or digit"
+        )
+    return value
+
+
+def _check_addresses(value: Any) -> list[Address]:
+    if not isinstance(value, list) or not 1 <= len(value) <= MAX_REPLICAS:
+        raise vol.Invalid(f"expected a list of 1 to {MAX_REPLICAS} 'IP:port'")
+    return [_parse_address(item) for item in value]
+
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+MAX_REPLICAS = 16
 DAY_SECONDS = 86_400
+_NAME = _check_name
+_ADDRESSES = _check_addresses
 
 SETTINGS_SCHEMA = vol.Schema(
     {
@@ -107,18 +140,43 @@
 )
 
 
-def describe_invalid(source: str, data: Any, error: vol.Invalid) -> str:
-    """Return a message that names the source, the key, what was found and allowed."""
-    first = error.errors[0] if isinstance(error, vol.MultipleInvalid) else error
-    key = ".".join(str(part) for part in first.path) or "(top level)"
+def describe_invalid(
+    source: str, data: Any, error: vol.Invalid, schema: vol.Schema | None = None
+) -> str:
+    """Return, a line for each error, the source, key, what was found and allowed."""
+    errors = error.errors if isinstance(error, vol.MultipleInvalid) else [error]
+    return "\n".join(_describe_one(source, data, one, schema) for one in errors)
+
+
+def _describe_one(
+    source: str, data: Any, error: vol.Invalid, schema: vol.Schema | None
+) -> str:
+    key = ".".join(str(part) for part in error.path) or "(top level)"
     found = data
-    for part in first.path:
+    for part in error.path:
         try:
             found = found[part]
         except (KeyError, IndexError, TypeError):
-            found = None
-            break
-    return f"{source}: {key}: found {found!r}: {first.error_message}"
+            return f"{source}: {key}: found nothing: {error.error_message}"
+    message = error.error_message
+    if schema is not None and message == UNKNOWN_KEY:
+        names = _list_allowed(schema.schema, error.path[:-1])
+        message = f"unknown key: expected one of {', '.join(names)}"
+    return f"{source}: {key}: found {shorten(repr(found))}: {message}"
+
+
+def _list_allowed(schema: dict[Any, Any], path: list[Any]) -> list[str]:
+    for part in path:
+        schema = schema[part]
+    return sorted(str(key) for key in schema)
+
+
+def shorten(text: str) -> str:
+    """Return a value's text for a message, without the middle where it is long."""
+    if len(text) <= MAX_SHOWN_CHARACTERS:
+        return text
+    half = MAX_SHOWN_CHARACTERS // 2
+    return f"{text[:half]}...{text[-half:]}"
 
 
 def load_settings(path: Path) -> Settings:
@@ -130,7 +188,10 @@
     try:
         checked = SETTINGS_SCHEMA(data)
     except vol.Invalid as err:
-        raise SettingsError(describe_invalid(str(path), data, err)) from None
+        message = describe_invalid(str(path), data, err, SETTINGS_SCHEMA)
+        raise SettingsError(message) from None
+    limits = Limits(**checked[c.CONF_LIMITS])
+    _check_limits(path, limits)
     credentials = checked[c.CONF_CREDENTIALS]
     peer_key = _read_credential(path, c.CONF_PEER_KEY_FILE, credentials).encode()
     if len(peer_key) < c.MIN_PEER_KEY_BYTES:
@@ -145,8 +206,23 @@
         host_list=tuple(checked[c.CONF_PLATFORM][c.CONF_HOST_LIST]),
         peer_key=peer_key,
         operator_token=_read_credential(path, c.CONF_OPERATOR_TOKEN_FILE, credentials),
-        limits=Limits(**checked[c.CONF_LIMITS]),
+        limits=limits,
+    )
+
+
+def _check_limits(path: Path, limits: Limits) -> None:
+    """Refuse limits that contradict each other; they would refuse all work."""
+    pairs = (
+        (c.CONF_TIME_LIMIT_SECONDS, c.CONF_MAX_TIME_LIMIT_SECONDS),
+        (c.CONF_MAX_BODY_BYTES, c.CONF_MAX_BODIES_BYTES),
     )
+    for lower, upper in pairs:
+        found, allowed = getattr(limits, lower), getattr(limits, upper)
+        if found > allowed:
+            raise SettingsError(
+                f"{path}: {c.CONF_LIMITS}.{lower}: found {found}: expected at most"
+                f" {upper}, which is {allowed}"
+            )
 
 
 def _read_credential(path: Path, key: str, credentials: dict[str, str]) -> str:
