--- a/libraries/core/tarragonward_core/__init__.py
+++ b/libraries/core/tarragonward_core/__init__.py
@@ -1,5 +1,6 @@
 """Names, result codes, errors, logs, metrics and invariants that all libraries use."""
 
+from .code_page import build_code_page
 from .codes import Conclusion, Repeat, ResultCode
 from .core import (
     Address,
@@ -41,6 +42,7 @@
     "SettingsError",
     "TargetError",
     "TarragonwardError",
+    "build_code_page",
     "estimate_tokens",
     "format_event",
     "get_length_class",
--- a/libraries/core/tests/test_codes.py
+++ b/libraries/core/tests/test_codes.py
@@ -1,6 +1,14 @@
 """Tests of the result codes."""
 
-from tarragonward_core import Conclusion, Repeat, ResultCode
+from pathlib import Path
+
+from tarragonward_core import Conclusion, Repeat, ResultCode, build_code_page
+
+PAGE = Path(__file__).parents[3] / "docs" / "RESULT_CODES.md"
+
+
+def test_the_page_is_the_one_that_the_code_gives():
+    assert PAGE.read_text() == build_code_page(), "run script/result_codes"
 
 
 def test_numbers_are_unique():
