--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -35,6 +35,7 @@
         self.host = HostState(settings, identity)
         self._drain_asked = asyncio.Event()
         self._stop_asked = asyncio.Event()
+        self.unfinished_requests = 0
         self._build_tasks()
 
     def _build_tasks(self) -> None:
@@ -131,7 +132,8 @@
         )
         for task in (stopped, drained):
             task.cancel()
-        log_event("drain_ended", in_flight=self.host.requests_in_flight)
+        self.unfinished_requests = self.host.requests_in_flight
+        log_event("drain_ended", in_flight=self.unfinished_requests)
         await self._async_stop_requests()
 
     async def _async_wait_idle(self) -> None:
--- a/libraries/daemon/tarragonward_daemon/main.py
+++ b/libraries/daemon/tarragonward_daemon/main.py
@@ -15,13 +15,20 @@
 
 __all__ = ["run"]
 
+# The table stands in docs/OPERATIONS.md.
+EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+EXIT_CUT_OFF = 3
 
 
 def run(arguments: list[str] | None = None) -> int:
     """Run one entry host; return the process's exit code."""
     parser = argparse.ArgumentParser(prog="tarragonwardd", description=__doc__)
     parser.add_argument("--settings", type=Path, required=True, help="a TOML file")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings file and end"
+    )
     options = parser.parse_args(arguments)
     setup_logging()
     try:
@@ -29,11 +36,13 @@
     except SettingsError as err:
         print(err, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    asyncio.run(_async_run(settings))
-    return 0
+    if options.check:
+        return EXIT_OK
+    return asyncio.run(_async_run(settings))
 
 
-async def _async_run(settings: Settings) -> None:
+async def _async_run(settings: Settings) -> int:
+    """Serve until told to stop; a second signal, or the limit, ends a drain."""
     daemon = Daemon(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -42,7 +51,8 @@
         await daemon.async_run()
     except OSError as err:
         log_event("host_failed", error=repr(err))
-        raise SystemExit(1) from None
+        return EXIT_FAILED
+    return EXIT_CUT_OFF if daemon.unfinished_requests else EXIT_OK
 
 
 if __name__ == "__main__":
