--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -98,8 +98,10 @@
             self.releases,
             self.calls,
             self.peers,
-            self.operators,
             self.callers,
+            # Last: its health check must not pass before the callers' port listens, or
+            # the balancer sends to a host that refuses connections.
+            self.operators,
         ]
 
     async def _async_drain(self) -> None:
--- a/libraries/standins/tarragonward_standins/fault_proxy.py
+++ b/libraries/standins/tarragonward_standins/fault_proxy.py
@@ -77,7 +77,8 @@
         self._writers.add(writer)
         try:
             await self._async_connect(reader, writer)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # The end of this connection's own task; asyncio would log a cancelled one.
             pass
         finally:
             self._tasks.discard(task)
@@ -122,7 +123,7 @@
                 continue
             limit = faults.drop_after_bytes
             if not to_target and limit is not None and passed + len(data) > limit:
-                writer.write(data[: limit - passed])
+                writer.write(data[: max(0, limit - passed)])
                 await writer.drain()
                 return
             passed += len(data)
--- a/libraries/wire/tarragonward_wire/peers.py
+++ b/libraries/wire/tarragonward_wire/peers.py
@@ -79,7 +79,8 @@
             await self._async_serve(stream)
         except FrameError as err:
             count_bad_frame(err, writer.get_extra_info("peername"), self._metrics)
-        except (OSError, EOFError):
+        except (OSError, EOFError, asyncio.CancelledError):
+            # The end of this connection's own task; asyncio would log a cancelled one.
             pass
         finally:
             self._links -= 1
