Wait for the next attempt to connect instead of failing within its backoff

South's background questions to a host that still starts begin a backoff, within which all calls failed at once: 'unknown' of a call that had reached nobody.

Ruled out: no backoff (a thousand repeats would each open a connection).

--- a/libraries/wire/tarragonward_wire/links.py
+++ b/libraries/wire/tarragonward_wire/links.py
@@ -202,16 +202,16 @@
 
         A thousand calls to an owner that died would else open a thousand connections,
         or wait for a thousand attempts one after the other. Symptom: a storm when it
-        comes back, answers past their time limit. One attempt at a time and a backoff
-        after it, in which all fail at once, is enough.
+        comes back, answers past their time limit. One attempt at a time, and a short
+        backoff before the next one that all who ask meanwhile wait for, is enough. To
+        fail them at once would tell a call "unknown" of a host that just came up.
         """
         task = self._connecting.get(address)
         if task is not None:
             return task
         backoff = self._backoffs.get(address)
-        if backoff is not None and _now() < backoff.retry_at:
-            raise NotConnectedError(f"{address}: failed just before")
-        task = asyncio.create_task(self._async_connect(address))
+        wait = 0.0 if backoff is None else max(0.0, backoff.retry_at - _now())
+        task = asyncio.create_task(self._async_connect(address, wait))
         self._connecting[address] = task
         task.add_done_callback(lambda done: self._end_connecting(address, done))
         return task
@@ -226,7 +226,8 @@
         self._backoffs.pop(address, None)
         self._links[address] = task.result()
 
-    async def _async_connect(self, address: Address) -> _Link:
+    async def _async_connect(self, address: Address, wait: float) -> _Link:
+        await asyncio.sleep(wait)
         try:
             async with asyncio.timeout(c.DEFAULT_CONNECT_TIMEOUT_SECONDS):
                 reader, writer = await asyncio.open_connection(
--- a/libraries/wire/tests/test_peers.py
+++ b/libraries/wire/tests/test_peers.py
@@ -194,3 +194,28 @@
     )
     assert -0.5 < offsets[0] <= 0
     await links.async_unload()
+
+
+async def test_a_host_that_just_came_up_is_reached_within_the_backoff():
+    """A host is asked while it still starts, and again right after it came up.
+
+    The first question fails and starts the backoff. The second must not be told
+    "not connected" of a host that is there by now; it waits for the next attempt.
+    """
+
+    async def async_echo(peer, message):
+        return message
+
+    probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    address = Address("127.0.0.1", probe.sockets[0].getsockname()[1])
+    probe.close()
+    await probe.wait_closed()
+    links = PeerLinks(CLIENT, KEY)
+    for _ in range(3):
+        with pytest.raises(NotConnectedError):
+            await links.async_ask(address, Echo("a"), 5)
+    peers = PeerServer(HostIdentity(address, 7), KEY, async_echo, Metrics())
+    await peers.async_setup()
+    assert await links.async_ask(address, Echo("a"), 5) == Echo("a")
+    await links.async_unload()
+    await peers.async_unload()
