--- a/libraries/daemon/tarragonward_daemon/peers.py
+++ b/libraries/daemon/tarragonward_daemon/peers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tarragonward_core import FrameError, HostIdentity
+from tarragonward_membership import Gossip, IndirectAck, IndirectProbe
 
 from .calls import CallAnswer, ForwardCall, ServiceCalls
 from .configuration_peers import (
@@ -13,6 +14,7 @@
     ConfigurationPeers,
     PullConfiguration,
 )
+from .membership import MembershipTask
 
 __all__ = ["PeerMessages"]
 
@@ -20,9 +22,15 @@
 class PeerMessages:
     """Hand each kind of message to the task that it is for."""
 
-    def __init__(self, calls: ServiceCalls, configuration: ConfigurationPeers) -> None:
+    def __init__(
+        self,
+        calls: ServiceCalls,
+        configuration: ConfigurationPeers,
+        membership: MembershipTask,
+    ) -> None:
         self._calls = calls
         self._configuration = configuration
+        self._membership = membership
 
     async def async_handle(self, peer: HostIdentity, message: Any) -> Any:
         """Return the answer to a peer's message, or None."""
@@ -45,3 +53,11 @@
     @_async_handle.register
     async def _(self, message: ConfigurationNews, peer: HostIdentity) -> None:
         await self._configuration.async_handle_news(message, peer.address)
+
+    @_async_handle.register
+    async def _(self, message: Gossip, peer: HostIdentity) -> Gossip:
+        return self._membership.handle_gossip(peer, message)
+
+    @_async_handle.register
+    async def _(self, message: IndirectProbe, peer: HostIdentity) -> IndirectAck:
+        return await self._membership.async_help(message)
