--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -8,7 +8,7 @@
 
 from tarragonward_config import Settings
 from tarragonward_core import HostIdentity, log_event, new_incarnation
-from tarragonward_wire import HttpLimits, HttpServer, PeerLinks, PeerServer
+from tarragonward_wire import BodyBudget, HttpLimits, HttpServer, PeerLinks, PeerServer
 
 from . import const as c
 from .callers import CallerRoutes
@@ -35,6 +35,7 @@
         self.host = HostState(settings, identity)
         self._drain_asked = asyncio.Event()
         self._stop_asked = asyncio.Event()
+        self.unfinished_requests = 0
         self._build_tasks()
 
     def _build_tasks(self) -> None:
@@ -58,7 +59,18 @@
         )
         callers = CallerRoutes(host, self.models, self.calls)
         self.callers = HttpServer(
-            settings.callers, callers.async_handle, self._build_limits()
+            settings.callers,
+            callers.async_handle,
+            self._build_limits(),
+            check_head=callers.check_head,
+            judge_refusal=callers.judge_refusal,
+            note_refused=callers.note_refused,
+            bodies=BodyBudget(settings.limits.max_bodies_bytes),
+        )
+        host.metrics.add_gauge(
+            "bodies_held_bytes",
+            "Request bodies held in memory, in bytes.",
+            lambda: self.callers.bodies.held_bytes,
         )
         operators = OperatorRoutes(host, self.membership, self.reports, self.ask_drain)
         self.operators = HttpServer(settings.operators, operators.async_handle)
@@ -102,8 +114,10 @@
             self.models,
             self.sweep,
             self.peers,
-            self.operators,
             self.callers,
+            # Last: its health check must not pass before the callers' port listens, or
+            # the balancer sends to a host that refuses connections.
+            self.operators,
         ]
 
     async def _async_drain(self) -> None:
@@ -120,7 +134,8 @@
         )
         for task in (stopped, drained):
             task.cancel()
-        log_event("drain_ended", in_flight=self.host.requests_in_flight)
+        self.unfinished_requests = self.host.requests_in_flight
+        log_event("drain_ended", in_flight=self.unfinished_requests)
         await self._async_stop_requests()
 
     async def _async_wait_idle(self) -> None:
@@ -128,11 +143,13 @@
         # of refusing at once: callers read errors during each replacement. So work is
         # admitted for the time that the balancer needs.
         self.host.is_draining = True
-        self.membership.set_leaving()
         await asyncio.sleep(c.BALANCER_NOTICE_SECONDS)
         self.host.is_admitting = False
         self.calls.start_drain()
         self.callers.close_after_answers()
+        # Counted from its head on: a request whose body still comes in is refused by
+        # number, not cut off.
+        await self.callers.async_wait_idle()
         while self.host.requests_in_flight:
             await self.host.idle.wait()
 
--- a/libraries/daemon/tests/test_models.py
+++ b/libraries/daemon/tests/test_models.py
@@ -17,7 +17,10 @@
 
 
 class StuckSink:
-    async def async_deliver(self, text):
+    def note_target(self, target):
+        pass
+
+    async def async_deliver(self, text, tokens):
         await asyncio.Event().wait()
 
 
