Space later failovers out, so that faults at once don't use up all attempts

The trace of one: connection lost, resume refused, failed over, reset, stream gone, refused again, all within 40 ms, and the request was given up while the second engine was sound. Ruled out: more attempts alone, as they would pass in the same milliseconds. The load stays bounded by the retry budget.

--- a/libraries/requests/tarragonward_requests/lifecycle.py
+++ b/libraries/requests/tarragonward_requests/lifecycle.py
@@ -124,7 +124,7 @@
         # stands only where no attempt can have run; else a place is waited for.
         if not self._may_have_run:
             return self._end(event.code, retry_after_seconds=event.retry_after_seconds)
-        delay = min(event.retry_after_seconds, c.REFUSED_BACKOFF_CAP_SECONDS)
+        delay = min(event.retry_after_seconds, c.RETRY_BACKOFF_CAP_SECONDS)
         return self._retry(False, c.RETRY_COST_REFUSED, delay, now)
 
     @_handle.register
@@ -149,11 +149,19 @@
             return self._end(ResultCode.OK, FINISH_LENGTH)
         if fault is AttemptFault.CONNECTION_LOST and not self._is_resumed:
             return self._retry(True, c.RETRY_COST_RESUME, 0.0, now)
-        if fault is AttemptFault.REFUSED:
-            delay = c.REFUSED_BACKOFF_SECONDS * 2**self._fruitless_attempts
-            delay = min(delay, c.REFUSED_BACKOFF_CAP_SECONDS)
-            return self._retry(False, self._compute_failover_cost(), delay, now)
-        return self._retry(False, self._compute_failover_cost(), 0.0, now)
+        delay = self._compute_delay(fault)
+        return self._retry(False, self._compute_failover_cost(), delay, now)
+
+    def _compute_delay(self, fault: AttemptFault) -> float:
+        # Faults that come together pass over each other in milliseconds. Symptom of
+        # trying again at once: the attempts are used up before any engine could
+        # answer. The first failovers go at once, later ones wait for longer each time.
+        number = self._fruitless_attempts
+        if fault is not AttemptFault.REFUSED:
+            number -= c.FAILOVERS_AT_ONCE
+        if number < 0:
+            return 0.0
+        return min(c.RETRY_BACKOFF_SECONDS * 2**number, c.RETRY_BACKOFF_CAP_SECONDS)
 
     def _compute_failover_cost(self) -> float:
         # What an engine has done is done again by the next one. Where the stream that
--- a/libraries/requests/tests/test_lifecycle.py
+++ b/libraries/requests/tests/test_lifecycle.py
@@ -88,6 +88,21 @@
     )
 
 
+def test_faults_that_come_together_do_not_use_the_attempts_up_at_once(lifecycle):
+    """An engine dies in the moment in which the other's connections are reset.
+
+    Resumed, refused, failed over, reset, gone: all of it took 40 ms, and the request
+    was given up while the second engine was sound. Later attempts wait.
+    """
+    now = 1.0
+    faults = ["CONNECTION_LOST", "NOT_CONNECTED", "CONNECTION_LOST", "STREAM_GONE"]
+    for attempt, fault in enumerate([*faults, "NOT_CONNECTED"], 1):
+        effects = lifecycle.handle(AttemptFailed(attempt, AttemptFault[fault]), now)
+        now += effects[-1].delay_seconds
+    assert effects[-1].attempt == 6
+    assert now >= 1.4
+
+
 def test_a_budget_used_up_ends_the_request_at_once_with_when_to_come_back():
     budget = RetryBudget(share=0.0, floor=1.0)
     first, second = (RequestLifecycle(n, 10.0, budget, 4) for n in "ab")
