--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, ExitStack
@@ -22,6 +23,7 @@
 from tarragonward_placement import Placed, Placement, PlacementRequest, Refused
 from tarragonward_requests import (
     AttemptFailed,
+    AttemptFault,
     AttemptFinished,
     CallerLeft,
     CancelAttempt,
@@ -57,6 +59,7 @@
 __all__ = ["ModelRequests", "Sink"]
 
 MAX_QUEUED_EVENTS = 16
+PASSING_FAULTS = frozenset({AttemptFault.CONNECTION_LOST, AttemptFault.STREAM_GONE})
 
 
 class Sink(Protocol):
@@ -304,7 +307,7 @@
             stream = None
         is_resumed = stream is not None
         if stream is None:
-            placed = self._place()
+            placed = self._place(effect.attempt)
             if isinstance(placed, Refused):
                 return PlacementRefused(
                     effect.attempt, placed.code, placed.retry_after_seconds
@@ -317,8 +320,12 @@
             stack.callback(self._shared.probes.forget, attempt.reading)
             return await self._async_read_attempt(attempt, effect, is_resumed)
 
-    def _place(self) -> Placed | Refused:
+    def _place(self, attempt: int) -> Placed | Refused:
         now = self._loop.time()
+        # Admission refuses what is predicted to end late, and predicts with care.
+        # Symptom for a failover: an admitted answer is given up with seconds to
+        # spare. It was admitted once; from then on only its deadline ends it.
+        remaining = self._lifecycle.deadline - now if attempt == 1 else math.inf
         engines = self._shared.get_engines(self._completion.model)
         names = [e.name for e in engines if e.name not in self._failed_engines]
         names = self._shared.outliers.select(names or [e.name for e in engines], now)
@@ -331,7 +338,7 @@
             + self._lifecycle.delivered_tokens,
             max_tokens=self._completion.max_tokens - self._lifecycle.delivered_tokens,
             priority=self._completion.priority or self._account.priority,
-            remaining_seconds=self._lifecycle.deadline - now,
+            remaining_seconds=remaining,
         )
         usable = [engine for engine in engines if engine.name in names]
         views = self._shared.reports.build_views(usable, now)
@@ -354,7 +361,10 @@
             )
             if is_new:
                 log_event("target_excluded", target=target, reason=fault.value)
-            self._failed_engines.add(target)
+            # An engine that lost a connection or a stream may be sound, and may be
+            # the last one; outlier detection counts such losses.
+            if fault not in PASSING_FAULTS:
+                self._failed_engines.add(target)
         log_event(
             "attempt_failed",
             request_id=self._request_id,
