Limit long prompts by memory held, and fill the lane from one end

Long prompts are now limited by the KV memory their account holds, shorter ones by rate, and an account within its share is never throttled (a test showed one request in eight refused for others' flood).

--- a/libraries/bench/tarragonward_bench/lengths_fleet.py
+++ b/libraries/bench/tarragonward_bench/lengths_fleet.py
@@ -293,7 +293,7 @@
             if other is host or other.is_lost:
                 continue
             if isinstance(other.policy, Placement):
-                for name, rate in other.policy.limits.get_demand(self.now).items():
+                for name, rate in other.policy.get_demand(self.now).items():
                     demand[name] = demand.get(name, 0.0) + rate
         host.demand = demand
         self._at(self.now + GOSSIP_SECONDS, self._gossip, host)
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -12,20 +12,28 @@
 # (prompts up to this many tokens, engine priority, chunk tokens or 0 for the engine's)
 LENGTH_TREATMENTS = (
     (4_000, 0, 0),
-    (LONG_PROMPT_TOKENS, 1, 1_024),
-    (100_000, 2, 512),
-    (1 << 62, 3, 512),
+    (LONG_PROMPT_TOKENS, 1, 0),
+    (100_000, 2, 1_024),
+    (1 << 62, 3, 1_024),
 )
 
+FIRST_LONG_CLASS = 2
+FIRST_PACKED_CLASS = 1
+
 SAMPLED_CANDIDATES = 4
+SAMPLED_READING = 2
+TIE_SECONDS = 0.02
 # A report says what was so some time before it was read.
 ASSUMED_REPORT_LAG_SECONDS = 0.5
 CORRECTION_WEIGHT = 0.2
 MIN_CORRECTION = 0.5
 MAX_CORRECTION = 8.0
 
-LANE_DRAIN_SECONDS = 20.0
-MAX_LANE_SHARE = 0.5
+# A long prompt takes the lane's first engine that waits at most this part of it.
+# What prompts that go after this one cost it all the same, in prefill tokens.
+BEHIND_TOKENS = 1_024
+LANE_WAIT_SHARE = 0.5
+MAX_LANE_SHARE = 0.8
 # What shorter prompts may take of an engine with long ones: the rest is the bound on
 # the progress of long prompts under any short load.
 LANE_SHORT_SHARE = 0.5
@@ -39,6 +47,8 @@
 CAPACITY_SHARE = 0.85
 DEMAND_SECONDS = 5.0
 BURST_SECONDS = 4.0
+HELD_SUFFIX = "|held"
+LONG_RETRY_SECONDS = 3.0
 SCARCE_MEMORY_SHARE = 0.25
 
 MAX_KNOWN_BLOCKS = 8_192
--- a/libraries/placement/tarragonward_placement/lanes.py
+++ b/libraries/placement/tarragonward_placement/lanes.py
@@ -10,7 +10,13 @@
 from . import const as c
 from .messages import EngineView
 
-__all__ = ["ShortBudget", "choose_lane", "get_treatment"]
+__all__ = [
+    "ShortBudget",
+    "get_lane",
+    "get_lane_order",
+    "get_treatment",
+    "is_reading_long",
+]
 
 _LONG_PRIORITY = min(
     priority
@@ -27,31 +33,25 @@
     raise ValueError(f"no treatment for {prompt_tokens} tokens")
 
 
-def count_long_tokens(view: EngineView) -> int:
-    """Return the unread tokens of long prompts that an engine reports."""
-    return sum(n for level, n in view.queued_by_priority if level >= _LONG_PRIORITY)
+def is_reading_long(view: EngineView) -> bool:
+    """Return whether an engine reports long prompts that it still reads."""
+    return any(n > 0 for level, n in view.queued_by_priority if level >= _LONG_PRIORITY)
 
 
-def choose_lane(
-    views: Sequence[EngineView], new_tokens: int, min_engines: int = 1
-) -> list[EngineView]:
+def get_lane(views: Sequence[EngineView], min_engines: int = 1) -> list[EngineView]:
     """Return the engines that long prompts may use, in an order all hosts share.
 
-    The lane is sized by the reported long work, which all hosts see alike but for
-    the reports' lag: as many engines as read it in LANE_DRAIN_SECONDS, at most
-    MAX_LANE_SHARE of all, so that most engines never meet a long prompt.
+    It is at most MAX_LANE_SHARE of the engines, but for the few that a group needs.
+    As all hosts fill it from its start, the rest never meet a long prompt as long as
+    the start can take them.
     """
-    ordered = sorted(views, key=_get_lane_order)
-    backlog = new_tokens + sum(count_long_tokens(view) for view in views)
-    rate = sum(view.prefill_tokens_per_second for view in views) / max(len(views), 1)
-    wanted = math.ceil(backlog / (rate * c.LANE_DRAIN_SECONDS)) if backlog else 0
-    most = max(math.floor(len(views) * c.MAX_LANE_SHARE), 1)
-    if backlog:
-        wanted = max(wanted, min_engines)
-    return ordered[: min(wanted, most)]
+    ordered = sorted(views, key=get_lane_order)
+    most = max(math.floor(len(views) * c.MAX_LANE_SHARE), min_engines)
+    return ordered[:most]
 
 
-def _get_lane_order(view: EngineView) -> tuple[int, str]:
+def get_lane_order(view: EngineView) -> tuple[int, str]:
+    """Return the place of an engine in the order that all hosts share."""
     return zlib.crc32(view.name.encode()), view.name
 
 
--- a/libraries/placement/tarragonward_placement/limits.py
+++ b/libraries/placement/tarragonward_placement/limits.py
@@ -40,10 +40,9 @@
     filled_at: float = 0.0
 
     def get_demand(self, now: float) -> float:
-        """Return the offered tokens per second, over the last DEMAND_SECONDS or so."""
-        return self.demand * math.exp(
-            -max(now - self.observed_at, 0) / c.DEMAND_SECONDS
-        )
+        """Return the offered tokens per second, over about DEMAND_SECONDS."""
+        elapsed = max(now - self.observed_at, 0.0)
+        return self.demand * math.exp(-elapsed / c.DEMAND_SECONDS)
 
     def observe(self, tokens: int, now: float) -> None:
         """Take in that tokens were offered."""
@@ -52,9 +51,10 @@
 
 
 class AccountLimits:
-    """Offered load by account and the tokens that each may still spend here.
+    """Limit shorter prompts by tokens per second and long ones by memory held.
 
-    Limits bind only while the whole demand is beyond CAPACITY_SHARE of the fleet.
+    One long prompt is more tokens than a small account's short ones in a minute. In
+    one limit it would look like a flood, and its account's short prompts would pay.
     """
 
     def __init__(self) -> None:
@@ -65,13 +65,35 @@
         demand = {n: a.get_demand(now) for n, a in self._accounts.items()}
         return {name: rate for name, rate in demand.items() if rate >= 1.0}
 
+    def check_memory(
+        self,
+        request: PlacementRequest,
+        held: Mapping[str, float],
+        memory_tokens: float,
+        fleet: FleetView,
+    ) -> bool:
+        """Return whether a long prompt's account keeps to its share of the memory.
+
+        held are the KV tokens of long prompts in flight through this host. One prompt
+        is always allowed: an account that holds nothing is never over its share.
+        """
+        if fleet.other_demand is None:
+            memory_tokens /= max(fleet.live_hosts, 1)
+        wanted = _add_others(held, fleet.other_demand, c.HELD_SUFFIX)
+        mine = wanted.get(request.account, 0.0)
+        if not mine:
+            return True
+        wanted[request.account] = mine + request.kv_tokens
+        shares = share_by_weight(memory_tokens, wanted, fleet.weights)
+        return wanted[request.account] <= shares[request.account]
+
     def check(
         self, request: PlacementRequest, capacity: float, fleet: FleetView, now: float
     ) -> float | None:
         """Return None to go on, or the seconds after which to come back.
 
-        capacity is the fleet's tokens per second. A request beyond what is left makes
-        a debt, so that a prompt longer than the burst is not refused for ever.
+        capacity is the tokens per second of the engines for shorter prompts. The
+        limit binds only while the whole demand is beyond CAPACITY_SHARE of it.
         """
         account = self._accounts.setdefault(request.account, _Account())
         account.observe(request.kv_tokens, now)
@@ -85,6 +107,7 @@
         account.level = min(burst, account.level + allowed * elapsed)
         floor = _get_floor(request.priority, burst)
         if account.level >= floor:
+            # A prompt longer than the burst makes a debt: else it never gets through.
             account.level -= request.kv_tokens
             return None
         return (floor - account.level) / max(allowed, 1.0)
@@ -99,16 +122,29 @@
             usable /= max(fleet.live_hosts, 1)
             demand = own
         else:
-            names = own.keys() | fleet.other_demand.keys()
-            demand = {
-                n: own.get(n, 0.0) + fleet.other_demand.get(n, 0.0) for n in names
-            }
+            demand = _add_others(own, fleet.other_demand, "")
         if sum(demand.values()) <= usable:
             return None
         share = share_by_weight(usable, demand, fleet.weights)[name]
+        # An account within its share is not held to its own average: its requests
+        # come in bursts, and one in eight would be refused for the others' flood.
+        if share >= demand[name]:
+            return None
         return share * own[name] / max(demand[name], 1e-9)
 
 
+def _add_others(
+    own: Mapping[str, float], others: Mapping[str, float] | None, suffix: str
+) -> dict[str, float]:
+    """Return own plus the others' figures whose keys are an account and suffix."""
+    total = dict(own)
+    for key, value in (others or {}).items():
+        name, bar, kind = key.partition(c.HELD_SUFFIX[0])
+        if bar + kind == suffix:
+            total[name] = total.get(name, 0.0) + value
+    return total
+
+
 def _get_floor(priority: int, burst: float) -> float:
     """Return the level that a request needs: urgent ones may go into debt."""
     if priority < 0:
--- a/libraries/placement/tarragonward_placement/placement.py
+++ b/libraries/placement/tarragonward_placement/placement.py
@@ -12,7 +12,7 @@
 from .admission import check_memory, check_time, refuse
 from .affinity import PrefixIndex
 from .groups import GroupMember, plan_group
-from .lanes import ShortBudget, choose_lane, get_treatment
+from .lanes import ShortBudget, get_lane, get_lane_order, get_treatment, is_reading_long
 from .limits import AccountLimits
 from .messages import (
     EngineView,
@@ -119,35 +119,82 @@
             chunk = 0
         return _Context(request, views, fleet, now, length_class, priority, chunk)
 
+    def get_demand(self, now: float) -> dict[str, float]:
+        """Return what the other hosts need to know of this one's accounts.
+
+        Offered tokens per second by account, and with HELD_SUFFIX the KV tokens that
+        its long prompts hold.
+        """
+        held = self._book.count_held_by_account()
+        demand = self.limits.get_demand(now)
+        return demand | {name + c.HELD_SUFFIX: n for name, n in held.items()}
+
     def _check_limits(self, context: _Context) -> Refused | None:
         if not self._policy.uses_limits:
             return None
-        capacity = sum(view.prefill_tokens_per_second for view in context.views)
-        seconds = self.limits.check(
-            context.request, capacity, context.fleet, context.now
-        )
+        request, fleet = context.request, context.fleet
+        if not request.is_long:
+            capacity = self._compute_short_capacity(context)
+            seconds = self.limits.check(request, capacity, fleet, context.now)
+        else:
+            held = self._book.count_held_by_account()
+            memory = sum(view.kv_tokens for view in context.views) * c.MAX_LANE_SHARE
+            is_within = self.limits.check_memory(request, held, memory, fleet)
+            seconds = None if is_within else c.LONG_RETRY_SECONDS
         if seconds is None:
             return None
         return refuse(ResultCode.ACCOUNT_LIMIT, seconds)
 
+    def _compute_short_capacity(self, context: _Context) -> float:
+        """Return the tokens per second that the lane leaves for shorter prompts."""
+        total = sum(view.prefill_tokens_per_second for view in context.views)
+        lent = sum(
+            view.prefill_tokens_per_second
+            for view in context.views
+            if is_reading_long(view)
+        )
+        return total - lent * (1 - c.LANE_SHORT_SHARE)
+
     def _choose(self, context: _Context) -> _Choice | None:
-        kv_tokens = context.request.kv_tokens
-        if kv_tokens > max(view.kv_tokens for view in context.views):
+        request = context.request
+        if request.kv_tokens > max(view.kv_tokens for view in context.views):
             return self._choose_group(context)
         roomy = [
             view
             for view in self._get_candidates(context)
-            if self._book.count_free_kv(view, context.now) >= kv_tokens
+            if self._book.count_free_kv(view, context.now) >= request.kv_tokens
         ]
         if not roomy:
             return None
-        best = min(
-            self._sample(context, roomy),
-            key=lambda view: (self._rank(context, view), view.name),
-        )
-        part = GroupMember(best.name, kv_tokens)
+        best = self._choose_one(context, roomy)
+        part = GroupMember(best.name, request.kv_tokens)
         return _Choice(best, self._predict(context, best), (part,))
 
+    def _choose_one(self, context: _Context, views: Sequence[EngineView]) -> EngineView:
+        if context.length_class >= c.FIRST_PACKED_CLASS and self._policy.uses_lane:
+            ordered = sorted(views, key=get_lane_order)
+            free = self._find_free(context, ordered)
+            if free is not None:
+                return free
+        else:
+            views = self._sample(context, views)
+        return min(views, key=lambda view: (self._rank(context, view), view.name))
+
+    def _find_free(
+        self, context: _Context, views: Sequence[EngineView]
+    ) -> EngineView | None:
+        """Return the lane's first engine whose wait is short beside the reading.
+
+        So the lane is as large as the long prompts of the moment need: the measure
+        of demand is that the engines before are taken.
+        """
+        bearable = context.request.prompt_tokens * c.LANE_WAIT_SHARE
+        for view in views:
+            priority = context.engine_priority
+            if self._book.count_unread(view, priority, context.now) <= bearable:
+                return view
+        return None
+
     def _choose_group(self, context: _Context) -> _Choice | None:
         free = [
             (view.name, self._book.count_free_kv(view, context.now))
@@ -171,29 +218,37 @@
         if request.is_long:
             largest = max(view.kv_tokens for view in views)
             # One more than its size needs: the engines are seldom all empty.
-            wanted = -(-request.kv_tokens // largest) + 1
-            return choose_lane(views, request.prompt_tokens, wanted)
-        lane = {view.name for view in choose_lane(views, 0)}
+            return get_lane(views, -(-request.kv_tokens // largest) + 1)
         hosts = context.fleet.live_hosts
         return [
             view
             for view in views
-            if view.name not in lane
+            if not is_reading_long(view)
             or self._short_budget.can_take(view, hosts, context.now)
         ]
 
     def _sample(
         self, context: _Context, views: Sequence[EngineView]
     ) -> list[EngineView]:
-        """Return a few engines by chance, and the one with most of the prefix."""
-        if not self._policy.uses_sampling or len(views) <= c.SAMPLED_CANDIDATES:
+        """Return a few engines by chance, and the one with most of the prefix.
+
+        Engines that read long prompts are drawn apart, so that chance alone never
+        leaves a short prompt with none but these.
+        """
+        if not self._policy.uses_sampling:
             return list(views)
-        sampled = self._random.sample(views, c.SAMPLED_CANDIDATES)
+        clear = [view for view in views if not is_reading_long(view)]
+        reading = [view for view in views if is_reading_long(view)]
+        sampled = self._draw(clear, c.SAMPLED_CANDIDATES)
+        sampled += self._draw(reading, c.SAMPLED_READING)
         holder = max(views, key=lambda view: self._count_cached(context, view))
         if self._count_cached(context, holder) and holder not in sampled:
             sampled.append(holder)
         return sampled
 
+    def _draw(self, views: list[EngineView], count: int) -> list[EngineView]:
+        return self._random.sample(views, min(count, len(views)))
+
     def _rank(self, context: _Context, view: EngineView) -> float:
         if self._policy.uses_prediction:
             return self._predict(context, view)
@@ -202,7 +257,8 @@
     def _predict(self, context: _Context, view: EngineView) -> float:
         waiting = self._book.count_unread(view, context.engine_priority, context.now)
         cached = self._count_cached(context, view)
-        seconds = predict_ttft(context.request, view, waiting, cached)
+        has_behind = self._book.has_behind(view, context.engine_priority, context.now)
+        seconds = predict_ttft(context.request, view, waiting, cached, has_behind)
         return seconds * self._corrections.get(context.length_class)
 
     def _count_cached(self, context: _Context, view: EngineView) -> int:
--- a/libraries/placement/tarragonward_placement/predictions.py
+++ b/libraries/placement/tarragonward_placement/predictions.py
@@ -61,13 +61,14 @@
         """Give the prompts on an engine."""
         yield from self._by_engine.get(engine, {}).values()
 
-    def count_account_tokens(self, account: str) -> int:
-        """Return the KV memory that an account's prompts hold through this host."""
-        return sum(
-            sum(work.parts.values())
-            for work in self._work.values()
-            if work.account == account
-        )
+    def count_held_by_account(self) -> dict[str, float]:
+        """Return the KV tokens that long prompts hold through this host."""
+        held: dict[str, float] = {}
+        for work in self._work.values():
+            if work.length_class >= c.FIRST_LONG_CLASS:
+                tokens = sum(work.parts.values())
+                held[work.account] = held.get(work.account, 0.0) + tokens
+        return held
 
     def count_unread(self, view: EngineView, priority: int, now: float) -> float:
         """Return the prompt tokens that a new prompt of this priority waits for.
@@ -91,6 +92,16 @@
         )
         return max(0.0, reported - read) + own
 
+    def has_behind(self, view: EngineView, priority: int, now: float) -> bool:
+        """Return whether the engine reads prompts that go after this priority."""
+        if any(n > 0 for level, n in view.queued_by_priority if level > priority):
+            return True
+        return any(
+            work.engine_priority > priority and not work.has_first_token
+            for work in self._iterate_unreported(view, now)
+            if work.leader == view.name
+        )
+
     def count_free_kv(self, view: EngineView, now: float) -> int:
         """Return the KV memory that is free for all that this host knows."""
         unreported = self._iterate_unreported(view, now)
@@ -128,12 +139,18 @@
 
 
 def predict_ttft(
-    request: PlacementRequest, view: EngineView, waiting: float, cached: int
+    request: PlacementRequest,
+    view: EngineView,
+    waiting: float,
+    cached: int,
+    has_behind: bool,
 ) -> float:
     """Return the seconds until the first token, with waiting tokens before it.
 
-    A step that runs already must end first, whoever it is for.
+    A step that runs already must end first, whoever it is for; a prompt that goes
+    after this one is read in such steps, and in what its last step leaves.
     """
-    uncached = max(request.prompt_tokens - cached, 1)
-    step = view.seconds_per_token
-    return (waiting + uncached) / view.prefill_tokens_per_second + step
+    tokens = waiting + max(request.prompt_tokens - cached, 1)
+    if has_behind:
+        tokens += c.BEHIND_TOKENS
+    return tokens / view.prefill_tokens_per_second + view.seconds_per_token
