--- a/libraries/daemon/tarragonward_daemon/peers.py
+++ b/libraries/daemon/tarragonward_daemon/peers.py
@@ -6,8 +6,15 @@
 from typing import Any
 
 from tarragonward_core import FrameError, HostIdentity
+from tarragonward_membership import Gossip, IndirectAck, IndirectProbe
 
 from .calls import CallAnswer, ForwardCall, ServiceCalls
+from .configuration_peers import (
+    ConfigurationNews,
+    ConfigurationPeers,
+    PullConfiguration,
+)
+from .membership import MembershipTask
 
 __all__ = ["PeerMessages"]
 
@@ -15,8 +22,15 @@
 class PeerMessages:
     """Hand each kind of message to the task that it is for."""
 
-    def __init__(self, calls: ServiceCalls) -> None:
+    def __init__(
+        self,
+        calls: ServiceCalls,
+        configuration: ConfigurationPeers,
+        membership: MembershipTask,
+    ) -> None:
         self._calls = calls
+        self._configuration = configuration
+        self._membership = membership
 
     async def async_handle(self, peer: HostIdentity, message: Any) -> Any:
         """Return the answer to a peer's message, or None."""
@@ -29,3 +43,21 @@
     @_async_handle.register
     async def _(self, message: ForwardCall, peer: HostIdentity) -> CallAnswer:
         return await self._calls.async_handle_forwarded(message)
+
+    @_async_handle.register
+    async def _(
+        self, message: PullConfiguration, peer: HostIdentity
+    ) -> ConfigurationNews:
+        return self._configuration.answer_pull(message)
+
+    @_async_handle.register
+    async def _(self, message: ConfigurationNews, peer: HostIdentity) -> None:
+        await self._configuration.async_handle_news(message, peer.address)
+
+    @_async_handle.register
+    async def _(self, message: Gossip, peer: HostIdentity) -> Gossip:
+        return self._membership.handle_gossip(peer, message)
+
+    @_async_handle.register
+    async def _(self, message: IndirectProbe, peer: HostIdentity) -> IndirectAck:
+        return await self._membership.async_help(message)
--- a/libraries/standins/tarragonward_standins/engine.py
+++ b/libraries/standins/tarragonward_standins/engine.py
@@ -64,8 +64,14 @@
     """
 
     def __init__(
-        self, address: Address, sizes: EngineSizes, faults: HintFaults | None = None
+        self,
+        address: Address,
+        sizes: EngineSizes,
+        faults: HintFaults | None = None,
+        ignores_fencing: bool = False,
     ) -> None:
+        self._ignores_fencing = ignores_fencing
+        self._orders: dict | None = None
         self.model = EngineModel(sizes)
         self._faults = faults or HintFaults()
         self._reports: deque[tuple[float, dict[str, Any]]] = deque()
@@ -206,9 +212,10 @@
         await responder.async_send_json(status, {"granted": granted})
 
     async def _async_order(self, body: dict, responder: Responder) -> None:
-        is_current = body["fencing"] >= self._fencing
+        is_current = self._ignores_fencing or body["fencing"] >= self._fencing
         if is_current:
             self._fencing = body["fencing"]
+            self._orders = body
         await responder.async_send_json(200 if is_current else 409, {"ok": is_current})
 
     async def _async_export(self, stream_id: str, responder: Responder) -> None:
@@ -287,6 +294,7 @@
             "seconds_per_token": self.model.seconds_per_token,
             "cache_sequence": self.model.cache.sequence,
             "fencing": self._fencing,
+            "orders": self._orders,
             "streams": {name: s.owner for name, s in self._streams.items()},
             "reservations": dict(self._owners),
         }
@@ -301,6 +309,7 @@
     parser.add_argument("--time-scale", type=float, default=1.0)
     parser.add_argument("--lag-seconds", type=float, default=0.0)
     parser.add_argument("--lose-every", type=int, default=0)
+    parser.add_argument("--ignores-fencing", action="store_true")
     arguments = parser.parse_args()
     path = arguments.assumptions
     sizes = EngineSizes() if path is None else EngineSizes.load(path)
@@ -308,7 +317,8 @@
         sizes = replace(sizes, kv_tokens=arguments.kv_tokens)
     faults = HintFaults(arguments.lag_seconds, arguments.lose_every)
     sizes = sizes.scale(arguments.time_scale)
-    run_server(EngineStandIn(arguments.address, sizes, faults))
+    ignores_fencing = arguments.ignores_fencing
+    run_server(EngineStandIn(arguments.address, sizes, faults, ignores_fencing))
 
 
 if __name__ == "__main__":
