Wire placement, groups and prefix hints into the daemon

The daemon placed by requests in flight on the first engine alone, so a prompt beyond one engine was never whole. A request now holds its group's reservations from placing until it leaves (an exit stack releases whatever was asked for), the first engine leads, and the body names the reservations. Admission takes the pace of tokens from the host's own answers. Cache events are read only from engines in use. script/test: 221 passed.

--- a/libraries/bench/tarragonward_bench/lengths_fleet.py
+++ b/libraries/bench/tarragonward_bench/lengths_fleet.py
@@ -11,6 +11,7 @@
 
 from tarragonward_core import ResultCode
 from tarragonward_placement import (
+    FIRST_LONG_PRIORITY,
     CacheUpdate,
     EngineView,
     FleetView,
@@ -68,6 +69,11 @@
     last_code: ResultCode | None = None
 
 
+def _count_long(model: EngineModel) -> int:
+    queued = model.get_queued_by_priority()
+    return sum(n for level, n in queued.items() if level >= FIRST_LONG_PRIORITY)
+
+
 @dataclass
 class _Engine:
     name: str
@@ -390,6 +396,11 @@
             if run is not None:
                 del self._runs[run.result.arrival.request_id]
                 run.result.finished_seconds = self.now - run.result.arrival.at
+                run.host.policy.note_finished(
+                    run.result.arrival.request_id,
+                    run.result.arrival.max_tokens,
+                    self.now,
+                )
                 self._leave(run)
                 self._end(run)
         self._step(engine)
@@ -422,7 +433,7 @@
                 "free_kv_tokens": model.free_kv_tokens,
                 "queued_prefill_tokens": model.queued_prefill_tokens,
                 "running": model.running,
-                "queued_by_priority": tuple(model.get_queued_by_priority().items()),
+                "queued_long_tokens": _count_long(model),
                 "prefill_tokens_per_second": model.prefill_tokens_per_second,
                 "seconds_per_token": model.seconds_per_token,
             }
--- a/libraries/bench/tarragonward_bench/lengths_policies.py
+++ b/libraries/bench/tarragonward_bench/lengths_policies.py
@@ -42,6 +42,9 @@
     def note_first_token(self, request_id: str, now: float) -> None:
         """Hear of a first token."""
 
+    def note_finished(self, request_id: str, tokens: int, now: float) -> None:
+        """Hear of a whole answer."""
+
     def release(self, request_id: str) -> None:
         """Hear that a prompt has left its engines."""
 
@@ -80,6 +83,9 @@
     def note_first_token(self, request_id: str, now: float) -> None:
         """Learn nothing."""
 
+    def note_finished(self, request_id: str, tokens: int, now: float) -> None:
+        """Learn nothing."""
+
     def release(self, request_id: str) -> None:
         self.counts.subtract(self._placed.pop(request_id, ()))
 
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/groups.py
@@ -0,0 +1,190 @@
+"""Reserve the engines of a group over HTTP, and release them on every path."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
+from typing import Any
+
+import orjson
+
+from tarragonward_config import Target
+from tarragonward_core import TargetError, log_event
+from tarragonward_placement import (
+    GroupEffect,
+    GroupMember,
+    GroupReady,
+    GroupReservation,
+    Placed,
+    Refused,
+    ReleasePart,
+    ReservationGranted,
+    ReservationRefused,
+    ReservePart,
+    RetryGroup,
+)
+from tarragonward_wire import async_send_http
+
+from . import const as c
+from .core import HostState
+from .engines import Releases
+
+__all__ = ["GroupHold", "GroupRefusedError", "Groups"]
+
+
+class GroupRefusedError(TargetError):
+    """Report that a group could not be had; nothing of it is kept."""
+
+    def __init__(self, max_delay_seconds: float) -> None:
+        super().__init__("the group's engines have no room")
+        self.max_delay_seconds = max_delay_seconds
+
+
+class Groups:
+    """Make the reservations of one host's groups.
+
+    active_ids are the ids that this host holds: the sweep leaves them alone, and
+    takes from the engines whatever of this host is not among them.
+    """
+
+    def __init__(
+        self, host: HostState, releases: Releases, active_ids: set[str]
+    ) -> None:
+        self._host = host
+        self._releases = releases
+        self._active_ids = active_ids
+
+    @asynccontextmanager
+    async def async_hold(
+        self, name: str, placed: Placed, tries: int
+    ) -> AsyncIterator[dict[str, str]]:
+        """Hold all parts while inside; give the reservation ids by engine.
+
+        Raise GroupRefusedError where not all could be had.
+        """
+        published = self._host.configuration.targets
+        targets = {engine: published[engine] for engine in placed.engines}
+        ids = {engine: f"{name}-{tries}@{engine}" for engine in placed.engines}
+        members = list(map(GroupMember, placed.engines, placed.parts))
+        group = GroupReservation(members, tries)
+        with ExitStack() as stack:
+            self._active_ids.update(ids.values())
+            stack.callback(self._active_ids.difference_update, ids.values())
+            # Cancelled between two reservations, the task would leave half a group.
+            # Symptom: memory that no request uses. Whatever was asked for is released,
+            # answered or not, and what a lost release leaves the sweep finds.
+            stack.callback(self._release, group, ids, targets)
+            effects = group.start()
+            while not group.is_ready:
+                effects = await self._async_apply(group, effects, ids, targets)
+            yield ids
+
+    async def _async_apply(
+        self,
+        group: GroupReservation,
+        effects: list[GroupEffect],
+        ids: Mapping[str, str],
+        targets: Mapping[str, Target],
+    ) -> list[GroupEffect]:
+        following: list[GroupEffect] = []
+        for effect in effects:
+            match effect:
+                case ReservePart(member):
+                    granted = await self._async_reserve(
+                        targets[member.engine], ids[member.engine], member.tokens
+                    )
+                    kind = ReservationGranted if granted else ReservationRefused
+                    following += group.handle(kind(member.engine))
+                case ReleasePart(engine):
+                    self._releases.release_reservation(targets[engine], ids[engine])
+                case RetryGroup(max_delay):
+                    raise GroupRefusedError(max_delay)
+                case GroupReady():
+                    pass
+        return following
+
+    async def _async_reserve(
+        self, target: Target, reservation_id: str, tokens: int
+    ) -> bool:
+        body = {
+            "reservation_id": reservation_id,
+            "owner": str(self._host.identity),
+            "tokens": tokens,
+        }
+        try:
+            answer = await async_send_http(
+                target.address,
+                "POST",
+                "/v1/reservations",
+                body=orjson.dumps(body),
+                timeout=c.RESERVE_TIMEOUT_SECONDS,
+            )
+        except TargetError as err:
+            log_event("reserve_failed", target=target.name, reason=repr(err))
+            return False
+        return answer.status == 200
+
+    def _release(
+        self,
+        group: GroupReservation,
+        ids: Mapping[str, str],
+        targets: Mapping[str, Target],
+    ) -> None:
+        for effect in group.release():
+            if isinstance(effect, ReleasePart):
+                engine = effect.engine
+                self._releases.release_reservation(targets[engine], ids[engine])
+
+
+class GroupHold:
+    """What one request holds of a group, from its placing until it leaves."""
+
+    def __init__(self, groups: Groups) -> None:
+        self._groups = groups
+        self._stack = AsyncExitStack()
+        self._placed: Placed | None = None
+        self._ids: dict[str, str] = {}
+
+    async def async_place(
+        self, place: Callable[[], Placed | Refused], name: str
+    ) -> Placed | Refused:
+        """Return where place puts the prompt, once its group is held if it needs one.
+
+        A group that others have in part is asked for again, with fresh knowledge and
+        after a random delay, until the request's deadline cancels the task.
+        """
+        tries = 0
+        while True:
+            await self.async_release()
+            placed = place()
+            if isinstance(placed, Refused):
+                return placed
+            self._placed = placed
+            if len(placed.engines) == 1:
+                return placed
+            holding = self._groups.async_hold(name, placed, tries)
+            try:
+                self._ids = await self._stack.enter_async_context(holding)
+                return placed
+            except GroupRefusedError as err:
+                await asyncio.sleep(err.max_delay_seconds * random.random())
+                tries += 1
+
+    async def async_release(self) -> None:
+        """Release what is held; nothing where nothing is."""
+        self._ids = {}
+        self._placed = None
+        await self._stack.aclose()
+
+    def build_fields(self) -> dict[str, Any]:
+        """Return what the leading engine is told with the prompt."""
+        if self._placed is None:
+            return {}
+        return {
+            "priority": self._placed.engine_priority,
+            "chunk_tokens": self._placed.chunk_tokens,
+            "leader": self._placed.engines[0],
+            "reservations": self._ids,
+        }
--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -19,7 +19,12 @@
     get_length_class,
     log_event,
 )
-from tarragonward_placement import Placed, Placement, PlacementRequest, Refused
+from tarragonward_placement import (
+    Placed,
+    Placement,
+    PlacementRequest,
+    Refused,
+)
 from tarragonward_requests import (
     AttemptFailed,
     AttemptFinished,
@@ -51,8 +56,10 @@
     async_read_stream,
     get_fault,
 )
+from .groups import GroupHold, Groups
 from .membership import MembershipTask
-from .reports import ReportTask
+from .prefixes import PrefixTask, hash_prompt
+from .reports import ReportTask, build_fleet_view
 
 __all__ = ["ModelRequests", "Sink"]
 
@@ -115,19 +122,23 @@
         self.reports = reports
         self.releases = releases
         self.membership = membership
-        self.placement = Placement()
+        self.placement = Placement(random.Random())
+        self.prefixes = PrefixTask(self.placement.prefixes)
         self.budget = RetryBudget()
         self.outliers = OutlierDetector()
         self.probes = EngineProbes(host, self.outliers)
         self.active_streams: set[str] = set()
+        self.groups = Groups(host, releases, self.active_streams)
         self._runs: set[_ModelRequest] = set()
 
     async def async_setup(self) -> None:
         """Start to watch the engines that work waits for."""
         await self.probes.async_setup()
+        await self.prefixes.async_setup()
 
     async def async_unload(self) -> None:
         """Stop watching."""
+        await self.prefixes.async_unload()
         await self.probes.async_unload()
 
     def is_leaving(self, target: Target) -> bool:
@@ -197,6 +208,8 @@
         self._given_out: list[str] = []
         self._attempt: _Attempt | None = None
         self._failed_engines: set[str] = set()
+        self._group = GroupHold(shared.groups)
+        self._prefix_hashes = hash_prompt(completion.prompt)
         self._started_at = self._loop.time()
         self._end: EndRequest | None = None
 
@@ -216,6 +229,7 @@
             self._lifecycle.handle(CallerLeft(), self._loop.time())
             self._count("requests", str(ResultCode.CALLER_LEFT.number))
         await self._async_leave_attempt()
+        await self._group.async_release()
         self._shared.placement.release(self._request_id)
 
     def stop(self) -> None:
@@ -253,6 +267,8 @@
     @_async_apply.register
     async def _(self, effect: DeliverText) -> None:
         if not self._given_out:
+            now = self._loop.time()
+            self._shared.placement.note_first_token(self._request_id, now)
             self._shared.host.metrics.observe(
                 "time_to_first_token",
                 self._loop.time() - self._started_at,
@@ -301,7 +317,8 @@
             stream = None
         is_resumed = stream is not None
         if stream is None:
-            placed = self._place()
+            name = f"{self._request_id}-{effect.attempt}"
+            placed = await self._group.async_place(self._place, name)
             if isinstance(placed, Refused):
                 return PlacementRefused(
                     effect.attempt, placed.code, placed.retry_after_seconds
@@ -329,14 +346,20 @@
             max_tokens=self._completion.max_tokens - self._lifecycle.delivered_tokens,
             priority=self._completion.priority or self._account.priority,
             remaining_seconds=self._lifecycle.deadline - now,
+            prefix_hashes=self._prefix_hashes,
         )
         usable = [engine for engine in engines if engine.name in names]
         views = self._shared.reports.build_views(usable, now)
-        return self._shared.placement.place(request, views, now)
+        fleet = build_fleet_view(self._shared.host, self._shared.membership)
+        placed = self._shared.placement.place(request, views, now, fleet)
+        demand = self._shared.placement.get_demand(now)
+        self._shared.membership.set_own_demand(demand)
+        return placed
 
     def _build_stream(self, number: int, placed: Placed) -> EngineStream:
         engine = self._shared.host.configuration.targets[placed.engines[0]]
         stream_id = f"{self._request_id}-{number}"
+        self._shared.prefixes.note_used(engine)
         return EngineStream(engine, stream_id, self._shared.host.identity)
 
     def _note_failure(self, attempt: _Attempt, error: TargetError) -> Event:
@@ -380,6 +403,9 @@
                 if isinstance(item, StreamEnd):
                     await self._async_read_to_end(reading, items)
                     self._shared.outliers.record_success(reading.target.name)
+                    self._shared.placement.note_finished(
+                        self._request_id, item.tokens, self._loop.time()
+                    )
                     return AttemptFinished(
                         attempt.number, item.tokens, item.finish_reason
                     )
@@ -396,6 +422,8 @@
             "prompt": self._completion.prompt + "".join(self._given_out),
             "max_tokens": self._completion.max_tokens - offset,
             "offset": offset,
+            "prefix_hashes": self._prefix_hashes,
+            **self._group.build_fields(),
         }
 
     async def _async_read_to_end(
--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/prefixes.py
@@ -0,0 +1,92 @@
+"""Read the cache events of the engines that this host uses."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from tarragonward_config import Target
+from tarragonward_core import TargetError, log_event
+from tarragonward_placement import (
+    BLOCK_TOKENS,
+    CacheUpdate,
+    PrefixIndex,
+    hash_blocks,
+)
+from tarragonward_wire import async_send_http
+
+from . import const as c
+
+__all__ = ["PrefixTask", "hash_prompt"]
+
+
+def hash_prompt(prompt: str) -> tuple[int, ...]:
+    """Return the hashes of a prompt's whole blocks, as engines take them."""
+    return hash_blocks(prompt.encode(), BLOCK_TOKENS * c.BYTES_PER_TOKEN)
+
+
+class PrefixTask:
+    """Own the reading of cache events.
+
+    A host reads those of the engines that it sent prompts to of late, a few at a
+    time: its load bounds what it reads, however many engines there are.
+    """
+
+    def __init__(self, index: PrefixIndex) -> None:
+        self._index = index
+        self._used: dict[str, tuple[Target, float]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to read."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_unload(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def note_used(self, target: Target) -> None:
+        """Read an engine's events for a while."""
+        self._used[target.name] = target, asyncio.get_running_loop().time()
+
+    async def _async_run(self) -> None:
+        while True:
+            await asyncio.sleep(c.PREFIX_READ_SECONDS * random.uniform(0.8, 1.2))
+            self._forget_unused()
+            targets = [target for target, _ in self._used.values()]
+            chosen = random.sample(targets, min(len(targets), c.MAX_PREFIX_READS))
+            await asyncio.gather(*map(self._async_read, chosen))
+
+    def _forget_unused(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for name, (_, used_at) in list(self._used.items()):
+            if now - used_at > c.PREFIX_USED_SECONDS:
+                del self._used[name]
+                self._index.forget(name)
+
+    async def _async_read(self, target: Target) -> None:
+        after = self._index.get_sequence(target.name)
+        path = f"/v1/cache-events?after={after}"
+        try:
+            answer = await async_send_http(
+                target.address, "GET", path, timeout=c.REPORT_TIMEOUT_SECONDS
+            )
+            report = answer.parse_json()
+            if int(report["sequence"]) < after:
+                # The engine began again and its cache is empty.
+                self._index.forget(target.name)
+                return
+            self._index.update(target.name, map(_parse_event, report["events"]))
+        except (TargetError, KeyError, TypeError, ValueError) as err:
+            log_event("cache_events_failed", target=target.name, reason=repr(err))
+
+
+def _parse_event(item: dict[str, Any]) -> CacheUpdate:
+    return CacheUpdate(
+        sequence=int(item["sequence"]),
+        added=tuple((int(index), int(value)) for index, value in item["added"]),
+        removed=tuple(int(value) for value in item["removed"]),
+    )
--- a/libraries/daemon/tarragonward_daemon/reports.py
+++ b/libraries/daemon/tarragonward_daemon/reports.py
@@ -4,18 +4,24 @@
 
 import asyncio
 import random
+from typing import Any
 
 from tarragonward_config import Target
 from tarragonward_core import TargetError
-from tarragonward_membership import LoadReport
-from tarragonward_placement import EngineView
+from tarragonward_membership import REST_ACCOUNT, LoadReport
+from tarragonward_placement import (
+    DEFAULT_PREFILL_TOKENS_PER_SECOND,
+    FIRST_LONG_PRIORITY,
+    EngineView,
+    FleetView,
+)
 from tarragonward_wire import async_send_http
 
 from . import const as c
 from .core import HostState
 from .membership import MembershipTask
 
-__all__ = ["ReportTask"]
+__all__ = ["ReportTask", "build_fleet_view"]
 
 
 class ReportTask:
@@ -62,6 +68,11 @@
             queued_prefill_tokens=report.queued_prefill_tokens,
             running=report.running,
             report_age_seconds=max(now - report.reported_at, 0.0),
+            queued_long_tokens=min(
+                report.queued_long_tokens, report.queued_prefill_tokens
+            ),
+            prefill_tokens_per_second=report.prefill_tokens_per_second
+            or DEFAULT_PREFILL_TOKENS_PER_SECOND,
         )
 
     async def _async_read(self) -> None:
@@ -96,5 +107,31 @@
                 queued_prefill_tokens=int(report.get("queued_prefill_tokens", 0)),
                 running=int(report.get("running", 0)),
                 reported_at=asyncio.get_running_loop().time(),
+                queued_long_tokens=_count_long(report),
+                prefill_tokens_per_second=int(
+                    report.get("prefill_tokens_per_second", 0)
+                ),
             )
         )
+
+
+def _count_long(report: dict[str, Any]) -> int:
+    queued = report.get("queued_by_priority", {})
+    return sum(
+        int(tokens)
+        for priority, tokens in queued.items()
+        if int(priority) >= FIRST_LONG_PRIORITY
+    )
+
+
+def build_fleet_view(host: HostState, membership: MembershipTask) -> FleetView:
+    """Return what this host knows of the others, for limits between accounts."""
+    accounts = host.configuration.client_accounts.values()
+    weights = {account.name: account.weight for account in accounts}
+    # The sum of accounts too small to be told apart weighs as all of them do.
+    weights[REST_ACCOUNT] = sum(weights.values())
+    listed = len(membership.membership.get_members()) + 1
+    live = membership.count_live_hosts()
+    if live == 1 and listed > 1:
+        return FleetView(listed, weights, None)
+    return FleetView(live, weights, membership.get_demand())
--- a/libraries/membership/tarragonward_membership/loads.py
+++ b/libraries/membership/tarragonward_membership/loads.py
@@ -14,7 +14,7 @@
 
 __all__ = ["LoadDigest", "LoadReport"]
 
-ENTRY = struct.Struct(">IBBBB")
+ENTRY = struct.Struct(">IBBBBBB")
 
 
 @dataclass(frozen=True)
@@ -26,6 +26,8 @@
     queued_prefill_tokens: int
     running: int
     reported_at: float
+    queued_long_tokens: int = 0
+    prefill_tokens_per_second: int = 0
 
 
 @dataclass
@@ -90,7 +92,7 @@
         """Take over the entries of a message; raise FrameError if it holds others."""
         if len(data) % ENTRY.size:
             raise FrameError(f"a load digest of {len(data)} bytes")
-        for key, free, queued, running, age in ENTRY.iter_unpack(data):
+        for key, free, queued, running, age, long, rate in ENTRY.iter_unpack(data):
             name = self._names.get(key)
             if name is not None:
                 reported_at = now - age * c.AGE_STEP_SECONDS
@@ -101,6 +103,8 @@
                         int(expand(queued)),
                         round(expand(running)),
                         reported_at,
+                        int(expand(long)),
+                        int(expand(rate)),
                     )
                 )
 
@@ -114,6 +118,8 @@
         quantise(report.queued_prefill_tokens),
         quantise(report.running),
         min(max(age, 0), MAX_STEP),
+        quantise(report.queued_long_tokens),
+        quantise(report.prefill_tokens_per_second),
     )
 
 
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -1,7 +1,11 @@
 """Decisions, without I/O, about where prompts run and which are admitted."""
 
 from .affinity import CacheUpdate, PrefixIndex, hash_blocks
-from .const import BLOCK_TOKENS
+from .const import (
+    BLOCK_TOKENS,
+    DEFAULT_PREFILL_TOKENS_PER_SECOND,
+    FIRST_LONG_PRIORITY,
+)
 from .groups import (
     GroupEffect,
     GroupMember,
@@ -26,6 +30,8 @@
 
 __all__ = [
     "BLOCK_TOKENS",
+    "DEFAULT_PREFILL_TOKENS_PER_SECOND",
+    "FIRST_LONG_PRIORITY",
     "AccountLimits",
     "CacheUpdate",
     "EngineView",
--- a/libraries/placement/tarragonward_placement/admission.py
+++ b/libraries/placement/tarragonward_placement/admission.py
@@ -31,13 +31,13 @@
 
 
 def check_time(
-    request: PlacementRequest, view: EngineView, ttft_seconds: float
+    request: PlacementRequest, seconds_per_token: float, ttft_seconds: float
 ) -> Refused | None:
     """Refuse what would not have its whole answer when its time is over.
 
     The answer is taken to be as long as it may be, as none knows where it stops.
     """
-    answer_seconds = (request.max_tokens - 1) * view.seconds_per_token
+    answer_seconds = (request.max_tokens - 1) * seconds_per_token
     missing = ttft_seconds + answer_seconds - request.remaining_seconds
     if missing <= 0:
         return None
--- a/libraries/placement/tarragonward_placement/lanes.py
+++ b/libraries/placement/tarragonward_placement/lanes.py
@@ -18,12 +18,6 @@
     "is_reading_long",
 ]
 
-_LONG_PRIORITY = min(
-    priority
-    for limit, priority, _ in c.LENGTH_TREATMENTS
-    if limit > c.LONG_PROMPT_TOKENS
-)
-
 
 def get_treatment(prompt_tokens: int) -> tuple[int, int, int]:
     """Return the length class, engine priority and chunk tokens of a prompt."""
@@ -35,7 +29,7 @@
 
 def is_reading_long(view: EngineView) -> bool:
     """Return whether an engine reports long prompts that it still reads."""
-    return any(n > 0 for level, n in view.queued_by_priority if level >= _LONG_PRIORITY)
+    return view.queued_long_tokens > 0
 
 
 def get_lane(views: Sequence[EngineView], min_engines: int = 1) -> list[EngineView]:
--- a/libraries/placement/tarragonward_placement/limits.py
+++ b/libraries/placement/tarragonward_placement/limits.py
@@ -74,17 +74,16 @@
     ) -> bool:
         """Return whether a long prompt's account keeps to its share of the memory.
 
-        held are the KV tokens of long prompts in flight through this host. One prompt
-        is always allowed: an account that holds nothing is never over its share.
+        held are the KV tokens of long prompts in flight through this host; the other
+        hosts' are not known, so each keeps to an even part. One prompt is always
+        allowed: an account that holds nothing is never over its share.
         """
-        if fleet.other_demand is None:
-            memory_tokens /= max(fleet.live_hosts, 1)
-        wanted = _add_others(held, fleet.other_demand, c.HELD_SUFFIX)
-        mine = wanted.get(request.account, 0.0)
+        mine = held.get(request.account, 0.0)
         if not mine:
             return True
-        wanted[request.account] = mine + request.kv_tokens
-        shares = share_by_weight(memory_tokens, wanted, fleet.weights)
+        wanted = {**held, request.account: mine + request.kv_tokens}
+        part = memory_tokens / max(fleet.live_hosts, 1)
+        shares = share_by_weight(part, wanted, fleet.weights)
         return wanted[request.account] <= shares[request.account]
 
     def check(
@@ -122,7 +121,9 @@
             usable /= max(fleet.live_hosts, 1)
             demand = own
         else:
-            demand = _add_others(own, fleet.other_demand, "")
+            names = own.keys() | fleet.other_demand.keys()
+            others = fleet.other_demand
+            demand = {n: own.get(n, 0.0) + others.get(n, 0.0) for n in names}
         if sum(demand.values()) <= usable:
             return None
         share = share_by_weight(usable, demand, fleet.weights)[name]
@@ -133,18 +134,6 @@
         return share * own[name] / max(demand[name], 1e-9)
 
 
-def _add_others(
-    own: Mapping[str, float], others: Mapping[str, float] | None, suffix: str
-) -> dict[str, float]:
-    """Return own plus the others' figures whose keys are an account and suffix."""
-    total = dict(own)
-    for key, value in (others or {}).items():
-        name, bar, kind = key.partition(c.HELD_SUFFIX[0])
-        if bar + kind == suffix:
-            total[name] = total.get(name, 0.0) + value
-    return total
-
-
 def _get_floor(priority: int, burst: float) -> float:
     """Return the level that a request needs: urgent ones may go into debt."""
     if priority < 0:
--- a/libraries/placement/tarragonward_placement/messages.py
+++ b/libraries/placement/tarragonward_placement/messages.py
@@ -52,7 +52,7 @@
     """What one host knows of one engine: its last report and the report's age.
 
     The host's own work there, begun since the report, is added by placement itself.
-    queued_by_priority holds pairs (engine priority, prompt tokens still to be read).
+    queued_long_tokens is the part of queued_prefill_tokens that long prompts make.
     """
 
     name: str
@@ -61,7 +61,7 @@
     queued_prefill_tokens: int
     running: int
     report_age_seconds: float
-    queued_by_priority: tuple[tuple[int, int], ...] = ()
+    queued_long_tokens: int = 0
     prefill_tokens_per_second: float = c.DEFAULT_PREFILL_TOKENS_PER_SECOND
     seconds_per_token: float = c.DEFAULT_SECONDS_PER_TOKEN
 
--- a/libraries/placement/tarragonward_placement/placement.py
+++ b/libraries/placement/tarragonward_placement/placement.py
@@ -22,7 +22,7 @@
     PlacementRequest,
     Refused,
 )
-from .predictions import Corrections, InFlight, InFlightBook, predict_ttft
+from .predictions import Corrections, InFlight, InFlightBook, TokenPace, predict_ttft
 
 __all__ = ["Placement"]
 
@@ -64,6 +64,7 @@
         self._policy = policy or PlacementPolicy()
         self._book = InFlightBook()
         self._corrections = Corrections()
+        self._pace = TokenPace()
         self._short_budget = ShortBudget()
 
     @property
@@ -90,7 +91,8 @@
         if choice is None:
             return self._refuse_full(context)
         if self._policy.uses_admission:
-            refused = check_time(request, choice.view, choice.ttft_seconds)
+            pace = self._pace.seconds_per_token
+            refused = check_time(request, pace, choice.ttft_seconds)
             if refused is not None:
                 return refused
         return self._take(context, choice)
@@ -101,8 +103,15 @@
         if work is None or work.has_first_token:
             return
         work.has_first_token = True
+        work.first_token_at = now
         self._corrections.observe(work, now)
 
+    def note_finished(self, request_id: str, tokens: int, now: float) -> None:
+        """Learn from a whole answer of so many tokens."""
+        work = self._book.get(request_id)
+        if work is not None and work.has_first_token:
+            self._pace.observe(now - work.first_token_at, tokens - 1)
+
     def release(self, request_id: str) -> None:
         """Forget a prompt that has ended or left its engines."""
         self._book.remove(request_id)
@@ -120,14 +129,8 @@
         return _Context(request, views, fleet, now, length_class, priority, chunk)
 
     def get_demand(self, now: float) -> dict[str, float]:
-        """Return what the other hosts need to know of this one's accounts.
-
-        Offered tokens per second by account, and with HELD_SUFFIX the KV tokens that
-        its long prompts hold.
-        """
-        held = self._book.count_held_by_account()
-        demand = self.limits.get_demand(now)
-        return demand | {name + c.HELD_SUFFIX: n for name, n in held.items()}
+        """Return the tokens per second offered here by account, for other hosts."""
+        return self.limits.get_demand(now)
 
     def _check_limits(self, context: _Context) -> Refused | None:
         if not self._policy.uses_limits:
@@ -137,14 +140,20 @@
             capacity = self._compute_short_capacity(context)
             seconds = self.limits.check(request, capacity, fleet, context.now)
         else:
-            held = self._book.count_held_by_account()
-            memory = sum(view.kv_tokens for view in context.views) * c.MAX_LANE_SHARE
-            is_within = self.limits.check_memory(request, held, memory, fleet)
+            is_within = self._keeps_memory_share(context)
             seconds = None if is_within else c.LONG_RETRY_SECONDS
         if seconds is None:
             return None
         return refuse(ResultCode.ACCOUNT_LIMIT, seconds)
 
+    def _keeps_memory_share(self, context: _Context) -> bool:
+        memory = sum(view.kv_tokens for view in context.views)
+        free = sum(view.free_kv_tokens for view in context.views)
+        if free >= memory * c.SCARCE_MEMORY_SHARE:
+            return True
+        held = self._book.count_held_by_account()
+        return self.limits.check_memory(context.request, held, memory, context.fleet)
+
     def _compute_short_capacity(self, context: _Context) -> float:
         """Return the tokens per second that the lane leaves for shorter prompts."""
         total = sum(view.prefill_tokens_per_second for view in context.views)
--- a/libraries/placement/tarragonward_placement/predictions.py
+++ b/libraries/placement/tarragonward_placement/predictions.py
@@ -8,7 +8,7 @@
 from . import const as c
 from .messages import EngineView, PlacementRequest
 
-__all__ = ["Corrections", "InFlight", "InFlightBook", "predict_ttft"]
+__all__ = ["Corrections", "InFlight", "InFlightBook", "TokenPace", "predict_ttft"]
 
 
 @dataclass
@@ -25,6 +25,7 @@
     predicted_ttft_seconds: float
     length_class: int = 0
     has_first_token: bool = False
+    first_token_at: float = 0.0
 
 
 class InFlightBook:
@@ -77,11 +78,9 @@
         added, as hosts that all trust the same old report send all their work to the
         engine that looked idle.
         """
-        reported = sum(
-            tokens for level, tokens in view.queued_by_priority if level <= priority
-        )
-        if not view.queued_by_priority:
-            reported = view.queued_prefill_tokens
+        reported = view.queued_prefill_tokens
+        if priority < c.FIRST_LONG_PRIORITY:
+            reported -= view.queued_long_tokens
         read = view.report_age_seconds * view.prefill_tokens_per_second
         own = sum(
             work.unread_tokens
@@ -94,7 +93,7 @@
 
     def has_behind(self, view: EngineView, priority: int, now: float) -> bool:
         """Return whether the engine reads prompts that go after this priority."""
-        if any(n > 0 for level, n in view.queued_by_priority if level > priority):
+        if view.queued_long_tokens > 0 and priority < c.FIRST_LONG_PRIORITY:
             return True
         return any(
             work.engine_priority > priority and not work.has_first_token
@@ -138,6 +137,20 @@
         self._ratios[work.length_class] = known + c.CORRECTION_WEIGHT * (ratio - known)
 
 
+class TokenPace:
+    """The seconds between an answer's tokens, as this host's answers came."""
+
+    def __init__(self) -> None:
+        self.seconds_per_token = c.DEFAULT_SECONDS_PER_TOKEN
+
+    def observe(self, seconds: float, tokens: int) -> None:
+        """Learn from tokens that came in so many seconds."""
+        if tokens < c.MIN_PACE_TOKENS:
+            return
+        change = seconds / tokens - self.seconds_per_token
+        self.seconds_per_token += c.PACE_WEIGHT * change
+
+
 def predict_ttft(
     request: PlacementRequest,
     view: EngineView,
