--- a/libraries/placement/tarragonward_placement/placement.py
+++ b/libraries/placement/tarragonward_placement/placement.py
@@ -90,7 +90,9 @@
         choice = self._choose(context)
         if choice is None:
             return self._refuse_full(context)
-        if self._policy.uses_admission:
+        # Without a recent report there is nothing but a guess to refuse it on.
+        is_known = choice.view.report_age_seconds <= c.MAX_TRUSTED_REPORT_SECONDS
+        if self._policy.uses_admission and is_known:
             pace = self._pace.seconds_per_token
             refused = check_time(request, pace, choice.ttft_seconds)
             if refused is not None:
--- a/libraries/placement/tests/test_placement.py
+++ b/libraries/placement/tests/test_placement.py
@@ -86,6 +86,17 @@
     assert placement.in_flight == 0
 
 
+def test_nothing_is_refused_on_a_guess():
+    """A host has just begun and has read no report yet.
+
+    Its first long prompt would be refused, though the engines are idle and fast: the
+    assumed rate is low. Without a recent report there is nothing to refuse it on.
+    """
+    view = replace(make_view("a", age=3_600.0), prefill_tokens_per_second=10.0)
+    answer = Placement(Random(1)).place(make_request(), [view], 0.0)
+    assert isinstance(answer, Placed)
+
+
 def test_a_prompt_beyond_all_engines_is_too_long():
     views = [make_view("a"), make_view("b")]
     refused = Placement(Random(1)).place(make_request(prompt=900_000), views, 0.0)
--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -41,6 +41,7 @@
     engines_per_domain: int = 2
     services_per_domain: int = 1
     kv_tokens: int = c.DEFAULT_KV_TOKENS
+    engine_time_scale: float = 1.0
     model: str = "planogram-1"
     context_tokens: int = 1_200_000
     accounts: dict[str, float] = field(
@@ -329,6 +330,7 @@
                 "tarragonward_standins.engine",
                 address=address,
                 kv_tokens=plan.kv_tokens,
+                time_scale=plan.engine_time_scale,
             )
             if not plan.engines_check_fencing:
                 self._commands[name].append("--ignores-fencing")
