Let a default limit give way to the bound that the file names

Now only what the file says can be refused, a default is lowered, and Site shows a process's log as soon as it ends while starting. Ruled out: raising the tests' maximum, as an operator's file may say the same.

--- a/libraries/config/tarragonward_config/settings.py
+++ b/libraries/config/tarragonward_config/settings.py
@@ -6,7 +6,7 @@
 import re
 import tomllib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +19,10 @@
 __all__ = ["Limits", "Settings", "describe_invalid", "load_settings"]
 
 MAX_SHOWN_CHARACTERS = 120
+BOUNDED_LIMITS = (
+    (c.CONF_TIME_LIMIT_SECONDS, c.CONF_MAX_TIME_LIMIT_SECONDS),
+    (c.CONF_MAX_BODY_BYTES, c.CONF_MAX_BODIES_BYTES),
+)
 UNKNOWN_KEY = "extra keys not allowed"
 
 
@@ -190,8 +194,7 @@
     except vol.Invalid as err:
         message = describe_invalid(str(path), data, err, SETTINGS_SCHEMA)
         raise SettingsError(message) from None
-    limits = Limits(**checked[c.CONF_LIMITS])
-    _check_limits(path, limits)
+    limits = _build_limits(path, checked[c.CONF_LIMITS])
     credentials = checked[c.CONF_CREDENTIALS]
     peer_key = _read_credential(path, c.CONF_PEER_KEY_FILE, credentials).encode()
     if len(peer_key) < c.MIN_PEER_KEY_BYTES:
@@ -210,19 +213,21 @@
     )
 
 
-def _check_limits(path: Path, limits: Limits) -> None:
-    """Refuse limits that contradict each other; they would refuse all work."""
-    pairs = (
-        (c.CONF_TIME_LIMIT_SECONDS, c.CONF_MAX_TIME_LIMIT_SECONDS),
-        (c.CONF_MAX_BODY_BYTES, c.CONF_MAX_BODIES_BYTES),
-    )
-    for lower, upper in pairs:
+def _build_limits(path: Path, given: dict[str, Any]) -> Limits:
+    """Return the limits; refuse a limit above the bound that it is under.
+
+    A default gives way to the bound that the file names.
+    """
+    limits = Limits(**given)
+    for lower, upper in BOUNDED_LIMITS:
         found, allowed = getattr(limits, lower), getattr(limits, upper)
-        if found > allowed:
+        if found > allowed and lower in given:
             raise SettingsError(
                 f"{path}: {c.CONF_LIMITS}.{lower}: found {found}: expected at most"
                 f" {upper}, which is {allowed}"
             )
+        limits = replace(limits, **{lower: min(found, allowed)})
+    return limits
 
 
 def _read_credential(path: Path, key: str, credentials: dict[str, str]) -> str:
--- a/libraries/config/tests/test_settings.py
+++ b/libraries/config/tests/test_settings.py
@@ -42,6 +42,11 @@
     assert "k" * 32 not in repr(settings)
 
 
+def test_a_default_gives_way_to_the_bound_that_the_file_names(tmp_path):
+    settings = load(tmp_path, VALID + "max_time_limit_seconds = 30")
+    assert settings.limits.time_limit_seconds == 30
+
+
 LIMITS = {
     "time_limit = 3": "time_limit_seconds",
     "drain_timeout_seconds = nan": "0 to 3600",
--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -28,7 +28,7 @@
 FIRST_PORT = 10_000
 PORTS_A_SITE = 200
 SETUP_SECONDS = 20.0
-STOP_SECONDS = 5.0
+MAX_SHOWN_LOG = 2_000
 _site_numbers = itertools.count()
 
 
@@ -247,6 +247,7 @@
         address = self.hosts[name].operators
         async with asyncio.timeout(SETUP_SECONDS):
             while True:
+                self._check_running(name)
                 try:
                     answer = await async_send_http(
                         address, "GET", "/health", timeout=1.0
@@ -257,6 +258,13 @@
                     pass
                 await asyncio.sleep(0.05)
 
+    def _check_running(self, name: str) -> None:
+        """Raise RuntimeError, with the end of its log, where a process has ended."""
+        process = self._processes.get(name)
+        if process is not None and process.returncode is not None:
+            log = (self.folder / f"{name}.log").read_text("utf-8", "replace")
+            raise RuntimeError(f"{name} ended: {log[-MAX_SHOWN_LOG:]}")
+
     async def async_ask_operators(
         self, name: str, path: str, method: str = "GET"
     ) -> Any:
