--- a/libraries/daemon/tests/test_models.py
+++ b/libraries/daemon/tests/test_models.py
@@ -17,7 +17,13 @@
 
 
 class StuckSink:
-    async def async_deliver(self, text):
+    was_asked = False
+
+    def note_target(self, target):
+        pass
+
+    async def async_deliver(self, text, tokens):
+        self.was_asked = True
         await asyncio.Event().wait()
 
 
@@ -67,10 +73,12 @@
     loop = asyncio.get_running_loop()
     account = daemon.host.configuration.client_accounts["x"]
     deadline = loop.time() + 0.5
-    running = daemon.models.async_run("r", account, COMPLETION, deadline, StuckSink())
+    sink = StuckSink()
+    running = daemon.models.async_run("r", account, COMPLETION, deadline, sink)
     async with asyncio.timeout(2):
         end = await running
         while engine.model.running:
             await asyncio.sleep(0.01)
+    assert sink.was_asked
     assert end.code is ResultCode.DEADLINE_EXCEEDED
     assert daemon.models.active_streams == set()
