--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -17,7 +17,7 @@
     make_prompt,
 )
 from tarragonward_standins.site import SitePlan
-from tarragonward_wire import async_open_http
+from tarragonward_wire import async_open_http, async_send_http
 
 TOKENS = 150
 LIMIT = 20.0
@@ -45,6 +45,24 @@
             await asyncio.sleep(0.02)
 
 
+async def set_leaving(site, engine):
+    hosts = site.build_host_list()
+    for item in hosts:
+        if item["name"] == engine:
+            item["state"] = "leaving"
+    await site.async_set_hosts(hosts)
+
+
+async def watch_streams(site, engine, asking):
+    """Return the ids of all streams that the engine reports until the answer ends."""
+    seen = set()
+    while not asking.done():
+        report = await async_read_load(site.engines[engine])
+        seen |= set(report["streams"])
+        await asyncio.sleep(0.02)
+    return seen
+
+
 def assert_all_whole(results):
     assert [r for r in results if r.outcome is not Outcome.WHOLE] == []
 
@@ -86,7 +104,10 @@
     site = await make_site(plan)
     proxy = await proxies(site, "engine-north-1")
     proxy.faults.drop_after_bytes = 2_001
-    assert_all_whole([await ask(site, "aisle")])
+    asking = ask(site, "aisle")
+    seen = await watch_streams(site, "engine-north-1", asking)
+    assert_all_whole([await asking])
+    assert len(seen) == 1
     assert await async_wait_idle(site, 10) == {}
 
 
@@ -122,11 +143,7 @@
         )
     )
     await wait_for_streams(site, "engine-north-1")
-    seen = set()
-    while not asking.done():
-        report = await async_read_load(site.engines["engine-north-1"])
-        seen |= set(report["streams"])
-        await asyncio.sleep(0.1)
+    seen = await watch_streams(site, "engine-north-1", asking)
     assert_all_whole([await asking])
     assert len(seen) == 1
 
@@ -183,11 +200,7 @@
     site = await make_site(ONE_DOMAIN)
     asking = [ask(site, f"aisle {n}", tokens=400) for n in range(2)]
     await wait_for_streams(site, "engine-north-1")
-    hosts = site.build_host_list()
-    for item in hosts:
-        if item["name"] == "engine-north-1":
-            item["state"] = "leaving"
-    await site.async_set_hosts(hosts)
+    await set_leaving(site, "engine-north-1")
     assert_all_whole(await asyncio.gather(*asking))
     await asyncio.sleep(3.0)
     later = [ask(site, f"bay {n}") for n in range(6)]
@@ -199,6 +212,44 @@
     assert await count_streams(site, "engine-north-1") == 0
 
 
+async def test_a_stream_is_not_resumed_on_a_leaving_engine(make_site, proxies):
+    """The connection to a leaving engine is reset in the middle of an answer.
+
+    Asking it for the rest would be new work there: the answer goes on at the other
+    engine, whole, and the stream that was left is cancelled.
+    """
+    site = await make_site(ONE_DOMAIN)
+    proxy = await proxies(site, "engine-north-1")
+    asking = [ask(site, f"aisle {n}", tokens=500, limit=30) for n in range(2)]
+    await wait_for_streams(site, "engine-north-1")
+    await set_leaving(site, "engine-north-1")
+    await asyncio.sleep(3.0)
+    assert not any(a.done() for a in asking)
+    proxy.end_connections()
+    await wait_for_streams(site, "engine-north-2", 2)
+    assert_all_whole(await asyncio.gather(*asking))
+    assert await count_streams(site, "engine-north-1") == 0
+
+
+async def test_a_paused_owner_finds_its_stream_swept_and_goes_on(make_site):
+    """A host is frozen; another one takes it for gone and cancels its stream.
+
+    Awake again in time, it finds the stream gone, makes a new attempt from the text
+    given out so far, and its caller reads every token once.
+    """
+    site = await make_site(ONE_DOMAIN)
+    asking = ask(site, "aisle", tokens=200)
+    await asyncio.sleep(0.5)
+    site.send_signal("entry-north-1", signal.SIGSTOP)
+    for engine in site.engines.values():
+        for stream_id in (await async_read_load(engine))["streams"]:
+            path = f"/v1/streams/{stream_id}"
+            await async_send_http(engine, "DELETE", path, timeout=1.0)
+    site.send_signal("entry-north-1", signal.SIGCONT)
+    assert_all_whole([await asking])
+    assert await async_wait_idle(site, 5) == {}
+
+
 async def test_an_engine_taken_out_of_the_configuration_gets_no_failover(make_site):
     """The published configuration drops an engine while its streams run.
 
