--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -62,8 +62,11 @@
 class Sink(Protocol):
     """Where an answer's text goes."""
 
-    async def async_deliver(self, text: str) -> None:
-        """Give text to the caller; wait while it has no room."""
+    def note_target(self, target: str) -> None:
+        """Note which engine the answer comes from."""
+
+    async def async_deliver(self, text: str, tokens: int) -> None:
+        """Give text of so many tokens to the caller; wait while it has no room."""
 
 
 @dataclass(eq=False)
@@ -265,7 +268,7 @@
         timeout = asyncio.timeout_at(self._lifecycle.deadline)
         try:
             async with timeout:
-                await self._sink.async_deliver(effect.text)
+                await self._sink.async_deliver(effect.text, effect.tokens)
         except TimeoutError:
             if not timeout.expired():
                 raise
@@ -336,6 +339,7 @@
 
     def _build_stream(self, number: int, placed: Placed) -> EngineStream:
         engine = self._shared.host.configuration.targets[placed.engines[0]]
+        self._sink.note_target(engine.name)
         stream_id = f"{self._request_id}-{number}"
         return EngineStream(engine, stream_id, self._shared.host.identity)
 
@@ -396,6 +400,7 @@
             "prompt": self._completion.prompt + "".join(self._given_out),
             "max_tokens": self._completion.max_tokens - offset,
             "offset": offset,
+            "sampling": self._completion.sampling,
         }
 
     async def _async_read_to_end(
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -19,6 +19,7 @@
 )
 
 from .const import DEFAULT_CONNECT_TIMEOUT_SECONDS, READ_BYTES
+from .http_messages import encode_headers
 
 __all__ = ["HttpAnswer", "HttpStream", "async_open_http", "async_send_http"]
 
@@ -140,7 +141,9 @@
         "connection": "close",
         **(headers or {}),
     }
-    request = h11.Request(method=method, target=path, headers=list(all_headers.items()))
+    request = h11.Request(
+        method=method, target=path, headers=encode_headers(all_headers)
+    )
     try:
         if before_write is not None:
             before_write()
@@ -148,11 +151,9 @@
         if body:
             writer.write(connection.send(h11.Data(data=body)))
         writer.write(connection.send(h11.EndOfMessage()))
+        # The answer is read while the body still goes out: a target that refuses a
+        # long prompt at its head answers, and closes, before it has read it all.
         stream = HttpStream(connection, reader, writer)
-        try:
-            await writer.drain()
-        except OSError as err:
-            raise ConnectionLostError(str(err)) from err
         await stream.async_read_head()
         yield stream
     finally:
