--- a/libraries/daemon/tarragonward_daemon/configuration.py
+++ b/libraries/daemon/tarragonward_daemon/configuration.py
@@ -29,7 +29,14 @@
 
 __all__ = ["ConfigurationTask"]
 
-READ_ERRORS = (TargetError, ConfigurationError, KeyError, TypeError, AttributeError)
+READ_ERRORS = (
+    AttributeError,
+    ConfigurationError,
+    KeyError,
+    TargetError,
+    TypeError,
+    ValueError,
+)
 LOG_ROUTE = "/v1/configuration/log"
 SNAPSHOT_ROUTE = "/v1/configuration/snapshot"
 
--- a/libraries/daemon/tarragonward_daemon/configuration_peers.py
+++ b/libraries/daemon/tarragonward_daemon/configuration_peers.py
@@ -20,14 +20,21 @@
     encode_entries,
 )
 from tarragonward_core import Address, ConfigurationError, TargetError, log_event
-from tarragonward_membership import Member
+from tarragonward_membership import Member, MemberState
 from tarragonward_wire import PeerLinks, register_message
 
 from . import const as c
 from .core import HostState
 from .membership import MembershipTask
 
-__all__ = ["ConfigurationNews", "ConfigurationPeers", "PullConfiguration"]
+__all__ = [
+    "ConfigurationNews",
+    "ConfigurationPeers",
+    "PullConfiguration",
+    "choose_neighbours",
+]
+
+GONE = frozenset({MemberState.DEAD, MemberState.LEAVING})
 
 
 @register_message
@@ -143,7 +150,7 @@
                 self.take_news(news, str(address))
         except TargetError:
             return
-        except (ConfigurationError, orjson.JSONDecodeError) as err:
+        except (ConfigurationError, ValueError) as err:
             log_event("configuration_news_refused", peer=address, error=repr(err))
 
     async def _async_push(self, address: Address, news: ConfigurationNews) -> None:
@@ -165,15 +172,9 @@
         The same ones each time, so that links stay few; some in other domains, as one
         domain's platform may be cut off while another's is not.
         """
-        ours = str(self._host.settings.peers)
-        domain = self._host.settings.failure_domain
-        members = sorted(
-            self._membership.membership.get_members(),
-            key=lambda member: _score(ours, str(member.listed.address)),
-        )
-        near = [m for m in members if m.listed.failure_domain == domain]
-        far = [m for m in members if m.listed.failure_domain != domain]
-        return near[: c.NEIGHBOURS_NEAR] + far[: c.NEIGHBOURS_FAR]
+        settings = self._host.settings
+        members = self._membership.membership.get_members()
+        return choose_neighbours(str(settings.peers), settings.failure_domain, members)
 
     def _build_news(
         self, entries: tuple[LogEntry, ...], snapshot: bytes
@@ -198,5 +199,18 @@
             self._show_taken(Taken(Outcome.FORK), source)
 
 
+def choose_neighbours(
+    ours: str, failure_domain: str, members: list[Member]
+) -> list[Member]:
+    """Return the members that a host exchanges with, those that are gone last."""
+    ranked = sorted(
+        members,
+        key=lambda m: (m.state in GONE, _score(ours, str(m.listed.address))),
+    )
+    near = [m for m in ranked if m.listed.failure_domain == failure_domain]
+    far = [m for m in ranked if m.listed.failure_domain != failure_domain]
+    return near[: c.NEIGHBOURS_NEAR] + far[: c.NEIGHBOURS_FAR]
+
+
 def _score(ours: str, theirs: str) -> bytes:
     return hashlib.blake2b(f"{ours}|{theirs}".encode(), digest_size=8).digest()
