Watch several replicas and a forked log in one process

Cause: stale replicas beside a good one, and a platform restored and grown again, were shown by the history's tests alone, not by the task that reads. Four tests with platform stand-ins in the test's process: in force within 8 s with two of three replicas stale and no peers; a fork refused, counted and read at most 40 times in 3 s; verdicts kept with reasons; a look that a replica behind cannot pass for fresh. Ruled out: real processes for these, which cost 4 s each to start.

--- /dev/null
+++ b/libraries/daemon/tests/test_configuration_task.py
@@ -0,0 +1,131 @@
+"""Tests of one host's watch of several replicas, in one process."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from tarragonward_config import LogEntry, Verdict
+from tarragonward_core import Address, HostIdentity, Metrics
+from tarragonward_daemon.configuration import ConfigurationTask
+from tarragonward_standins import PlatformStandIn
+from tarragonward_wire import PeerLinks
+
+IN_FORCE_SECONDS = 8.0
+DOCUMENT = {
+    "client_accounts": {"shelfwise": {"token_sha256": ["0" * 64], "weight": 1}},
+    "models": {},
+    "services": {},
+    "targets": {},
+}
+PATH = "/client_accounts/shelfwise/weight"
+
+
+def set_weight(weight):
+    return [{"op": "replace", "path": PATH, "value": weight}]
+
+
+@pytest.fixture
+async def make_host():
+    started = []
+
+    async def async_make(replicas=1):
+        platforms = []
+        for _ in range(replicas):
+            platform = PlatformStandIn(Address("127.0.0.1", 0), DOCUMENT, [])
+            await platform.async_setup()
+            platforms.append(platform)
+            started.append(platform)
+        address = Address("127.0.0.1", 1)
+        settings = SimpleNamespace(
+            configuration=tuple(platform.address for platform in platforms),
+            peers=address,
+            failure_domain="north",
+        )
+        host = SimpleNamespace(
+            settings=settings, metrics=Metrics(), configuration_state=None
+        )
+        membership = SimpleNamespace(membership=SimpleNamespace(get_members=lambda: []))
+        links = PeerLinks(HostIdentity(address, 1), b"k" * 32)
+        task = ConfigurationTask(host, links, membership)
+        await task.async_setup()
+        started.append(task)
+        return platforms, host, task
+
+    yield async_make
+    for part in reversed(started):
+        await part.async_unload()
+
+
+async def async_wait_in_force(host, number):
+    async with asyncio.timeout(IN_FORCE_SECONDS):
+        while getattr(host.configuration_state, "number", -1) != number:
+            await asyncio.sleep(0.02)
+
+
+async def test_a_patch_is_in_force_in_time_though_two_of_three_replicas_are_stale(
+    make_host,
+):
+    """Two of three replicas lag; each holds the watch up before the third is read.
+
+    The host has no peers. The patch must be in force within 8 s all the same, and the
+    stale replicas must not take it back.
+    """
+    platforms, host, _ = await make_host(replicas=3)
+    await async_wait_in_force(host, 0)
+    await platforms[0].async_publish(0, set_weight(5))
+    await async_wait_in_force(host, 1)
+    await asyncio.sleep(6)
+    assert host.configuration_state.number == 1
+    assert host.metrics.get_count("configuration_stale_reads") > 0
+
+
+async def test_a_forked_log_is_refused_visibly_and_not_read_in_a_loop(make_host):
+    """The platform is restored from a backup, and other patches are published on top.
+
+    The host keeps what was in force, counts the fork, and asks about twice a second:
+    a log that it can't use must not be read as fast as the service answers.
+    """
+    platforms, host, task = await make_host()
+    platform = platforms[0]
+    await async_wait_in_force(host, 0)
+    await platform.async_publish(0, set_weight(5))
+    await async_wait_in_force(host, 1)
+    platform.log[:] = [LogEntry(1, 0, tuple(set_weight(7)))]
+    await platform.async_publish(1, set_weight(8))
+    reads = platform.reads
+    await asyncio.sleep(3)
+    assert host.configuration_state.number == 1
+    assert host.metrics.get_count("configuration_forks") > 0
+    assert platform.reads - reads < 40
+    assert not await task.async_look()
+
+
+async def test_refused_patches_are_kept_for_operators_with_their_reasons(make_host):
+    platforms, host, task = await make_host()
+    await async_wait_in_force(host, 0)
+    await platforms[0].async_publish(0, set_weight(5))
+    await platforms[0].async_publish(0, set_weight(6))
+    await platforms[0].async_publish(1, set_weight(-1))
+    async with asyncio.timeout(IN_FORCE_SECONDS):
+        while len(task.verdicts) < 3:
+            await asyncio.sleep(0.02)
+    shown = [(v.entry.sequence, v.entry.base, v.verdict) for v in task.verdicts]
+    assert shown == [
+        (1, 0, Verdict.ACCEPTED),
+        (2, 0, Verdict.STALE),
+        (3, 1, Verdict.INVALID),
+    ]
+    assert all(v.reason for v in task.verdicts[1:])
+
+
+async def test_a_fresh_look_needs_a_replica_that_is_not_behind(make_host):
+    platforms, host, task = await make_host()
+    await async_wait_in_force(host, 0)
+    await platforms[0].async_publish(0, set_weight(5))
+    await async_wait_in_force(host, 1)
+    assert await task.async_look()
+    platforms[0].stale_at = 0
+    assert not await task.async_look()
+    platforms[0].is_configuration_down = True
+    assert not await task.async_look()
