--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -15,6 +15,7 @@
 
 from .model_runs import run_model_requests
 from .soak_calls import run_calls_seed
+from .soak_configuration import run_configuration_seed
 
 __all__ = ["MACHINES", "SeedResult", "run_seed"]
 
@@ -25,6 +26,7 @@
 Machine = Callable[[int], int]
 MACHINES: dict[str, Machine] = {
     "calls": run_calls_seed,
+    "configuration": run_configuration_seed,
     "models": run_model_requests,
 }
 
