--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -38,6 +38,7 @@
 BEHIND_TOKENS = 1_024
 LANE_WAIT_SHARE = 0.5
 MAX_LANE_SHARE = 0.8
+LANE_CANDIDATES = 3
 # What shorter prompts may take of an engine with long ones: the rest is the bound on
 # the progress of long prompts under any short load.
 LANE_SHORT_SHARE = 0.5
--- a/libraries/placement/tarragonward_placement/placement.py
+++ b/libraries/placement/tarragonward_placement/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
@@ -194,17 +195,21 @@
     def _find_free(
         self, context: _Context, views: Sequence[EngineView]
     ) -> EngineView | None:
-        """Return the lane's first engine whose wait is short beside the reading.
+        """Return one of the lane's first engines whose wait is short for the prompt.
 
         So the lane is as large as the long prompts of the moment need: the measure
-        of demand is that the engines before are taken.
+        of demand is that the engines before are taken. It is drawn among a few, as
+        hosts that all take the first meet there on one old report.
         """
         bearable = context.request.prompt_tokens * c.LANE_WAIT_SHARE
-        for view in views:
-            priority = context.engine_priority
-            if self._book.count_unread(view, priority, context.now) <= bearable:
-                return view
-        return None
+        priority, now = context.engine_priority, context.now
+        free = (
+            view
+            for view in views
+            if self._book.count_unread(view, priority, now) <= bearable
+        )
+        first = list(itertools.islice(free, c.LANE_CANDIDATES))
+        return self._random.choice(first) if first else None
 
     def _choose_group(self, context: _Context) -> _Choice | None:
         free = [
