Confine only prompts over 100k to the lane

They may now use any engine, taken in the lane's order, and the lane of the rest is 0.7 of the engines; mid prompts are read in chunks of 1024.

--- a/libraries/bench/tarragonward_bench/lengths.py
+++ b/libraries/bench/tarragonward_bench/lengths.py
@@ -5,7 +5,7 @@
 import argparse
 import math
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from tarragonward_core import get_length_class
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True)
 class Scenario:
-    """One situation; engine_time multiplies all step times of the engines."""
+    """One situation; engine_time multiplies the step times, engine_memory the KV."""
 
     name: str
     policies: tuple[str, ...] = MAIN
@@ -52,6 +52,7 @@
     host_lost: bool = False
     has_long: bool = True
     engine_time: float = 1.0
+    engine_memory: float = 1.0
 
 
 SCENARIOS = (
@@ -68,6 +69,8 @@
     Scenario(f"{HOST_LOST}, {WITHOUT_LONG}", host_lost=True, has_long=False),
     Scenario("engines twice as fast, twice the load", engine_time=0.5),
     Scenario("engines half as fast, half the load", engine_time=2.0),
+    Scenario("engines of half the memory", engine_memory=0.5),
+    Scenario("engines of twice the memory", engine_memory=2.0),
 )
 
 
@@ -90,6 +93,8 @@
     if not scenario.has_long:
         arrivals = [arrival for arrival in arrivals if not _is_long(arrival)]
     sizes = EngineSizes.load(ASSUMPTIONS).scale(scenario.engine_time)
+    kv_tokens = int(sizes.kv_tokens * scenario.engine_memory)
+    sizes = replace(sizes, kv_tokens=kv_tokens)
     faults = Faults(
         report_lag_seconds=scenario.report_lag_seconds,
         engine_lost_at=job.seconds / 3 if scenario.engine_lost else math.inf,
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -12,7 +12,7 @@
 # (prompts up to this many tokens, engine priority, chunk tokens or 0 for the engine's)
 LENGTH_TREATMENTS = (
     (4_000, 0, 0),
-    (LONG_PROMPT_TOKENS, 1, 0),
+    (LONG_PROMPT_TOKENS, 1, 1_024),
     (100_000, 2, 1_024),
     (1 << 62, 3, 1_024),
 )
@@ -37,8 +37,9 @@
 # What prompts that go after this one cost it all the same, in prefill tokens.
 BEHIND_TOKENS = 1_024
 LANE_WAIT_SHARE = 0.5
-MAX_LANE_SHARE = 0.8
-LANE_CANDIDATES = 3
+# The part of the engines that long prompts may use, by length class.
+LANE_SHARES = (1.0, 1.0, 1.0, 0.7)
+LANE_CANDIDATES = 5
 # What shorter prompts may take of an engine with long ones: the rest is the bound on
 # the progress of long prompts under any short load.
 LANE_SHORT_SHARE = 0.5
--- a/libraries/placement/tarragonward_placement/lanes.py
+++ b/libraries/placement/tarragonward_placement/lanes.py
@@ -32,15 +32,17 @@
     return view.queued_long_tokens > 0
 
 
-def get_lane(views: Sequence[EngineView], min_engines: int = 1) -> list[EngineView]:
+def get_lane(
+    views: Sequence[EngineView], share: float, min_engines: int = 1
+) -> list[EngineView]:
     """Return the engines that long prompts may use, in an order all hosts share.
 
-    It is at most MAX_LANE_SHARE of the engines, but for the few that a group needs.
+    It is at most that share of the engines, but for the few that a group needs.
     As all hosts fill it from its start, the rest never meet a long prompt as long as
     the start can take them.
     """
     ordered = sorted(views, key=get_lane_order)
-    most = max(math.floor(len(views) * c.MAX_LANE_SHARE), min_engines)
+    most = max(math.floor(len(views) * share), min_engines)
     return ordered[:most]
 
 
--- a/libraries/placement/tarragonward_placement/placement.py
+++ b/libraries/placement/tarragonward_placement/placement.py
@@ -234,7 +234,8 @@
         if request.is_long:
             largest = max(view.kv_tokens for view in views)
             # One more than its size needs: the engines are seldom all empty.
-            return get_lane(views, -(-request.kv_tokens // largest) + 1)
+            share = c.LANE_SHARES[context.length_class]
+            return get_lane(views, share, -(-request.kv_tokens // largest) + 1)
         hosts = context.fleet.live_hosts
         return [
             view
