Load a cold fleet a few engines at a time, round the failure domains

Loads share the weight store's rate, so if all begin at once none is useful until all are. Which may load now follows from published data alone, so hosts agree without asking. The model and the decision are here; orders do not use them yet.

--- /dev/null
+++ b/libraries/placement/tarragonward_placement/loads.py
@@ -0,0 +1,52 @@
+"""Decide which engines of a cold fleet load their model next."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+
+__all__ = ["EngineLoad", "choose_loads", "count_parallel_loads"]
+
+
+@dataclass(frozen=True)
+class EngineLoad:
+    """An engine that wants its model, as published."""
+
+    engine: str
+    failure_domain: str
+
+
+def count_parallel_loads(
+    store_bytes_per_second: float, engine_bytes_per_second: float
+) -> int:
+    """Return how many loads at once use up the store's rate, and no more."""
+    return max(math.ceil(store_bytes_per_second / engine_bytes_per_second), 1)
+
+
+def choose_loads(
+    wanted: Sequence[EngineLoad], loaded: Collection[str], parallel: int
+) -> list[str]:
+    """Return the engines that may load now.
+
+    Loads share the store's rate: all at once, the first engine is useful only when
+    the last one is. So only the first few of those not loaded go on, in an order that
+    follows from what is published alone: all hosts choose the same ones without
+    asking each other. The order goes round the failure domains, so that each can
+    serve early, cut off or not.
+    """
+    waiting = [load for load in _order(wanted) if load.engine not in loaded]
+    return [load.engine for load in waiting[:parallel]]
+
+
+def _order(wanted: Sequence[EngineLoad]) -> list[EngineLoad]:
+    by_domain: dict[str, list[EngineLoad]] = defaultdict(list)
+    for load in sorted(wanted, key=lambda load: load.engine):
+        by_domain[load.failure_domain].append(load)
+    places = {
+        load.engine: place
+        for loads in by_domain.values()
+        for place, load in enumerate(loads)
+    }
+    return sorted(wanted, key=lambda load: (places[load.engine], load.failure_domain))
