--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -38,7 +38,7 @@
 BEHIND_TOKENS = 1_024
 LANE_WAIT_SHARE = 0.5
 # The part of the engines that long prompts may use, by length class.
-LANE_SHARES = (1.0, 1.0, 1.0, 0.7)
+LANE_SHARES = (1.0, 1.0, 0.85, 0.7)
 LANE_CANDIDATES = 5
 # What shorter prompts may take of an engine with long ones: the rest is the bound on
 # the progress of long prompts under any short load.
