Read the host list by its tag, packed

At the design size the list has 1,050 entries: 133 KB as JSON, read every two seconds by each host, which is 67 KB/s against a budget of 3 KB/s for all control. The reader now sends the tag of what it has and takes a packed answer, so most reads carry no list, and a changed list 6 KB (a regular synthetic one; real names pack less well). A platform that knows neither is read as before.

Ruled out: reading less often, as a leaving target must be known within seconds; reading by a few hosts only, whose bytes would stay over.

--- a/libraries/daemon/tarragonward_daemon/membership.py
+++ b/libraries/daemon/tarragonward_daemon/membership.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import itertools
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
+import orjson
+
 from tarragonward_core import Address, FrameError, HostIdentity, TargetError, log_event
 from tarragonward_membership import (
     Gossip,
@@ -22,18 +26,30 @@
     TargetList,
     Tick,
 )
-from tarragonward_wire import async_send_http
+from tarragonward_wire import HttpAnswer, async_send_http
 
 from . import const as c
 from .core import HostState
 from .gossip import GossipCarrier
 
-__all__ = ["MembershipTask"]
+__all__ = ["MembershipTask", "parse_list"]
 
+LIST_ERRORS = (TargetError, KeyError, TypeError, ValueError, OSError, EOFError)
+HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
 KIND_ENTRY = "entry"
 STATE_LEAVING = "leaving"
 
 
+@dataclass(frozen=True)
+class _ReadList:
+    """A host list as a replica gave it, under its tag."""
+
+    entries: tuple[ListedHost, ...]
+    targets: tuple[ListedTarget, ...]
+    tag: str
+
+
 class MembershipTask:
     """Own the reading of the host list, the gossip and its clock.
 
@@ -50,6 +66,7 @@
         self._targets = TargetList()
         self._carrier = GossipCarrier(host, self.membership)
         self._replicas = itertools.cycle(host.settings.host_list)
+        self._lists: dict[Address, _ReadList] = {}
         self._published: Any = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -149,23 +166,36 @@
             replica = next(self._replicas)
             try:
                 await self._async_read_list(replica)
-            except (TargetError, KeyError, TypeError, ValueError) as err:
+            except LIST_ERRORS as err:
                 log_event("host_list_read_failed", replica=replica, error=repr(err))
             await asyncio.sleep(c.HOST_LIST_SECONDS * random.uniform(0.8, 1.2))
 
     async def _async_read_list(self, replica: Address) -> None:
+        # The list of a large fleet is over 100 KB and is read every two seconds. Most
+        # reads find it unchanged, and then only its tag travels.
+        headers = {"accept-encoding": "gzip"}
+        if replica in self._lists:
+            headers["if-none-match"] = self._lists[replica].tag
         answer = await async_send_http(
-            replica, "GET", "/v1/hosts", timeout=c.PLATFORM_TIMEOUT_SECONDS
+            replica,
+            "GET",
+            "/v1/hosts",
+            headers=headers,
+            timeout=c.PLATFORM_TIMEOUT_SECONDS,
         )
-        hosts = answer.parse_json()["hosts"]
-        entries = [_parse_host(item) for item in hosts if item["kind"] == KIND_ENTRY]
-        self._carrier.handle(ListRead(tuple(entries)))
-        targets = [
-            ListedTarget(item["name"], item["state"] == STATE_LEAVING)
-            for item in hosts
-            if item["kind"] != KIND_ENTRY
-        ]
-        self._targets.take_list(targets, _get_time())
+        if answer.status == HTTP_NOT_MODIFIED and replica in self._lists:
+            self._take_list(self._lists[replica])
+            return
+        if answer.status != HTTP_OK:
+            raise TargetError(f"{replica} answered {answer.status}")
+        read = parse_list(answer)
+        self._take_list(read)
+        if read.tag:
+            self._lists[replica] = read
+
+    def _take_list(self, read: _ReadList) -> None:
+        self._carrier.handle(ListRead(read.entries))
+        self._targets.take_list(read.targets, _get_time())
         self._update_leaving()
 
     def _update_leaving(self) -> None:
@@ -178,6 +208,23 @@
     return asyncio.get_running_loop().time()
 
 
+def parse_list(answer: HttpAnswer) -> _ReadList:
+    """Return the host list that a replica answered, packed or plain."""
+    body = answer.body
+    if answer.headers.get("content-encoding") == "gzip":
+        body = gzip.decompress(body)
+    hosts = orjson.loads(body)["hosts"]
+    return _ReadList(
+        tuple(_parse_host(item) for item in hosts if item["kind"] == KIND_ENTRY),
+        tuple(
+            ListedTarget(item["name"], item["state"] == STATE_LEAVING)
+            for item in hosts
+            if item["kind"] != KIND_ENTRY
+        ),
+        answer.headers.get("etag", ""),
+    )
+
+
 def _parse_host(item: dict[str, Any]) -> ListedHost:
     return ListedHost(
         name=item["name"],
--- a/libraries/standins/tarragonward_standins/platform.py
+++ b/libraries/standins/tarragonward_standins/platform.py
@@ -5,6 +5,8 @@
 import argparse
 import asyncio
 import contextlib
+import gzip
+import hashlib
 from pathlib import Path
 from typing import Any
 
@@ -83,13 +85,28 @@
                 self._set_faults(orjson.loads(request.body))
                 await responder.async_send_json(200, {})
             case "GET", "/v1/hosts":
-                await responder.async_send_json(200, {"hosts": self.hosts})
+                await self._async_send_hosts(request, responder)
             case "PUT", "/v1/hosts":
                 self.hosts = orjson.loads(request.body)["hosts"]
                 await responder.async_send_json(200, {})
             case _:
                 await responder.async_send_json(404, {"error": "not found"})
 
+    async def _async_send_hosts(
+        self, request: HttpRequest, responder: Responder
+    ) -> None:
+        """Send the host list, or only say that the reader's tag still fits."""
+        body = orjson.dumps({"hosts": self.hosts})
+        tag = f'"{hashlib.sha256(body).hexdigest()[:16]}"'
+        headers = {"content-type": "application/json", "etag": tag}
+        if request.headers.get("if-none-match") == tag:
+            await responder.async_send_bytes(304, b"", headers)
+            return
+        if "gzip" in request.headers.get("accept-encoding", ""):
+            body = gzip.compress(body)
+            headers["content-encoding"] = "gzip"
+        await responder.async_send_bytes(200, body, headers)
+
     def _set_faults(self, faults: dict[str, Any]) -> None:
         """Be down for the configuration, or show no more than its first entries."""
         self.is_configuration_down = faults.get("configuration_down", False)
