--- a/libraries/membership/tarragonward_membership/members.py
+++ b/libraries/membership/tarragonward_membership/members.py
@@ -10,8 +10,9 @@
 from . import const as c
 from .messages import ListedHost, Member, MemberRecord, MemberState, RecordState
 
-__all__ = ["KnownHost", "Members"]
+__all__ = ["NOT_THERE", "KnownHost", "Members"]
 
+NOT_THERE = (MemberState.DEAD, MemberState.LEAVING)
 STATES = {
     RecordState.ALIVE: MemberState.ALIVE,
     RecordState.LEAVING: MemberState.LEAVING,
@@ -130,8 +131,7 @@
         return [
             host.address
             for host in self
-            if host.failure_domain == failure_domain
-            and host.state not in (MemberState.DEAD, MemberState.LEAVING)
+            if host.failure_domain == failure_domain and host.state not in NOT_THERE
         ]
 
     def get_domains(self) -> set[str]:
--- a/libraries/membership/tarragonward_membership/membership.py
+++ b/libraries/membership/tarragonward_membership/membership.py
@@ -7,13 +7,15 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
+import msgpack
+
 from tarragonward_core import Address, FrameError, HostIdentity, invariants
 
 from . import const as c
 from .demands import DemandDigest
 from .doubts import Doubts
 from .loads import LoadDigest
-from .members import KnownHost, Members
+from .members import NOT_THERE, KnownHost, Members
 from .messages import (
     AskHelper,
     Effect,
@@ -21,6 +23,7 @@
     Gossip,
     GossipArrived,
     HelperAnswered,
+    ListedHost,
     ListRead,
     Member,
     MemberChanged,
@@ -68,12 +71,13 @@
         self._schedule = ProbeSchedule(
             identity.address, failure_domain, region, self._rng
         )
-        self._rumours = Rumours()
+        self.rumours = Rumours()
         self._sightings = Sightings()
         self._probes: dict[int, _Probe] = {}
         self._probe_number = 0
         self._doubts = Doubts()
         self._watched: dict[str, bool] = {}
+        self._listed: tuple[ListedHost, ...] = ()
         self._suspects: set[Address] = set()
         self._rotation: list[Address] = []
         self._last_tick: float | None = None
@@ -167,12 +171,15 @@
     def build_probe(self, address: Address, now: float) -> Gossip:
         """Return what this host says to a peer now."""
         is_large = len(self._members) >= c.LARGE_FLEET_HOSTS
-        load_bytes = c.MAX_LOADS_BYTES if is_large else c.MAX_LOADS_BYTES_SMALL
+        spare = c.MAX_DIGESTS_BYTES if is_large else c.MAX_DIGESTS_BYTES_SMALL
         demand_bytes = c.MAX_DEMANDS_BYTES if is_large else c.MAX_DEMANDS_BYTES_SMALL
         belief = self._members.get(address)
         record = belief.record if belief is not None else None
         domain = belief.failure_domain if belief is not None else ""
         is_near = domain == self.failure_domain
+        records = self._choose_records(address)
+        demands = self.demands.take(demand_bytes, is_near, now)
+        spare -= sum(measure_record(r) for r in records) + len(msgpack.packb(demands))
         return Gossip(
             incarnation=self.identity.incarnation,
             version=self._own.version,
@@ -180,9 +187,9 @@
             failure_domain=self.failure_domain,
             sequence=self.sequence,
             belief=() if record is None else record.pack(),
-            records=tuple(r.pack() for r in self._choose_records(address)),
-            loads=self.loads.take(load_bytes, is_near, now),
-            demands=self.demands.take(demand_bytes, is_near, now),
+            records=tuple(r.pack() for r in records),
+            loads=self.loads.take(max(spare, 0), is_near, now),
+            demands=demands,
         )
 
     @singledispatchmethod
@@ -192,7 +199,11 @@
     @_handle.register
     def _(self, event: ListRead, now: float) -> None:
         self._members.take_list(event.hosts, now)
-        self._watched.clear()
+        # Choosing watchers anew hashes every target with every host; most lists are
+        # read unchanged.
+        if event.hosts != self._listed:
+            self._listed = event.hosts
+            self._watched.clear()
 
     @_handle.register
     def _(self, event: Tick, now: float) -> None:
@@ -287,8 +298,8 @@
         if host is None:
             return
         if host.record is None:
-            host.is_unreachable = True
-            self._watched.clear()
+            old_state, host.is_unreachable = host.state, True
+            self._note_watchers_changed(host, old_state)
             return
         if host.heard_at > probe.sent_at or host.record.state >= RecordState.SUSPECT:
             return
@@ -316,7 +327,7 @@
         # everybody dead; were it believed, live hosts would be dead to all until each
         # had refuted. What is passed on counts as suspicion, and each host waits for
         # itself whether it is refuted.
-        self._rumours.discard(host.address)
+        self.rumours.discard(host.address)
         self._replace(host, _restate(record, RecordState.DEAD))
 
     def _beat(self, now: float) -> None:
@@ -397,17 +408,26 @@
             if is_heartbeat
             else c.CHANGE_TRANSMISSIONS_A_DOUBLING * doublings
         )
-        self._rumours.add(record, transmissions)
+        self.rumours.add(record, transmissions, is_heartbeat)
 
     def _replace(self, host: KnownHost, record: MemberRecord) -> None:
         old_state = host.state
         host.record = record
         if host.state is not old_state:
-            self._watched.clear()
+            self._note_watchers_changed(host, old_state)
             self._effects.append(
                 MemberChanged(record.identity, host.address, old_state, host.state)
             )
 
+    def _note_watchers_changed(self, host: KnownHost, old_state: MemberState) -> None:
+        """Choose watchers anew, but only where hosts came or went: it is dear."""
+        was_there = old_state not in NOT_THERE
+        if was_there == (host.state not in NOT_THERE):
+            return
+        is_near = host.failure_domain == self.failure_domain
+        if is_near or len(self._members.get_there(host.failure_domain)) <= 1:
+            self._watched.clear()
+
     def _refute(self, record: MemberRecord) -> None:
         """Rise above what is said of this address, if it is not what is so."""
         if record != self._own and record.order >= self._own.order:
@@ -425,9 +445,9 @@
 
     def _choose_records(self, receiver: Address) -> list[MemberRecord]:
         """Return rumours, then a few records in turn, so that none is missed."""
-        chosen = self._rumours.take(c.MAX_RECORDS_BYTES)
-        spare = c.MAX_RECORDS_BYTES - sum(measure_record(r) for r in chosen)
-        for _ in range(min(c.ROTATED_RECORDS, spare // c.MAX_RECORD_BYTES)):
+        chosen = self.rumours.take(c.MAX_RECORDS_BYTES, c.MAX_HEARTBEATS_BYTES)
+        spare = c.MAX_HEARTBEATS_BYTES - sum(measure_record(r) for r in chosen)
+        for _ in range(max(spare // c.MAX_RECORD_BYTES, 0)):
             record = self._take_rotated()
             if record is not None and record.identity.address != receiver:
                 chosen.append(record)
--- a/libraries/membership/tarragonward_membership/rumours.py
+++ b/libraries/membership/tarragonward_membership/rumours.py
@@ -18,6 +18,7 @@
 class _Rumour:
     record: MemberRecord
     left: int
+    is_heartbeat: bool
     sent: int = 0
 
 
@@ -30,20 +31,27 @@
     def __len__(self) -> int:
         return len(self._rumours)
 
-    def add(self, record: MemberRecord, transmissions: int) -> None:
+    def add(
+        self, record: MemberRecord, transmissions: int, is_heartbeat: bool = False
+    ) -> None:
         """Pass the record on this many times, in place of an older one."""
-        self._rumours[record.identity.address] = _Rumour(record, transmissions)
+        rumour = _Rumour(record, transmissions, is_heartbeat)
+        self._rumours[record.identity.address] = rumour
 
     def discard(self, address: Address) -> None:
         """Stop to pass on what is known of an address."""
         self._rumours.pop(address, None)
 
-    def take(self, max_bytes: int) -> list[MemberRecord]:
-        """Return the records for one message, the least sent first."""
+    def take(self, max_bytes: int, max_heartbeat_bytes: int) -> list[MemberRecord]:
+        """Return the records for one message, the least sent first.
+
+        Heartbeats come after changes, and only up to max_heartbeat_bytes in all.
+        """
         chosen: list[MemberRecord] = []
-        for rumour in sorted(self._rumours.values(), key=lambda item: item.sent):
-            max_bytes -= measure_record(rumour.record)
-            if max_bytes < 0:
+        size = 0
+        for rumour in sorted(self._rumours.values(), key=_get_urgency):
+            size += measure_record(rumour.record)
+            if size > (max_heartbeat_bytes if rumour.is_heartbeat else max_bytes):
                 break
             chosen.append(rumour.record)
             rumour.sent += 1
@@ -53,6 +61,10 @@
         return chosen
 
 
+def _get_urgency(rumour: _Rumour) -> tuple[bool, int]:
+    return rumour.is_heartbeat, rumour.sent
+
+
 @lru_cache(maxsize=2_048)
 def measure_record(record: MemberRecord) -> int:
     """Return the bytes that a record takes in a message."""
