--- a/libraries/bench/tarragonward_bench/capacity_fleet.py
+++ b/libraries/bench/tarragonward_bench/capacity_fleet.py
@@ -50,18 +50,18 @@
     known_loads_share: float
 
 
-def measure_gossip(hosts: int, runners: int) -> GossipLoad:
+def measure_gossip(hosts: int, runners: int, has_demand: bool = True) -> GossipLoad:
     """Run a fleet of this size, its runners' loads and its accounts' demand."""
     domains = DOMAINS if hosts >= 4 * 2 else DOMAINS[:2]
     plan = NetworkPlan(domains, hosts // len(domains), regions=2)
     network = FakeNetwork(plan, seed=hosts)
     targets = {f"engine-{n}": domains[n % len(domains)] for n in range(runners)}
     _set_up(network, targets)
-    _run(network, targets, WARM_UP_SECONDS)
+    _run(network, targets, WARM_UP_SECONDS, has_demand)
     for host in network.hosts.values():
         host.bytes_sent = host.messages_sent = 0
     begin = time.process_time()
-    _run(network, targets, RUN_SECONDS)
+    _run(network, targets, RUN_SECONDS, has_demand)
     core_seconds = (time.process_time() - begin) / RUN_SECONDS / len(network.hosts)
     sent = [h.bytes_sent / RUN_SECONDS for h in network.hosts.values()]
     messages = [h.messages_sent / RUN_SECONDS for h in network.hosts.values()]
@@ -74,7 +74,7 @@
         busiest_messages_sent=max(messages),
         largest_message=max(h.largest_message for h in network.hosts.values()),
         decision_core_seconds=core_seconds,
-        median_load_age=statistics.median(ages),
+        median_load_age=statistics.median(ages or [0.0]),
         known_loads_share=share,
     )
 
@@ -124,7 +124,9 @@
         _tell_all(host.membership, network)
 
 
-def _run(network: FakeNetwork, targets: dict[str, str], seconds: float) -> None:
+def _run(
+    network: FakeNetwork, targets: dict[str, str], seconds: float, has_demand: bool
+) -> None:
     hosts = len(network.hosts)
     interval = min(
         max(hosts * REPORT_SECONDS_A_HOST, MIN_REPORT_SECONDS), MAX_REPORT_SECONDS
@@ -134,17 +136,21 @@
     while network.now - begin < seconds:
         for host in network.hosts.values():
             if network.rng.random() < step / interval:
-                _report(host.membership, targets, network)
+                _report(host.membership, targets, network, has_demand)
         network.run(step)
 
 
 def _report(
-    membership: Membership, targets: dict[str, str], network: FakeNetwork
+    membership: Membership,
+    targets: dict[str, str],
+    network: FakeNetwork,
+    has_demand: bool,
 ) -> None:
     rates = {
         f"account-{n}": network.rng.uniform(0, 900) for n in range(ACCOUNTS_A_HOST)
     }
-    membership.demands.set_own(rates, network.now)
+    if has_demand:
+        membership.demands.set_own(rates, network.now)
     for name, domain in targets.items():
         if domain == membership.failure_domain and membership.is_watcher(name, domain):
             tokens = network.rng.randrange(1_000_000)
