Count a request whose caller leaves once

The new test with a real host failed with {('3004', 'camara'): 2.0} and now finds 1, under its account. Kept at the route, where log line and duration are made. Ruled out: counting in models.py, which does not see calls.

--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -217,7 +217,6 @@
         """Release what the request still holds, however it ended."""
         if not self._lifecycle.has_ended:
             self._lifecycle.handle(CallerLeft(), self._loop.time())
-            self._count("requests", str(ResultCode.CALLER_LEFT.number))
         await self._async_leave_attempt()
         self._shared.placement.release(self._request_id)
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,11 +1,14 @@
 """Tests of what callers get for bad, hostile and unusual requests, through a host."""
 
+import asyncio
+
 import orjson
+from prometheus_client.parser import text_string_to_metric_families
 
 from tarragonward_core import ResultCode
 from tarragonward_standins.answers import expect_answer
 from tarragonward_standins.site import SitePlan
-from tarragonward_wire import async_send_http
+from tarragonward_wire import async_open_http, async_send_http
 
 SMALL = SitePlan(
     failure_domains=("north",),
@@ -149,3 +152,34 @@
     assert (usage["choices"], usage["usage"]) == ([], whole["usage"])
     texts = [orjson.loads(e.removeprefix("data: "))["choices"][0] for e in events]
     assert "".join(choice["text"] for choice in texts) == expected.text
+
+
+async def test_a_caller_that_leaves_is_counted_once(make_site):
+    """A merchandiser closes the app in the middle of an answer.
+
+    The request ends once, by CALLER_LEFT: it was once counted by the route and again
+    by the request itself, so that alarms on the share of errors rang too early.
+    """
+    site = await make_site(SMALL)
+    host = next(iter(site.hosts.values()))
+    request = {**PROMPT, "max_tokens": 500, "stream": True}
+    async with async_open_http(
+        host.callers,
+        "POST",
+        "/v1/completions",
+        headers={"authorization": f"Bearer {site.tokens['camara']}"},
+        body=orjson.dumps(request),
+    ) as stream:
+        assert stream.status == 200
+    async with asyncio.timeout(10):
+        while (await site.async_ask_operators(host.name, "/v1/status"))["in_flight"]:
+            await asyncio.sleep(0.01)
+    answer = await async_send_http(host.operators, "GET", "/metrics", timeout=5)
+    families = text_string_to_metric_families(answer.body.decode())
+    ended = {
+        (sample.labels["label"], sample.labels["client_account"]): sample.value
+        for family in families
+        if family.name == "tarragonward_requests"
+        for sample in family.samples
+    }
+    assert ended == {(str(ResultCode.CALLER_LEFT.number), "camara"): 1}
