--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -233,7 +233,6 @@
         """Release what the request still holds, however it ended."""
         if not self._lifecycle.has_ended:
             self._lifecycle.handle(CallerLeft(), self._loop.time())
-            self._count("requests", str(ResultCode.CALLER_LEFT.number))
         await self._async_leave_attempt()
         await self._group.async_release()
         self._shared.placement.release(self._request_id)
@@ -324,8 +323,9 @@
         is_resumed = stream is not None
         if stream is None:
             name = f"{self._request_id}-{effect.attempt}"
-            place = partial(self._place, effect.attempt)
-            placed = await self._group.async_place(place, name)
+            placed = await self._group.async_place(
+                partial(self._place, effect.attempt), name
+            )
             if isinstance(placed, Refused):
                 return PlacementRefused(
                     effect.attempt, placed.code, placed.retry_after_seconds
