Kill a host that holds a group's reservations, and see them swept

A ledger of 44,000 tokens now runs on two engines of 30,000, its host is killed, the other one cancels the reservations within 15 s, and the same ledger runs again, after one refusal with its time to come back at the most, as load reports lag.

--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -163,6 +163,36 @@
     assert await async_wait_idle(site, 15) == {}
 
 
+async def test_a_killed_hosts_reservations_are_swept(make_site):
+    """A host dies while a season's ledger is read on a group of engines.
+
+    Its reservations hold most of two engines; another host of the domain cancels them
+    once the dead incarnation is known gone, and a prompt as long as that runs again.
+    """
+    plan = SitePlan(("north",), services_per_domain=0, kv_tokens=30_000)
+    site = await make_site(plan)
+    ledger = make_prompt("ledger " * 25_000, 8)
+
+    def ask_long(host):
+        callers, token = site.hosts[host].callers, site.tokens["camara"]
+        asking = async_complete(callers, token, site.plan.model, ledger, 8, LIMIT)
+        return asyncio.ensure_future(asking)
+
+    first = ask_long("entry-north-1")
+    for engine in site.engines.values():
+        while not (await async_read_load(engine))["reservations"]:
+            await asyncio.sleep(0.05)
+    await site.async_kill("entry-north-1")
+    assert (await first).outcome is Outcome.FAILED_IN_TIME
+    assert await async_wait_idle(site, 15) == {}
+    # Reports lag: refused once at the most, the caller comes back when it was told to.
+    result = await ask_long("entry-north-2")
+    if result.retry_after_seconds:
+        await asyncio.sleep(result.retry_after_seconds)
+        result = await ask_long("entry-north-2")
+    assert_all_whole([result])
+
+
 async def test_a_host_woken_past_the_limit_writes_no_text(make_site):
     """A host is frozen in the middle of an answer until its time limit has passed.
 
