Make links anew whose far end was lost without a word

Cause: a host whose machine loses power ends no connection. Its links stayed open until TCP gave up, minutes later, so new keys of the host that replaced it at its address were answered OUTCOME_UNKNOWN ('another incarnation'), and idle links swallowed calls for their whole limit. Ruled out: TCP keep-alive options alone (they do not see another incarnation); renewing at each mismatch (keys of a dead host would make a connection each).

--- a/libraries/wire/tarragonward_wire/frames.py
+++ b/libraries/wire/tarragonward_wire/frames.py
@@ -140,6 +140,11 @@
         self.bytes_received += len(head) + length
         return payload
 
+    @property
+    def is_closing(self) -> bool:
+        """Tell whether the connection was closed here or was seen to end."""
+        return self._writer.is_closing()
+
     def close(self) -> None:
         """Close the connection at once."""
         self._writer.transport.abort()
--- a/libraries/wire/tarragonward_wire/links.py
+++ b/libraries/wire/tarragonward_wire/links.py
@@ -39,17 +39,41 @@
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._offset = stream.clock_offset
-        self._offset_at = _now()
+        self._heard_at = self._made_at = _now()
         self._reader = asyncio.create_task(self._async_read())
 
     @property
     def is_open(self) -> bool:
-        return not self._reader.done()
+        return not self._reader.done() and not self.stream.is_closing
 
-    async def async_compute_clock_offset(self) -> float:
+    @property
+    def age(self) -> float:
+        """Return for how many seconds the link has stood."""
+        return _now() - self._made_at
+
+    def close_if_silent(self) -> None:
+        """Close a link on which a question went unanswered and nothing else came.
+
+        A host whose machine is lost sends no end of the connection. Symptom: the link
+        stays open, and all is asked into the void until TCP gives up after minutes.
+        """
+        if _now() - self._heard_at > c.LINK_SILENCE_SECONDS:
+            self.stream.close()
+
+    async def async_is_alive(self) -> bool:
+        """Tell whether the peer answers on a link that was idle; close it if not."""
+        if _now() - self._heard_at <= c.CLOCK_MAX_AGE_SECONDS:
+            return True
+        try:
+            async with asyncio.timeout(c.PROBE_SECONDS):
+                await self.async_ask(encode_message(ClockProbe()))
+        except (TimeoutError, ConnectionLostError):
+            self.stream.close()
+            return False
+        return True
+
+    def compute_clock_offset(self) -> float:
         """Return what to add to this host's clock for a lower bound of the peer's."""
-        if _now() - self._offset_at > c.CLOCK_MAX_AGE_SECONDS:
-            await self.async_ask(encode_message(ClockProbe()))
         return self._decay_offset()
 
     async def async_ask(self, body: bytes) -> Any:
@@ -96,10 +120,10 @@
 
     def _take_clock(self, clock: float) -> None:
         self._offset = max(self._decay_offset(), clock - _now())
-        self._offset_at = _now()
+        self._heard_at = _now()
 
     def _decay_offset(self) -> float:
-        return self._offset - c.CLOCK_DRIFT_ALLOWANCE * (_now() - self._offset_at)
+        return self._offset - c.CLOCK_DRIFT_ALLOWANCE * (_now() - self._heard_at)
 
 
 @dataclass
@@ -159,12 +183,15 @@
         The peer's monotonic clock is at least this host's plus the offset, in
         seconds, so a time limit given as a point of it is never a later one.
         """
+        link = None
         try:
             async with asyncio.timeout(timeout):
                 link = await self._async_get_link(address, incarnation)
-                offset = await link.async_compute_clock_offset()
+                offset = link.compute_clock_offset()
                 answer = await link.async_ask(encode_message(build(offset)))
         except (OSError, TimeoutError, FrameError) as err:
+            if link is not None:
+                link.close_if_silent()
             raise ConnectionLostError(f"{address}: {err!r}") from err
         if isinstance(answer, NoAnswer):
             raise ConnectionLostError(f"{address}: no answer: {answer.reason}")
@@ -202,12 +229,26 @@
 
     async def _async_get_link(self, address: Address, incarnation: int | None) -> _Link:
         link = self._links.get(address)
-        if link is None or not link.is_open:
+        if link is not None and not await self._async_is_usable(link, incarnation):
+            link = None
+        if link is None:
             link = await asyncio.shield(self._start_connecting(address))
         if incarnation not in (None, link.stream.peer.incarnation):
             raise NotConnectedError(f"{address} has another incarnation")
         return link
 
+    async def _async_is_usable(self, link: _Link, incarnation: int | None) -> bool:
+        """Tell whether to use a link that stands; another one is made if not."""
+        if not link.is_open or not await link.async_is_alive():
+            return False
+        # The host may have been replaced without an end of the old link. Keys of dead
+        # hosts must not make a connection each, so a young link is believed.
+        is_other = incarnation not in (None, link.stream.peer.incarnation)
+        if is_other and link.age > c.LINK_RENEW_SECONDS:
+            link.stream.close()
+            return False
+        return True
+
     def _start_connecting(self, address: Address) -> asyncio.Task[_Link]:
         """Return the one attempt to connect that all who ask wait for.
 
--- a/libraries/wire/tests/test_peers.py
+++ b/libraries/wire/tests/test_peers.py
@@ -223,3 +223,67 @@
     assert await links.async_ask(address, Echo("a"), 5) == Echo("a")
     await links.async_unload()
     await peers.async_unload()
+
+
+@pytest.fixture
+async def replaced_host():
+    """Give links to a host that was lost without a word, and replaced at its address.
+
+    Its machine lost power: no end of the connection ever came, so the link stays open.
+    """
+
+    async def async_echo(peer, message):
+        return message
+
+    async with AsyncExitStack() as stack:
+        release = asyncio.Event()
+
+        async def async_fall_silent(reader, writer):
+            identity = HostIdentity(Address("127.0.0.1", 1), 7)
+            await async_shake_hands(reader, writer, identity, KEY, is_client=False)
+            await release.wait()
+            writer.transport.abort()
+
+        lost = await asyncio.start_server(async_fall_silent, "127.0.0.1", 0)
+        address = Address("127.0.0.1", lost.sockets[0].getsockname()[1])
+        stack.callback(release.set)
+        links = PeerLinks(CLIENT, KEY)
+        stack.push_async_callback(links.async_unload)
+        with pytest.raises(ConnectionLostError):
+            await links.async_ask(address, Echo("a"), 0.2, 7)
+        lost.close()
+        peers = PeerServer(HostIdentity(address, 8), KEY, async_echo, Metrics())
+        await peers.async_setup()
+        stack.push_async_callback(peers.async_unload)
+        yield links, address
+
+
+async def test_keys_of_a_replaced_host_are_not_asked_for_over_its_old_link(
+    replaced_host, monkeypatch
+):
+    """The new host gives out keys, and another host forwards one of them to it.
+
+    The old link, still open, leads to another incarnation. Telling the caller
+    "unknown" by it would go on until TCP gives up, a quarter of an hour later.
+    """
+    links, address = replaced_host
+    monkeypatch.setattr(c, "LINK_RENEW_SECONDS", 0.0)
+    assert await links.async_ask(address, Echo("a"), 2, 8) == Echo("a")
+    with pytest.raises(NotConnectedError):
+        await links.async_ask(address, Echo("a"), 2, 7)
+
+
+async def test_a_link_that_fell_silent_is_made_anew(replaced_host, monkeypatch):
+    links, address = replaced_host
+    monkeypatch.setattr(c, "LINK_SILENCE_SECONDS", 0.3)
+    with pytest.raises(ConnectionLostError):
+        await links.async_ask(address, Echo("a"), 0.5)
+    assert await links.async_ask(address, Echo("a"), 2) == Echo("a")
+
+
+async def test_an_idle_link_that_is_dead_costs_a_call_a_second_not_its_answer(
+    replaced_host, monkeypatch
+):
+    links, address = replaced_host
+    monkeypatch.setattr(c, "CLOCK_MAX_AGE_SECONDS", 0.0)
+    assert await links.async_ask(address, Echo("a"), 5) == Echo("a")
