--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -13,6 +13,7 @@
 
 from tarragonward_core import TarragonwardError, invariants
 
+from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
 from .soak_calls import run_calls_seed
 from .soak_configuration import run_configuration_seed
@@ -27,6 +28,7 @@
 MACHINES: dict[str, Machine] = {
     "calls": run_calls_seed,
     "configuration": run_configuration_seed,
+    "membership": run_membership_seed,
     "models": run_model_requests,
 }
 
--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, ExitStack
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import Protocol
 
 from tarragonward_config import ClientAccount, Target
@@ -19,9 +20,15 @@
     get_length_class,
     log_event,
 )
-from tarragonward_placement import Placed, Placement, PlacementRequest, Refused
+from tarragonward_placement import (
+    Placed,
+    Placement,
+    PlacementRequest,
+    Refused,
+)
 from tarragonward_requests import (
     AttemptFailed,
+    AttemptFault,
     AttemptFinished,
     CallerLeft,
     CancelAttempt,
@@ -51,12 +58,15 @@
     async_read_stream,
     get_fault,
 )
+from .groups import GroupHold, Groups
 from .membership import MembershipTask
-from .reports import ReportTask
+from .prefixes import PrefixTask, hash_prompt
+from .reports import ReportTask, build_fleet_view
 
 __all__ = ["ModelRequests", "Sink"]
 
 MAX_QUEUED_EVENTS = 16
+PASSING_FAULTS = frozenset({AttemptFault.CONNECTION_LOST, AttemptFault.STREAM_GONE})
 
 
 class Sink(Protocol):
@@ -118,19 +128,23 @@
         self.reports = reports
         self.releases = releases
         self.membership = membership
-        self.placement = Placement()
+        self.placement = Placement(random.Random())
+        self.prefixes = PrefixTask(self.placement.prefixes)
         self.budget = RetryBudget()
         self.outliers = OutlierDetector()
         self.probes = EngineProbes(host, self.outliers)
         self.active_streams: set[str] = set()
+        self.groups = Groups(host, releases, self.active_streams)
         self._runs: set[_ModelRequest] = set()
 
     async def async_setup(self) -> None:
         """Start to watch the engines that work waits for."""
         await self.probes.async_setup()
+        await self.prefixes.async_setup()
 
     async def async_unload(self) -> None:
         """Stop watching."""
+        await self.prefixes.async_unload()
         await self.probes.async_unload()
 
     def is_leaving(self, target: Target) -> bool:
@@ -200,6 +214,8 @@
         self._given_out: list[str] = []
         self._attempt: _Attempt | None = None
         self._failed_engines: set[str] = set()
+        self._group = GroupHold(shared.groups)
+        self._prefix_hashes = hash_prompt(completion.prompt)
         self._started_at = self._loop.time()
         self._end: EndRequest | None = None
 
@@ -217,8 +233,8 @@
         """Release what the request still holds, however it ended."""
         if not self._lifecycle.has_ended:
             self._lifecycle.handle(CallerLeft(), self._loop.time())
-            self._count("requests", str(ResultCode.CALLER_LEFT.number))
         await self._async_leave_attempt()
+        await self._group.async_release()
         self._shared.placement.release(self._request_id)
 
     def stop(self) -> None:
@@ -256,6 +272,8 @@
     @_async_apply.register
     async def _(self, effect: DeliverText) -> None:
         if not self._given_out:
+            now = self._loop.time()
+            self._shared.placement.note_first_token(self._request_id, now)
             self._shared.host.metrics.observe(
                 "time_to_first_token",
                 self._loop.time() - self._started_at,
@@ -304,7 +322,10 @@
             stream = None
         is_resumed = stream is not None
         if stream is None:
-            placed = self._place()
+            name = f"{self._request_id}-{effect.attempt}"
+            placed = await self._group.async_place(
+                partial(self._place, effect.attempt), name
+            )
             if isinstance(placed, Refused):
                 return PlacementRefused(
                     effect.attempt, placed.code, placed.retry_after_seconds
@@ -317,8 +338,12 @@
             stack.callback(self._shared.probes.forget, attempt.reading)
             return await self._async_read_attempt(attempt, effect, is_resumed)
 
-    def _place(self) -> Placed | Refused:
+    def _place(self, attempt: int) -> Placed | Refused:
         now = self._loop.time()
+        # Admission refuses what is predicted to end late, and predicts with care.
+        # Symptom for a failover: an admitted answer is given up with seconds to
+        # spare. It was admitted once; from then on only its deadline ends it.
+        remaining = self._lifecycle.deadline - now if attempt == 1 else math.inf
         engines = self._shared.get_engines(self._completion.model)
         names = [e.name for e in engines if e.name not in self._failed_engines]
         names = self._shared.outliers.select(names or [e.name for e in engines], now)
@@ -331,16 +356,22 @@
             + self._lifecycle.delivered_tokens,
             max_tokens=self._completion.max_tokens - self._lifecycle.delivered_tokens,
             priority=self._completion.priority or self._account.priority,
-            remaining_seconds=self._lifecycle.deadline - now,
+            remaining_seconds=remaining,
+            prefix_hashes=self._prefix_hashes,
         )
         usable = [engine for engine in engines if engine.name in names]
         views = self._shared.reports.build_views(usable, now)
-        return self._shared.placement.place(request, views, now)
+        fleet = build_fleet_view(self._shared.host, self._shared.membership)
+        placed = self._shared.placement.place(request, views, now, fleet)
+        demand = self._shared.placement.get_demand(now)
+        self._shared.membership.set_own_demand(demand)
+        return placed
 
     def _build_stream(self, number: int, placed: Placed) -> EngineStream:
         engine = self._shared.host.configuration.targets[placed.engines[0]]
         self._sink.note_target(engine.name)
         stream_id = f"{self._request_id}-{number}"
+        self._shared.prefixes.note_used(engine)
         return EngineStream(engine, stream_id, self._shared.host.identity)
 
     def _note_failure(self, attempt: _Attempt, error: TargetError) -> Event:
@@ -354,7 +385,10 @@
             )
             if is_new:
                 log_event("target_excluded", target=target, reason=fault.value)
-            self._failed_engines.add(target)
+            # An engine that lost a connection or a stream may be sound, and may be
+            # the last one; outlier detection counts such losses.
+            if fault not in PASSING_FAULTS:
+                self._failed_engines.add(target)
         log_event(
             "attempt_failed",
             request_id=self._request_id,
@@ -384,6 +418,9 @@
                 if isinstance(item, StreamEnd):
                     await self._async_read_to_end(reading, items)
                     self._shared.outliers.record_success(reading.target.name)
+                    self._shared.placement.note_finished(
+                        self._request_id, item.tokens, self._loop.time()
+                    )
                     return AttemptFinished(
                         attempt.number, item.tokens, item.finish_reason
                     )
@@ -401,6 +438,8 @@
             "max_tokens": self._completion.max_tokens - offset,
             "offset": offset,
             "sampling": self._completion.sampling,
+            "prefix_hashes": self._prefix_hashes,
+            **self._group.build_fields(),
         }
 
     async def _async_read_to_end(
--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -28,7 +28,7 @@
 FIRST_PORT = 10_000
 PORTS_A_SITE = 200
 SETUP_SECONDS = 20.0
-STOP_SECONDS = 5.0
+MAX_SHOWN_LOG = 2_000
 _site_numbers = itertools.count()
 
 
@@ -41,6 +41,7 @@
     engines_per_domain: int = 2
     services_per_domain: int = 1
     kv_tokens: int = c.DEFAULT_KV_TOKENS
+    engine_time_scale: float = 1.0
     model: str = "planogram-1"
     context_tokens: int = 1_200_000
     accounts: dict[str, float] = field(
@@ -48,6 +49,7 @@
     )
     service_delay_seconds: float = 0.0
     limits: dict[str, Any] = field(default_factory=dict)
+    host_module: str = "tarragonward_daemon.main"
     has_proxies: bool = False
     engines_check_fencing: bool = True
 
@@ -247,6 +249,7 @@
         address = self.hosts[name].operators
         async with asyncio.timeout(SETUP_SECONDS):
             while True:
+                self._check_running(name)
                 try:
                     answer = await async_send_http(
                         address, "GET", "/health", timeout=1.0
@@ -257,6 +260,13 @@
                     pass
                 await asyncio.sleep(0.05)
 
+    def _check_running(self, name: str) -> None:
+        """Raise RuntimeError, with the end of its log, where a process has ended."""
+        process = self._processes.get(name)
+        if process is not None and process.returncode is not None:
+            log = (self.folder / f"{name}.log").read_text("utf-8", "replace")
+            raise RuntimeError(f"{name} ended: {log[-MAX_SHOWN_LOG:]}")
+
     async def async_ask_operators(
         self, name: str, path: str, method: str = "GET"
     ) -> Any:
@@ -346,6 +356,7 @@
                 "tarragonward_standins.engine",
                 address=address,
                 kv_tokens=plan.kv_tokens,
+                time_scale=plan.engine_time_scale,
             )
             if not plan.engines_check_fencing:
                 self._commands[name].append("--ignores-fencing")
@@ -357,7 +368,7 @@
             )
         for name in self.hosts:
             self._commands[name] = _run_module(
-                "tarragonward_daemon.main", settings=folder / f"{name}.toml"
+                plan.host_module, settings=folder / f"{name}.toml"
             )
 
 
