Refuse keys that could not stand in a header to the target

Cause: a key with a tab or a letter outside ASCII passed parse_key; its call then failed while the target's header was built and ended as CALL_NOT_RUN, which is true but tells the caller to try a new key of the same kind. Ruled out: encoding the key for the header (the target must see the caller's own bytes).

--- a/libraries/requests/tarragonward_requests/keys.py
+++ b/libraries/requests/tarragonward_requests/keys.py
@@ -41,7 +41,9 @@
 def parse_key(text: str, secret: bytes) -> CallKey:
     """Return what a key says; raise RequestRefusedError where it is not ours."""
     parts = text.split(".", 2)
-    if len(text) > MAX_KEY_CHARACTERS or len(parts) != 3 or not parts[2]:
+    # The key goes on to the target as a header, where nothing else can stand.
+    is_plain = text.isascii() and text.isprintable() and len(text) <= MAX_KEY_CHARACTERS
+    if not is_plain or len(parts) != 3 or not parts[2]:
         raise RequestRefusedError(
             ResultCode.KEY_INVALID, "A key is a prefix, a dot and the caller's part."
         )
