--- a/libraries/bench/tarragonward_bench/lengths_fleet.py
+++ b/libraries/bench/tarragonward_bench/lengths_fleet.py
@@ -231,6 +231,8 @@
         placed = host.policy.place(request, views, self.now, self._build_fleet(host))
         if isinstance(placed, Refused):
             run.result.refusals += 1
+            # The caller is told that nothing ran; what it sends again is new.
+            run.result.was_admitted = False
             run.result.last_code = placed.code
             jitter = 1 + self._random.random() / 4
             self._come_back(run, placed.retry_after_seconds * jitter)
