--- a/libraries/bench/tarragonward_bench/capacity_fleet.py
+++ b/libraries/bench/tarragonward_bench/capacity_fleet.py
@@ -19,7 +19,7 @@
 from .capacity_slopes import measure_kept_bytes
 from .membership_network import FakeNetwork, NetworkPlan
 
-__all__ = ["GossipLoad", "measure_gossip", "measure_member_bytes"]
+__all__ = ["GossipLoad", "measure_gossip", "measure_member_bytes", "tell_all"]
 
 WARM_UP_SECONDS = 10.0
 RUN_SECONDS = 10.0
@@ -95,11 +95,11 @@
     """Build a view that has heard of all others, as a long-lived host has."""
     view = Membership(source.identity, source.failure_domain)
     view.handle(ListRead(listed), network.now)
-    _tell_all(view, network)
+    tell_all(view, network)
     return view
 
 
-def _tell_all(view: Membership, network: FakeNetwork) -> None:
+def tell_all(view: Membership, network: FakeNetwork) -> None:
     """Let a view hear of all hosts at once, with nothing left to pass on.
 
     A fleet that has just started is busy with news for minutes; what is measured
@@ -121,7 +121,7 @@
         host.membership.loads.set_targets(near)
         accounts = [f"account-{n}" for n in range(ACCOUNTS_A_HOST)]
         host.membership.demands.set_accounts(accounts)
-        _tell_all(host.membership, network)
+        tell_all(host.membership, network)
 
 
 def _run(
--- a/libraries/membership/tests/test_membership.py
+++ b/libraries/membership/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Tests of membership's decisions on a fake network, one failure each."""
 
+from dataclasses import replace
+
 import pytest
 
 from tarragonward_bench.membership_network import FakeNetwork, NetworkPlan
@@ -8,6 +10,7 @@
     GossipArrived,
     ListRead,
     LoadReport,
+    MemberRecord,
     Membership,
     MemberState,
     RecordState,
@@ -36,14 +39,19 @@
     return {m.listed.address: m.state for m in members}[other.address]
 
 
-def test_a_host_that_one_cannot_reach_is_not_suspected_when_others_can(network):
-    """A path is broken one way; sweeps must not cancel the streams behind it.
+@pytest.mark.parametrize("is_one_way", [True, False])
+def test_a_host_that_one_cannot_reach_is_not_suspected_when_others_can(
+    network, is_one_way
+):
+    """A path is broken; sweeps must not cancel the streams behind it.
 
-    The first host's probes to the second are lost. Helpers of its domain reach it, so
-    it is neither suspected nor gone, for as long as the cut lasts.
+    The first host's probes to the second are lost, or all between them. Helpers of
+    its domain reach it, so it is neither suspected nor gone while the cut lasts.
     """
     first, second, *_ = network.hosts.values()
     network.cut([first], [second])
+    if not is_one_way:
+        network.cut([second], [first])
     for _ in range(60):
         network.run(0.5)
         assert get_state(first, second) is MemberState.ALIVE
@@ -115,7 +123,7 @@
     late = HostIdentity(new.address, 3)
     record = (bytes([10, 0, 0, 2]), 7_000, late.incarnation, 9, int(RecordState.ALIVE))
     probe = members.hosts[new.address].membership.build_probe(own.address, 0.2)
-    message = type(probe)(**{**vars(probe), "records": (record,)})
+    message = replace(probe, records=(record,))
     sender = HostIdentity(Address("10.0.0.3", 7_000), 4)
     membership.handle(GossipArrived(sender, message), 0.2)
     assert not membership.is_gone(new, 0.3)
@@ -147,6 +155,7 @@
         h.listed for h in network.hosts.values() if h.address != other.address
     )
     host.membership.handle(ListRead(lagging), network.now)
+    assert get_state(host, other) is MemberState.ALIVE
     network.run(5)
     assert get_state(host, other) is MemberState.ALIVE
     host.membership.handle(ListRead((*lagging, other.listed)), network.now)
@@ -165,6 +174,96 @@
     rates = sorted(h.messages_sent / 20 for h in network.hosts.values())
     assert rates[len(rates) // 2] < 4
     assert rates[-1] < 8
+    bridges = [h for h in network.hosts.values() if is_bridge(h, "a", "b")]
+    assert len(bridges) == 2
+
+
+def is_bridge(host, domain, other):
+    membership = host.membership
+    if membership.failure_domain != domain:
+        return False
+    return membership._schedule.is_bridge(membership._members, other)
+
+
+def test_a_host_that_slept_through_a_suspicion_does_not_end_it_as_death(network):
+    """A host hears a suspicion, is paused past its end, and wakes.
+
+    The refutation came while it slept and is still unread. Were the suspicion's end
+    taken as it stands, the live host's streams would be swept.
+    """
+    first, second, *_ = network.hosts.values()
+    deliver(network, first, second, RecordState.SUSPECT)
+    woken = network.now + 30
+    first.membership.handle(Tick(), woken)
+    assert get_state(first, second) is MemberState.SUSPECT
+    assert not first.membership.is_gone(second.membership.identity, woken)
+
+
+@pytest.mark.parametrize("state", [RecordState.SUSPECT, RecordState.DEAD])
+def test_nobody_dies_of_another_hosts_word(network, state):
+    """A host that was cut off says that a live one is dead; it is given its time.
+
+    The word counts as suspicion. The one that it is about hears of it and refutes it,
+    and at no moment is it dead or gone to anybody.
+    """
+    first, second, *_ = network.hosts.values()
+    deliver(network, first, second, state)
+    assert get_state(first, second) is MemberState.SUSPECT
+    for _ in range(100):
+        network.run(0.1)
+        for host in network.hosts.values():
+            if host is not second:
+                assert get_state(host, second) is not MemberState.DEAD
+                life = second.membership.identity
+                assert not host.membership.is_gone(life, network.now)
+    assert network.find_disagreement() is None
+
+
+def deliver(network, host, other, state):
+    """Let a host hear that another is in a state, at its newest version."""
+    life = other.membership.identity
+    version = other.membership._own.version
+    record = MemberRecord(life, version, state).pack()
+    sender = list(network.hosts.values())[-1].membership
+    probe = sender.build_probe(host.address, network.now)
+    message = replace(probe, records=(record,))
+    host.membership.handle(GossipArrived(sender.identity, message), network.now)
+
+
+def test_halves_of_one_domain_find_each_other_after_a_cut():
+    """Each half holds the other for dead, so nobody would probe across again."""
+    network = FakeNetwork(NetworkPlan(("a",), 4), seed=5)
+    network.run(10)
+    hosts = list(network.hosts.values())
+    network.cut(hosts[:2], hosts[2:])
+    network.cut(hosts[2:], hosts[:2])
+    network.run(60)
+    assert get_state(hosts[0], hosts[2]) is MemberState.DEAD
+    network.heal()
+    network.run(30)
+    assert network.find_disagreement() is None
+
+
+def test_a_host_that_starts_after_a_death_in_another_domain_hears_of_it():
+    """It is no bridge, so it never probes the dead host that is still listed.
+
+    The rumour of the suspicion is over. Only the records told in turn are left to
+    tell it; without them an owner that died would count as there for good.
+    """
+    network = FakeNetwork(NetworkPlan(("a", "b"), 5), seed=6)
+    network.run(10)
+    dead, *_ = network.hosts.values()
+    late = next(
+        host
+        for host in network.hosts.values()
+        if host.listed.failure_domain == "b" and not is_bridge(host, "b", "a")
+    )
+    network.kill(late)
+    network.kill(dead)
+    network.run(60)
+    network.start(late)
+    network.run(30)
+    assert get_state(late, dead) is MemberState.DEAD
 
 
 def test_each_target_is_watched_by_two_hosts_of_its_domain(network):
