--- a/libraries/placement/tarragonward_placement/predictions.py
+++ b/libraries/placement/tarragonward_placement/predictions.py
@@ -8,7 +8,7 @@
 from . import const as c
 from .messages import EngineView, PlacementRequest
 
-__all__ = ["Corrections", "InFlight", "InFlightBook", "predict_ttft"]
+__all__ = ["Corrections", "InFlight", "InFlightBook", "TokenPace", "predict_ttft"]
 
 
 @dataclass
@@ -25,6 +25,7 @@
     predicted_ttft_seconds: float
     length_class: int = 0
     has_first_token: bool = False
+    first_token_at: float = 0.0
 
 
 class InFlightBook:
@@ -61,13 +62,14 @@
         """Give the prompts on an engine."""
         yield from self._by_engine.get(engine, {}).values()
 
-    def count_account_tokens(self, account: str) -> int:
-        """Return the KV memory that an account's prompts hold through this host."""
-        return sum(
-            sum(work.parts.values())
-            for work in self._work.values()
-            if work.account == account
-        )
+    def count_held_by_account(self) -> dict[str, float]:
+        """Return the KV tokens that long prompts hold through this host."""
+        held: dict[str, float] = {}
+        for work in self._work.values():
+            if work.length_class >= c.FIRST_LONG_CLASS:
+                tokens = sum(work.parts.values())
+                held[work.account] = held.get(work.account, 0.0) + tokens
+        return held
 
     def count_unread(self, view: EngineView, priority: int, now: float) -> float:
         """Return the prompt tokens that a new prompt of this priority waits for.
@@ -76,11 +78,9 @@
         added, as hosts that all trust the same old report send all their work to the
         engine that looked idle.
         """
-        reported = sum(
-            tokens for level, tokens in view.queued_by_priority if level <= priority
-        )
-        if not view.queued_by_priority:
-            reported = view.queued_prefill_tokens
+        reported = view.queued_prefill_tokens
+        if priority < c.FIRST_LONG_PRIORITY:
+            reported -= view.queued_long_tokens
         read = view.report_age_seconds * view.prefill_tokens_per_second
         own = sum(
             work.unread_tokens
@@ -91,6 +91,16 @@
         )
         return max(0.0, reported - read) + own
 
+    def has_behind(self, view: EngineView, priority: int, now: float) -> bool:
+        """Return whether the engine reads prompts that go after this priority."""
+        if view.queued_long_tokens > 0 and priority < c.FIRST_LONG_PRIORITY:
+            return True
+        return any(
+            work.engine_priority > priority and not work.has_first_token
+            for work in self._iterate_unreported(view, now)
+            if work.leader == view.name
+        )
+
     def count_free_kv(self, view: EngineView, now: float) -> int:
         """Return the KV memory that is free for all that this host knows."""
         unreported = self._iterate_unreported(view, now)
@@ -127,13 +137,33 @@
         self._ratios[work.length_class] = known + c.CORRECTION_WEIGHT * (ratio - known)
 
 
+class TokenPace:
+    """The seconds between an answer's tokens, as this host's answers came."""
+
+    def __init__(self) -> None:
+        self.seconds_per_token = c.DEFAULT_SECONDS_PER_TOKEN
+
+    def observe(self, seconds: float, tokens: int) -> None:
+        """Learn from tokens that came in so many seconds."""
+        if tokens < c.MIN_PACE_TOKENS:
+            return
+        change = seconds / tokens - self.seconds_per_token
+        self.seconds_per_token += c.PACE_WEIGHT * change
+
+
 def predict_ttft(
-    request: PlacementRequest, view: EngineView, waiting: float, cached: int
+    request: PlacementRequest,
+    view: EngineView,
+    waiting: float,
+    cached: int,
+    has_behind: bool,
 ) -> float:
     """Return the seconds until the first token, with waiting tokens before it.
 
-    A step that runs already must end first, whoever it is for.
+    A step that runs already must end first, whoever it is for; a prompt that goes
+    after this one is read in such steps, and in what its last step leaves.
     """
-    uncached = max(request.prompt_tokens - cached, 1)
-    step = view.seconds_per_token
-    return (waiting + uncached) / view.prefill_tokens_per_second + step
+    tokens = waiting + max(request.prompt_tokens - cached, 1)
+    if has_behind:
+        tokens += c.BEHIND_TOKENS
+    return tokens / view.prefill_tokens_per_second + view.seconds_per_token
