Write head and first data, and last data and end, at once

Cause: a short answer took four system calls and packets (head, data, last events, end of chunks), a request two; sends are the host's largest cost by cProfile. Now start() holds the head back until what follows at once, async_finish takes the last data, and the client joins head and body. Ruled out: holding tokens back to join them, which would delay them.

--- a/libraries/daemon/tarragonward_daemon/answers.py
+++ b/libraries/daemon/tarragonward_daemon/answers.py
@@ -46,7 +46,7 @@
         if not self._completion.is_streaming:
             self._parts.append(text)
             return
-        await self._async_start()
+        self._start()
         await self._responder.async_send_chunk(self._writer.build_event(text))
 
     async def async_end(self, end: EndRequest) -> None:
@@ -54,19 +54,17 @@
         if end.code is not ResultCode.OK:
             await self._async_end_with_error(end)
         elif self._completion.is_streaming:
-            await self._async_start()
+            self._start()
             events = self._writer.build_end(end.finish_reason, self.tokens)
-            await self._responder.async_send_chunk(events)
-            await self._responder.async_finish()
+            await self._responder.async_finish(events)
         else:
             text = "".join(self._parts)
             body = self._writer.build_whole(text, self.tokens, end.finish_reason)
             await self._responder.async_send_json(200, body, self._headers)
 
-    async def _async_start(self) -> None:
+    def _start(self) -> None:
         if not self._responder.is_started:
-            headers = {**EVENT_STREAM, **self._headers}
-            await self._responder.async_start(200, headers)
+            self._responder.start(200, {**EVENT_STREAM, **self._headers})
 
     async def _async_end_with_error(self, end: EndRequest) -> None:
         if not self._responder.is_started:
@@ -81,5 +79,4 @@
             request_id=self._request_id,
             retry_after_seconds=end.retry_after_seconds,
         )
-        await self._responder.async_send_chunk(self._writer.build_error(error))
-        await self._responder.async_finish()
+        await self._responder.async_finish(self._writer.build_error(error))
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -147,10 +147,12 @@
     try:
         if before_write is not None:
             before_write()
-        writer.write(connection.send(request))
+        # One write for head and body: one system call where the body is short.
+        parts = [connection.send(request)]
         if body:
-            writer.write(connection.send(h11.Data(data=body)))
-        writer.write(connection.send(h11.EndOfMessage()))
+            parts.append(connection.send(h11.Data(data=body)))
+        parts.append(connection.send(h11.EndOfMessage()))
+        writer.write(b"".join(parts))
         # The answer is read while the body still goes out: a target that refuses a
         # long prompt at its head answers, and closes, before it has read it all.
         stream = HttpStream(connection, reader, writer)
--- a/libraries/wire/tarragonward_wire/http_responder.py
+++ b/libraries/wire/tarragonward_wire/http_responder.py
@@ -68,6 +68,7 @@
         self._writer = writer
         self._write_timeout = write_timeout
         self._is_closing = is_closing
+        self._unsent: list[bytes] = []
         self.request_id = ""
         self.method = ""
         self.give_up_at: float | None = None
@@ -86,10 +87,8 @@
     ) -> None:
         """Send a whole answer."""
         sized = {**headers, "content-length": str(len(body))}
-        await self.async_start(status, sized)
-        if self.method != METHOD_HEAD:
-            await self.async_send_chunk(body)
-        await self.async_finish()
+        self.start(status, sized)
+        await self.async_finish(b"" if self.method == METHOD_HEAD else body)
 
     async def async_send_error(
         self,
@@ -112,23 +111,32 @@
 
     async def async_start(self, status: int, headers: Headers) -> None:
         """Send the head; without a content-length the body goes in chunks."""
+        self.start(status, headers)
+        self._flush()
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Begin an answer whose head goes out together with what follows at once."""
         self.is_started = True
         if self._is_closing():
             headers = {**headers, "connection": "close"}
         response = h11.Response(status_code=status, headers=encode_headers(headers))
-        self._write(response)
+        self._add(response)
 
     async def async_send_chunk(self, data: bytes) -> None:
         """Send a part of the body and wait until the reader has room."""
         if not data:
             return
-        self._write(h11.Data(data=data))
+        self._add(h11.Data(data=data))
+        self._flush()
         await self._async_wait_for_room()
 
-    async def async_finish(self) -> None:
-        """End the answer."""
-        self._write(h11.EndOfMessage())
+    async def async_finish(self, data: bytes = b"") -> None:
+        """End the answer, with its last data where some is left."""
+        if data:
+            self._add(h11.Data(data=data))
+        self._add(h11.EndOfMessage())
         self.is_finished = True
+        self._flush()
         await self._async_wait_for_room()
 
     async def _async_wait_for_room(self) -> None:
@@ -143,7 +151,14 @@
         async with asyncio.timeout_at(give_up_at):
             await self._writer.drain()
 
-    def _write(self, event: h11.Event) -> None:
+    def _add(self, event: h11.Event) -> None:
         data = self._connection.send(event)
         if data:
-            self._writer.write(data)
+            self._unsent.append(data)
+
+    def _flush(self) -> None:
+        # One write, and so one system call and packet, for all that is ready: sends
+        # are the host's largest cost.
+        unsent = self._unsent
+        self._writer.write(unsent[0] if len(unsent) == 1 else b"".join(unsent))
+        unsent.clear()
