Judge operators' requests by their heads too, and try the server with any bytes

Cause: an operators' route read up to 16 MB from anybody before it looked at the token, a wrong method there answered UNKNOWN_ROUTE, a missing token TOKEN_WRONG, and a balancer's HEAD /health was refused. New: nine cases with a real host, and 60 derandomised sequences of request parts and random bytes over a socket, after each of which the server serves and no task holds an unread fault; none was found. Ruled out: leaving the operators' port to the network's rules alone.

--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -73,7 +73,15 @@
             lambda: self.callers.bodies.held_bytes,
         )
         operators = OperatorRoutes(host, self.membership, self.reports, self.ask_drain)
-        self.operators = HttpServer(settings.operators, operators.async_handle)
+        self.operators = HttpServer(
+            settings.operators,
+            operators.async_handle,
+            HttpLimits(
+                max_body_bytes=c.OPERATORS_MAX_BODY_BYTES,
+                max_connections=c.OPERATORS_MAX_CONNECTIONS,
+            ),
+            check_head=operators.check_head,
+        )
 
     def _build_limits(self) -> HttpLimits:
         limits = self.host.settings.limits
--- a/libraries/daemon/tarragonward_daemon/operators.py
+++ b/libraries/daemon/tarragonward_daemon/operators.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from tarragonward_core import RequestRefusedError, ResultCode, invariants
-from tarragonward_wire import HttpRequest, Responder
+from tarragonward_wire import HttpHead, HttpRequest, Responder
 
 from . import const as c
 from .core import HostState
@@ -16,6 +16,16 @@
 
 __all__ = ["OperatorRoutes"]
 
+READ = ("GET", "HEAD")
+METHODS = {
+    c.ROUTE_CONFIGURATION: READ,
+    c.ROUTE_DRAIN: ("POST",),
+    c.ROUTE_HEALTH: READ,
+    c.ROUTE_METRICS: READ,
+    c.ROUTE_STATUS: READ,
+    c.ROUTE_TARGETS: READ,
+}
+OPEN_ROUTES = (c.ROUTE_HEALTH, c.ROUTE_METRICS)
 EXPOSITION = {"content-type": "text/plain; version=0.0.4; charset=utf-8"}
 
 
@@ -39,37 +49,45 @@
             lambda: len(membership.membership.get_members()),
         )
 
+    def check_head(self, head: HttpHead) -> None:
+        """Refuse what its head already forbids, before a body costs memory."""
+        if head.path not in OPEN_ROUTES:
+            self._authenticate(head)
+        if head.path not in METHODS:
+            raise RequestRefusedError(ResultCode.UNKNOWN_ROUTE)
+        if head.method not in METHODS[head.path]:
+            detail = f"The route takes {' and '.join(METHODS[head.path])}."
+            raise RequestRefusedError(ResultCode.METHOD_NOT_ALLOWED, detail)
+
     async def async_handle(self, request: HttpRequest, responder: Responder) -> None:
-        """Answer one request."""
-        match request.method, request.path:
-            case "GET", c.ROUTE_HEALTH:
+        """Answer one request that check_head let through."""
+        match request.path:
+            case c.ROUTE_HEALTH:
                 healthy = self._is_healthy()
                 status = 200 if healthy else 503
                 await responder.async_send_json(status, {"healthy": healthy})
-                return
-            case "GET", c.ROUTE_METRICS:
+            case c.ROUTE_METRICS:
                 body = self._host.metrics.write_exposition()
                 await responder.async_send_bytes(200, body, EXPOSITION)
-                return
-        self._authenticate(request)
-        match request.method, request.path:
-            case "GET", c.ROUTE_STATUS:
+            case c.ROUTE_STATUS:
                 await responder.async_send_json(200, self._build_status())
-            case "GET", c.ROUTE_TARGETS:
+            case c.ROUTE_TARGETS:
                 await responder.async_send_json(200, self._list_targets())
-            case "GET", c.ROUTE_CONFIGURATION:
+            case c.ROUTE_CONFIGURATION:
                 await responder.async_send_json(200, self._show_configuration())
-            case "POST", c.ROUTE_DRAIN:
+            case c.ROUTE_DRAIN:
                 self._drain()
                 await responder.async_send_json(200, {"draining": True})
-            case _:
-                raise RequestRefusedError(ResultCode.UNKNOWN_ROUTE)
 
-    def _authenticate(self, request: HttpRequest) -> None:
+    def _authenticate(self, head: HttpHead) -> None:
+        given = head.headers.get("authorization", "").encode("latin-1")
+        if not given:
+            raise RequestRefusedError(ResultCode.TOKEN_MISSING)
         expected = f"Bearer {self._host.settings.operator_token}".encode()
-        given = request.headers.get("authorization", "").encode("latin-1")
         if not hmac.compare_digest(given, expected):
-            raise RequestRefusedError(ResultCode.TOKEN_WRONG)
+            raise RequestRefusedError(
+                ResultCode.TOKEN_WRONG, "The token is not the operators'."
+            )
 
     def _is_healthy(self) -> bool:
         has_configuration = self._host.configuration_state is not None
--- a/libraries/wire/tests/test_http_server.py
+++ b/libraries/wire/tests/test_http_server.py
@@ -1,10 +1,13 @@
 """Tests of the HTTP server's edges, over raw sockets."""
 
 import asyncio
+import gc
 import socket
 
 import orjson
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tarragonward_core import Address, RequestRefusedError, ResultCode
 from tarragonward_wire import BodyBudget, HttpLimits, HttpServer, async_send_http
@@ -271,3 +274,58 @@
     assert (await caller.async_read_answer())[1]["connection"] == "close"
     assert await caller.reader.read() == b""
     caller.writer.close()
+
+
+REQUEST_PARTS = st.sampled_from(
+    [
+        GET,
+        post(3) + b"abc",
+        b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"3\r\nabc\r\n",
+        b"0\r\n\r\n",
+        b"Content-Length: 99999999999999999999\r\n",
+        b"Connection: upgrade\r\nUpgrade: x\r\n\r\n",
+        b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET //a?b=%ff&%00 HTTP/1.0\r\n\r\n",
+        b"\r\n",
+        b"\x00",
+        b" HTTP/9.9\r\n",
+    ]
+)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(st.lists(st.one_of(REQUEST_PARTS, st.binary(max_size=40)), max_size=8))
+def test_whatever_bytes_come_the_server_goes_on(parts):
+    """A scanner sends parts of requests, cut and joined at random, and hangs up.
+
+    Each connection gets well-formed answers or is closed; no fault is left unread in
+    a task, and the next caller is served.
+    """
+    faults = []
+
+    async def async_run():
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: faults.append(context)
+        )
+        limits = HttpLimits(head_timeout=0.05, body_timeout=0.05, idle_timeout=0.05)
+        server = HttpServer(Address("127.0.0.1", 0), answer_length, limits)
+        await server.async_setup()
+        caller = await Caller.async_open(server)
+        caller.writer.write(b"".join(parts))
+        if caller.writer.can_write_eof():
+            caller.writer.write_eof()
+        async with asyncio.timeout(20):
+            try:
+                received = await caller.reader.read()
+            except ConnectionResetError:
+                received = b""
+        assert not received or received.startswith(b"HTTP/1.1 ")
+        assert b"INTERNAL_ERROR" not in received
+        caller.writer.close()
+        assert (await async_ask(server, GET))[0] == 200
+        await server.async_unload()
+        gc.collect()
+
+    asyncio.run(async_run())
+    assert not faults
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -117,6 +117,31 @@
         )
 
 
+async def test_operators_routes_are_closed_to_callers(make_site):
+    site = await make_site(SMALL)
+    host = next(iter(site.hosts.values()))
+    operator = f"Bearer {site.operator_token}"
+    caller = f"Bearer {site.tokens['camara']}"
+    cases = [
+        ("GET", "/v1/status", "", 401, ResultCode.TOKEN_MISSING),
+        ("GET", "/v1/status", caller, 401, ResultCode.TOKEN_WRONG),
+        ("POST", "/v1/drain", caller, 401, ResultCode.TOKEN_WRONG),
+        ("GET", "/v1/drain", operator, 405, ResultCode.METHOD_NOT_ALLOWED),
+        ("GET", "/v1/nothing", operator, 404, ResultCode.UNKNOWN_ROUTE),
+        ("POST", "/health", "", 405, ResultCode.METHOD_NOT_ALLOWED),
+        ("GET", "/v1/status", operator, 200, None),
+        ("GET", "/health", "", 200, None),
+        ("HEAD", "/health", "", 200, None),
+    ]
+    for method, path, token, status, code in cases:
+        answer = await async_send_http(
+            host.operators, method, path, headers={"authorization": token}, timeout=5
+        )
+        found = answer.headers.get("x-result-code")
+        wanted = None if code is None else str(code.number)
+        assert (answer.status, found) == (status, wanted), (method, path)
+
+
 async def test_a_hostile_content_type_reaches_the_target_as_it_came(make_site):
     """A call's content type holds bytes that are not ASCII.
 
