End the tool with 2 for arguments that are missing or unknown

Cause: cleo ends with 1 for a wrong argument, which the tool documents as 'failed, of a call: not run': a script could not tell a typing error from a refused booking. The tool now takes cleo's errors itself and ends with EXIT_USAGE; three cases added to the test of exit codes. Ruled out: other numbers for outcomes, as 1 and 2 are what shells expect.

--- a/libraries/cli/tarragonward_cli/main.py
+++ b/libraries/cli/tarragonward_cli/main.py
@@ -5,10 +5,12 @@
 import sys
 
 from cleo.application import Application
+from cleo.exceptions import CleoError
 
 from .call import CallCommand
 from .codes import CodesCommand
 from .config import ConfigCheckCommand, ConfigDiffCommand, ConfigShowCommand
+from .const import EXIT_USAGE
 from .request import RequestCommand
 from .settings import SettingsCheckCommand
 from .status import StatusCommand, TargetsCommand
@@ -39,7 +41,15 @@
 
 def run() -> int:
     """Run the tool; return its exit code."""
-    return build_application().run()
+    application = build_application()
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    try:
+        return application.run()
+    except CleoError as err:
+        # The library would end with 1, which is an outcome here: of a call, "not run".
+        print(f"{application.name}: {err}", file=sys.stderr)
+        return EXIT_USAGE
 
 
 if __name__ == "__main__":
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -121,6 +121,8 @@
     assert "UNKNOWN_MODEL" in unknown_model[2]
     usage = await tool.async_run("request", "nothing", "a", "--time-limit=nan")
     assert usage[0] == c.EXIT_USAGE
+    for words in (("request",), ("nothing",), ("call", "a", "b", "--no-such-option")):
+        assert (await tool.async_run(*words))[0] == c.EXIT_USAGE
     empty = tmp_path / "no.token"
     token = await tool.async_run("request", "nothing", "a", f"--token-file={empty}")
     assert token[0] == c.EXIT_USAGE
