Test the bound on bodies through a real host, for calls with a key and without

What was unproved: that a repeat refused unread, for want of memory, is not told 'not run' of a booking that an earlier copy may have made. Ruled out: serving keyed repeats past the bound, as bodies are what fills it.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -15,7 +15,11 @@
     hosts_per_domain=1,
     engines_per_domain=1,
     context_tokens=1_000,
-    limits={"max_body_bytes": 200_000, "max_time_limit_seconds": 30},
+    limits={
+        "max_bodies_bytes": 250_000,
+        "max_body_bytes": 200_000,
+        "max_time_limit_seconds": 30,
+    },
 )
 PROMPT = {"model": "planogram-1", "prompt": "Rewrite bay 4", "max_tokens": 3}
 CHAT = {"model": "planogram-1", "messages": [{"role": "user", "content": "bay"}]}
@@ -145,6 +149,44 @@
         assert (answer.status, found) == (status, wanted), (method, path)
 
 
+async def async_read_metrics(host):
+    answer = await async_send_http(host.operators, "GET", "/metrics", timeout=5)
+    return list(text_string_to_metric_families(answer.body.decode()))
+
+
+async def test_a_repeat_refused_for_want_of_memory_is_not_told_not_run(make_site):
+    """A long prompt fills the host's memory for bodies; a clerk repeats a booking.
+
+    The repeat is refused unread. This host can't know whether an earlier copy ran, so
+    it says "unknown" and when to come back; work without a key is told "not run".
+    """
+    site = await make_site(SMALL)
+    host = next(iter(site.hosts.values()))
+    prefix = (await async_post(site, "/v1/key-prefix", b"")).parse_json()["key_prefix"]
+    _, writer = await asyncio.open_connection(host.callers.host, host.callers.port)
+    head = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n"
+        f"Authorization: Bearer {site.tokens['shelfwise']}\r\n\r\n"
+    )
+    writer.write(head.encode())
+    async with asyncio.timeout(10):
+        while not any(
+            family.name == "tarragonward_bodies_held_bytes" and family.samples[0].value
+            for family in await async_read_metrics(host)
+        ):
+            await asyncio.sleep(0.01)
+    body = b"a" * 100_000
+    keyed = await async_post(
+        site, "/v1/services/approvals/approve", body, x_call_key=f"{prefix}.1"
+    )
+    plain = await async_post(site, "/v1/services/approvals/look-up", body)
+    writer.close()
+    found = [answer.headers["x-result-code"] for answer in (keyed, plain)]
+    wanted = [ResultCode.OUTCOME_UNKNOWN, ResultCode.OVERLOADED]
+    assert found == [str(code.number) for code in wanted]
+    assert all(answer.headers["retry-after"] for answer in (keyed, plain))
+
+
 async def test_a_hostile_content_type_reaches_the_target_as_it_came(make_site):
     """A call's content type holds bytes that are not ASCII.
 
@@ -202,8 +244,7 @@
     async with asyncio.timeout(10):
         while (await site.async_ask_operators(host.name, "/v1/status"))["in_flight"]:
             await asyncio.sleep(0.01)
-    answer = await async_send_http(host.operators, "GET", "/metrics", timeout=5)
-    families = text_string_to_metric_families(answer.body.decode())
+    families = await async_read_metrics(host)
     ended = {
         (sample.labels["label"], sample.labels["client_account"]): sample.value
         for family in families
