Tell a keyed repeat that came too slowly 'unknown', not 'not run'

Ruled out: judging MALFORMED_HTTP the same way, as that caller has sent something else than its call.

--- a/libraries/daemon/tarragonward_daemon/calls.py
+++ b/libraries/daemon/tarragonward_daemon/calls.py
@@ -40,6 +40,7 @@
         ResultCode.DRAINING,
         ResultCode.NOT_READY,
         ResultCode.OVERLOADED,
+        ResultCode.SLOW_SENDER,
     }
 )
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,6 +1,7 @@
 """Tests of what callers get for bad, hostile and unusual requests, through a host."""
 
 import asyncio
+from dataclasses import replace
 
 import orjson
 from prometheus_client.parser import text_string_to_metric_families
@@ -187,6 +188,30 @@
     assert all(answer.headers["retry-after"] for answer in (keyed, plain))
 
 
+async def test_a_repeat_that_comes_too_slowly_is_not_told_not_run(make_site):
+    """A clerk's phone repeats a booking over a network that has all but stopped.
+
+    The body does not come in time. That copy was not run, but the one before it may
+    have been: the clerk must read "unknown", and not book again under a new key.
+    """
+    limits = {"sender_timeout_seconds": 1}
+    site = await make_site(replace(SMALL, limits=limits))
+    host = next(iter(site.hosts.values()))
+    prefix = (await async_post(site, "/v1/key-prefix", b"")).parse_json()["key_prefix"]
+    reader, writer = await asyncio.open_connection(host.callers.host, host.callers.port)
+    head = (
+        "POST /v1/services/approvals/approve HTTP/1.1\r\nHost: a\r\n"
+        f"Content-Length: 10\r\nX-Call-Key: {prefix}.1\r\n"
+        f"Authorization: Bearer {site.tokens['camara']}\r\n\r\nslot"
+    )
+    writer.write(head.encode())
+    async with asyncio.timeout(10):
+        answer = (await reader.read()).decode().lower()
+    writer.close()
+    assert f"x-result-code: {ResultCode.OUTCOME_UNKNOWN.number}\r\n" in answer
+    assert "retry-after: " in answer
+
+
 async def test_a_hostile_content_type_reaches_the_target_as_it_came(make_site):
     """A call's content type holds bytes that are not ASCII.
 
