--- a/libraries/daemon/tarragonward_daemon/owned_calls.py
+++ b/libraries/daemon/tarragonward_daemon/owned_calls.py
@@ -94,7 +94,14 @@
             except Exception as err:
                 log_event("call_failed", key=key, error=repr(err))
                 reply = self.ledger.record_failure(key, _now())
-            log_event("call_ended", key=key, code=reply.code.number)
+            log_event(
+                "call_ended",
+                key=key,
+                client_account=call.account,
+                service=call.service,
+                operation=call.operation,
+                code=reply.code.number,
+            )
 
     async def _async_try_targets(self, call: ServiceCall, key: str) -> Reply:
         operation = self._host.configuration.find_operation(
@@ -111,7 +118,13 @@
             except NotConnectedError:
                 continue
             except TargetError as err:
-                log_event("call_outcome_unknown", key=key, error=repr(err))
+                log_event(
+                    "call_outcome_unknown",
+                    key=key,
+                    client_account=call.account,
+                    target=target.name,
+                    error=repr(err),
+                )
                 return self.ledger.record_unknown(key, _now())
             if not _is_refused(answer, operation):
                 return self.ledger.record_answer(key, answer, _now())
