--- a/libraries/bench/tarragonward_bench/capacity_check.py
+++ b/libraries/bench/tarragonward_bench/capacity_check.py
@@ -31,6 +31,8 @@
 PROCESSES = 4
 MEMBERS_A_PROCESS = 11
 FIRST_PORT = 32_000
+# The news of a start goes round for a while; the slopes are of a fleet at rest.
+SETTLE_SECONDS = 45.0
 WINDOW_SECONDS = 15.0
 LIMIT_SECONDS = 90.0
 STEP_SECONDS = 0.25
@@ -89,7 +91,7 @@
             every = PROCESSES * MEMBERS_A_PROCESS
             await self._async_wait(lambda task: task.count_live_hosts() == every)
             _say("joined", seconds=time.monotonic() - begin)
-            await asyncio.sleep(WINDOW_SECONDS / 3)
+            await asyncio.sleep(SETTLE_SECONDS)
             core, sent = time.process_time(), count.written
             await asyncio.sleep(WINDOW_SECONDS)
             _say(
--- a/libraries/bench/tarragonward_bench/capacity_fleet.py
+++ b/libraries/bench/tarragonward_bench/capacity_fleet.py
@@ -48,6 +48,7 @@
     decision_core_seconds: float
     median_load_age: float
     known_loads_share: float
+    known_demands_share: float
 
 
 def measure_gossip(hosts: int, runners: int, has_demand: bool = True) -> GossipLoad:
@@ -76,6 +77,7 @@
         decision_core_seconds=core_seconds,
         median_load_age=statistics.median(ages or [0.0]),
         known_loads_share=share,
+        known_demands_share=_measure_known_demands(network),
     )
 
 
@@ -157,6 +159,13 @@
             membership.loads.record(LoadReport(name, tokens, tokens, 70, network.now))
 
 
+def _measure_known_demands(network: FakeNetwork) -> float:
+    """Return the mean share of its domain's hosts whose demand a host holds."""
+    hosts = network.hosts.values()
+    known = statistics.mean(h.membership.demands.known_hosts for h in hosts)
+    return known / network.plan.hosts_per_domain
+
+
 def _measure_ages(
     network: FakeNetwork, targets: dict[str, str]
 ) -> tuple[list[float], float]:
--- a/libraries/membership/tarragonward_membership/membership.py
+++ b/libraries/membership/tarragonward_membership/membership.py
@@ -146,7 +146,9 @@
         live = [host for host in self._members if host.is_heard]
         addresses = {host.address for host in live}
         domains = {host.failure_domain for host in live}
-        return self.demands.get_demand(addresses, domains, now)
+        near = sum(host.failure_domain == self.failure_domain for host in live)
+        is_large = len(self._members) >= c.LARGE_FLEET_HOSTS
+        return self.demands.get_demand(addresses, domains, now, near if is_large else 0)
 
     def set_leaving(self) -> None:
         """Tell the others that this host drains."""
