--- a/libraries/bench/tarragonward_bench/lengths.py
+++ b/libraries/bench/tarragonward_bench/lengths.py
@@ -30,7 +30,7 @@
 SLICE_SECONDS = 5.0
 DRAIN_SECONDS = 700.0
 FIRST_SEED = 5
-FLOOD = 1.5
+FLOOD = 4.0
 LATE_REPORT_SECONDS = 3.0
 MAIN = (ROUND_ROBIN, LEAST, OURS)
 EVERY = (*MAIN, *ABLATIONS)
@@ -58,7 +58,7 @@
 SCENARIOS = (
     Scenario(STEADY, EVERY),
     Scenario(f"{STEADY}, {WITHOUT_LONG}", EVERY, has_long=False),
-    Scenario("flood", (*MAIN, "no_limits"), flood=FLOOD),
+    Scenario("flood", (*MAIN, "no_limits", "no_admission"), flood=FLOOD),
     Scenario("engine lost", engine_lost=True),
     Scenario(
         "reports 3 s late",
--- a/libraries/placement/tarragonward_placement/limits.py
+++ b/libraries/placement/tarragonward_placement/limits.py
@@ -87,15 +87,22 @@
         return wanted[request.account] <= shares[request.account]
 
     def check(
-        self, request: PlacementRequest, capacity: float, fleet: FleetView, now: float
+        self,
+        request: PlacementRequest,
+        capacity: float,
+        fleet: FleetView,
+        now: float,
+        cached_tokens: int = 0,
     ) -> float | None:
         """Return None to go on, or the seconds after which to come back.
 
+        What is cached costs nothing, and a prefix that is cached is not charged.
         capacity is the tokens per second of the engines for shorter prompts. The
         limit binds only while the whole demand is beyond CAPACITY_SHARE of it.
         """
         account = self._accounts.setdefault(request.account, _Account())
-        account.observe(request.kv_tokens, now)
+        cost = max(request.kv_tokens - cached_tokens, 1)
+        account.observe(cost, now)
         allowed = self._compute_rate(request.account, capacity, fleet, now)
         elapsed = min(max(now - account.filled_at, 0.0), c.BURST_SECONDS)
         account.filled_at = now
@@ -107,7 +114,7 @@
         floor = _get_floor(request.priority, burst)
         if account.level >= floor:
             # A prompt longer than the burst makes a debt: else it never gets through.
-            account.level -= request.kv_tokens
+            account.level -= cost
             return None
         return (floor - account.level) / max(allowed, 1.0)
 
--- a/libraries/placement/tarragonward_placement/placement.py
+++ b/libraries/placement/tarragonward_placement/placement.py
@@ -141,7 +141,8 @@
         request, fleet = context.request, context.fleet
         if not request.is_long:
             capacity = self._compute_short_capacity(context)
-            seconds = self.limits.check(request, capacity, fleet, context.now)
+            cached = max(self._count_cached(context, view) for view in context.views)
+            seconds = self.limits.check(request, capacity, fleet, context.now, cached)
         else:
             is_within = self._keeps_memory_share(context)
             seconds = None if is_within else c.LONG_RETRY_SECONDS
