Pull configuration from whichever peer gossip shows ahead

Cause: membership offered a listener for peers with a longer log, and nothing used it. A host whose five fixed neighbours and platform replicas are all out of reach would wait, though hosts it still gossips with have the patch. Before: the listener list was empty in app.py. After: one pull, from one peer at a time, only where its log is longer; the new test failed without the code (no such method) and passes with it, 4 of 4 in its file.

--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -43,6 +43,8 @@
         self.links = PeerLinks(host.identity, settings.peer_key, host.metrics)
         self.membership = MembershipTask(host)
         self.configuration = ConfigurationTask(host, self.links, self.membership)
+        peers = self.configuration.peers
+        self.membership.add_peer_ahead_listener(peers.note_peer_ahead)
         self.orders = OrderTask(host, self.membership, self.configuration)
         self.reports = ReportTask(host, self.membership)
         self.releases = Releases()
--- a/libraries/daemon/tarragonward_daemon/configuration_peers.py
+++ b/libraries/daemon/tarragonward_daemon/configuration_peers.py
@@ -78,12 +78,16 @@
         self._history = history
         self._show_taken = show_taken
         self._pushing: set[asyncio.Task[None]] = set()
+        self._catching_up: asyncio.Task[None] | None = None
 
     async def async_unload(self) -> None:
-        """End what is being pushed."""
-        for task in list(self._pushing):
+        """End what is being pushed and pulled."""
+        tasks = list(self._pushing)
+        if self._catching_up is not None:
+            tasks.append(self._catching_up)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._pushing, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def push(self, taken: Taken) -> None:
         """Tell the neighbours of entries that were taken over just now."""
@@ -112,6 +116,22 @@
         if neighbours:
             await self._async_pull(random.choice(neighbours).listed.address)
 
+    def note_peer_ahead(self, address: Address, sequence: int) -> None:
+        """Pull from a peer whose gossip tells a longer log; from one at a time.
+
+        Neighbours are fixed. Where all five are out of reach, a patch would wait for
+        the platform, though hosts that this one still gossips with have it.
+        """
+        if sequence <= self._history.sequence or self._catching_up is not None:
+            return
+        self._catching_up = asyncio.create_task(self._async_catch_up(address))
+
+    async def _async_catch_up(self, address: Address) -> None:
+        try:
+            await self._async_pull(address)
+        finally:
+            self._catching_up = None
+
     def answer_pull(self, message: PullConfiguration) -> ConfigurationNews:
         """Return what is new to the host that asks."""
         self._compare_digest(message.sequence, message.digest, "peer")
--- a/libraries/daemon/tests/test_configuration_peers.py
+++ b/libraries/daemon/tests/test_configuration_peers.py
@@ -1,9 +1,14 @@
 """Tests of whom a host exchanges the configuration with."""
 
+import asyncio
 from types import SimpleNamespace
 
-from tarragonward_core import Address
-from tarragonward_daemon.configuration_peers import choose_neighbours
+from tarragonward_config import ConfigurationHistory
+from tarragonward_core import Address, ConnectionLostError
+from tarragonward_daemon.configuration_peers import (
+    ConfigurationPeers,
+    choose_neighbours,
+)
 from tarragonward_daemon.orders import choose_watchers
 from tarragonward_membership import MemberState
 
@@ -64,3 +69,34 @@
     assert len(choose_watchers("engine-1", hosts)) == 2
     one, other = (choose_watchers("engine-1", hosts[n:]) for n in (0, 1))
     assert set(one) & set(other)
+
+
+class SlowLinks:
+    def __init__(self):
+        self.asked = []
+
+    async def async_ask(self, address, message, timeout):
+        self.asked.append(address)
+        await asyncio.sleep(0)
+        raise ConnectionLostError("cut")
+
+
+async def test_a_host_pulls_from_whoever_gossip_shows_ahead_one_at_a_time():
+    """All neighbours are out of reach; gossip tells of hosts with a newer patch.
+
+    The host pulls from one of them, not from all who tell it at once, and from the
+    next where that one did not answer. Nobody is asked for what is known already.
+    """
+    links = SlowLinks()
+    peers = ConfigurationPeers(None, links, None, ConfigurationHistory(), None)
+    addresses = [Address("127.0.0.2", port) for port in (1, 2, 3)]
+    peers.note_peer_ahead(addresses[0], -1)
+    assert not links.asked
+    for address in addresses[:2]:
+        peers.note_peer_ahead(address, 7)
+    await asyncio.sleep(0.01)
+    assert links.asked == addresses[:1]
+    peers.note_peer_ahead(addresses[2], 7)
+    await asyncio.sleep(0.01)
+    assert links.asked == [addresses[0], addresses[2]]
+    await peers.async_unload()
