Let the kernel end links of hosts that vanished

Cause: an accepted link whose host loses its power gets no reset and had no idle limit; at 1,024 of them a host turns live peers away. Found by reading, by the engineer of membership. Ruled out: an idle limit of our own (quiet links between domains are normal) and heartbeats on each link (bytes are within 5% of the budget; kernel probes carry none of ours). Before: SO_KEEPALIVE 0 and 7,200 s, as the new test showed with the call removed; after: on, 30 s, 3 probes at 10 s. 17 tests of the file pass. Loopback can't lose a host, so the end of such a link itself was not run.

--- a/libraries/wire/tarragonward_wire/peers.py
+++ b/libraries/wire/tarragonward_wire/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any
@@ -72,6 +73,7 @@
         assert task is not None
         self._tasks.add(task)
         self._links += 1
+        enable_keepalive(writer)
         try:
             stream = await async_shake_hands(
                 reader, writer, self._identity, self._key, is_client=False
@@ -138,3 +140,20 @@
             )
             return NoAnswer(repr(err)[:200])
         return NoAnswer("") if answer is None else answer
+
+
+def enable_keepalive(writer: asyncio.StreamWriter) -> None:
+    """Let the kernel end a connection whose far end has vanished.
+
+    A host that loses its power sends no end of stream. Symptom: its links stay open
+    until all that may be accepted are taken and live hosts are turned away. Probes of
+    the kernel end them within KEEPALIVE_IDLE_SECONDS and a few intervals.
+    """
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, c.KEEPALIVE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, c.KEEPALIVE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, c.KEEPALIVE_PROBES),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/libraries/wire/tests/test_peers.py
+++ b/libraries/wire/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of the links between hosts and of the frames that they refuse."""
 
 import asyncio
+import socket
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
@@ -79,6 +80,28 @@
     await links.async_unload()
 
 
+async def test_links_of_hosts_that_vanished_are_ended_by_the_kernel(
+    server, monkeypatch
+):
+    """A host loses its power: its links here end without a word from it.
+
+    They would stay open for good and take the place of live hosts' links. Loopback
+    can't lose a host, so the kernel's own settings of the accepted socket are read.
+    """
+    found = []
+
+    async def async_look(self, stream):
+        accepted = stream._writer.get_extra_info("socket")
+        found.append(accepted.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+        found.append(accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE))
+
+    monkeypatch.setattr(PeerServer, "_async_serve", async_look)
+    reader, writer, _ = await async_open_stream(server[0])
+    await reader.read()
+    writer.close()
+    assert found == [1, c.KEEPALIVE_IDLE_SECONDS]
+
+
 async def test_a_peer_with_the_wrong_key_is_refused_and_counted(server):
     address, metrics, handled = server
     links = PeerLinks(CLIENT, b"x" * 32)
