--- a/libraries/daemon/tarragonward_daemon/sweep.py
+++ b/libraries/daemon/tarragonward_daemon/sweep.py
@@ -49,7 +49,9 @@
     async def _async_run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(c.SWEEP_SECONDS * random.uniform(0.8, 1.2))
+            interval = self._get_interval()
+            self._sweep.lag_seconds = c.SWEEP_LAG_SECONDS + 2 * interval
+            await asyncio.sleep(interval * random.uniform(0.8, 1.2))
             targets = self._get_watched()
             reports = await asyncio.gather(*map(_async_read_held, targets.values()))
             reported = dict(zip(targets, reports, strict=True))
@@ -62,6 +64,11 @@
             self._cancel(cancels, targets)
             await self._async_look_at_owners()
 
+    def _get_interval(self) -> float:
+        """Return the seconds between sweeps: more with more hosts, as they share."""
+        seconds = self._membership.count_live_hosts() * c.SWEEP_SECONDS_A_HOST
+        return min(max(seconds, c.SWEEP_SECONDS), c.SWEEP_SECONDS_LIMIT)
+
     def _get_watched(self) -> dict[str, Target]:
         state = self._host.configuration_state
         targets = [] if state is None else state.configuration.targets.values()
--- a/libraries/requests/tarragonward_requests/sweep.py
+++ b/libraries/requests/tarragonward_requests/sweep.py
@@ -53,7 +53,11 @@
     seen: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def note_held(
-        self, memory: list[HeldMemory], reported: Set[str], now: float
+        self,
+        memory: list[HeldMemory],
+        reported: Set[str],
+        now: float,
+        lag: float,
     ) -> None:
         self.seen = _merge_seen(self.seen, memory, reported, now)
         if self.sign not in (OwnerSign.REFUSED, OwnerSign.UNREACHABLE):
@@ -63,7 +67,6 @@
         # was lost from sight proves it alive, and the time until the next cancel
         # begins anew, twice as long. Reports lag: what shows within the lag may be
         # older than the owner's end.
-        lag = c.ENGINE_REPORT_LAG_SECONDS
         if any(first > self.since + lag for first in self.seen.values()):
             self.since, self.factor = now, self.factor * 2
 
@@ -85,6 +88,9 @@
     """
 
     def __init__(self, identity: HostIdentity) -> None:
+        # How much older than its first sight a piece of memory may be: an engine's
+        # report lags, and whoever reads reports less often adds its interval.
+        self.lag_seconds = c.ENGINE_REPORT_LAG_SECONDS
         self._identity = identity
         self._owners: dict[HostIdentity, _Owner] = {}
         self._own_orphans: dict[tuple[str, str], float] = {}
@@ -119,7 +125,7 @@
         cancels = self._judge_own(own, reported, own_active, now)
         for identity, owner in list(self._owners.items()):
             memory = by_owner.get(identity, [])
-            owner.note_held(memory, reported, now)
+            owner.note_held(memory, reported, now, self.lag_seconds)
             if not owner.seen:
                 del self._owners[identity]
             elif owner.is_gone(now):
--- a/libraries/requests/tests/test_sweep.py
+++ b/libraries/requests/tests/test_sweep.py
@@ -64,6 +64,15 @@
     assert sweep_at(sweep, hold("a"), 30) == hold("a")
 
 
+def test_a_sweep_that_reads_seldom_takes_no_old_stream_for_a_sign_of_life():
+    """A large fleet is swept once a minute; a dead owner's last stream shows late."""
+    sweep = Sweep(ME)
+    sweep.lag_seconds = 125.0
+    sweep_at(sweep, hold("a"), 0)
+    sweep.note_owner(OWNER, OwnerSign.REFUSED, 0)
+    assert sweep_at(sweep, hold("a", "b"), 60) == hold("a", "b")
+
+
 def test_own_leftovers_are_cancelled_and_own_work_is_spared():
     """An engine frozen for longer than cancels are repeated still has our stream."""
     sweep = Sweep(ME)
