Let a cold fleet load a few engines at a time

Cause: the decision which engines load next was measured and not used: orders went to all engines at once, so all shared the weight store's rate and the first engine was useful only when the last one was. Now LoadGate holds back orders that start a load, by the published weight_store.parallel_loads, and a stand-in of the store serves over HTTP. A refused stream of a cold engine still costs one attempt.

--- a/libraries/config/tarragonward_config/document.py
+++ b/libraries/config/tarragonward_config/document.py
@@ -84,12 +84,16 @@
 
 @dataclass(frozen=True)
 class Configuration:
-    """One published configuration, read only."""
+    """One published configuration, read only.
+
+    parallel_loads is how many engines may load weights at once, None without a bound.
+    """
 
     client_accounts: MappingProxyType[str, ClientAccount]
     models: MappingProxyType[str, Model]
     services: MappingProxyType[str, Service]
     targets: MappingProxyType[str, Target]
+    parallel_loads: int | None = None
 
     def find_account(self, token: str) -> ClientAccount | None:
         """Return the account that a bearer token belongs to.
@@ -204,6 +208,9 @@
             }
         },
         vol.Required(c.ATTR_TARGETS): {_NAME: _check_target},
+        vol.Optional(c.ATTR_WEIGHT_STORE, default=dict): {
+            vol.Optional(c.ATTR_PARALLEL_LOADS): _POSITIVE,
+        },
     }
 )
 
@@ -223,6 +230,7 @@
         models=_map(checked[c.ATTR_MODELS], _build_model),
         services=_map(checked[c.ATTR_SERVICES], _build_service),
         targets=_map(checked[c.ATTR_TARGETS], _build_target),
+        parallel_loads=checked[c.ATTR_WEIGHT_STORE].get(c.ATTR_PARALLEL_LOADS),
     )
     _check_references(configuration, source)
     return configuration
--- a/libraries/config/tarragonward_config/orders.py
+++ b/libraries/config/tarragonward_config/orders.py
@@ -55,10 +55,14 @@
 
 @dataclass(frozen=True)
 class EngineOrderState:
-    """What an engine reports of the last order that it took."""
+    """What an engine reports of the last order that it took.
+
+    is_loading tells that it still reads the weights that the order names.
+    """
 
     fencing: int
     models: dict[str, Any]
+    is_loading: bool = False
 
     @classmethod
     def parse(cls, report: Any) -> EngineOrderState | None:
@@ -67,7 +71,19 @@
         if not isinstance(orders, dict) or type(orders.get("fencing")) is not int:
             return None
         models = orders.get("models")
-        return cls(orders["fencing"], models if isinstance(models, dict) else {})
+        return cls(
+            orders["fencing"],
+            models if isinstance(models, dict) else {},
+            report.get("loading") is True,
+        )
+
+    def has(self, order: EngineOrder) -> bool:
+        """Return whether what the order names was taken, loaded or not."""
+        return self.models == order.build_body()["models"]
+
+    def has_loaded(self, order: EngineOrder) -> bool:
+        """Return whether what the order names is there, ready to serve."""
+        return self.has(order) and not self.is_loading
 
 
 class OrderDecision(Enum):
@@ -108,8 +124,7 @@
     """
     if reported is not None and reported.fencing > order.fencing:
         return OrderDecision.CATCH_UP
-    body = order.build_body()
-    if reported is not None and reported.models == body["models"]:
+    if reported is not None and reported.has(order):
         if reported.fencing == order.fencing:
             return OrderDecision.NOTHING
     return OrderDecision.SEND if checks_fencing else OrderDecision.LOOK_THEN_SEND
--- a/libraries/daemon/tarragonward_daemon/orders.py
+++ b/libraries/daemon/tarragonward_daemon/orders.py
@@ -24,10 +24,12 @@
 from . import const as c
 from .configuration import ConfigurationTask
 from .core import HostState
+from .loads import LoadGate
 from .membership import MembershipTask
 
 __all__ = ["OrderTask", "choose_watchers"]
 
+SENDING = frozenset({OrderDecision.SEND, OrderDecision.LOOK_THEN_SEND})
 GONE = frozenset({MemberState.DEAD, MemberState.LEAVING})
 
 
@@ -50,6 +52,7 @@
         self._host = host
         self._membership = membership
         self._configuration = configuration
+        self._loads = LoadGate(host, self._async_read_state)
         self._task: asyncio.Task[None] | None = None
 
     async def async_setup(self) -> None:
@@ -83,7 +86,7 @@
         ours = [
             state.configuration.targets[name] for name in orders if self._watches(name)
         ]
-        checks = [self._async_check(engine, orders[engine.name]) for engine in ours]
+        checks = [self._async_check(engine, orders) for engine in ours]
         await asyncio.gather(*checks)
 
     def _watches(self, engine: str) -> bool:
@@ -100,12 +103,21 @@
             engine, [*members, str(settings.peers)]
         )
 
-    async def _async_check(self, engine: Target, order: EngineOrder) -> None:
+    async def _async_check(
+        self, engine: Target, orders: dict[str, EngineOrder]
+    ) -> None:
+        order = orders[engine.name]
         try:
             reported = await self._async_read_state(engine)
         except TargetError:
             return
-        match decide_order(order, reported, engine.checks_fencing):
+        decision = decide_order(order, reported, engine.checks_fencing)
+        starts_load = reported is None or not reported.has(order)
+        if decision in SENDING and starts_load:
+            if not await self._loads.async_may_load(engine, orders):
+                self._show(engine, order, "held back")
+                return
+        match decision:
             case OrderDecision.CATCH_UP:
                 assert reported is not None
                 self._configuration.see_fencing(reported.fencing)
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -18,6 +18,7 @@
     RetryGroup,
 )
 from .limits import AccountLimits, share_by_weight
+from .loads import EngineLoad, choose_loads, count_parallel_loads
 from .messages import (
     EngineView,
     FleetView,
@@ -34,6 +35,7 @@
     "FIRST_LONG_PRIORITY",
     "AccountLimits",
     "CacheUpdate",
+    "EngineLoad",
     "EngineView",
     "FleetView",
     "GroupEffect",
@@ -51,6 +53,8 @@
     "ReservationRefused",
     "ReservePart",
     "RetryGroup",
+    "choose_loads",
+    "count_parallel_loads",
     "hash_blocks",
     "share_by_weight",
 ]
--- a/libraries/standins/tarragonward_standins/engine.py
+++ b/libraries/standins/tarragonward_standins/engine.py
@@ -18,6 +18,7 @@
 from .answers import AnswerText
 from .engine_model import EngineModel, EngineSizes, EngineWork, KvExport
 from .process import run_server
+from .weight_store import WeightReader
 
 __all__ = ["EngineStandIn", "HintFaults"]
 
@@ -70,9 +71,12 @@
         sizes: EngineSizes,
         faults: HintFaults | None = None,
         ignores_fencing: bool = False,
+        weights: WeightReader | None = None,
     ) -> None:
         self._ignores_fencing = ignores_fencing
         self._orders: dict | None = None
+        self._weights = weights
+        self._loading: asyncio.Task[None] | None = None
         self.model = EngineModel(sizes)
         self._faults = faults or HintFaults()
         self._reports: deque[tuple[float, dict[str, Any]]] = deque()
@@ -96,8 +100,9 @@
 
     async def async_unload(self) -> None:
         """Stop."""
-        if self._stepping is not None:
-            self._stepping.cancel()
+        for task in (self._stepping, self._loading):
+            if task is not None:
+                task.cancel()
         await self._server.async_unload()
 
     async def _async_step(self) -> None:
@@ -166,6 +171,9 @@
             tuple(body.get("prefix_hashes", ())),
             body.get("reservations", {}).get(body.get("leader", ""), ""),
         )
+        if self._is_cold():
+            await responder.async_send_json(503, {"error": "no weights"})
+            return
         if stream_id in self._streams:
             await responder.async_send_json(409, {"error": "stream id in use"})
             return
@@ -219,9 +227,26 @@
         is_current = self._ignores_fencing or body["fencing"] >= self._fencing
         if is_current:
             self._fencing = body["fencing"]
-            self._orders = body
+            self._load(body)
         await responder.async_send_json(200 if is_current else 409, {"ok": is_current})
 
+    def _load(self, body: dict) -> None:
+        models = None if self._orders is None else self._orders["models"]
+        self._orders = body
+        if self._weights is None or models == body["models"]:
+            return
+        if self._loading is not None:
+            self._loading.cancel()
+        self._loading = asyncio.create_task(self._weights.async_read())
+
+    def _is_loading(self) -> bool:
+        return self._loading is not None and not self._loading.done()
+
+    def _is_cold(self) -> bool:
+        return self._weights is not None and (
+            self._loading is None or self._is_loading()
+        )
+
     async def _async_export(self, stream_id: str, responder: Responder) -> None:
         stream = self._streams.get(stream_id)
         if stream is None:
@@ -299,6 +324,7 @@
             "cache_sequence": self.model.cache.sequence,
             "fencing": self._fencing,
             "orders": self._orders,
+            "loading": self._is_loading(),
             "streams": {name: s.owner for name, s in self._streams.items()},
             "reservations": dict(self._owners),
         }
@@ -313,6 +339,8 @@
     parser.add_argument("--time-scale", type=float, default=1.0)
     parser.add_argument("--lag-seconds", type=float, default=0.0)
     parser.add_argument("--lose-every", type=int, default=0)
+    parser.add_argument("--weight-store", type=Address.parse)
+    parser.add_argument("--weight-bytes", type=float, default=c.DEFAULT_WEIGHT_BYTES)
     parser.add_argument("--ignores-fencing", action="store_true")
     arguments = parser.parse_args()
     path = arguments.assumptions
@@ -321,8 +349,15 @@
         sizes = replace(sizes, kv_tokens=arguments.kv_tokens)
     faults = HintFaults(arguments.lag_seconds, arguments.lose_every)
     sizes = sizes.scale(arguments.time_scale)
+    weights = None
+    if arguments.weight_store is not None:
+        weights = WeightReader(
+            str(arguments.address), arguments.weight_store, arguments.weight_bytes
+        )
     ignores_fencing = arguments.ignores_fencing
-    run_server(EngineStandIn(arguments.address, sizes, faults, ignores_fencing))
+    run_server(
+        EngineStandIn(arguments.address, sizes, faults, ignores_fencing, weights)
+    )
 
 
 if __name__ == "__main__":
--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -52,6 +52,9 @@
     host_module: str = "tarragonward_daemon.main"
     has_proxies: bool = False
     engines_check_fencing: bool = True
+    parallel_loads: int | None = None
+    store_bytes_per_second: float = 0.0
+    engine_bytes_per_second: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -84,6 +87,7 @@
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._commands: dict[str, list[str]] = {}
         self.platform = self.new_address()
+        self.weight_store = self.new_address()
         self.engines: dict[str, Address] = {}
         self.services: dict[str, Address] = {}
         self.hosts: dict[str, SiteHost] = {}
@@ -165,12 +169,19 @@
             "models": {plan.model: {"context_tokens": plan.context_tokens}},
             "services": {"approvals": {"operations": operations}},
             "targets": {**engines, **services},
+            **self._build_weight_store(),
         }
 
     def _get_seen_address(self, name: str, address: Address) -> Address:
         proxy = self.proxies.get(name)
         return address if proxy is None else proxy.address
 
+    def _build_weight_store(self) -> dict[str, Any]:
+        parallel = self.plan.parallel_loads
+        return (
+            {} if parallel is None else {"weight_store": {"parallel_loads": parallel}}
+        )
+
     def build_host_list(self) -> list[dict[str, Any]]:
         """Return the platform's host list."""
         entries = [
@@ -360,6 +371,15 @@
             )
             if not plan.engines_check_fencing:
                 self._commands[name].append("--ignores-fencing")
+            if plan.store_bytes_per_second:
+                self._commands[name] += ["--weight-store", str(self.weight_store)]
+        if plan.store_bytes_per_second:
+            self._commands["weights"] = _run_module(
+                "tarragonward_standins.weight_store",
+                address=self.weight_store,
+                store_bytes_per_second=plan.store_bytes_per_second,
+                engine_bytes_per_second=plan.engine_bytes_per_second,
+            )
         for name, address in self.services.items():
             self._commands[name] = _run_module(
                 "tarragonward_standins.service",
--- a/libraries/standins/tarragonward_standins/weight_store.py
+++ b/libraries/standins/tarragonward_standins/weight_store.py
@@ -1,10 +1,23 @@
-"""Model the rate-limited weight store, without I/O."""
+"""Stand in for the rate-limited weight store, over HTTP and as a model."""
 
 from __future__ import annotations
 
+import argparse
+import asyncio
+from contextlib import suppress
 from dataclasses import dataclass
 
-__all__ = ["WeightStoreModel", "WeightStoreSizes"]
+import orjson
+
+from tarragonward_core import Address, TargetError
+from tarragonward_wire import HttpRequest, HttpServer, Responder, async_send_http
+
+from . import const as c
+from .process import run_server
+
+__all__ = ["WeightReader", "WeightStoreModel", "WeightStoreSizes", "WeightStoreStandIn"]
+
+TICK_SECONDS = 0.02
 
 
 @dataclass(frozen=True)
@@ -43,3 +56,93 @@
         for engine in ended:
             del self._left[engine]
         return ended
+
+
+@dataclass(frozen=True)
+class WeightReader:
+    """Where an engine reads its weights, and how much of them."""
+
+    reader: str
+    store: Address
+    size_bytes: float
+
+    async def async_read(self) -> None:
+        """Read all weights, again where the store does not answer."""
+        body = orjson.dumps({"reader": self.reader, "bytes": self.size_bytes})
+        while True:
+            with suppress(TargetError):
+                await async_send_http(
+                    self.store,
+                    "POST",
+                    "/v1/reads",
+                    body=body,
+                    timeout=c.WEIGHT_READ_TIMEOUT_SECONDS,
+                )
+                return
+            await asyncio.sleep(c.WEIGHT_RETRY_SECONDS)
+
+
+class WeightStoreStandIn:
+    """Answers a read when its bytes would have come at the shared rate."""
+
+    def __init__(self, address: Address, sizes: WeightStoreSizes) -> None:
+        self.model = WeightStoreModel(sizes)
+        self.most_at_once = 0
+        self._ended: dict[str, asyncio.Event] = {}
+        self._server = HttpServer(address, self._async_handle)
+        self._ticking: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to serve."""
+        await self._server.async_setup()
+        self._ticking = asyncio.create_task(self._async_tick())
+
+    async def async_unload(self) -> None:
+        """Stop."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+        await self._server.async_unload()
+
+    async def _async_tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            for reader in self.model.advance(TICK_SECONDS):
+                self._ended.pop(reader).set()
+
+    async def _async_handle(self, request: HttpRequest, responder: Responder) -> None:
+        match request.method, request.path:
+            case "POST", "/v1/reads":
+                body = orjson.loads(request.body)
+                await self._async_read(body["reader"], body["bytes"])
+                await responder.async_send_json(200, {"bytes": body["bytes"]})
+            case "GET", "/v1/reads":
+                report = {
+                    "most_at_once": self.most_at_once,
+                    "reading": sorted(self.model.loading),
+                }
+                await responder.async_send_json(200, report)
+            case _:
+                await responder.async_send_json(404, {"error": "not found"})
+
+    async def _async_read(self, reader: str, size_bytes: float) -> None:
+        ended = self._ended.setdefault(reader, asyncio.Event())
+        self.model.start(reader, size_bytes)
+        self.most_at_once = max(self.most_at_once, len(self.model.loading))
+        await ended.wait()
+
+
+def main() -> None:
+    """Run one weight store stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", type=Address.parse, required=True)
+    parser.add_argument("--store-bytes-per-second", type=float, default=10e9)
+    parser.add_argument("--engine-bytes-per-second", type=float, default=2.5e9)
+    arguments = parser.parse_args()
+    sizes = WeightStoreSizes(
+        arguments.store_bytes_per_second, arguments.engine_bytes_per_second
+    )
+    run_server(WeightStoreStandIn(arguments.address, sizes))
+
+
+if __name__ == "__main__":
+    main()
