Tell a prompt too long only for the engines in reach to come back

Cause, found by reading: placement judged 'too long, change the request' by the engines it was shown, and excluded, leaving or failed engines are not shown. A caller of a long prompt was told for good that it can't run while two of three engines were away. Now only what is published says PROMPT_TOO_LONG; else OVERLOADED with a time to come back. Ruled out: showing excluded engines to placement (it would have to tell them apart at each step).

--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -355,18 +355,24 @@
             prompt_tokens=self._completion.prompt_tokens
             + self._lifecycle.delivered_tokens,
             max_tokens=self._completion.max_tokens - self._lifecycle.delivered_tokens,
-            priority=self._completion.priority or self._account.priority,
+            priority=self._get_priority(),
             remaining_seconds=remaining,
             prefix_hashes=self._prefix_hashes,
         )
         usable = [engine for engine in engines if engine.name in names]
         views = self._shared.reports.build_views(usable, now)
-        fleet = build_fleet_view(self._shared.host, self._shared.membership)
+        fleet = build_fleet_view(
+            self._shared.host, self._shared.membership, self._completion.model
+        )
         placed = self._shared.placement.place(request, views, now, fleet)
         demand = self._shared.placement.get_demand(now)
         self._shared.membership.set_own_demand(demand)
         return placed
 
+    def _get_priority(self) -> int:
+        asked = self._completion.priority
+        return self._account.priority if asked is None else asked
+
     def _build_stream(self, number: int, placed: Placed) -> EngineStream:
         engine = self._shared.host.configuration.targets[placed.engines[0]]
         self._sink.note_target(engine.name)
--- a/libraries/daemon/tarragonward_daemon/reports.py
+++ b/libraries/daemon/tarragonward_daemon/reports.py
@@ -124,14 +124,18 @@
     )
 
 
-def build_fleet_view(host: HostState, membership: MembershipTask) -> FleetView:
-    """Return what this host knows of the others, for limits between accounts."""
+def build_fleet_view(
+    host: HostState, membership: MembershipTask, model: str
+) -> FleetView:
+    """Return what this host knows of the others, and of all of a model's engines."""
     accounts = host.configuration.client_accounts.values()
     weights = {account.name: account.weight for account in accounts}
     # The sum of accounts too small to be told apart weighs as all of them do.
     weights[REST_ACCOUNT] = sum(weights.values())
+    engines = host.configuration.get_engines(model)
+    published = tuple(engine.kv_tokens for engine in engines)
     listed = len(membership.membership.get_members()) + 1
     live = membership.count_live_hosts()
     if live == 1 and listed > 1:
-        return FleetView(listed, weights, None)
-    return FleetView(live, weights, membership.get_demand())
+        return FleetView(listed, weights, None, published)
+    return FleetView(live, weights, membership.get_demand(), published)
--- a/libraries/placement/tarragonward_placement/admission.py
+++ b/libraries/placement/tarragonward_placement/admission.py
@@ -7,7 +7,7 @@
 from tarragonward_core import ResultCode
 
 from . import const as c
-from .messages import EngineView, PlacementRequest, Refused
+from .messages import EngineView, FleetView, PlacementRequest, Refused
 
 __all__ = ["check_memory", "check_time", "refuse"]
 
@@ -19,17 +19,35 @@
 
 
 def check_memory(
-    request: PlacementRequest, views: Sequence[EngineView]
+    request: PlacementRequest, views: Sequence[EngineView], fleet: FleetView
 ) -> Refused | None:
-    """Refuse a prompt that all the engines of a group could not hold when idle."""
-    largest = sorted((view.kv_tokens for view in views), reverse=True)
-    room = sum(largest[: c.MAX_GROUP_ENGINES]) * (1 - c.GROUP_MEMORY_MARGIN)
-    if request.kv_tokens <= max(room, largest[0]):
+    """Refuse a prompt that all the engines of a group could not hold when idle.
+
+    Engines that are excluded or leaving are not in views. Symptom of judging by these
+    alone: a caller is told for good that its prompt is too long, while some engines
+    are away. Only what is published says so; the rest may come back.
+    """
+    room = _compute_room([view.kv_tokens for view in views])
+    if request.kv_tokens <= room:
         return None
-    detail = f"{request.kv_tokens} tokens of KV memory, at most {int(room)}"
+    published_room = _compute_room(fleet.published_kv_tokens)
+    if request.kv_tokens <= published_room:
+        return refuse(
+            ResultCode.OVERLOADED, c.LONG_RETRY_SECONDS, "too few engines in reach"
+        )
+    at_most = int(max(room, published_room))
+    detail = f"{request.kv_tokens} tokens of KV memory, at most {at_most}"
     return Refused(ResultCode.PROMPT_TOO_LONG, c.DEFAULT_RETRY_AFTER_SECONDS, detail)
 
 
+def _compute_room(kv_tokens: Sequence[int]) -> float:
+    """Return the KV tokens that the largest group of such engines can hold."""
+    largest = sorted(kv_tokens, reverse=True)[: c.MAX_GROUP_ENGINES]
+    if not largest:
+        return 0
+    return max(sum(largest) * (1 - c.GROUP_MEMORY_MARGIN), largest[0])
+
+
 def check_time(
     request: PlacementRequest, seconds_per_token: float, ttft_seconds: float
 ) -> Refused | None:
--- a/libraries/placement/tarragonward_placement/messages.py
+++ b/libraries/placement/tarragonward_placement/messages.py
@@ -72,11 +72,14 @@
 
     other_demand is the other hosts' tokens per second by client account; None where
     the host hears of no other, so that only an even split is left.
+    published_kv_tokens are the memories of all the model's engines, also of those that
+    are excluded or leaving; empty where placement is shown all of them.
     """
 
     live_hosts: int = 1
     weights: Mapping[str, float] = field(default_factory=dict)
     other_demand: Mapping[str, float] | None = None
+    published_kv_tokens: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/libraries/placement/tarragonward_placement/placement.py
+++ b/libraries/placement/tarragonward_placement/placement.py
@@ -85,7 +85,8 @@
         if not views:
             return Refused(ResultCode.NO_TARGET, c.DEFAULT_RETRY_AFTER_SECONDS)
         context = self._build_context(request, views, fleet or FleetView(), now)
-        refused = check_memory(request, views) or self._check_limits(context)
+        refused = check_memory(request, views, context.fleet)
+        refused = refused or self._check_limits(context)
         if refused is not None:
             return refused
         choice = self._choose(context)
--- a/libraries/placement/tests/test_placement.py
+++ b/libraries/placement/tests/test_placement.py
@@ -103,6 +103,22 @@
     assert refused.code is ResultCode.PROMPT_TOO_LONG
 
 
+def test_a_prompt_too_long_only_for_the_engines_in_reach_may_come_back():
+    """Two of three engines are excluded, or leave, when a long prompt arrives.
+
+    All three could hold it. "Too long, change the request" would make the caller give
+    up for good on work that runs a minute later; it is told when to come back.
+    """
+    request = make_request(prompt=900_000)
+    fleet = FleetView(published_kv_tokens=(400_000,) * 3)
+    refused = Placement().place(request, [make_view("a")], 0.0, fleet)
+    assert refused.code is ResultCode.OVERLOADED
+    assert refused.retry_after_seconds > 0
+    fleet = FleetView(published_kv_tokens=(400_000,))
+    refused = Placement().place(request, [make_view("a")], 0.0, fleet)
+    assert refused.code is ResultCode.PROMPT_TOO_LONG
+
+
 def test_a_group_takes_parts_that_make_the_prompt():
     views = [make_view(name) for name in "abcdef"]
     placed = Placement(Random(1)).place(
