Part a model request's run from what all runs share; keep priority 0

The fault that reading it showed: a request's own priority of 0 was taken for none. The new test failed for 0 before (5 came), and passes for None, 0 and -1. Ruled out: a base class for runs (there is one kind).

--- /dev/null
+++ b/libraries/daemon/tarragonward_daemon/model_run.py
@@ -0,0 +1,430 @@
+"""Run one model request: carry its life cycle's effects to engines and caller."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import AsyncIterator
+from contextlib import ExitStack
+from dataclasses import dataclass
+from functools import partial, singledispatchmethod
+from typing import Protocol
+
+from tarragonward_config import ClientAccount, Target
+from tarragonward_core import (
+    ConnectionLostError,
+    TargetError,
+    get_length_class,
+    log_event,
+)
+from tarragonward_placement import (
+    Placed,
+    Placement,
+    PlacementRequest,
+    Refused,
+)
+from tarragonward_requests import (
+    AttemptFailed,
+    AttemptFault,
+    AttemptFinished,
+    CallerLeft,
+    CancelAttempt,
+    DeadlinePassed,
+    DeliverText,
+    Effect,
+    EndRequest,
+    Event,
+    HostStopping,
+    OutlierDetector,
+    PlacementRefused,
+    RequestLifecycle,
+    RetryBudget,
+    StartAttempt,
+    TextArrived,
+)
+
+from . import const as c
+from .completions import Completion
+from .core import HostState
+from .engine_probes import EngineProbes
+from .engines import (
+    EngineStream,
+    Releases,
+    StreamEnd,
+    StreamText,
+    async_read_stream,
+    get_fault,
+)
+from .groups import GroupHold, Groups
+from .membership import MembershipTask
+from .prefixes import PrefixTask, hash_prompt
+from .reports import ReportTask, build_fleet_view
+
+__all__ = ["ModelRun", "Sink"]
+
+MAX_QUEUED_EVENTS = 16
+PASSING_FAULTS = frozenset({AttemptFault.CONNECTION_LOST, AttemptFault.STREAM_GONE})
+
+
+class Sink(Protocol):
+    """Where an answer's text goes."""
+
+    def note_target(self, target: str) -> None:
+        """Note which engine the answer comes from."""
+
+    async def async_deliver(self, text: str, tokens: int) -> None:
+        """Give text of so many tokens to the caller; wait while it has no room."""
+
+
+class SharedParts(Protocol):
+    """What the runs of one host share."""
+
+    host: HostState
+    reports: ReportTask
+    releases: Releases
+    membership: MembershipTask
+    placement: Placement
+    prefixes: PrefixTask
+    budget: RetryBudget
+    outliers: OutlierDetector
+    probes: EngineProbes
+    active_streams: set[str]
+    groups: Groups
+
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a target must get no new work."""
+
+    def get_engines(self, model: str) -> list[Target]:
+        """Return the engines of a model that take new work."""
+
+
+@dataclass(eq=False)
+class _Reading:
+    """One stream on one engine while it is read; silent_since is in loop time."""
+
+    stream: EngineStream
+    task: asyncio.Task[None]
+    silent_since: float | None = None
+    is_released: bool = False
+    interruption: TargetError | None = None
+
+    @property
+    def target(self) -> Target:
+        return self.stream.target
+
+    @property
+    def stream_id(self) -> str:
+        return self.stream.stream_id
+
+    def interrupt(self, error: TargetError) -> None:
+        if self.interruption is None and not self.task.done():
+            self.interruption = error
+            self.task.cancel()
+
+
+@dataclass(eq=False)
+class _Attempt:
+    """One attempt's task, and its reading once it was placed."""
+
+    number: int
+    task: asyncio.Task[None] | None = None
+    reading: _Reading | None = None
+    is_left: bool = False
+    resumed: EngineStream | None = None
+
+
+class ModelRun:
+    """One request's task: it owns the life cycle, the attempt and the event queue."""
+
+    def __init__(
+        self,
+        shared: SharedParts,
+        request_id: str,
+        account: ClientAccount,
+        completion: Completion,
+        deadline: float,
+        sink: Sink,
+    ) -> None:
+        self._shared = shared
+        self._request_id = request_id
+        self._account = account
+        self._completion = completion
+        self._sink = sink
+        self._loop = asyncio.get_running_loop()
+        self._lifecycle = RequestLifecycle(
+            request_id, deadline, shared.budget, completion.max_tokens
+        )
+        # Bounded: a slow reader stops the attempt's reading, and so the engine's.
+        self._events: asyncio.Queue[Event] = asyncio.Queue(MAX_QUEUED_EVENTS)
+        self._given_out: list[str] = []
+        self._attempt: _Attempt | None = None
+        self._failed_engines: set[str] = set()
+        self._group = GroupHold(shared.groups)
+        self._prefix_hashes = hash_prompt(completion.prompt)
+        self._started_at = self._loop.time()
+        self._end: EndRequest | None = None
+
+    async def async_run(self) -> EndRequest:
+        """Run the request to its one terminal event."""
+        effects = self._lifecycle.start(self._loop.time())
+        while True:
+            for effect in effects:
+                await self._async_apply(effect)
+            if self._end is not None:
+                return self._end
+            event = await self._async_next_event()
+            effects = self._lifecycle.handle(event, self._loop.time())
+
+    async def async_unload(self) -> None:
+        """Release what the request still holds, however it ended."""
+        if not self._lifecycle.has_ended:
+            self._lifecycle.handle(CallerLeft(), self._loop.time())
+        await self._async_leave_attempt()
+        await self._group.async_release()
+        self._shared.placement.release(self._request_id)
+
+    def stop(self) -> None:
+        """End the request before anything that waits in its queue."""
+        while not self._events.empty():
+            self._events.get_nowait()
+        self._events.put_nowait(HostStopping())
+
+    async def _async_next_event(self) -> Event:
+        try:
+            async with asyncio.timeout_at(self._lifecycle.deadline):
+                return await self._events.get()
+        except TimeoutError:
+            return DeadlinePassed()
+
+    @singledispatchmethod
+    async def _async_apply(self, effect: Effect) -> None:
+        raise TypeError(f"not an effect: {effect!r}")
+
+    @_async_apply.register
+    async def _(self, effect: StartAttempt) -> None:
+        attempt = _Attempt(effect.attempt)
+        earlier = self._attempt
+        if effect.resume and earlier is not None and earlier.reading is not None:
+            attempt.resumed = earlier.reading.stream
+            earlier.reading.is_released = True
+        await self._async_leave_attempt()
+        self._attempt = attempt
+        attempt.task = asyncio.create_task(self._async_attempt(attempt, effect))
+
+    @_async_apply.register
+    async def _(self, effect: CancelAttempt) -> None:
+        await self._async_leave_attempt()
+
+    @_async_apply.register
+    async def _(self, effect: DeliverText) -> None:
+        if not self._given_out:
+            now = self._loop.time()
+            self._shared.placement.note_first_token(self._request_id, now)
+            self._shared.host.metrics.observe(
+                "time_to_first_token",
+                self._loop.time() - self._started_at,
+                self._account.name,
+                get_length_class(self._completion.prompt_tokens),
+            )
+        self._given_out.append(effect.text)
+        # A caller that reads nothing must not hold its engine. Symptom: the request
+        # waits here past its deadline. The next event then finds the deadline passed.
+        timeout = asyncio.timeout_at(self._lifecycle.deadline)
+        try:
+            async with timeout:
+                await self._sink.async_deliver(effect.text, effect.tokens)
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+
+    @_async_apply.register
+    async def _(self, effect: EndRequest) -> None:
+        self._end = effect
+
+    async def _async_attempt(self, attempt: _Attempt, effect: StartAttempt) -> None:
+        try:
+            await asyncio.sleep(effect.delay_seconds * random.uniform(0.5, 1.5))
+            await self._events.put(await self._async_run_attempt(attempt, effect))
+        except TargetError as err:
+            await self._events.put(self._note_failure(attempt, err))
+        except asyncio.CancelledError:
+            reading = attempt.reading
+            if attempt.is_left or reading is None or reading.interruption is None:
+                raise
+            failure = self._note_failure(attempt, reading.interruption)
+            await self._events.put(failure)
+
+    async def _async_run_attempt(
+        self, attempt: _Attempt, effect: StartAttempt
+    ) -> Event:
+        # The process may have been paused since the attempt was decided on. Symptom:
+        # work for a caller that has given up. A pause after this check costs no more
+        # than the engine's work until the deadline's event cancels the stream.
+        if self._loop.time() >= self._lifecycle.deadline:
+            return DeadlinePassed()
+        stream = attempt.resumed
+        if stream is not None and self._shared.is_leaving(stream.target):
+            self._shared.releases.release_stream(stream.target, stream.stream_id)
+            stream = None
+        is_resumed = stream is not None
+        if stream is None:
+            name = f"{self._request_id}-{effect.attempt}"
+            placed = await self._group.async_place(
+                partial(self._place, effect.attempt), name
+            )
+            if isinstance(placed, Refused):
+                return PlacementRefused(
+                    effect.attempt, placed.code, placed.retry_after_seconds
+                )
+            stream = self._build_stream(effect.attempt, placed)
+        assert attempt.task is not None
+        attempt.reading = _Reading(stream, attempt.task)
+        with ExitStack() as stack:
+            self._shared.probes.watch(attempt.reading)
+            stack.callback(self._shared.probes.forget, attempt.reading)
+            return await self._async_read_attempt(attempt, effect, is_resumed)
+
+    def _place(self, attempt: int) -> Placed | Refused:
+        shared, now = self._shared, self._loop.time()
+        engines = shared.get_engines(self._completion.model)
+        names = [e.name for e in engines if e.name not in self._failed_engines]
+        names = shared.outliers.select(names or [e.name for e in engines], now)
+        shared.placement.release(self._request_id)
+        usable = [engine for engine in engines if engine.name in names]
+        fleet = build_fleet_view(shared.host, shared.membership, self._completion.model)
+        placed = shared.placement.place(
+            self.build_placement_request(attempt, now),
+            shared.reports.build_views(usable, now),
+            now,
+            fleet,
+        )
+        shared.membership.set_own_demand(shared.placement.get_demand(now))
+        return placed
+
+    def build_placement_request(self, attempt: int, now: float) -> PlacementRequest:
+        """Return what is asked of placement for an attempt, counted from 1."""
+        # Admission refuses what is predicted to end late, and predicts with care.
+        # Symptom for a failover: an admitted answer is given up with seconds to
+        # spare. It was admitted once; from then on only its deadline ends it.
+        remaining = self._lifecycle.deadline - now if attempt == 1 else math.inf
+        delivered = self._lifecycle.delivered_tokens
+        return PlacementRequest(
+            request_id=self._request_id,
+            account=self._account.name,
+            model=self._completion.model,
+            prompt_tokens=self._completion.prompt_tokens + delivered,
+            max_tokens=self._completion.max_tokens - delivered,
+            priority=self._get_priority(),
+            remaining_seconds=remaining,
+            prefix_hashes=self._prefix_hashes,
+        )
+
+    def _get_priority(self) -> int:
+        asked = self._completion.priority
+        return self._account.priority if asked is None else asked
+
+    def _build_stream(self, number: int, placed: Placed) -> EngineStream:
+        engine = self._shared.host.configuration.targets[placed.engines[0]]
+        self._sink.note_target(engine.name)
+        stream_id = f"{self._request_id}-{number}"
+        self._shared.prefixes.note_used(engine)
+        return EngineStream(engine, stream_id, self._shared.host.identity)
+
+    def _note_failure(self, attempt: _Attempt, error: TargetError) -> Event:
+        fault = get_fault(error)
+        self._count("attempts_failed", fault.name)
+        target = ""
+        if attempt.reading is not None:
+            target = attempt.reading.target.name
+            is_new = self._shared.outliers.record_failure(
+                target, fault, self._loop.time()
+            )
+            if is_new:
+                log_event("target_excluded", target=target, reason=fault.value)
+            # An engine that lost a connection or a stream may be sound, and may be
+            # the last one; outlier detection counts such losses.
+            if fault not in PASSING_FAULTS:
+                self._failed_engines.add(target)
+        log_event(
+            "attempt_failed",
+            request_id=self._request_id,
+            client_account=self._account.name,
+            target=target,
+            reason=repr(error),
+        )
+        return AttemptFailed(attempt.number, fault)
+
+    def _count(self, name: str, label: str) -> None:
+        self._shared.host.metrics.count(name, label, self._account.name)
+
+    async def _async_read_attempt(
+        self, attempt: _Attempt, effect: StartAttempt, is_resumed: bool
+    ) -> Event:
+        reading = attempt.reading
+        assert reading is not None
+        reading.silent_since = self._loop.time()
+        self._shared.active_streams.add(reading.stream_id)
+        if is_resumed:
+            opening = reading.stream.async_resume(effect.offset)
+        else:
+            opening = reading.stream.async_open(self._build_body(effect.offset))
+        async with opening as stream:
+            items = async_read_stream(stream)
+            async for item in items:
+                if isinstance(item, StreamEnd):
+                    await self._async_read_to_end(reading, items)
+                    self._shared.outliers.record_success(reading.target.name)
+                    self._shared.placement.note_finished(
+                        self._request_id, item.tokens, self._loop.time()
+                    )
+                    return AttemptFinished(
+                        attempt.number, item.tokens, item.finish_reason
+                    )
+                reading.silent_since = None
+                await self._events.put(
+                    TextArrived(attempt.number, item.offset, item.pieces)
+                )
+                reading.silent_since = self._loop.time()
+        raise ConnectionLostError("the stream ended without its finish")
+
+    def _build_body(self, offset: int) -> dict[str, object]:
+        return {
+            "model": self._completion.model,
+            "prompt": self._completion.prompt + "".join(self._given_out),
+            "max_tokens": self._completion.max_tokens - offset,
+            "offset": offset,
+            "sampling": self._completion.sampling,
+            "prefix_hashes": self._prefix_hashes,
+            **self._group.build_fields(),
+        }
+
+    async def _async_read_to_end(
+        self, reading: _Reading, items: AsyncIterator[StreamText | StreamEnd]
+    ) -> None:
+        # An engine frees a stream that was read to its end. Symptom of closing on the
+        # finish line: the engine sees a lost reader and keeps the memory. Where the
+        # end does not come, the stream is cancelled like any other.
+        try:
+            async with asyncio.timeout(c.STREAM_END_SECONDS):
+                async for _ in items:
+                    pass
+            reading.is_released = True
+        except (TimeoutError, TargetError):
+            pass
+
+    async def _async_leave_attempt(self) -> None:
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        attempt.is_left = True
+        if attempt.task is not None:
+            attempt.task.cancel()
+            await asyncio.gather(attempt.task, return_exceptions=True)
+        reading = attempt.reading
+        stream = attempt.resumed if reading is None else reading.stream
+        if stream is None:
+            return
+        self._shared.active_streams.discard(stream.stream_id)
+        if reading is None or not reading.is_released:
+            self._shared.releases.release_stream(stream.target, stream.stream_id)
--- a/libraries/daemon/tests/test_models.py
+++ b/libraries/daemon/tests/test_models.py
@@ -1,6 +1,7 @@
 """Tests of model requests against an engine stand-in in the same process."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -8,6 +9,7 @@
 from tarragonward_core import Address, ResultCode
 from tarragonward_daemon.app import Daemon
 from tarragonward_daemon.completions import Completion
+from tarragonward_daemon.model_run import ModelRun
 from tarragonward_placement import Placement, PlacementPolicy
 from tarragonward_standins.engine import EngineStandIn
 from tarragonward_standins.engine_model import EngineSizes
@@ -82,3 +84,11 @@
     assert sink.was_asked
     assert end.code is ResultCode.DEADLINE_EXCEEDED
     assert daemon.models.active_streams == set()
+
+
+@pytest.mark.parametrize(("asked", "given"), [(None, 5), (0, 0), (-1, -1)])
+async def test_a_requests_own_priority_goes_before_its_accounts(daemon, asked, given):
+    account = replace(daemon.host.configuration.client_accounts["x"], priority=5)
+    completion = replace(COMPLETION, priority=asked)
+    run = ModelRun(daemon.models, "r", account, completion, 1.0, StuckSink())
+    assert run.build_placement_request(1, 0.0).priority == given
