Keep verdicts without the states that they led to

Cause, found by reading for the control memory that script/capacity showed over its budget: the last 64 judgements were kept for operators, and each held the whole configuration after its patch. Ruled out: fewer of them (each is 2.4 MB at the design size); weak references (the records are all that operators read). The new test failed before (the third state was held). A second test guards the entries' own values; it passed before too, as jsonpatch leaves them alone. The two tests that read a kept verdict now name its fields directly, as strictly.

--- a/libraries/config/tarragonward_config/history.py
+++ b/libraries/config/tarragonward_config/history.py
@@ -16,6 +16,7 @@
     ConfigurationState,
     Judgement,
     LogEntry,
+    PatchRecord,
     compute_digest,
     judge_entry,
 )
@@ -58,7 +59,7 @@
         self.state: ConfigurationState | None = None
         self.digest = b""
         self.floor = 0
-        self.verdicts: deque[Judgement] = deque(maxlen=c.MAX_VERDICTS)
+        self.verdicts: deque[PatchRecord] = deque(maxlen=c.MAX_VERDICTS)
         self._entries: deque[LogEntry] = deque()
         self._sizes: deque[int] = deque()
 
@@ -142,7 +143,8 @@
             state = judgement.state
             judgements.append(judgement)
             self._append(entry)
-        self.verdicts.extend(judgements)
+        # Records only: a judgement holds the whole state that it led to.
+        self.verdicts.extend(judgement.build_record() for judgement in judgements)
         self._put_in_force(state)
         return Taken(Outcome.TAKEN, tuple(judgements))
 
--- a/libraries/config/tarragonward_config/patches.py
+++ b/libraries/config/tarragonward_config/patches.py
@@ -19,6 +19,7 @@
     "ConfigurationState",
     "Judgement",
     "LogEntry",
+    "PatchRecord",
     "Verdict",
     "apply_entries",
     "apply_entry",
@@ -86,6 +87,21 @@
     verdict: Verdict
     reason: str = ""
 
+    def build_record(self) -> PatchRecord:
+        """Return what operators look at later; it holds no state."""
+        entry = self.entry
+        return PatchRecord(entry.sequence, entry.base, self.verdict, self.reason)
+
+
+@dataclass(frozen=True)
+class PatchRecord:
+    """A patch's place, the number it was written against, and what became of it."""
+
+    sequence: int
+    base: int
+    verdict: Verdict
+    reason: str
+
 
 def build_state(sequence: int, number: int, document: Any) -> ConfigurationState:
     """Return the state that a snapshot holds; raise ConfigurationError if invalid."""
--- a/libraries/config/tests/test_history.py
+++ b/libraries/config/tests/test_history.py
@@ -1,5 +1,9 @@
 """Tests of what a host takes over of the platform and its peers."""
 
+import gc
+import weakref
+
+import orjson
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -96,7 +100,7 @@
     history.extend([set_weight(9, 7, 50)])
     judgement = history.verdicts[-1]
     assert judgement.verdict is Verdict.STALE
-    assert (judgement.entry.sequence, judgement.entry.base) == (9, 7)
+    assert (judgement.sequence, judgement.base) == (9, 7)
     assert judgement.reason == "written against 7, but 8 was in force"
     assert (history.state.number, history.sequence) == (8, 9)
 
@@ -152,3 +156,39 @@
     judgement = judge_entry(state, LogEntry(1, 0, tuple(operations)))
     if judgement.verdict is not Verdict.ACCEPTED:
         assert judgement.state.document == DOCUMENT and judgement.reason
+
+
+def test_states_no_longer_in_force_are_not_held():
+    """A day of patches goes by; only the newest configuration may stay in memory.
+
+    The verdicts that operators look at once held the whole state after each patch: 64
+    documents of some megabytes at the size to design for, in a budget of 32 MB.
+    """
+    history = ConfigurationHistory()
+    history.take_snapshot(build_state(0, 0, DOCUMENT))
+    old = weakref.ref(history.state)
+    history.extend([set_weight(n, n - 1, n) for n in range(1, 4)])
+    middle = weakref.ref(history.state)
+    history.extend([set_weight(4, 3, 4)])
+    gc.collect()
+    assert old() is None and middle() is None
+    assert [record.sequence for record in history.verdicts] == [1, 2, 3, 4]
+
+
+def test_applying_a_patch_leaves_its_entry_as_it_was_published():
+    """A patch adds a model and then changes it, in one.
+
+    The added value is the entry's own object; changed in place, the entry no longer
+    equals the one that the platform shows, and a sound log is refused as forked.
+    """
+    operations = (
+        {"op": "add", "path": "/models/m", "value": {"context_tokens": 1}},
+        {"op": "replace", "path": "/models/m/context_tokens", "value": 2},
+    )
+    history = ConfigurationHistory()
+    history.take_snapshot(build_state(0, 0, DOCUMENT))
+    published = orjson.dumps(operations)
+    history.extend([LogEntry(1, 0, operations)])
+    assert orjson.dumps(operations) == published
+    again = LogEntry(1, 0, tuple(orjson.loads(published)))
+    assert history.extend([again]).outcome is Outcome.NOTHING_NEW
--- a/libraries/daemon/tarragonward_daemon/configuration.py
+++ b/libraries/daemon/tarragonward_daemon/configuration.py
@@ -14,6 +14,7 @@
     Judgement,
     LogEntry,
     Outcome,
+    PatchRecord,
     Taken,
     Verdict,
     build_state,
@@ -76,8 +77,8 @@
         await self.peers.async_unload()
 
     @property
-    def verdicts(self) -> list[Judgement]:
-        """Return the last judgements, the oldest first."""
+    def verdicts(self) -> list[PatchRecord]:
+        """Return what became of the last patches, the oldest first."""
         return list(self.history.verdicts)
 
     def see_fencing(self, number: int) -> None:
--- a/libraries/daemon/tests/test_configuration_task.py
+++ b/libraries/daemon/tests/test_configuration_task.py
@@ -110,7 +110,7 @@
     async with asyncio.timeout(IN_FORCE_SECONDS):
         while len(task.verdicts) < 3:
             await asyncio.sleep(0.02)
-    shown = [(v.entry.sequence, v.entry.base, v.verdict) for v in task.verdicts]
+    shown = [(v.sequence, v.base, v.verdict) for v in task.verdicts]
     assert shown == [
         (1, 0, Verdict.ACCEPTED),
         (2, 0, Verdict.STALE),
