Share what a patch does not name between two configurations

Cause: each patch copied and checked the whole document anew. Now plain operations copy only the entries that they name, and an entry that is the same object as before is neither checked nor built again; verdicts stay a function of the log, as what is skipped was valid before by the same schema. Ruled out: a packed document (every patch would unpack it), a validator of our own (the library stays, on less). Measured, 2,600 accounts and 730 runners, 70 patches in one process: median 114.3 ms before, 1.8 ms after; longest 140.8 and 3.8 ms. 600 drawn patches give the same document and typed data as the full copy and leave the old one alone; without the copy of named entries that test fails (the old account was changed).

--- a/libraries/config/tarragonward_config/document.py
+++ b/libraries/config/tarragonward_config/document.py
@@ -215,27 +215,72 @@
 )
 
 
-def parse_configuration(document: Any, source: str = "configuration") -> Configuration:
+def parse_configuration(
+    document: Any,
+    source: str = "configuration",
+    previous: tuple[dict[str, Any], Configuration] | None = None,
+) -> Configuration:
     """Return a published document as typed data.
 
-    Raise ConfigurationError where the document is not valid or does not fit itself,
-    such as an engine of a model that is not published.
+    previous is an earlier document that was valid, with its typed data: entries that
+    are the same objects in both are not checked and built anew. Raise
+    ConfigurationError where the document is not valid or does not fit itself, such as
+    an engine of a model that is not published.
     """
+    old_document, old = previous or ({}, EMPTY_CONFIGURATION)
+    changed, kept = _part_changed(document, old_document)
     try:
-        checked = DOCUMENT_SCHEMA(document)
+        checked = DOCUMENT_SCHEMA(changed)
     except vol.Invalid as err:
         raise ConfigurationError(describe_invalid(source, document, err)) from None
     configuration = Configuration(
-        client_accounts=_map(checked[c.ATTR_CLIENT_ACCOUNTS], _build_account),
-        models=_map(checked[c.ATTR_MODELS], _build_model),
-        services=_map(checked[c.ATTR_SERVICES], _build_service),
-        targets=_map(checked[c.ATTR_TARGETS], _build_target),
+        **{
+            section: _merge(
+                document[section],
+                _map(checked[section], build),
+                getattr(old, section),
+                kept[section],
+            )
+            for section, build in BUILDERS.items()
+        },
         parallel_loads=checked[c.ATTR_WEIGHT_STORE].get(c.ATTR_PARALLEL_LOADS),
     )
     _check_references(configuration, source)
     return configuration
 
 
+def _part_changed(
+    document: Any, old_document: dict[str, Any]
+) -> tuple[Any, dict[str, set[str]]]:
+    """Return the document without entries that the old one has, and their names."""
+    kept: dict[str, set[str]] = {section: set() for section in BUILDERS}
+    if not isinstance(document, dict):
+        return document, kept
+    changed = dict(document)
+    for section in BUILDERS:
+        entries, old_entries = document.get(section), old_document.get(section, {})
+        if isinstance(entries, dict):
+            kept[section] = {n for n, e in entries.items() if old_entries.get(n) is e}
+            changed[section] = {
+                name: entry
+                for name, entry in entries.items()
+                if name not in kept[section]
+            }
+    return changed, kept
+
+
+def _merge(
+    entries: dict[str, Any],
+    built: MappingProxyType[str, Any],
+    old: MappingProxyType[str, Any],
+    kept: set[str],
+) -> MappingProxyType[str, Any]:
+    """Return the typed entries in the document's order."""
+    return MappingProxyType(
+        {name: old[name] if name in kept else built[name] for name in entries}
+    )
+
+
 def _map(items: dict[str, Any], build: Any) -> MappingProxyType[str, Any]:
     return MappingProxyType({name: build(name, item) for name, item in items.items()})
 
@@ -276,6 +321,15 @@
     )
 
 
+BUILDERS = {
+    c.ATTR_CLIENT_ACCOUNTS: _build_account,
+    c.ATTR_MODELS: _build_model,
+    c.ATTR_SERVICES: _build_service,
+    c.ATTR_TARGETS: _build_target,
+}
+EMPTY_CONFIGURATION = Configuration(*(MappingProxyType({}) for _ in BUILDERS))
+
+
 def _check_references(configuration: Configuration, source: str) -> None:
     for target in configuration.targets.values():
         for model in target.models:
--- a/libraries/config/tarragonward_config/patches.py
+++ b/libraries/config/tarragonward_config/patches.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import copy
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -31,6 +32,7 @@
 DIGEST_BYTES = 16
 MAX_REASON_CHARACTERS = 200
 # What an operator's operations may raise in the library, whatever is in them.
+PLAIN_OPERATIONS = frozenset({"add", "remove", "replace", "test"})
 INVALID_PATCH_ERRORS = (
     jsonpatch.JsonPatchException,
     jsonpatch.JsonPointerException,
@@ -137,8 +139,10 @@
         reason = f"written against {entry.base}, but {state.number} was in force"
         return Judgement(_skip(state, entry), entry, Verdict.STALE, reason)
     try:
-        document = jsonpatch.apply_patch(state.document, list(entry.operations))
-        configuration = parse_configuration(document, f"patch {entry.sequence}")
+        document = apply_operations(state.document, entry.operations)
+        configuration = parse_configuration(
+            document, f"patch {entry.sequence}", (state.document, state.configuration)
+        )
     except INVALID_PATCH_ERRORS as err:
         reason = f"{type(err).__name__}: {err}"[:MAX_REASON_CHARACTERS]
         return Judgement(_skip(state, entry), entry, Verdict.INVALID, reason)
@@ -148,6 +152,33 @@
     return Judgement(accepted, entry, Verdict.ACCEPTED)
 
 
+def apply_operations(
+    document: dict[str, Any], operations: Sequence[dict[str, Any]]
+) -> dict[str, Any]:
+    """Return the document after operations; it shares what they do not name.
+
+    A copy of the whole document for each patch doubles its memory and holds up every
+    stream of the host. Only the entries that are named are copied, where that is sure:
+    operations that move or copy, or that name a whole section, copy all.
+    """
+    pointers = [jsonpatch.JsonPointer(op["path"]).parts for op in operations]
+    is_plain = all(op["op"] in PLAIN_OPERATIONS for op in operations)
+    if not is_plain or any(len(parts) < 2 for parts in pointers):
+        return jsonpatch.apply_patch(document, list(operations))
+    copied = dict(document)
+    for section, name, *_ in pointers:
+        entries = copied.get(section)
+        if not isinstance(entries, dict):
+            return jsonpatch.apply_patch(document, list(operations))
+        if entries is document[section]:
+            entries = copied[section] = dict(entries)
+        if name in entries and entries[name] is document[section].get(name):
+            entries[name] = copy.deepcopy(entries[name])
+    # Values that an operation adds are changed by later ones; the entry must not be.
+    own = copy.deepcopy(list(operations))
+    return jsonpatch.apply_patch(copied, own, in_place=True)
+
+
 def apply_entries(
     state: ConfigurationState, entries: Iterable[LogEntry]
 ) -> ConfigurationState:
