--- a/libraries/bench/tarragonward_bench/capacity_slopes.py
+++ b/libraries/bench/tarragonward_bench/capacity_slopes.py
@@ -82,6 +82,17 @@
         tracemalloc.stop()
 
 
+def measure_peak_bytes(action: Callable[[], Any]) -> int:
+    """Return the most bytes that action held at once, by tracemalloc."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        action()
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
 def measure_cpu_seconds(action: Callable[[], Any], repeats: int = 1) -> float:
     """Return the processor seconds of one run of action, the mean of repeats."""
     begin = time.process_time()
--- a/libraries/bench/tarragonward_bench/capacity_state.py
+++ b/libraries/bench/tarragonward_bench/capacity_state.py
@@ -7,7 +7,13 @@
 
 import orjson
 
-from tarragonward_config import LogEntry, apply_entry, build_state, hash_token
+from tarragonward_config import (
+    ConfigurationHistory,
+    LogEntry,
+    apply_entry,
+    build_state,
+    hash_token,
+)
 from tarragonward_core import Metrics
 from tarragonward_daemon.membership import parse_list
 from tarragonward_membership import LoadReport, Membership
@@ -20,7 +26,13 @@
 )
 from tarragonward_wire import HttpAnswer
 
-from .capacity_slopes import Slope, fit_slope, measure_cpu_seconds, measure_kept_bytes
+from .capacity_slopes import (
+    Slope,
+    fit_slope,
+    measure_cpu_seconds,
+    measure_kept_bytes,
+    measure_peak_bytes,
+)
 from .membership_network import FakeNetwork, NetworkPlan
 
 __all__ = ["build_document", "build_host_list", "measure_state_slopes"]
@@ -84,6 +96,7 @@
         fit_slope("configuration_bytes", "account", "B", _document_bytes, accounts),
         fit_slope("configuration_parse", "KiB", "ms", _parse_ms, kib),
         fit_slope("patch_apply", "KiB", "ms", _patch_ms, kib),
+        fit_slope("patch_memory", "KiB", "B", _patch_peak, kib),
         fit_slope("patch_bytes", "operation", "B", _patch_bytes, (1, 2, 4)),
         fit_slope("list_bytes", "entry", "B", _list_bytes, (100, 400, 1_050)),
         fit_slope("list_gzip_bytes", "entry", "B", _list_gzip, (100, 400, 1_050)),
@@ -154,6 +167,14 @@
     return measure_cpu_seconds(lambda: apply_entry(state, entry)) * MILLISECONDS
 
 
+def _patch_peak(kib: int) -> float:
+    history = ConfigurationHistory()
+    history.take_snapshot(build_state(0, 0, _build_of_kib(kib)))
+    path = "/client_accounts/account-0001/weight"
+    operation = {"op": "replace", "path": path, "value": 2.0}
+    return measure_peak_bytes(lambda: history.extend([LogEntry(1, 0, (operation,))]))
+
+
 def _patch_bytes(operations: int) -> float:
     path = "/client_accounts/account-0001/weight"
     operation = {"op": "replace", "path": path, "value": 2.0}
