--- a/libraries/bench/tarragonward_bench/capacity_rows.py
+++ b/libraries/bench/tarragonward_bench/capacity_rows.py
@@ -223,7 +223,7 @@
         "requests in flight": ("MB", request_mb),
         "recorded answers": ("MB", slopes["answer_memory"].slope * answers / MEGABYTE),
         "account look-up": ("% of a core", lookup * PERCENT),
-        "sweep": ("B/s", held * HELD_BYTES / daemon.SWEEP_SECONDS),
+        "sweep": ("B/s", held * HELD_BYTES / _get_sweep_seconds(sizes)),
         "tokens to relay": ("tokens/s", sizes.tokens_a_second / sizes.hosts),
     }
 
@@ -250,3 +250,8 @@
     accounts = slopes["configuration_bytes"].slope * sizes.accounts
     runner = slopes["configuration_bytes"].intercept / RUNNERS_IN_DOCUMENT
     return (accounts + runner * sizes.runners) / KIB
+
+
+def _get_sweep_seconds(sizes: Sizes) -> float:
+    seconds = sizes.hosts * daemon.SWEEP_SECONDS_A_HOST
+    return min(max(seconds, daemon.SWEEP_SECONDS), daemon.SWEEP_SECONDS_LIMIT)
