Run a background loop again when it fails, and say so

Cause, found by reading: seven parts each owned a loop that nobody awaits. One exception that its author did not foresee ended it without a line in the log, and the host served on by the hosts, reports or configuration of that moment, at night, with nobody watching. The same set-up and clean-up stood in all seven. BackgroundTasks owns them now: logged, counted, run again after about a second. Ruled out: ending the host (all hosts read the same list and would end together), and a bare except in each loop, as one of them had.

--- a/libraries/daemon/tarragonward_daemon/configuration.py
+++ b/libraries/daemon/tarragonward_daemon/configuration.py
@@ -24,6 +24,7 @@
 from tarragonward_wire import PeerLinks, async_send_http
 
 from . import const as c
+from .background import BackgroundTasks
 from .configuration_peers import ConfigurationPeers
 from .core import HostState
 from .membership import MembershipTask
@@ -59,21 +60,17 @@
         )
         self._replicas = itertools.cycle(host.settings.configuration)
         self._catch_up = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = BackgroundTasks(host.metrics)
         self._is_admitting = False
 
     async def async_setup(self) -> None:
         """Start to watch and to exchange with peers."""
-        self._tasks = [
-            asyncio.create_task(self._async_run()),
-            asyncio.create_task(self._async_exchange()),
-        ]
+        self._background.start("configuration", self._async_run)
+        self._background.start("configuration_exchange", self._async_exchange)
 
     async def async_unload(self) -> None:
         """Stop."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.async_unload()
         await self.peers.async_unload()
 
     @property
--- a/libraries/daemon/tarragonward_daemon/engine_probes.py
+++ b/libraries/daemon/tarragonward_daemon/engine_probes.py
@@ -11,6 +11,7 @@
 from tarragonward_wire import async_send_http
 
 from . import const as c
+from .background import BackgroundTasks
 from .core import HostState
 from .engines import EngineSilentError
 
@@ -42,15 +43,16 @@
         self._outliers = outliers
         self._streams: set[WatchedStream] = set()
         self._probes: dict[str, asyncio.Task[None]] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(host.metrics)
 
     async def async_setup(self) -> None:
         """Start to watch."""
-        self._task = asyncio.create_task(self._async_watch())
+        self._background.start("engine_probes", self._async_watch)
 
     async def async_unload(self) -> None:
         """Stop."""
-        tasks = [*self._probes.values(), *([self._task] if self._task else [])]
+        await self._background.async_unload()
+        tasks = list(self._probes.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/libraries/daemon/tarragonward_daemon/membership.py
+++ b/libraries/daemon/tarragonward_daemon/membership.py
@@ -29,6 +29,7 @@
 from tarragonward_wire import HttpAnswer, async_send_http
 
 from . import const as c
+from .background import BackgroundTasks
 from .core import HostState
 from .gossip import GossipCarrier
 
@@ -68,20 +69,16 @@
         self._replicas = itertools.cycle(host.settings.host_list)
         self._lists: dict[Address, _ReadList] = {}
         self._published: Any = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = BackgroundTasks(host.metrics)
 
     async def async_setup(self) -> None:
         """Start to read and to gossip."""
-        self._tasks = [
-            asyncio.create_task(self._async_read()),
-            asyncio.create_task(self._async_tick()),
-        ]
+        self._background.start("host_list", self._async_read)
+        self._background.start("gossip", self._async_tick)
 
     async def async_unload(self) -> None:
         """Stop."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.async_unload()
         await self._carrier.async_unload()
 
     def is_gone(self, identity: HostIdentity) -> bool:
--- a/libraries/daemon/tarragonward_daemon/orders.py
+++ b/libraries/daemon/tarragonward_daemon/orders.py
@@ -22,6 +22,7 @@
 from tarragonward_wire import async_send_http
 
 from . import const as c
+from .background import BackgroundTasks
 from .configuration import ConfigurationTask
 from .core import HostState
 from .loads import LoadGate
@@ -53,25 +54,20 @@
         self._membership = membership
         self._configuration = configuration
         self._loads = LoadGate(host, self._async_read_state)
-        self._task: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(host.metrics)
 
     async def async_setup(self) -> None:
         """Start to watch."""
-        self._task = asyncio.create_task(self._async_run())
+        self._background.start("orders", self._async_run)
 
     async def async_unload(self) -> None:
         """Stop."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.async_unload()
 
     async def _async_run(self) -> None:
         while True:
             await asyncio.sleep(self._get_interval() * random.uniform(0.75, 1.25))
-            try:
-                await self._async_check_all()
-            except Exception as err:
-                log_event("order_check_failed", error=repr(err))
+            await self._async_check_all()
 
     def _get_interval(self) -> float:
         """Return the seconds between looks: longer in a large fleet, within bounds."""
--- a/libraries/daemon/tarragonward_daemon/prefixes.py
+++ b/libraries/daemon/tarragonward_daemon/prefixes.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from tarragonward_config import Target
-from tarragonward_core import TargetError, log_event
+from tarragonward_core import Metrics, TargetError, log_event
 from tarragonward_placement import (
     BLOCK_TOKENS,
     CacheUpdate,
@@ -17,6 +17,7 @@
 from tarragonward_wire import async_send_http
 
 from . import const as c
+from .background import BackgroundTasks
 
 __all__ = ["PrefixTask", "hash_prompt"]
 
@@ -33,20 +34,18 @@
     time: its load bounds what it reads, however many engines there are.
     """
 
-    def __init__(self, index: PrefixIndex) -> None:
+    def __init__(self, index: PrefixIndex, metrics: Metrics) -> None:
         self._index = index
         self._used: dict[str, tuple[Target, float]] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(metrics)
 
     async def async_setup(self) -> None:
         """Start to read."""
-        self._task = asyncio.create_task(self._async_run())
+        self._background.start("prefixes", self._async_run)
 
     async def async_unload(self) -> None:
         """Stop."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.async_unload()
 
     def note_used(self, target: Target) -> None:
         """Read an engine's events for a while."""
--- a/libraries/daemon/tarragonward_daemon/reports.py
+++ b/libraries/daemon/tarragonward_daemon/reports.py
@@ -18,6 +18,7 @@
 from tarragonward_wire import async_send_http
 
 from . import const as c
+from .background import BackgroundTasks
 from .core import HostState
 from .membership import MembershipTask
 
@@ -34,17 +35,15 @@
     def __init__(self, host: HostState, membership: MembershipTask) -> None:
         self._host = host
         self._membership = membership
-        self._task: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(host.metrics)
 
     async def async_setup(self) -> None:
         """Start to read."""
-        self._task = asyncio.create_task(self._async_read())
+        self._background.start("reports", self._async_read)
 
     async def async_unload(self) -> None:
         """Stop."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.async_unload()
 
     def build_views(self, engines: list[Target], now: float) -> list[EngineView]:
         """Return what is known of these engines."""
--- a/libraries/daemon/tarragonward_daemon/sweep.py
+++ b/libraries/daemon/tarragonward_daemon/sweep.py
@@ -11,6 +11,7 @@
 from tarragonward_wire import async_send_http, async_shake_hands
 
 from . import const as c
+from .background import BackgroundTasks
 from .core import HostState
 from .engines import Releases
 from .membership import MembershipTask
@@ -34,17 +35,15 @@
         self._releases = releases
         self._membership = membership
         self._sweep = Sweep(host.identity)
-        self._task: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(host.metrics)
 
     async def async_setup(self) -> None:
         """Start to sweep."""
-        self._task = asyncio.create_task(self._async_run())
+        self._background.start("sweep", self._async_run)
 
     async def async_unload(self) -> None:
         """Stop."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.async_unload()
 
     async def _async_run(self) -> None:
         loop = asyncio.get_running_loop()
