Show operators what became of the last patches

Cause: a refused patch has to be refused visibly. The verdicts were kept and logged, but no operators' route showed them, as the engineer who built them noted. Ruled out: a route of its own (one more to authenticate and to document). Before: no such section; after: the test of refused patches reads it there too, all of its file pass.

--- a/libraries/daemon/tarragonward_daemon/configuration.py
+++ b/libraries/daemon/tarragonward_daemon/configuration.py
@@ -41,6 +41,7 @@
 )
 LOG_ROUTE = "/v1/configuration/log"
 SNAPSHOT_ROUTE = "/v1/configuration/snapshot"
+SHOWN_PATCHES = 16
 
 
 class ConfigurationTask:
@@ -62,6 +63,7 @@
         self._catch_up = asyncio.Event()
         self._background = BackgroundTasks(host.metrics)
         self._is_admitting = False
+        host.add_status_section("patches", self._list_patches)
 
     async def async_setup(self) -> None:
         """Start to watch and to exchange with peers."""
@@ -78,6 +80,17 @@
         """Return what became of the last patches, the oldest first."""
         return list(self.history.verdicts)
 
+    def _list_patches(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "sequence": record.sequence,
+                "base": record.base,
+                "verdict": record.verdict.value,
+                "reason": record.reason,
+            }
+            for record in self.verdicts[-SHOWN_PATCHES:]
+        ]
+
     def see_fencing(self, number: int) -> None:
         """Note an engine's fencing number; a higher one shows that ours is stale."""
         self.history.raise_floor(number)
--- a/libraries/daemon/tests/test_configuration_task.py
+++ b/libraries/daemon/tests/test_configuration_task.py
@@ -42,8 +42,13 @@
             peers=address,
             failure_domain="north",
         )
+        sections = {}
         host = SimpleNamespace(
-            settings=settings, metrics=Metrics(), configuration_state=None
+            settings=settings,
+            metrics=Metrics(),
+            configuration_state=None,
+            status_sections=sections,
+            add_status_section=sections.__setitem__,
         )
         membership = SimpleNamespace(membership=SimpleNamespace(get_members=lambda: []))
         links = PeerLinks(HostIdentity(address, 1), b"k" * 32)
@@ -117,6 +122,9 @@
         (3, 1, Verdict.INVALID),
     ]
     assert all(v.reason for v in task.verdicts[1:])
+    *_, stale, invalid = host.status_sections["patches"]()
+    assert (stale["sequence"], stale["base"], stale["verdict"]) == (2, 0, "stale")
+    assert invalid["reason"]
 
 
 async def test_a_fresh_look_needs_a_replica_that_is_not_behind(make_host):
