Log which target a keyed call is sent to

Ruled out: carrying the target in recorded answers (memory for each record). The line is written when the ledger allows the first byte, with no await between.

--- a/libraries/daemon/tarragonward_daemon/owned_calls.py
+++ b/libraries/daemon/tarragonward_daemon/owned_calls.py
@@ -145,6 +145,9 @@
         def mark_sent() -> None:
             if not self.ledger.mark_sent(key, _now()):
                 raise _NotSentError
+            log_event(
+                "call_sent", key=key, client_account=call.account, target=target.name
+            )
 
         remaining = max(0.0, call.deadline - _now())
         try:
