Cut real hosts from each other, one way and both

Two tests with real processes: nothing that is sent to one host arrives for 10 s, and it is not held for dead as its own probes arrive; two domains are cut whole, each answers its callers, and all are alive to all after the heal. Ruled out: proxies for each pair of hosts (larger scaffolding; one before each host shows both cuts).

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,11 +1,13 @@
-"""Tests of membership with real processes: killed, returned, frozen."""
+"""Tests of membership with real processes: killed, returned, frozen, cut off."""
 
 import asyncio
 import signal
 
+from tarragonward_standins.client import Outcome, async_complete
 from tarragonward_standins.site import SitePlan
 
 AGREE_SECONDS = 20.0
+CUT_SECONDS = 10.0
 
 
 async def async_get_states(site, name):
@@ -56,3 +58,54 @@
     await async_wait_states(site, others, {frozen: "alive"})
     states = await async_get_states(site, frozen)
     assert "dead" not in states.values()
+
+
+async def test_a_host_that_cannot_be_reached_lives_as_long_as_it_reaches_others(
+    make_site,
+):
+    """One direction of a host's network fails: nothing that is sent to it arrives.
+
+    The others' probes are swallowed, helpers' too. Its own probes still arrive and
+    show that it lives, so its streams are not swept and nobody holds it for dead.
+    """
+    site = await make_site(
+        SitePlan(failure_domains=("north",), hosts_per_domain=3, has_proxies=True)
+    )
+    unreached, *others = site.hosts
+    await async_wait_states(site, others, {unreached: "alive"})
+    site.proxies[f"peers-{unreached}"].faults.cut_to_target = True
+    end = asyncio.get_running_loop().time() + CUT_SECONDS
+    while asyncio.get_running_loop().time() < end:
+        for name in others:
+            assert (await async_get_states(site, name))[unreached] != "dead"
+        await asyncio.sleep(0.2)
+    site.proxies[f"peers-{unreached}"].faults.cut_to_target = False
+    await async_wait_states(site, others, {unreached: "alive"})
+
+
+async def test_domains_cut_from_each_other_serve_on_and_agree_again(make_site):
+    """All links between hosts are cut, with callers on each side.
+
+    Each side holds the other for dead and goes on to answer its callers. When the cut
+    heals, dead hosts that are listed are probed again, and all are alive to all.
+    """
+    site = await make_site(SitePlan(hosts_per_domain=1, has_proxies=True))
+    names = list(site.hosts)
+    for one, other in (names, reversed(names)):
+        await async_wait_states(site, [one], {other: "alive"})
+    proxies = [site.proxies[f"peers-{name}"] for name in names]
+    for proxy in proxies:
+        proxy.faults.refuse = True
+        proxy.end_connections()
+    for one, other in (names, reversed(names)):
+        await async_wait_states(site, [one], {other: "dead"})
+    token = site.tokens["camara"]
+    for host in site.hosts.values():
+        result = await async_complete(
+            host.callers, token, site.plan.model, f"bay at {host.name}", 8, 10
+        )
+        assert result.outcome is Outcome.WHOLE, result
+    for proxy in proxies:
+        proxy.faults.refuse = False
+    for one, other in (names, reversed(names)):
+        await async_wait_states(site, [one], {other: "alive"})
