Give an engine that restarts cold its turn to load again

Cause, found by reading: LoadGate remembers which engines have loaded under a number. One that died and came back cold was still held for loaded, so its own turn never came and it refused prompts until the next patch. Ruled out: reading all engines at each look (bytes). The new test failed before (its turn did not come); now the caller's fresh look clears the memory of that engine. 2 of 2 pass; before 1 of 2.

--- a/libraries/daemon/tarragonward_daemon/loads.py
+++ b/libraries/daemon/tarragonward_daemon/loads.py
@@ -45,6 +45,9 @@
         if configuration.parallel_loads is None:
             return True
         self._forget_other_number(orders[engine.name].fencing)
+        # The caller has just seen that it lacks its weights: an engine may have loaded,
+        # died and come back cold. Held for loaded, it would never get a turn.
+        self._loaded.discard(engine.name)
         domains = {configuration.targets[name].failure_domain for name in orders}
         limit = math.ceil(configuration.parallel_loads / len(domains))
         wanted = [
