--- a/libraries/wire/tests/test_peers.py
+++ b/libraries/wire/tests/test_peers.py
@@ -80,9 +80,7 @@
     await links.async_unload()
 
 
-async def test_links_of_hosts_that_vanished_are_ended_by_the_kernel(
-    server, monkeypatch
-):
+async def test_links_of_vanished_hosts_are_ended_by_the_kernel(server, monkeypatch):
     """A host loses its power: its links here end without a word from it.
 
     They would stay open for good and take the place of live hosts' links. Loopback
