--- a/libraries/wire/tests/test_http_server.py
+++ b/libraries/wire/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import json
 import socket
 
 import orjson
@@ -163,9 +164,16 @@
         await loop.sock_connect(sender, (server.address.host, server.address.port))
         async with asyncio.timeout(20):
             await loop.sock_sendall(sender, post(size) + b"a" * size)
-            head = (await loop.sock_recv(sender, 65536)).decode().lower()
-    assert f"x-result-code: {ResultCode.TOKEN_WRONG.number}\r\n" in head
-    assert "www-authenticate: bearer\r\n" in head
+            answer = b""
+            while b"}}" not in answer:
+                received = await loop.sock_recv(sender, 65536)
+                assert received, answer
+                answer += received
+    head, _, body = answer.decode().partition("\r\n\r\n")
+    head = head.lower()
+    assert json.loads(body)["error"]["code"] == ResultCode.TOKEN_WRONG.number
+    assert f"x-result-code: {ResultCode.TOKEN_WRONG.number}" in head.split("\r\n")
+    assert "www-authenticate: bearer" in head
     assert server.bodies.held_bytes == 0
 
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -61,6 +61,7 @@
     )
     assert refused.headers["x-result-code"] == str(ResultCode.DRAINING.number)
     assert refused.headers["retry-after"] == "1"
+    assert refused.headers["connection"] == "close"
     served = await async_send_http(
         callers, "GET", "/v1/models", headers=headers, timeout=2.0
     )
