Serve the users' platform through a thin adapter

Cause: the product knew no opaque routes, no registry of boots and no store to watch, so nothing of it could run on the users' machines.

HTTP reuse: the wire library gained raw headers and limits that may change.

Not yet there: joint reading, budget over all hosts, peers, tests of the new parts.

--- a/libraries/core/tarragonward_core/codes.py
+++ b/libraries/core/tarragonward_core/codes.py
@@ -165,6 +165,21 @@
         "The call has run; its answer was too large to keep for repeats.",
     )
 
+    FORWARD_OUTCOME_UNKNOWN = _Code(
+        4004,
+        502,
+        Conclusion.UNKNOWN,
+        Repeat.ASK_SERVICE,
+        "A target may have run the request; no answer that can be passed on came.",
+    )
+    FORWARD_TIMEOUT = _Code(
+        4005,
+        504,
+        Conclusion.UNKNOWN,
+        Repeat.ASK_SERVICE,
+        "The time limit passed after the request was sent to a target.",
+    )
+
     BAD_FRAME = _not_run(5001, 400, "A frame between hosts was refused.")
     WRONG_VERSION = _not_run(5002, 400, "The peer speaks another protocol version.")
     STALE_PATCH = _not_run(
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -0,0 +1,28 @@
+"""The tasks of one entry host that forwards requests unchanged, by routes."""
+
+from .app import Gateway
+from .ports import (
+    HeaderNames,
+    HistoryLostError,
+    Paths,
+    Record,
+    RecordParser,
+    RecordReader,
+    Records,
+    SourceError,
+)
+from .settings import GatewaySettings, load_gateway_settings
+
+__all__ = [
+    "Gateway",
+    "GatewaySettings",
+    "HeaderNames",
+    "HistoryLostError",
+    "Paths",
+    "Record",
+    "RecordParser",
+    "RecordReader",
+    "Records",
+    "SourceError",
+    "load_gateway_settings",
+]
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -0,0 +1,94 @@
+"""Put one forwarding host together, and end it in order."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from contextlib import AsyncExitStack, suppress
+
+from tarragonward_core import log_event
+from tarragonward_routes import CallerLimits
+from tarragonward_wire import HttpLimits, HttpServer
+
+from . import const as c
+from .forwarder import Forwarder
+from .health import HealthRoutes
+from .ports import HeaderNames, Paths, RecordParser, RecordReader
+from .publications import PublicationTask
+from .settings import GatewaySettings
+from .state import GatewayState
+from .targets import TargetChooser
+
+__all__ = ["Gateway"]
+
+
+class Gateway:
+    """One entry host; async_run serves until it was told to end."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        reader: RecordReader,
+        parser: RecordParser,
+        headers: HeaderNames | None = None,
+        paths: Paths | None = None,
+    ) -> None:
+        self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
+        self.publications = PublicationTask(self.state, reader, parser)
+        self.publications.on_table.append(self._apply_limits)
+        self.forwarder = Forwarder(self.state, TargetChooser(self.state))
+        self.callers = HttpServer(
+            settings.callers,
+            self.forwarder.async_handle,
+            _build_limits(CallerLimits()),
+            check_head=self.forwarder.check_head,
+        )
+        self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
+        self._stop_asked = asyncio.Event()
+
+    def ask_stop(self) -> None:
+        """Leave the balancer, end what is in progress, then stop."""
+        self._stop_asked.set()
+
+    async def async_run(self) -> None:
+        """Serve until told to end."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.ask_stop)
+        loop.add_signal_handler(signal.SIGHUP, lambda: log_event("hangup_heard"))
+        async with AsyncExitStack() as stack:
+            for part in (self.publications, self.callers, self.health):
+                await part.async_setup()
+                stack.push_async_callback(part.async_unload)
+            log_event("host_started", host=self.state.settings.name)
+            await self._stop_asked.wait()
+            await self._async_drain()
+        log_event("host_stopped", host=self.state.settings.name)
+
+    def _apply_limits(self) -> None:
+        assert self.state.table is not None
+        self.callers.limits = _build_limits(self.state.table.limits)
+
+    async def _async_drain(self) -> None:
+        """End what is in progress within the time that the operators give."""
+        state = self.state
+        state.is_draining = True
+        self.callers.close_after_answers()
+        log_event("drain_started", in_flight=self.forwarder.in_flight)
+        whole = state.settings.bounds.grace_seconds - c.DRAIN_MARGIN_SECONDS
+        with suppress(TimeoutError):
+            async with asyncio.timeout(whole):
+                # The balancer sends new connections until it has asked twice.
+                await asyncio.sleep(min(c.BALANCER_NOTICE_SECONDS, whole))
+                state.is_admitting = False
+                await self.callers.async_wait_idle()
+        log_event("drain_ended", in_flight=self.forwarder.in_flight)
+
+
+def _build_limits(limits: CallerLimits) -> HttpLimits:
+    return HttpLimits(
+        max_head_bytes=limits.head_bytes,
+        max_body_bytes=limits.body_bytes,
+        head_timeout=limits.head_seconds,
+        body_timeout=limits.head_seconds,
+        idle_timeout=limits.idle_seconds,
+    )
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -0,0 +1,104 @@
+"""Take a caller's request by its route and key, and see it to its one answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tarragonward_core import RequestRefusedError, ResultCode
+from tarragonward_routes import Account, Route, RoutingTable
+from tarragonward_wire import HttpHead, HttpRequest, Responder
+
+from . import const as c
+from .answers import async_send_refusal
+from .context import ForwardContext
+from .run import ForwardRun
+from .state import GatewayState
+from .targets import TargetChooser
+
+__all__ = ["Forwarder"]
+
+MILLISECONDS = 1_000
+
+
+class Forwarder:
+    """Handle the callers' requests of one host."""
+
+    def __init__(self, state: GatewayState, chooser: TargetChooser) -> None:
+        self._state = state
+        self._chooser = chooser
+        self.in_flight = 0
+
+    def check_head(self, head: HttpHead) -> ForwardContext:
+        """Find route and account; a refusal is kept until the body has been read.
+
+        Answering before the body is read would cost the caller its connection.
+        """
+        now = asyncio.get_running_loop().time()
+        try:
+            return self._admit(head, now)
+        except RequestRefusedError as err:
+            return ForwardContext(received_at=now, refusal=err)
+
+    async def async_handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one request."""
+        context: ForwardContext = request.context
+        responder.request_id = request.headers.get(
+            self._state.headers.request_id, request.request_id
+        )
+        if context.refusal is not None:
+            self._state.metrics.count("requests_refused", context.refusal.code.name)
+            await async_send_refusal(
+                responder, context.refusal.code, context.refusal.retry_after_seconds
+            )
+            return
+        self.in_flight += 1
+        try:
+            run = ForwardRun(self._state, self._chooser, request, responder)
+            await run.async_run()
+        finally:
+            self.in_flight -= 1
+
+    def _admit(self, head: HttpHead, now: float) -> ForwardContext:
+        if not self._state.is_admitting:
+            raise RequestRefusedError(
+                ResultCode.DRAINING, retry_after_seconds=c.NOT_READY_RETRY_SECONDS
+            )
+        table = self._state.table
+        if table is None:
+            raise RequestRefusedError(
+                ResultCode.NOT_READY, retry_after_seconds=c.NOT_READY_RETRY_SECONDS
+            )
+        route = table.select_route(head.headers.get("host", ""), head.path)
+        if route is None:
+            raise self._build_denial(ResultCode.UNKNOWN_ROUTE, now)
+        account = self._authenticate(table, route, head, now)
+        limit = now + self._get_time_limit(route, head)
+        service = route.choose_service(self._state.random.random())
+        return ForwardContext(now, None, route, account, service, limit, table)
+
+    def _authenticate(
+        self, table: RoutingTable, route: Route, head: HttpHead, now: float
+    ) -> Account | None:
+        key = head.headers.get(self._state.headers.caller_key, "")
+        account = table.find_account(key)
+        if account is None and table.needs_key and not route.is_public:
+            code = ResultCode.TOKEN_WRONG if key else ResultCode.TOKEN_MISSING
+            raise self._build_denial(code, now)
+        return account
+
+    def _get_time_limit(self, route: Route, head: HttpHead) -> float:
+        text = head.headers.get(self._state.headers.deadline_ms, "")
+        if not text.isdigit():
+            return route.timeout_seconds
+        return min(int(text) / MILLISECONDS, route.timeout_seconds)
+
+    def _build_denial(self, code: ResultCode, now: float) -> RequestRefusedError:
+        # A host that has not heard of the newest table takes a new route or key for
+        # unknown. Symptom: a caller is told 404 or 401 for good, and never asks
+        # again. A host that cannot know says so, and the caller comes back.
+        age = now - self._state.table_confirmed_at
+        if age <= c.TABLE_FRESH_SECONDS:
+            return RequestRefusedError(code)
+        return RequestRefusedError(
+            ResultCode.NOT_READY, retry_after_seconds=c.ROUTE_UNSURE_RETRY_SECONDS
+        )
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/headers.py
@@ -0,0 +1,62 @@
+"""Choose the headers that go on to a target, and those that come back."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from tarragonward_wire import RawHeaders
+
+__all__ = ["build_answer_headers", "build_target_headers"]
+
+CONNECTION = b"connection"
+CONTENT_LENGTH = b"content-length"
+# Headers that concern one connection only. Source: RFC 9110, section 7.6.1.
+HOP_BY_HOP = frozenset(
+    {
+        CONNECTION,
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+def build_target_headers(
+    headers: RawHeaders, set_by_host: dict[str, str], stripped: Iterable[str]
+) -> RawHeaders:
+    """Return a caller's headers for a target, with those that this host sets.
+
+    A caller's own value of what the host sets, or of a stripped name, never goes on.
+    """
+    ours = {name.encode("ascii") for name in (*set_by_host, *stripped)}
+    kept = _drop(headers, ours | {CONTENT_LENGTH})
+    added = (
+        (name.encode("ascii"), value.encode("latin-1"))
+        for name, value in set_by_host.items()
+    )
+    return (*kept, *added)
+
+
+def build_answer_headers(headers: RawHeaders) -> RawHeaders:
+    """Return a target's headers for the caller; the body is framed anew."""
+    return tuple(_drop(headers, {CONTENT_LENGTH}))
+
+
+def _drop(headers: RawHeaders, names: set[bytes]) -> list[tuple[bytes, bytes]]:
+    dropped = HOP_BY_HOP | names | _get_listed(headers)
+    return [pair for pair in headers if pair[0].lower() not in dropped]
+
+
+def _get_listed(headers: RawHeaders) -> set[bytes]:
+    return {
+        name.strip().lower()
+        for key, value in headers
+        if key.lower() == CONNECTION
+        for name in value.split(b",")
+    }
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -0,0 +1,97 @@
+"""Define what the gateway needs of the platform that it runs on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from tarragonward_core import TarragonwardError
+from tarragonward_membership import RegisteredTarget
+from tarragonward_routes import RoutingTable
+
+__all__ = [
+    "HeaderNames",
+    "HistoryLostError",
+    "Paths",
+    "Record",
+    "RecordParser",
+    "RecordReader",
+    "Records",
+    "SourceError",
+]
+
+
+@dataclass(frozen=True)
+class HeaderNames:
+    """The header names towards callers and targets, in lower case."""
+
+    request_id: str = "x-request-id"
+    deadline_ms: str = "x-time-limit-ms"
+    caller_key: str = "x-api-key"
+    account: str = "x-client-account"
+    expected_target: str = "x-expected-target"
+    seal: str = "x-answer-seal"
+    not_run: str = "x-did-not-run"
+    load: str = "x-target-load"
+    last_event_id: str = "last-event-id"
+    priority: str = "x-priority"
+    token_counts: str = "x-tokens"
+    helpers: str = "x-helper-engines"
+    at_target: str = "x-failed-target"
+
+
+@dataclass(frozen=True)
+class Paths:
+    """The paths that the platform and the targets are asked at."""
+
+    health: str = "/health"
+    report: str = "/report"
+    order: str = "/order"
+
+
+@dataclass(frozen=True)
+class Record:
+    """A published item as it was at a revision; a value of None: it was withdrawn."""
+
+    key: str
+    revision: int
+    value: bytes | None = field(repr=False)
+
+
+@dataclass(frozen=True)
+class Records:
+    """Items, and the source's revision that they are complete up to."""
+
+    records: tuple[Record, ...]
+    revision: int
+
+
+class SourceError(TarragonwardError):
+    """Report that the source of publications gave no answer that can be used."""
+
+
+class HistoryLostError(SourceError):
+    """Report that the source no longer has the changes asked for: read all anew."""
+
+
+class RecordReader(Protocol):
+    """Reads what is published; raises SourceError, also when time runs out."""
+
+    async def async_read_all(self, timeout: float) -> Records:
+        """Return all items."""
+
+    async def async_watch(self, after: int, wait: float, timeout: float) -> Records:
+        """Return what changed after a revision, or nothing after wait seconds."""
+
+
+class RecordParser(Protocol):
+    """Turns published items into the product's own data."""
+
+    def parse_table(self, record: Record) -> RoutingTable | None:
+        """Return the routing table of a record, None where it holds none."""
+
+    def parse_target(self, record: Record) -> RegisteredTarget | None:
+        """Return the target that a record registers, None where it holds none."""
+
+    def get_target_id(self, key: str) -> str | None:
+        """Return the id of the target that a key belongs to, None for other keys."""
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -0,0 +1,253 @@
+"""Carry out the decisions on one forwarded request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tarragonward_core import ConnectionLostError, NotConnectedError, log_event
+from tarragonward_membership import RegisteredTarget
+from tarragonward_requests import (
+    AnswerStarted,
+    BreakOff,
+    EventCutter,
+    EventsGiven,
+    Exchange,
+    ExchangeEffect,
+    ExchangeEvent,
+    ExchangePolicy,
+    GiveAnswer,
+    Refuse,
+    SendFailed,
+    SendFault,
+    SendTo,
+    StreamEvent,
+    TargetAnswered,
+    TimeOver,
+)
+from tarragonward_routes import RequestKind
+from tarragonward_wire import HttpRequest, HttpStream, Responder, async_open_http
+
+from . import const as c
+from .answers import async_send_refusal
+from .context import ForwardContext
+from .headers import build_answer_headers, build_target_headers
+from .state import GatewayState
+from .targets import TargetChooser
+
+__all__ = ["ForwardRun"]
+
+MILLISECONDS = 1_000
+STATUS_OK = 200
+STATUS_FAILURES = 500
+STATUS_MISDIRECTED = 421
+CONTENT_ENCODING = "content-encoding"
+CONTENT_TYPE = "content-type"
+EVENT_STREAM = "text/event-stream"
+
+
+class SpoiledAnswerError(ConnectionLostError):
+    """Report an answer that is not the whole answer to this request."""
+
+
+class ForwardRun:
+    """One request: its sends, one after the other, and its one answer."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        chooser: TargetChooser,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        self._state = state
+        self._chooser = chooser
+        self._request = request
+        self._responder = responder
+        context: ForwardContext = request.context
+        assert context.route is not None
+        self._context = context
+        self._route = context.route
+        self._loop = asyncio.get_running_loop()
+        self._request_id = request.headers.get(state.headers.request_id, "")
+        self._exchange = Exchange(
+            ExchangePolicy(
+                may_run_again=self._route.may_run_again,
+                is_stream=self._route.kind is RequestKind.STREAM,
+                attempts=self._route.attempts,
+                deadline=context.limit_at,
+            ),
+            last_id=self._read_last_id(),
+        )
+        self._tried: set[str] = set()
+        self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
+
+    async def async_run(self) -> None:
+        """See the request to its end."""
+        effect: ExchangeEffect | None = self._exchange.begin()
+        try:
+            async with asyncio.timeout_at(self._context.limit_at):
+                while isinstance(effect, SendTo):
+                    effect = await self._async_send(effect)
+        except TimeoutError:
+            if self._exchange.has_ended:
+                raise
+            effect = self._hear(TimeOver())
+        await self._async_end(effect)
+
+    def _read_last_id(self) -> int | None:
+        text = self._request.headers.get(self._state.headers.last_event_id, "")
+        return int(text) if text.isdigit() else None
+
+    def _hear(self, event: ExchangeEvent) -> ExchangeEffect | None:
+        return self._exchange.hear(event, self._loop.time(), budget=True)
+
+    async def _async_end(self, effect: ExchangeEffect | None) -> None:
+        if isinstance(effect, GiveAnswer):
+            assert self._answer is not None
+            status, headers, body = self._answer
+            await self._responder.async_send_bytes(status, body, headers)
+        elif isinstance(effect, Refuse):
+            log_event(
+                "request_ended",
+                request_id=self._request_id,
+                code=effect.code.name,
+                sends=self._exchange.sends,
+            )
+            await async_send_refusal(
+                self._responder, effect.code, effect.retry_after_seconds
+            )
+        elif isinstance(effect, BreakOff):
+            log_event(
+                "stream_broken_off",
+                request_id=self._request_id,
+                last_id=self._exchange.last_id,
+            )
+            raise ConnectionAbortedError("the answer ends early")
+
+    async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
+        target = self._chooser.choose(self._context.service, self._tried)
+        if target is None:
+            return self._hear(SendFailed(SendFault.NO_TARGET))
+        self._tried.add(target.id)
+        try:
+            with self._chooser.hold(target):
+                event = await self._async_attempt(target, effect)
+        except NotConnectedError as err:
+            event = SendFailed(SendFault.NOT_CONNECTED)
+            self._log_failed(target, event, err)
+        except SpoiledAnswerError as err:
+            event = SendFailed(SendFault.SPOILED)
+            self._log_failed(target, event, err)
+        except ConnectionLostError as err:
+            event = SendFailed(SendFault.LOST)
+            self._log_failed(target, event, err)
+        return self._hear(event) if event is not None else None
+
+    def _log_failed(
+        self, target: RegisteredTarget, event: SendFailed, err: Exception
+    ) -> None:
+        log_event(
+            "send_failed",
+            request_id=self._request_id,
+            target=target.id,
+            fault=event.fault.value,
+            error=str(err),
+        )
+
+    async def _async_attempt(
+        self, target: RegisteredTarget, effect: SendTo
+    ) -> ExchangeEvent | None:
+        left = self._context.limit_at - self._loop.time()
+        async with async_open_http(
+            target.address,
+            self._request.method,
+            self._request.target,
+            headers=self._build_headers(target, effect, left),
+            body=self._request.body,
+            connect_timeout=min(c.CONNECT_SECONDS, left),
+            before_write=self._exchange.note_sent,
+        ) as stream:
+            return await self._async_take_answer(target, stream)
+
+    def _build_headers(
+        self, target: RegisteredTarget, effect: SendTo, left: float
+    ) -> tuple[tuple[bytes, bytes], ...]:
+        names = self._state.headers
+        ours = {
+            names.deadline_ms: str(max(1, int(left * MILLISECONDS))),
+            names.expected_target: target.id,
+        }
+        if self._context.account is not None:
+            ours[names.account] = self._context.account.name
+        if effect.last_id is not None:
+            ours[names.last_event_id] = str(effect.last_id)
+        stripped = (names.caller_key, names.account, names.priority, names.helpers)
+        return build_target_headers(self._request.raw_headers, ours, stripped)
+
+    async def _async_take_answer(
+        self, target: RegisteredTarget, stream: HttpStream
+    ) -> ExchangeEvent | None:
+        names = self._state.headers
+        if stream.status == STATUS_MISDIRECTED or names.not_run in stream.headers:
+            log_event(
+                "send_refused",
+                request_id=self._request_id,
+                target=target.id,
+                status=stream.status,
+                at=stream.headers.get(names.at_target),
+            )
+            return SendFailed(SendFault.NOT_RUN)
+        self._check_head(stream)
+        is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
+        if is_stream and stream.status == STATUS_OK:
+            return await self._async_pass_events(stream)
+        body = await stream.async_read_body()
+        self._answer = (stream.status, build_answer_headers(stream.raw_headers), body)
+        return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
+
+    def _check_head(self, stream: HttpStream) -> None:
+        names = self._state.headers
+        if stream.headers.get(names.request_id, "") != self._request_id:
+            raise SpoiledAnswerError("the answer is to another request")
+        if names.seal not in stream.headers:
+            raise SpoiledAnswerError("the answer has no seal")
+        if CONTENT_ENCODING in stream.headers:
+            raise SpoiledAnswerError("the body is encoded")
+
+    async def _async_pass_events(self, stream: HttpStream) -> ExchangeEvent | None:
+        cutter = EventCutter()
+        async for data in stream.async_iterate_chunks():
+            try:
+                events = cutter.cut(data)
+            except ValueError as err:
+                raise SpoiledAnswerError(str(err)) from None
+            if events:
+                await self._async_give_events(stream, events)
+        if cutter.has_rest or not self._exchange.is_started:
+            raise SpoiledAnswerError("the stream ended within an event")
+        await self._responder.async_finish()
+        self._exchange.has_ended = True
+        return None
+
+    async def _async_give_events(
+        self, stream: HttpStream, events: list[StreamEvent]
+    ) -> None:
+        given = []
+        for event in events:
+            last_id = self._exchange.last_id
+            if event.number is not None and last_id is not None:
+                if event.number <= last_id:
+                    continue
+                if event.number != last_id + 1:
+                    raise SpoiledAnswerError("an event is missing")
+            given.append(event.data)
+            if event.number is not None:
+                self._hear(EventsGiven(event.number))
+        if not given:
+            return
+        if not self._exchange.is_started:
+            self._hear(AnswerStarted())
+            self._responder.start(
+                stream.status, build_answer_headers(stream.raw_headers)
+            )
+        await self._responder.async_send_chunk(b"".join(given))
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/settings.py
@@ -0,0 +1,99 @@
+"""Read and check the settings of a forwarding entry host from a TOML file."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import voluptuous as vol
+
+from tarragonward_core import Address, SettingsError
+
+from . import const as c
+
+__all__ = ["Bounds", "GatewaySettings", "load_gateway_settings"]
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """What the operators ask of every host; times in seconds."""
+
+    drain_seconds: float = c.DEFAULT_DRAIN_SECONDS
+    grace_seconds: float = c.DEFAULT_GRACE_SECONDS
+    apply_seconds: float = c.DEFAULT_APPLY_SECONDS
+    retry_share: float = c.DEFAULT_RETRY_SHARE
+    retry_slack: float = c.DEFAULT_RETRY_SLACK
+    retry_window_seconds: float = c.DEFAULT_RETRY_WINDOW_SECONDS
+    reservation_seconds: float = c.DEFAULT_RESERVATION_SECONDS
+    stall_seconds: float = c.DEFAULT_STALL_SECONDS
+
+
+@dataclass(frozen=True)
+class GatewaySettings:
+    """The settings of one forwarding entry host."""
+
+    name: str
+    failure_domain: str
+    callers: Address
+    health: Address
+    control: Address
+    peers: Address
+    seeds: tuple[Address, ...]
+    source: Address
+    bounds: Bounds
+
+
+def _parse_address(value: Any) -> Address:
+    try:
+        return Address.parse(value)
+    except (ValueError, AttributeError):
+        raise vol.Invalid("expected 'IP:port'") from None
+
+
+def _parse_addresses(value: Any) -> tuple[Address, ...]:
+    if not isinstance(value, list):
+        raise vol.Invalid("expected a list of 'IP:port'")
+    return tuple(_parse_address(item) for item in value)
+
+
+_NUMBER = vol.All(vol.Any(int, float), vol.Range(min=0), vol.Coerce(float))
+
+SCHEMA = vol.Schema(
+    {
+        vol.Required(c.CONF_HOST): {
+            vol.Required(c.CONF_NAME): str,
+            vol.Required(c.CONF_FAILURE_DOMAIN): str,
+        },
+        vol.Required(c.CONF_ADDRESSES): {
+            vol.Required(c.CONF_CALLERS): _parse_address,
+            vol.Required(c.CONF_HEALTH): _parse_address,
+            vol.Required(c.CONF_CONTROL): _parse_address,
+            vol.Required(c.CONF_PEERS): _parse_address,
+            vol.Required(c.CONF_SEEDS): _parse_addresses,
+            vol.Required(c.CONF_SOURCE): _parse_address,
+        },
+        vol.Optional(c.CONF_BOUNDS, default=dict): {
+            vol.Optional(name): _NUMBER for name in Bounds.__dataclass_fields__
+        },
+    }
+)
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Return the settings of a file; raise SettingsError where they are not valid."""
+    try:
+        checked = SCHEMA(tomllib.loads(path.read_text(encoding="utf-8")))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as err:
+        raise SettingsError(f"{path}: {err}") from None
+    except vol.Invalid as err:
+        keys = ".".join(str(key) for key in err.path)
+        raise SettingsError(f"{path}: {keys}: {err.msg}") from None
+    host, addresses = checked[c.CONF_HOST], checked[c.CONF_ADDRESSES]
+    return GatewaySettings(
+        name=host[c.CONF_NAME],
+        failure_domain=host[c.CONF_FAILURE_DOMAIN],
+        bounds=Bounds(**checked[c.CONF_BOUNDS]),
+        **addresses,
+    )
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -0,0 +1,44 @@
+"""Choose the target of a send, and count what this host has in flight on each."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from tarragonward_membership import RegisteredTarget
+
+from .state import GatewayState
+
+__all__ = ["TargetChooser"]
+
+
+class TargetChooser:
+    """The least busy ready target of a service, by this host's own requests."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._in_flight: Counter[str] = Counter()
+
+    def choose(self, service: str, tried: set[str]) -> RegisteredTarget | None:
+        """Return a target that has not had the request, or None."""
+        ready = [
+            target
+            for target in self._state.registry.get_ready(service)
+            if target.id not in tried
+        ]
+        if not ready:
+            return None
+        random = self._state.random.random
+        return min(ready, key=lambda t: (self._in_flight[t.id], random()))
+
+    @contextmanager
+    def hold(self, target: RegisteredTarget) -> Iterator[None]:
+        """Count a request on a target until it ends."""
+        self._in_flight[target.id] += 1
+        try:
+            yield
+        finally:
+            self._in_flight[target.id] -= 1
+            if not self._in_flight[target.id]:
+                del self._in_flight[target.id]
--- a/libraries/membership/tarragonward_membership/__init__.py
+++ b/libraries/membership/tarragonward_membership/__init__.py
@@ -27,6 +27,7 @@
     Tick,
 )
 from .probing import get_round_seconds
+from .registry import RegisteredTarget, TargetRegistry, Withdrawn
 from .targets import ListedTarget, TargetList
 from .watchers import choose_hosts
 
@@ -53,10 +54,13 @@
     "ProbeAnswered",
     "ProbeFailed",
     "RecordState",
+    "RegisteredTarget",
     "SendAnswer",
     "SendProbe",
     "TargetList",
+    "TargetRegistry",
     "Tick",
+    "Withdrawn",
     "choose_hosts",
     "get_round_seconds",
 ]
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -1,5 +1,22 @@
 """Decisions, without I/O, about model requests and non-idempotent calls."""
 
+from .events import EventCutter, StreamEvent
+from .exchange import (
+    AnswerStarted,
+    BreakOff,
+    EventsGiven,
+    Exchange,
+    ExchangeEffect,
+    ExchangeEvent,
+    ExchangePolicy,
+    GiveAnswer,
+    Refuse,
+    SendFailed,
+    SendFault,
+    SendTo,
+    TargetAnswered,
+    TimeOver,
+)
 from .keys import CallKey, mint_key_prefix, parse_key
 from .ledger import CallLedger, CallState, RecordedAnswer, Reply, Send, Wait
 from .lifecycle import RequestLifecycle
@@ -24,9 +41,11 @@
 from .sweep import HeldMemory, OwnerSign, Sweep
 
 __all__ = [
+    "AnswerStarted",
     "AttemptFailed",
     "AttemptFault",
     "AttemptFinished",
+    "BreakOff",
     "CallKey",
     "CallLedger",
     "CallState",
@@ -37,22 +56,36 @@
     "Effect",
     "EndRequest",
     "Event",
+    "EventCutter",
+    "EventsGiven",
+    "Exchange",
+    "ExchangeEffect",
+    "ExchangeEvent",
+    "ExchangePolicy",
+    "GiveAnswer",
     "HeldMemory",
     "HostStopping",
     "ListLifetime",
     "OutlierDetector",
     "OwnerSign",
+    "PlacementRefused",
     "PlainBackoff",
     "ProbedBackoff",
-    "PlacementRefused",
     "RecordedAnswer",
+    "Refuse",
     "Reply",
     "RequestLifecycle",
     "RetryBudget",
     "Send",
+    "SendFailed",
+    "SendFault",
+    "SendTo",
     "StartAttempt",
+    "StreamEvent",
     "Sweep",
+    "TargetAnswered",
     "TextArrived",
+    "TimeOver",
     "Wait",
     "mint_key_prefix",
     "parse_key",
--- /dev/null
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -0,0 +1,242 @@
+"""Decide what becomes of one forwarded request: send, send again, answer, break off."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from functools import singledispatch
+
+from tarragonward_core import ResultCode, invariants
+
+from . import const as c
+
+__all__ = [
+    "AnswerStarted",
+    "BreakOff",
+    "EventsGiven",
+    "Exchange",
+    "ExchangeEffect",
+    "ExchangeEvent",
+    "ExchangePolicy",
+    "GiveAnswer",
+    "Refuse",
+    "SendFailed",
+    "SendFault",
+    "SendTo",
+    "TargetAnswered",
+    "TimeOver",
+]
+
+
+class SendFault(Enum):
+    """Why a send brought no answer that may be passed on."""
+
+    NO_TARGET = "no target"
+    NOT_CONNECTED = "not connected"
+    NOT_RUN = "not run"
+    LOST = "lost"
+    SPOILED = "spoiled"
+    SILENT = "silent"
+
+    @property
+    def has_surely_not_run(self) -> bool:
+        """Return whether the target certainly ran nothing."""
+        return self in (
+            SendFault.NO_TARGET,
+            SendFault.NOT_CONNECTED,
+            SendFault.NOT_RUN,
+        )
+
+
+@dataclass(frozen=True)
+class ExchangePolicy:
+    """What the route allows; times are the loop's, in seconds."""
+
+    may_run_again: bool
+    is_stream: bool
+    attempts: int
+    deadline: float
+
+
+@dataclass(frozen=True)
+class SendFailed:
+    """A send ended without an answer."""
+
+    fault: SendFault
+    retry_after_seconds: float | None = None
+
+
+@dataclass(frozen=True)
+class TargetAnswered:
+    """A whole answer came; is_failure where the target itself failed."""
+
+    is_failure: bool
+
+
+@dataclass(frozen=True)
+class AnswerStarted:
+    """The head of a streamed answer was given to the caller."""
+
+
+@dataclass(frozen=True)
+class EventsGiven:
+    """The caller was given the stream up to this event number."""
+
+    last_id: int
+
+
+@dataclass(frozen=True)
+class TimeOver:
+    """The deadline or the route's timeout has passed."""
+
+
+@dataclass(frozen=True)
+class SendTo:
+    """Send the request to a target that has not had it; go on after last_id."""
+
+    last_id: int | None
+    is_repeat: bool
+    delay_seconds: float = 0.0
+
+
+@dataclass(frozen=True)
+class GiveAnswer:
+    """Pass the target's answer on as it is."""
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """Answer with an error of this host's own."""
+
+    code: ResultCode
+    retry_after_seconds: float | None = None
+
+
+@dataclass(frozen=True)
+class BreakOff:
+    """Close the caller's connection in the middle of its answer, visibly."""
+
+
+ExchangeEvent = SendFailed | TargetAnswered | AnswerStarted | EventsGiven | TimeOver
+ExchangeEffect = SendTo | GiveAnswer | Refuse | BreakOff
+
+
+class Exchange:
+    """The life of one forwarded request; hear() takes an event and returns an effect.
+
+    "Not run" is told only while no send can have run: the caller takes it as a promise
+    and sends again. After that the outcome is unknown, and is said to be.
+    """
+
+    def __init__(self, policy: ExchangePolicy, last_id: int | None = None) -> None:
+        self.policy = policy
+        self.last_id = last_id
+        self.sends = 0
+        self._possible_runs = 0
+        self.is_started = False
+        self.has_ended = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a target may have run any of the request."""
+        return self._possible_runs > 0
+
+    def begin(self) -> SendTo:
+        """Return the first send."""
+        return SendTo(self.last_id, is_repeat=False)
+
+    def note_sent(self) -> None:
+        """Note that the first byte is about to be written to a target."""
+        invariants.check(
+            self.policy.may_run_again or not self.may_have_run, "sent_at_most_once"
+        )
+        invariants.check(not self.has_ended, "nothing_sent_after_the_end")
+        self.sends += 1
+        self._possible_runs += 1
+
+    def note_not_run(self) -> None:
+        """Note that the target which had the request last has proved not to run it."""
+        self._possible_runs -= 1
+
+    def hear(
+        self, event: ExchangeEvent, now: float, budget: bool
+    ) -> ExchangeEffect | None:
+        """Take an event; budget tells whether one more send is within the budget."""
+        effect = _hear(event, self, now, budget)
+        if isinstance(effect, (GiveAnswer, Refuse, BreakOff)):
+            invariants.check(not self.has_ended, "one_terminal_answer")
+            self.has_ended = True
+        return effect
+
+    def can_send_again(self, now: float) -> bool:
+        """Return whether one more target may get the request."""
+        if self.may_have_run and not self.policy.may_run_again:
+            return False
+        has_time = self.policy.deadline - now > c.MIN_SEND_SECONDS
+        return has_time and self.sends < self.policy.attempts
+
+    def end(self, retry_after_seconds: float | None = None) -> Refuse | BreakOff:
+        """Return the end of a request that nothing more is tried for."""
+        if self.is_started:
+            return BreakOff()
+        if self.may_have_run:
+            return Refuse(ResultCode.FORWARD_OUTCOME_UNKNOWN)
+        wait = retry_after_seconds
+        if wait is None:
+            wait = c.FORWARD_RETRY_AFTER_SECONDS
+        return Refuse(ResultCode.OVERLOADED, wait)
+
+
+@singledispatch
+def _hear(
+    event: ExchangeEvent, exchange: Exchange, now: float, budget: bool
+) -> ExchangeEffect | None:
+    raise TypeError(f"not an event: {event!r}")
+
+
+@_hear.register
+def _(
+    event: SendFailed, exchange: Exchange, now: float, budget: bool
+) -> ExchangeEffect | None:
+    if event.fault is SendFault.NOT_RUN:
+        exchange.note_not_run()
+    if event.fault is SendFault.NO_TARGET:
+        return exchange.end(event.retry_after_seconds)
+    if exchange.can_send_again(now) and (budget or not exchange.sends):
+        return SendTo(exchange.last_id, is_repeat=exchange.sends > 0)
+    return exchange.end(event.retry_after_seconds)
+
+
+@_hear.register
+def _(
+    event: TargetAnswered, exchange: Exchange, now: float, budget: bool
+) -> ExchangeEffect | None:
+    can_repeat = event.is_failure and exchange.policy.may_run_again and budget
+    if can_repeat and exchange.can_send_again(now):
+        return SendTo(exchange.last_id, is_repeat=True)
+    return GiveAnswer()
+
+
+@_hear.register
+def _(event: AnswerStarted, exchange: Exchange, now: float, budget: bool) -> None:
+    exchange.is_started = True
+
+
+@_hear.register
+def _(event: EventsGiven, exchange: Exchange, now: float, budget: bool) -> None:
+    previous = exchange.last_id
+    invariants.check(
+        previous is None or event.last_id > previous, "event_ids_only_grow"
+    )
+    exchange.last_id = event.last_id
+
+
+@_hear.register
+def _(
+    event: TimeOver, exchange: Exchange, now: float, budget: bool
+) -> ExchangeEffect | None:
+    if exchange.is_started:
+        return BreakOff()
+    if exchange.may_have_run:
+        return Refuse(ResultCode.FORWARD_TIMEOUT)
+    return Refuse(ResultCode.OVERLOADED, c.FORWARD_RETRY_AFTER_SECONDS)
--- a/libraries/wire/tarragonward_wire/__init__.py
+++ b/libraries/wire/tarragonward_wire/__init__.py
@@ -4,7 +4,7 @@
 from .codec import decode_message, encode_message, register_message
 from .frames import BadFrame, FrameStream, RefusedFrameError, async_shake_hands
 from .http_client import HttpAnswer, HttpStream, async_open_http, async_send_http
-from .http_messages import HttpHead, HttpLimits, HttpRequest
+from .http_messages import HttpHead, HttpLimits, HttpRequest, RawHeaders
 from .http_responder import Responder, build_error_body
 from .http_server import HttpServer
 from .links import PeerLinks
@@ -22,6 +22,7 @@
     "HttpStream",
     "PeerLinks",
     "PeerServer",
+    "RawHeaders",
     "RefusedFrameError",
     "Responder",
     "async_open_http",
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -19,7 +19,7 @@
 )
 
 from .const import DEFAULT_CONNECT_TIMEOUT_SECONDS, READ_BYTES
-from .http_messages import encode_headers
+from .http_messages import RawHeaders, encode_headers
 
 __all__ = ["HttpAnswer", "HttpStream", "async_open_http", "async_send_http"]
 
@@ -56,6 +56,12 @@
         self._writer = writer
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.raw_headers: RawHeaders = ()
+
+    @property
+    def has_surplus(self) -> bool:
+        """Return whether bytes came that belong to no answer."""
+        return bool(self._h11.trailing_data[0])
 
     async def async_read_head(self) -> None:
         """Read the status and the headers."""
@@ -69,6 +75,7 @@
             name.decode("ascii"): value.decode("latin-1")
             for name, value in event.headers
         }
+        self.raw_headers = tuple(event.headers.raw_items())
 
     async def async_iterate_chunks(self) -> AsyncIterator[bytes]:
         """Give the body as it comes; raise ConnectionLostError if it is cut short."""
@@ -115,15 +122,18 @@
 async def async_open_http(
     address: Address,
     method: str,
-    path: str,
+    path: str | bytes,
     *,
-    headers: dict[str, str] | None = None,
+    headers: dict[str, str] | RawHeaders | None = None,
     body: bytes = b"",
     connect_timeout: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
     before_write: Callable[[], None] | None = None,
 ) -> AsyncIterator[HttpStream]:
     """Send a request and give its answer as a stream; closed on every path.
 
+    Raw headers are sent as they are, with their host, and no length without a body;
+    a map of headers is completed with host and length.
+
     before_write runs right before the first byte is written, with no await between;
     what it raises goes to the caller, and nothing was sent.
     Raise NotConnectedError only where nothing can have been sent, and
@@ -135,14 +145,8 @@
     except (OSError, TimeoutError) as err:
         raise NotConnectedError(f"{address}: {err}") from err
     connection = h11.Connection(h11.CLIENT)
-    all_headers = {
-        "host": str(address),
-        "content-length": str(len(body)),
-        "connection": "close",
-        **(headers or {}),
-    }
     request = h11.Request(
-        method=method, target=path, headers=encode_headers(all_headers)
+        method=method, target=path, headers=_build_headers(address, headers, body)
     )
     try:
         if before_write is not None:
@@ -162,6 +166,24 @@
         writer.transport.abort()
 
 
+def _build_headers(
+    address: Address, headers: dict[str, str] | RawHeaders | None, body: bytes
+) -> list[tuple[bytes, bytes]]:
+    length = str(len(body))
+    if headers is None or isinstance(headers, dict):
+        completed = {
+            "host": str(address),
+            "content-length": length,
+            "connection": "close",
+            **(headers or {}),
+        }
+        return encode_headers(completed)
+    framing = [(b"Connection", b"close")]
+    if body:
+        framing.append((b"Content-Length", length.encode("ascii")))
+    return [*headers, *framing]
+
+
 async def async_send_http(
     address: Address,
     method: str,
--- a/libraries/wire/tarragonward_wire/http_connection.py
+++ b/libraries/wire/tarragonward_wire/http_connection.py
@@ -46,17 +46,20 @@
         server: HttpServer,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        limits: HttpLimits,
     ) -> None:
         self._server = server
         self._reader = reader
         self._writer = writer
-        self._limits = limits
         self._held_bytes = 0
         self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
+            h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes
         )
 
+    @property
+    def _limits(self) -> HttpLimits:
+        """Return the limits in force, which may change while the connection is open."""
+        return self._server.limits
+
     async def async_serve(self) -> None:
         """Serve requests until either side closes."""
         wait = self._limits.head_timeout
@@ -143,6 +146,8 @@
                 body=body,
                 request_id=head.request_id,
                 context=context,
+                target=head.target,
+                raw_headers=head.raw_headers,
             )
             await self._async_handle_until_caller_leaves(request, responder)
         return True
--- a/libraries/wire/tarragonward_wire/http_messages.py
+++ b/libraries/wire/tarragonward_wire/http_messages.py
@@ -25,11 +25,13 @@
     "HttpHead",
     "HttpLimits",
     "HttpRequest",
+    "RawHeaders",
     "encode_headers",
     "parse_head",
 ]
 
 Headers = dict[str, str]
+RawHeaders = tuple[tuple[bytes, bytes], ...]
 
 
 @dataclass(frozen=True)
@@ -58,11 +60,17 @@
     path: str
     query: dict[str, str]
     headers: Headers
+    target: bytes = b""
+    raw_headers: RawHeaders = ()
 
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """A whole request; context is what the server's check of the head returned."""
+    """A whole request; context is what the server's check of the head returned.
+
+    target and raw_headers are as the caller sent them, for a host that passes the
+    request on unchanged.
+    """
 
     method: str
     path: str
@@ -71,6 +79,8 @@
     body: bytes = field(repr=False)
     request_id: str = ""
     context: Any = None
+    target: bytes = b""
+    raw_headers: RawHeaders = ()
 
 
 def parse_head(request_id: str, request: h11.Request) -> HttpHead:
@@ -88,11 +98,16 @@
     except ValueError as err:
         raise RequestRefusedError(ResultCode.MALFORMED_HTTP, str(err)) from None
     method = request.method.decode("ascii")
-    return HttpHead(request_id, method, path, query, headers)
+    raw_headers = tuple(request.headers.raw_items())
+    return HttpHead(
+        request_id, method, path, query, headers, request.target, raw_headers
+    )
 
 
-def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+def encode_headers(headers: Headers | RawHeaders) -> list[tuple[bytes, bytes]]:
     """Return headers as they go out; values that came in as bytes go out the same."""
+    if not isinstance(headers, dict):
+        return list(headers)
     return [
         (name.encode("ascii"), value.encode("latin-1"))
         for name, value in headers.items()
--- a/libraries/wire/tarragonward_wire/http_responder.py
+++ b/libraries/wire/tarragonward_wire/http_responder.py
@@ -12,7 +12,7 @@
 from tarragonward_core import Repeat, ResultCode
 
 from .const import DEFAULT_RETRY_AFTER_SECONDS, WRITE_BUFFER_BYTES
-from .http_messages import Headers, encode_headers
+from .http_messages import Headers, RawHeaders, encode_headers
 
 __all__ = ["Responder", "build_error_body", "compute_retry_after"]
 
@@ -83,10 +83,15 @@
         await self.async_send_bytes(status, body, {**JSON_HEADERS, **(headers or {})})
 
     async def async_send_bytes(
-        self, status: int, body: bytes, headers: Headers
+        self, status: int, body: bytes, headers: Headers | RawHeaders
     ) -> None:
         """Send a whole answer."""
-        sized = {**headers, "content-length": str(len(body))}
+        length = str(len(body))
+        sized: Headers | RawHeaders
+        if isinstance(headers, dict):
+            sized = {**headers, "content-length": length}
+        else:
+            sized = (*headers, (b"content-length", length.encode("ascii")))
         self.start(status, sized)
         await self.async_finish(b"" if self.method == METHOD_HEAD else body)
 
@@ -109,17 +114,18 @@
         body = build_error_body(code, detail, request_id, retry_after_seconds)
         await self.async_send_json(code.http_status, body, all_headers)
 
-    async def async_start(self, status: int, headers: Headers) -> None:
+    async def async_start(self, status: int, headers: Headers | RawHeaders) -> None:
         """Send the head; without a content-length the body goes in chunks."""
         self.start(status, headers)
         self._flush()
 
-    def start(self, status: int, headers: Headers) -> None:
+    def start(self, status: int, headers: Headers | RawHeaders) -> None:
         """Begin an answer whose head goes out together with what follows at once."""
         self.is_started = True
+        encoded = encode_headers(headers)
         if self._is_closing():
-            headers = {**headers, "connection": "close"}
-        response = h11.Response(status_code=status, headers=encode_headers(headers))
+            encoded.append((b"connection", b"close"))
+        response = h11.Response(status_code=status, headers=encoded)
         self._add(response)
 
     async def async_send_chunk(self, data: bytes) -> None:
--- a/libraries/wire/tarragonward_wire/http_server.py
+++ b/libraries/wire/tarragonward_wire/http_server.py
@@ -47,7 +47,7 @@
     ) -> None:
         self._address = address
         self._handler = handler
-        self._limits = limits or HttpLimits()
+        self.limits = limits or HttpLimits()
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         self._refused: set[asyncio.Task[None]] = set()
@@ -142,14 +142,14 @@
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
-        is_full = len(self._connections) >= self._limits.max_connections
+        is_full = len(self._connections) >= self.limits.max_connections
         group = self._refused if is_full else self._connections
         if is_full and len(self._refused) >= MAX_REFUSED_CONNECTIONS:
             writer.transport.abort()
             return
         group.add(task)
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        connection = HttpConnection(self, reader, writer, self._limits)
+        connection = HttpConnection(self, reader, writer)
         try:
             if is_full:
                 await connection.async_refuse(ResultCode.OVERLOADED)
@@ -167,7 +167,7 @@
         # sockets of readers that take nothing pile up, counted by nobody. After the
         # timeout the socket is aborted, so each costs one connection's place at most.
         writer.close()
-        async with asyncio.timeout(self._limits.write_timeout):
+        async with asyncio.timeout(self.limits.write_timeout):
             await writer.wait_closed()
 
 
