--- a/libraries/core/tarragonward_core/__init__.py
+++ b/libraries/core/tarragonward_core/__init__.py
@@ -1,5 +1,6 @@
 """Names, result codes, errors, logs, metrics and invariants that all libraries use."""
 
+from .background import BackgroundTasks
 from .code_page import build_code_page
 from .codes import Conclusion, Repeat, ResultCode
 from .core import (
@@ -21,19 +22,24 @@
     TarragonwardError,
 )
 from .invariants import Invariants, invariants
-from .logs import format_event, log_event, setup_logging
+from .line_budget import LineBudget
+from .logs import EventLog, Happening, event_log, format_event, log_event, setup_logging
 from .metrics import LENGTH_CLASSES, Metrics, get_length_class
 
 __all__ = [
     "LENGTH_CLASSES",
     "Address",
+    "BackgroundTasks",
     "Conclusion",
     "ConfigurationError",
     "ConnectionLostError",
+    "EventLog",
     "FrameError",
+    "Happening",
     "HostIdentity",
     "InvariantViolationError",
     "Invariants",
+    "LineBudget",
     "Metrics",
     "NotConnectedError",
     "Repeat",
@@ -44,6 +50,7 @@
     "TarragonwardError",
     "build_code_page",
     "estimate_tokens",
+    "event_log",
     "format_event",
     "get_length_class",
     "invariants",
--- a/libraries/core/tarragonward_core/background.py
+++ b/libraries/core/tarragonward_core/background.py
@@ -8,7 +8,8 @@
 
 from absl import logging
 
-from tarragonward_core import Metrics, log_event
+from .logs import log_event
+from .metrics import Metrics
 
 __all__ = ["BackgroundTasks"]
 
--- a/libraries/core/tests/test_background.py
+++ b/libraries/core/tests/test_background.py
@@ -2,9 +2,8 @@
 
 import asyncio
 
-from tarragonward_core import Metrics
-from tarragonward_daemon import background
-from tarragonward_daemon.background import BackgroundTasks
+from tarragonward_core import Metrics, background
+from tarragonward_core.background import BackgroundTasks
 
 
 async def test_a_loop_that_fails_runs_again_and_is_counted(monkeypatch):
--- a/libraries/daemon/tarragonward_daemon/configuration.py
+++ b/libraries/daemon/tarragonward_daemon/configuration.py
@@ -20,11 +20,16 @@
     build_state,
     parse_entry,
 )
-from tarragonward_core import Address, ConfigurationError, TargetError, log_event
+from tarragonward_core import (
+    Address,
+    BackgroundTasks,
+    ConfigurationError,
+    TargetError,
+    log_event,
+)
 from tarragonward_wire import PeerLinks, async_send_http
 
 from . import const as c
-from .background import BackgroundTasks
 from .configuration_peers import ConfigurationPeers
 from .core import HostState
 from .membership import MembershipTask
--- a/libraries/daemon/tarragonward_daemon/engine_probes.py
+++ b/libraries/daemon/tarragonward_daemon/engine_probes.py
@@ -6,12 +6,16 @@
 from typing import Any, Protocol
 
 from tarragonward_config import Target
-from tarragonward_core import ConnectionLostError, TargetError, log_event
+from tarragonward_core import (
+    BackgroundTasks,
+    ConnectionLostError,
+    TargetError,
+    log_event,
+)
 from tarragonward_requests import OutlierDetector
 from tarragonward_wire import async_send_http
 
 from . import const as c
-from .background import BackgroundTasks
 from .core import HostState
 from .engines import EngineSilentError
 
--- a/libraries/daemon/tarragonward_daemon/membership.py
+++ b/libraries/daemon/tarragonward_daemon/membership.py
@@ -12,7 +12,14 @@
 
 import orjson
 
-from tarragonward_core import Address, FrameError, HostIdentity, TargetError, log_event
+from tarragonward_core import (
+    Address,
+    BackgroundTasks,
+    FrameError,
+    HostIdentity,
+    TargetError,
+    log_event,
+)
 from tarragonward_membership import (
     Gossip,
     GossipArrived,
@@ -29,7 +36,6 @@
 from tarragonward_wire import HttpAnswer, async_send_http
 
 from . import const as c
-from .background import BackgroundTasks
 from .core import HostState
 from .gossip import GossipCarrier
 
--- a/libraries/daemon/tarragonward_daemon/orders.py
+++ b/libraries/daemon/tarragonward_daemon/orders.py
@@ -17,12 +17,11 @@
     build_orders,
     decide_order,
 )
-from tarragonward_core import TargetError, log_event
+from tarragonward_core import BackgroundTasks, TargetError, log_event
 from tarragonward_membership import Member, MemberState
 from tarragonward_wire import async_send_http
 
 from . import const as c
-from .background import BackgroundTasks
 from .configuration import ConfigurationTask
 from .core import HostState
 from .loads import LoadGate
--- a/libraries/daemon/tarragonward_daemon/prefixes.py
+++ b/libraries/daemon/tarragonward_daemon/prefixes.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from tarragonward_config import Target
-from tarragonward_core import Metrics, TargetError, log_event
+from tarragonward_core import BackgroundTasks, Metrics, TargetError, log_event
 from tarragonward_placement import (
     BLOCK_TOKENS,
     CacheUpdate,
@@ -17,7 +17,6 @@
 from tarragonward_wire import async_send_http
 
 from . import const as c
-from .background import BackgroundTasks
 
 __all__ = ["PrefixTask", "hash_prompt"]
 
--- a/libraries/daemon/tarragonward_daemon/reports.py
+++ b/libraries/daemon/tarragonward_daemon/reports.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from tarragonward_config import Target
-from tarragonward_core import TargetError
+from tarragonward_core import BackgroundTasks, TargetError
 from tarragonward_membership import REST_ACCOUNT, LoadReport
 from tarragonward_placement import (
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
@@ -18,7 +18,6 @@
 from tarragonward_wire import async_send_http
 
 from . import const as c
-from .background import BackgroundTasks
 from .core import HostState
 from .membership import MembershipTask
 
--- a/libraries/daemon/tarragonward_daemon/sweep.py
+++ b/libraries/daemon/tarragonward_daemon/sweep.py
@@ -6,12 +6,17 @@
 import random
 
 from tarragonward_config import Target
-from tarragonward_core import FrameError, HostIdentity, TargetError, log_event
+from tarragonward_core import (
+    BackgroundTasks,
+    FrameError,
+    HostIdentity,
+    TargetError,
+    log_event,
+)
 from tarragonward_requests import HeldMemory, OwnerSign, Sweep
 from tarragonward_wire import async_send_http, async_shake_hands
 
 from . import const as c
-from .background import BackgroundTasks
 from .core import HostState
 from .engines import Releases
 from .membership import MembershipTask
