Write the trail of a request that went badly; serve metrics; watch the settings

Now each request keeps its decisions in memory (target chosen with ready targets, registry revision and age; sends, repeats, resumes, why it ended) and writes them, all or none, when it ended otherwise than by one answer in its aim. A request that goes well writes nothing. Refusals before a send are one line with the table's version and age.

Exceptions that reach the loop are a line, not a traceback.

--- a/libraries/gateway/tarragonward_gateway/__init__.py
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -1,6 +1,7 @@
 """The tasks of one entry host that forwards requests unchanged, by routes."""
 
 from .app import Gateway
+from .operators import build_log_budget
 from .ports import (
     HeaderNames,
     HistoryLostError,
@@ -11,7 +12,11 @@
     Records,
     SourceError,
 )
-from .settings import GatewaySettings, load_gateway_settings
+from .settings import (
+    GatewaySettings,
+    load_gateway_settings,
+    parse_gateway_settings,
+)
 
 __all__ = [
     "Gateway",
@@ -24,5 +29,7 @@
     "RecordReader",
     "Records",
     "SourceError",
+    "build_log_budget",
     "load_gateway_settings",
+    "parse_gateway_settings",
 ]
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -5,16 +5,22 @@
 import asyncio
 import signal
 from contextlib import AsyncExitStack, suppress
+from pathlib import Path
+from typing import Any
 
-from tarragonward_core import log_event
+from absl import logging
+
+from tarragonward_core import event_log, log_event
 from tarragonward_routes import CallerLimits
 from tarragonward_wire import HttpLimits, HttpServer
 
 from . import const as c
 from .forwarder import Forwarder
 from .health import HealthRoutes
+from .operators import OperatorsTask
 from .ports import HeaderNames, Paths, RecordParser, RecordReader
 from .publications import PublicationTask
+from .reload import SettingsTask
 from .settings import GatewaySettings
 from .state import GatewayState
 from .targets import TargetChooser
@@ -32,6 +38,7 @@
         parser: RecordParser,
         headers: HeaderNames | None = None,
         paths: Paths | None = None,
+        settings_path: Path | None = None,
     ) -> None:
         self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
         self.publications = PublicationTask(self.state, reader, parser)
@@ -44,6 +51,9 @@
             check_head=self.forwarder.check_head,
         )
         self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
+        self.operators = OperatorsTask(self.state)
+        self.settings = SettingsTask(self.state, settings_path)
+        self.settings.on_change.append(self._apply_settings)
         self._stop_asked = asyncio.Event()
 
     def ask_stop(self) -> None:
@@ -53,21 +63,34 @@
     async def async_run(self) -> None:
         """Serve until told to end."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_log_loop_exception)
         loop.add_signal_handler(signal.SIGTERM, self.ask_stop)
-        loop.add_signal_handler(signal.SIGHUP, lambda: log_event("hangup_heard"))
+        loop.add_signal_handler(signal.SIGHUP, self.settings.tell)
+        parts = (
+            self.operators,
+            self.publications,
+            self.callers,
+            self.health,
+            self.settings,
+        )
         async with AsyncExitStack() as stack:
-            for part in (self.publications, self.callers, self.health):
+            for part in parts:
                 await part.async_setup()
                 stack.push_async_callback(part.async_unload)
-            log_event("host_started", host=self.state.settings.name)
+            log_event("host_started", callers=self.callers.address)
             await self._stop_asked.wait()
             await self._async_drain()
-        log_event("host_stopped", host=self.state.settings.name)
+        log_event("host_stopped")
 
     def _apply_limits(self) -> None:
         assert self.state.table is not None
         self.callers.limits = _build_limits(self.state.table.limits)
 
+    def _apply_settings(self) -> None:
+        if event_log.budget is not None:
+            bounds = self.state.settings.bounds
+            event_log.budget.lines_a_second = bounds.log_lines_per_second
+
     async def _async_drain(self) -> None:
         """End what is in progress within the time that the operators give."""
         state = self.state
@@ -92,3 +115,16 @@
         body_timeout=limits.head_seconds,
         idle_timeout=limits.idle_seconds,
     )
+
+
+def _log_loop_exception(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    # What nobody awaits, and a listener that is out of descriptors, end up here. The
+    # loop goes on; the default would write many lines, and wait for who reads them.
+    log_event(
+        "loop_exception",
+        level=logging.ERROR,
+        message=context.get("message"),
+        error=repr(context.get("exception")),
+    )
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from tarragonward_core import RequestRefusedError, ResultCode
+from tarragonward_core import RequestRefusedError, ResultCode, log_event
 from tarragonward_routes import Account, Route, RoutingTable
 from tarragonward_wire import HttpHead, HttpRequest, Responder
 
@@ -46,7 +46,7 @@
             self._state.headers.request_id, request.request_id
         )
         if context.refusal is not None:
-            self._state.metrics.count("requests_refused", context.refusal.code.name)
+            self._note_refused(responder.request_id, request, context.refusal)
             await async_send_refusal(
                 responder, context.refusal.code, context.refusal.retry_after_seconds
             )
@@ -58,6 +58,24 @@
         finally:
             self.in_flight -= 1
 
+    def _note_refused(
+        self, request_id: str, request: HttpRequest, refusal: RequestRefusedError
+    ) -> None:
+        state = self._state
+        state.metrics.count("requests", refusal.code.name)
+        age = asyncio.get_running_loop().time() - state.table_confirmed_at
+        log_event(
+            "request_ended",
+            request_id=request_id,
+            outcome=refusal.code.name,
+            status=refusal.code.http_status,
+            sends=0,
+            host_header=request.headers.get("host"),
+            path=request.path,
+            table=state.table.version if state.table else None,
+            table_age=age if age < float("inf") else None,
+        )
+
     def _admit(self, head: HttpHead, now: float) -> ForwardContext:
         if not self._state.is_admitting:
             raise RequestRefusedError(
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/observer.py
@@ -0,0 +1,219 @@
+"""Keep what was decided for a request, and write it where the request went badly."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from tarragonward_core import Happening, event_log, get_length_class
+from tarragonward_membership import RegisteredTarget
+from tarragonward_requests import (
+    AnswerStarted,
+    BreakOff,
+    EventsGiven,
+    ExchangeEffect,
+    ExchangeEvent,
+    Refuse,
+    SendFailed,
+    SendTo,
+    TargetAnswered,
+    TimeOver,
+)
+
+from . import const as c
+from .context import ForwardContext
+from .state import GatewayState
+
+__all__ = ["RequestObserver"]
+
+OUTCOME_ANSWERED = "answered"
+OUTCOME_BROKEN_OFF = "broken off"
+OUTCOME_CALLER_LEFT = "caller left"
+OUTCOME_FAILED_HERE = "failed here"
+
+
+class RequestObserver:
+    """The trail of one request; times are the loop's, in seconds.
+
+    A request that ends in time after one send leaves counts and no line. All others
+    leave a line for each decision, written together at the end with the time of each.
+    """
+
+    def __init__(
+        self, state: GatewayState, context: ForwardContext, request_id: str, tokens: str
+    ) -> None:
+        self._state = state
+        self._context = context
+        self._request_id = request_id
+        self._prompt_tokens = _read_prompt_tokens(tokens)
+        self._loop = asyncio.get_running_loop()
+        self._trail: list[Happening] = []
+        self._unwritten = 0
+        self._sends = 0
+        self._target: RegisteredTarget | None = None
+        self._outcome = ""
+        self._status: int | None = None
+        self._first_at: float | None = None
+        self._event_at = 0.0
+        self._pause = 0.0
+        self._last_id: int | None = None
+        self._note_taken()
+
+    def note_choice(self, target: RegisteredTarget | None, **inputs: Any) -> None:
+        """Note a choice of target and what it was made on."""
+        registry = self._state.registry
+        self._target = target
+        if target is not None:
+            self._sends += 1
+            inputs = {"target": target.id, "address": target.address, **inputs}
+        self._note(
+            "target_chosen" if target else "no_target",
+            service=self._context.service,
+            **inputs,
+            ready=len(registry.get_ready(self._context.service)),
+            registry_revision=registry.revision,
+            registry_age=self._get_confirmed_age(),
+        )
+
+    def note_failure(self, event: str, **fields: Any) -> None:
+        """Note why the last send brought nothing that may be passed on."""
+        target = self._target.id if self._target else None
+        self._note(event, target=target, **fields)
+
+    def note_status(self, status: int) -> None:
+        """Note the status of the answer that goes to the caller."""
+        self._status = status
+
+    def note_decision(
+        self, event: ExchangeEvent, effect: ExchangeEffect | None, now: float
+    ) -> None:
+        """Note what an event of the exchange led to."""
+        if isinstance(event, EventsGiven):
+            self._note_events(event, now)
+        elif isinstance(event, AnswerStarted):
+            target = self._target.id if self._target else None
+            self._note("answer_started", target=target)
+        if isinstance(effect, SendTo):
+            reason = _describe(event)
+            resumes = effect.last_id is not None and self._first_at is not None
+            name = "request_resumed" if resumes else "request_repeated"
+            self._state.metrics.count(name, reason)
+            self._note(name, reason=reason, after_event=effect.last_id)
+        elif effect is not None:
+            self._outcome = _describe_end(effect)
+            self._note("end_decided", outcome=self._outcome, reason=_describe(event))
+
+    def end(self, error: BaseException | None = None) -> None:
+        """Count the request, and write its trail where it did not go well."""
+        now = self._loop.time()
+        outcome = self._outcome or OUTCOME_ANSWERED
+        if isinstance(error, asyncio.CancelledError):
+            outcome = OUTCOME_CALLER_LEFT
+        elif error is not None and not self._outcome:
+            outcome = OUTCOME_FAILED_HERE
+        self._count(outcome, now)
+        if outcome == OUTCOME_ANSWERED and self._sends == 1 and not self._is_late(now):
+            return
+        self._note_ended(outcome, now, error)
+        event_log.log(self._trail)
+
+    def _note_taken(self) -> None:
+        context = self._context
+        assert context.route is not None
+        self._note(
+            "request_taken",
+            at=context.received_at,
+            route=context.route.name,
+            account=context.account.name if context.account else None,
+            prompt_tokens=self._prompt_tokens or None,
+            limit=context.limit_at - context.received_at,
+            table=context.table.version if context.table else None,
+            table_age=self._get_confirmed_age(),
+        )
+
+    def _note_events(self, event: EventsGiven, now: float) -> None:
+        if self._first_at is None:
+            self._first_at = now
+        else:
+            self._pause = max(self._pause, now - self._event_at)
+        self._event_at = now
+        self._last_id = event.last_id
+
+    def _note_ended(
+        self, outcome: str, now: float, error: BaseException | None
+    ) -> None:
+        first = self._first_at
+        received_at = self._context.received_at
+        has_failed = error is not None and not isinstance(error, asyncio.CancelledError)
+        unwritten, self._unwritten = self._unwritten, 0
+        self._add(
+            now,
+            "request_ended",
+            outcome=outcome,
+            status=self._status,
+            error=repr(error) if has_failed else None,
+            sends=self._sends,
+            seconds=now - received_at,
+            first_event=None if first is None else first - received_at,
+            worst_pause=self._pause or None,
+            last_event=self._last_id,
+            aim=self._context.route.aim_seconds if self._context.route else None,
+            unwritten=unwritten or None,
+        )
+
+    def _is_late(self, now: float) -> bool:
+        route = self._context.route
+        assert route is not None
+        first_at = now if self._first_at is None else self._first_at
+        aim = route.aim_seconds
+        pause_aim = route.pause_aim_seconds or float("inf")
+        return first_at - self._context.received_at > aim or self._pause > pause_aim
+
+    def _count(self, outcome: str, now: float) -> None:
+        metrics, context = self._state.metrics, self._context
+        account = context.account.name if context.account else ""
+        length = get_length_class(self._prompt_tokens)
+        metrics.count("requests", outcome, account)
+        if self._sends:
+            metrics.count("sends", by=self._sends)
+        if outcome != OUTCOME_ANSWERED:
+            return
+        started_at = now if self._first_at is None else self._first_at
+        taken = started_at - context.received_at
+        metrics.observe("time_to_first_event", taken, account, length)
+        if self._pause:
+            metrics.observe("worst_pause", self._pause, length_class=length)
+
+    def _get_confirmed_age(self) -> float | None:
+        age = self._loop.time() - self._state.table_confirmed_at
+        return age if age < float("inf") else None
+
+    def _note(self, event: str, *, at: float | None = None, **fields: Any) -> None:
+        if len(self._trail) >= c.MAX_TRAIL_LINES:
+            self._unwritten += 1
+            return
+        self._add(self._loop.time() if at is None else at, event, **fields)
+
+    def _add(self, at: float, event: str, **fields: Any) -> None:
+        known = {key: value for key, value in fields.items() if value is not None}
+        pairs = {"request_id": self._request_id, **known}
+        self._trail.append(Happening(at, event, pairs))
+
+
+def _describe(event: ExchangeEvent) -> str:
+    if isinstance(event, SendFailed):
+        return event.fault.value
+    if isinstance(event, TargetAnswered):
+        return "target failed" if event.is_failure else "whole answer"
+    return "time over" if isinstance(event, TimeOver) else type(event).__name__
+
+
+def _describe_end(effect: ExchangeEffect) -> str:
+    if isinstance(effect, Refuse):
+        return effect.code.name
+    return OUTCOME_BROKEN_OFF if isinstance(effect, BreakOff) else OUTCOME_ANSWERED
+
+
+def _read_prompt_tokens(text: str) -> int:
+    prompt = text.partition(",")[0]
+    return int(prompt) if prompt.isdigit() else 0
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/operators.py
@@ -0,0 +1,101 @@
+"""Serve this host's metrics to the operators, and keep its log within its budget."""
+
+from __future__ import annotations
+
+import asyncio
+
+from absl import logging
+
+from tarragonward_core import (
+    BackgroundTasks,
+    LineBudget,
+    ResultCode,
+    event_log,
+    invariants,
+    log_event,
+)
+from tarragonward_wire import HttpRequest, HttpServer, Responder
+
+from . import const as c
+from .state import GatewayState
+
+__all__ = ["OperatorsTask", "build_log_budget"]
+
+STATUS_OK = 200
+CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+SAY_DROPPED_SECONDS = 1.0
+TASK_NAME = "log"
+
+
+def build_log_budget(lines_per_second: float) -> LineBudget:
+    """Return the budget of a host's log."""
+    return LineBudget(lines_per_second, c.LOG_BURST_LINES)
+
+
+class OperatorsTask:
+    """The metrics address, where the settings name one, and the log's count of drops.
+
+    An address that can't be had is logged, and the host serves without it: nothing that
+    operators ask for may cost a caller its answer.
+    """
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        address = state.settings.metrics
+        self._server = HttpServer(address, self._async_handle) if address else None
+        self._background = BackgroundTasks(state.metrics)
+        _add_gauges(state)
+
+    @property
+    def server(self) -> HttpServer | None:
+        """Return the server of the metrics address."""
+        return self._server
+
+    async def async_setup(self) -> None:
+        """Begin to serve."""
+        self._background.start(TASK_NAME, self._async_say_dropped)
+        if self._server is None:
+            return
+        try:
+            await self._server.async_setup()
+        except OSError as err:
+            log_event("metrics_unserved", level=logging.ERROR, error=str(err))
+            self._server = None
+
+    async def async_unload(self) -> None:
+        """End serving."""
+        await self._background.async_unload()
+        if self._server is not None:
+            await self._server.async_unload()
+
+    async def _async_say_dropped(self) -> None:
+        while True:
+            await asyncio.sleep(SAY_DROPPED_SECONDS)
+            event_log.say_dropped()
+
+    async def _async_handle(self, request: HttpRequest, responder: Responder) -> None:
+        if request.path != c.ROUTE_METRICS:
+            await responder.async_send_error(ResultCode.UNKNOWN_ROUTE)
+            return
+        body = self._state.metrics.write_exposition()
+        await responder.async_send_bytes(STATUS_OK, body, (CONTENT_TYPE,))
+
+
+def _add_gauges(state: GatewayState) -> None:
+    loop = asyncio.get_running_loop()
+    add = state.metrics.add_gauge
+    add("targets", "targets registered", lambda: len(state.registry))
+    add("targets_revision", "newest revision heard", lambda: state.registry.revision)
+    add(
+        "table_version",
+        "routing table in force; -1 before the first",
+        lambda: state.table.version if state.table else -1,
+    )
+    add(
+        "table_confirmed_age_seconds",
+        "since the source last confirmed what is in force",
+        lambda: loop.time() - state.table_confirmed_at,
+    )
+    add("draining", "1 while the host leaves", lambda: int(state.is_draining))
+    add("log_lines_dropped", "not within the budget", lambda: event_log.dropped)
+    add("invariant_violations", "faults of the program", lambda: invariants.count)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from tarragonward_core import ConnectionLostError, NotConnectedError, log_event
+from tarragonward_core import ConnectionLostError, NotConnectedError
 from tarragonward_membership import RegisteredTarget
 from tarragonward_requests import (
     AnswerStarted,
@@ -31,6 +31,7 @@
 from .answers import async_send_refusal
 from .context import ForwardContext
 from .headers import build_answer_headers, build_target_headers
+from .observer import RequestObserver
 from .state import GatewayState
 from .targets import TargetChooser
 
@@ -78,11 +79,25 @@
             ),
             last_id=self._read_last_id(),
         )
+        self._observer = RequestObserver(
+            state,
+            context,
+            self._request_id,
+            request.headers.get(state.headers.token_counts, ""),
+        )
         self._tried: set[str] = set()
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
 
     async def async_run(self) -> None:
-        """See the request to its end."""
+        """See the request to its end, and say what became of it."""
+        try:
+            await self._async_run()
+        except BaseException as err:
+            self._observer.end(err)
+            raise
+        self._observer.end()
+
+    async def _async_run(self) -> None:
         effect: ExchangeEffect | None = self._exchange.begin()
         try:
             async with asyncio.timeout_at(self._context.limit_at):
@@ -99,33 +114,28 @@
         return int(text) if text.isdigit() else None
 
     def _hear(self, event: ExchangeEvent) -> ExchangeEffect | None:
-        return self._exchange.hear(event, self._loop.time(), budget=True)
+        now = self._loop.time()
+        effect = self._exchange.hear(event, now, budget=True)
+        self._observer.note_decision(event, effect, now)
+        return effect
 
     async def _async_end(self, effect: ExchangeEffect | None) -> None:
         if isinstance(effect, GiveAnswer):
             assert self._answer is not None
             status, headers, body = self._answer
+            self._observer.note_status(status)
             await self._responder.async_send_bytes(status, body, headers)
         elif isinstance(effect, Refuse):
-            log_event(
-                "request_ended",
-                request_id=self._request_id,
-                code=effect.code.name,
-                sends=self._exchange.sends,
-            )
+            self._observer.note_status(effect.code.http_status)
             await async_send_refusal(
                 self._responder, effect.code, effect.retry_after_seconds
             )
         elif isinstance(effect, BreakOff):
-            log_event(
-                "stream_broken_off",
-                request_id=self._request_id,
-                last_id=self._exchange.last_id,
-            )
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
         target = self._chooser.choose(self._context.service, self._tried)
+        self._observer.note_choice(target, tried=len(self._tried))
         if target is None:
             return self._hear(SendFailed(SendFault.NO_TARGET))
         self._tried.add(target.id)
@@ -146,12 +156,8 @@
     def _log_failed(
         self, target: RegisteredTarget, event: SendFailed, err: Exception
     ) -> None:
-        log_event(
-            "send_failed",
-            request_id=self._request_id,
-            target=target.id,
-            fault=event.fault.value,
-            error=str(err),
+        self._observer.note_failure(
+            "send_failed", fault=event.fault.value, error=str(err)
         )
 
     async def _async_attempt(
@@ -189,12 +195,10 @@
     ) -> ExchangeEvent | None:
         names = self._state.headers
         if stream.status == STATUS_MISDIRECTED or names.not_run in stream.headers:
-            log_event(
+            self._observer.note_failure(
                 "send_refused",
-                request_id=self._request_id,
-                target=target.id,
                 status=stream.status,
-                at=stream.headers.get(names.at_target),
+                at_target=stream.headers.get(names.at_target),
             )
             return SendFailed(SendFault.NOT_RUN)
         self._check_head(stream)
--- a/libraries/gateway/tarragonward_gateway/settings.py
+++ b/libraries/gateway/tarragonward_gateway/settings.py
@@ -13,7 +13,12 @@
 
 from . import const as c
 
-__all__ = ["Bounds", "GatewaySettings", "load_gateway_settings"]
+__all__ = [
+    "Bounds",
+    "GatewaySettings",
+    "load_gateway_settings",
+    "parse_gateway_settings",
+]
 
 
 @dataclass(frozen=True)
@@ -28,6 +33,7 @@
     retry_window_seconds: float = c.DEFAULT_RETRY_WINDOW_SECONDS
     reservation_seconds: float = c.DEFAULT_RESERVATION_SECONDS
     stall_seconds: float = c.DEFAULT_STALL_SECONDS
+    log_lines_per_second: float = c.DEFAULT_LOG_LINES_PER_SECOND
 
 
 @dataclass(frozen=True)
@@ -43,6 +49,7 @@
     seeds: tuple[Address, ...]
     source: Address
     bounds: Bounds
+    metrics: Address | None = None
 
 
 def _parse_address(value: Any) -> Address:
@@ -73,6 +80,7 @@
             vol.Required(c.CONF_PEERS): _parse_address,
             vol.Required(c.CONF_SEEDS): _parse_addresses,
             vol.Required(c.CONF_SOURCE): _parse_address,
+            vol.Optional(c.CONF_METRICS): _parse_address,
         },
         vol.Optional(c.CONF_BOUNDS, default=dict): {
             vol.Optional(name): _NUMBER for name in Bounds.__dataclass_fields__
@@ -84,12 +92,20 @@
 def load_gateway_settings(path: Path) -> GatewaySettings:
     """Return the settings of a file; raise SettingsError where they are not valid."""
     try:
-        checked = SCHEMA(tomllib.loads(path.read_text(encoding="utf-8")))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as err:
+        return parse_gateway_settings(path.read_bytes())
+    except (OSError, SettingsError) as err:
         raise SettingsError(f"{path}: {err}") from None
+
+
+def parse_gateway_settings(data: bytes) -> GatewaySettings:
+    """Return the settings that a file's bytes hold, or raise SettingsError."""
+    try:
+        checked = SCHEMA(tomllib.loads(data.decode("utf-8")))
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as err:
+        raise SettingsError(str(err)) from None
     except vol.Invalid as err:
         keys = ".".join(str(key) for key in err.path)
-        raise SettingsError(f"{path}: {keys}: {err.msg}") from None
+        raise SettingsError(f"{keys}: {err.msg}") from None
     host, addresses = checked[c.CONF_HOST], checked[c.CONF_ADDRESSES]
     return GatewaySettings(
         name=host[c.CONF_NAME],
