--- a/libraries/cli/tarragonward_cli/main.py
+++ b/libraries/cli/tarragonward_cli/main.py
@@ -11,6 +11,7 @@
 from .codes import CodesCommand
 from .config import ConfigCheckCommand, ConfigDiffCommand, ConfigShowCommand
 from .const import EXIT_USAGE
+from .explain import ExplainCommand
 from .request import RequestCommand
 from .settings import SettingsCheckCommand
 from .status import StatusCommand, TargetsCommand
@@ -24,6 +25,7 @@
     ConfigCheckCommand,
     ConfigDiffCommand,
     ConfigShowCommand,
+    ExplainCommand,
     RequestCommand,
     SettingsCheckCommand,
     StatusCommand,
--- a/libraries/cli/tarragonward_cli/settings.py
+++ b/libraries/cli/tarragonward_cli/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tomllib
 from pathlib import Path
 
 from cleo.commands.command import Command
@@ -9,11 +10,14 @@
 
 from tarragonward_config import load_settings
 from tarragonward_core import SettingsError
+from tarragonward_gateway import load_gateway_settings
 
 from .const import EXIT_FAILED
 
 __all__ = ["SettingsCheckCommand"]
 
+SOURCE = "source"
+
 
 class SettingsCheckCommand(Command):
     """Say whether a daemon would start with a settings file."""
@@ -24,10 +28,24 @@
 
     def handle(self) -> int:
         """Print what is wrong, or that nothing is; return the exit code."""
+        path = Path(self.argument("file"))
+        load = load_gateway_settings if _is_of_gateway(path) else load_settings
         try:
-            settings = load_settings(Path(self.argument("file")))
+            settings = load(path)
         except SettingsError as err:
             self.line_error(str(err))
             return EXIT_FAILED
         self.line(f"{self.argument('file')}: valid for host {settings.name}")
         return 0
+
+
+def _is_of_gateway(path: Path) -> bool:
+    """Return whether a file is meant for a host that forwards requests by routes.
+
+    Only such a host has one address that it reads all publications from.
+    """
+    try:
+        addresses = tomllib.loads(path.read_text(encoding="utf-8")).get("addresses")
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError):
+        return False
+    return isinstance(addresses, dict) and SOURCE in addresses
