--- a/libraries/cli/tarragonward_cli/explain.py
+++ b/libraries/cli/tarragonward_cli/explain.py
@@ -118,7 +118,7 @@
     if not found.trail:
         yield f"{request_id}: no line. It went well after one send (and is only"
         yield "counted), or never came to these hosts, or a host died with it in"
-        yield f"progress, or the budget dropped it: {found.lines_dropped} lines dropped."
+        yield f"progress, or the budget dropped it ({found.lines_dropped} dropped)."
         return
     began = found.trail[0][0]
     yield f"request {request_id}"
