Find hosts by seeds and hellos, without a host list

The users' platform lists no hosts; a host is told up to three seeds, which may be dead. Hosts know each other by address and life; ages travel with what is passed on and only grow, so a silent host is never brought back by rumour. Up to 12 peers all hear each other each 200 ms; above that three are told a round within 2.5 KB/s. Ruled out: ordering lives by incarnation (they are random: a diskless host remembers none).

--- a/libraries/membership/tarragonward_membership/__init__.py
+++ b/libraries/membership/tarragonward_membership/__init__.py
@@ -1,6 +1,7 @@
 """Decisions, without I/O, about which hosts are there and what they tell each other."""
 
 from .demands import REST_ACCOUNT
+from .hellos import Hello, PeerEntry
 from .loads import LoadReport
 from .membership import Membership
 from .messages import (
@@ -28,6 +29,16 @@
 )
 from .probing import get_round_seconds
 from .registry import RegisteredTarget, TargetRegistry, Withdrawn
+from .seeds import (
+    Greet,
+    HelloHeard,
+    PeerFound,
+    PeerLost,
+    RoundDue,
+    SeedEffect,
+    SeedMembership,
+    SeedPeer,
+)
 from .targets import ListedTarget, TargetList
 from .watchers import choose_hosts
 
@@ -38,6 +49,9 @@
     "Event",
     "Gossip",
     "GossipArrived",
+    "Greet",
+    "Hello",
+    "HelloHeard",
     "HelperAnswered",
     "IndirectAck",
     "IndirectProbe",
@@ -50,11 +64,18 @@
     "MemberRecord",
     "MemberState",
     "Membership",
+    "PeerEntry",
+    "PeerFound",
     "PeerIsAhead",
+    "PeerLost",
     "ProbeAnswered",
     "ProbeFailed",
     "RecordState",
     "RegisteredTarget",
+    "RoundDue",
+    "SeedEffect",
+    "SeedMembership",
+    "SeedPeer",
     "SendAnswer",
     "SendProbe",
     "TargetList",
--- a/libraries/membership/tarragonward_membership/const.py
+++ b/libraries/membership/tarragonward_membership/const.py
@@ -60,3 +60,28 @@
 
 LEAVING_HOLD_SECONDS = 15.0
 MISSING_READS = 4
+
+# Membership by seeds, without a host list.
+HELLO_INTERVAL_SECONDS = 0.2
+# Up to this many peers each hears from each; with more, a few are told each round.
+MAX_MESH_PEERS = 12
+HELLO_FANOUT = 3
+# This share of hellos may leave the failure domain; bytes between domains are dear.
+FAR_HELLO_SHARE = 0.25
+MAX_GOSSIP_BYTES_PER_SECOND = 2_500
+MESH_HELLO_ENTRIES = 3
+GOSSIP_HELLO_ENTRIES = 20
+MAX_HELLO_ENTRIES = 64
+MAX_NAME_LENGTH = 128
+MAX_PORTS = 65_536
+MAX_SEED_PEERS = 4_096
+SEED_RETRY_SECONDS = 1.0
+SEED_HURRY_SECONDS = 3.0
+# Silence after which a peer is dropped: at least so long, and longer in large fleets,
+# where news of each comes more seldom.
+PEER_SILENT_SECONDS = 3.0
+PEER_SILENT_SECONDS_A_PEER = 0.06
+MAX_LOST_PEERS = 64
+HOST_COUNT_MEMORY_SECONDS = 300.0
+HOST_COUNT_GUESS_SECONDS = 60.0
+HOSTS_GUESSED_A_SEED = 3
--- /dev/null
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -0,0 +1,348 @@
+"""Decide who is there without a host list: from seeds, hellos and silence."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import singledispatch
+
+from tarragonward_core import Address, HostIdentity, invariants
+
+from . import const as c
+from .hellos import Hello, PeerEntry
+
+__all__ = [
+    "Greet",
+    "HelloHeard",
+    "PeerFound",
+    "PeerLost",
+    "RoundDue",
+    "SeedEffect",
+    "SeedEvent",
+    "SeedMembership",
+    "SeedPeer",
+]
+
+MILLISECONDS = 1_000
+
+
+@dataclass
+class SeedPeer:
+    """Another host; heard_at is when anyone heard it, as far as this host was told.
+
+    name and failure_domain are empty until the peer itself was heard.
+    """
+
+    identity: HostIdentity
+    heard_at: float
+    name: str = ""
+    failure_domain: str = ""
+    is_leaving: bool = False
+    last_stamp: int = -1
+    least_delay: float = float("inf")
+    told: int = 0
+
+
+@dataclass
+class _Peak:
+    """The greatest number noted within the last minutes, or a little longer ago."""
+
+    number: int = 0
+    noted_at: float = float("-inf")
+
+    def get(self, now: float) -> int:
+        """Return the number, 0 where it is too old."""
+        return self.number if now - self.noted_at < c.HOST_COUNT_MEMORY_SECONDS else 0
+
+    def note(self, number: int, now: float) -> None:
+        """Take a number in."""
+        if number >= self.get(now):
+            self.number, self.noted_at = number, now
+
+
+@dataclass(frozen=True)
+class RoundDue:
+    """It is time to tell others; sent_bytes is what a hello took in the last round."""
+
+    sent_bytes: int = 0
+
+
+@dataclass(frozen=True)
+class HelloHeard:
+    """A hello came, straight from its sender."""
+
+    hello: Hello
+
+
+@dataclass(frozen=True)
+class Greet:
+    """Send a hello to these addresses."""
+
+    addresses: tuple[Address, ...]
+
+
+@dataclass(frozen=True)
+class PeerFound:
+    """A host, or a new life of one, is there."""
+
+    identity: HostIdentity
+
+
+@dataclass(frozen=True)
+class PeerLost:
+    """A host has been silent for long, or another life took its address."""
+
+    identity: HostIdentity
+    name: str
+
+
+SeedEvent = RoundDue | HelloHeard
+SeedEffect = Greet | PeerFound | PeerLost
+
+
+class SeedMembership:
+    """The other hosts, by address; all of it is a hint that may be late or wrong.
+
+    Incarnations are random, as a diskless host remembers none. Of two lives of one
+    address the one heard later is the newer; ages travel with what is passed on and
+    only grow on the way, so nothing old comes back as new.
+    """
+
+    def __init__(
+        self,
+        own: HostIdentity,
+        name: str,
+        failure_domain: str,
+        seeds: Iterable[Address],
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.own = own
+        self.is_leaving = False
+        self._name = name
+        self._failure_domain = failure_domain
+        listed = tuple(seeds)
+        self._seeds = tuple(seed for seed in listed if seed != own.address)
+        self._seed_count = max(1, len(listed))
+        self._random = rng
+        self._started_at = now
+        self._peers: dict[Address, SeedPeer] = {}
+        self._lost: dict[Address, None] = {}
+        self._seeds_asked_at = float("-inf")
+        self._credit = 0.0
+        self._round_at = now
+        # What this host itself counted, and what others did, are kept apart: told
+        # on as one, an old figure would go from host to host for good.
+        self._most_counted = _Peak()
+        self._most_told = _Peak()
+
+    def hear(self, event: SeedEvent, now: float) -> list[SeedEffect]:
+        """Take an event; return what follows from it."""
+        return _hear(event, self, now)
+
+    def set_seeds(self, seeds: Iterable[Address]) -> None:
+        """Take over the seeds of new settings."""
+        self._seeds = tuple(seed for seed in seeds if seed != self.own.address)
+
+    def build_hello(self, now: float) -> Hello:
+        """Return what this host says now."""
+        return Hello(
+            self.own,
+            self._name,
+            self._failure_domain,
+            int(now * MILLISECONDS),
+            max(self.count_hosts(), self._most_counted.get(now)),
+            self.is_leaving,
+            self._choose_entries(now),
+        )
+
+    def get_peers(self) -> tuple[SeedPeer, ...]:
+        """Return the peers that were heard of lately, leaving ones too."""
+        return tuple(self._peers.values())
+
+    def get_peer(self, address: Address) -> SeedPeer | None:
+        """Return the peer at an address, None where none is known there."""
+        return self._peers.get(address)
+
+    def count_hosts(self) -> int:
+        """Return how many hosts are there, this one with them."""
+        return len(self._peers) + 1
+
+    def count_most_hosts(self, now: float) -> int:
+        """Return the most hosts that anyone heard of knew in the last minutes.
+
+        A host that is cut off, or has just started, knows few. Symptom: it takes a
+        large part of what all share. So the most counts, also as peers tell it, and
+        never less than the seeds; in the first minute some more are guessed.
+        """
+        floor = self._seed_count
+        if now - self._started_at < c.HOST_COUNT_GUESS_SECONDS:
+            floor *= c.HOSTS_GUESSED_A_SEED
+        counted = self._most_counted.get(now), self._most_told.get(now)
+        return max(floor, self.count_hosts(), *counted)
+
+    def _choose_entries(self, now: float) -> tuple[PeerEntry, ...]:
+        count = c.GOSSIP_HELLO_ENTRIES
+        if len(self._peers) <= c.MAX_MESH_PEERS:
+            count = c.MESH_HELLO_ENTRIES
+        known = [peer for peer in self._peers.values() if not peer.is_leaving]
+        known.sort(key=lambda peer: (peer.told, self._random.random()))
+        for peer in known[:count]:
+            peer.told += 1
+        return tuple(
+            PeerEntry(peer.identity, max(0.0, now - peer.heard_at))
+            for peer in known[:count]
+        )
+
+    @property
+    def silent_seconds(self) -> float:
+        """Return the silence after which a peer is dropped."""
+        hosts = max(len(self._peers), self._most_told.number)
+        by_size = c.PEER_SILENT_SECONDS_A_PEER * hosts
+        return max(c.PEER_SILENT_SECONDS, by_size)
+
+    def take_hello(self, hello: Hello, now: float) -> list[SeedEffect]:
+        """Take over what a host says of itself, then whom it knows."""
+        if hello.identity.address == self.own.address:
+            return []
+        known = self._peers.get(hello.identity.address)
+        effects: list[SeedEffect] = []
+        is_same_life = known is not None and known.identity == hello.identity
+        if known is None or not is_same_life:
+            if not self._has_room(known):
+                return []
+            if known is not None:
+                effects.append(PeerLost(known.identity, known.name))
+            known = self._add(PeerEntry(hello.identity, 0.0), now)
+            # In a large fleet a new host would wait long until its turn to be told.
+            effects += [
+                PeerFound(hello.identity),
+                Greet((hello.identity.address,)),
+            ]
+        if hello.stamp <= known.last_stamp:
+            return effects
+        self._note_hello(known, hello, now)
+        self._most_told.note(hello.hosts, now)
+        for entry in hello.entries:
+            effects += self._take_entry(entry, now)
+        self._most_counted.note(self.count_hosts(), now)
+        return effects
+
+    def _note_hello(self, peer: SeedPeer, hello: Hello, now: float) -> None:
+        peer.last_stamp = hello.stamp
+        peer.name = hello.name
+        peer.failure_domain = hello.failure_domain
+        peer.is_leaving = hello.is_leaving
+        delay = now - hello.stamp / MILLISECONDS
+        peer.least_delay = min(peer.least_delay, delay)
+        peer.heard_at = max(peer.heard_at, now - (delay - peer.least_delay))
+        peer.told = 0
+
+    def compute_age(self, peer: SeedPeer, stamp: int, now: float) -> float:
+        """Return how much longer than at best a message of a stamp was on its way.
+
+        After a pause, messages of before it lie in the socket. Symptom: seconds old
+        loads are taken for fresh. The clocks of two hosts differ by a constant, so
+        the delay above the least seen bounds the age from below well enough.
+        """
+        return max(0.0, now - stamp / MILLISECONDS - peer.least_delay)
+
+    def _take_entry(self, entry: PeerEntry, now: float) -> list[SeedEffect]:
+        address = entry.identity.address
+        is_old = entry.age_seconds > self.silent_seconds
+        if address == self.own.address or (is_old and address not in self._peers):
+            return []
+        known = self._peers.get(address)
+        heard_at = now - entry.age_seconds
+        if known is None:
+            if not self._has_room(None):
+                return []
+            self._add(entry, now)
+            return [PeerFound(entry.identity)]
+        if known.identity == entry.identity:
+            if heard_at > known.heard_at + c.HELLO_INTERVAL_SECONDS:
+                known.told = 0
+            known.heard_at = max(known.heard_at, heard_at)
+        elif heard_at > known.heard_at + c.HELLO_INTERVAL_SECONDS:
+            self._add(entry, now)
+            return [
+                PeerLost(known.identity, known.name),
+                PeerFound(entry.identity),
+            ]
+        return []
+
+    def _has_room(self, known: SeedPeer | None) -> bool:
+        return known is not None or len(self._peers) < c.MAX_SEED_PEERS
+
+    def _add(self, entry: PeerEntry, now: float) -> SeedPeer:
+        address = entry.identity.address
+        self._lost.pop(address, None)
+        peer = SeedPeer(entry.identity, now - entry.age_seconds)
+        self._peers[address] = peer
+        return peer
+
+    def drop_silent(self, now: float) -> list[SeedEffect]:
+        """Drop who was silent for long."""
+        limit = now - self.silent_seconds
+        silent = [peer for peer in self._peers.values() if peer.heard_at < limit]
+        for peer in silent:
+            del self._peers[peer.identity.address]
+            self._lost[peer.identity.address] = None
+        while len(self._lost) > c.MAX_LOST_PEERS:
+            self._lost.pop(next(iter(self._lost)))
+        return [PeerLost(peer.identity, peer.name) for peer in silent]
+
+    def choose_greeted(self, now: float, sent_bytes: int) -> tuple[Address, ...]:
+        """Return whom to tell in this round."""
+        elapsed = max(0.0, now - self._round_at)
+        self._round_at = now
+        chosen = dict.fromkeys(self._choose_unheard(now))
+        rate = c.MAX_GOSSIP_BYTES_PER_SECOND
+        self._credit = min(rate, self._credit + rate * elapsed)
+        self._credit -= sent_bytes * len(chosen)
+        peers = list(self._peers.values())
+        if len(peers) <= c.MAX_MESH_PEERS:
+            chosen.update(dict.fromkeys(peer.identity.address for peer in peers))
+        else:
+            chosen.update(dict.fromkeys(self._sample(peers, sent_bytes)))
+        invariants.check(self.own.address not in chosen, "no_hello_to_itself")
+        return tuple(chosen)
+
+    def _choose_unheard(self, now: float) -> list[Address]:
+        is_hurried = now - self._started_at < c.SEED_HURRY_SECONDS
+        if not is_hurried and now - self._seeds_asked_at < c.SEED_RETRY_SECONDS:
+            return []
+        self._seeds_asked_at = now
+        asked = [seed for seed in self._seeds if seed not in self._peers]
+        if self._lost:
+            # Both sides of a healed cut may know no common seed that is alive.
+            asked.append(self._random.choice(list(self._lost)))
+        return asked
+
+    def _sample(self, peers: list[SeedPeer], sent_bytes: int) -> list[Address]:
+        near = [p for p in peers if p.failure_domain == self._failure_domain]
+        chosen = []
+        for _ in range(c.HELLO_FANOUT):
+            if self._credit < sent_bytes:
+                break
+            self._credit -= sent_bytes
+            is_far = not near or self._random.random() < c.FAR_HELLO_SHARE
+            chosen.append(self._random.choice(peers if is_far else near))
+        return [peer.identity.address for peer in chosen]
+
+
+@singledispatch
+def _hear(event: SeedEvent, members: SeedMembership, now: float) -> list[SeedEffect]:
+    raise TypeError(f"not an event: {event!r}")
+
+
+@_hear.register
+def _(event: HelloHeard, members: SeedMembership, now: float) -> list[SeedEffect]:
+    return members.take_hello(event.hello, now)
+
+
+@_hear.register
+def _(event: RoundDue, members: SeedMembership, now: float) -> list[SeedEffect]:
+    lost = members.drop_silent(now)
+    return [*lost, Greet(members.choose_greeted(now, event.sent_bytes))]
