Tell the other hosts hints over UDP, by named sections

Parts of a host register build and take; what does not fit, or is malformed, is left out and counted. A host that stood still tells one round without sections.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -13,6 +13,7 @@
 from . import const as c
 from .forwarder import Forwarder
 from .health import HealthRoutes
+from .peers import Peers
 from .ports import HeaderNames, Paths, RecordParser, RecordReader
 from .publications import PublicationTask
 from .settings import GatewaySettings
@@ -34,6 +35,7 @@
         paths: Paths | None = None,
     ) -> None:
         self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
+        self.peers = Peers(self.state)
         self.publications = PublicationTask(self.state, reader, parser)
         self.publications.on_table.append(self._apply_limits)
         self.forwarder = Forwarder(self.state, TargetChooser(self.state))
@@ -56,7 +58,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.ask_stop)
         loop.add_signal_handler(signal.SIGHUP, lambda: log_event("hangup_heard"))
         async with AsyncExitStack() as stack:
-            for part in (self.publications, self.callers, self.health):
+            for part in (self.peers, self.publications, self.callers, self.health):
                 await part.async_setup()
                 stack.push_async_callback(part.async_unload)
             log_event("host_started", host=self.state.settings.name)
@@ -72,6 +74,7 @@
         """End what is in progress within the time that the operators give."""
         state = self.state
         state.is_draining = True
+        self.peers.set_leaving()
         self.callers.close_after_answers()
         log_event("drain_started", in_flight=self.forwarder.in_flight)
         whole = state.settings.bounds.grace_seconds - c.DRAIN_MARGIN_SECONDS
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -44,3 +44,12 @@
 DRAIN_MARGIN_SECONDS = 0.4
 BALANCER_NOTICE_SECONDS = 3.0
 TABLE_FRESH_SECONDS = 6.0
+
+PEER_FORMAT = 1
+# A datagram is kept within a few packets; sections that do not fit are left out.
+MAX_SENT_DATAGRAM_BYTES = 4_096
+MAX_TAKEN_DATAGRAM_BYTES = 8_192
+MAX_SECTIONS = 16
+PEER_ROUND_JITTER = 0.1
+# A round that comes so much later than asked shows that the process stood still.
+PAUSE_SECONDS = 1.0
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -0,0 +1,226 @@
+"""Tell the other hosts hints over UDP, and hear theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from typing import Any
+
+import msgpack
+
+from tarragonward_core import (
+    Address,
+    FrameError,
+    HostIdentity,
+    TarragonwardError,
+    log_event,
+    new_incarnation,
+)
+from tarragonward_membership import (
+    Greet,
+    Hello,
+    HelloHeard,
+    PeerFound,
+    PeerLost,
+    RoundDue,
+    SeedEffect,
+    SeedMembership,
+    SeedPeer,
+)
+from tarragonward_membership.const import HELLO_INTERVAL_SECONDS
+
+from . import const as c
+from .clock import read_clock
+from .state import GatewayState
+
+__all__ = ["Peers"]
+
+Build = Callable[[], Any]
+Take = Callable[[str, Any, float], None]
+# What reading another version's or a spoiled section may raise.
+SECTION_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
+
+
+class Peers(asyncio.DatagramProtocol):
+    """The other hosts as this one knows them, and the datagrams between them.
+
+    All that is told is a hint: it may be lost, doubled or old, and costs speed, never
+    a promise. Sections are what other parts of the host tell each other.
+    """
+
+    def __init__(self, state: GatewayState) -> None:
+        settings = state.settings
+        self._state = state
+        self._port = settings.peers.port
+        self._sections: dict[str, tuple[Build, Take]] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._sent_bytes = 0
+        self.on_pause: list[Callable[[], None]] = []
+        self.members = SeedMembership(
+            HostIdentity(settings.peers, new_incarnation()),
+            settings.name,
+            settings.failure_domain,
+            self._place(settings.seeds),
+            random.Random(state.random.random()),
+            read_clock(),
+        )
+
+    def add_section(self, name: str, build: Build, take: Take) -> None:
+        """Tell peers what build() returns, and give take() what they tell.
+
+        build returns data for msgpack, or None for nothing now. take gets the peer's
+        name, the data, and its age in seconds beyond the usual delay; the data comes
+        from the network and must be checked: what it raises counts as malformed.
+        """
+        self._sections[name] = (build, take)
+
+    def get_names(self) -> tuple[str, ...]:
+        """Return the names of the peers that were heard, leaving ones left out."""
+        peers = self.members.get_peers()
+        return tuple(peer.name for peer in peers if peer.name and not peer.is_leaving)
+
+    def get_control_address(self, name: str) -> Address | None:
+        """Return where a peer is asked over TCP; ports are the same on all hosts."""
+        for peer in self.members.get_peers():
+            if peer.name == name:
+                address = peer.identity.address
+                return Address(address.host, self._state.settings.control.port)
+        return None
+
+    async def async_setup(self) -> None:
+        """Listen, and begin to greet the seeds."""
+        address = self._state.settings.peers
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address.host, address.port)
+        )
+        self._task = asyncio.create_task(self._async_tell())
+
+    async def async_unload(self) -> None:
+        """Tell the peers that this host leaves, and stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._transport is not None:
+            self.set_leaving()
+            self._transport.close()
+
+    def set_leaving(self) -> None:
+        """Tell the peers now that this host takes no more."""
+        self.members.is_leaving = True
+        peers = self.members.get_peers()
+        self._send([peer.identity.address for peer in peers], with_sections=False)
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """Take a peer's hello and its sections; drop what is malformed."""
+        try:
+            hello, sections = self._unpack(data, Address(addr[0], addr[1]))
+        except TarragonwardError:
+            self._state.metrics.count("peer_datagrams_refused")
+            return
+        now = read_clock()
+        known = self.members.get_peer(hello.identity.address)
+        last_stamp = known.last_stamp if known is not None else -1
+        self._carry_out(self.members.hear(HelloHeard(hello), now))
+        peer = self.members.get_peer(hello.identity.address)
+        is_late = (
+            peer is None
+            or peer.identity != hello.identity
+            or (known is peer and hello.stamp <= last_stamp)
+        )
+        if not is_late:
+            self._take_sections(peer, hello, sections, now)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over a peer's port that nothing listens at."""
+
+    async def _async_tell(self) -> None:
+        expected_at = read_clock()
+        while True:
+            now = read_clock()
+            is_paused = now - expected_at > c.PAUSE_SECONDS
+            if is_paused:
+                self._note_pause(now - expected_at)
+            event = RoundDue(self._sent_bytes)
+            # After a pause, views are old: this round tells only that the host is
+            # there, so that nobody takes what it knew before for fresh.
+            self._carry_out(self.members.hear(event, now), with_sections=not is_paused)
+            jitter = self._state.random.uniform(-1.0, 1.0) * c.PEER_ROUND_JITTER
+            wait = HELLO_INTERVAL_SECONDS * (1.0 + jitter)
+            expected_at = read_clock() + wait
+            await asyncio.sleep(wait)
+
+    def _note_pause(self, seconds: float) -> None:
+        log_event("pause_noticed", seconds=seconds)
+        for notify in self.on_pause:
+            notify()
+
+    def _place(self, controls: Iterable[Address]) -> list[Address]:
+        return [Address(control.host, self._port) for control in controls]
+
+    def _carry_out(
+        self, effects: Iterable[SeedEffect], with_sections: bool = True
+    ) -> None:
+        for effect in effects:
+            if isinstance(effect, Greet):
+                self._send(effect.addresses, with_sections)
+            elif isinstance(effect, PeerFound):
+                log_event("peer_found", peer=effect.identity)
+            elif isinstance(effect, PeerLost):
+                log_event("peer_lost", peer=effect.identity, name=effect.name)
+
+    def _send(self, addresses: Iterable[Address], with_sections: bool) -> None:
+        targets = list(addresses)
+        if self._transport is None or not targets:
+            return
+        data = self._pack(self._build_sections() if with_sections else {})
+        self._sent_bytes = len(data)
+        for target in targets:
+            # A cut or full link: hints may be lost.
+            with suppress(OSError):
+                self._transport.sendto(data, (target.host, target.port))
+
+    def _build_sections(self) -> dict[str, bytes]:
+        sections = {}
+        room = c.MAX_SENT_DATAGRAM_BYTES
+        for name, (build, _) in self._sections.items():
+            content = build()
+            if content is None:
+                continue
+            packed = msgpack.packb(content)
+            if len(packed) > room:
+                self._state.metrics.count("peer_sections_left_out", name)
+                continue
+            room -= len(packed)
+            sections[name] = packed
+        return sections
+
+    def _pack(self, sections: dict[str, bytes]) -> bytes:
+        hello = self.members.build_hello(read_clock())
+        return msgpack.packb((c.PEER_FORMAT, hello.pack(), sections))
+
+    def _unpack(self, data: bytes, sender: Address) -> tuple[Hello, dict[str, bytes]]:
+        if len(data) > c.MAX_TAKEN_DATAGRAM_BYTES:
+            raise FrameError("the datagram is too large")
+        try:
+            number, packed_hello, sections = msgpack.unpackb(data)
+        except (ValueError, TypeError, msgpack.UnpackException) as err:
+            raise FrameError(f"not a datagram of a peer: {err}") from None
+        if number != c.PEER_FORMAT or not isinstance(sections, dict):
+            raise FrameError("not a datagram of a peer")
+        return Hello.unpack(sender, packed_hello), sections
+
+    def _take_sections(
+        self, peer: SeedPeer, hello: Hello, sections: dict[str, bytes], now: float
+    ) -> None:
+        age = self.members.compute_age(peer, hello.stamp, now)
+        for name, packed in sections.items():
+            if name not in self._sections:
+                continue
+            try:
+                self._sections[name][1](hello.name, msgpack.unpackb(packed), age)
+            except (*SECTION_ERRORS, msgpack.UnpackException):
+                self._state.metrics.count("peer_sections_refused", name)
--- /dev/null
+++ b/libraries/gateway/tests/test_peers.py
@@ -0,0 +1,105 @@
+"""Hosts that tell each other over real sockets on the loopback network."""
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack
+
+import msgpack
+import pytest
+
+from tarragonward_core import Address
+from tarragonward_gateway.peers import Peers
+from tarragonward_gateway.ports import HeaderNames, Paths
+from tarragonward_gateway.settings import Bounds, GatewaySettings
+from tarragonward_gateway.state import GatewayState
+
+HOSTS = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
+
+
+def find_free_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind((HOSTS[0], 0))
+        return probe.getsockname()[1]
+
+
+def build_state(host, port, seeds=HOSTS[:1]):
+    settings = GatewaySettings(
+        name=f"host-{host}",
+        failure_domain="domain",
+        callers=Address(host, 1),
+        health=Address(host, 2),
+        control=Address(host, 3),
+        peers=Address(host, port),
+        seeds=tuple(Address(seed, 3) for seed in seeds),
+        source=Address(host, 4),
+        bounds=Bounds(),
+    )
+    return GatewayState(settings, HeaderNames(), Paths())
+
+
+async def async_wait_for(is_met):
+    async with asyncio.timeout(10.0):
+        while not is_met():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def three():
+    port = find_free_port()
+    async with AsyncExitStack() as stack:
+        peers = [Peers(build_state(host, port)) for host in HOSTS]
+        for part in peers:
+            await part.async_setup()
+            stack.push_async_callback(part.async_unload)
+        yield peers
+
+
+async def test_sections_reach_all_hosts_that_a_seed_leads_to(three):
+    heard = {}
+    for number, part in enumerate(three):
+        part.add_section(
+            "load",
+            lambda number=number: {"n": number},
+            lambda name, data, age, number=number: heard.__setitem__(
+                (number, name), (data["n"], age)
+            ),
+        )
+    await async_wait_for(lambda: len(heard) == 6)
+    assert {value for value, age in heard.values()} == {0, 1, 2}
+    assert all(0.0 <= age < 5.0 for _, age in heard.values())
+    assert three[1].get_control_address(f"host-{HOSTS[2]}") == Address(HOSTS[2], 3)
+
+
+async def test_what_is_malformed_is_counted_and_harms_nothing(three):
+    one = three[0]
+    one.add_section("load", lambda: None, lambda name, data, age: data["absent"])
+    three[1].add_section("load", lambda: 7, lambda name, data, age: None)
+    await async_wait_for(lambda: one.members.count_hosts() == 3)
+    await async_wait_for(
+        lambda: one._state.metrics.get_count("peer_sections_refused") > 0
+    )
+    for data in (b"", b"\xc1", b"x" * 9_000, msgpack.packb([1, [], {}])):
+        one.datagram_received(data, (HOSTS[1], one._port))
+    assert one._state.metrics.get_count("peer_datagrams_refused") == 4
+    assert one.members.count_hosts() == 3
+
+
+async def test_a_doubled_datagram_is_taken_once(three):
+    """The network doubles a datagram: a digest that is added up counted twice."""
+    one, other = three[0], three[1]
+    taken = []
+    other.add_section("load", lambda: 1, lambda name, data, age: None)
+    await async_wait_for(lambda: one.members.count_hosts() == 3)
+    one.add_section("load", lambda: None, lambda name, data, age: taken.append(data))
+    data = other._pack({"load": msgpack.packb(5)})
+    address = (HOSTS[1], one._port)
+    one.datagram_received(data, address)
+    one.datagram_received(data, address)
+    assert taken.count(5) == 1
+
+
+async def test_a_leaving_host_is_left_out_at_once(three):
+    one, other = three[0], three[1]
+    await async_wait_for(lambda: len(one.get_names()) == 2)
+    other.set_leaving()
+    await async_wait_for(lambda: len(one.get_names()) == 1)
