--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -36,7 +36,7 @@
     ) -> None:
         self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
         self.peers = Peers(self.state)
-        self.publications = PublicationTask(self.state, reader, parser)
+        self.publications = PublicationTask(self.state, reader, parser, self.peers)
         self.publications.on_table.append(self._apply_limits)
         self.forwarder = Forwarder(self.state, TargetChooser(self.state))
         self.callers = HttpServer(
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -31,11 +31,37 @@
 DEFAULT_RESERVATION_SECONDS = 20.0
 DEFAULT_STALL_SECONDS = 1.5
 
-WATCH_SECONDS = 2.5
+MIN_WATCH_SECONDS = 2.5
+MAX_WATCH_SECONDS = 25.0
+# All hosts together end a watch about once in this time.
+WATCH_SECONDS_A_HOST = 1.3
 WATCH_ANSWER_SECONDS = 1.0
 READ_SECONDS = 1.5
+CHANGE_PAUSE_SECONDS = 0.1
+CROWD_SECONDS = 1.0
+CROWD_PAUSE_SECONDS = 0.4
 SOURCE_RETRY_FIRST_SECONDS = 0.05
 SOURCE_RETRY_MAX_SECONDS = 0.8
+SOURCE_RETRY_SECONDS_A_HOST = 0.3
+SOURCE_RETRY_LIMIT_SECONDS = 5.0
+# A peer that is ahead for longer shows that this host's watch is dead.
+BEHIND_SECONDS = 0.7
+ASK_PEER_SECONDS = 0.25
+ASK_PEER_TIMEOUT_SECONDS = 1.0
+HINT_MARGIN_SECONDS = 0.1
+RETURN_SPREAD_SECONDS = 0.4
+OUTAGE_SECONDS = 1.0
+OUTAGE_MEMORY_SECONDS = 3.0
+# Of the time that a leaving target goes on serving, how much is used for one whose
+# record may have lapsed only because the source was away.
+LINGER_SHARE = 0.6
+# So many ready targets of a service that vanish at once have lapsed, not left.
+LAPSE_SHARE = 0.3
+LAPSE_MIN_TARGETS = 3
+MAX_WITHDRAWN_RECORDS = 4_096
+RECORDS_PATH = "/records"
+RECORDS_FORMAT = 1
+MAX_RECORDS_BYTES = 16 * 1024 * 1024
 
 CONNECT_SECONDS = 0.5
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -43,7 +69,7 @@
 ROUTE_UNSURE_RETRY_SECONDS = 0.3
 DRAIN_MARGIN_SECONDS = 0.4
 BALANCER_NOTICE_SECONDS = 3.0
-TABLE_FRESH_SECONDS = 6.0
+TABLE_FRESH_SECONDS = 4.0
 
 PEER_FORMAT = 1
 # A datagram is kept within a few packets; sections that do not fit are left out.
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -0,0 +1,255 @@
+"""Decide when to ask the source of publications, and when a peer."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from functools import singledispatch
+
+from . import const as c
+
+__all__ = [
+    "AskPeer",
+    "AskSource",
+    "Confirm",
+    "FollowEffect",
+    "FollowEvent",
+    "Follower",
+    "HistoryLost",
+    "Pause",
+    "PeerTold",
+    "ReadAll",
+    "SourceAnswered",
+    "SourceFailed",
+    "Step",
+    "Watch",
+]
+
+
+@dataclass(frozen=True)
+class ReadAll:
+    """Read all that is published."""
+
+
+@dataclass(frozen=True)
+class Watch:
+    """Wait for changes, seconds at most."""
+
+    seconds: float
+
+
+@dataclass(frozen=True)
+class Pause:
+    """Ask nothing for so many seconds."""
+
+    seconds: float
+
+
+@dataclass(frozen=True)
+class SourceAnswered:
+    """The source answered, with changes or after a wait without any."""
+
+    has_changes: bool
+
+
+@dataclass(frozen=True)
+class SourceFailed:
+    """The source gave no answer that can be used."""
+
+
+@dataclass(frozen=True)
+class HistoryLost:
+    """The source no longer has the changes after the book's revision."""
+
+
+@dataclass(frozen=True)
+class PeerTold:
+    """What a peer holds; confirmed_age is since anyone it knows had an answer."""
+
+    name: str
+    changed: int
+    confirmed_age: float
+
+
+@dataclass(frozen=True)
+class AskPeer:
+    """Ask a peer for what changed after the book's revision."""
+
+    name: str
+
+
+@dataclass(frozen=True)
+class AskSource:
+    """Give up the watch in progress, or the pause, and ask the source now."""
+
+
+@dataclass(frozen=True)
+class Confirm:
+    """All that was published so many seconds ago is in the book."""
+
+    age_seconds: float
+
+
+Step = ReadAll | Watch | Pause
+FollowEvent = SourceAnswered | SourceFailed | HistoryLost | PeerTold
+FollowEffect = AskPeer | AskSource | Confirm
+
+
+class Follower:
+    """Follow the source with few calls, and the peers where it does not answer.
+
+    Each call is priced, and one watch a host wakes for each change. So watches wait
+    long, the longer the more hosts there are: together they ask as often as one alone.
+    A peer that holds a newer record shows a watch that died in silence.
+    """
+
+    def __init__(self, rng: random.Random, now: float) -> None:
+        self._random = rng
+        self._must_read = True
+        self._pause_until = now
+        self._changed_at = float("-inf")
+        self._behind_since: float | None = None
+        self._asked_peer_at = float("-inf")
+        self._failing_since: float | None = None
+        self._failed_at = float("-inf")
+        self._last_outage_at = float("-inf")
+        self._is_return_tried = False
+        self.failures = 0
+
+    def choose_step(self, hosts: int, now: float) -> Step:
+        """Return what to do now."""
+        if now < self._pause_until:
+            return Pause(self._pause_until - now)
+        if self._must_read:
+            return ReadAll()
+        wait = hosts * c.WATCH_SECONDS_A_HOST * self._random.uniform(0.8, 1.2)
+        return Watch(min(max(wait, c.MIN_WATCH_SECONDS), c.MAX_WATCH_SECONDS))
+
+    def hear(
+        self, event: FollowEvent, complete: int, hosts: int, now: float
+    ) -> list[FollowEffect]:
+        """Take an event; return what follows. complete is the book's revision."""
+        return _hear(event, self, complete, hosts, now)
+
+    def note_complete(self) -> None:
+        """Note that the book was filled by a peer: changes are enough from here."""
+        self._must_read = False
+        self._behind_since = None
+
+    def is_after_outage(self, now: float) -> bool:
+        """Return whether the source was away for a while until moments ago."""
+        return now - self._last_outage_at < c.OUTAGE_MEMORY_SECONDS
+
+    def take_answer(self, has_changes: bool, now: float) -> None:
+        """Note an answer of the source."""
+        self._note_outage(now)
+        self.failures = 0
+        self._failing_since = None
+        self._must_read = False
+        self._behind_since = None
+        if not has_changes:
+            return
+        # Changes come in crowds, at a start or a release, and each wakes every watch
+        # of every host: after a short pause, one call brings many.
+        is_crowd = now - self._changed_at < c.CROWD_SECONDS
+        pause = c.CROWD_PAUSE_SECONDS if is_crowd else c.CHANGE_PAUSE_SECONDS
+        self._pause_until = now + pause
+        self._changed_at = now
+
+    def take_failure(self, complete: int, hosts: int, now: float) -> None:
+        """Note a failed call, and wait longer the more hosts ask."""
+        if self._failing_since is None:
+            self._failing_since = now
+        self._failed_at = now
+        self._is_return_tried = False
+        limit = c.SOURCE_RETRY_MAX_SECONDS
+        if complete:
+            limit = max(limit, hosts * c.SOURCE_RETRY_SECONDS_A_HOST)
+        limit = min(limit, c.SOURCE_RETRY_LIMIT_SECONDS)
+        wait = min(c.SOURCE_RETRY_FIRST_SECONDS * 2**self.failures, limit)
+        self.failures = min(self.failures + 1, 16)
+        self._pause_until = now + wait * self._random.uniform(0.5, 1.0)
+        self._note_outage(now)
+
+    def take_history_lost(self) -> None:
+        """Note that all must be read anew."""
+        self._must_read = True
+
+    def take_peer(
+        self, told: PeerTold, complete: int, now: float
+    ) -> list[FollowEffect]:
+        """Compare with what a peer holds."""
+        effects: list[FollowEffect] = []
+        if told.changed <= complete:
+            self._behind_since = None
+            effects.append(Confirm(told.confirmed_age))
+        else:
+            effects += self._catch_up(told.name, complete, now)
+        if self._shows_return(told, now):
+            self._is_return_tried = True
+            spread = self._random.uniform(0.0, c.RETURN_SPREAD_SECONDS)
+            self._pause_until = min(self._pause_until, now + spread)
+            effects.append(AskSource())
+        return effects
+
+    def _catch_up(self, name: str, complete: int, now: float) -> list[FollowEffect]:
+        if self._behind_since is None:
+            self._behind_since = now
+        # This host's own watch most often brings the same a moment later.
+        grace = 0.0 if self.failures else c.BEHIND_SECONDS
+        is_early = now - self._behind_since < grace
+        if is_early or now - self._asked_peer_at < c.ASK_PEER_SECONDS:
+            return []
+        self._asked_peer_at = now
+        effects: list[FollowEffect] = [AskPeer(name)]
+        if complete and not self.failures:
+            effects.append(AskSource())
+        return effects
+
+    def _shows_return(self, told: PeerTold, now: float) -> bool:
+        answered_at = now - told.confirmed_age
+        is_news = answered_at > self._failed_at + c.HINT_MARGIN_SECONDS
+        return bool(self.failures) and is_news and not self._is_return_tried
+
+    def _note_outage(self, now: float) -> None:
+        since = self._failing_since
+        if since is not None and now - since > c.OUTAGE_SECONDS:
+            self._last_outage_at = now
+
+
+@singledispatch
+def _hear(
+    event: FollowEvent, follower: Follower, complete: int, hosts: int, now: float
+) -> list[FollowEffect]:
+    raise TypeError(f"not an event: {event!r}")
+
+
+@_hear.register
+def _(
+    event: SourceAnswered, follower: Follower, complete: int, hosts: int, now: float
+) -> list[FollowEffect]:
+    follower.take_answer(event.has_changes, now)
+    return [Confirm(0.0)]
+
+
+@_hear.register
+def _(
+    event: SourceFailed, follower: Follower, complete: int, hosts: int, now: float
+) -> list[FollowEffect]:
+    follower.take_failure(complete, hosts, now)
+    return []
+
+
+@_hear.register
+def _(
+    event: HistoryLost, follower: Follower, complete: int, hosts: int, now: float
+) -> list[FollowEffect]:
+    follower.take_history_lost()
+    return []
+
+
+@_hear.register
+def _(
+    event: PeerTold, follower: Follower, complete: int, hosts: int, now: float
+) -> list[FollowEffect]:
+    return follower.take_peer(event, complete, now)
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -10,6 +10,7 @@
 
 from . import const as c
 from .answers import async_send_refusal
+from .clock import read_clock
 from .context import ForwardContext
 from .run import ForwardRun
 from .state import GatewayState
@@ -70,20 +71,20 @@
             )
         route = table.select_route(head.headers.get("host", ""), head.path)
         if route is None:
-            raise self._build_denial(ResultCode.UNKNOWN_ROUTE, now)
-        account = self._authenticate(table, route, head, now)
+            raise self._build_denial(ResultCode.UNKNOWN_ROUTE)
+        account = self._authenticate(table, route, head)
         limit = now + self._get_time_limit(route, head)
         service = route.choose_service(self._state.random.random())
         return ForwardContext(now, None, route, account, service, limit, table)
 
     def _authenticate(
-        self, table: RoutingTable, route: Route, head: HttpHead, now: float
+        self, table: RoutingTable, route: Route, head: HttpHead
     ) -> Account | None:
         key = head.headers.get(self._state.headers.caller_key, "")
         account = table.find_account(key)
         if account is None and table.needs_key and not route.is_public:
             code = ResultCode.TOKEN_WRONG if key else ResultCode.TOKEN_MISSING
-            raise self._build_denial(code, now)
+            raise self._build_denial(code)
         return account
 
     def _get_time_limit(self, route: Route, head: HttpHead) -> float:
@@ -92,11 +93,11 @@
             return route.timeout_seconds
         return min(int(text) / MILLISECONDS, route.timeout_seconds)
 
-    def _build_denial(self, code: ResultCode, now: float) -> RequestRefusedError:
+    def _build_denial(self, code: ResultCode) -> RequestRefusedError:
         # A host that has not heard of the newest table takes a new route or key for
         # unknown. Symptom: a caller is told 404 or 401 for good, and never asks
         # again. A host that cannot know says so, and the caller comes back.
-        age = now - self._state.table_confirmed_at
+        age = read_clock() - self._state.table_confirmed_at
         if age <= c.TABLE_FRESH_SECONDS:
             return RequestRefusedError(code)
         return RequestRefusedError(
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -3,105 +3,186 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable
+from typing import Any
 
-from tarragonward_core import log_event
-from tarragonward_membership import Withdrawn
+from tarragonward_core import FrameError, TargetError, log_event
+from tarragonward_membership import RegisteredTarget, Withdrawn
+from tarragonward_wire import HttpServer
 
 from . import const as c
+from .clock import read_clock
+from .following import (
+    AskPeer,
+    AskSource,
+    Confirm,
+    Follower,
+    FollowEvent,
+    HistoryLost,
+    Pause,
+    PeerTold,
+    ReadAll,
+    SourceAnswered,
+    SourceFailed,
+    Watch,
+)
+from .peers import Peers
 from .ports import HistoryLostError, Record, RecordParser, RecordReader, SourceError
+from .record_book import Portion, RecordBook
+from .record_exchange import RecordRoutes, async_ask_peer, pack_age, unpack_age
 from .state import GatewayState
 
 __all__ = ["PublicationTask"]
 
+SECTION = "publications"
+
 
 class PublicationTask:
-    """Read all once, then watch; read all again where the watch's history is lost."""
+    """Hold the newest records, from the source or, where it is silent, from peers."""
 
     def __init__(
-        self, state: GatewayState, reader: RecordReader, parser: RecordParser
+        self,
+        state: GatewayState,
+        reader: RecordReader,
+        parser: RecordParser,
+        peers: Peers,
     ) -> None:
         self._state = state
         self._reader = reader
         self._parser = parser
+        self._peers = peers
+        self._follower = Follower(state.random, read_clock())
         self._task: asyncio.Task[None] | None = None
-        self._revision: int | None = None
-        self._failures = 0
+        self._pulls: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+        self.book = RecordBook()
         self.on_table: list[Callable[[], None]] = []
+        self._control = HttpServer(
+            state.settings.control, RecordRoutes(state, self.book).async_handle
+        )
+        peers.add_section(SECTION, self._build_section, self._take_section)
 
     async def async_setup(self) -> None:
-        """Start to follow."""
+        """Start to follow, and to give peers what they lack."""
+        await self._control.async_setup()
         self._task = asyncio.create_task(self._async_follow())
 
     async def async_unload(self) -> None:
         """Stop to follow."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        tasks = [task for task in (self._task, *self._pulls) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._control.async_unload()
 
     async def _async_follow(self) -> None:
         while True:
-            try:
-                await self._async_step()
-            except HistoryLostError:
-                log_event("source_history_lost", revision=self._revision)
-                self._revision = None
-            except SourceError as err:
-                await self._async_wait_after(err)
+            self._wake.clear()
+            hosts = self._peers.members.count_hosts()
+            step = self._follower.choose_step(hosts, read_clock())
+            if isinstance(step, Pause):
+                await self._async_until_woken(asyncio.sleep(step.seconds))
             else:
-                self._note_answer()
+                await self._async_until_woken(self._async_ask(step))
+
+    async def _async_until_woken(self, work: Any) -> None:
+        """Do the work until its end, or until a peer shows that it is in vain."""
+        doing = asyncio.ensure_future(work)
+        waking = asyncio.create_task(self._wake.wait())
+        try:
+            await asyncio.wait({doing, waking}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            waking.cancel()
+            if not doing.done():
+                doing.cancel()
+            await asyncio.gather(doing, waking, return_exceptions=True)
+
+    async def _async_ask(self, step: ReadAll | Watch) -> None:
+        try:
+            records = await self._async_read(step)
+        except HistoryLostError:
+            log_event("source_history_lost", revision=self.book.complete)
+            self._hear(HistoryLost())
+        except SourceError as err:
+            if not self._follower.failures:
+                log_event("source_lost", error=str(err))
+            self._hear(SourceFailed())
+        else:
+            if self._follower.failures:
+                log_event("source_regained", failures=self._follower.failures)
+            self._hear(SourceAnswered(bool(records)))
 
-    async def _async_step(self) -> None:
-        if self._revision is None:
+    async def _async_read(self, step: ReadAll | Watch) -> list[Record]:
+        after = self.book.complete
+        if isinstance(step, ReadAll):
             read = await self._reader.async_read_all(c.READ_SECONDS)
-            self._apply_all(read.records, read.revision)
+            log_event("records_read", count=len(read.records), revision=read.revision)
         else:
-            timeout = c.WATCH_SECONDS + c.WATCH_ANSWER_SECONDS
-            read = await self._reader.async_watch(
-                self._revision, c.WATCH_SECONDS, timeout
-            )
-            self.apply(read.records)
-        self._revision = read.revision
-
-    def _note_answer(self) -> None:
-        if self._failures:
-            log_event("source_regained", failures=self._failures)
-        self._failures = 0
-        self._state.table_confirmed_at = asyncio.get_running_loop().time()
-
-    async def _async_wait_after(self, err: SourceError) -> None:
-        if not self._failures:
-            log_event("source_lost", error=str(err))
-        wait = min(
-            c.SOURCE_RETRY_FIRST_SECONDS * 2**self._failures,
-            c.SOURCE_RETRY_MAX_SECONDS,
-        )
-        self._failures = min(self._failures + 1, 16)
-        await asyncio.sleep(wait * self._state.random.uniform(0.5, 1.0))
-
-    def _apply_all(self, records: Iterable[Record], revision: int) -> None:
-        targets = []
-        for record in records:
-            self._apply_table(record)
-            target = self._parser.parse_target(record)
-            if target is not None:
-                targets.append(target)
-        self._state.registry.apply_all(targets, revision)
-        log_event("targets_read", count=len(targets), revision=revision)
-
-    def apply(self, records: Iterable[Record]) -> None:
-        """Take changes in, in any order."""
-        for record in records:
-            target_id = self._parser.get_target_id(record.key)
-            if target_id is None:
-                self._apply_table(record)
-            elif record.value is None:
-                if self._state.registry.apply(Withdrawn(target_id, record.revision)):
-                    log_event("target_withdrawn", target=target_id)
-            else:
-                self._apply_target(record)
-
-    def _apply_target(self, record: Record) -> None:
+            timeout = step.seconds + c.WATCH_ANSWER_SECONDS
+            read = await self._reader.async_watch(after, step.seconds, timeout)
+        is_whole = isinstance(step, ReadAll)
+        return self.take(Portion(read.records, read.revision, is_whole), after)
+
+    def _hear(self, event: FollowEvent) -> None:
+        now = read_clock()
+        hosts = self._peers.members.count_hosts()
+        for effect in self._follower.hear(event, self.book.complete, hosts, now):
+            if isinstance(effect, Confirm):
+                self._confirm(now - effect.age_seconds)
+            elif isinstance(effect, AskPeer):
+                pull = asyncio.create_task(self._async_pull(effect.name))
+                self._pulls.add(pull)
+                pull.add_done_callback(self._pulls.discard)
+            elif isinstance(effect, AskSource):
+                self._wake.set()
+
+    def _confirm(self, at: float) -> None:
+        self._state.table_confirmed_at = max(self._state.table_confirmed_at, at)
+
+    async def _async_pull(self, name: str) -> None:
+        """Take over from a peer what this host lacks."""
+        address = self._peers.get_control_address(name)
+        if address is None:
+            return
+        asked_at, after = read_clock(), self.book.complete
+        try:
+            given = await async_ask_peer(address, after)
+        except (TargetError, FrameError) as err:
+            log_event("peer_gave_no_records", peer=name, error=str(err))
+            return
+        new = self.take(given.portion, after)
+        log_event("records_from_peer", peer=name, count=len(new), after=after)
+        if self.book.complete:
+            self._follower.note_complete()
+        if given.portion.complete >= self.book.changed:
+            self._confirm(asked_at - given.confirmed_age)
+
+    def _build_section(self) -> tuple[int, int | None, int]:
+        age = read_clock() - self._state.table_confirmed_at
+        table = self._state.table
+        return self.book.changed, pack_age(age), table.version if table else 0
+
+    def _take_section(self, name: str, data: Any, age: float) -> None:
+        changed, confirmed_age, _version = data
+        if type(changed) is not int or changed < 0:
+            raise ValueError("not a revision")
+        self._hear(PeerTold(name, changed, unpack_age(confirmed_age) + age))
+
+    def take(self, portion: Portion, after: int) -> list[Record]:
+        """Take records in, in any order; return those that were new."""
+        new = self.book.take(portion, after)
+        gone = [record for record in new if record.value is None]
+        for record in new:
+            if record.value is not None:
+                self._put(record)
+        self._withdraw(gone)
+        return new
+
+    def _put(self, record: Record) -> None:
+        if self._parser.get_target_id(record.key) is None:
+            self._put_table(record)
+            return
         target = self._parser.parse_target(record)
         if target is None:
             log_event("target_record_refused", key=record.key)
@@ -113,9 +194,50 @@
                 ready=target.is_ready,
             )
 
-    def _apply_table(self, record: Record) -> None:
+    def _put_table(self, record: Record) -> None:
         table = self._parser.parse_table(record)
         if table is not None and self._state.put_in_force(table):
             log_event("table_in_force", version=table.version, routes=len(table.routes))
             for notify in self.on_table:
                 notify()
+
+    def _withdraw(self, records: Iterable[Record]) -> None:
+        """Take out the targets whose records are gone.
+
+        While the source is away the records of targets that are well lapse, and are
+        back moments after it. Symptom: a service has no target, and all its requests
+        are refused. A target that leaves goes on serving for a known time, so one that
+        was ready is used for a part of that time more; a newer record keeps it.
+        """
+        gone = []
+        for record in records:
+            target_id = self._parser.get_target_id(record.key)
+            known = target_id and self._state.registry.get(target_id)
+            if known:
+                gone.append((known, record.revision))
+        linger = c.LINGER_SHARE * self._state.settings.bounds.drain_seconds
+        lapsed = self._find_lapsed([target for target, _ in gone])
+        for target, revision in gone:
+            withdrawn = Withdrawn(target.id, revision)
+            if target.id not in lapsed:
+                self._take_out(withdrawn)
+                continue
+            log_event("target_lapsed", target=target.id)
+            asyncio.get_running_loop().call_later(linger, self._take_out, withdrawn)
+
+    def _find_lapsed(self, gone: list[RegisteredTarget]) -> set[str]:
+        ready = [target for target in gone if target.is_ready]
+        if self._follower.is_after_outage(read_clock()):
+            return {target.id for target in ready}
+        counts = Counter(target.service for target in ready)
+        lapsed = {
+            service
+            for service, count in counts.items()
+            if count >= c.LAPSE_MIN_TARGETS
+            and count >= c.LAPSE_SHARE * len(self._state.registry.get_ready(service))
+        }
+        return {target.id for target in ready if target.service in lapsed}
+
+    def _take_out(self, withdrawn: Withdrawn) -> None:
+        if self._state.registry.apply(withdrawn):
+            log_event("target_withdrawn", target=withdrawn.id)
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/record_exchange.py
@@ -0,0 +1,102 @@
+"""Give peers the published records that they lack, and ask peers for them."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from tarragonward_core import Address, FrameError, ResultCode, TargetError
+from tarragonward_wire import HttpRequest, Responder, async_send_http
+
+from . import const as c
+from .clock import read_clock
+from .ports import Record
+from .record_book import Portion, RecordBook
+from .state import GatewayState
+
+__all__ = ["PeerPortion", "RecordRoutes", "async_ask_peer", "pack_age", "unpack_age"]
+
+STATUS_OK = 200
+METHOD_GET = "GET"
+PARAMETER_AFTER = "after"
+MILLISECONDS = 1_000
+BODY_HEADERS = {"content-type": "application/msgpack"}
+
+
+@dataclass(frozen=True)
+class PeerPortion:
+    """What a peer gave; confirmed_age is since the source answered it or its peers."""
+
+    portion: Portion
+    confirmed_age: float
+
+
+def pack_age(seconds: float) -> int | None:
+    """Return an age as it travels; None is never."""
+    return int(seconds * MILLISECONDS) if math.isfinite(seconds) else None
+
+
+def unpack_age(item: Any) -> float:
+    """Return the age that pack_age gave; raise FrameError where it is not one."""
+    if item is None:
+        return math.inf
+    if type(item) is not int or item < 0:
+        raise FrameError("not an age")
+    return item / MILLISECONDS
+
+
+class RecordRoutes:
+    """The control address: what peers ask this host for."""
+
+    def __init__(self, state: GatewayState, book: RecordBook) -> None:
+        self._state = state
+        self._book = book
+
+    async def async_handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer with the records after a revision."""
+        after = request.query.get(PARAMETER_AFTER, "")
+        if request.path != c.RECORDS_PATH or not after.isdecimal():
+            await responder.async_send_error(ResultCode.UNKNOWN_ROUTE)
+            return
+        portion = self._book.get_since(int(after))
+        body = msgpack.packb(
+            (
+                c.RECORDS_FORMAT,
+                portion.complete,
+                portion.is_whole,
+                pack_age(read_clock() - self._state.table_confirmed_at),
+                [(r.key, r.revision, r.value) for r in portion.records],
+            )
+        )
+        await responder.async_send_bytes(STATUS_OK, body, BODY_HEADERS)
+
+
+async def async_ask_peer(address: Address, after: int) -> PeerPortion:
+    """Return a peer's records after a revision; raise TargetError or FrameError."""
+    answer = await async_send_http(
+        address,
+        METHOD_GET,
+        f"{c.RECORDS_PATH}?{PARAMETER_AFTER}={after}",
+        timeout=c.ASK_PEER_TIMEOUT_SECONDS,
+    )
+    if answer.status != STATUS_OK or len(answer.body) > c.MAX_RECORDS_BYTES:
+        raise TargetError(f"status {answer.status}")
+    try:
+        number, complete, is_whole, age, items = msgpack.unpackb(answer.body)
+        if number != c.RECORDS_FORMAT or type(complete) is not int:
+            raise ValueError("another format")
+        records = tuple(_unpack_record(item) for item in items)
+    except (ValueError, TypeError, msgpack.UnpackException) as err:
+        raise FrameError(f"not a peer's records: {err}") from None
+    return PeerPortion(Portion(records, complete, is_whole is True), unpack_age(age))
+
+
+def _unpack_record(item: Any) -> Record:
+    key, revision, value = item
+    is_valid = type(key) is str and type(revision) is int and revision > 0
+    if not is_valid or not isinstance(value, bytes | None):
+        raise ValueError("not a record")
+    return Record(key, revision, value)
--- /dev/null
+++ b/libraries/gateway/tests/test_following.py
@@ -0,0 +1,126 @@
+"""When the source and the peers are asked, on a fake clock."""
+
+import random
+
+import pytest
+
+from tarragonward_gateway import const as c
+from tarragonward_gateway.following import (
+    AskPeer,
+    AskSource,
+    Confirm,
+    Follower,
+    HistoryLost,
+    Pause,
+    PeerTold,
+    ReadAll,
+    SourceAnswered,
+    SourceFailed,
+    Watch,
+)
+
+HOSTS = 9
+
+
+@pytest.fixture
+def follower():
+    return Follower(random.Random(1), 0.0)
+
+
+@pytest.fixture
+def watching(follower):
+    follower.hear(SourceAnswered(False), 10, HOSTS, 1.0)
+    return follower
+
+
+def test_all_is_read_first_and_after_lost_history(follower):
+    assert follower.choose_step(HOSTS, 0.0) == ReadAll()
+    follower.hear(SourceAnswered(False), 10, HOSTS, 0.1)
+    assert isinstance(follower.choose_step(HOSTS, 0.1), Watch)
+    follower.hear(HistoryLost(), 10, HOSTS, 0.2)
+    assert follower.choose_step(HOSTS, 0.2) == ReadAll()
+
+
+def test_more_hosts_wait_longer_each(watching):
+    assert watching.choose_step(1, 1.0) == Watch(c.MIN_WATCH_SECONDS)
+    assert 8.0 < watching.choose_step(HOSTS, 1.0).seconds < 15.0
+    assert watching.choose_step(320, 1.0) == Watch(c.MAX_WATCH_SECONDS)
+
+
+def test_changes_in_a_crowd_are_fetched_together(watching):
+    watching.hear(SourceAnswered(True), 11, HOSTS, 2.0)
+    step = watching.choose_step(HOSTS, 2.0)
+    assert step.seconds == pytest.approx(c.CHANGE_PAUSE_SECONDS)
+    watching.hear(SourceAnswered(True), 12, HOSTS, 2.5)
+    step = watching.choose_step(HOSTS, 2.5)
+    assert step.seconds == pytest.approx(c.CROWD_PAUSE_SECONDS)
+
+
+def test_a_dead_watch_shows_by_a_peer_that_is_ahead(watching):
+    """A watch's connection goes silent without a reset; a change goes unheard.
+
+    Its own time-out is seconds away, the bound for changes two. A peer tells a newer
+    revision; a moment later, as this host's watch stays silent, both are asked.
+    """
+    told = PeerTold("peer", 12, 0.1)
+    assert watching.hear(told, 10, HOSTS, 5.0) == []
+    assert watching.hear(told, 10, HOSTS, 5.3) == []
+    late = 5.0 + c.BEHIND_SECONDS
+    assert watching.hear(told, 10, HOSTS, late) == [AskPeer("peer"), AskSource()]
+    assert watching.hear(told, 10, HOSTS, late + 0.1) == []
+
+
+def test_a_change_that_its_own_watch_brings_asks_nobody(watching):
+    told = PeerTold("peer", 12, 0.1)
+    watching.hear(told, 10, HOSTS, 5.0)
+    watching.hear(SourceAnswered(True), 12, HOSTS, 5.1)
+    assert watching.hear(told, 12, HOSTS, 6.0) == [Confirm(0.1)]
+
+
+def test_a_host_that_the_source_refuses_asks_a_peer_at_once(watching):
+    watching.hear(SourceFailed(), 10, HOSTS, 2.0)
+    told = PeerTold("peer", 12, float("inf"))
+    assert watching.hear(told, 10, HOSTS, 2.1) == [AskPeer("peer")]
+
+
+def test_a_host_that_starts_beside_a_dead_source_asks_a_peer(follower):
+    follower.hear(SourceFailed(), 0, HOSTS, 0.5)
+    told = PeerTold("peer", 12, float("inf"))
+    assert follower.hear(told, 0, HOSTS, 0.6) == [AskPeer("peer")]
+    follower.note_complete()
+    assert isinstance(follower.choose_step(HOSTS, 9.0), Watch)
+
+
+def test_failures_back_off_further_while_others_ask_too(watching):
+    now = 2.0
+    for _ in range(10):
+        watching.hear(SourceFailed(), 10, HOSTS, now)
+        step = watching.choose_step(HOSTS, now)
+        now += step.seconds
+    assert step.seconds > 1.3
+    lone = Follower(random.Random(1), 0.0)
+    for _ in range(10):
+        lone.hear(SourceFailed(), 0, HOSTS, 2.0)
+    assert lone.choose_step(HOSTS, 2.0).seconds <= c.SOURCE_RETRY_MAX_SECONDS
+
+
+def test_a_source_that_is_back_for_a_peer_is_tried_once_more_at_once(watching):
+    """The source is back; a host in a long pause would miss what lapsed meanwhile."""
+    for _ in range(8):
+        watching.hear(SourceFailed(), 10, HOSTS, 4.0)
+    effects = watching.hear(PeerTold("peer", 10, 0.2), 10, HOSTS, 4.5)
+    assert AskSource() in effects
+    step = watching.choose_step(HOSTS, 4.5)
+    assert not isinstance(step, Pause) or step.seconds <= c.RETURN_SPREAD_SECONDS
+    again = watching.hear(PeerTold("peer", 10, 0.1), 10, HOSTS, 4.6)
+    assert AskSource() not in again
+
+
+def test_an_outage_is_remembered_for_moments(watching):
+    watching.hear(SourceFailed(), 10, HOSTS, 2.0)
+    watching.hear(SourceAnswered(False), 10, HOSTS, 2.2)
+    assert not watching.is_after_outage(2.2)
+    watching.hear(SourceFailed(), 10, HOSTS, 3.0)
+    watching.hear(SourceAnswered(True), 10, HOSTS, 6.0)
+    assert watching.is_after_outage(6.1)
+    assert not watching.is_after_outage(6.0 + c.OUTAGE_MEMORY_SECONDS)
