Forward heads, bodies and bodiless answers as they are, and test it in process

Mended by reading, with a unit test (test_receiver.py): a stream reader raises a failed write's error before the unread rest of the answer. Also: an answer over 16 MB ended in 500 of ours, now in 502 or another send; a target's 408, 429 or 503 that does not say it has not run is not passed on, as the caller reads it as a promise (REFUSED); an answer in place of a stream's rest breaks the stream off in place of a second head; a refusal that names another request is spoiled. Scripted targets and callers over raw sockets are new in the stand-ins.

--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -11,6 +11,7 @@
 from . import const as c
 from .answers import async_send_refusal
 from .context import ForwardContext
+from .headers import parse_count
 from .run import ForwardRun
 from .state import GatewayState
 from .targets import TargetChooser
@@ -87,10 +88,10 @@
         return account
 
     def _get_time_limit(self, route: Route, head: HttpHead) -> float:
-        text = head.headers.get(self._state.headers.deadline_ms, "")
-        if not text.isdigit():
+        limit = parse_count(head.headers.get(self._state.headers.deadline_ms, ""))
+        if limit is None:
             return route.timeout_seconds
-        return min(int(text) / MILLISECONDS, route.timeout_seconds)
+        return min(limit / MILLISECONDS, route.timeout_seconds)
 
     def _build_denial(self, code: ResultCode, now: float) -> RequestRefusedError:
         # A host that has not heard of the newest table takes a new route or key for
--- a/libraries/gateway/tarragonward_gateway/headers.py
+++ b/libraries/gateway/tarragonward_gateway/headers.py
@@ -6,10 +6,11 @@
 
 from tarragonward_wire import RawHeaders
 
-__all__ = ["build_answer_headers", "build_target_headers"]
+__all__ = ["build_answer_headers", "build_target_headers", "parse_count"]
 
 CONNECTION = b"connection"
 CONTENT_LENGTH = b"content-length"
+MAX_DIGITS = 18
 # Headers that concern one connection only. Source: RFC 9110, section 7.6.1.
 HOP_BY_HOP = frozenset(
     {
@@ -27,6 +28,10 @@
 )
 
 
+# A caller that lists these as its connection's own would change what is run.
+NEVER_LISTED = frozenset({b"host", CONTENT_LENGTH})
+
+
 def build_target_headers(
     headers: RawHeaders, set_by_host: dict[str, str], stripped: Iterable[str]
 ) -> RawHeaders:
@@ -35,7 +40,7 @@
     A caller's own value of what the host sets, or of a stripped name, never goes on.
     """
     ours = {name.encode("ascii") for name in (*set_by_host, *stripped)}
-    kept = _drop(headers, ours | {CONTENT_LENGTH})
+    kept = _drop(headers, ours)
     added = (
         (name.encode("ascii"), value.encode("latin-1"))
         for name, value in set_by_host.items()
@@ -43,13 +48,19 @@
     return (*kept, *added)
 
 
-def build_answer_headers(headers: RawHeaders) -> RawHeaders:
-    """Return a target's headers for the caller; the body is framed anew."""
-    return tuple(_drop(headers, {CONTENT_LENGTH}))
+def build_answer_headers(headers: RawHeaders, has_body: bool = True) -> RawHeaders:
+    """Return a target's headers for the caller; a body is framed anew."""
+    return tuple(_drop(headers, {CONTENT_LENGTH} if has_body else set()))
+
+
+def parse_count(text: str) -> int | None:
+    """Return the number that a header holds, None where it holds none."""
+    is_count = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
+    return int(text) if is_count else None
 
 
 def _drop(headers: RawHeaders, names: set[bytes]) -> list[tuple[bytes, bytes]]:
-    dropped = HOP_BY_HOP | names | _get_listed(headers)
+    dropped = HOP_BY_HOP | names | (_get_listed(headers) - NEVER_LISTED)
     return [pair for pair in headers if pair[0].lower() not in dropped]
 
 
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -4,7 +4,12 @@
 
 import asyncio
 
-from tarragonward_core import ConnectionLostError, NotConnectedError, log_event
+from tarragonward_core import (
+    ConnectionLostError,
+    NotConnectedError,
+    TargetError,
+    log_event,
+)
 from tarragonward_membership import RegisteredTarget
 from tarragonward_requests import (
     AnswerStarted,
@@ -30,7 +35,7 @@
 from . import const as c
 from .answers import async_send_refusal
 from .context import ForwardContext
-from .headers import build_answer_headers, build_target_headers
+from .headers import build_answer_headers, build_target_headers, parse_count
 from .state import GatewayState
 from .targets import TargetChooser
 
@@ -38,8 +43,12 @@
 
 MILLISECONDS = 1_000
 STATUS_OK = 200
+STATUS_CALLER_FAILURES = 400
 STATUS_FAILURES = 500
 STATUS_MISDIRECTED = 421
+PROMISING_STATUSES = (408, 429, 503)
+BODILESS_STATUSES = (204, 304)
+METHOD_HEAD = "HEAD"
 CONTENT_ENCODING = "content-encoding"
 CONTENT_TYPE = "content-type"
 EVENT_STREAM = "text/event-stream"
@@ -95,8 +104,8 @@
         await self._async_end(effect)
 
     def _read_last_id(self) -> int | None:
-        text = self._request.headers.get(self._state.headers.last_event_id, "")
-        return int(text) if text.isdigit() else None
+        headers = self._request.headers
+        return parse_count(headers.get(self._state.headers.last_event_id, ""))
 
     def _hear(self, event: ExchangeEvent) -> ExchangeEffect | None:
         return self._exchange.hear(event, self._loop.time(), budget=True)
@@ -188,7 +197,7 @@
         self, target: RegisteredTarget, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
-        if stream.status == STATUS_MISDIRECTED or names.not_run in stream.headers:
+        if self._is_refusal(stream):
             log_event(
                 "send_refused",
                 request_id=self._request_id,
@@ -201,15 +210,38 @@
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
             return await self._async_pass_events(stream)
-        body = await stream.async_read_body()
-        self._answer = (stream.status, build_answer_headers(stream.raw_headers), body)
+        try:
+            body = await stream.async_read_body(c.MAX_ANSWER_BYTES)
+        except ConnectionLostError:
+            raise
+        except TargetError as err:
+            raise SpoiledAnswerError(str(err)) from None
+        has_body = self._request.method != METHOD_HEAD and (
+            stream.status not in BODILESS_STATUSES
+        )
+        headers = build_answer_headers(stream.raw_headers, has_body)
+        self._answer = (stream.status, headers, body)
         return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
 
-    def _check_head(self, stream: HttpStream) -> None:
+    def _is_refusal(self, stream: HttpStream) -> bool:
         names = self._state.headers
-        if stream.headers.get(names.request_id, "") != self._request_id:
+        answered_id = stream.headers.get(names.request_id, self._request_id)
+        if answered_id != self._request_id:
             raise SpoiledAnswerError("the answer is to another request")
-        if names.seal not in stream.headers:
+        is_failure = stream.status >= STATUS_CALLER_FAILURES
+        return stream.status == STATUS_MISDIRECTED or (
+            is_failure and names.not_run in stream.headers
+        )
+
+    def _check_head(self, stream: HttpStream) -> None:
+        names = self._state.headers
+        if names.request_id not in stream.headers:
+            raise SpoiledAnswerError("the answer does not say to which request")
+        # The caller reads these as "not run and never will be". A target that does not
+        # say so itself may have run the request, and the caller would send it again.
+        if stream.status in PROMISING_STATUSES:
+            raise SpoiledAnswerError("the answer promises what it does not say")
+        if stream.status < STATUS_CALLER_FAILURES and names.seal not in stream.headers:
             raise SpoiledAnswerError("the answer has no seal")
         if CONTENT_ENCODING in stream.headers:
             raise SpoiledAnswerError("the body is encoded")
--- /dev/null
+++ b/libraries/gateway/tests/conftest.py
@@ -0,0 +1,120 @@
+"""A gateway's forwarder in this process, with scripted targets."""
+
+import pytest
+
+from tarragonward_core import Address
+from tarragonward_gateway import GatewaySettings, HeaderNames, Paths
+from tarragonward_gateway.app import _build_limits
+from tarragonward_gateway.forwarder import Forwarder
+from tarragonward_gateway.settings import Bounds
+from tarragonward_gateway.state import GatewayState
+from tarragonward_gateway.targets import TargetChooser
+from tarragonward_membership import RegisteredTarget
+from tarragonward_routes import (
+    Account,
+    CallerLimits,
+    RequestKind,
+    Route,
+    RoutingTable,
+    Service,
+    Share,
+)
+from tarragonward_standins import RawCaller, ScriptedTarget
+from tarragonward_wire import HttpServer
+
+LOCAL = Address("127.0.0.1", 0)
+
+
+class FirstInOrder:
+    """Stand for the host's randomness, so that targets are tried in order."""
+
+    def __init__(self):
+        self._draws = 0
+
+    def random(self):
+        self._draws += 1
+        return self._draws / 1_000_000
+
+
+class Site:
+    """A forwarding host, with its table and targets set by hand."""
+
+    def __init__(self, **route):
+        settings = GatewaySettings(
+            "h1", "d1", LOCAL, LOCAL, LOCAL, LOCAL, (), LOCAL, Bounds()
+        )
+        self.state = GatewayState(settings, HeaderNames(), Paths())
+        self.state.random = FirstInOrder()
+        self.state.table_confirmed_at = float("inf")
+        self.chooser = TargetChooser(self.state)
+        self.forwarder = Forwarder(self.state, self.chooser)
+        self.server = HttpServer(
+            LOCAL, self.forwarder.async_handle, check_head=self.forwarder.check_head
+        )
+        self.targets = []
+        self.version = 0
+        self.set_table(**route)
+
+    def set_table(self, limits=None, **route):
+        """Put a table with one route in force."""
+        self.version += 1
+        options = {
+            "kind": RequestKind.IDEMPOTENT,
+            "attempts": 2,
+            "timeout_seconds": 5.0,
+            **route,
+        }
+        table = RoutingTable(
+            self.version,
+            (Route("r", "app.example", "/app/", shares=(Share("s", 1),), **options),),
+            {"s": Service("s", 100)},
+            limits or CallerLimits(),
+            {"k1": Account("town")},
+            needs_key=True,
+        )
+        self.state.put_in_force(table)
+        self.server.limits = _build_limits(table.limits)
+
+    async def async_add(self, script, **options):
+        """Register a target; the first one added is tried first."""
+        target = ScriptedTarget(script, f"t{len(self.targets)}", **options)
+        await target.async_setup()
+        self.targets.append(target)
+        self.state.registry.apply(
+            RegisteredTarget(
+                target.id, "s", target.address, "d1", 8, True, len(self.targets)
+            )
+        )
+        return target
+
+    @property
+    def runs(self):
+        """Return how many requests the targets read."""
+        return sum(len(target.seen) for target in self.targets)
+
+    async def async_ask(self, method="GET", path="/app/x", **options):
+        """Send one request and return its answer."""
+        caller = await RawCaller.async_open(self.server.address)
+        caller.send(method, path, **options)
+        answer = await caller.async_read_answer(method)
+        caller.writer.close()
+        return answer
+
+
+@pytest.fixture
+async def make_site():
+    sites = []
+
+    async def async_make(*scripts, **route):
+        site = Site(**route)
+        sites.append(site)
+        await site.server.async_setup()
+        for script in scripts:
+            await site.async_add(script)
+        return site
+
+    yield async_make
+    for site in sites:
+        await site.server.async_unload()
+        for target in site.targets:
+            await target.async_unload()
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -211,10 +211,12 @@
 def _(
     event: TargetAnswered, exchange: Exchange, now: float, budget: bool
 ) -> ExchangeEffect | None:
-    can_repeat = event.is_failure and exchange.policy.may_run_again and budget
+    # A whole answer in place of a stream's rest cannot follow what was given of it.
+    is_failure = event.is_failure or exchange.is_started
+    can_repeat = is_failure and exchange.policy.may_run_again and budget
     if can_repeat and exchange.can_send_again(now):
         return SendTo(exchange.last_id, is_repeat=True)
-    return GiveAnswer()
+    return BreakOff() if exchange.is_started else GiveAnswer()
 
 
 @_hear.register
--- /dev/null
+++ b/libraries/standins/tarragonward_standins/scripted.py
@@ -0,0 +1,258 @@
+"""Play scripted targets and callers over raw sockets, byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from tarragonward_core import Address
+
+__all__ = [
+    "CHUNKED",
+    "RawAnswer",
+    "RawCaller",
+    "RawRequest",
+    "Script",
+    "ScriptedTarget",
+    "answer_with",
+    "async_lose_answer",
+    "async_reset",
+    "build_answer",
+    "build_chunk",
+    "build_event",
+    "refuse_with",
+    "stream_events",
+]
+
+CHUNKED = "Transfer-Encoding: chunked"
+HEAD_END = b"\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+STREAM_LINES = ("Content-Type: text/event-stream",)
+BODILESS = (204, 304)
+WAIT_SECONDS = 10.0
+
+RawHeaderList = list[tuple[str, str]]
+
+
+def _parse_head(head: bytes) -> tuple[str, RawHeaderList]:
+    first_line, *lines = head.decode("latin-1").strip().split("\r\n")
+    pairs = (line.split(":", 1) for line in lines)
+    return first_line, [(name, value.strip()) for name, value in pairs]
+
+
+def _get_values(headers: RawHeaderList, name: str) -> list[str]:
+    return [value for key, value in headers if key.lower() == name.lower()]
+
+
+@dataclass
+class RawRequest:
+    """A request as a target read it."""
+
+    first_line: str
+    headers: RawHeaderList
+    body: bytes = b""
+
+    def get(self, name: str) -> list[str]:
+        """Return the values of a header, in order."""
+        return _get_values(self.headers, name)
+
+
+Script = Callable[[RawRequest, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass
+class ScriptedTarget:
+    """A target that answers the one request of each connection by a script.
+
+    caller_left is set when the other side has closed its connection.
+    """
+
+    script: Script
+    id: str = ""
+    reads_body: bool = True
+    seen: list[RawRequest] = field(default_factory=list)
+    caller_left: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> Address:
+        """Return the address that it listens on."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    async def async_setup(self) -> None:
+        """Start to listen."""
+        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
+
+    async def async_unload(self) -> None:
+        """Stop to listen."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(OSError, asyncio.IncompleteReadError):
+            request = RawRequest(*_parse_head(await reader.readuntil(HEAD_END)))
+            if self.reads_body:
+                length = int((request.get("content-length") or ["0"])[0])
+                request.body = await reader.readexactly(length)
+            self.seen.append(request)
+            watching = asyncio.ensure_future(self._async_watch(reader))
+            try:
+                await self.script(request, writer)
+                await writer.drain()
+            finally:
+                watching.cancel()
+        writer.close()
+
+    async def _async_watch(self, reader: asyncio.StreamReader) -> None:
+        if not self.reads_body:
+            return
+        with suppress(OSError):
+            await reader.read(1)
+        self.caller_left.set()
+
+
+def build_answer(
+    request: RawRequest,
+    body: bytes = b"whole",
+    status: str = "200 OK",
+    lines: Iterable[str] = (),
+    framing: Iterable[str] | None = None,
+    seal: str = "X-Answer-Seal: sealed",
+) -> bytes:
+    """Return a sealed answer to a request, framed by a length unless told otherwise."""
+    if framing is None:
+        framing = (f"Content-Length: {len(body)}",)
+    request_id = (request.get("x-request-id") or [""])[0]
+    head = [f"HTTP/1.1 {status}", f"X-Request-Id: {request_id}", seal]
+    return "\r\n".join([*head, *framing, *lines]).encode() + HEAD_END + body
+
+
+def answer_with(body: bytes = b"whole", status: str = "200 OK", **parts: str) -> Script:
+    """Return a script that answers as build_answer does."""
+
+    async def script(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(build_answer(request, body, status, **parts))
+
+    return script
+
+
+def refuse_with(status: str = "503 Busy", lines: Iterable[str] = ()) -> Script:
+    """Return a script of a target that says that it does not run the request."""
+    head = [f"HTTP/1.1 {status}", "X-Did-Not-Run: 1", "Content-Length: 0", *lines]
+    answer = "\r\n".join(head).encode() + HEAD_END
+
+    async def script(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer)
+
+    return script
+
+
+async def async_lose_answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    """Have read the request, and close without an answer."""
+
+
+async def async_reset(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    """Have read the request, and reset the connection."""
+    writer.transport.abort()
+
+
+def build_event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def build_chunk(data: bytes) -> bytes:
+    """Return bytes as one chunk of a chunked body."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def stream_events(
+    numbers: Iterable[int], cut: bytes = b"", is_ended: bool = True
+) -> Script:
+    """Return a script that streams events, then a cut part of one, then its end."""
+    pieces = [build_chunk(build_event(number)) for number in numbers]
+
+    async def script(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(build_answer(request, b"", "200 OK", STREAM_LINES, [CHUNKED]))
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+        writer.write(build_chunk(cut) if cut else b"")
+        writer.write(LAST_CHUNK if is_ended else b"")
+
+    return script
+
+
+@dataclass
+class RawAnswer:
+    """An answer as a caller read it; is_whole is False where it was cut off."""
+
+    status: int
+    headers: RawHeaderList
+    body: bytes = b""
+    is_whole: bool = True
+
+    def get(self, name: str) -> list[str]:
+        """Return the values of a header, in order."""
+        return _get_values(self.headers, name)
+
+
+@dataclass
+class RawCaller:
+    """A caller's connection."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @classmethod
+    async def async_open(cls, address: Address) -> RawCaller:
+        """Connect to a host."""
+        return cls(*await asyncio.open_connection(address.host, address.port))
+
+    def send(
+        self,
+        method: str = "GET",
+        path: str = "/app/x",
+        lines: Iterable[str] = (),
+        body: bytes = b"",
+        request_id: str = "r1",
+    ) -> None:
+        """Send a request with a key; lines are further headers."""
+        head = [
+            f"{method} {path} HTTP/1.1",
+            "Host: app.example",
+            f"X-Request-Id: {request_id}",
+            "X-Api-Key: k1",
+            *lines,
+        ]
+        self.writer.write("\r\n".join(head).encode("latin-1") + HEAD_END + body)
+
+    async def async_read_answer(self, method: str = "GET") -> RawAnswer:
+        """Return the next answer."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            first_line, headers = _parse_head(await self.reader.readuntil(HEAD_END))
+            answer = RawAnswer(int(first_line.split()[1]), headers)
+            if method != "HEAD" and answer.status not in BODILESS:
+                await self._async_read_body(answer)
+        return answer
+
+    async def _async_read_body(self, answer: RawAnswer) -> None:
+        try:
+            length = answer.get("content-length")
+            if length:
+                answer.body = await self.reader.readexactly(int(length[0]))
+                return
+            while not answer.body.endswith(LAST_CHUNK):
+                size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
+                part = await self.reader.readexactly(size + len(b"\r\n"))
+                if not size:
+                    return
+                answer.body += part[:size]
+        except (asyncio.IncompleteReadError, ConnectionError):
+            answer.is_whole = False
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -18,8 +18,9 @@
     TargetError,
 )
 
-from .const import DEFAULT_CONNECT_TIMEOUT_SECONDS, READ_BYTES
+from .const import DEFAULT_CONNECT_TIMEOUT_SECONDS
 from .http_messages import RawHeaders, encode_headers
+from .receiver import Receiver
 
 __all__ = ["HttpAnswer", "HttpStream", "async_open_http", "async_send_http"]
 
@@ -48,12 +49,10 @@
     def __init__(
         self,
         connection: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        receiver: Receiver,
     ) -> None:
         self._h11 = connection
-        self._reader = reader
-        self._writer = writer
+        self._receiver = receiver
         self.status = 0
         self.headers: dict[str, str] = {}
         self.raw_headers: RawHeaders = ()
@@ -98,12 +97,12 @@
         if rest:
             yield rest
 
-    async def async_read_body(self) -> bytes:
-        """Read the rest of the body."""
+    async def async_read_body(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
+        """Read the rest of the body; raise TargetError where it is too large."""
         body = bytearray()
         async for chunk in self.async_iterate_chunks():
             body += chunk
-            if len(body) > MAX_ANSWER_BYTES:
+            if len(body) > max_bytes:
                 raise TargetError("the answer is too large")
         return bytes(body)
 
@@ -113,7 +112,7 @@
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._h11.receive_data(await self._reader.read(READ_BYTES))
+                self._h11.receive_data(await self._receiver.async_read())
         except (OSError, h11.RemoteProtocolError) as err:
             raise ConnectionLostError(str(err)) from err
 
@@ -131,23 +130,26 @@
 ) -> AsyncIterator[HttpStream]:
     """Send a request and give its answer as a stream; closed on every path.
 
-    Raw headers are sent as they are, with their host, and no length without a body;
-    a map of headers is completed with host and length.
+    Raw headers are sent as they are, with their host; a body without a length gets one.
+    A map of headers is completed with host and length.
 
     before_write runs right before the first byte is written, with no await between;
     what it raises goes to the caller, and nothing was sent.
     Raise NotConnectedError only where nothing can have been sent, and
     ConnectionLostError where something may have been.
     """
-    try:
-        async with asyncio.timeout(connect_timeout):
-            reader, writer = await asyncio.open_connection(address.host, address.port)
-    except (OSError, TimeoutError) as err:
-        raise NotConnectedError(f"{address}: {err}") from err
     connection = h11.Connection(h11.CLIENT)
     request = h11.Request(
         method=method, target=path, headers=_build_headers(address, headers, body)
     )
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(connect_timeout):
+            transport, receiver = await loop.create_connection(
+                Receiver, address.host, address.port
+            )
+    except (OSError, TimeoutError) as err:
+        raise NotConnectedError(f"{address}: {err}") from err
     try:
         if before_write is not None:
             before_write()
@@ -156,14 +158,14 @@
         if body:
             parts.append(connection.send(h11.Data(data=body)))
         parts.append(connection.send(h11.EndOfMessage()))
-        writer.write(b"".join(parts))
+        transport.write(b"".join(parts))
         # The answer is read while the body still goes out: a target that refuses a
         # long prompt at its head answers, and closes, before it has read it all.
-        stream = HttpStream(connection, reader, writer)
+        stream = HttpStream(connection, receiver)
         await stream.async_read_head()
         yield stream
     finally:
-        writer.transport.abort()
+        transport.abort()
 
 
 def _build_headers(
@@ -179,7 +181,8 @@
         }
         return encode_headers(completed)
     framing = [(b"Connection", b"close")]
-    if body:
+    has_length = any(name.lower() == b"content-length" for name, _ in headers)
+    if body and not has_length:
         framing.append((b"Content-Length", length.encode("ascii")))
     return [*headers, *framing]
 
--- a/libraries/wire/tarragonward_wire/http_connection.py
+++ b/libraries/wire/tarragonward_wire/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -10,8 +11,8 @@
 
 from tarragonward_core import RequestRefusedError, ResultCode, new_request_id
 
-from .const import LINGER_SECONDS, READ_BYTES
-from .http_messages import HttpHead, HttpLimits, HttpRequest, parse_head
+from .const import LINGER_SECONDS, MAX_PARSED_BYTES, READ_BYTES
+from .http_messages import HttpHead, HttpLimits, HttpRequest, measure_head, parse_head
 from .http_responder import Responder
 
 if TYPE_CHECKING:
@@ -52,7 +53,7 @@
         self._writer = writer
         self._held_bytes = 0
         self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes
+            h11.SERVER, max_incomplete_event_size=MAX_PARSED_BYTES
         )
 
     @property
@@ -155,13 +156,21 @@
     async def _async_read_head(self, request_id: str) -> HttpHead:
         try:
             async with asyncio.timeout(self._limits.head_timeout):
-                event = await self._async_next_event()
+                event = await self._async_next_event(self._check_head_size)
         except TimeoutError:
             raise RequestRefusedError(ResultCode.SLOW_SENDER) from None
         if not isinstance(event, h11.Request):
             raise ConnectionResetError("the caller left")
+        # The limit in force may have changed since the connection was made, and a head
+        # that came in one read was never waited for.
+        if measure_head(event) > self._limits.max_head_bytes:
+            raise RequestRefusedError(ResultCode.HEAD_TOO_LARGE)
         return parse_head(request_id, event)
 
+    def _check_head_size(self) -> None:
+        if len(self._h11.trailing_data[0]) > self._limits.max_head_bytes:
+            raise RequestRefusedError(ResultCode.HEAD_TOO_LARGE)
+
     async def _async_read_body(self, head: HttpHead) -> bytes:
         size = int(head.headers.get("content-length", "0"))
         self._reserve(size)
@@ -197,11 +206,14 @@
             )
         self._held_bytes += size
 
-    async def _async_next_event(self) -> Any:
+    async def _async_next_event(
+        self, before_wait: Callable[[], None] = lambda: None
+    ) -> Any:
         while True:
             event = self._h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            before_wait()
             self._h11.receive_data(await self._reader.read(READ_BYTES))
 
     async def _async_handle_until_caller_leaves(
--- a/libraries/wire/tarragonward_wire/http_messages.py
+++ b/libraries/wire/tarragonward_wire/http_messages.py
@@ -27,12 +27,17 @@
     "HttpRequest",
     "RawHeaders",
     "encode_headers",
+    "measure_head",
     "parse_head",
 ]
 
 Headers = dict[str, str]
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
+# Two spaces, the version and two line ends; a colon, a space and a line end.
+LINE_EXTRA_BYTES = 14
+HEADER_EXTRA_BYTES = 4
+
 
 @dataclass(frozen=True)
 class HttpLimits:
@@ -83,6 +88,15 @@
     raw_headers: RawHeaders = ()
 
 
+def measure_head(request: h11.Request) -> int:
+    """Return the bytes of a request's head, to within its spaces."""
+    line = len(request.method) + len(request.target) + LINE_EXTRA_BYTES
+    return line + sum(
+        len(name) + len(value) + HEADER_EXTRA_BYTES
+        for name, value in request.headers.raw_items()
+    )
+
+
 def parse_head(request_id: str, request: h11.Request) -> HttpHead:
     """Return the head of a request; raise RequestRefusedError where it is hostile."""
     headers = _join_headers(request)
--- a/libraries/wire/tarragonward_wire/http_responder.py
+++ b/libraries/wire/tarragonward_wire/http_responder.py
@@ -19,6 +19,8 @@
 JSON_HEADERS = {"content-type": "application/json"}
 REPEATS_LATER = (Repeat.AFTER_DELAY, Repeat.NEW_KEY, Repeat.SAME_KEY)
 METHOD_HEAD = "HEAD"
+# Answers that never have a body. Source: RFC 9110, sections 15.3.5 and 15.4.5.
+BODILESS_STATUSES = (204, 304)
 
 
 def compute_retry_after(code: ResultCode, seconds: float | None) -> int | None:
@@ -50,6 +52,19 @@
     }
 
 
+def _add_length(
+    status: int, headers: Headers | RawHeaders, length: int
+) -> Headers | RawHeaders:
+    if status in BODILESS_STATUSES:
+        return headers
+    if isinstance(headers, dict):
+        return {**headers, "content-length": str(length)}
+    # An answer to HEAD comes with the length of the body that it stands for.
+    if any(name.lower() == b"content-length" for name, _ in headers):
+        return headers
+    return (*headers, (b"content-length", str(length).encode("ascii")))
+
+
 class Responder:
     """Write one answer; a slow reader holds its writer back, not memory.
 
@@ -86,14 +101,9 @@
         self, status: int, body: bytes, headers: Headers | RawHeaders
     ) -> None:
         """Send a whole answer."""
-        length = str(len(body))
-        sized: Headers | RawHeaders
-        if isinstance(headers, dict):
-            sized = {**headers, "content-length": length}
-        else:
-            sized = (*headers, (b"content-length", length.encode("ascii")))
-        self.start(status, sized)
-        await self.async_finish(b"" if self.method == METHOD_HEAD else body)
+        self.start(status, _add_length(status, headers, len(body)))
+        is_bodiless = self.method == METHOD_HEAD or status in BODILESS_STATUSES
+        await self.async_finish(b"" if is_bodiless else body)
 
     async def async_send_error(
         self,
--- /dev/null
+++ b/libraries/wire/tests/test_receiver.py
@@ -0,0 +1,42 @@
+"""Tests of what is read of a connection that fails."""
+
+import asyncio
+
+import pytest
+
+from tarragonward_wire.receiver import Receiver
+
+
+async def test_what_came_before_a_failed_write_is_read_before_the_error():
+    """A target answers early and closes; the rest of the body cannot be written.
+
+    The answer is here, then the write fails: the reader gets the answer, piece by
+    piece, and only then the error.
+    """
+    receiver = Receiver()
+    receiver.data_received(b"answer")
+    receiver.connection_lost(ConnectionResetError("write failed"))
+    assert await receiver.async_read() == b"answer"
+    with pytest.raises(ConnectionResetError):
+        await receiver.async_read()
+
+
+async def test_a_waiting_reader_gets_what_comes_and_then_the_end():
+    receiver = Receiver()
+    waiting = asyncio.ensure_future(receiver.async_read())
+    await asyncio.sleep(0)
+    receiver.data_received(b"a")
+    receiver.data_received(b"b")
+    assert await waiting == b"ab"
+    receiver.eof_received()
+    assert await receiver.async_read() == b""
+
+
+async def test_a_reader_that_was_cancelled_loses_nothing():
+    receiver = Receiver()
+    waiting = asyncio.ensure_future(receiver.async_read())
+    await asyncio.sleep(0)
+    waiting.cancel()
+    receiver.data_received(b"late")
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert await receiver.async_read() == b"late"
