Test what a caller is told when targets fail, and try 2,000 seeds of an exchange

One fault found: a stream that the caller already had up to its last event came back empty and whole, and was answered with 502; it is passed on now. The randomised run checks runs, promises, one terminal answer and the order of events against what the targets of the run really ran.

--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -255,8 +255,13 @@
                 raise SpoiledAnswerError(str(err)) from None
             if events:
                 await self._async_give_events(stream, events)
-        if cutter.has_rest or not self._exchange.is_started:
+        if cutter.has_rest:
             raise SpoiledAnswerError("the stream ended within an event")
+        if not self._exchange.is_started:
+            # Only a stream that the caller had up to its last event may be empty.
+            if self._exchange.last_id is None:
+                raise SpoiledAnswerError("the stream has no event")
+            self._start_answer(stream)
         await self._responder.async_finish()
         self._exchange.has_ended = True
         return None
@@ -278,8 +283,9 @@
         if not given:
             return
         if not self._exchange.is_started:
-            self._hear(AnswerStarted())
-            self._responder.start(
-                stream.status, build_answer_headers(stream.raw_headers)
-            )
+            self._start_answer(stream)
         await self._responder.async_send_chunk(b"".join(given))
+
+    def _start_answer(self, stream: HttpStream) -> None:
+        self._hear(AnswerStarted())
+        self._responder.start(stream.status, build_answer_headers(stream.raw_headers))
--- /dev/null
+++ b/libraries/requests/tests/test_exchange.py
@@ -0,0 +1,156 @@
+"""Randomised runs of one forwarded request, with targets that fail in all ways."""
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from tarragonward_core import ResultCode, invariants
+from tarragonward_requests import (
+    AnswerStarted,
+    BreakOff,
+    EventsGiven,
+    Exchange,
+    ExchangePolicy,
+    GiveAnswer,
+    Refuse,
+    SendFailed,
+    SendFault,
+    SendTo,
+    TargetAnswered,
+    TimeOver,
+)
+
+SEEDS_A_RANGE = 500
+RANGES = 4
+STREAM_LENGTH = 6
+DEADLINE = 10.0
+PROMISES = (408, 421, 429, 503)
+
+
+@pytest.fixture(autouse=True)
+def strict_invariants():
+    invariants.strict = True
+    yield
+    invariants.strict = False
+
+
+@dataclass
+class World:
+    """The targets of one request: what they ran, and what the caller was given."""
+
+    random: random.Random
+    policy: ExchangePolicy
+    runs: int = 0
+    given: list = field(default_factory=list)
+    has_head: bool = False
+    is_whole: bool = False
+
+    def play(self, exchange, effect, now):
+        """Carry a send out; return the event that ends it, None for a whole stream."""
+        fate = self.random.random()
+        if fate < 0.1:
+            return SendFailed(SendFault.NOT_CONNECTED)
+        exchange.note_sent()
+        if fate < 0.3:
+            return SendFailed(SendFault.NOT_RUN, 0.1)
+        has_run = fate < 0.9
+        self.runs += has_run
+        if not has_run or fate < 0.5:
+            fault = self.random.choice([SendFault.LOST, SendFault.SPOILED])
+            return SendFailed(fault)
+        if fate < 0.6:
+            return TargetAnswered(is_failure=True)
+        if not self.policy.is_stream:
+            return TargetAnswered(is_failure=False)
+        return self._stream(exchange, effect, now)
+
+    def _stream(self, exchange, effect, now):
+        first = (effect.last_id or 0) + 1
+        stop = self.random.randint(first, STREAM_LENGTH + 1)
+        for number in range(first, stop):
+            if not exchange.is_started:
+                assert not self.has_head
+                exchange.hear(AnswerStarted(), now, True)
+                self.has_head = True
+            exchange.hear(EventsGiven(number), now, True)
+            self.given.append(number)
+        if stop <= STREAM_LENGTH or not self.given:
+            return SendFailed(SendFault.LOST)
+        self.is_whole = True
+        exchange.has_ended = True
+        return None
+
+
+def run_one(seed):
+    rng = random.Random(seed)
+    is_stream = rng.random() < 0.5
+    policy = ExchangePolicy(rng.random() < 0.5, is_stream, rng.randint(1, 4), DEADLINE)
+    exchange, world, now = Exchange(policy), World(rng, policy), 0.0
+    effect = exchange.begin()
+    while isinstance(effect, SendTo):
+        now += rng.choice([0.0, 0.1, 4.0])
+        if now >= DEADLINE:
+            effect = exchange.hear(TimeOver(), now, True)
+            break
+        if rng.random() < 0.1:
+            event = SendFailed(SendFault.NO_TARGET)
+        else:
+            event = world.play(exchange, effect, now)
+        if event is None:
+            effect = None
+            break
+        effect = exchange.hear(event, now, budget=rng.random() < 0.8)
+    return exchange, world, effect
+
+
+def check(exchange, world, effect):
+    policy = exchange.policy
+    assert exchange.has_ended
+    assert exchange.sends <= policy.attempts
+    if not policy.may_run_again:
+        assert world.runs <= 1
+    if isinstance(effect, Refuse):
+        assert not world.has_head
+        if effect.code.http_status in PROMISES:
+            assert world.runs == 0 or policy.may_run_again
+            assert effect.retry_after_seconds > 0
+        else:
+            assert effect.code in (
+                ResultCode.FORWARD_OUTCOME_UNKNOWN,
+                ResultCode.FORWARD_TIMEOUT,
+            )
+    if isinstance(effect, GiveAnswer):
+        assert not world.has_head
+    if isinstance(effect, BreakOff):
+        assert world.has_head
+    assert world.given == list(range(1, len(world.given) + 1))
+    if world.is_whole:
+        assert effect is None
+        assert len(world.given) == STREAM_LENGTH
+
+
+@pytest.mark.parametrize("part", range(RANGES))
+def test_no_seed_breaks_a_promise(part):
+    """A request meets targets that refuse, lose, spoil, fail and stop within a stream.
+
+    Whatever the order: what may run once runs once, "not run" is said only of what did
+    not run, there is one terminal answer, and no event is missing or given twice.
+    """
+    for seed in range(part * SEEDS_A_RANGE, (part + 1) * SEEDS_A_RANGE):
+        try:
+            check(*run_one(seed))
+        except Exception as err:
+            err.add_note(f"seed {seed}")
+            raise
+
+
+def test_nothing_is_sent_after_the_end():
+    exchange = Exchange(ExchangePolicy(True, False, 3, DEADLINE))
+    exchange.begin()
+    exchange.note_sent()
+    assert isinstance(exchange.hear(TargetAnswered(False), 0.0, True), GiveAnswer)
+    with pytest.raises(Exception, match="nothing_sent_after_the_end"):
+        exchange.note_sent()
+    with pytest.raises(Exception, match="one_terminal_answer"):
+        exchange.hear(TimeOver(), 0.0, True)
--- a/libraries/standins/tarragonward_standins/scripted.py
+++ b/libraries/standins/tarragonward_standins/scripted.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -31,6 +33,7 @@
 LAST_CHUNK = b"0\r\n\r\n"
 STREAM_LINES = ("Content-Type: text/event-stream",)
 BODILESS = (204, 304)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 WAIT_SECONDS = 10.0
 
 RawHeaderList = list[tuple[str, str]]
@@ -159,6 +162,8 @@
 
 async def async_reset(request: RawRequest, writer: asyncio.StreamWriter) -> None:
     """Have read the request, and reset the connection."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.transport.abort()
 
 
