--- /dev/null
+++ b/libraries/standins/tarragonward_standins/platform_clients.py
@@ -0,0 +1,267 @@
+"""Play clients of the platform: attempts, retries and streams as published."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tarragonward_core import Address
+
+from .platform_http import HEAD_END, LINE_END
+
+__all__ = ["Attempt", "ClientRequest", "PlatformClient", "RequestPlan"]
+
+CONNECT_SECONDS = 1.0
+FINAL_STATUSES = (400, 401, 404, 413, 431)
+PROMISES = (408, 421, 429, 503)
+MILLISECONDS = 1_000
+BACKOFF_SECONDS = 0.05
+BODILESS = (204, 304)
+EVENT_END = b"\n\n"
+
+Headers = dict[str, str]
+
+
+@dataclass(frozen=True)
+class RequestPlan:
+    """A request that a client is to make; times in seconds."""
+
+    route: str
+    kind: str
+    host: str
+    path: str
+    method: str = "POST"
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    deadline_seconds: float = 5.0
+    aim_seconds: float = 1.0
+    timeout_seconds: float = 5.0
+    retries: int = 1
+    subject: str = ""
+    is_resumable: bool = False
+    leaves_after: float | None = None
+    in_chunks: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether the request may run more than once."""
+        return self.kind == "idempotent" or self.is_resumable
+
+
+@dataclass(eq=False)
+class Attempt:
+    """One attempt of a client, as its socket saw it; times are the loop's."""
+
+    request_id: str
+    node: Address
+    sent_at: float
+    headers: Headers
+    last_id: int = 0
+    status: int = 0
+    answer: Headers = field(default_factory=dict)
+    body: bytes = b""
+    first_at: float | None = None
+    ended_at: float | None = None
+    is_whole: bool = False
+    has_left: bool = False
+    has_sent: bool = False
+
+
+@dataclass(eq=False)
+class ClientRequest:
+    """A request with all its attempts."""
+
+    plan: RequestPlan
+    began_at: float
+    attempts: list[Attempt] = field(default_factory=list)
+    pieces: bytes = b""
+    first_at: float | None = None
+    ended_at: float = 0.0
+
+    @property
+    def is_success(self) -> bool:
+        """Return whether the last attempt brought the whole answer."""
+        last = self.attempts[-1] if self.attempts else None
+        return last is not None and last.is_whole and last.status // 100 == 2
+
+    @property
+    def is_late(self) -> bool:
+        """Return whether the answer, or a stream's first piece, came after its aim."""
+        first = self.first_at if self.plan.kind == "stream" else self.ended_at
+        return first is None or first - self.began_at > self.plan.aim_seconds
+
+
+@dataclass(eq=False)
+class _Connection:
+    node: Address
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+class PlatformClient:
+    """One client: a kept connection, and retries on new ones."""
+
+    def __init__(self, pick_node: Callable[[], Address], key: str, seed: int) -> None:
+        self._pick_node = pick_node
+        self._key = key
+        self._random = random.Random(seed)
+        self._kept: _Connection | None = None
+        self.requests: list[ClientRequest] = []
+
+    async def async_request(self, plan: RequestPlan) -> ClientRequest:
+        """Make a request, with its retries, within its deadline."""
+        loop = asyncio.get_running_loop()
+        request = ClientRequest(plan, loop.time())
+        self.requests.append(request)
+        deadline = request.began_at + plan.deadline_seconds
+        for number in range(plan.retries + 1):
+            attempt = await self._async_attempt(request, deadline, is_new=number > 0)
+            wait = self._judge(plan, attempt, deadline - loop.time())
+            if wait is None:
+                break
+            await asyncio.sleep(wait)
+        request.ended_at = loop.time()
+        return request
+
+    def close(self) -> None:
+        """Close the kept connection."""
+        if self._kept is not None:
+            self._kept.writer.close()
+            self._kept = None
+
+    def _judge(self, plan: RequestPlan, attempt: Attempt, left: float) -> float | None:
+        """Return how long to wait before one more attempt, None for no more."""
+        if left <= 0 or attempt.has_left:
+            return None
+        if attempt.is_whole:
+            if attempt.status // 100 == 2 or attempt.status in FINAL_STATUSES:
+                return None
+            if attempt.status in PROMISES:
+                asked = float(attempt.answer.get("retry-after", BACKOFF_SECONDS))
+                return min(asked, left / 3)
+        if plan.may_repeat or not attempt.has_sent:
+            return self._random.uniform(0, BACKOFF_SECONDS)
+        return None
+
+    async def _async_attempt(
+        self, request: ClientRequest, deadline: float, is_new: bool
+    ) -> Attempt:
+        loop = asyncio.get_running_loop()
+        plan = request.plan
+        attempt = Attempt(
+            f"{self._random.getrandbits(64):016x}", self._pick_node(), loop.time(), {}
+        )
+        request.attempts.append(attempt)
+        leave_at = deadline
+        if plan.leaves_after is not None:
+            leave_at = min(leave_at, attempt.sent_at + plan.leaves_after)
+        connection = None
+        is_kept = False
+        try:
+            async with asyncio.timeout_at(leave_at):
+                connection = await self._async_connect(attempt, is_new)
+                await self._async_send(connection, request, attempt, deadline)
+                is_kept = await self._async_read(connection, request, attempt)
+        except TimeoutError:
+            attempt.has_left = True
+        except (OSError, ValueError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            attempt.ended_at = loop.time()
+            if connection is not None:
+                self._keep_or_close(connection, is_kept)
+        return attempt
+
+    def _keep_or_close(self, connection: _Connection, is_kept: bool) -> None:
+        if is_kept and self._kept is None:
+            self._kept = connection
+        else:
+            connection.writer.transport.abort()
+
+    async def _async_connect(self, attempt: Attempt, is_new: bool) -> _Connection:
+        kept, self._kept = self._kept, None
+        if kept is not None and (is_new or kept.reader.at_eof()):
+            kept.writer.close()
+            kept = None
+        if kept is not None:
+            attempt.node = kept.node
+            return kept
+        node = attempt.node
+        async with asyncio.timeout(CONNECT_SECONDS):
+            return _Connection(node, *await asyncio.open_connection(*_split(node)))
+
+    async def _async_send(
+        self,
+        connection: _Connection,
+        request: ClientRequest,
+        attempt: Attempt,
+        deadline: float,
+    ) -> None:
+        plan = request.plan
+        attempt.last_id = request.pieces.count(EVENT_END)
+        left = deadline - asyncio.get_running_loop().time()
+        headers = [
+            ("Host", plan.host),
+            ("X-Request-Id", attempt.request_id),
+            *plan.headers,
+            ("X-Deadline-Ms", str(max(1, int(left * MILLISECONDS)))),
+            ("X-Key", self._key),
+        ]
+        if attempt.last_id:
+            headers.append(("Last-Event-Id", str(attempt.last_id)))
+        body = plan.body
+        if plan.in_chunks and body:
+            headers.append(("Transfer-Encoding", "chunked"))
+            body = f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+        elif body:
+            headers.append(("Content-Length", str(len(body))))
+        attempt.headers = {name.lower(): value for name, value in headers}
+        lines = [f"{plan.method} {plan.path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        attempt.sent_at = asyncio.get_running_loop().time()
+        attempt.has_sent = True
+        connection.writer.write("\r\n".join(lines).encode() + HEAD_END + body)
+
+    async def _async_read(
+        self, connection: _Connection, request: ClientRequest, attempt: Attempt
+    ) -> bool:
+        reader = connection.reader
+        head = (await reader.readuntil(HEAD_END)).decode("latin-1")
+        first_line, *lines = head.strip().split("\r\n")
+        for line in lines:
+            name, _, value = line.partition(":")
+            attempt.answer[name.lower()] = value.strip()
+        attempt.status = int(first_line.split()[1])
+        if "transfer-encoding" in attempt.answer:
+            await self._async_read_chunks(reader, request, attempt)
+        elif attempt.status not in BODILESS:
+            length = int(attempt.answer["content-length"])
+            attempt.body = await reader.readexactly(length)
+        attempt.is_whole = True
+        return attempt.answer.get("connection", "").lower() != "close"
+
+    async def _async_read_chunks(
+        self,
+        reader: asyncio.StreamReader,
+        request: ClientRequest,
+        attempt: Attempt,
+    ) -> None:
+        before = request.pieces
+        while True:
+            size = int((await reader.readuntil(LINE_END)).strip(), 16)
+            part = await reader.readexactly(size + len(LINE_END))
+            if not size:
+                return
+            now = asyncio.get_running_loop().time()
+            attempt.body += part[:size]
+            attempt.first_at = attempt.first_at or now
+            request.first_at = request.first_at or now
+            # Only whole events count; a part of one is asked for again.
+            whole = attempt.body.rpartition(EVENT_END)
+            request.pieces = before + whole[0] + whole[1]
+
+
+def _split(address: Address) -> tuple[str, int]:
+    return address.host, address.port
--- /dev/null
+++ b/libraries/standins/tarragonward_standins/platform_day.py
@@ -0,0 +1,157 @@
+"""Play a seeded mix of requests on a site and sum up what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from .platform_clients import ClientRequest, PlatformClient, RequestPlan
+from .platform_site import HOST_NAME, PlatformSite
+
+__all__ = ["DayPlan", "DayReport", "PlatformDay"]
+
+PIECE_TOKENS = 46
+DRAFT_PROMPTS = ((0.85, (1_000, 8_000)), (1.0, (20_000, 60_000)))
+SHARED_PART = "5c1e07a2:40"
+
+
+@dataclass(frozen=True)
+class DayPlan:
+    """How long a day is, how much is asked for, and how many clients ask."""
+
+    seconds: float = 5.0
+    drafts_per_second: float = 12.0
+    calls_per_second: float = 20.0
+    clients: int = 24
+    leaving_share: float = 0.0
+    seed: int = 1
+
+
+@dataclass
+class DayReport:
+    """The figures of a played day."""
+
+    score: Counter[str] = field(default_factory=Counter)
+    broken: list[tuple[str, str]] = field(default_factory=list)
+    first_seconds: list[float] = field(default_factory=list)
+
+    @property
+    def is_good(self) -> bool:
+        """Return whether all was served right, in time, and no rule broken."""
+        score = self.score
+        bad = score["late"] + score["wrong"] + score["doubled"] + len(self.broken)
+        return not bad and 0 < score["sent"] == score["whole"]
+
+    def format_line(self) -> str:
+        """Return the last line of a demo."""
+        names = ("sent", "whole", "late", "wrong", "doubled")
+        figures = " ".join(f"{name}={self.score[name]}" for name in names)
+        return f"{figures} broken_rules={len(self.broken)}"
+
+
+class PlatformDay:
+    """One day's clients and requests."""
+
+    def __init__(self, site: PlatformSite, plan: DayPlan) -> None:
+        self._site = site
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        self._free = [site.add_client() for _ in range(plan.clients)]
+        self._subjects = 0
+
+    async def async_play(self) -> DayReport:
+        """Send the day's requests, wait for their ends, and judge them."""
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + self._plan.seconds
+        rate = self._plan.drafts_per_second + self._plan.calls_per_second
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < end_at:
+                group.create_task(self._async_request(self._draw_plan()))
+                await asyncio.sleep(self._random.expovariate(rate))
+        return self.judge()
+
+    def judge(self) -> DayReport:
+        """Return the figures of all requests so far."""
+        report = DayReport(broken=self._site.check())
+        for request in self._site.requests:
+            self._note(report, request)
+        rules = Counter(rule for rule, _ in report.broken)
+        report.score["wrong"] = rules["MIXED"] + rules["ORDER"] + rules["UNASKED"]
+        report.score["doubled"] = rules["TWICE"]
+        return report
+
+    def _note(self, report: DayReport, request: ClientRequest) -> None:
+        report.score["sent"] += 1
+        if request.is_success:
+            report.score["whole"] += 1
+            report.score["late"] += request.is_late
+            if request.plan.kind == "stream" and request.first_at is not None:
+                report.first_seconds.append(request.first_at - request.began_at)
+        else:
+            last = request.attempts[-1]
+            report.score[f"status_{last.status}"] += 1
+
+    async def _async_request(self, plan: RequestPlan) -> None:
+        # A client makes one request at a time; more of them come where all are busy.
+        client: PlatformClient = (
+            self._free.pop(self._random.randrange(len(self._free)))
+            if self._free
+            else self._site.add_client()
+        )
+        await client.async_request(plan)
+        self._free.append(client)
+
+    def _draw_plan(self) -> RequestPlan:
+        rate = self._plan.drafts_per_second + self._plan.calls_per_second
+        leaves_after = None
+        if self._random.random() < self._plan.leaving_share:
+            leaves_after = self._random.uniform(0.005, 0.2)
+        if self._random.random() * rate < self._plan.drafts_per_second:
+            return self._draw_draft(leaves_after)
+        if self._random.random() < 0.5:
+            return RequestPlan(
+                "/look/",
+                "idempotent",
+                HOST_NAME,
+                f"/look/{self._random.randrange(99)}?x=%2f",
+                "GET",
+                leaves_after=leaves_after,
+            )
+        body = self._random.randbytes(self._random.randint(10, 2_000))
+        return RequestPlan(
+            "/confirm/",
+            "non_idempotent",
+            HOST_NAME,
+            "/confirm/2f",
+            body=body,
+            in_chunks=self._random.random() < 0.3,
+            leaves_after=leaves_after,
+        )
+
+    def _draw_draft(self, leaves_after: float | None) -> RequestPlan:
+        draw = self._random.random()
+        bounds = next(bounds for below, bounds in DRAFT_PROMPTS if draw < below)
+        prompt = self._random.randint(*bounds)
+        answer = PIECE_TOKENS * self._random.randint(3, 12)
+        self._subjects += 1
+        subject = f"{self._subjects:08x}:{prompt - 40}"
+        return RequestPlan(
+            "/draft/",
+            "stream",
+            HOST_NAME,
+            "/draft/2f",
+            body=self._random.randbytes(1_200),
+            headers=(
+                ("X-Model", "m"),
+                ("X-Token-Counts", f"{prompt},{answer}"),
+                ("X-Prompt-Prefix", f"{SHARED_PART},{subject}"),
+            ),
+            deadline_seconds=10.0,
+            timeout_seconds=10.0,
+            aim_seconds=2.0,
+            subject=subject,
+            is_resumable=True,
+            leaves_after=leaves_after,
+        )
--- /dev/null
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -0,0 +1,319 @@
+"""Stand in for a runner of the platform: registration, answers, faults, a journal."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from tarragonward_core import Address
+
+from .platform_http import (
+    PlainRequest,
+    PlainServer,
+    async_reset_connection,
+    build_head,
+)
+from .platform_store import PlatformStore
+
+__all__ = ["Arrival", "PlatformRunner", "RunnerFaults", "RunnerPlan"]
+
+MILLISECONDS = 1_000
+RETRY_STATUS = 503
+WORK_SPREAD = (0.5, 1.5)
+BEATS_UNTIL_GONE = 3
+JSON_TYPE = ("Content-Type", "application/json")
+Journal = list["Arrival"]
+
+
+@dataclass(frozen=True)
+class RunnerPlan:
+    """What a runner is; times in seconds."""
+
+    service: str
+    zone: str
+    slots: int = 6
+    queue: int = 24
+    work_seconds: float = 0.03
+    answer_bytes: int = 800
+    health_path: str = "/health"
+    max_connections: int = 110
+    beat_seconds: float = 1.2
+    host: str = "127.0.0.1"
+
+
+@dataclass
+class RunnerFaults:
+    """Shares of requests that meet a fault; at most one befalls a request."""
+
+    error: float = 0.0
+    shed: float = 0.0
+    break_off: float = 0.0
+    truncate: float = 0.0
+    garbage: float = 0.0
+    no_length: float = 0.0
+    extra: float = 0.0
+    lose_answer: float = 0.0
+    reset: float = 0.0
+
+    def draw(self, rng: random.Random) -> str:
+        """Return the name of the fault that a request meets, or an empty string."""
+        number = rng.random()
+        for name, share in vars(self).items():
+            number -= share
+            if number < 0:
+                return name
+        return ""
+
+
+@dataclass(eq=False)
+class Arrival:
+    """A request that reached a runner, and what became of it there."""
+
+    request_id: str
+    runner_id: str
+    service: str
+    at: float
+    method: str
+    target: str
+    headers: dict[str, str]
+    body_hash: str
+    runner_left_at: float | None = None
+    has_run: bool = False
+    ended_at: float | None = None
+    status: int = 0
+    body: bytes = field(default=b"", repr=False)
+    has_broken_off: bool = False
+
+
+class PlatformRunner:
+    """One boot of a plain service's runner; model runners build on it."""
+
+    def __init__(
+        self, plan: RunnerPlan, store: PlatformStore, journal: Journal, seed: int
+    ) -> None:
+        self.plan = plan
+        self.faults = RunnerFaults()
+        self.journal = journal
+        self.is_leaving = False
+        self.left_at: float | None = None
+        self.active = 0
+        self.waiting = 0
+        self.random = random.Random(seed)
+        self.id = f"i-{self.random.getrandbits(32):08x}"
+        self._store = store
+        self._seq = 0
+        self._slots = asyncio.Semaphore(plan.slots)
+        self._beating: asyncio.Task[None] | None = None
+        self._server = PlainServer(
+            self._async_handle, plan.host, max_connections=plan.max_connections
+        )
+        self._paths: dict[
+            tuple[str, str],
+            Callable[[PlainRequest, asyncio.StreamWriter], Awaitable[bool]],
+        ] = {("GET", plan.health_path): self._async_tell_health}
+
+    @property
+    def address(self) -> Address:
+        """Return the address that it listens on."""
+        return self._server.address
+
+    async def async_setup(self) -> None:
+        """Listen and register."""
+        await self._server.async_setup()
+        self._beating = asyncio.create_task(self._async_beat())
+
+    async def async_unload(self) -> None:
+        """Leave at once, as a crash does; the registration stays for three beats."""
+        if self._beating is not None:
+            self._beating.cancel()
+        await self._server.async_unload()
+
+    async def async_leave(self, serve_seconds: float) -> None:
+        """Say that it is draining, serve on, and be gone."""
+        self.is_leaving = True
+        self.left_at = asyncio.get_running_loop().time()
+        self._register()
+        await asyncio.sleep(serve_seconds)
+        await self.async_unload()
+        self._store.delete(f"servers/{self.id}")
+
+    async def async_crash(self) -> None:
+        """Be gone without a word; the store drops it after some silent beats."""
+        await self.async_unload()
+        await asyncio.sleep(self.plan.beat_seconds * BEATS_UNTIL_GONE)
+        self.left_at = asyncio.get_running_loop().time()
+        self._store.delete(f"servers/{self.id}")
+
+    def route(
+        self,
+        method: str,
+        path: str,
+        handler: Callable[[PlainRequest, asyncio.StreamWriter], Awaitable[bool]],
+    ) -> None:
+        """Handle a path apart from the requests of routes."""
+        self._paths[method, path] = handler
+
+    async def _async_beat(self) -> None:
+        while True:
+            if not self.is_leaving:
+                self._register()
+            await asyncio.sleep(self.plan.beat_seconds)
+
+    def _register(self) -> None:
+        self._seq += 1
+        self._store.put(
+            f"servers/{self.id}",
+            {
+                "service": self.plan.service,
+                "address": str(self.address),
+                "zone": self.plan.zone,
+                "version": "v1",
+                "slots": self.plan.slots,
+                "state": "draining" if self.is_leaving else "ready",
+                "coldLeftMs": 0,
+                "seq": self._seq,
+            },
+        )
+
+    async def _async_handle(
+        self, request: PlainRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        special = self._paths.get((request.method, request.path))
+        if special is not None:
+            return await special(request, writer)
+        if "x-request-id" not in request.headers:
+            return self._refuse(writer, None, 400)
+        arrival = self._note_arrival(request)
+        if request.headers.get("x-expect-instance", self.id) != self.id:
+            return self._refuse(writer, arrival, 421)
+        fault = self.faults.draw(self.random)
+        if fault == "shed" or self.is_full():
+            return self._refuse(writer, arrival, RETRY_STATUS)
+        try:
+            return await self.async_run(request, arrival, fault, writer)
+        finally:
+            arrival.ended_at = asyncio.get_running_loop().time()
+
+    def is_full(self) -> bool:
+        """Return whether one more request would find no place."""
+        return self.waiting >= self.plan.queue
+
+    async def async_run(
+        self,
+        request: PlainRequest,
+        arrival: Arrival,
+        fault: str,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Run a request and answer it; return whether the connection is kept."""
+        self.waiting += 1
+        try:
+            async with self._slots:
+                self.waiting -= 1
+                self.active += 1
+                arrival.has_run = True
+                try:
+                    seconds = self.plan.work_seconds
+                    await asyncio.sleep(seconds * self.random.uniform(*WORK_SPREAD))
+                finally:
+                    self.active -= 1
+                    self.waiting += 1
+        finally:
+            self.waiting -= 1
+        arrival.status = 500 if fault == "error" else 200
+        arrival.body = self._build_body(arrival)
+        return await self._async_answer(arrival, fault, writer)
+
+    def _note_arrival(self, request: PlainRequest) -> Arrival:
+        arrival = Arrival(
+            request.headers["x-request-id"],
+            self.id,
+            self.plan.service,
+            asyncio.get_running_loop().time(),
+            request.method,
+            request.target,
+            request.headers,
+            hashlib.sha256(request.body).hexdigest(),
+            self.left_at,
+        )
+        self.journal.append(arrival)
+        return arrival
+
+    def _build_body(self, arrival: Arrival) -> bytes:
+        line = f"{arrival.request_id}:{arrival.runner_id}:{arrival.status}\n".encode()
+        return (line * (self.plan.answer_bytes // len(line) + 1))[
+            : self.plan.answer_bytes
+        ]
+
+    def build_answer_head(
+        self, arrival: Arrival, framing: tuple[tuple[str, str], ...]
+    ) -> bytes:
+        """Return the sealed head of an answer to a request."""
+        load = f"{self.active},{self.waiting},{self.plan.slots}"
+        headers = [
+            ("X-Request-Id", arrival.request_id),
+            ("X-Response-Seal", f"{arrival.runner_id}.{arrival.request_id}"),
+            ("X-Server-Load", load),
+            *framing,
+        ]
+        if self.is_leaving:
+            headers.append(("Connection", "close"))
+        return build_head(arrival.status, headers)
+
+    async def _async_answer(
+        self, arrival: Arrival, fault: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        if fault in ("lose_answer", "break_off"):
+            arrival.has_broken_off = True
+            return False
+        if fault == "reset":
+            arrival.has_broken_off = True
+            async_reset_connection(writer)
+            return False
+        if fault == "garbage":
+            arrival.has_broken_off = True
+            writer.write(b"\x16\x03\x01 this is no answer\r\n\r\n")
+            return False
+        length = ("Content-Length", str(len(arrival.body)))
+        framing = () if fault == "no_length" else (length,)
+        body = arrival.body
+        if fault == "truncate":
+            arrival.has_broken_off = True
+            body = body[: len(body) // 2]
+        writer.write(self.build_answer_head(arrival, framing) + body)
+        if fault == "extra":
+            writer.write(self.build_answer_head(arrival, framing) + body)
+        return fault == ""
+
+    def _refuse(
+        self, writer: asyncio.StreamWriter, arrival: Arrival | None, status: int
+    ) -> bool:
+        headers = [("X-Not-Run", "1"), ("X-Instance-Id", self.id)]
+        if arrival is not None:
+            arrival.status = status
+            headers.append(("X-Request-Id", arrival.request_id))
+        writer.write(build_head(status, [*headers, ("Content-Length", "0")]))
+        return True
+
+    async def _async_tell_health(
+        self, request: PlainRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        status = 503 if self.is_leaving or self.is_full() else 200
+        headers = [("X-Instance-Id", self.id), ("Content-Length", "0")]
+        writer.write(build_head(status, headers))
+        return True
+
+    def write_json(
+        self, writer: asyncio.StreamWriter, status: int, payload: Any
+    ) -> bool:
+        """Write a document; return that the connection is kept."""
+        body = orjson.dumps(payload)
+        length = ("Content-Length", str(len(body)))
+        writer.write(build_head(status, [JSON_TYPE, length]) + body)
+        return True
--- /dev/null
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -0,0 +1,404 @@
+"""Start a small deployment of the platform: store, runners, and real entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import random
+import signal
+import socket
+import sys
+from collections.abc import Mapping
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tarragonward_core import Address, TargetError
+from tarragonward_wire import async_send_http
+
+from .platform_checker import Checker, ConfigStep
+from .platform_clients import ClientRequest, PlatformClient
+from .platform_engine import PassSizes
+from .platform_model_runner import ModelRunner, Neighbours
+from .platform_runner import Arrival, PlatformRunner, RunnerPlan
+from .platform_settings import render_settings
+from .platform_store import PlatformStore, StoreDoor
+
+__all__ = [
+    "HOST_NAME",
+    "MODEL_SERVICE",
+    "PLAIN_SERVICE",
+    "ROUTES",
+    "PlatformHost",
+    "PlatformPlan",
+    "PlatformSite",
+    "describe_route",
+]
+
+HOST_MODULE = "tarragonward_platform"
+SETTINGS_VARIABLE = "TARRAGONWARD_BOOT"
+READY_STEP_SECONDS = 0.05
+BALANCER_STEP_SECONDS = 0.5
+READY_TIMEOUT_SECONDS = 0.4
+MISSES_UNTIL_OUT = 2
+SETUP_SECONDS = 30.0
+STOP_SECONDS = 12.0
+MODEL_SERVICE = "llm"
+PLAIN_SERVICE = "app"
+CONFIG_KEY = "op/config"
+HOST_NAME = "calm.example"
+BOUNDS: Mapping[str, Any] = {
+    "addrReuseS": 2,
+    "applyMs": 2000,
+    "drainMs": 2000,
+    "graceS": 8,
+    "lossSlackMs": 200,
+    "maxHoldMs": 20000,
+    "passMs": 120,
+    "retryRatio": 0.2,
+    "retrySlack": 106,
+    "retryWindowS": 10,
+    "stableWindowMs": 3000,
+    "stall_ms": 1500,
+    "freeMs": 4000,
+    "idleMaxMs": 9000,
+}
+LIMITS = {
+    "headerBytes": 16384,
+    "bodyBytes": 4194304,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
+
+
+@dataclass(frozen=True)
+class PlatformPlan:
+    """What a deployment has; zones get hosts, model runners and plain runners each."""
+
+    zones: tuple[str, ...] = ("a", "b", "c")
+    hosts_per_zone: int = 1
+    models_per_zone: int = 2
+    plain_per_zone: int = 1
+    sizes: PassSizes = field(default_factory=PassSizes)
+    seed: int = 1
+    accounts: int = 3
+
+
+@dataclass
+class PlatformHost:
+    """An entry host's addresses, its own door of the store, and its process."""
+
+    name: str
+    zone: str
+    front: Address
+    ready: Address
+    control: Address
+    peer_port: int
+    door: StoreDoor
+    settings: Path
+    process: asyncio.subprocess.Process | None = None
+    misses: int = 0
+
+    @property
+    def is_in_rotation(self) -> bool:
+        """Return whether the balancer sends new connections there."""
+        return self.misses < MISSES_UNTIL_OUT
+
+
+class PlatformSite:
+    """One deployment; what clients and runners saw is kept for the checker."""
+
+    def __init__(self, folder: Path, plan: PlatformPlan, template: Path) -> None:
+        self.plan = plan
+        self.random = random.Random(plan.seed)
+        self.store = PlatformStore(plan.seed)
+        self.arrivals: list[Arrival] = []
+        self.steps: list[ConfigStep] = []
+        self.hosts: list[PlatformHost] = []
+        self.models: list[ModelRunner] = []
+        self.plain: list[PlatformRunner] = []
+        self.clients: list[PlatformClient] = []
+        self.tenants = {f"town{n}": f"key{n}" for n in range(plan.accounts)}
+        self.version = 0
+        self._folder = folder
+        self._template = template.read_text(encoding="utf-8")
+        self._neighbours: Neighbours = {}
+        self._seeds = itertools.count(plan.seed * 1_000)
+        self._balancing: asyncio.Task[None] | None = None
+        self._runners: list[PlatformRunner] = []
+
+    async def async_setup(self) -> None:
+        """Start all, and wait until every host is ready."""
+        self.publish(list(ROUTES))
+        for zone in self.plan.zones:
+            for _ in range(self.plan.models_per_zone):
+                self.models.append(await self.async_add_model(zone))
+            for _ in range(self.plan.plain_per_zone):
+                self.plain.append(await self.async_add_plain(zone))
+        for zone in self.plan.zones:
+            for number in range(self.plan.hosts_per_zone):
+                self.hosts.append(await self._async_plan_host(zone, number))
+        for host in self.hosts:
+            await self.async_start_host(host)
+        async with asyncio.timeout(SETUP_SECONDS):
+            for host in self.hosts:
+                while not await self._async_ask_ready(host):
+                    await asyncio.sleep(READY_STEP_SECONDS)
+        self._balancing = asyncio.create_task(self._async_balance())
+
+    async def async_unload(self) -> None:
+        """End all that was started."""
+        if self._balancing is not None:
+            self._balancing.cancel()
+        for client in self.clients:
+            client.close()
+        for host in self.hosts:
+            if host.process is not None and host.process.returncode is None:
+                host.process.kill()
+                await host.process.wait()
+        for runner in self._runners:
+            await runner.async_unload()
+        await self.store.async_unload()
+
+    def publish(self, routes: list[dict[str, Any]]) -> None:
+        """Write the next version of the configuration; the store acknowledges it."""
+        self.version += self.random.randint(1, 3)
+        services = [self._describe_model_service(), self._describe_plain_service()]
+        tenants = [{"name": n, "apiKeys": [k]} for n, k in self.tenants.items()]
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": LIMITS,
+            "tenants": tenants,
+        }
+        self.store.put(CONFIG_KEY, document)
+        by_prefix = {
+            route["prefix"]: frozenset(
+                part["service"] for part in route.get("split", [route])
+            )
+            for route in routes
+        }
+        by_key = {key: name for name, key in self.tenants.items()}
+        now = asyncio.get_running_loop().time()
+        self.steps.append(ConfigStep(now, by_prefix, by_key))
+
+    def check(self) -> list[tuple[str, str]]:
+        """Return the broken rules of all that was seen so far."""
+        return Checker(self.requests, self.arrivals, self.steps).check()
+
+    @property
+    def requests(self) -> list[ClientRequest]:
+        """Return the requests of all clients."""
+        return [request for client in self.clients for request in client.requests]
+
+    def add_client(self, zone: str | None = None) -> PlatformClient:
+        """Return a new client; the balancer chooses its host at each connection."""
+        key = self.random.choice(list(self.tenants.values()))
+        client = PlatformClient(lambda: self._pick_front(zone), key, next(self._seeds))
+        self.clients.append(client)
+        return client
+
+    async def async_add_plain(self, zone: str) -> PlatformRunner:
+        """Start one more runner of the plain service."""
+        plan = RunnerPlan(PLAIN_SERVICE, zone)
+        runner = PlatformRunner(plan, self.store, self.arrivals, next(self._seeds))
+        await runner.async_setup()
+        self._runners.append(runner)
+        return runner
+
+    async def async_add_model(self, zone: str) -> ModelRunner:
+        """Start one more model runner."""
+        slots = self.plan.sizes.slots
+        plan = RunnerPlan(MODEL_SERVICE, zone, slots, queue=32, max_connections=270)
+        runner = ModelRunner(
+            plan,
+            self.store,
+            self.arrivals,
+            next(self._seeds),
+            self.plan.sizes,
+            self._neighbours,
+        )
+        await runner.async_setup()
+        self._runners.append(runner)
+        return runner
+
+    async def async_start_host(self, host: PlatformHost) -> None:
+        """Start a host's process with its settings rendered anew."""
+        host.settings.write_text(
+            render_settings(self._template, self._describe_host(host)),
+            encoding="utf-8",
+        )
+        environment = {**os.environ, SETTINGS_VARIABLE: str(host.settings)}
+        with (self._folder / f"{host.name}.log").open("ab") as log:
+            host.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", HOST_MODULE, env=environment, stderr=log
+            )
+
+    async def async_stop_host(self, host: PlatformHost) -> int:
+        """Stop a host as the platform does; return the exit code of its process."""
+        assert host.process is not None
+        host.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(STOP_SECONDS):
+            return await host.process.wait()
+
+    async def async_kill_host(self, host: PlatformHost) -> None:
+        """Kill a host's process."""
+        assert host.process is not None
+        host.process.kill()
+        await host.process.wait()
+
+    def read_log(self, host: PlatformHost) -> str:
+        """Return what a host has logged."""
+        return (self._folder / f"{host.name}.log").read_text(encoding="utf-8")
+
+    def _pick_front(self, zone: str | None) -> Address:
+        near = [host for host in self.hosts if zone in (None, host.zone)]
+        ready = [host for host in near if host.is_in_rotation]
+        if len(ready) * 2 < len(near):
+            ready = near
+        return self.random.choice(ready).front
+
+    async def _async_balance(self) -> None:
+        while True:
+            await asyncio.sleep(BALANCER_STEP_SECONDS)
+            for host in self.hosts:
+                is_ready = await self._async_ask_ready(host)
+                host.misses = 0 if is_ready else host.misses + 1
+
+    async def _async_ask_ready(self, host: PlatformHost) -> bool:
+        with suppress(TargetError):
+            answer = await async_send_http(
+                host.ready, "GET", "/ready", timeout=READY_TIMEOUT_SECONDS
+            )
+            return answer.status == 200
+        return False
+
+    async def _async_plan_host(self, zone: str, number: int) -> PlatformHost:
+        index = len(self.hosts) + 1
+        name = f"front-{zone}-{number + 1}"
+        ip = f"127.0.1.{index}"
+        front, ready, control, peer = _find_ports(ip, 4)
+        return PlatformHost(
+            name,
+            zone,
+            Address(ip, front),
+            Address(ip, ready),
+            Address(ip, control),
+            peer,
+            await self.store.async_open_door(),
+            self._folder / f"{name}.toml",
+        )
+
+    def _describe_host(self, host: PlatformHost) -> dict[str, Any]:
+        return {
+            "node": host.name,
+            "role": "entry",
+            "machineClass": "front",
+            "serves": ["front", "control"],
+            "ip": host.front.host,
+            "zone": host.zone,
+            "region": "calm",
+            "zones": dict.fromkeys(self.plan.zones, "calm"),
+            "listen": {
+                "front": str(host.front),
+                "ready": str(host.ready),
+                "control": str(host.control),
+            },
+            "internalPorts": [host.peer_port, host.peer_port],
+            "seeds": [str(other.control) for other in self.hosts[:3]],
+            "bootstrap": True,
+            "limits": {"cores": 1, "memoryMb": 300, "maxFds": 4100},
+            "discovery": "platform",
+            "beatIntervalMs": 1200,
+            "tolerate": {"machines": 1, "zones": 1, "regions": 0},
+            "bounds": BOUNDS,
+            "platform": {
+                "address": str(host.door.address),
+                "form": "read",
+                "readsPerS": 2000,
+                "historyS": 20,
+                "valueBytes": 1_048_576,
+            },
+        }
+
+    def _describe_model_service(self) -> dict[str, Any]:
+        sizes = self.plan.sizes
+        return {
+            "name": MODEL_SERVICE,
+            "healthPath": "/health",
+            "maxConns": 270,
+            "protocol": "h1",
+            "tls": False,
+            "engine": {
+                "slots": sizes.slots,
+                "kvCapacity": sizes.memory_tokens,
+                "stride": sizes.stride,
+                "chunk": sizes.chunk,
+                "step_ms": sizes.step_ms,
+                "per_seq_ms": sizes.per_seq_ms,
+                "context_per_k": sizes.context_per_k,
+                "read_per_s": sizes.read_per_s,
+                "pairs_per_m": sizes.pairs_per_m,
+                "report_lag_ms": 200.0,
+                "hopMs": sizes.hop_ms,
+                "usual": {"prompt": 5_000, "answer": 600},
+                "models": [{"name": "m"}],
+                "delays": [],
+            },
+        }
+
+    def _describe_plain_service(self) -> dict[str, Any]:
+        return {
+            "name": PLAIN_SERVICE,
+            "healthPath": "/health",
+            "maxConns": 110,
+            "protocol": "h1",
+            "tls": False,
+        }
+
+
+def _find_ports(ip: str, count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((ip, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+def describe_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route's document; fields go before the usual ones."""
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 5_000,
+        "goalMs": 1_000,
+        "priority": 1,
+        "attempts": 2,
+        "public": False,
+        **fields,
+    }
+
+
+ROUTES = (
+    describe_route(
+        "draft",
+        "stream",
+        MODEL_SERVICE,
+        sticky=True,
+        resumable=True,
+        gapTargetMs=800,
+        timeoutMs=10_000,
+    ),
+    describe_route("confirm", "non_idempotent", PLAIN_SERVICE, attempts=1),
+    describe_route("look", "idempotent", PLAIN_SERVICE),
+)
--- /dev/null
+++ b/libraries/standins/tarragonward_standins/platform_store.py
@@ -0,0 +1,238 @@
+"""Stand in for the platform's metadata store, with its troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import random
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import orjson
+
+from tarragonward_core import Address
+
+from .platform_http import (
+    PlainRequest,
+    PlainServer,
+    async_reset_connection,
+    build_head,
+)
+
+__all__ = ["PlatformStore", "StoreDoor", "StoreTrouble"]
+
+PAGE_ITEMS = 50
+MAX_WAIT_MS = 30_000
+MILLISECONDS = 1_000
+STALE_PRICE = 0.1
+
+
+class StoreTrouble(Enum):
+    """What befalls calls to the store."""
+
+    NONE = "none"
+    REFUSES = "503 for all"
+    BUSY = "429 for all"
+    RESETS = "connections are reset"
+    SILENT = "calls are taken, and nothing comes back"
+    SLOW = "answers take long"
+    LOSES_ANSWERS = "some answers are lost, with their connections"
+
+
+@dataclass(frozen=True)
+class _Item:
+    key: str
+    revision: int
+    created: int
+    value: bytes | None
+
+    def to_json(self) -> dict[str, Any]:
+        if self.value is None:
+            return {"key": self.key, "revision": self.revision, "tombstone": True}
+        return {
+            "key": self.key,
+            "value": base64.b64encode(self.value).decode("ascii"),
+            "revision": self.revision,
+            "createRev": self.created,
+            "lease": 0,
+        }
+
+
+@dataclass(eq=False)
+class StoreDoor:
+    """An address of the store; a machine that has one of its own can be refused."""
+
+    store: PlatformStore
+    trouble: StoreTrouble = StoreTrouble.NONE
+    server: PlainServer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.server = PlainServer(self._async_handle)
+
+    @property
+    def address(self) -> Address:
+        """Return the address in use."""
+        return self.server.address
+
+    async def _async_handle(
+        self, request: PlainRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        store = self.store
+        for trouble in (store.trouble, self.trouble):
+            if not await _async_befall(trouble, store.random, writer):
+                return False
+        status, payload = await store.async_call(request)
+        loses = StoreTrouble.LOSES_ANSWERS in (store.trouble, self.trouble)
+        if loses and store.random.random() < store.lost_share:
+            await asyncio.Event().wait()
+        _write_json(writer, status, payload)
+        return True
+
+
+async def _async_befall(
+    trouble: StoreTrouble, rng: random.Random, writer: asyncio.StreamWriter
+) -> bool:
+    if trouble is StoreTrouble.REFUSES:
+        _write_json(writer, 503, {})
+        return False
+    if trouble is StoreTrouble.BUSY:
+        _write_json(writer, 429, {})
+        return False
+    if trouble is StoreTrouble.RESETS:
+        async_reset_connection(writer)
+        return False
+    if trouble is StoreTrouble.SILENT:
+        await asyncio.Event().wait()
+    if trouble is StoreTrouble.SLOW:
+        await asyncio.sleep(rng.uniform(0.3, 1.2))
+    return True
+
+
+def _write_json(writer: asyncio.StreamWriter, status: int, payload: Any) -> None:
+    body = orjson.dumps(payload)
+    head = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    writer.write(build_head(status, head) + body)
+
+
+class PlatformStore:
+    """Keys with one revision counter; operators and targets write, hosts read."""
+
+    def __init__(self, seed: int = 1, reads_per_second: float = 2_000.0) -> None:
+        self.random = random.Random(seed)
+        self.trouble = StoreTrouble.NONE
+        self.lost_share = 0.35
+        self.reads_per_second = reads_per_second
+        self.calls = 0.0
+        self.revision = 100
+        self._items: dict[str, _Item] = {}
+        self._history: list[_Item] = []
+        self._history_from = self.revision
+        self._changed = asyncio.Event()
+        self._recent_calls: deque[float] = deque()
+        self._doors: list[StoreDoor] = []
+        self._calls_by_path: dict[
+            str, Callable[[dict[str, str]], Awaitable[tuple[int, Any]]]
+        ] = {
+            "/kv-key": self._async_get,
+            "/kv-range": self._async_list,
+            "/kv-watch": self._async_watch,
+        }
+
+    async def async_open_door(self) -> StoreDoor:
+        """Listen on one more address."""
+        door = StoreDoor(self)
+        await door.server.async_setup()
+        self._doors.append(door)
+        return door
+
+    async def async_unload(self) -> None:
+        """Close all addresses."""
+        for door in self._doors:
+            await door.server.async_unload()
+
+    def put(self, key: str, value: Any) -> int:
+        """Write a document and return its revision."""
+        self.revision += 1
+        known = self._items.get(key)
+        created = known.created if known is not None else self.revision
+        self._note(_Item(key, self.revision, created, orjson.dumps(value)))
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        """Remove a key; a tombstone tells those who watch."""
+        if key in self._items:
+            self.revision += 1
+            self._note(_Item(key, self.revision, 0, None))
+
+    def drop_history(self) -> None:
+        """Forget all changes: whoever watches from before now hears 410."""
+        self._history.clear()
+        self._history_from = self.revision
+
+    def _note(self, item: _Item) -> None:
+        if item.value is None:
+            del self._items[item.key]
+        else:
+            self._items[item.key] = item
+        self._history.append(item)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def async_call(self, request: PlainRequest) -> tuple[int, Any]:
+        """Return the status and document of a read call."""
+        call = self._calls_by_path.get(request.path)
+        if call is None:
+            return 404, {}
+        query = request.query
+        is_stale = query.get("allowStale") == "1"
+        self.calls += STALE_PRICE if is_stale else 1.0
+        if not is_stale and not self._is_within_rate():
+            return 429, {}
+        return await call(query)
+
+    def _is_within_rate(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        while self._recent_calls and self._recent_calls[0] < now - 1.0:
+            self._recent_calls.popleft()
+        self._recent_calls.append(now)
+        return len(self._recent_calls) <= self.reads_per_second
+
+    async def _async_get(self, query: dict[str, str]) -> tuple[int, Any]:
+        item = self._items.get(query.get("key", ""))
+        if item is None:
+            return 404, {"asOf": self.revision}
+        return 200, {**item.to_json(), "asOf": self.revision}
+
+    async def _async_list(self, query: dict[str, str]) -> tuple[int, Any]:
+        after, prefix = query.get("after", ""), query.get("prefix", "")
+        keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
+        page = [self._items[key].to_json() for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return 200, {"items": page, "morePages": more, "asOf": self.revision}
+
+    async def _async_watch(self, query: dict[str, str]) -> tuple[int, Any]:
+        after = int(query.get("after", "0"))
+        wait = min(int(query.get("waitMs", "0")), MAX_WAIT_MS) / MILLISECONDS
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + wait
+        while True:
+            if after < self._history_from:
+                return 410, {}
+            events = self._list_changes(after, query.get("prefix", ""))
+            if events or loop.time() >= give_up_at:
+                return 200, {"events": events, "asOf": self.revision}
+            try:
+                async with asyncio.timeout_at(give_up_at):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _list_changes(self, after: int, prefix: str) -> list[dict[str, Any]]:
+        return [
+            item.to_json()
+            for item in self._history
+            if item.revision > after and item.key.startswith(prefix)
+        ]
--- /dev/null
+++ b/tests/test_platform_day.py
@@ -0,0 +1,151 @@
+"""Tests of real entry hosts on the stand-in of the users' platform."""
+
+import asyncio
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from tarragonward_standins.platform_clients import RequestPlan
+from tarragonward_standins.platform_day import DayPlan, PlatformDay
+from tarragonward_standins.platform_runner import RunnerFaults
+from tarragonward_standins.platform_site import (
+    HOST_NAME,
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    ROUTES,
+    PlatformPlan,
+    PlatformSite,
+    describe_route,
+)
+from tarragonward_standins.platform_store import StoreTrouble
+
+TEMPLATE = Path(__file__).parents[1] / "deploy" / "settings.toml"
+SMALL = PlatformPlan(zones=("a", "b"), models_per_zone=1)
+QUIET_STOP_SECONDS = 7.0
+
+
+@pytest.fixture
+async def make_site(tmp_path):
+    sites = []
+
+    async def async_make(plan=SMALL):
+        site = PlatformSite(tmp_path, plan, TEMPLATE)
+        sites.append(site)
+        await site.async_setup()
+        return site
+
+    yield async_make
+    for site in sites:
+        await site.async_unload()
+
+
+def explain(site, report):
+    """Return what a failed check needs to be traced."""
+    logs = "\n".join(site.read_log(host)[-3_000:] for host in site.hosts)
+    return f"{report.format_line()} {report.score} {report.broken[:9]}\n{logs}"
+
+
+def ask(path, kind, **options):
+    return RequestPlan(f"/{path.split('/')[1]}/", kind, HOST_NAME, path, **options)
+
+
+async def test_a_calm_day_is_served_whole_and_hosts_end_in_order(make_site):
+    site = await make_site()
+    report = await PlatformDay(site, DayPlan(seconds=2.0)).async_play()
+    assert report.is_good, explain(site, report)
+    codes = await asyncio.gather(*map(site.async_stop_host, site.hosts))
+    assert codes == [0] * len(site.hosts)
+
+
+async def test_runners_that_fail_in_all_ways_break_no_rule(make_site):
+    """Runners shed, break off, truncate, garble, reset and lose answers all at once.
+
+    Callers hear of failures, and repeat what they may; no answer is mixed up, nothing
+    that may run once runs twice, and no stream has a gap.
+    """
+    site = await make_site()
+    share = 0.07
+    for runner in (*site.plain, *site.models):
+        runner.faults = RunnerFaults(*[share] * len(vars(RunnerFaults())))
+    day = DayPlan(seconds=3.0, drafts_per_second=25, leaving_share=0.05, seed=3)
+    report = await PlatformDay(site, day).async_play()
+    assert not report.broken, explain(site, report)
+    assert report.score["whole"] > report.score["sent"] / 2
+
+
+async def test_a_stream_goes_on_when_its_runner_crashes(make_site):
+    """A model runner dies while streams run on it; each ends whole at the other."""
+    site = await make_site()
+    day = PlatformDay(site, DayPlan(seconds=2.0, drafts_per_second=30, seed=4))
+    playing = asyncio.ensure_future(day.async_play())
+    await asyncio.sleep(1.0)
+    crashing = asyncio.ensure_future(site.models[0].async_crash())
+    report = await playing
+    crashing.cancel()
+    assert not report.broken, explain(site, report)
+    assert report.score["whole"] > report.score["sent"] * 0.9, explain(site, report)
+
+
+async def test_planned_work_cuts_off_nothing(make_site):
+    """A host is stopped, a runner is emptied and routes change under load.
+
+    No request is lost or refused for good, the host's process ends by itself within
+    its grace, and the new routes are in force at every host within the bound.
+    """
+    site = await make_site()
+    day = PlatformDay(site, DayPlan(seconds=6.0, calls_per_second=40, seed=5))
+    playing = asyncio.ensure_future(day.async_play())
+    await asyncio.sleep(0.5)
+    leaving = asyncio.ensure_future(site.plain[0].async_leave(3.0))
+    site.publish(
+        [*ROUTES, describe_route("new", "idempotent", PLAIN_SERVICE, attempts=2)]
+    )
+    stopping = asyncio.ensure_future(site.async_stop_host(site.hosts[0]))
+    async with asyncio.timeout(QUIET_STOP_SECONDS):
+        code = await stopping
+    report = await playing
+    await leaving
+    assert code == 0
+    assert not report.broken, explain(site, report)
+    assert not report.score["status_0"], explain(site, report)
+    new = await site.add_client("b").async_request(ask("/new/x", "idempotent"))
+    assert new.is_success
+
+
+async def test_a_host_refused_by_the_store_alone_goes_on_serving(make_site):
+    """The store turns one machine away, then forgets its history, then is silent.
+
+    The host serves by what it knows. Back in touch, it reads all anew: a route that was
+    added and a runner that came meanwhile are used.
+    """
+    site = await make_site()
+    host = site.hosts[0]
+    client = site.add_client(host.zone)
+    host.door.trouble = StoreTrouble.REFUSES
+    site.publish([*ROUTES, describe_route("new", "idempotent", MODEL_SERVICE)])
+    site.store.drop_history()
+    await asyncio.sleep(1.0)
+    assert (await client.async_request(ask("/look/1", "idempotent"))).is_success
+    host.door.trouble = StoreTrouble.SILENT
+    assert (await client.async_request(ask("/look/2", "idempotent"))).is_success
+    host.door.trouble = StoreTrouble.NONE
+    plan = ask("/new/x", "idempotent", method="GET")
+    async with asyncio.timeout(10):
+        while not (await client.async_request(plan)).is_success:
+            await asyncio.sleep(0.1)
+    rules = Counter(rule for rule, _ in site.check())
+    assert set(rules) <= {"CONFIG"}
+
+
+async def test_a_killed_host_costs_only_what_it_had_in_hand(make_site):
+    site = await make_site()
+    day = PlatformDay(site, DayPlan(seconds=3.0, seed=6))
+    playing = asyncio.ensure_future(day.async_play())
+    await asyncio.sleep(1.0)
+    await site.async_kill_host(site.hosts[0])
+    await site.async_start_host(site.hosts[0])
+    report = await playing
+    rules = {rule for rule, _ in report.broken}
+    assert rules <= {"LOST"}, explain(site, report)
+    assert report.score["whole"] > report.score["sent"] * 0.8, explain(site, report)
