Place prompts by predicted harm, and read long ones jointly

Cause: a send went to the target with least in flight of this host. A long reading beside a writer of a short answer holds its next event for up to 46 steps, and a prompt of 210,000 tokens takes one engine 2.8 s of an aim of 3 s.

Now each send is planned on the published model of an engine's passes: how many engines read the prompt, which one leads, by the harm predicted for it and for the writers there. Short prompts are packed at the front of an order that all hosts share, long ones take its end.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 from contextlib import AsyncExitStack, suppress
 
 from tarragonward_core import log_event
@@ -36,7 +37,8 @@
         self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
         self.publications = PublicationTask(self.state, reader, parser)
         self.publications.on_table.append(self._apply_limits)
-        self.forwarder = Forwarder(self.state, TargetChooser(self.state))
+        self.targets = TargetChooser(self.state, time.monotonic)
+        self.forwarder = Forwarder(self.state, self.targets)
         self.callers = HttpServer(
             settings.callers,
             self.forwarder.async_handle,
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -32,7 +32,7 @@
 from .context import ForwardContext
 from .headers import build_answer_headers, build_target_headers
 from .state import GatewayState
-from .targets import TargetChooser
+from .targets import SendChoice, TargetChooser, TargetNeed
 
 __all__ = ["ForwardRun"]
 
@@ -125,13 +125,14 @@
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
-        target = self._chooser.choose(self._context.service, self._tried)
-        if target is None:
+        choice = self._chooser.choose(self._build_need())
+        if choice is None:
             return self._hear(SendFailed(SendFault.NO_TARGET))
+        target = choice.target
         self._tried.add(target.id)
         try:
-            with self._chooser.hold(target):
-                event = await self._async_attempt(target, effect)
+            with self._chooser.hold(choice):
+                event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
             self._log_failed(target, event, err)
@@ -143,6 +144,17 @@
             self._log_failed(target, event, err)
         return self._hear(event) if event is not None else None
 
+    def _build_need(self) -> TargetNeed:
+        return TargetNeed(
+            service=self._context.service,
+            route=self._route,
+            aim_at=self._context.received_at + self._route.aim_seconds,
+            tokens=_parse_counts(
+                self._request.headers.get(self._state.headers.token_counts, "")
+            ),
+            tried=self._tried,
+        )
+
     def _log_failed(
         self, target: RegisteredTarget, event: SendFailed, err: Exception
     ) -> None:
@@ -155,44 +167,48 @@
         )
 
     async def _async_attempt(
-        self, target: RegisteredTarget, effect: SendTo
+        self, choice: SendChoice, effect: SendTo
     ) -> ExchangeEvent | None:
+        target = choice.target
         left = self._context.limit_at - self._loop.time()
         async with async_open_http(
             target.address,
             self._request.method,
             self._request.target,
-            headers=self._build_headers(target, effect, left),
+            headers=self._build_headers(choice, effect, left),
             body=self._request.body,
             connect_timeout=min(c.CONNECT_SECONDS, left),
             before_write=self._exchange.note_sent,
         ) as stream:
-            return await self._async_take_answer(target, stream)
+            return await self._async_take_answer(choice, stream)
 
     def _build_headers(
-        self, target: RegisteredTarget, effect: SendTo, left: float
+        self, choice: SendChoice, effect: SendTo, left: float
     ) -> tuple[tuple[bytes, bytes], ...]:
         names = self._state.headers
         ours = {
             names.deadline_ms: str(max(1, int(left * MILLISECONDS))),
-            names.expected_target: target.id,
+            names.expected_target: choice.target.id,
         }
         if self._context.account is not None:
             ours[names.account] = self._context.account.name
+        if choice.helpers:
+            ours[names.helpers] = choice.helper_list
         if effect.last_id is not None:
             ours[names.last_event_id] = str(effect.last_id)
         stripped = (names.caller_key, names.account, names.priority, names.helpers)
         return build_target_headers(self._request.raw_headers, ours, stripped)
 
     async def _async_take_answer(
-        self, target: RegisteredTarget, stream: HttpStream
+        self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
+        self._chooser.note_load(choice.target, stream.headers.get(names.load))
         if stream.status == STATUS_MISDIRECTED or names.not_run in stream.headers:
             log_event(
                 "send_refused",
                 request_id=self._request_id,
-                target=target.id,
+                target=choice.target.id,
                 status=stream.status,
                 at=stream.headers.get(names.at_target),
             )
@@ -200,7 +216,7 @@
         self._check_head(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
-            return await self._async_pass_events(stream)
+            return await self._async_pass_events(choice, stream)
         body = await stream.async_read_body()
         self._answer = (stream.status, build_answer_headers(stream.raw_headers), body)
         return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
@@ -214,7 +230,9 @@
         if CONTENT_ENCODING in stream.headers:
             raise SpoiledAnswerError("the body is encoded")
 
-    async def _async_pass_events(self, stream: HttpStream) -> ExchangeEvent | None:
+    async def _async_pass_events(
+        self, choice: SendChoice, stream: HttpStream
+    ) -> ExchangeEvent | None:
         cutter = EventCutter()
         async for data in stream.async_iterate_chunks():
             try:
@@ -222,6 +240,7 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
+                choice.note_first_event(self._loop.time())
                 await self._async_give_events(stream, events)
         if cutter.has_rest or not self._exchange.is_started:
             raise SpoiledAnswerError("the stream ended within an event")
@@ -251,3 +270,11 @@
                 stream.status, build_answer_headers(stream.raw_headers)
             )
         await self._responder.async_send_chunk(b"".join(given))
+
+
+def _parse_counts(text: str) -> tuple[int, int] | None:
+    """Return the prompt's and the most output tokens, None where they aren't told."""
+    prompt, _, output = text.partition(",")
+    if not prompt.isdigit() or not output.isdigit():
+        return None
+    return int(prompt), int(output)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -1,44 +1,148 @@
-"""Choose the target of a send, and count what this host has in flight on each."""
+"""Choose the targets of a send, and count what this host has in flight on each."""
 
 from __future__ import annotations
 
+import hashlib
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Collection, Iterator, Sequence
 from contextlib import contextmanager
+from dataclasses import dataclass
+from functools import lru_cache
 
 from tarragonward_membership import RegisteredTarget
+from tarragonward_placement import (
+    FleetBook,
+    PromptNeed,
+    PromptWork,
+    ReadingPlan,
+    plan_reading,
+)
+from tarragonward_routes import Route, Service
 
 from .state import GatewayState
 
-__all__ = ["TargetChooser"]
+__all__ = ["SendChoice", "TargetChooser", "TargetNeed"]
+
+MAX_ORDERED = 4_096
+LOAD_SEPARATOR = ","
+LOAD_FIELDS = 3
+
+
+@dataclass(frozen=True)
+class TargetNeed:
+    """A send to be placed; tokens are None where the request is no prompt."""
+
+    service: str
+    route: Route
+    aim_at: float
+    tokens: tuple[int, int] | None = None
+    tried: Collection[str] = ()
+
+
+@dataclass(frozen=True)
+class SendChoice:
+    """The target of a send, and the engines that help it to read the prompt."""
+
+    target: RegisteredTarget
+    helpers: tuple[RegisteredTarget, ...] = ()
+    plan: ReadingPlan | None = None
+    work: PromptWork | None = None
+
+    def note_first_event(self, now: float) -> None:
+        """Note that the prompt has been read."""
+        if self.work is not None and self.work.first_event_at is None:
+            self.work.first_event_at = now
+
+    @property
+    def helper_list(self) -> str:
+        """Return the helpers as they are told to the target."""
+        return ",".join(str(helper.address) for helper in self.helpers)
 
 
 class TargetChooser:
-    """The least busy ready target of a service, by this host's own requests."""
+    """Choose by what is known of all targets, and keep this host's share of it."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, clock: Callable[[], float]) -> None:
         self._state = state
+        self._clock = clock
         self._in_flight: Counter[str] = Counter()
+        self.book = FleetBook()
 
-    def choose(self, service: str, tried: set[str]) -> RegisteredTarget | None:
-        """Return a target that has not had the request, or None."""
+    def choose(self, need: TargetNeed) -> SendChoice | None:
+        """Return where to send, or None where no target is left."""
         ready = [
             target
-            for target in self._state.registry.get_ready(service)
-            if target.id not in tried
+            for target in self._state.registry.get_ready(need.service)
+            if target.id not in need.tried
         ]
         if not ready:
             return None
-        random = self._state.random.random
-        return min(ready, key=lambda t: (self._in_flight[t.id], random()))
+        table = self._state.table
+        service = table.services.get(need.service) if table is not None else None
+        if need.tokens is None or service is None or service.engine is None:
+            return SendChoice(self._choose_least_busy(ready))
+        choice = self._plan(need, ready, service)
+        return choice or SendChoice(self._choose_least_busy(ready))
 
     @contextmanager
-    def hold(self, target: RegisteredTarget) -> Iterator[None]:
-        """Count a request on a target until it ends."""
+    def hold(self, choice: SendChoice) -> Iterator[None]:
+        """Count a request on its targets until it ends."""
+        target = choice.target
         self._in_flight[target.id] += 1
+        if choice.work is not None:
+            self.book.begin(choice.work)
         try:
             yield
         finally:
+            if choice.work is not None:
+                self.book.end(choice.work)
             self._in_flight[target.id] -= 1
             if not self._in_flight[target.id]:
                 del self._in_flight[target.id]
+
+    def note_load(self, target: RegisteredTarget, text: str | None) -> None:
+        """Take the load that a target tells with its answer."""
+        counts = (text or "").split(LOAD_SEPARATOR)
+        if len(counts) != LOAD_FIELDS or not all(count.isdigit() for count in counts):
+            return
+        running, waiting, _ = map(int, counts)
+        self.book.note_count(target.id, running + waiting, self._clock())
+
+    def _choose_least_busy(self, ready: Sequence[RegisteredTarget]) -> RegisteredTarget:
+        random = self._state.random.random
+        return min(ready, key=lambda t: (self._in_flight[t.id], random()))
+
+    def _plan(
+        self, need: TargetNeed, ready: Sequence[RegisteredTarget], service: Service
+    ) -> SendChoice | None:
+        assert need.tokens is not None and service.engine is not None
+        now = self._clock()
+        prompt = PromptNeed(
+            prompt_tokens=need.tokens[0],
+            output_tokens=need.tokens[1],
+            aim_seconds=need.aim_at - now,
+            pause_aim_seconds=need.route.pause_aim_seconds,
+        )
+        by_id = {target.id: target for target in ready}
+        plan = plan_reading(
+            prompt,
+            sorted(by_id, key=_compute_place),
+            self.book.get_all(now),
+            service.engine,
+            self._state.random,
+            self.book.hears_peers(now),
+        )
+        if plan is None:
+            return None
+        return SendChoice(
+            target=by_id[plan.leader],
+            helpers=tuple(by_id[name] for name in plan.readers[1:]),
+            plan=plan,
+            work=plan.build_work(prompt, now),
+        )
+
+
+@lru_cache(MAX_ORDERED)
+def _compute_place(target_id: str) -> bytes:
+    """Return a target's place in the order that all hosts share."""
+    return hashlib.blake2b(target_id.encode(), digest_size=8).digest()
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -6,6 +6,7 @@
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
     FIRST_LONG_PRIORITY,
 )
+from .fleet import EngineWork, FleetBook, PromptWork
 from .groups import (
     GroupEffect,
     GroupMember,
@@ -28,6 +29,7 @@
     Refused,
 )
 from .placement import Placement
+from .readings import PromptNeed, ReadingPlan, plan_reading
 
 __all__ = [
     "BLOCK_TOKENS",
@@ -37,6 +39,8 @@
     "CacheUpdate",
     "EngineLoad",
     "EngineView",
+    "EngineWork",
+    "FleetBook",
     "FleetView",
     "GroupEffect",
     "GroupMember",
@@ -47,6 +51,9 @@
     "PlacementPolicy",
     "PlacementRequest",
     "PrefixIndex",
+    "PromptNeed",
+    "PromptWork",
+    "ReadingPlan",
     "Refused",
     "ReleasePart",
     "ReservationGranted",
@@ -56,5 +63,6 @@
     "choose_loads",
     "count_parallel_loads",
     "hash_blocks",
+    "plan_reading",
     "share_by_weight",
 ]
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -58,3 +58,31 @@
 
 MAX_KNOWN_BLOCKS = 8_192
 BLOCK_TOKENS = 512
+
+# Readings of prompts on engines whose passes are published.
+# A hint of a peer's work older than this is worth nothing: its prompts have ended.
+MAX_HINT_SECONDS = 3.0
+# An engine's own count of its requests tells of others' until they have ended.
+MAX_COUNT_SECONDS = 1.5
+# What an overdue reading is still taken to need, of its whole time.
+OVERDUE_SHARE = 0.3
+# What is at stake with a prompt grows with its tokens, from one for the smallest.
+STAKE_TOKENS = 10_000
+# Where a time over its bound begins to count, and where the bound is surely missed.
+SAFE_SHARE = 0.65
+MISSED_SHARE = 1.05
+MAX_OVERRUN = 8.0
+OVERRUN_WEIGHT = 0.04
+MIN_LEFT_SECONDS = 0.02
+# Prompts that are read in less time than this are read by one engine.
+MIN_JOINT_SECONDS = 0.05
+MIN_PART_SECONDS = 0.012
+MAX_HELPERS = 16
+READER_COUNTS = (1, 2, 3, 4, 6, 8, 11, 14, 17)
+# What each further reader and a place out of the lane count, in the stake's unit.
+READER_WEIGHT = 0.004
+LANE_WEIGHT = 0.15
+LANE_FILL_SHARE = 0.6
+SLOT_WAIT_SECONDS = 0.7
+MEMORY_SHARE = 0.97
+MAX_PLANNED_ENGINES = 64
--- /dev/null
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -0,0 +1,190 @@
+"""Keep what is known of the work on engines: this host's own, and hints of peers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from . import const as c
+
+__all__ = ["EngineWork", "FleetBook", "PromptWork"]
+
+MILLISECONDS = 1_000
+THOUSAND = 1_000
+DIGEST_FIELDS = 6
+
+
+@dataclass(eq=False)
+class PromptWork:
+    """A prompt that this host has sent: who reads it until when, who holds it."""
+
+    leader: str
+    reads_until: Mapping[str, float]
+    part_seconds: float
+    context_tokens: int
+    held_tokens: Mapping[str, int]
+    pause_aim_seconds: float
+    stake: float
+    placed_at: float
+    first_event_at: float | None = None
+
+    def compute_reading_left(self, engine: str, now: float) -> float:
+        """Return the seconds that the engine still reads for this prompt."""
+        if self.first_event_at is not None:
+            return 0.0
+        left = self.reads_until[engine] - now
+        return min(max(left, c.OVERDUE_SHARE * self.part_seconds), self.part_seconds)
+
+
+@dataclass
+class EngineWork:
+    """What is known to lie on one engine; stakes are by pause aim in milliseconds."""
+
+    writers: int = 0
+    readers: int = 0
+    parts: int = 0
+    context_tokens: int = 0
+    held_tokens: int = 0
+    reading_seconds: float = 0.0
+    stakes: dict[int, float] = field(default_factory=dict)
+
+    @property
+    def requests(self) -> int:
+        """Return how many places are taken."""
+        return self.writers + self.readers
+
+    def add_stake(self, pause_aim: int, stake: float) -> None:
+        """Count what is lost where a pause is over the aim."""
+        self.stakes[pause_aim] = self.stakes.get(pause_aim, 0.0) + stake
+
+
+@dataclass(frozen=True)
+class _Hint:
+    """A peer's digest; made_at is by this host's clock."""
+
+    made_at: float
+    engines: Mapping[str, Sequence[Any]]
+
+
+@dataclass(frozen=True)
+class _Count:
+    """What an engine itself counted beyond this host's own requests."""
+
+    seen_at: float
+    others: int
+
+
+class FleetBook:
+    """The prompts in flight by engine; peers' digests are hints, and age.
+
+    While no peer is heard, an engine's own count, which comes with its answers, stands
+    for what others have there.
+    """
+
+    def __init__(self) -> None:
+        self._counts: dict[str, _Count] = {}
+        self._own: dict[str, dict[PromptWork, None]] = {}
+        self._hints: dict[str, _Hint] = {}
+
+    def begin(self, work: PromptWork) -> None:
+        """Count a prompt on all its engines until it ends."""
+        for engine in {*work.reads_until, *work.held_tokens}:
+            self._own.setdefault(engine, {})[work] = None
+
+    def end(self, work: PromptWork) -> None:
+        """Forget a prompt."""
+        for engine in {*work.reads_until, *work.held_tokens}:
+            works = self._own.get(engine, {})
+            works.pop(work, None)
+            if not works:
+                self._own.pop(engine, None)
+
+    def note_count(self, engine: str, requests: int, now: float) -> None:
+        """Take an engine's own count of the requests that it has."""
+        own = sum(work.leader == engine for work in self._own.get(engine, ()))
+        self._counts[engine] = _Count(now, max(0, requests - own))
+
+    def hears_peers(self, now: float) -> bool:
+        """Return whether any peer's digest is fresh."""
+        return any(
+            now - hint.made_at <= c.MAX_HINT_SECONDS for hint in self._hints.values()
+        )
+
+    def get_all(self, now: float) -> dict[str, EngineWork]:
+        """Return what is known of each engine that has any work."""
+        known: dict[str, EngineWork] = {}
+        for engine in self._own:
+            self._add_own(engine, known.setdefault(engine, EngineWork()), now)
+        for host, hint in list(self._hints.items()):
+            age = now - hint.made_at
+            if age > c.MAX_HINT_SECONDS:
+                del self._hints[host]
+                continue
+            for engine, entry in hint.engines.items():
+                _add_hint(known.setdefault(engine, EngineWork()), entry, age)
+        if not self._hints:
+            self._add_counts(known, now)
+        return known
+
+    def build_digest(self, now: float) -> dict[str, list[Any]]:
+        """Return this host's own work for the peers, by engine."""
+        digest = {}
+        for engine in self._own:
+            work = EngineWork()
+            self._add_own(engine, work, now)
+            digest[engine] = [
+                work.writers,
+                work.readers,
+                work.parts,
+                work.context_tokens // THOUSAND,
+                work.held_tokens // THOUSAND,
+                int(work.reading_seconds * MILLISECONDS),
+                {aim: round(stake, 1) for aim, stake in work.stakes.items()},
+            ]
+        return digest
+
+    def take_digest(self, host: str, data: Any, age: float, now: float) -> None:
+        """Take a peer's digest in the place of its last one."""
+        if not isinstance(data, dict):
+            return
+        entries = {
+            engine: entry
+            for engine, entry in data.items()
+            if isinstance(entry, list | tuple) and len(entry) > DIGEST_FIELDS
+        }
+        self._hints[host] = _Hint(now - age, entries)
+
+    def _add_counts(self, known: dict[str, EngineWork], now: float) -> None:
+        for engine, count in list(self._counts.items()):
+            age = now - count.seen_at
+            if age > c.MAX_COUNT_SECONDS:
+                del self._counts[engine]
+                continue
+            left = round(count.others * (1 - age / c.MAX_COUNT_SECONDS))
+            if left:
+                known.setdefault(engine, EngineWork()).writers += left
+
+    def _add_own(self, engine: str, known: EngineWork, now: float) -> None:
+        for work in self._own[engine]:
+            known.reading_seconds += work.compute_reading_left(engine, now)
+            known.held_tokens += work.held_tokens.get(engine, 0)
+            if engine != work.leader:
+                known.parts += work.first_event_at is None
+                continue
+            known.writers += work.first_event_at is not None
+            known.readers += work.first_event_at is None
+            known.context_tokens += work.context_tokens
+            known.add_stake(int(work.pause_aim_seconds * MILLISECONDS), work.stake)
+
+
+def _add_hint(known: EngineWork, entry: Sequence[Any], age: float) -> None:
+    writers, readers, parts, context, held, reading, stakes = entry[:7]
+    known.writers += writers
+    known.readers += readers
+    known.parts += parts
+    known.context_tokens += context * THOUSAND
+    known.held_tokens += held * THOUSAND
+    known.reading_seconds += max(0.0, reading / MILLISECONDS - age)
+    for aim, stake in stakes.items():
+        known.add_stake(int(aim), stake)
--- /dev/null
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -0,0 +1,249 @@
+"""Decide which engines read a prompt, by the harm predicted for all on them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from tarragonward_routes import EngineModel
+
+from . import const as c
+from .fleet import EngineWork, PromptWork
+
+__all__ = ["PromptNeed", "ReadingPlan", "plan_reading"]
+
+MILLISECONDS = 1_000
+NO_WORK = EngineWork()
+
+
+@dataclass(frozen=True)
+class PromptNeed:
+    """A prompt to be placed; aim_seconds is what is left until its first event's."""
+
+    prompt_tokens: int
+    output_tokens: int
+    aim_seconds: float
+    pause_aim_seconds: float
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the memory that the prompt and its answer take."""
+        return self.prompt_tokens + self.output_tokens
+
+    @property
+    def stake(self) -> float:
+        """Return what is at stake, in that of the smallest prompt."""
+        return 1 + self.prompt_tokens / c.STAKE_TOKENS
+
+
+@dataclass(frozen=True)
+class ReadingPlan:
+    """Who reads a prompt; the leader, which holds and writes, is the first."""
+
+    readers: tuple[str, ...]
+    part_seconds: float
+    reads_until: Mapping[str, float]
+    first_event_seconds: float
+    harm: float
+
+    @property
+    def leader(self) -> str:
+        """Return the engine that gets the request."""
+        return self.readers[0]
+
+    def build_work(self, need: PromptNeed, now: float) -> PromptWork:
+        """Return the prompt as it is counted while it is in flight."""
+        return PromptWork(
+            leader=self.leader,
+            reads_until={
+                engine: now + seconds for engine, seconds in self.reads_until.items()
+            },
+            part_seconds=self.part_seconds,
+            context_tokens=need.prompt_tokens // len(self.readers),
+            held_tokens={self.leader: need.memory_tokens},
+            pause_aim_seconds=need.pause_aim_seconds,
+            stake=need.stake,
+            placed_at=now,
+        )
+
+
+@dataclass(frozen=True)
+class _Candidate:
+    """One engine as a reader of a part: when it ends, whom it harms."""
+
+    name: str
+    work: EngineWork
+    ends_seconds: float
+    harm: float
+    order: float
+
+
+def compute_overrun(seconds: float, bound: float) -> float:
+    """Return how surely a bound is missed, 0 to 1, and a little for how far.
+
+    A prediction is never exact, so what comes near the bound counts in part.
+    """
+    share = seconds / max(bound, c.MIN_LEFT_SECONDS)
+    missed = (share - c.SAFE_SHARE) / (c.MISSED_SHARE - c.SAFE_SHARE)
+    far = c.OVERRUN_WEIGHT * min(share, c.MAX_OVERRUN)
+    return min(max(missed, 0.0), 1.0) + far
+
+
+def plan_reading(
+    need: PromptNeed,
+    engines: Sequence[str],
+    known: Mapping[str, EngineWork],
+    model: EngineModel,
+    random: Random,
+    hears_peers: bool = True,
+) -> ReadingPlan | None:
+    """Return the readers with the least predicted harm, None where none has memory.
+
+    The order of the engines is the same on all hosts: prompts that one engine reads
+    at once are packed at its front, and long ones take its end, so that engines with
+    writers that bear no pause stay few. A host that hears no peer spreads its
+    prompts: hosts that each pack blindly would all pack the same engines.
+    """
+    chosen = _sample(engines, known, random)
+    if not hears_peers:
+        chosen = [(0.0, name) for _, name in chosen]
+    alone = model.compute_read_seconds(need.prompt_tokens)
+    lane = _count_lane(known, model, need, len(engines))
+    best = None
+    for count in c.READER_COUNTS:
+        part = alone / count
+        if count > 1 and (alone < c.MIN_JOINT_SECONDS or part < c.MIN_PART_SECONDS):
+            break
+        if count > len(chosen):
+            break
+        is_long = alone >= c.MIN_JOINT_SECONDS
+        candidates = [
+            _build_candidate(
+                name, place, known.get(name, NO_WORK), part, need, model, is_long, lane
+            )
+            for place, name in chosen
+        ]
+        plan = _plan_for(count, part, candidates, need, model, random)
+        if plan is not None and (best is None or plan.harm < best.harm):
+            best = plan
+    return best
+
+
+def _sample(
+    engines: Sequence[str], known: Mapping[str, EngineWork], random: Random
+) -> list[tuple[float, str]]:
+    """Return a bounded number of engines with their places, from 0 to 1."""
+    whole = max(len(engines), 1)
+    placed = [(place / whole, name) for place, name in enumerate(engines, start=1)]
+    if len(placed) <= c.MAX_PLANNED_ENGINES:
+        return placed
+    return random.sample(placed, c.MAX_PLANNED_ENGINES)
+
+
+def _count_lane(
+    known: Mapping[str, EngineWork], model: EngineModel, need: PromptNeed, whole: int
+) -> float:
+    """Return the share of the engines that the strictest writers need."""
+    aim = int(need.pause_aim_seconds * MILLISECONDS)
+    requests = sum(work.requests for work in known.values() if aim in work.stakes)
+    fill = max(model.slots * c.LANE_FILL_SHARE, 1.0)
+    return (math.ceil(requests / fill) + 1) / max(whole, 1)
+
+
+def _build_candidate(
+    name: str,
+    place: float,
+    work: EngineWork,
+    part: float,
+    need: PromptNeed,
+    model: EngineModel,
+    is_long: bool,
+    lane: float,
+) -> _Candidate:
+    steps = model.compute_write_seconds(work.writers, work.context_tokens)
+    pause = steps + work.reading_seconds + part
+    harm = sum(
+        stake * compute_overrun(pause, aim / MILLISECONDS)
+        for aim, stake in work.stakes.items()
+    )
+    ends = work.reading_seconds + part
+    if work.writers:
+        ends += 1.5 * steps
+    order = 1 - place if is_long else max(0.0, place - lane)
+    return _Candidate(name, work, ends, harm, c.LANE_WEIGHT * order)
+
+
+def _plan_for(
+    count: int,
+    part: float,
+    candidates: list[_Candidate],
+    need: PromptNeed,
+    model: EngineModel,
+    random: Random,
+) -> ReadingPlan | None:
+    leads = [
+        (
+            _compute_lead_harm(each, need, model),
+            each.work.requests,
+            random.random(),
+            each,
+        )
+        for each in candidates
+        if _has_memory(each, need, model)
+    ]
+    if not leads:
+        return None
+    lead_harm, _, _, leader = min(leads, key=lambda item: item[:3])
+    others = sorted(
+        (each for each in candidates if each is not leader and _can_help(each, model)),
+        key=lambda each: (
+            each.harm
+            + each.order
+            + need.stake * compute_overrun(each.ends_seconds, need.aim_seconds),
+            random.random(),
+        ),
+    )[: count - 1]
+    if len(others) < count - 1:
+        return None
+    first = max(each.ends_seconds for each in (leader, *others))
+    harm = (
+        lead_harm
+        + sum(each.harm + each.order for each in others)
+        + need.stake * compute_overrun(first, need.aim_seconds)
+        + c.READER_WEIGHT * count
+    )
+    readers = (leader, *others)
+    return ReadingPlan(
+        readers=tuple(each.name for each in readers),
+        part_seconds=part,
+        reads_until={each.name: each.ends_seconds for each in readers},
+        first_event_seconds=first,
+        harm=harm,
+    )
+
+
+def _has_memory(each: _Candidate, need: PromptNeed, model: EngineModel) -> bool:
+    return need.memory_tokens <= model.memory_tokens * c.MEMORY_SHARE
+
+
+def _can_help(each: _Candidate, model: EngineModel) -> bool:
+    return each.work.parts < model.slots - 1
+
+
+def _compute_lead_harm(each: _Candidate, need: PromptNeed, model: EngineModel) -> float:
+    """Return what it costs that this engine holds and writes the answer."""
+    work = each.work
+    pause = model.compute_write_seconds(work.writers + 1, work.context_tokens)
+    pause += work.reading_seconds
+    harm = each.harm + each.order
+    harm += need.stake * compute_overrun(pause, need.pause_aim_seconds)
+    over = work.requests + 1 - model.slots
+    first = each.ends_seconds + max(over, 0) * c.SLOT_WAIT_SECONDS
+    harm += need.stake * compute_overrun(first, need.aim_seconds)
+    # Without memory the newest request loses its place and is read again.
+    room = model.memory_tokens * c.MEMORY_SHARE - work.held_tokens
+    if need.memory_tokens > room:
+        harm += need.stake + sum(work.stakes.values())
+    return harm
--- /dev/null
+++ b/libraries/placement/tests/test_readings.py
@@ -0,0 +1,165 @@
+"""Check which engines are chosen to read a prompt."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from tarragonward_placement import (
+    EngineWork,
+    FleetBook,
+    PromptNeed,
+    ReadingPlan,
+    plan_reading,
+)
+from tarragonward_routes import EngineModel
+
+MODEL = EngineModel(
+    slots=8,
+    memory_tokens=450_000,
+    stride_steps=46,
+    chunk_tokens=2_048,
+    step_seconds=0.000925,
+    writer_seconds=0.00001,
+    context_seconds=2.54e-9,
+    read_tokens_per_second=256_000.0,
+    pair_seconds=9.17e-11,
+)
+ENGINES = [f"e{number:02}" for number in range(12)]
+SHORT = PromptNeed(5_000, 500, 0.3, 0.2)
+LONG = PromptNeed(210_000, 800, 3.0, 0.8)
+
+
+def plan(
+    need: PromptNeed,
+    known: dict[str, EngineWork] | None = None,
+    engines: list[str] | None = None,
+    hears_peers: bool = True,
+) -> ReadingPlan:
+    """Return the plan on the engines of this file."""
+    chosen = plan_reading(
+        need,
+        ENGINES if engines is None else engines,
+        known or {},
+        MODEL,
+        Random(1),
+        hears_peers,
+    )
+    assert chosen is not None
+    return chosen
+
+
+def build_short_writers(count: int) -> EngineWork:
+    """Return an engine on which so many short prompts are answered."""
+    return EngineWork(
+        writers=count,
+        context_tokens=count * 5_000,
+        held_tokens=count * 5_500,
+        stakes={200: count * 1.5},
+    )
+
+
+def test_short_prompts_share_an_engine_with_short_writers() -> None:
+    """Engines without short writers stay free for long readings."""
+    assert plan(SHORT).readers == ("e00",)
+    assert plan(SHORT, {"e00": build_short_writers(3)}).leader in ("e00", "e01")
+
+
+def test_full_engine_gets_no_more_short_prompts() -> None:
+    """A prompt beyond the places waits for the end of an answer."""
+    assert plan(SHORT, {"e00": build_short_writers(8)}).leader != "e00"
+
+
+def test_long_prompt_spares_the_writers_that_bear_no_pause() -> None:
+    """One long reading holds a writer's next event for seconds."""
+    known = {name: build_short_writers(4) for name in ENGINES[:4]}
+    readers = plan(LONG, known).readers
+    assert len(readers) > 1
+    assert not set(readers) & set(known)
+
+
+def test_joint_reading_comes_within_the_aim() -> None:
+    """A prompt that takes one engine too long is read by several."""
+    longest = PromptNeed(400_000, 800, 3.0, 0.8)
+    assert MODEL.compute_read_seconds(400_000) > 3.0
+    assert plan(longest).first_event_seconds < 3.0
+
+
+def test_short_prompt_avoids_an_engine_that_reads_a_long_one() -> None:
+    """The short prompt would be read after the long one."""
+    known = {"e00": EngineWork(readers=1, reading_seconds=2.5, stakes={800: 22.0})}
+    assert plan(SHORT, known).leader != "e00"
+
+
+def test_prompt_goes_where_its_memory_is_free() -> None:
+    """Where memory runs out, the newest request loses its place."""
+    known = {
+        name: EngineWork(writers=2, held_tokens=400_000, stakes={800: 40.0})
+        for name in ENGINES[1:]
+    }
+    assert plan(LONG, known).leader == "e00"
+
+
+def test_prompt_beyond_every_engine_has_no_plan() -> None:
+    """It needs memory that is reserved on several engines."""
+    huge = PromptNeed(900_000, 800, 3.0, 0.8)
+    assert plan_reading(huge, ENGINES, {}, MODEL, Random(1)) is None
+
+
+def test_host_that_hears_no_peer_spreads_short_prompts() -> None:
+    """All hosts that pack blindly would pack the same engine."""
+    leaders = {
+        plan_reading(SHORT, ENGINES, {}, MODEL, Random(seed), False).leader  # type: ignore[union-attr]
+        for seed in range(40)
+    }
+    assert len(leaders) > len(ENGINES) / 2
+
+
+def test_book_counts_own_work_until_it_ends() -> None:
+    """The reading shrinks with time and is over at the first event."""
+    book = FleetBook()
+    chosen = plan(LONG)
+    work = chosen.build_work(LONG, now=10.0)
+    book.begin(work)
+    known = book.get_all(10.0)
+    assert set(known) == set(chosen.readers)
+    assert known[chosen.leader].reading_seconds == pytest.approx(chosen.part_seconds)
+    assert known[chosen.leader].held_tokens == LONG.memory_tokens
+    assert known[chosen.readers[-1]].parts == 1
+    work.first_event_at = 11.0
+    assert book.get_all(11.0)[chosen.leader].writers == 1
+    assert book.get_all(11.0)[chosen.leader].reading_seconds == 0
+    book.end(work)
+    assert book.get_all(11.0) == {}
+
+
+def test_digest_of_a_peer_counts_and_ages() -> None:
+    """A hint is worth what is still left of it, and then nothing."""
+    peer, book = FleetBook(), FleetBook()
+    chosen = plan(LONG)
+    peer.begin(chosen.build_work(LONG, now=10.0))
+    book.take_digest("peer", peer.build_digest(10.0), age=0.1, now=50.0)
+    seen = book.get_all(50.0)[chosen.leader]
+    assert seen.readers == 1
+    assert seen.reading_seconds == pytest.approx(chosen.part_seconds - 0.1, abs=0.002)
+    assert seen.stakes == {800: 22.0}
+    assert book.hears_peers(50.0)
+    assert book.get_all(60.0) == {}
+    assert not book.hears_peers(60.0)
+
+
+@pytest.mark.parametrize("data", [None, [], {"e00": 3}, {"e00": [1]}])
+def test_digest_that_is_none_changes_nothing(data: object) -> None:
+    """A peer of another version may send anything."""
+    book = FleetBook()
+    book.take_digest("peer", data, age=0.0, now=1.0)
+    assert book.get_all(1.0) == {}
+
+
+def test_engine_counts_stand_in_for_peers_that_are_not_heard() -> None:
+    """What the engine has beyond the host's own is taken to write."""
+    book = FleetBook()
+    book.note_count("e00", 5, now=1.0)
+    assert book.get_all(1.0)["e00"].writers == 5
+    assert book.get_all(5.0) == {}
