--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -62,6 +62,8 @@
 # Readings of prompts on engines whose passes are published.
 # A hint of a peer's work older than this is worth nothing: its prompts have ended.
 MAX_HINT_SECONDS = 3.0
+# Peers are told at once of prompts of which an engine reads for so long.
+TOLD_PART_SECONDS = 0.04
 # An engine's own count of its requests tells of others' until they have ended.
 MAX_COUNT_SECONDS = 1.5
 # What an overdue reading is still taken to need, of its whole time.
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -85,12 +85,17 @@
     def __init__(self) -> None:
         self._counts: dict[str, _Count] = {}
         self._own: dict[str, dict[PromptWork, None]] = {}
+        # Called when peers should hear at once of a prompt, and not at their turn.
+        self.on_change: list[Callable[[], None]] = []
         self._hints: dict[str, _Hint] = {}
 
     def begin(self, work: PromptWork) -> None:
         """Count a prompt on all its engines until it ends."""
         for engine in {*work.reads_until, *work.held_tokens}:
             self._own.setdefault(engine, {})[work] = None
+        if work.part_seconds >= c.TOLD_PART_SECONDS:
+            for tell in self.on_change:
+                tell()
 
     def end(self, work: PromptWork) -> None:
         """Forget a prompt."""
--- a/libraries/placement/tests/test_readings.py
+++ b/libraries/placement/tests/test_readings.py
@@ -163,3 +163,14 @@
     book.note_count("e00", 5, now=1.0)
     assert book.get_all(1.0)["e00"].writers == 5
     assert book.get_all(5.0) == {}
+
+
+def test_peers_are_told_at_once_of_a_long_reading_only() -> None:
+    """Until they hear of it, they send short prompts to its engines."""
+    book = FleetBook()
+    told: list[int] = []
+    book.on_change.append(lambda: told.append(1))
+    book.begin(plan(SHORT).build_work(SHORT, now=1.0))
+    assert not told
+    book.begin(plan(LONG).build_work(LONG, now=1.0))
+    assert told
