--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from typing import Any
@@ -24,7 +25,7 @@
 from .reload import SettingsTask
 from .settings import GatewaySettings
 from .state import GatewayState
-from .targets import TargetChooser
+from .targets import SECTION, TargetChooser
 
 __all__ = ["Gateway"]
 
@@ -45,7 +46,11 @@
         self.peers = Peers(self.state)
         self.publications = PublicationTask(self.state, reader, parser, self.peers)
         self.publications.on_table.append(self._apply_limits)
-        self.forwarder = Forwarder(self.state, TargetChooser(self.state))
+        self.targets = TargetChooser(self.state, time.monotonic)
+        self.peers.add_section(
+            SECTION, self.targets.build_digest, self.targets.take_digest
+        )
+        self.forwarder = Forwarder(self.state, self.targets)
         self.callers = HttpServer(
             settings.callers,
             self.forwarder.async_handle,
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -33,7 +33,7 @@
 from .headers import build_answer_headers, build_target_headers, parse_count
 from .observer import RequestObserver
 from .state import GatewayState
-from .targets import TargetChooser
+from .targets import SendChoice, TargetChooser, TargetNeed
 
 __all__ = ["ForwardRun"]
 
@@ -138,14 +138,16 @@
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
-        target = self._chooser.choose(self._context.service, self._tried)
-        self._observer.note_choice(target, tried=len(self._tried))
-        if target is None:
+        choice = self._chooser.choose(self._build_need())
+        chosen = None if choice is None else choice.target
+        self._observer.note_choice(chosen, tried=len(self._tried))
+        if choice is None:
             return self._hear(SendFailed(SendFault.NO_TARGET))
+        target = choice.target
         self._tried.add(target.id)
         try:
-            with self._chooser.hold(target):
-                event = await self._async_attempt(target, effect)
+            with self._chooser.hold(choice):
+                event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
             self._log_failed(target, event, err)
@@ -157,6 +159,17 @@
             self._log_failed(target, event, err)
         return self._hear(event) if event is not None else None
 
+    def _build_need(self) -> TargetNeed:
+        return TargetNeed(
+            service=self._context.service,
+            route=self._route,
+            aim_at=self._context.received_at + self._route.aim_seconds,
+            tokens=_parse_counts(
+                self._request.headers.get(self._state.headers.token_counts, "")
+            ),
+            tried=self._tried,
+        )
+
     def _log_failed(
         self, target: RegisteredTarget, event: SendFailed, err: Exception
     ) -> None:
@@ -165,39 +178,43 @@
         )
 
     async def _async_attempt(
-        self, target: RegisteredTarget, effect: SendTo
+        self, choice: SendChoice, effect: SendTo
     ) -> ExchangeEvent | None:
+        target = choice.target
         left = self._context.limit_at - self._loop.time()
         async with async_open_http(
             target.address,
             self._request.method,
             self._request.target,
-            headers=self._build_headers(target, effect, left),
+            headers=self._build_headers(choice, effect, left),
             body=self._request.body,
             connect_timeout=min(c.CONNECT_SECONDS, left),
             before_write=self._exchange.note_sent,
         ) as stream:
-            return await self._async_take_answer(target, stream)
+            return await self._async_take_answer(choice, stream)
 
     def _build_headers(
-        self, target: RegisteredTarget, effect: SendTo, left: float
+        self, choice: SendChoice, effect: SendTo, left: float
     ) -> tuple[tuple[bytes, bytes], ...]:
         names = self._state.headers
         ours = {
             names.deadline_ms: str(max(1, int(left * MILLISECONDS))),
-            names.expected_target: target.id,
+            names.expected_target: choice.target.id,
         }
         if self._context.account is not None:
             ours[names.account] = self._context.account.name
+        if choice.helpers:
+            ours[names.helpers] = choice.helper_list
         if effect.last_id is not None:
             ours[names.last_event_id] = str(effect.last_id)
         stripped = (names.caller_key, names.account, names.priority, names.helpers)
         return build_target_headers(self._request.raw_headers, ours, stripped)
 
     async def _async_take_answer(
-        self, target: RegisteredTarget, stream: HttpStream
+        self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
+        self._chooser.note_load(choice.target, stream.headers.get(names.load))
         if self._is_refusal(stream):
             self._observer.note_failure(
                 "send_refused",
@@ -208,7 +225,7 @@
         self._check_head(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
-            return await self._async_pass_events(stream)
+            return await self._async_pass_events(choice, stream)
         try:
             body = await stream.async_read_body(c.MAX_ANSWER_BYTES)
         except ConnectionLostError:
@@ -245,7 +262,9 @@
         if CONTENT_ENCODING in stream.headers:
             raise SpoiledAnswerError("the body is encoded")
 
-    async def _async_pass_events(self, stream: HttpStream) -> ExchangeEvent | None:
+    async def _async_pass_events(
+        self, choice: SendChoice, stream: HttpStream
+    ) -> ExchangeEvent | None:
         cutter = EventCutter()
         async for data in stream.async_iterate_chunks():
             try:
@@ -253,6 +272,7 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
+                choice.note_first_event(self._loop.time())
                 await self._async_give_events(stream, events)
         if cutter.has_rest:
             raise SpoiledAnswerError("the stream ended within an event")
@@ -288,3 +308,11 @@
     def _start_answer(self, stream: HttpStream) -> None:
         self._hear(AnswerStarted())
         self._responder.start(stream.status, build_answer_headers(stream.raw_headers))
+
+
+def _parse_counts(text: str) -> tuple[int, int] | None:
+    """Return the prompt's and the most output tokens, None where they aren't told."""
+    prompt, _, output = text.partition(",")
+    if not prompt.isdigit() or not output.isdigit():
+        return None
+    return int(prompt), int(output)
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -1,5 +1,7 @@
 """A gateway's forwarder in this process, with scripted targets."""
 
+import time
+
 import pytest
 
 from tarragonward_core import Address
@@ -46,7 +48,7 @@
         self.state = GatewayState(settings, HeaderNames(), Paths())
         self.state.random = FirstInOrder()
         self.state.table_confirmed_at = float("inf")
-        self.chooser = TargetChooser(self.state)
+        self.chooser = TargetChooser(self.state, time.monotonic)
         self.forwarder = Forwarder(self.state, self.chooser)
         self.server = HttpServer(
             LOCAL, self.forwarder.async_handle, check_head=self.forwarder.check_head
