--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from typing import Any
@@ -18,12 +19,13 @@
 from .forwarder import Forwarder
 from .health import HealthRoutes
 from .operators import OperatorsTask
+from .peers import Peers
 from .ports import HeaderNames, Paths, RecordParser, RecordReader
 from .publications import PublicationTask
 from .reload import SettingsTask
 from .settings import GatewaySettings
 from .state import GatewayState
-from .targets import TargetChooser
+from .targets import SECTION, TargetChooser
 
 __all__ = ["Gateway"]
 
@@ -41,9 +43,14 @@
         settings_path: Path | None = None,
     ) -> None:
         self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
-        self.publications = PublicationTask(self.state, reader, parser)
+        self.peers = Peers(self.state)
+        self.publications = PublicationTask(self.state, reader, parser, self.peers)
         self.publications.on_table.append(self._apply_limits)
-        self.forwarder = Forwarder(self.state, TargetChooser(self.state))
+        self.targets = TargetChooser(self.state, time.monotonic)
+        self.peers.add_section(
+            SECTION, self.targets.build_digest, self.targets.take_digest
+        )
+        self.forwarder = Forwarder(self.state, self.targets)
         self.callers = HttpServer(
             settings.callers,
             self.forwarder.async_handle,
@@ -68,6 +75,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.settings.tell)
         parts = (
             self.operators,
+            self.peers,
             self.publications,
             self.callers,
             self.health,
@@ -95,6 +103,7 @@
         """End what is in progress within the time that the operators give."""
         state = self.state
         state.is_draining = True
+        self.peers.set_leaving()
         self.callers.close_after_answers()
         log_event("drain_started", in_flight=self.forwarder.in_flight)
         whole = state.settings.bounds.grace_seconds - c.DRAIN_MARGIN_SECONDS
@@ -103,6 +112,7 @@
                 # The balancer sends new connections until it has asked twice.
                 await asyncio.sleep(min(c.BALANCER_NOTICE_SECONDS, whole))
                 state.is_admitting = False
+                self.callers.close_idle()
                 await self.callers.async_wait_idle()
         log_event("drain_ended", in_flight=self.forwarder.in_flight)
 
