Let targets rest that this host could not connect to

Ruled out: a registry heard late (the records were there and true).

TargetReach, a decision module in placement: a failed connection lets a target rest 0.5 s, doubling up to 2 s, then one request tries it; resting ones are still chosen where there are no others. CONNECT_SECONDS 0.5 -> 0.2: a lost first packet is sent again after a second or more, so the rest of the wait brought nothing.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -65,9 +65,13 @@
 RECORDS_FORMAT = 1
 MAX_RECORDS_BYTES = 16 * 1024 * 1024
 
-CONNECT_SECONDS = 0.5
+# A packet that is lost on the way to a new connection is sent again after a second or
+# more, so waiting on towards that brings nothing; a target's answer takes far less.
+CONNECT_SECONDS = 0.2
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
+# Other hosts serve already: the caller loses its aim by waiting.
+DRAINING_RETRY_SECONDS = 0.02
 ROUTE_UNSURE_RETRY_SECONDS = 0.3
 DRAIN_MARGIN_SECONDS = 0.4
 BALANCER_NOTICE_SECONDS = 3.0
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -81,7 +81,7 @@
     def _admit(self, head: HttpHead, now: float) -> ForwardContext:
         if not self._state.is_admitting:
             raise RequestRefusedError(
-                ResultCode.DRAINING, retry_after_seconds=c.NOT_READY_RETRY_SECONDS
+                ResultCode.DRAINING, retry_after_seconds=c.DRAINING_RETRY_SECONDS
             )
         table = self._state.table
         if table is None:
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -4,7 +4,12 @@
 
 import asyncio
 
-from tarragonward_core import ConnectionLostError, NotConnectedError, TargetError
+from tarragonward_core import (
+    ConnectionLostError,
+    NotConnectedError,
+    TargetError,
+    log_event,
+)
 from tarragonward_membership import RegisteredTarget
 from tarragonward_requests import (
     AnswerStarted,
@@ -150,6 +155,7 @@
                 event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
+            self._note_reach(target, is_reached=False)
             self._log_failed(target, event, err)
         except SpoiledAnswerError as err:
             event = SendFailed(SendFault.SPOILED)
@@ -159,6 +165,13 @@
             self._log_failed(target, event, err)
         return self._hear(event) if event is not None else None
 
+    def _note_reach(self, target: RegisteredTarget, is_reached: bool) -> None:
+        reach = self._chooser.reach
+        if is_reached and reach.note_reached(target.id):
+            log_event("target_regained", target=target.id)
+        elif not is_reached and reach.note_failed(target.id, self._loop.time()):
+            log_event("target_unreachable", target=target.id, address=target.address)
+
     def _build_need(self) -> TargetNeed:
         return TargetNeed(
             service=self._context.service,
@@ -214,6 +227,7 @@
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
+        self._note_reach(choice.target, is_reached=True)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
         if self._is_refusal(stream):
             self._observer.note_failure(
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -16,6 +16,7 @@
     PromptNeed,
     PromptWork,
     ReadingPlan,
+    TargetReach,
     plan_reading,
 )
 from tarragonward_routes import Route, Service
@@ -69,6 +70,7 @@
         self._clock = clock
         self._in_flight: Counter[str] = Counter()
         self.book = FleetBook()
+        self.reach = TargetReach()
 
     def build_digest(self) -> dict[str, list[Any]]:
         """Return this host's prompts in flight, to be told to the other hosts."""
@@ -87,6 +89,14 @@
         ]
         if not ready:
             return None
+        now = self._clock()
+        choice = self._choose_among(self.reach.select(ready, now), need)
+        self.reach.note_chosen(choice.target.id, now)
+        return choice
+
+    def _choose_among(
+        self, ready: Sequence[RegisteredTarget], need: TargetNeed
+    ) -> SendChoice:
         table = self._state.table
         service = table.services.get(need.service) if table is not None else None
         if need.tokens is None or service is None or service.engine is None:
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -29,6 +29,7 @@
     Refused,
 )
 from .placement import Placement
+from .reach import TargetReach
 from .readings import PromptNeed, ReadingPlan, plan_reading
 
 __all__ = [
@@ -60,6 +61,7 @@
     "ReservationRefused",
     "ReservePart",
     "RetryGroup",
+    "TargetReach",
     "choose_loads",
     "count_parallel_loads",
     "hash_blocks",
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -149,7 +149,8 @@
                 Receiver, address.host, address.port
             )
     except (OSError, TimeoutError) as err:
-        raise NotConnectedError(f"{address}: {err}") from err
+        reason = str(err) or f"no connection in {connect_timeout:.3g} s"
+        raise NotConnectedError(f"{address}: {reason}") from err
     try:
         if before_write is not None:
             before_write()
