Bound the repeats of all hosts together, without shared state

Each repeat was allowed (budget=True), so nine hosts could each spend the slack. Now a host draws on the share of its own requests and its part of the slack: three quarters of slack / hosts, an eighth in a life's first window, times 0.9; a fifth of it is kept for answers that broke off in their middle. Hosts are counted as the most that anyone heard of knew, at least three a seed in the first minute. Over the bound it can be: three restarts of most hosts within one window, or a domain that restarts whole while cut off and stays so for over a minute.

--- /dev/null
+++ b/libraries/bench/tarragonward_bench/budget_runs.py
@@ -0,0 +1,137 @@
+"""Randomised runs of the budget of repeats that hosts share by what seeds tell."""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left, bisect_right
+
+from tarragonward_core import Address, HostIdentity
+from tarragonward_membership import (
+    Greet,
+    HelloHeard,
+    RoundDue,
+    SeedEffect,
+    SeedMembership,
+)
+from tarragonward_requests import BudgetBounds, SharedBudget
+
+__all__ = ["run_budget_seed"]
+
+ROUND_SECONDS = 0.25
+LENGTH_SECONDS = 40.0
+CUT_SECONDS = 20.0
+SERVICE = "service"
+PORT = 7_340
+SEEDS = 3
+# Restarts of one host within a window that its part of the slack is cut for.
+RESTARTS_A_WINDOW = 2
+MAX_REQUESTS_A_ROUND = 4
+
+
+def run_budget_seed(seed: int) -> int:
+    """Run one seed; raise AssertionError where hosts together repeat too often."""
+    return _Run(seed).run()
+
+
+class _Host:
+    """One life of a host."""
+
+    def __init__(self, run: _Run, number: int) -> None:
+        identity = HostIdentity(_get_address(number), run.rng.getrandbits(48))
+        self.members = SeedMembership(
+            identity,
+            f"host-{number}",
+            f"domain-{number % 3}",
+            [_get_address(seed) for seed in range(SEEDS)],
+            random.Random(run.rng.random()),
+            run.now,
+        )
+        self.budget = SharedBudget(run.bounds, run.now)
+
+
+class _Run:
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 1_000.0
+        self.bounds = BudgetBounds(0.2, self.rng.choice((20.0, 100.0, 250.0)), 10.0)
+        self._count = self.rng.randint(2, 9)
+        self._loss = self.rng.choice((0.0, 0.05, 0.3))
+        self._hosts = {n: _Host(self, n) for n in range(self._count)}
+        self._starts: dict[int, list[float]] = {n: [] for n in range(self._count)}
+        self._side: frozenset[int] = frozenset()
+        self._cut_until = 0.0
+        self._requests: list[float] = []
+        self._repeats: list[float] = []
+        self._rate = 1.0
+
+    def run(self) -> int:
+        end = self.now + LENGTH_SECONDS
+        while self.now < end:
+            self.now += ROUND_SECONDS
+            self._maybe_fail()
+            for number, host in self._hosts.items():
+                self._carry(number, host.members.hear(RoundDue(200), self.now))
+                self._load(host)
+        self._check()
+        return len(self._requests) + len(self._repeats)
+
+    def _maybe_fail(self) -> None:
+        if self.now > self._cut_until:
+            self._side = frozenset()
+        if self.rng.random() < 0.02:
+            count = self.rng.randint(1, self._count)
+            self._side = frozenset(self.rng.sample(range(self._count), count))
+            self._cut_until = self.now + self.rng.uniform(1.0, CUT_SECONDS)
+        if self.rng.random() < 0.05:
+            share = self.rng.choice((0.1, 0.5, 1.0))
+            for number in range(self._count):
+                if self.rng.random() < share:
+                    self._restart(number)
+        # Traffic swells and falls slowly; see the budget's own note on windows.
+        self._rate = min(1.0, max(0.1, self._rate + self.rng.uniform(-0.02, 0.02)))
+
+    def _restart(self, number: int) -> None:
+        window = self.now - self.bounds.window_seconds
+        recent = [at for at in self._starts[number] if at > window]
+        if len(recent) < RESTARTS_A_WINDOW:
+            self._starts[number] = [*recent, self.now]
+            self._hosts[number] = _Host(self, number)
+
+    def _carry(self, number: int, effects: list[SeedEffect]) -> None:
+        targets = [a for e in effects if isinstance(e, Greet) for a in e.addresses]
+        if not targets:
+            return
+        heard = HelloHeard(self._hosts[number].members.build_hello(self.now))
+        for address in targets:
+            other = int(address.host.rpartition(".")[2]) - 1
+            is_cut = (number in self._side) != (other in self._side)
+            if other < self._count and not is_cut and self.rng.random() >= self._loss:
+                self._carry(other, self._hosts[other].members.hear(heard, self.now))
+
+    def _load(self, host: _Host) -> None:
+        for _ in range(MAX_REQUESTS_A_ROUND):
+            if self.rng.random() < self._rate:
+                host.budget.record_request(SERVICE, self.now)
+                self._requests.append(self.now)
+        hosts = host.members.count_most_hosts(self.now)
+        # Every repeat that a host may send is sent: the worst that callers can cause.
+        while host.budget.has_room(SERVICE, hosts, self.now, is_urgent=True):
+            host.budget.record_repeat(SERVICE, hosts, self.now)
+            self._repeats.append(self.now)
+
+    def _check(self) -> None:
+        window = self.bounds.window_seconds
+        for start in self._repeats:
+            spans = (start, start - window / 2, start - window)
+            requests = max(_count_between(self._requests, s, s + window) for s in spans)
+            repeats = _count_between(self._repeats, start, start + window)
+            bound = self.bounds.share * requests + self.bounds.slack
+            assert repeats <= bound, f"{repeats} repeats over {bound} from {start}"
+
+
+def _get_address(number: int) -> Address:
+    return Address(f"10.0.0.{number + 1}", PORT)
+
+
+def _count_between(times: list[float], start: float, end: float) -> int:
+    return bisect_right(times, end) - bisect_left(times, start)
--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -13,6 +13,7 @@
 
 from tarragonward_core import TarragonwardError, invariants
 
+from .budget_runs import run_budget_seed
 from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
 from .soak_calls import run_calls_seed
@@ -26,6 +27,7 @@
 # or InvariantViolationError where a promise or an invariant is broken.
 Machine = Callable[[int], int]
 MACHINES: dict[str, Machine] = {
+    "budget": run_budget_seed,
     "calls": run_calls_seed,
     "configuration": run_configuration_seed,
     "membership": run_membership_seed,
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -43,6 +43,7 @@
     ) -> None:
         self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
         self.peers = Peers(self.state)
+        self.state.count_sharing_hosts = self.peers.count_sharing_hosts
         self.publications = PublicationTask(self.state, reader, parser, self.peers)
         self.publications.on_table.append(self._apply_limits)
         self.forwarder = Forwarder(self.state, TargetChooser(self.state))
@@ -90,6 +91,8 @@
         self.callers.limits = _build_limits(self.state.table.limits)
 
     def _apply_settings(self) -> None:
+        self.state.apply_bounds()
+        self.peers.apply_settings()
         if event_log.budget is not None:
             bounds = self.state.settings.bounds
             event_log.budget.lines_a_second = bounds.log_lines_per_second
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -77,11 +77,19 @@
         """
         self._sections[name] = (build, take)
 
+    def apply_settings(self) -> None:
+        """Take over the seeds of changed settings."""
+        self.members.set_seeds(self._place(self._state.settings.seeds))
+
     def get_names(self) -> tuple[str, ...]:
         """Return the names of the peers that were heard, leaving ones left out."""
         peers = self.members.get_peers()
         return tuple(peer.name for peer in peers if peer.name and not peer.is_leaving)
 
+    def count_sharing_hosts(self) -> int:
+        """Return how many hosts what all share is divided by, never too few."""
+        return self.members.count_most_hosts(read_clock())
+
     def get_control_address(self, name: str) -> Address | None:
         """Return where a peer is asked over TCP; ports are the same on all hosts."""
         for peer in self.members.get_peers():
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -91,6 +91,7 @@
         )
         self._tried: set[str] = set()
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
+        state.record_request(context.service)
 
     async def async_run(self) -> None:
         """See the request to its end, and say what became of it."""
@@ -119,7 +120,13 @@
 
     def _hear(self, event: ExchangeEvent) -> ExchangeEffect | None:
         now = self._loop.time()
-        effect = self._exchange.hear(event, now, budget=True)
+        service, is_started = self._context.service, self._exchange.is_started
+        may_repeat = isinstance(event, (SendFailed, TargetAnswered)) and (
+            self._state.may_repeat(service, is_urgent=is_started)
+        )
+        effect = self._exchange.hear(event, now, budget=may_repeat)
+        if isinstance(effect, SendTo) and effect.is_repeat:
+            self._state.record_repeat(service)
         self._observer.note_decision(event, effect, now)
         return effect
 
--- a/libraries/gateway/tarragonward_gateway/state.py
+++ b/libraries/gateway/tarragonward_gateway/state.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from tarragonward_core import Metrics
 from tarragonward_membership import TargetRegistry
+from tarragonward_requests import BudgetBounds, SharedBudget
 from tarragonward_routes import RoutingTable
 
+from .clock import read_clock
 from .ports import HeaderNames, Paths
 from .settings import GatewaySettings
 
@@ -29,6 +32,36 @@
     random: random.Random = field(default_factory=random.Random)
     is_draining: bool = False
     is_admitting: bool = True
+    count_sharing_hosts: Callable[[], int] = lambda: 1
+    budget: SharedBudget = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Take the bounds of repeats from the settings."""
+        self.budget = SharedBudget(self._get_budget_bounds(), read_clock())
+
+    def apply_bounds(self) -> None:
+        """Take over the bounds of changed settings."""
+        self.budget.bounds = self._get_budget_bounds()
+
+    def _get_budget_bounds(self) -> BudgetBounds:
+        bounds = self.settings.bounds
+        return BudgetBounds(
+            bounds.retry_share, bounds.retry_slack, bounds.retry_window_seconds
+        )
+
+    def record_request(self, service: str) -> None:
+        """Let the budget of repeats grow by a caller's request."""
+        self.budget.record_request(service, read_clock())
+
+    def may_repeat(self, service: str, is_urgent: bool) -> bool:
+        """Return whether one more repeat is within this host's part of the budget."""
+        hosts = self.count_sharing_hosts()
+        return self.budget.has_room(service, hosts, read_clock(), is_urgent)
+
+    def record_repeat(self, service: str) -> None:
+        """Count a repeat that was decided on; nothing may come in between."""
+        hosts = self.count_sharing_hosts()
+        self.budget.record_repeat(service, hosts, read_clock())
 
     def put_in_force(self, table: RoutingTable) -> bool:
         """Put a table in force unless a newer one is; return whether it was."""
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -38,6 +38,7 @@
 )
 from .outliers import ListLifetime, OutlierDetector, PlainBackoff, ProbedBackoff
 from .retries import RetryBudget
+from .shared_budget import BudgetBounds, SharedBudget
 from .sweep import HeldMemory, OwnerSign, Sweep
 
 __all__ = [
@@ -46,6 +47,7 @@
     "AttemptFault",
     "AttemptFinished",
     "BreakOff",
+    "BudgetBounds",
     "CallKey",
     "CallLedger",
     "CallState",
@@ -80,6 +82,7 @@
     "SendFailed",
     "SendFault",
     "SendTo",
+    "SharedBudget",
     "StartAttempt",
     "StreamEvent",
     "Sweep",
--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -37,3 +37,10 @@
 # Less time left than this is no offer to a target.
 MIN_SEND_SECONDS = 0.02
 FORWARD_RETRY_AFTER_SECONDS = 0.25
+
+# The budget of repeats that all hosts share.
+BUDGET_BUCKETS = 20
+BUDGET_MARGIN = 0.9
+BUDGET_PART = 0.75
+BUDGET_YOUNG_PART = 0.125
+BUDGET_ORDINARY_PART = 0.8
