Hold a prompt beyond one engine's memory on several

The plan names readers that hold parts under tickets. The parts are reserved in the order of the engines, all or none, without waiting: two hosts can't hold half a group each.

--- a/libraries/gateway/tarragonward_gateway/__init__.py
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -9,7 +9,9 @@
     RecordParser,
     RecordReader,
     Records,
+    Reservation,
     SourceError,
+    TargetCalls,
 )
 from .settings import GatewaySettings, load_gateway_settings
 
@@ -23,6 +25,8 @@
     "RecordParser",
     "RecordReader",
     "Records",
+    "Reservation",
     "SourceError",
+    "TargetCalls",
     "load_gateway_settings",
 ]
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -14,8 +14,9 @@
 from . import const as c
 from .forwarder import Forwarder
 from .health import HealthRoutes
-from .ports import HeaderNames, Paths, RecordParser, RecordReader
+from .ports import HeaderNames, Paths, RecordParser, RecordReader, TargetCalls
 from .publications import PublicationTask
+from .reservations import ReservationTask
 from .settings import GatewaySettings
 from .state import GatewayState
 from .targets import TargetChooser
@@ -31,6 +32,7 @@
         settings: GatewaySettings,
         reader: RecordReader,
         parser: RecordParser,
+        calls: TargetCalls,
         headers: HeaderNames | None = None,
         paths: Paths | None = None,
     ) -> None:
@@ -38,7 +40,8 @@
         self.publications = PublicationTask(self.state, reader, parser)
         self.publications.on_table.append(self._apply_limits)
         self.targets = TargetChooser(self.state, time.monotonic)
-        self.forwarder = Forwarder(self.state, self.targets)
+        self.reservations = ReservationTask(self.state, calls)
+        self.forwarder = Forwarder(self.state, self.targets, self.reservations)
         self.callers = HttpServer(
             settings.callers,
             self.forwarder.async_handle,
@@ -58,7 +61,12 @@
         loop.add_signal_handler(signal.SIGTERM, self.ask_stop)
         loop.add_signal_handler(signal.SIGHUP, lambda: log_event("hangup_heard"))
         async with AsyncExitStack() as stack:
-            for part in (self.publications, self.callers, self.health):
+            for part in (
+                self.publications,
+                self.reservations,
+                self.callers,
+                self.health,
+            ):
                 await part.async_setup()
                 stack.push_async_callback(part.async_unload)
             log_event("host_started", host=self.state.settings.name)
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -11,6 +11,7 @@
 from . import const as c
 from .answers import async_send_refusal
 from .context import ForwardContext
+from .reservations import ReservationTask
 from .run import ForwardRun
 from .state import GatewayState
 from .targets import TargetChooser
@@ -23,8 +24,14 @@
 class Forwarder:
     """Handle the callers' requests of one host."""
 
-    def __init__(self, state: GatewayState, chooser: TargetChooser) -> None:
+    def __init__(
+        self,
+        state: GatewayState,
+        chooser: TargetChooser,
+        reservations: ReservationTask,
+    ) -> None:
         self._state = state
+        self._reservations = reservations
         self._chooser = chooser
         self.in_flight = 0
 
@@ -53,7 +60,9 @@
             return
         self.in_flight += 1
         try:
-            run = ForwardRun(self._state, self._chooser, request, responder)
+            run = ForwardRun(
+                self._state, self._chooser, self._reservations, request, responder
+            )
             await run.async_run()
         finally:
             self.in_flight -= 1
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -17,7 +17,9 @@
     "RecordParser",
     "RecordReader",
     "Records",
+    "Reservation",
     "SourceError",
+    "TargetCalls",
 ]
 
 
@@ -95,3 +97,23 @@
 
     def get_target_id(self, key: str) -> str | None:
         """Return the id of the target that a key belongs to, None for other keys."""
+
+
+@dataclass(frozen=True)
+class Reservation:
+    """Memory of a target that is to be held under an id; a renewal is the same."""
+
+    id: str
+    target: RegisteredTarget
+    tokens: int
+    hold_seconds: float
+
+
+class TargetCalls(Protocol):
+    """Orders to targets; raises TargetError where no answer came."""
+
+    async def async_reserve(self, reservation: Reservation, timeout: float) -> bool:
+        """Hold or renew a reservation; return whether it is held."""
+
+    async def async_release(self, reservation: Reservation, timeout: float) -> bool:
+        """End a reservation; return whether the target has said that it is ended."""
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import ExitStack
 
 from tarragonward_core import ConnectionLostError, NotConnectedError, log_event
 from tarragonward_membership import RegisteredTarget
@@ -31,6 +32,7 @@
 from .answers import async_send_refusal
 from .context import ForwardContext
 from .headers import build_answer_headers, build_target_headers
+from .reservations import Lease, ReservationTask
 from .state import GatewayState
 from .targets import SendChoice, TargetChooser, TargetNeed
 
@@ -56,11 +58,13 @@
         self,
         state: GatewayState,
         chooser: TargetChooser,
+        reservations: ReservationTask,
         request: HttpRequest,
         responder: Responder,
     ) -> None:
         self._state = state
         self._chooser = chooser
+        self._reservations = reservations
         self._request = request
         self._responder = responder
         context: ForwardContext = request.context
@@ -125,13 +129,17 @@
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
-        choice = self._chooser.choose(self._build_need())
-        if choice is None:
+        placed = await self._async_place()
+        if placed is None:
             return self._hear(SendFailed(SendFault.NO_TARGET))
+        choice, lease = placed
         target = choice.target
         self._tried.add(target.id)
         try:
-            with self._chooser.hold(choice):
+            with ExitStack() as stack:
+                if lease is not None:
+                    stack.callback(lease.release)
+                stack.enter_context(self._chooser.hold(choice))
                 event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
@@ -144,6 +152,25 @@
             self._log_failed(target, event, err)
         return self._hear(event) if event is not None else None
 
+    async def _async_place(self) -> tuple[SendChoice, Lease | None] | None:
+        """Return where to send, with the memory held where one engine has too little.
+
+        Hosts that refuse each other's groups try again after random times, so that one
+        of them comes first.
+        """
+        for attempt in range(c.RESERVATION_TRIES):
+            choice = self._chooser.choose(self._build_need())
+            if choice is None or not choice.needs_tickets:
+                return choice and (choice, None)
+            with self._chooser.hold(choice):
+                held = await self._reservations.async_reserve(choice)
+            if isinstance(held, Lease):
+                return choice, held
+            self._chooser.note_full(held)
+            wait = c.RESERVATION_RETRY_SECONDS * 2**attempt
+            await asyncio.sleep(self._state.random.random() * wait)
+        return None
+
     def _build_need(self) -> TargetNeed:
         return TargetNeed(
             service=self._context.service,
@@ -240,6 +267,24 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
+                if (
+                    choice.work is not None
+                    and choice.work.first_event_at is None
+                    and choice.plan
+                ):
+                    log_event(
+                        "trial_first",
+                        leader=choice.plan.leader[-4:],
+                        part=round(choice.plan.part_seconds, 3),
+                        readers=" ".join(r[-4:] for r in choice.plan.readers[1:]),
+                        pred=round(choice.plan.first_event_seconds, 3),
+                        got=round(self._loop.time() - choice.work.placed_at, 3),
+                        n=choice.work.held_tokens[choice.work.leader],
+                        k=len(choice.plan.readers),
+                        harm=round(choice.plan.harm, 2),
+                        load=stream.headers.get(self._state.headers.load),
+                        own=self._chooser._in_flight[choice.target.id],
+                    )
                 choice.note_first_event(self._loop.time())
                 await self._async_give_events(stream, events)
         if cutter.has_rest or not self._exchange.is_started:
--- a/libraries/gateway/tarragonward_gateway/settings.py
+++ b/libraries/gateway/tarragonward_gateway/settings.py
@@ -28,6 +28,7 @@
     retry_window_seconds: float = c.DEFAULT_RETRY_WINDOW_SECONDS
     reservation_seconds: float = c.DEFAULT_RESERVATION_SECONDS
     stall_seconds: float = c.DEFAULT_STALL_SECONDS
+    free_seconds: float = c.DEFAULT_FREE_SECONDS
 
 
 @dataclass(frozen=True)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -39,7 +39,7 @@
     tried: Collection[str] = ()
 
 
-@dataclass(frozen=True)
+@dataclass
 class SendChoice:
     """The target of a send, and the engines that help it to read the prompt."""
 
@@ -47,6 +47,7 @@
     helpers: tuple[RegisteredTarget, ...] = ()
     plan: ReadingPlan | None = None
     work: PromptWork | None = None
+    ticket: str = ""
 
     def note_first_event(self, now: float) -> None:
         """Note that the prompt has been read."""
@@ -56,7 +57,19 @@
     @property
     def helper_list(self) -> str:
         """Return the helpers as they are told to the target."""
-        return ",".join(str(helper.address) for helper in self.helpers)
+        assert self.plan is not None
+        tickets = self.plan.tickets
+        return ",".join(
+            f"{helper.address}/{self.ticket}"
+            if helper.id in tickets
+            else str(helper.address)
+            for helper in self.helpers
+        )
+
+    @property
+    def needs_tickets(self) -> bool:
+        """Return whether the prompt lies on several engines."""
+        return self.plan is not None and bool(self.plan.tickets)
 
 
 class TargetChooser:
@@ -81,8 +94,7 @@
         service = table.services.get(need.service) if table is not None else None
         if need.tokens is None or service is None or service.engine is None:
             return SendChoice(self._choose_least_busy(ready))
-        choice = self._plan(need, ready, service)
-        return choice or SendChoice(self._choose_least_busy(ready))
+        return self._plan(need, ready, service)
 
     @contextmanager
     def hold(self, choice: SendChoice) -> Iterator[None]:
@@ -100,6 +112,10 @@
             if not self._in_flight[target.id]:
                 del self._in_flight[target.id]
 
+    def note_full(self, target_id: str) -> None:
+        """Note that a target has no memory for a reservation."""
+        self.book.note_full(target_id, self._clock())
+
     def note_load(self, target: RegisteredTarget, text: str | None) -> None:
         """Take the load that a target tells with its answer."""
         counts = (text or "").split(LOAD_SEPARATOR)
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -88,3 +88,9 @@
 SLOT_WAIT_SECONDS = 0.7
 MEMORY_SHARE = 0.97
 MAX_PLANNED_ENGINES = 64
+# What is left free beside a reserved part, and the most parts of one prompt.
+TICKET_MEMORY_SHARE = 0.9
+MAX_TICKETS = 8
+# How long an engine that refused a reservation is taken to be full.
+FULL_SECONDS = 0.5
+FULL_TOKENS = 1 << 40
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -84,6 +84,7 @@
 
     def __init__(self) -> None:
         self._counts: dict[str, _Count] = {}
+        self._full: dict[str, float] = {}
         self._own: dict[str, dict[PromptWork, None]] = {}
         # Called when peers should hear at once of a prompt, and not at their turn.
         self.on_change: list[Callable[[], None]] = []
@@ -110,6 +111,10 @@
         own = sum(work.leader == engine for work in self._own.get(engine, ()))
         self._counts[engine] = _Count(now, max(0, requests - own))
 
+    def note_full(self, engine: str, now: float) -> None:
+        """Take it that an engine has no free memory for a while."""
+        self._full[engine] = now + c.FULL_SECONDS
+
     def hears_peers(self, now: float) -> bool:
         """Return whether any peer's digest is fresh."""
         return any(
@@ -128,6 +133,11 @@
                 continue
             for engine, entry in hint.engines.items():
                 _add_hint(known.setdefault(engine, EngineWork()), entry, age)
+        for engine, until in list(self._full.items()):
+            if now > until:
+                del self._full[engine]
+                continue
+            known.setdefault(engine, EngineWork()).held_tokens += c.FULL_TOKENS
         if not self._hints:
             self._add_counts(known, now)
         return known
--- a/libraries/placement/tarragonward_placement/readings.py
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from tarragonward_routes import EngineModel
@@ -40,13 +40,18 @@
 
 @dataclass(frozen=True)
 class ReadingPlan:
-    """Who reads a prompt; the leader, which holds and writes, is the first."""
+    """Who reads a prompt; the leader, which writes the answer, is the first.
+
+    tickets are the tokens that other readers hold, in the order in which they are
+    filled; the leader holds the rest.
+    """
 
     readers: tuple[str, ...]
     part_seconds: float
     reads_until: Mapping[str, float]
     first_event_seconds: float
     harm: float
+    tickets: Mapping[str, int] = field(default_factory=dict)
 
     @property
     def leader(self) -> str:
@@ -62,7 +67,10 @@
             },
             part_seconds=self.part_seconds,
             context_tokens=need.prompt_tokens // len(self.readers),
-            held_tokens={self.leader: need.memory_tokens},
+            held_tokens={
+                **self.tickets,
+                self.leader: need.memory_tokens - sum(self.tickets.values()),
+            },
             pause_aim_seconds=need.pause_aim_seconds,
             stake=need.stake,
             placed_at=now,
@@ -112,6 +120,7 @@
     alone = model.compute_read_seconds(need.prompt_tokens)
     lane = _count_lane(known, model, need, len(engines))
     best = None
+    needs_tickets = need.memory_tokens > model.memory_tokens * c.MEMORY_SHARE
     for count in c.READER_COUNTS:
         part = alone / count
         if count > 1 and (alone < c.MIN_JOINT_SECONDS or part < c.MIN_PART_SECONDS):
@@ -125,7 +134,10 @@
             )
             for place, name in chosen
         ]
-        plan = _plan_for(count, part, candidates, need, model, random)
+        if needs_tickets:
+            plan = _plan_group(count, part, candidates, need, model, random)
+        else:
+            plan = _plan_for(count, part, candidates, need, model, random)
         if plan is not None and (best is None or plan.harm < best.harm):
             best = plan
     return best
@@ -183,56 +195,118 @@
     model: EngineModel,
     random: Random,
 ) -> ReadingPlan | None:
-    leads = [
+    lead_harm, _, _, leader = min(
         (
-            _compute_lead_harm(each, need, model),
-            each.work.requests,
-            random.random(),
-            each,
-        )
-        for each in candidates
-        if _has_memory(each, need, model)
-    ]
-    if not leads:
+            (
+                _compute_lead_harm(each, need, model, need.memory_tokens),
+                each.work.requests,
+                random.random(),
+                each,
+            )
+            for each in candidates
+        ),
+        key=lambda item: item[:3],
+    )
+    others = [each for each in candidates if each is not leader]
+    helpers = _choose_helpers(count - 1, others, need, model, random)
+    if len(helpers) < count - 1:
         return None
-    lead_harm, _, _, leader = min(leads, key=lambda item: item[:3])
-    others = sorted(
-        (each for each in candidates if each is not leader and _can_help(each, model)),
+    return _build_plan([leader, *helpers], part, lead_harm, need)
+
+
+def _plan_group(
+    count: int,
+    part: float,
+    candidates: list[_Candidate],
+    need: PromptNeed,
+    model: EngineModel,
+    random: Random,
+) -> ReadingPlan | None:
+    """Return a plan whose readers hold the prompt together.
+
+    The roomiest readers hold, so that few reservations are needed; the leader is the
+    one of them that is harmed least.
+    """
+    readers = _choose_helpers(count, candidates, need, model, random)
+    roomy = sorted(readers, key=lambda each: (each.work.held_tokens, random.random()))
+    holders = roomy[: c.MAX_TICKETS + 1]
+    if len(readers) < count or not holders:
+        return None
+    leader = min(holders, key=lambda each: (_count_room(each, model) <= 0, each.harm))
+    left = need.memory_tokens - max(_count_room(leader, model), 0)
+    tickets: dict[str, int] = {}
+    for each in holders:
+        if left <= 0:
+            break
+        tokens = min(_count_room(each, model), left)
+        if each is leader or tokens <= 0:
+            continue
+        tickets[each.name] = tokens
+        left -= tokens
+    if left > 0:
+        return None
+    rest = need.memory_tokens - sum(tickets.values())
+    lead_harm = _compute_lead_harm(leader, need, model, rest)
+    # Tickets are filled in the order in which they are listed.
+    held = [each for each in holders if each.name in tickets]
+    only_read = [
+        each for each in readers if each is not leader and each.name not in tickets
+    ]
+    return _build_plan([leader, *held, *only_read], part, lead_harm, need, tickets)
+
+
+def _choose_helpers(
+    count: int,
+    candidates: list[_Candidate],
+    need: PromptNeed,
+    model: EngineModel,
+    random: Random,
+) -> list[_Candidate]:
+    """Return the engines that are harmed least by a part and end it soonest."""
+    able = [each for each in candidates if each.work.parts < model.slots - 1]
+    return sorted(
+        able,
         key=lambda each: (
             each.harm
             + each.order
             + need.stake * compute_overrun(each.ends_seconds, need.aim_seconds),
             random.random(),
         ),
-    )[: count - 1]
-    if len(others) < count - 1:
-        return None
-    first = max(each.ends_seconds for each in (leader, *others))
+    )[:count]
+
+
+def _build_plan(
+    readers: list[_Candidate],
+    part: float,
+    lead_harm: float,
+    need: PromptNeed,
+    tickets: Mapping[str, int] | None = None,
+) -> ReadingPlan:
+    first = max(each.ends_seconds for each in readers)
     harm = (
         lead_harm
-        + sum(each.harm + each.order for each in others)
+        + sum(each.harm + each.order for each in readers[1:])
         + need.stake * compute_overrun(first, need.aim_seconds)
-        + c.READER_WEIGHT * count
+        + c.READER_WEIGHT * len(readers)
     )
-    readers = (leader, *others)
     return ReadingPlan(
         readers=tuple(each.name for each in readers),
         part_seconds=part,
         reads_until={each.name: each.ends_seconds for each in readers},
         first_event_seconds=first,
         harm=harm,
+        tickets=tickets or {},
     )
 
 
-def _has_memory(each: _Candidate, need: PromptNeed, model: EngineModel) -> bool:
-    return need.memory_tokens <= model.memory_tokens * c.MEMORY_SHARE
-
+def _count_room(each: _Candidate, model: EngineModel) -> int:
+    """Return the memory that a part may take, with some left beside it."""
+    return int(model.memory_tokens * c.TICKET_MEMORY_SHARE) - each.work.held_tokens
 
-def _can_help(each: _Candidate, model: EngineModel) -> bool:
-    return each.work.parts < model.slots - 1
 
-
-def _compute_lead_harm(each: _Candidate, need: PromptNeed, model: EngineModel) -> float:
+def _compute_lead_harm(
+    each: _Candidate, need: PromptNeed, model: EngineModel, tokens: int
+) -> float:
     """Return what it costs that this engine holds and writes the answer."""
     work = each.work
     pause = model.compute_write_seconds(work.writers + 1, work.context_tokens)
@@ -244,6 +318,6 @@
     harm += need.stake * compute_overrun(first, need.aim_seconds)
     # Without memory the newest request loses its place and is read again.
     room = model.memory_tokens * c.MEMORY_SHARE - work.held_tokens
-    if need.memory_tokens > room:
+    if tokens > room:
         harm += need.stake + sum(work.stakes.values())
     return harm
