--- a/libraries/gateway/tarragonward_gateway/__init__.py
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -1,6 +1,7 @@
 """The tasks of one entry host that forwards requests unchanged, by routes."""
 
 from .app import Gateway
+from .operators import build_log_budget
 from .ports import (
     HeaderNames,
     HistoryLostError,
@@ -13,7 +14,11 @@
     SourceError,
     TargetCalls,
 )
-from .settings import GatewaySettings, load_gateway_settings
+from .settings import (
+    GatewaySettings,
+    load_gateway_settings,
+    parse_gateway_settings,
+)
 
 __all__ = [
     "Gateway",
@@ -28,5 +33,7 @@
     "Reservation",
     "SourceError",
     "TargetCalls",
+    "build_log_budget",
     "load_gateway_settings",
+    "parse_gateway_settings",
 ]
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -5,7 +5,7 @@
 import asyncio
 from contextlib import ExitStack
 
-from tarragonward_core import ConnectionLostError, NotConnectedError, log_event
+from tarragonward_core import ConnectionLostError, NotConnectedError, TargetError
 from tarragonward_membership import RegisteredTarget
 from tarragonward_requests import (
     AnswerStarted,
@@ -31,7 +31,8 @@
 from . import const as c
 from .answers import async_send_refusal
 from .context import ForwardContext
-from .headers import build_answer_headers, build_target_headers
+from .headers import build_answer_headers, build_target_headers, parse_count
+from .observer import RequestObserver
 from .reservations import Lease, ReservationTask
 from .state import GatewayState
 from .targets import SendChoice, TargetChooser, TargetNeed
@@ -40,8 +41,12 @@
 
 MILLISECONDS = 1_000
 STATUS_OK = 200
+STATUS_CALLER_FAILURES = 400
 STATUS_FAILURES = 500
 STATUS_MISDIRECTED = 421
+PROMISING_STATUSES = (408, 429, 503)
+BODILESS_STATUSES = (204, 304)
+METHOD_HEAD = "HEAD"
 CONTENT_ENCODING = "content-encoding"
 CONTENT_TYPE = "content-type"
 EVENT_STREAM = "text/event-stream"
@@ -82,11 +87,25 @@
             ),
             last_id=self._read_last_id(),
         )
+        self._observer = RequestObserver(
+            state,
+            context,
+            self._request_id,
+            request.headers.get(state.headers.token_counts, ""),
+        )
         self._tried: set[str] = set()
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
 
     async def async_run(self) -> None:
-        """See the request to its end."""
+        """See the request to its end, and say what became of it."""
+        try:
+            await self._async_run()
+        except BaseException as err:
+            self._observer.end(err)
+            raise
+        self._observer.end()
+
+    async def _async_run(self) -> None:
         effect: ExchangeEffect | None = self._exchange.begin()
         try:
             async with asyncio.timeout_at(self._context.limit_at):
@@ -99,37 +118,33 @@
         await self._async_end(effect)
 
     def _read_last_id(self) -> int | None:
-        text = self._request.headers.get(self._state.headers.last_event_id, "")
-        return int(text) if text.isdigit() else None
+        headers = self._request.headers
+        return parse_count(headers.get(self._state.headers.last_event_id, ""))
 
     def _hear(self, event: ExchangeEvent) -> ExchangeEffect | None:
-        return self._exchange.hear(event, self._loop.time(), budget=True)
+        now = self._loop.time()
+        effect = self._exchange.hear(event, now, budget=True)
+        self._observer.note_decision(event, effect, now)
+        return effect
 
     async def _async_end(self, effect: ExchangeEffect | None) -> None:
         if isinstance(effect, GiveAnswer):
             assert self._answer is not None
             status, headers, body = self._answer
+            self._observer.note_status(status)
             await self._responder.async_send_bytes(status, body, headers)
         elif isinstance(effect, Refuse):
-            log_event(
-                "request_ended",
-                request_id=self._request_id,
-                code=effect.code.name,
-                sends=self._exchange.sends,
-            )
+            self._observer.note_status(effect.code.http_status)
             await async_send_refusal(
                 self._responder, effect.code, effect.retry_after_seconds
             )
         elif isinstance(effect, BreakOff):
-            log_event(
-                "stream_broken_off",
-                request_id=self._request_id,
-                last_id=self._exchange.last_id,
-            )
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
         placed = await self._async_place()
+        chosen = None if placed is None else placed[0].target
+        self._observer.note_choice(chosen, tried=len(self._tried))
         if placed is None:
             return self._hear(SendFailed(SendFault.NO_TARGET))
         choice, lease = placed
@@ -185,12 +200,8 @@
     def _log_failed(
         self, target: RegisteredTarget, event: SendFailed, err: Exception
     ) -> None:
-        log_event(
-            "send_failed",
-            request_id=self._request_id,
-            target=target.id,
-            fault=event.fault.value,
-            error=str(err),
+        self._observer.note_failure(
+            "send_failed", fault=event.fault.value, error=str(err)
         )
 
     async def _async_attempt(
@@ -231,28 +242,49 @@
     ) -> ExchangeEvent | None:
         names = self._state.headers
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
-        if stream.status == STATUS_MISDIRECTED or names.not_run in stream.headers:
-            log_event(
+        if self._is_refusal(stream):
+            self._observer.note_failure(
                 "send_refused",
-                request_id=self._request_id,
-                target=choice.target.id,
                 status=stream.status,
-                at=stream.headers.get(names.at_target),
+                at_target=stream.headers.get(names.at_target),
             )
             return SendFailed(SendFault.NOT_RUN)
         self._check_head(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
             return await self._async_pass_events(choice, stream)
-        body = await stream.async_read_body()
-        self._answer = (stream.status, build_answer_headers(stream.raw_headers), body)
+        try:
+            body = await stream.async_read_body(c.MAX_ANSWER_BYTES)
+        except ConnectionLostError:
+            raise
+        except TargetError as err:
+            raise SpoiledAnswerError(str(err)) from None
+        has_body = self._request.method != METHOD_HEAD and (
+            stream.status not in BODILESS_STATUSES
+        )
+        headers = build_answer_headers(stream.raw_headers, has_body)
+        self._answer = (stream.status, headers, body)
         return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
 
-    def _check_head(self, stream: HttpStream) -> None:
+    def _is_refusal(self, stream: HttpStream) -> bool:
         names = self._state.headers
-        if stream.headers.get(names.request_id, "") != self._request_id:
+        answered_id = stream.headers.get(names.request_id, self._request_id)
+        if answered_id != self._request_id:
             raise SpoiledAnswerError("the answer is to another request")
-        if names.seal not in stream.headers:
+        is_failure = stream.status >= STATUS_CALLER_FAILURES
+        return stream.status == STATUS_MISDIRECTED or (
+            is_failure and names.not_run in stream.headers
+        )
+
+    def _check_head(self, stream: HttpStream) -> None:
+        names = self._state.headers
+        if names.request_id not in stream.headers:
+            raise SpoiledAnswerError("the answer does not say to which request")
+        # The caller reads these as "not run and never will be". A target that does not
+        # say so itself may have run the request, and the caller would send it again.
+        if stream.status in PROMISING_STATUSES:
+            raise SpoiledAnswerError("the answer promises what it does not say")
+        if stream.status < STATUS_CALLER_FAILURES and names.seal not in stream.headers:
             raise SpoiledAnswerError("the answer has no seal")
         if CONTENT_ENCODING in stream.headers:
             raise SpoiledAnswerError("the body is encoded")
@@ -267,28 +299,15 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
-                if (
-                    choice.work is not None
-                    and choice.work.first_event_at is None
-                    and choice.plan
-                ):
-                    log_event(
-                        "trial_first",
-                        leader=choice.plan.leader[-4:],
-                        part=round(choice.plan.part_seconds, 3),
-                        readers=" ".join(r[-4:] for r in choice.plan.readers[1:]),
-                        pred=round(choice.plan.first_event_seconds, 3),
-                        got=round(self._loop.time() - choice.work.placed_at, 3),
-                        n=choice.work.held_tokens[choice.work.leader],
-                        k=len(choice.plan.readers),
-                        harm=round(choice.plan.harm, 2),
-                        load=stream.headers.get(self._state.headers.load),
-                        own=self._chooser._in_flight[choice.target.id],
-                    )
                 choice.note_first_event(self._loop.time())
                 await self._async_give_events(stream, events)
-        if cutter.has_rest or not self._exchange.is_started:
+        if cutter.has_rest:
             raise SpoiledAnswerError("the stream ended within an event")
+        if not self._exchange.is_started:
+            # Only a stream that the caller had up to its last event may be empty.
+            if self._exchange.last_id is None:
+                raise SpoiledAnswerError("the stream has no event")
+            self._start_answer(stream)
         await self._responder.async_finish()
         self._exchange.has_ended = True
         return None
@@ -310,12 +329,13 @@
         if not given:
             return
         if not self._exchange.is_started:
-            self._hear(AnswerStarted())
-            self._responder.start(
-                stream.status, build_answer_headers(stream.raw_headers)
-            )
+            self._start_answer(stream)
         await self._responder.async_send_chunk(b"".join(given))
 
+    def _start_answer(self, stream: HttpStream) -> None:
+        self._hear(AnswerStarted())
+        self._responder.start(stream.status, build_answer_headers(stream.raw_headers))
+
 
 def _parse_counts(text: str) -> tuple[int, int] | None:
     """Return the prompt's and the most output tokens, None where they aren't told."""
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -8,6 +8,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import Any
 
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
@@ -21,8 +22,9 @@
 
 from .state import GatewayState
 
-__all__ = ["SendChoice", "TargetChooser", "TargetNeed"]
+__all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetNeed"]
 
+SECTION = "prompts"
 MAX_ORDERED = 4_096
 LOAD_SEPARATOR = ","
 LOAD_FIELDS = 3
@@ -81,6 +83,14 @@
         self._in_flight: Counter[str] = Counter()
         self.book = FleetBook()
 
+    def build_digest(self) -> dict[str, list[Any]]:
+        """Return this host's prompts in flight, to be told to the other hosts."""
+        return self.book.build_digest(self._clock())
+
+    def take_digest(self, host: str, data: Any, age_seconds: float) -> None:
+        """Take what another host told of its prompts in flight."""
+        self.book.take_digest(host, data, age_seconds, self._clock())
+
     def choose(self, need: TargetNeed) -> SendChoice | None:
         """Return where to send, or None where no target is left."""
         ready = [
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -12,7 +12,6 @@
 
 MILLISECONDS = 1_000
 THOUSAND = 1_000
-DIGEST_FIELDS = 6
 
 
 @dataclass(eq=False)
@@ -64,7 +63,7 @@
     """A peer's digest; made_at is by this host's clock."""
 
     made_at: float
-    engines: Mapping[str, Sequence[Any]]
+    engines: Mapping[str, EngineWork]
 
 
 @dataclass(frozen=True)
@@ -155,20 +154,18 @@
                 work.context_tokens // THOUSAND,
                 work.held_tokens // THOUSAND,
                 int(work.reading_seconds * MILLISECONDS),
-                {aim: round(stake, 1) for aim, stake in work.stakes.items()},
+                [[aim, round(stake, 1)] for aim, stake in work.stakes.items()],
             ]
         return digest
 
     def take_digest(self, host: str, data: Any, age: float, now: float) -> None:
         """Take a peer's digest in the place of its last one."""
-        if not isinstance(data, dict):
+        try:
+            engines = {str(name): _parse_entry(entry) for name, entry in data.items()}
+        except (AttributeError, TypeError, ValueError):
+            # A peer of another version; without its hint it is as if not heard.
             return
-        entries = {
-            engine: entry
-            for engine, entry in data.items()
-            if isinstance(entry, list | tuple) and len(entry) > DIGEST_FIELDS
-        }
-        self._hints[host] = _Hint(now - age, entries)
+        self._hints[host] = _Hint(now - age, engines)
 
     def _add_counts(self, known: dict[str, EngineWork], now: float) -> None:
         for engine, count in list(self._counts.items()):
@@ -193,13 +190,25 @@
             known.add_stake(int(work.pause_aim_seconds * MILLISECONDS), work.stake)
 
 
-def _add_hint(known: EngineWork, entry: Sequence[Any], age: float) -> None:
-    writers, readers, parts, context, held, reading, stakes = entry[:7]
-    known.writers += writers
-    known.readers += readers
-    known.parts += parts
-    known.context_tokens += context * THOUSAND
-    known.held_tokens += held * THOUSAND
-    known.reading_seconds += max(0.0, reading / MILLISECONDS - age)
-    for aim, stake in stakes.items():
-        known.add_stake(int(aim), stake)
+def _parse_entry(entry: Sequence[Any]) -> EngineWork:
+    writers, readers, parts, context, held, reading, stakes = entry
+    return EngineWork(
+        int(writers),
+        int(readers),
+        int(parts),
+        int(context) * THOUSAND,
+        int(held) * THOUSAND,
+        int(reading) / MILLISECONDS,
+        {int(aim): float(stake) for aim, stake in stakes},
+    )
+
+
+def _add_hint(known: EngineWork, hint: EngineWork, age: float) -> None:
+    known.writers += hint.writers
+    known.readers += hint.readers
+    known.parts += hint.parts
+    known.context_tokens += hint.context_tokens
+    known.held_tokens += hint.held_tokens
+    known.reading_seconds += max(0.0, hint.reading_seconds - age)
+    for aim, stake in hint.stakes.items():
+        known.add_stake(aim, stake)
--- a/libraries/placement/tests/test_readings.py
+++ b/libraries/placement/tests/test_readings.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+import msgpack
 import pytest
 
 from tarragonward_placement import (
@@ -154,7 +155,8 @@
     peer, book = FleetBook(), FleetBook()
     chosen = plan(LONG)
     peer.begin(chosen.build_work(LONG, now=10.0))
-    book.take_digest("peer", peer.build_digest(10.0), age=0.1, now=50.0)
+    digest = msgpack.unpackb(msgpack.packb(peer.build_digest(10.0)))
+    book.take_digest("peer", digest, age=0.1, now=50.0)
     seen = book.get_all(50.0)[chosen.leader]
     assert seen.readers == 1
     assert seen.reading_seconds == pytest.approx(chosen.part_seconds - 0.1, abs=0.002)
@@ -164,7 +166,9 @@
     assert not book.hears_peers(60.0)
 
 
-@pytest.mark.parametrize("data", [None, [], {"e00": 3}, {"e00": [1]}])
+@pytest.mark.parametrize(
+    "data", [None, [], {"e00": 3}, {"e00": [1]}, {"e00": [0, 0, 0, 0, 0, 0, 3]}]
+)
 def test_digest_that_is_none_changes_nothing(data: object) -> None:
     """A peer of another version may send anything."""
     book = FleetBook()
