--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -20,9 +20,10 @@
 from .health import HealthRoutes
 from .operators import OperatorsTask
 from .peers import Peers
-from .ports import HeaderNames, Paths, RecordParser, RecordReader
+from .ports import HeaderNames, Paths, RecordParser, RecordReader, TargetCalls
 from .publications import PublicationTask
 from .reload import SettingsTask
+from .reservations import ReservationTask
 from .settings import GatewaySettings
 from .state import GatewayState
 from .targets import SECTION, TargetChooser
@@ -38,6 +39,7 @@
         settings: GatewaySettings,
         reader: RecordReader,
         parser: RecordParser,
+        calls: TargetCalls,
         headers: HeaderNames | None = None,
         paths: Paths | None = None,
         settings_path: Path | None = None,
@@ -51,7 +53,9 @@
         self.peers.add_section(
             SECTION, self.targets.build_digest, self.targets.take_digest
         )
-        self.forwarder = Forwarder(self.state, self.targets)
+        self.targets.book.on_change.append(self.peers.tell_now)
+        self.reservations = ReservationTask(self.state, calls)
+        self.forwarder = Forwarder(self.state, self.targets, self.reservations)
         self.callers = HttpServer(
             settings.callers,
             self.forwarder.async_handle,
@@ -78,6 +82,7 @@
             self.operators,
             self.peers,
             self.publications,
+            self.reservations,
             self.callers,
             self.health,
             self.settings,
