Dispatch events by functions, not by methods built anew

Change: the seven modules dispatch by module-level `singledispatch` functions, as requests/exchange.py does. `GroupReservation.handle` stays as it was for callers.

Ruled out: a table built once by hand: one more thing to keep, and no quicker than singledispatch's own cache.

--- a/libraries/bench/tarragonward_bench/model_runs.py
+++ b/libraries/bench/tarragonward_bench/model_runs.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from tarragonward_core import Conclusion, ResultCode, invariants
 from tarragonward_requests import (
@@ -152,44 +152,7 @@
 
     def _apply_all(self, run: _Run, effects: list[Effect]) -> None:
         for effect in effects:
-            self._apply(effect, run)
-
-    @singledispatchmethod
-    def _apply(self, effect: Effect, run: _Run) -> None:
-        raise TypeError(f"not an effect: {effect!r}")
-
-    @_apply.register
-    def _(self, effect: StartAttempt, run: _Run) -> None:
-        self._check(self.now < run.lifecycle.deadline, "no_late_attempt", run)
-        run.attempt = effect.attempt
-        self._after(effect.delay_seconds, lambda: self._open(run, effect))
-
-    @_apply.register
-    def _(self, effect: CancelAttempt, run: _Run) -> None:
-        self._release(run)
-
-    @_apply.register
-    def _(self, effect: DeliverText, run: _Run) -> None:
-        self._check(self.now < run.lifecycle.deadline, "no_late_text", run)
-        run.given_out += effect.text
-        whole = expect_answer(run.prompt, run.max_tokens).text
-        self._check(whole.startswith(run.given_out), "text_is_of_this_answer", run)
-
-    @_apply.register
-    def _(self, effect: EndRequest, run: _Run) -> None:
-        self._check(run.end is None, "one_terminal_event", run)
-        run.end = effect
-        in_time = self.now <= max(run.lifecycle.deadline, self._paused_until)
-        self._check(in_time, "ended_in_time", run)
-        told_not_run = effect.code.conclusion is Conclusion.NOT_RUN
-        self._check(not (told_not_run and run.has_run), "not_run_is_true", run)
-        if effect.code is ResultCode.OK:
-            expected = expect_answer(run.prompt, run.max_tokens)
-            is_whole = (run.given_out, effect.finish_reason) == (
-                expected.text,
-                expected.finish_reason,
-            )
-            self._check(is_whole, "whole_answer", run)
+            _apply(effect, self, run)
 
     def _release(self, run: _Run) -> None:
         if run.engine is not None:
@@ -304,6 +267,48 @@
         )
 
 
+@singledispatch
+def _apply(effect: Effect, runs: ModelRuns, run: _Run) -> None:
+    raise TypeError(f"not an effect: {effect!r}")
+
+
+@_apply.register
+def _(effect: StartAttempt, runs: ModelRuns, run: _Run) -> None:
+    runs._check(runs.now < run.lifecycle.deadline, "no_late_attempt", run)
+    run.attempt = effect.attempt
+    runs._after(effect.delay_seconds, lambda: runs._open(run, effect))
+
+
+@_apply.register
+def _(effect: CancelAttempt, runs: ModelRuns, run: _Run) -> None:
+    runs._release(run)
+
+
+@_apply.register
+def _(effect: DeliverText, runs: ModelRuns, run: _Run) -> None:
+    runs._check(runs.now < run.lifecycle.deadline, "no_late_text", run)
+    run.given_out += effect.text
+    whole = expect_answer(run.prompt, run.max_tokens).text
+    runs._check(whole.startswith(run.given_out), "text_is_of_this_answer", run)
+
+
+@_apply.register
+def _(effect: EndRequest, runs: ModelRuns, run: _Run) -> None:
+    runs._check(run.end is None, "one_terminal_event", run)
+    run.end = effect
+    in_time = runs.now <= max(run.lifecycle.deadline, runs._paused_until)
+    runs._check(in_time, "ended_in_time", run)
+    told_not_run = effect.code.conclusion is Conclusion.NOT_RUN
+    runs._check(not (told_not_run and run.has_run), "not_run_is_true", run)
+    if effect.code is ResultCode.OK:
+        expected = expect_answer(run.prompt, run.max_tokens)
+        is_whole = (run.given_out, effect.finish_reason) == (
+            expected.text,
+            expected.finish_reason,
+        )
+        runs._check(is_whole, "whole_answer", run)
+
+
 def _restart(engine: _Engine) -> None:
     engine.is_alive = True
 
--- a/libraries/daemon/tarragonward_daemon/gossip.py
+++ b/libraries/daemon/tarragonward_daemon/gossip.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import Any
 
 from tarragonward_core import Address, FrameError, TargetError, log_event
@@ -68,7 +68,7 @@
             if isinstance(effect, SendAnswer):
                 answer = effect.message
             else:
-                self._apply(effect)
+                _apply(effect, self)
         return answer
 
     async def async_help(self, message: IndirectProbe) -> IndirectAck:
@@ -85,33 +85,6 @@
         record = MemberRecord(identity, answer.version, RecordState(answer.state))
         return IndirectAck(record.pack())
 
-    @singledispatchmethod
-    def _apply(self, effect: Effect) -> None:
-        raise TypeError(f"not an effect: {effect!r}")
-
-    @_apply.register
-    def _(self, effect: SendProbe) -> None:
-        self._start(self._async_probe(effect))
-
-    @_apply.register
-    def _(self, effect: AskHelper) -> None:
-        self._start(self._async_ask_helper(effect))
-
-    @_apply.register
-    def _(self, effect: PeerIsAhead) -> None:
-        for callback in self.on_peer_ahead:
-            callback(effect.address, effect.sequence)
-
-    @_apply.register
-    def _(self, effect: MemberChanged) -> None:
-        log_event(
-            "member_changed",
-            address=effect.address,
-            identity=effect.identity,
-            old=effect.old.value,
-            new=effect.new.value,
-        )
-
     def _start(self, coroutine: Any) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -155,3 +128,35 @@
             # not wait.
             await self._links.async_drop(address)
             return None
+
+
+@singledispatch
+def _apply(effect: Effect, gossip: GossipCarrier) -> None:
+    raise TypeError(f"not an effect: {effect!r}")
+
+
+@_apply.register
+def _(effect: SendProbe, gossip: GossipCarrier) -> None:
+    gossip._start(gossip._async_probe(effect))
+
+
+@_apply.register
+def _(effect: AskHelper, gossip: GossipCarrier) -> None:
+    gossip._start(gossip._async_ask_helper(effect))
+
+
+@_apply.register
+def _(effect: PeerIsAhead, gossip: GossipCarrier) -> None:
+    for callback in gossip.on_peer_ahead:
+        callback(effect.address, effect.sequence)
+
+
+@_apply.register
+def _(effect: MemberChanged, gossip: GossipCarrier) -> None:
+    log_event(
+        "member_changed",
+        address=effect.address,
+        identity=effect.identity,
+        old=effect.old.value,
+        new=effect.new.value,
+    )
--- a/libraries/daemon/tarragonward_daemon/model_run.py
+++ b/libraries/daemon/tarragonward_daemon/model_run.py
@@ -8,7 +8,7 @@
 from collections.abc import AsyncIterator
 from contextlib import ExitStack
 from dataclasses import dataclass
-from functools import partial, singledispatchmethod
+from functools import partial, singledispatch
 from typing import Protocol
 
 from tarragonward_config import ClientAccount, Target
@@ -170,7 +170,7 @@
         effects = self._lifecycle.start(self._loop.time())
         while True:
             for effect in effects:
-                await self._async_apply(effect)
+                await _async_apply(effect, self)
             if self._end is not None:
                 return self._end
             event = await self._async_next_event()
@@ -197,51 +197,6 @@
         except TimeoutError:
             return DeadlinePassed()
 
-    @singledispatchmethod
-    async def _async_apply(self, effect: Effect) -> None:
-        raise TypeError(f"not an effect: {effect!r}")
-
-    @_async_apply.register
-    async def _(self, effect: StartAttempt) -> None:
-        attempt = _Attempt(effect.attempt)
-        earlier = self._attempt
-        if effect.resume and earlier is not None and earlier.reading is not None:
-            attempt.resumed = earlier.reading.stream
-            earlier.reading.is_released = True
-        await self._async_leave_attempt()
-        self._attempt = attempt
-        attempt.task = asyncio.create_task(self._async_attempt(attempt, effect))
-
-    @_async_apply.register
-    async def _(self, effect: CancelAttempt) -> None:
-        await self._async_leave_attempt()
-
-    @_async_apply.register
-    async def _(self, effect: DeliverText) -> None:
-        if not self._given_out:
-            now = self._loop.time()
-            self._shared.placement.note_first_token(self._request_id, now)
-            self._shared.host.metrics.observe(
-                "time_to_first_token",
-                self._loop.time() - self._started_at,
-                self._account.name,
-                get_length_class(self._completion.prompt_tokens),
-            )
-        self._given_out.append(effect.text)
-        # A caller that reads nothing must not hold its engine. Symptom: the request
-        # waits here past its deadline. The next event then finds the deadline passed.
-        timeout = asyncio.timeout_at(self._lifecycle.deadline)
-        try:
-            async with timeout:
-                await self._sink.async_deliver(effect.text, effect.tokens)
-        except TimeoutError:
-            if not timeout.expired():
-                raise
-
-    @_async_apply.register
-    async def _(self, effect: EndRequest) -> None:
-        self._end = effect
-
     async def _async_attempt(self, attempt: _Attempt, effect: StartAttempt) -> None:
         try:
             await asyncio.sleep(effect.delay_seconds * random.uniform(0.5, 1.5))
@@ -428,3 +383,53 @@
         self._shared.active_streams.discard(stream.stream_id)
         if reading is None or not reading.is_released:
             self._shared.releases.release_stream(stream.target, stream.stream_id)
+
+
+@singledispatch
+async def _async_apply(effect: Effect, run: ModelRun) -> None:
+    raise TypeError(f"not an effect: {effect!r}")
+
+
+@_async_apply.register
+async def _(effect: StartAttempt, run: ModelRun) -> None:
+    attempt = _Attempt(effect.attempt)
+    earlier = run._attempt
+    if effect.resume and earlier is not None and earlier.reading is not None:
+        attempt.resumed = earlier.reading.stream
+        earlier.reading.is_released = True
+    await run._async_leave_attempt()
+    run._attempt = attempt
+    attempt.task = asyncio.create_task(run._async_attempt(attempt, effect))
+
+
+@_async_apply.register
+async def _(effect: CancelAttempt, run: ModelRun) -> None:
+    await run._async_leave_attempt()
+
+
+@_async_apply.register
+async def _(effect: DeliverText, run: ModelRun) -> None:
+    if not run._given_out:
+        now = run._loop.time()
+        run._shared.placement.note_first_token(run._request_id, now)
+        run._shared.host.metrics.observe(
+            "time_to_first_token",
+            run._loop.time() - run._started_at,
+            run._account.name,
+            get_length_class(run._completion.prompt_tokens),
+        )
+    run._given_out.append(effect.text)
+    # A caller that reads nothing must not hold its engine. Symptom: the request
+    # waits here past its deadline. The next event then finds the deadline passed.
+    timeout = asyncio.timeout_at(run._lifecycle.deadline)
+    try:
+        async with timeout:
+            await run._sink.async_deliver(effect.text, effect.tokens)
+    except TimeoutError:
+        if not timeout.expired():
+            raise
+
+
+@_async_apply.register
+async def _(effect: EndRequest, run: ModelRun) -> None:
+    run._end = effect
--- a/libraries/daemon/tarragonward_daemon/peers.py
+++ b/libraries/daemon/tarragonward_daemon/peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import Any
 
 from tarragonward_core import FrameError, HostIdentity
@@ -34,30 +34,42 @@
 
     async def async_handle(self, peer: HostIdentity, message: Any) -> Any:
         """Return the answer to a peer's message, or None."""
-        return await self._async_handle(message, peer)
+        return await _async_handle(message, self, peer)
 
-    @singledispatchmethod
-    async def _async_handle(self, message: Any, peer: HostIdentity) -> Any:
-        raise FrameError(f"no task takes {type(message).__name__}")
 
-    @_async_handle.register
-    async def _(self, message: ForwardCall, peer: HostIdentity) -> CallAnswer:
-        return await self._calls.async_handle_forwarded(message)
+@singledispatch
+async def _async_handle(message: Any, tasks: PeerMessages, peer: HostIdentity) -> Any:
+    raise FrameError(f"no task takes {type(message).__name__}")
 
-    @_async_handle.register
-    async def _(
-        self, message: PullConfiguration, peer: HostIdentity
-    ) -> ConfigurationNews:
-        return self._configuration.answer_pull(message)
 
-    @_async_handle.register
-    async def _(self, message: ConfigurationNews, peer: HostIdentity) -> None:
-        await self._configuration.async_handle_news(message, peer.address)
+@_async_handle.register
+async def _(
+    message: ForwardCall, tasks: PeerMessages, peer: HostIdentity
+) -> CallAnswer:
+    return await tasks._calls.async_handle_forwarded(message)
 
-    @_async_handle.register
-    async def _(self, message: Gossip, peer: HostIdentity) -> Gossip:
-        return self._membership.handle_gossip(peer, message)
 
-    @_async_handle.register
-    async def _(self, message: IndirectProbe, peer: HostIdentity) -> IndirectAck:
-        return await self._membership.async_help(message)
+@_async_handle.register
+async def _(
+    message: PullConfiguration, tasks: PeerMessages, peer: HostIdentity
+) -> ConfigurationNews:
+    return tasks._configuration.answer_pull(message)
+
+
+@_async_handle.register
+async def _(
+    message: ConfigurationNews, tasks: PeerMessages, peer: HostIdentity
+) -> None:
+    await tasks._configuration.async_handle_news(message, peer.address)
+
+
+@_async_handle.register
+async def _(message: Gossip, tasks: PeerMessages, peer: HostIdentity) -> Gossip:
+    return tasks._membership.handle_gossip(peer, message)
+
+
+@_async_handle.register
+async def _(
+    message: IndirectProbe, tasks: PeerMessages, peer: HostIdentity
+) -> IndirectAck:
+    return await tasks._membership.async_help(message)
--- a/libraries/membership/tarragonward_membership/membership.py
+++ b/libraries/membership/tarragonward_membership/membership.py
@@ -5,7 +5,7 @@
 import math
 import random
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import singledispatch
 
 import msgpack
 
@@ -160,7 +160,7 @@
         """Take an event and return what is to be done; now in monotonic seconds."""
         self._effects = []
         self._notice_freeze(now)
-        self._handle(event, now)
+        _handle(event, self, now)
         invariants.check(
             self._own.identity == self.identity
             and self._own.state in (RecordState.ALIVE, RecordState.LEAVING),
@@ -194,68 +194,6 @@
             demands=demands,
         )
 
-    @singledispatchmethod
-    def _handle(self, event: Event, now: float) -> None:
-        raise TypeError(f"not an event: {event!r}")
-
-    @_handle.register
-    def _(self, event: ListRead, now: float) -> None:
-        self._members.take_list(event.hosts, now)
-        # Choosing watchers anew hashes every target with every host; most lists are
-        # read unchanged.
-        if event.hosts != self._listed:
-            self._listed = event.hosts
-            self._watched.clear()
-
-    @_handle.register
-    def _(self, event: Tick, now: float) -> None:
-        self._expire_probes(now)
-        self._expire_suspicions(now)
-        for address in self._doubts.take_due(now):
-            self._probe(address, now)
-        if now >= self._next_heartbeat:
-            self._beat(now)
-        if now >= self._next_round:
-            self._start_round(now)
-
-    @_handle.register
-    def _(self, event: GossipArrived, now: float) -> None:
-        message = event.message
-        self._sightings.note(event.peer.address, event.peer.incarnation, now)
-        record = _read_sender(event.peer, message)
-        self._take_direct(record, message.failure_domain, now)
-        self._take_news(event.peer.address, message, now)
-        answer = self.build_probe(event.peer.address, now)
-        self._effects.append(SendAnswer(answer))
-
-    @_handle.register
-    def _(self, event: ProbeAnswered, now: float) -> None:
-        probe = self._probes.pop(event.number, None)
-        if probe is None:
-            return
-        message = event.message
-        peer = HostIdentity(probe.address, message.incarnation)
-        self._sightings.note_answer(probe.address, peer.incarnation, probe.sent_at)
-        self._doubts.note_answer(probe.address)
-        self._sightings.note(probe.address, peer.incarnation, now)
-        self._take_direct(_read_sender(peer, message), message.failure_domain, now)
-        self._take_news(probe.address, message, now)
-
-    @_handle.register
-    def _(self, event: HelperAnswered, now: float) -> None:
-        probe = self._probes.get(event.number)
-        if probe is None or event.record.identity.address != probe.address:
-            return
-        del self._probes[event.number]
-        self._doubts.note_answer(probe.address)
-        self._take_direct(event.record, "", now)
-
-    @_handle.register
-    def _(self, event: ProbeFailed, now: float) -> None:
-        probe = self._probes.get(event.number)
-        if probe is not None and not probe.is_indirect:
-            self._ask_helpers(event.number, probe, now)
-
     # Rounds.
 
     def _start_round(self, now: float) -> None:
@@ -468,6 +406,75 @@
         return get_suspicion_seconds(len(self._members) + 1)
 
 
+@singledispatch
+def _handle(event: Event, membership: Membership, now: float) -> None:
+    raise TypeError(f"not an event: {event!r}")
+
+
+@_handle.register
+def _(event: ListRead, membership: Membership, now: float) -> None:
+    membership._members.take_list(event.hosts, now)
+    # Choosing watchers anew hashes every target with every host; most lists are
+    # read unchanged.
+    if event.hosts != membership._listed:
+        membership._listed = event.hosts
+        membership._watched.clear()
+
+
+@_handle.register
+def _(event: Tick, membership: Membership, now: float) -> None:
+    membership._expire_probes(now)
+    membership._expire_suspicions(now)
+    for address in membership._doubts.take_due(now):
+        membership._probe(address, now)
+    if now >= membership._next_heartbeat:
+        membership._beat(now)
+    if now >= membership._next_round:
+        membership._start_round(now)
+
+
+@_handle.register
+def _(event: GossipArrived, membership: Membership, now: float) -> None:
+    message = event.message
+    membership._sightings.note(event.peer.address, event.peer.incarnation, now)
+    record = _read_sender(event.peer, message)
+    membership._take_direct(record, message.failure_domain, now)
+    membership._take_news(event.peer.address, message, now)
+    answer = membership.build_probe(event.peer.address, now)
+    membership._effects.append(SendAnswer(answer))
+
+
+@_handle.register
+def _(event: ProbeAnswered, membership: Membership, now: float) -> None:
+    probe = membership._probes.pop(event.number, None)
+    if probe is None:
+        return
+    message = event.message
+    peer = HostIdentity(probe.address, message.incarnation)
+    membership._sightings.note_answer(probe.address, peer.incarnation, probe.sent_at)
+    membership._doubts.note_answer(probe.address)
+    membership._sightings.note(probe.address, peer.incarnation, now)
+    membership._take_direct(_read_sender(peer, message), message.failure_domain, now)
+    membership._take_news(probe.address, message, now)
+
+
+@_handle.register
+def _(event: HelperAnswered, membership: Membership, now: float) -> None:
+    probe = membership._probes.get(event.number)
+    if probe is None or event.record.identity.address != probe.address:
+        return
+    del membership._probes[event.number]
+    membership._doubts.note_answer(probe.address)
+    membership._take_direct(event.record, "", now)
+
+
+@_handle.register
+def _(event: ProbeFailed, membership: Membership, now: float) -> None:
+    probe = membership._probes.get(event.number)
+    if probe is not None and not probe.is_indirect:
+        membership._ask_helpers(event.number, probe, now)
+
+
 def _read_sender(peer: HostIdentity, message: Gossip) -> MemberRecord:
     try:
         state = RecordState(message.state)
--- a/libraries/placement/tarragonward_placement/groups.py
+++ b/libraries/placement/tarragonward_placement/groups.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from tarragonward_core import invariants
 
@@ -120,36 +120,9 @@
         """Return the first effect."""
         return self._reserve_next()
 
-    @singledispatchmethod
     def handle(self, event: GroupEvent) -> list[GroupEffect]:
         """Return the effects of an engine's answer."""
-        raise TypeError(f"not a group event: {event!r}")
-
-    @handle.register
-    def _(self, event: ReservationGranted) -> list[GroupEffect]:
-        if self.has_ended:
-            return []
-        invariants.check(
-            event.engine == self._members[self._granted].engine,
-            "group_reserved_in_engine_order",
-            engine=event.engine,
-        )
-        self._granted += 1
-        if self._granted < len(self._members):
-            return self._reserve_next()
-        self.is_ready = True
-        return [GroupReady()]
-
-    @handle.register
-    def _(self, event: ReservationRefused) -> list[GroupEffect]:
-        if self.has_ended:
-            return []
-        # The engine that did not say may hold the part all the same, so it is
-        # released too: releasing what is not held changes nothing.
-        effects = self.release()
-        delay = c.GROUP_FIRST_DELAY_SECONDS * 2 ** min(self._tries, 16)
-        effects.append(RetryGroup(min(delay, c.GROUP_MAX_DELAY_SECONDS)))
-        return effects
+        return _handle(event, self)
 
     def release(self) -> list[GroupEffect]:
         """Return what frees all that was ever asked for; once."""
@@ -162,3 +135,36 @@
         member = self._members[self._granted]
         self._asked.append(member.engine)
         return [ReservePart(member)]
+
+
+@singledispatch
+def _handle(event: GroupEvent, reservation: GroupReservation) -> list[GroupEffect]:
+    raise TypeError(f"not a group event: {event!r}")
+
+
+@_handle.register
+def _(event: ReservationGranted, reservation: GroupReservation) -> list[GroupEffect]:
+    if reservation.has_ended:
+        return []
+    invariants.check(
+        event.engine == reservation._members[reservation._granted].engine,
+        "group_reserved_in_engine_order",
+        engine=event.engine,
+    )
+    reservation._granted += 1
+    if reservation._granted < len(reservation._members):
+        return reservation._reserve_next()
+    reservation.is_ready = True
+    return [GroupReady()]
+
+
+@_handle.register
+def _(event: ReservationRefused, reservation: GroupReservation) -> list[GroupEffect]:
+    if reservation.has_ended:
+        return []
+    # The engine that did not say may hold the part all the same, so it is
+    # released too: releasing what is not held changes nothing.
+    effects = reservation.release()
+    delay = c.GROUP_FIRST_DELAY_SECONDS * 2 ** min(reservation._tries, 16)
+    effects.append(RetryGroup(min(delay, c.GROUP_MAX_DELAY_SECONDS)))
+    return effects
--- a/libraries/requests/tarragonward_requests/lifecycle.py
+++ b/libraries/requests/tarragonward_requests/lifecycle.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from tarragonward_core import ResultCode, invariants
 
@@ -71,75 +71,7 @@
         # The check is enough here because no await stands between it and the effects.
         if now >= self.deadline and not isinstance(event, CallerLeft):
             return self._end(ResultCode.DEADLINE_EXCEEDED)
-        return self._handle(event, now)
-
-    @singledispatchmethod
-    def _handle(self, event: Event, now: float) -> list[Effect]:
-        raise TypeError(f"not an event: {event!r}")
-
-    @_handle.register
-    def _(self, event: TextArrived, now: float) -> list[Effect]:
-        if event.attempt != self._attempt:
-            return []
-        self._note_run()
-        if event.offset > self.delivered_tokens:
-            return self._recover(AttemptFault.CONNECTION_LOST, now)
-        # A resumed stream may begin before the offset asked for. Symptom: the caller
-        # reads some tokens twice. Only what is past the delivered tokens is new, and
-        # nothing past max_tokens was asked for.
-        pieces = event.pieces[self.delivered_tokens - event.offset :]
-        pieces = pieces[: self.max_tokens - self.delivered_tokens]
-        if not pieces:
-            return []
-        self._fruitless_attempts = 0
-        self._is_resumed = False
-        self.delivered_tokens += len(pieces)
-        return [DeliverText("".join(pieces), len(pieces))]
-
-    @_handle.register
-    def _(self, event: AttemptFinished, now: float) -> list[Effect]:
-        if event.attempt != self._attempt:
-            return []
-        self._note_run()
-        if event.tokens == self.delivered_tokens:
-            return self._end(ResultCode.OK, event.finish_reason)
-        if event.tokens < self.delivered_tokens:
-            return self._recover(AttemptFault.INVALID, now)
-        return self._recover(AttemptFault.CONNECTION_LOST, now)
-
-    @_handle.register
-    def _(self, event: AttemptFailed, now: float) -> list[Effect]:
-        if event.attempt != self._attempt:
-            return []
-        if not event.fault.is_before_run:
-            self._note_run()
-        return self._recover(event.fault, now)
-
-    @_handle.register
-    def _(self, event: PlacementRefused, now: float) -> list[Effect]:
-        if event.attempt != self._attempt:
-            return []
-        # An engine may have run a part already. Symptom: the caller is told "not run"
-        # of a request whose text it has read. So a refusal ends the request as it
-        # stands only where no attempt can have run; else a place is waited for.
-        if not self._may_have_run:
-            return self._end(event.code, retry_after_seconds=event.retry_after_seconds)
-        delay = min(event.retry_after_seconds, c.RETRY_BACKOFF_CAP_SECONDS)
-        return self._retry(False, c.RETRY_COST_REFUSED, delay, now)
-
-    @_handle.register
-    def _(self, event: CallerLeft, now: float) -> list[Effect]:
-        return self._end(ResultCode.CALLER_LEFT)
-
-    @_handle.register
-    def _(self, event: DeadlinePassed, now: float) -> list[Effect]:
-        return []
-
-    @_handle.register
-    def _(self, event: HostStopping, now: float) -> list[Effect]:
-        return self._end(
-            ResultCode.HOST_STOPPED, retry_after_seconds=c.DEFAULT_RETRY_AFTER_SECONDS
-        )
+        return _handle(event, self, now)
 
     def _recover(self, fault: AttemptFault, now: float) -> list[Effect]:
         # The end of the stream can be lost after its last token. Symptom: another
@@ -218,3 +150,79 @@
 
     def _check(self, holds: bool, name: str) -> None:
         invariants.check(holds, name, request_id=self.request_id)
+
+
+@singledispatch
+def _handle(event: Event, lifecycle: RequestLifecycle, now: float) -> list[Effect]:
+    raise TypeError(f"not an event: {event!r}")
+
+
+@_handle.register
+def _(event: TextArrived, lifecycle: RequestLifecycle, now: float) -> list[Effect]:
+    if event.attempt != lifecycle._attempt:
+        return []
+    lifecycle._note_run()
+    if event.offset > lifecycle.delivered_tokens:
+        return lifecycle._recover(AttemptFault.CONNECTION_LOST, now)
+    # A resumed stream may begin before the offset asked for. Symptom: the caller
+    # reads some tokens twice. Only what is past the delivered tokens is new, and
+    # nothing past max_tokens was asked for.
+    pieces = event.pieces[lifecycle.delivered_tokens - event.offset :]
+    pieces = pieces[: lifecycle.max_tokens - lifecycle.delivered_tokens]
+    if not pieces:
+        return []
+    lifecycle._fruitless_attempts = 0
+    lifecycle._is_resumed = False
+    lifecycle.delivered_tokens += len(pieces)
+    return [DeliverText("".join(pieces), len(pieces))]
+
+
+@_handle.register
+def _(event: AttemptFinished, lifecycle: RequestLifecycle, now: float) -> list[Effect]:
+    if event.attempt != lifecycle._attempt:
+        return []
+    lifecycle._note_run()
+    if event.tokens == lifecycle.delivered_tokens:
+        return lifecycle._end(ResultCode.OK, event.finish_reason)
+    if event.tokens < lifecycle.delivered_tokens:
+        return lifecycle._recover(AttemptFault.INVALID, now)
+    return lifecycle._recover(AttemptFault.CONNECTION_LOST, now)
+
+
+@_handle.register
+def _(event: AttemptFailed, lifecycle: RequestLifecycle, now: float) -> list[Effect]:
+    if event.attempt != lifecycle._attempt:
+        return []
+    if not event.fault.is_before_run:
+        lifecycle._note_run()
+    return lifecycle._recover(event.fault, now)
+
+
+@_handle.register
+def _(event: PlacementRefused, lifecycle: RequestLifecycle, now: float) -> list[Effect]:
+    if event.attempt != lifecycle._attempt:
+        return []
+    # An engine may have run a part already. Symptom: the caller is told "not run"
+    # of a request whose text it has read. So a refusal ends the request as it
+    # stands only where no attempt can have run; else a place is waited for.
+    if not lifecycle._may_have_run:
+        return lifecycle._end(event.code, retry_after_seconds=event.retry_after_seconds)
+    delay = min(event.retry_after_seconds, c.RETRY_BACKOFF_CAP_SECONDS)
+    return lifecycle._retry(False, c.RETRY_COST_REFUSED, delay, now)
+
+
+@_handle.register
+def _(event: CallerLeft, lifecycle: RequestLifecycle, now: float) -> list[Effect]:
+    return lifecycle._end(ResultCode.CALLER_LEFT)
+
+
+@_handle.register
+def _(event: DeadlinePassed, lifecycle: RequestLifecycle, now: float) -> list[Effect]:
+    return []
+
+
+@_handle.register
+def _(event: HostStopping, lifecycle: RequestLifecycle, now: float) -> list[Effect]:
+    return lifecycle._end(
+        ResultCode.HOST_STOPPED, retry_after_seconds=c.DEFAULT_RETRY_AFTER_SECONDS
+    )
