--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -4,20 +4,28 @@
 
 import asyncio
 import signal
+import time
 from contextlib import AsyncExitStack, suppress
+from pathlib import Path
+from typing import Any
 
-from tarragonward_core import log_event
+from absl import logging
+
+from tarragonward_core import event_log, log_event
 from tarragonward_routes import CallerLimits
 from tarragonward_wire import HttpLimits, HttpServer
 
 from . import const as c
 from .forwarder import Forwarder
 from .health import HealthRoutes
+from .operators import OperatorsTask
+from .peers import Peers
 from .ports import HeaderNames, Paths, RecordParser, RecordReader
 from .publications import PublicationTask
+from .reload import SettingsTask
 from .settings import GatewaySettings
 from .state import GatewayState
-from .targets import TargetChooser
+from .targets import SECTION, TargetChooser
 
 __all__ = ["Gateway"]
 
@@ -32,11 +40,17 @@
         parser: RecordParser,
         headers: HeaderNames | None = None,
         paths: Paths | None = None,
+        settings_path: Path | None = None,
     ) -> None:
         self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
-        self.publications = PublicationTask(self.state, reader, parser)
+        self.peers = Peers(self.state)
+        self.publications = PublicationTask(self.state, reader, parser, self.peers)
         self.publications.on_table.append(self._apply_limits)
-        self.forwarder = Forwarder(self.state, TargetChooser(self.state))
+        self.targets = TargetChooser(self.state, time.monotonic)
+        self.peers.add_section(
+            SECTION, self.targets.build_digest, self.targets.take_digest
+        )
+        self.forwarder = Forwarder(self.state, self.targets)
         self.callers = HttpServer(
             settings.callers,
             self.forwarder.async_handle,
@@ -44,6 +58,9 @@
             check_head=self.forwarder.check_head,
         )
         self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
+        self.operators = OperatorsTask(self.state)
+        self.settings = SettingsTask(self.state, settings_path)
+        self.settings.on_change.append(self._apply_settings)
         self._stop_asked = asyncio.Event()
 
     def ask_stop(self) -> None:
@@ -53,25 +70,40 @@
     async def async_run(self) -> None:
         """Serve until told to end."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_log_loop_exception)
         loop.add_signal_handler(signal.SIGTERM, self.ask_stop)
-        loop.add_signal_handler(signal.SIGHUP, lambda: log_event("hangup_heard"))
+        loop.add_signal_handler(signal.SIGHUP, self.settings.tell)
+        parts = (
+            self.operators,
+            self.peers,
+            self.publications,
+            self.callers,
+            self.health,
+            self.settings,
+        )
         async with AsyncExitStack() as stack:
-            for part in (self.publications, self.callers, self.health):
+            for part in parts:
                 await part.async_setup()
                 stack.push_async_callback(part.async_unload)
-            log_event("host_started", host=self.state.settings.name)
+            log_event("host_started", callers=self.callers.address)
             await self._stop_asked.wait()
             await self._async_drain()
-        log_event("host_stopped", host=self.state.settings.name)
+        log_event("host_stopped")
 
     def _apply_limits(self) -> None:
         assert self.state.table is not None
         self.callers.limits = _build_limits(self.state.table.limits)
 
+    def _apply_settings(self) -> None:
+        if event_log.budget is not None:
+            bounds = self.state.settings.bounds
+            event_log.budget.lines_a_second = bounds.log_lines_per_second
+
     async def _async_drain(self) -> None:
         """End what is in progress within the time that the operators give."""
         state = self.state
         state.is_draining = True
+        self.peers.set_leaving()
         self.callers.close_after_answers()
         log_event("drain_started", in_flight=self.forwarder.in_flight)
         whole = state.settings.bounds.grace_seconds - c.DRAIN_MARGIN_SECONDS
@@ -80,6 +112,7 @@
                 # The balancer sends new connections until it has asked twice.
                 await asyncio.sleep(min(c.BALANCER_NOTICE_SECONDS, whole))
                 state.is_admitting = False
+                self.callers.close_idle()
                 await self.callers.async_wait_idle()
         log_event("drain_ended", in_flight=self.forwarder.in_flight)
 
@@ -92,3 +125,16 @@
         body_timeout=limits.head_seconds,
         idle_timeout=limits.idle_seconds,
     )
+
+
+def _log_loop_exception(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    # What nobody awaits, and a listener that is out of descriptors, end up here. The
+    # loop goes on; the default would write many lines, and wait for who reads them.
+    log_event(
+        "loop_exception",
+        level=logging.ERROR,
+        message=context.get("message"),
+        error=repr(context.get("exception")),
+    )
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -4,13 +4,15 @@
 
 import asyncio
 
-from tarragonward_core import RequestRefusedError, ResultCode
+from tarragonward_core import RequestRefusedError, ResultCode, log_event
 from tarragonward_routes import Account, Route, RoutingTable
 from tarragonward_wire import HttpHead, HttpRequest, Responder
 
 from . import const as c
 from .answers import async_send_refusal
+from .clock import read_clock
 from .context import ForwardContext
+from .headers import parse_count
 from .run import ForwardRun
 from .state import GatewayState
 from .targets import TargetChooser
@@ -46,7 +48,7 @@
             self._state.headers.request_id, request.request_id
         )
         if context.refusal is not None:
-            self._state.metrics.count("requests_refused", context.refusal.code.name)
+            self._note_refused(responder.request_id, request, context.refusal)
             await async_send_refusal(
                 responder, context.refusal.code, context.refusal.retry_after_seconds
             )
@@ -58,6 +60,24 @@
         finally:
             self.in_flight -= 1
 
+    def _note_refused(
+        self, request_id: str, request: HttpRequest, refusal: RequestRefusedError
+    ) -> None:
+        state = self._state
+        state.metrics.count("requests", refusal.code.name)
+        age = asyncio.get_running_loop().time() - state.table_confirmed_at
+        log_event(
+            "request_ended",
+            request_id=request_id,
+            outcome=refusal.code.name,
+            status=refusal.code.http_status,
+            sends=0,
+            host_header=request.headers.get("host"),
+            path=request.path,
+            table=state.table.version if state.table else None,
+            table_age=age if age < float("inf") else None,
+        )
+
     def _admit(self, head: HttpHead, now: float) -> ForwardContext:
         if not self._state.is_admitting:
             raise RequestRefusedError(
@@ -70,33 +90,33 @@
             )
         route = table.select_route(head.headers.get("host", ""), head.path)
         if route is None:
-            raise self._build_denial(ResultCode.UNKNOWN_ROUTE, now)
-        account = self._authenticate(table, route, head, now)
+            raise self._build_denial(ResultCode.UNKNOWN_ROUTE)
+        account = self._authenticate(table, route, head)
         limit = now + self._get_time_limit(route, head)
         service = route.choose_service(self._state.random.random())
         return ForwardContext(now, None, route, account, service, limit, table)
 
     def _authenticate(
-        self, table: RoutingTable, route: Route, head: HttpHead, now: float
+        self, table: RoutingTable, route: Route, head: HttpHead
     ) -> Account | None:
         key = head.headers.get(self._state.headers.caller_key, "")
         account = table.find_account(key)
         if account is None and table.needs_key and not route.is_public:
             code = ResultCode.TOKEN_WRONG if key else ResultCode.TOKEN_MISSING
-            raise self._build_denial(code, now)
+            raise self._build_denial(code)
         return account
 
     def _get_time_limit(self, route: Route, head: HttpHead) -> float:
-        text = head.headers.get(self._state.headers.deadline_ms, "")
-        if not text.isdigit():
+        limit = parse_count(head.headers.get(self._state.headers.deadline_ms, ""))
+        if limit is None:
             return route.timeout_seconds
-        return min(int(text) / MILLISECONDS, route.timeout_seconds)
+        return min(limit / MILLISECONDS, route.timeout_seconds)
 
-    def _build_denial(self, code: ResultCode, now: float) -> RequestRefusedError:
+    def _build_denial(self, code: ResultCode) -> RequestRefusedError:
         # A host that has not heard of the newest table takes a new route or key for
         # unknown. Symptom: a caller is told 404 or 401 for good, and never asks
         # again. A host that cannot know says so, and the caller comes back.
-        age = now - self._state.table_confirmed_at
+        age = read_clock() - self._state.table_confirmed_at
         if age <= c.TABLE_FRESH_SECONDS:
             return RequestRefusedError(code)
         return RequestRefusedError(
