Read all anew after a watch that was cut

Cause: platform_compact lets watches hear nothing for a second, drops the history and cuts them. Ruled out: a dead connection (the answer came on it at last), a peer that knew more (all hosts were cut alike), the back-off (the new watch went out at once).

A test said that a host filled by a peer goes on with a watch although its source had failed; it now asks for a whole reading, as the peer may not have heard what was dropped.

--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -132,8 +132,12 @@
         return _hear(event, self, complete, hosts, now)
 
     def note_complete(self) -> None:
-        """Note that the book was filled by a peer: changes are enough from here."""
-        self._must_read = False
+        """Note that the book was filled by a peer.
+
+        Changes are enough from here, unless the source has failed since its last
+        answer: what it dropped meanwhile, no peer need have heard.
+        """
+        self._must_read = self.failures > 0
         self._behind_since = None
 
     def is_after_outage(self, now: float) -> bool:
@@ -157,7 +161,14 @@
         self._changed_at = now
 
     def take_failure(self, complete: int, hosts: int, now: float) -> None:
-        """Note a failed call, and wait longer the more hosts ask."""
+        """Note a failed call, and wait longer the more hosts ask.
+
+        A source that drops its history cuts its watches, which were deaf for a while
+        before. Symptom: a new watch from the last revision is silent for seconds, and
+        a key taken away in the meantime is still served. A whole reading tells all
+        that is published, whatever was dropped, so it goes before the next watch.
+        """
+        self._must_read = True
         if self._failing_since is None:
             self._failing_since = now
         self._failed_at = now
