Keep to a part of a target's connections; ask a peer sooner at a start

A target resets connections beyond what it takes from all hosts together: a host keeps to limit / hosts and goes to another target. Stamps are in microseconds, as two tellings within a millisecond count as one.

--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -109,6 +109,7 @@
         self._pause_until = now
         self._changed_at = float("-inf")
         self._behind_since: float | None = None
+        self._ahead = 0
         self._asked_peer_at = float("-inf")
         self._failing_since: float | None = None
         self._failed_at = float("-inf")
@@ -180,10 +181,14 @@
     ) -> list[FollowEffect]:
         """Compare with what a peer holds."""
         effects: list[FollowEffect] = []
-        if told.changed <= complete:
+        if self._ahead <= complete:
+            # Only what this host holds ends its being behind: peers that hold less
+            # tell nothing about it.
             self._behind_since = None
+        if told.changed <= complete:
             effects.append(Confirm(told.confirmed_age))
         else:
+            self._ahead = max(self._ahead, told.changed)
             effects += self._catch_up(told.name, complete, now)
         if self._shows_return(told, now):
             self._is_return_tried = True
@@ -195,8 +200,10 @@
     def _catch_up(self, name: str, complete: int, now: float) -> list[FollowEffect]:
         if self._behind_since is None:
             self._behind_since = now
-        # This host's own watch most often brings the same a moment later.
-        grace = 0.0 if self.failures else c.BEHIND_SECONDS
+        # Its own watch most often brings a host the same a moment later.
+        grace = c.BEHIND_SECONDS if complete else c.BEHIND_AT_START_SECONDS
+        if self.failures:
+            grace = 0.0
         is_early = now - self._behind_since < grace
         if is_early or now - self._asked_peer_at < c.ASK_PEER_SECONDS:
             return []
--- a/libraries/gateway/tarragonward_gateway/state.py
+++ b/libraries/gateway/tarragonward_gateway/state.py
@@ -49,6 +49,13 @@
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_seconds
         )
 
+    def get_connection_share(self, service: str) -> int | None:
+        """Return how many connections this host may have to a target of a service."""
+        found = self.table.services.get(service) if self.table is not None else None
+        if found is None:
+            return None
+        return max(1, found.max_connections // self.count_sharing_hosts())
+
     def record_request(self, service: str) -> None:
         """Let the budget of repeats grow by a caller's request."""
         self.budget.record_request(service, read_clock())
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -25,13 +25,20 @@
         ready = [
             target
             for target in self._state.registry.get_ready(service)
-            if target.id not in tried
+            if target.id not in tried and self._has_connection(target)
         ]
         if not ready:
             return None
         random = self._state.random.random
         return min(ready, key=lambda t: (self._in_flight[t.id], random()))
 
+    def _has_connection(self, target: RegisteredTarget) -> bool:
+        # A target resets connections beyond those that it takes from all hosts
+        # together. Symptom: a request is lost, and may have run. Each send has one
+        # connection, so a host that keeps to its part of them meets no reset.
+        limit = self._state.get_connection_share(target.service)
+        return limit is None or self._in_flight[target.id] < limit
+
     @contextmanager
     def hold(self, target: RegisteredTarget) -> Iterator[None]:
         """Count a request on a target until it ends."""
--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -91,6 +91,23 @@
     assert isinstance(follower.choose_step(HOSTS, 9.0), Watch)
 
 
+def test_a_host_that_starts_beside_a_silent_source_is_not_held_up(follower):
+    """Most hosts were killed while the store is silent; callers are refused.
+
+    The first reading hangs. One peer holds all, the others that restarted hold
+    nothing, and what they tell must not let the host forget that it is behind.
+    """
+    empty = PeerTold("restarted", 0, float("inf"))
+    whole = PeerTold("peer", 26, 6.0)
+    asked = []
+    for step in range(4):
+        now = 0.1 * step
+        asked += follower.hear(whole, 0, HOSTS, now)
+        asked += follower.hear(empty, 0, HOSTS, now + 0.05)
+    assert AskPeer("peer") in asked
+    assert AskSource() not in asked
+
+
 def test_failures_back_off_further_while_others_ask_too(watching):
     now = 2.0
     for _ in range(10):
--- /dev/null
+++ b/libraries/gateway/tests/test_sharing.py
@@ -0,0 +1,68 @@
+"""One host's part of what all hosts share: repeats, and connections to targets."""
+
+import asyncio
+from dataclasses import replace
+
+from tarragonward_routes import RequestKind
+from tarragonward_standins import answer_with, refuse_with
+
+
+def set_bounds(site, **bounds):
+    settings = site.state.settings
+    changed = replace(settings.bounds, **bounds)
+    site.state.settings = replace(settings, bounds=changed)
+    site.state.apply_bounds()
+
+
+async def test_without_budget_no_second_target_gets_the_request(make_site):
+    """All targets refuse; the hosts' repeats alone would keep them overloaded.
+
+    The caller is told at once that nothing ran, and when to come back.
+    """
+    site = await make_site(refuse_with(), answer_with())
+    set_bounds(site, retry_share=0.0, retry_slack=0.0)
+    answer = await site.async_ask()
+    assert answer.status == 503
+    assert float(answer.get("retry-after")[0]) > 0
+    assert site.runs == 1
+
+
+async def test_a_first_send_that_reached_nobody_is_no_repeat(make_site):
+    site = await make_site(answer_with(), answer_with())
+    await site.targets[0].async_unload()
+    set_bounds(site, retry_share=0.0, retry_slack=0.0)
+    assert (await site.async_ask()).status == 200
+
+
+async def test_more_hosts_leave_a_host_fewer_repeats(make_site):
+    site = await make_site(refuse_with(), answer_with())
+    set_bounds(site, retry_share=0.0, retry_slack=40.0)
+    site.state.count_sharing_hosts = lambda: 2
+    statuses = [(await site.async_ask()).status for _ in range(3)]
+    assert statuses == [200, 503, 503]
+
+
+async def test_a_host_keeps_to_its_part_of_a_targets_connections(make_site):
+    """A target resets connections beyond its limit, and what was sent may have run.
+
+    A hundred from all of fifty hosts are two a host: the third request at once goes
+    to the other target, the fifth is refused before anything is sent.
+    """
+    held = asyncio.Event()
+
+    async def hold(request, writer):
+        await held.wait()
+        await answer_with()(request, writer)
+
+    site = await make_site(hold, hold, kind=RequestKind.NON_IDEMPOTENT)
+    site.state.count_sharing_hosts = lambda: 50
+    asked = [asyncio.create_task(site.async_ask("POST")) for _ in range(4)]
+    async with asyncio.timeout(10.0):
+        while site.runs < 4:
+            await asyncio.sleep(0.01)
+    assert [len(target.seen) for target in site.targets] == [2, 2]
+    refused = await site.async_ask("POST")
+    assert refused.status == 503
+    held.set()
+    assert [answer.status for answer in await asyncio.gather(*asked)] == [200] * 4
+    assert site.runs == 4
--- a/libraries/membership/tarragonward_membership/hellos.py
+++ b/libraries/membership/tarragonward_membership/hellos.py
@@ -48,7 +48,7 @@
 class Hello:
     """What a host says of itself, and some of the others that it knows.
 
-    stamp is the sender's own clock in milliseconds, which only grows in one life: it
+    stamp is the sender's own clock in microseconds, which only grows in one life: it
     orders the hellos of a life, and shows by how much more than usual one was
     delayed. hosts is the most hosts that the sender counted lately.
     """
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -24,7 +24,7 @@
     "SeedPeer",
 ]
 
-MILLISECONDS = 1_000
+MICROSECONDS = 1_000_000
 
 
 @dataclass
@@ -151,7 +151,7 @@
             self.own,
             self._name,
             self._failure_domain,
-            int(now * MILLISECONDS),
+            int(now * MICROSECONDS),
             max(self.count_hosts(), self._most_counted.get(now)),
             self.is_leaving,
             self._choose_entries(now),
@@ -234,7 +234,7 @@
         peer.name = hello.name
         peer.failure_domain = hello.failure_domain
         peer.is_leaving = hello.is_leaving
-        delay = now - hello.stamp / MILLISECONDS
+        delay = now - hello.stamp / MICROSECONDS
         peer.least_delay = min(peer.least_delay, delay)
         peer.heard_at = max(peer.heard_at, now - (delay - peer.least_delay))
         peer.told = 0
@@ -246,7 +246,7 @@
         loads are taken for fresh. The clocks of two hosts differ by a constant, so
         the delay above the least seen bounds the age from below well enough.
         """
-        return max(0.0, now - stamp / MILLISECONDS - peer.least_delay)
+        return max(0.0, now - stamp / MICROSECONDS - peer.least_delay)
 
     def _take_entry(self, entry: PeerEntry, now: float) -> list[SeedEffect]:
         address = entry.identity.address
--- a/libraries/membership/tests/test_seeds.py
+++ b/libraries/membership/tests/test_seeds.py
@@ -180,7 +180,13 @@
     host, other = net.hosts.values()
     gone = HostIdentity(build_address(50), 1)
     hello = Hello(
-        other.own, "x", "y", int(net.now * 1000) + 5, 1, False, (PeerEntry(gone, 9.0),)
+        other.own,
+        "x",
+        "y",
+        int(net.now * 1_000_000) + 5,
+        1,
+        False,
+        (PeerEntry(gone, 9.0),),
     )
     host.hear(HelloHeard(hello), net.now)
     assert host.get_peer(gone.address) is None
