--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from typing import Any
@@ -19,12 +20,13 @@
 from .health import HealthRoutes
 from .operators import OperatorsTask
 from .peers import Peers
-from .ports import HeaderNames, Paths, RecordParser, RecordReader
+from .ports import HeaderNames, Paths, RecordParser, RecordReader, TargetCalls
 from .publications import PublicationTask
 from .reload import SettingsTask
+from .reservations import ReservationTask
 from .settings import GatewaySettings
 from .state import GatewayState
-from .targets import TargetChooser
+from .targets import SECTION, TargetChooser
 
 __all__ = ["Gateway"]
 
@@ -37,6 +39,7 @@
         settings: GatewaySettings,
         reader: RecordReader,
         parser: RecordParser,
+        calls: TargetCalls,
         headers: HeaderNames | None = None,
         paths: Paths | None = None,
         settings_path: Path | None = None,
@@ -46,7 +49,13 @@
         self.state.count_sharing_hosts = self.peers.count_sharing_hosts
         self.publications = PublicationTask(self.state, reader, parser, self.peers)
         self.publications.on_table.append(self._apply_limits)
-        self.forwarder = Forwarder(self.state, TargetChooser(self.state))
+        self.targets = TargetChooser(self.state, time.monotonic)
+        self.peers.add_section(
+            SECTION, self.targets.build_digest, self.targets.take_digest
+        )
+        self.targets.book.on_change.append(self.peers.tell_now)
+        self.reservations = ReservationTask(self.state, calls)
+        self.forwarder = Forwarder(self.state, self.targets, self.reservations)
         self.callers = HttpServer(
             settings.callers,
             self.forwarder.async_handle,
@@ -73,6 +82,7 @@
             self.operators,
             self.peers,
             self.publications,
+            self.reservations,
             self.callers,
             self.health,
             self.settings,
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -47,9 +47,10 @@
 
 @dataclass(frozen=True)
 class SourceAnswered:
-    """The source answered, with changes or after a wait without any."""
+    """The source answered; is_gap where its revision grew and no change was told."""
 
     has_changes: bool
+    is_gap: bool = False
 
 
 @dataclass(frozen=True)
@@ -132,21 +133,16 @@
         """Take an event; return what follows. complete is the book's revision."""
         return _hear(event, self, complete, hosts, now)
 
-    def note_complete(self) -> None:
-        """Note that the book was filled by a peer: changes are enough from here."""
-        self._must_read = False
-        self._behind_since = None
-
     def is_after_outage(self, now: float) -> bool:
         """Return whether the source was away for a while until moments ago."""
         return now - self._last_outage_at < c.OUTAGE_MEMORY_SECONDS
 
-    def take_answer(self, has_changes: bool, now: float) -> None:
+    def take_answer(self, has_changes: bool, is_gap: bool, now: float) -> None:
         """Note an answer of the source."""
         self._note_outage(now)
         self.failures = 0
         self._failing_since = None
-        self._must_read = False
+        self._must_read = is_gap
         self._behind_since = None
         if not has_changes:
             return
@@ -162,6 +158,10 @@
         if self._failing_since is None:
             self._failing_since = now
         self._failed_at = now
+        # A watch goes on from a revision. Where the history after it was dropped
+        # with the watch, a new one waits in silence until the next change. Symptom:
+        # a table that was replaced is used for seconds. Reading all sees any change.
+        self._must_read = True
         self._is_return_tried = False
         limit = c.SOURCE_RETRY_MAX_SECONDS
         if complete:
@@ -210,6 +210,7 @@
         self._asked_peer_at = now
         effects: list[FollowEffect] = [AskPeer(name)]
         if complete and not self.failures:
+            self._must_read = True
             effects.append(AskSource())
         return effects
 
@@ -235,7 +236,7 @@
 def _(
     event: SourceAnswered, follower: Follower, complete: int, hosts: int, now: float
 ) -> list[FollowEffect]:
-    follower.take_answer(event.has_changes, now)
+    follower.take_answer(event.has_changes, event.is_gap, now)
     return [Confirm(0.0)]
 
 
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -29,7 +29,7 @@
     SeedMembership,
     SeedPeer,
 )
-from tarragonward_membership.const import HELLO_INTERVAL_SECONDS
+from tarragonward_membership.const import HELLO_INTERVAL_SECONDS, MAX_MESH_PEERS
 
 from . import const as c
 from .clock import read_clock
@@ -116,6 +116,12 @@
             self.set_leaving()
             self._transport.close()
 
+    def tell_now(self) -> None:
+        """Tell the peers what the sections hold without waiting for the round."""
+        peers = self.members.get_peers()
+        if len(peers) <= MAX_MESH_PEERS:
+            self._send([peer.identity.address for peer in peers], with_sections=True)
+
     def set_leaving(self) -> None:
         """Tell the peers now that this host takes no more."""
         self.members.is_leaving = True
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import ExitStack
 
 from tarragonward_core import ConnectionLostError, NotConnectedError, TargetError
 from tarragonward_membership import RegisteredTarget
@@ -32,8 +33,9 @@
 from .context import ForwardContext
 from .headers import build_answer_headers, build_target_headers, parse_count
 from .observer import RequestObserver
+from .reservations import Lease, ReservationTask
 from .state import GatewayState
-from .targets import TargetChooser
+from .targets import SendChoice, TargetChooser, TargetNeed
 
 __all__ = ["ForwardRun"]
 
@@ -61,11 +63,13 @@
         self,
         state: GatewayState,
         chooser: TargetChooser,
+        reservations: ReservationTask,
         request: HttpRequest,
         responder: Responder,
     ) -> None:
         self._state = state
         self._chooser = chooser
+        self._reservations = reservations
         self._request = request
         self._responder = responder
         context: ForwardContext = request.context
@@ -145,14 +149,20 @@
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
-        target = self._chooser.choose(self._context.service, self._tried)
-        self._observer.note_choice(target, tried=len(self._tried))
-        if target is None:
+        placed = await self._async_place()
+        chosen = None if placed is None else placed[0].target
+        self._observer.note_choice(chosen, tried=len(self._tried))
+        if placed is None:
             return self._hear(SendFailed(SendFault.NO_TARGET))
+        choice, lease = placed
+        target = choice.target
         self._tried.add(target.id)
         try:
-            with self._chooser.hold(target):
-                event = await self._async_attempt(target, effect)
+            with ExitStack() as stack:
+                if lease is not None:
+                    stack.callback(lease.release)
+                stack.enter_context(self._chooser.hold(choice))
+                event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
             self._log_failed(target, event, err)
@@ -164,6 +174,36 @@
             self._log_failed(target, event, err)
         return self._hear(event) if event is not None else None
 
+    async def _async_place(self) -> tuple[SendChoice, Lease | None] | None:
+        """Return where to send, with the memory held where one engine has too little.
+
+        Hosts that refuse each other's groups try again after random times, so that one
+        of them comes first.
+        """
+        for attempt in range(c.RESERVATION_TRIES):
+            choice = self._chooser.choose(self._build_need())
+            if choice is None or not choice.needs_tickets:
+                return choice and (choice, None)
+            with self._chooser.hold(choice):
+                held = await self._reservations.async_reserve(choice)
+            if isinstance(held, Lease):
+                return choice, held
+            self._chooser.note_full(held)
+            wait = c.RESERVATION_RETRY_SECONDS * 2**attempt
+            await asyncio.sleep(self._state.random.random() * wait)
+        return None
+
+    def _build_need(self) -> TargetNeed:
+        return TargetNeed(
+            service=self._context.service,
+            route=self._route,
+            aim_at=self._context.received_at + self._route.aim_seconds,
+            tokens=_parse_counts(
+                self._request.headers.get(self._state.headers.token_counts, "")
+            ),
+            tried=self._tried,
+        )
+
     def _log_failed(
         self, target: RegisteredTarget, event: SendFailed, err: Exception
     ) -> None:
@@ -172,39 +212,43 @@
         )
 
     async def _async_attempt(
-        self, target: RegisteredTarget, effect: SendTo
+        self, choice: SendChoice, effect: SendTo
     ) -> ExchangeEvent | None:
+        target = choice.target
         left = self._context.limit_at - self._loop.time()
         async with async_open_http(
             target.address,
             self._request.method,
             self._request.target,
-            headers=self._build_headers(target, effect, left),
+            headers=self._build_headers(choice, effect, left),
             body=self._request.body,
             connect_timeout=min(c.CONNECT_SECONDS, left),
             before_write=self._exchange.note_sent,
         ) as stream:
-            return await self._async_take_answer(target, stream)
+            return await self._async_take_answer(choice, stream)
 
     def _build_headers(
-        self, target: RegisteredTarget, effect: SendTo, left: float
+        self, choice: SendChoice, effect: SendTo, left: float
     ) -> tuple[tuple[bytes, bytes], ...]:
         names = self._state.headers
         ours = {
             names.deadline_ms: str(max(1, int(left * MILLISECONDS))),
-            names.expected_target: target.id,
+            names.expected_target: choice.target.id,
         }
         if self._context.account is not None:
             ours[names.account] = self._context.account.name
+        if choice.helpers:
+            ours[names.helpers] = choice.helper_list
         if effect.last_id is not None:
             ours[names.last_event_id] = str(effect.last_id)
         stripped = (names.caller_key, names.account, names.priority, names.helpers)
         return build_target_headers(self._request.raw_headers, ours, stripped)
 
     async def _async_take_answer(
-        self, target: RegisteredTarget, stream: HttpStream
+        self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
+        self._chooser.note_load(choice.target, stream.headers.get(names.load))
         if self._is_refusal(stream):
             self._observer.note_failure(
                 "send_refused",
@@ -215,7 +259,7 @@
         self._check_head(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
-            return await self._async_pass_events(stream)
+            return await self._async_pass_events(choice, stream)
         try:
             body = await stream.async_read_body(c.MAX_ANSWER_BYTES)
         except ConnectionLostError:
@@ -252,7 +296,9 @@
         if CONTENT_ENCODING in stream.headers:
             raise SpoiledAnswerError("the body is encoded")
 
-    async def _async_pass_events(self, stream: HttpStream) -> ExchangeEvent | None:
+    async def _async_pass_events(
+        self, choice: SendChoice, stream: HttpStream
+    ) -> ExchangeEvent | None:
         cutter = EventCutter()
         async for data in stream.async_iterate_chunks():
             try:
@@ -260,6 +306,7 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
+                choice.note_first_event(self._loop.time())
                 await self._async_give_events(stream, events)
         if cutter.has_rest:
             raise SpoiledAnswerError("the stream ended within an event")
@@ -295,3 +342,11 @@
     def _start_answer(self, stream: HttpStream) -> None:
         self._hear(AnswerStarted())
         self._responder.start(stream.status, build_answer_headers(stream.raw_headers))
+
+
+def _parse_counts(text: str) -> tuple[int, int] | None:
+    """Return the prompt's and the most output tokens, None where they aren't told."""
+    prompt, _, output = text.partition(",")
+    if not prompt.isdigit() or not output.isdigit():
+        return None
+    return int(prompt), int(output)
