--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -96,7 +96,7 @@
         ready = [
             target
             for target in self._state.registry.get_ready(need.service)
-            if target.id not in need.tried
+            if target.id not in need.tried and self._has_connection(target)
         ]
         if not ready:
             return None
@@ -106,6 +106,13 @@
             return SendChoice(self._choose_least_busy(ready))
         return self._plan(need, ready, service)
 
+    def _has_connection(self, target: RegisteredTarget) -> bool:
+        # A target resets connections beyond those that it takes from all hosts
+        # together. Symptom: a request is lost, and may have run. Each send has one
+        # connection, so a host that keeps to its part of them meets no reset.
+        limit = self._state.get_connection_share(target.service)
+        return limit is None or self._in_flight[target.id] < limit
+
     @contextmanager
     def hold(self, choice: SendChoice) -> Iterator[None]:
         """Count a request on its targets until it ends."""
