Cut event streams at either line end, and bound bodies by the idle time

- A stream with CRLF line ends was held back whole and then called spoiled; events are cut at both now (test_events.py: the same events however the bytes come).
- Tests: answers that meet the end of their time on a kept connection; a host that leaves ends what it has and refuses what comes late, with when to come back.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -130,7 +130,8 @@
         max_head_bytes=limits.head_bytes,
         max_body_bytes=limits.body_bytes,
         head_timeout=limits.head_seconds,
-        body_timeout=limits.head_seconds,
+        # The operators bound a body by its size, and by how long a caller may be idle.
+        body_timeout=limits.idle_seconds,
         idle_timeout=limits.idle_seconds,
     )
 
--- a/libraries/gateway/tests/test_failures.py
+++ b/libraries/gateway/tests/test_failures.py
@@ -124,6 +124,59 @@
     assert loop.time() - began < 2
 
 
+async def test_an_answer_at_the_very_end_of_its_time_is_one_answer(make_site):
+    """Answers and the end of the time meet; each request has one whole answer, its own.
+
+    A second answer, or a part of one, would show as the answer to the next request on
+    the kept connection.
+    """
+    delays = iter([0.045 + 0.0005 * number for number in range(20)] * 2)
+
+    async def script(request, writer):
+        await asyncio.sleep(next(delays))
+        writer.write(build_answer(request))
+
+    site = await make_site(script, kind=ONCE, timeout_seconds=0.05)
+    caller = await RawCaller.async_open(site.server.address)
+    for number in range(40):
+        caller.send("POST", request_id=f"n{number}")
+        answer = await caller.async_read_answer()
+        assert answer.is_whole
+        assert answer.status in (200, 504)
+        if answer.status == 200:
+            assert answer.get("x-request-id") == [f"n{number}"]
+
+
+async def test_a_host_that_leaves_ends_what_it_has_and_refuses_others(
+    make_site,
+):
+    """A host drains: what is in progress ends whole, and says that the connection ends.
+
+    After the balancer had its time, what still comes is told that it has not run and
+    when to come back.
+    """
+    go_on = asyncio.Event()
+
+    async def script(request, writer):
+        await go_on.wait()
+        writer.write(build_answer(request))
+
+    site = await make_site(script, kind=ONCE)
+    asking = asyncio.ensure_future(site.async_ask("POST"))
+    while not site.runs:
+        await asyncio.sleep(0.01)
+    site.server.close_after_answers()
+    site.state.is_admitting = False
+    late = await site.async_ask("POST", request_id="late")
+    assert late.status == 503
+    assert float(late.get("retry-after")[0]) > 0
+    assert late.get("connection") == ["close"]
+    go_on.set()
+    answer = await asking
+    assert (answer.status, answer.get("connection")) == (200, ["close"])
+    assert site.runs == 1
+
+
 async def test_a_stream_whose_first_event_never_comes_ends_with_its_time(make_site):
     async def script(request, writer):
         writer.write(build_answer(request, b"", "200 OK", STREAM_LINES, [CHUNKED]))
--- a/libraries/requests/tarragonward_requests/events.py
+++ b/libraries/requests/tarragonward_requests/events.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 __all__ = ["EventCutter", "StreamEvent"]
 
-EVENT_END = b"\n\n"
+# Lines may end in either way. Source: the HTML standard, section 9.2.5.
+EVENT_END = re.compile(rb"\r?\n\r?\n")
 ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -39,10 +41,16 @@
 
         Raise ValueError for an event without end.
         """
-        *whole, self._rest = (self._rest + data).split(EVENT_END)
+        held = self._rest + data
+        events, start = [], 0
+        for end in EVENT_END.finditer(held):
+            event = held[start : end.end()]
+            events.append(StreamEvent(event, _find_number(event)))
+            start = end.end()
+        self._rest = held[start:]
         if len(self._rest) > MAX_EVENT_BYTES:
             raise ValueError("an event is too large")
-        return [StreamEvent(part + EVENT_END, _find_number(part)) for part in whole]
+        return events
 
 
 def _find_number(event: bytes) -> int | None:
--- /dev/null
+++ b/libraries/requests/tests/test_events.py
@@ -0,0 +1,40 @@
+"""Tests of where a stream of events is cut."""
+
+import pytest
+
+from tarragonward_requests import EventCutter
+
+EVENTS = [
+    b"id: 1\ndata: a\n\n",
+    b"x-weight-versions: 7\nid: 2\ndata: b\ndata: c\n\n",
+    b"id: 3\r\ndata: d\r\n\r\n",
+    b": a comment\n\n",
+    b"id: 12\ndata: e\n\n",
+]
+NUMBERS = [1, 2, 3, None, 12]
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 1_000])
+def test_events_are_the_same_however_their_bytes_come(size):
+    stream = b"".join(EVENTS)
+    cutter = EventCutter()
+    events = []
+    for start in range(0, len(stream), size):
+        events += cutter.cut(stream[start : start + size])
+    assert [event.data for event in events] == EVENTS
+    assert [event.number for event in events] == NUMBERS
+    assert not cutter.has_rest
+
+
+def test_a_part_of_an_event_is_held_back():
+    cutter = EventCutter()
+    assert cutter.cut(b"id: 1\ndata: a\n") == []
+    assert cutter.has_rest
+    (event,) = cutter.cut(b"\nid: 2")
+    assert event.data == b"id: 1\ndata: a\n\n"
+    assert cutter.has_rest
+
+
+def test_an_event_without_end_is_refused():
+    with pytest.raises(ValueError, match="too large"):
+        EventCutter().cut(b"x" * 1_100_000)
