--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -20,9 +20,10 @@
 from .health import HealthRoutes
 from .operators import OperatorsTask
 from .peers import Peers
-from .ports import HeaderNames, Paths, RecordParser, RecordReader
+from .ports import HeaderNames, Paths, RecordParser, RecordReader, TargetCalls
 from .publications import PublicationTask
 from .reload import SettingsTask
+from .reservations import ReservationTask
 from .settings import GatewaySettings
 from .state import GatewayState
 from .targets import SECTION, TargetChooser
@@ -38,19 +39,23 @@
         settings: GatewaySettings,
         reader: RecordReader,
         parser: RecordParser,
+        calls: TargetCalls,
         headers: HeaderNames | None = None,
         paths: Paths | None = None,
         settings_path: Path | None = None,
     ) -> None:
         self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
         self.peers = Peers(self.state)
+        self.state.count_sharing_hosts = self.peers.count_sharing_hosts
         self.publications = PublicationTask(self.state, reader, parser, self.peers)
         self.publications.on_table.append(self._apply_limits)
         self.targets = TargetChooser(self.state, time.monotonic)
         self.peers.add_section(
             SECTION, self.targets.build_digest, self.targets.take_digest
         )
-        self.forwarder = Forwarder(self.state, self.targets)
+        self.targets.book.on_change.append(self.peers.tell_now)
+        self.reservations = ReservationTask(self.state, calls)
+        self.forwarder = Forwarder(self.state, self.targets, self.reservations)
         self.callers = HttpServer(
             settings.callers,
             self.forwarder.async_handle,
@@ -77,6 +82,7 @@
             self.operators,
             self.peers,
             self.publications,
+            self.reservations,
             self.callers,
             self.health,
             self.settings,
@@ -95,6 +101,8 @@
         self.callers.limits = _build_limits(self.state.table.limits)
 
     def _apply_settings(self) -> None:
+        self.state.apply_bounds()
+        self.peers.apply_settings()
         if event_log.budget is not None:
             bounds = self.state.settings.bounds
             event_log.budget.lines_a_second = bounds.log_lines_per_second
@@ -122,7 +130,8 @@
         max_head_bytes=limits.head_bytes,
         max_body_bytes=limits.body_bytes,
         head_timeout=limits.head_seconds,
-        body_timeout=limits.head_seconds,
+        # The operators bound a body by its size, and by how long a caller may be idle.
+        body_timeout=limits.idle_seconds,
         idle_timeout=limits.idle_seconds,
     )
 
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -30,7 +30,7 @@
     SeedMembership,
     SeedPeer,
 )
-from tarragonward_membership.const import HELLO_INTERVAL_SECONDS
+from tarragonward_membership.const import HELLO_INTERVAL_SECONDS, MAX_MESH_PEERS
 
 from . import const as c
 from .clock import read_clock
@@ -79,11 +79,19 @@
         """
         self._sections[name] = (build, take)
 
+    def apply_settings(self) -> None:
+        """Take over the seeds of changed settings."""
+        self.members.set_seeds(self._place(self._state.settings.seeds))
+
     def get_names(self) -> tuple[str, ...]:
         """Return the names of the peers that were heard, leaving ones left out."""
         peers = self.members.get_peers()
         return tuple(peer.name for peer in peers if peer.name and not peer.is_leaving)
 
+    def count_sharing_hosts(self) -> int:
+        """Return how many hosts what all share is divided by, never too few."""
+        return self.members.count_most_hosts(read_clock())
+
     def get_control_address(self, name: str) -> Address | None:
         """Return where a peer is asked over TCP; ports are the same on all hosts."""
         for peer in self.members.get_peers():
@@ -108,6 +116,12 @@
             self.set_leaving()
             self._transport.close()
 
+    def tell_now(self) -> None:
+        """Tell the peers what the sections hold without waiting for the round."""
+        peers = self.members.get_peers()
+        if len(peers) <= MAX_MESH_PEERS:
+            self._send([peer.identity.address for peer in peers], with_sections=True)
+
     def set_leaving(self) -> None:
         """Tell the peers now that this host takes no more."""
         self.members.is_leaving = True
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -106,7 +106,7 @@
 
     async def _async_ask(self, step: ReadAll | Watch) -> None:
         try:
-            records = await self._async_read(step)
+            answered = await self._async_read(step)
         except HistoryLostError:
             log_event("source_history_lost", revision=self.book.complete)
             self._hear(HistoryLost())
@@ -117,18 +117,19 @@
         else:
             if self._follower.failures:
                 log_event("source_regained", failures=self._follower.failures)
-            self._hear(SourceAnswered(bool(records)))
+            self._hear(answered)
 
-    async def _async_read(self, step: ReadAll | Watch) -> list[Record]:
+    async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered:
         after = self.book.complete
         if isinstance(step, ReadAll):
             read = await self._reader.async_read_all(c.READ_SECONDS)
             log_event("records_read", count=len(read.records), revision=read.revision)
-        else:
-            timeout = step.seconds + c.WATCH_ANSWER_SECONDS
-            read = await self._reader.async_watch(after, step.seconds, timeout)
-        is_whole = isinstance(step, ReadAll)
-        return self.take(Portion(read.records, read.revision, is_whole), after)
+            new = self.take(Portion(read.records, read.revision, True), after)
+            return SourceAnswered(bool(new))
+        timeout = step.seconds + c.WATCH_ANSWER_SECONDS
+        read = await self._reader.async_watch(after, step.seconds, timeout)
+        new = self.take(Portion(read.records, read.revision, False), after)
+        return SourceAnswered(bool(new), not read.records and read.revision > after)
 
     def _hear(self, event: FollowEvent) -> None:
         now = read_clock()
@@ -159,8 +160,6 @@
             return
         new = self.take(given.portion, after)
         log_event("records_from_peer", peer=name, count=len(new), after=after)
-        if self.book.complete:
-            self._follower.note_complete()
         if given.portion.complete >= self.book.changed:
             self._confirm(asked_at - given.confirmed_age)
 
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import ExitStack
 
 from tarragonward_core import (
     ConnectionLostError,
@@ -37,6 +38,7 @@
 from .context import ForwardContext
 from .headers import build_answer_headers, build_target_headers, parse_count
 from .observer import RequestObserver
+from .reservations import Lease, ReservationTask
 from .state import GatewayState
 from .targets import SendChoice, TargetChooser, TargetNeed
 
@@ -66,11 +68,13 @@
         self,
         state: GatewayState,
         chooser: TargetChooser,
+        reservations: ReservationTask,
         request: HttpRequest,
         responder: Responder,
     ) -> None:
         self._state = state
         self._chooser = chooser
+        self._reservations = reservations
         self._request = request
         self._responder = responder
         context: ForwardContext = request.context
@@ -96,6 +100,7 @@
         )
         self._tried: set[str] = set()
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
+        state.record_request(context.service)
 
     async def async_run(self) -> None:
         """See the request to its end, and say what became of it."""
@@ -124,7 +129,13 @@
 
     def _hear(self, event: ExchangeEvent) -> ExchangeEffect | None:
         now = self._loop.time()
-        effect = self._exchange.hear(event, now, budget=True)
+        service, is_started = self._context.service, self._exchange.is_started
+        may_repeat = isinstance(event, (SendFailed, TargetAnswered)) and (
+            self._state.may_repeat(service, is_urgent=is_started)
+        )
+        effect = self._exchange.hear(event, now, budget=may_repeat)
+        if isinstance(effect, SendTo) and effect.is_repeat:
+            self._state.record_repeat(service)
         self._observer.note_decision(event, effect, now)
         return effect
 
@@ -143,15 +154,19 @@
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
-        choice = self._chooser.choose(self._build_need())
-        chosen = None if choice is None else choice.target
+        placed = await self._async_place()
+        chosen = None if placed is None else placed[0].target
         self._observer.note_choice(chosen, tried=len(self._tried))
-        if choice is None:
+        if placed is None:
             return self._hear(SendFailed(SendFault.NO_TARGET))
+        choice, lease = placed
         target = choice.target
         self._tried.add(target.id)
         try:
-            with self._chooser.hold(choice):
+            with ExitStack() as stack:
+                if lease is not None:
+                    stack.callback(lease.release)
+                stack.enter_context(self._chooser.hold(choice))
                 event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
@@ -172,6 +187,25 @@
         elif not is_reached and reach.note_failed(target.id, self._loop.time()):
             log_event("target_unreachable", target=target.id, address=target.address)
 
+    async def _async_place(self) -> tuple[SendChoice, Lease | None] | None:
+        """Return where to send, with the memory held where one engine has too little.
+
+        Hosts that refuse each other's groups try again after random times, so that one
+        of them comes first.
+        """
+        for attempt in range(c.RESERVATION_TRIES):
+            choice = self._chooser.choose(self._build_need())
+            if choice is None or not choice.needs_tickets:
+                return choice and (choice, None)
+            with self._chooser.hold(choice):
+                held = await self._reservations.async_reserve(choice)
+            if isinstance(held, Lease):
+                return choice, held
+            self._chooser.note_full(held)
+            wait = c.RESERVATION_RETRY_SECONDS * 2**attempt
+            await asyncio.sleep(self._state.random.random() * wait)
+        return None
+
     def _build_need(self) -> TargetNeed:
         return TargetNeed(
             service=self._context.service,
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -12,7 +12,6 @@
 
 MILLISECONDS = 1_000
 THOUSAND = 1_000
-DIGEST_FIELDS = 6
 
 
 @dataclass(eq=False)
@@ -64,7 +63,7 @@
     """A peer's digest; made_at is by this host's clock."""
 
     made_at: float
-    engines: Mapping[str, Sequence[Any]]
+    engines: Mapping[str, EngineWork]
 
 
 @dataclass(frozen=True)
@@ -84,6 +83,7 @@
 
     def __init__(self) -> None:
         self._counts: dict[str, _Count] = {}
+        self._full: dict[str, float] = {}
         self._own: dict[str, dict[PromptWork, None]] = {}
         # Called when peers should hear at once of a prompt, and not at their turn.
         self.on_change: list[Callable[[], None]] = []
@@ -110,6 +110,10 @@
         own = sum(work.leader == engine for work in self._own.get(engine, ()))
         self._counts[engine] = _Count(now, max(0, requests - own))
 
+    def note_full(self, engine: str, now: float) -> None:
+        """Take it that an engine has no free memory for a while."""
+        self._full[engine] = now + c.FULL_SECONDS
+
     def hears_peers(self, now: float) -> bool:
         """Return whether any peer's digest is fresh."""
         return any(
@@ -128,6 +132,11 @@
                 continue
             for engine, entry in hint.engines.items():
                 _add_hint(known.setdefault(engine, EngineWork()), entry, age)
+        for engine, until in list(self._full.items()):
+            if now > until:
+                del self._full[engine]
+                continue
+            known.setdefault(engine, EngineWork()).held_tokens += c.FULL_TOKENS
         if not self._hints:
             self._add_counts(known, now)
         return known
@@ -145,20 +154,18 @@
                 work.context_tokens // THOUSAND,
                 work.held_tokens // THOUSAND,
                 int(work.reading_seconds * MILLISECONDS),
-                {aim: round(stake, 1) for aim, stake in work.stakes.items()},
+                [[aim, round(stake, 1)] for aim, stake in work.stakes.items()],
             ]
         return digest
 
     def take_digest(self, host: str, data: Any, age: float, now: float) -> None:
         """Take a peer's digest in the place of its last one."""
-        if not isinstance(data, dict):
+        try:
+            engines = {str(name): _parse_entry(entry) for name, entry in data.items()}
+        except (AttributeError, TypeError, ValueError):
+            # A peer of another version; without its hint it is as if not heard.
             return
-        entries = {
-            engine: entry
-            for engine, entry in data.items()
-            if isinstance(entry, list | tuple) and len(entry) > DIGEST_FIELDS
-        }
-        self._hints[host] = _Hint(now - age, entries)
+        self._hints[host] = _Hint(now - age, engines)
 
     def _add_counts(self, known: dict[str, EngineWork], now: float) -> None:
         for engine, count in list(self._counts.items()):
@@ -183,13 +190,25 @@
             known.add_stake(int(work.pause_aim_seconds * MILLISECONDS), work.stake)
 
 
-def _add_hint(known: EngineWork, entry: Sequence[Any], age: float) -> None:
-    writers, readers, parts, context, held, reading, stakes = entry[:7]
-    known.writers += writers
-    known.readers += readers
-    known.parts += parts
-    known.context_tokens += context * THOUSAND
-    known.held_tokens += held * THOUSAND
-    known.reading_seconds += max(0.0, reading / MILLISECONDS - age)
-    for aim, stake in stakes.items():
-        known.add_stake(int(aim), stake)
+def _parse_entry(entry: Sequence[Any]) -> EngineWork:
+    writers, readers, parts, context, held, reading, stakes = entry
+    return EngineWork(
+        int(writers),
+        int(readers),
+        int(parts),
+        int(context) * THOUSAND,
+        int(held) * THOUSAND,
+        int(reading) / MILLISECONDS,
+        {int(aim): float(stake) for aim, stake in stakes},
+    )
+
+
+def _add_hint(known: EngineWork, hint: EngineWork, age: float) -> None:
+    known.writers += hint.writers
+    known.readers += hint.readers
+    known.parts += hint.parts
+    known.context_tokens += hint.context_tokens
+    known.held_tokens += hint.held_tokens
+    known.reading_seconds += max(0.0, hint.reading_seconds - age)
+    for aim, stake in hint.stakes.items():
+        known.add_stake(aim, stake)
