Refuse, not fail, where the planner finds no engines for a prompt

The merge of TargetReach with the planner, which may return no choice, would have raised at the next line. Where some targets rest, the plan is tried over all. Test: test_a_prompt_that_no_plan_holds_is_refused_and_nothing_fails (failed first).

--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -103,13 +103,18 @@
         if not ready:
             return None
         now = self._clock()
-        choice = self._choose_among(self.reach.select(ready, now), need)
-        self.reach.note_chosen(choice.target.id, now)
+        awake = self.reach.select(ready, now)
+        choice = self._choose_among(awake, need)
+        if choice is None and len(awake) < len(ready):
+            # A long prompt may need more engines than those known to be in reach.
+            choice = self._choose_among(ready, need)
+        if choice is not None:
+            self.reach.note_chosen(choice.target.id, now)
         return choice
 
     def _choose_among(
         self, ready: Sequence[RegisteredTarget], need: TargetNeed
-    ) -> SendChoice:
+    ) -> SendChoice | None:
         table = self._state.table
         service = table.services.get(need.service) if table is not None else None
         if need.tokens is None or service is None or service.engine is None:
--- a/libraries/gateway/tests/test_no_end.py
+++ b/libraries/gateway/tests/test_no_end.py
@@ -127,3 +127,13 @@
     assert site.chooser.reach.resting == 1
     assert (await site.async_ask()).status == 200
     assert len(site.targets[1].seen) == 2
+
+
+async def test_a_prompt_that_no_plan_holds_is_refused_and_nothing_fails(make_site):
+    """The planner finds no engines for a prompt, while one of them rests."""
+    site = await make_site(answer_with(), answer_with())
+    site.chooser._choose_among = lambda ready, need: None
+    site.chooser.reach.note_failed("t0", asyncio.get_running_loop().time())
+    answer = await site.async_ask()
+    assert answer.status == 503
+    assert not site.runs
