--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -63,7 +63,7 @@
             check_head=self.forwarder.check_head,
         )
         self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
-        self.operators = OperatorsTask(self.state)
+        self.operators = OperatorsTask(self.state, self.targets.reach)
         self.settings = SettingsTask(self.state, settings_path)
         self.settings.on_change.append(self._apply_settings)
         self._stop_asked = asyncio.Event()
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -74,7 +74,7 @@
     ) -> None:
         state = self._state
         state.metrics.count("requests", refusal.code.name)
-        age = asyncio.get_running_loop().time() - state.table_confirmed_at
+        age = read_clock() - state.table_confirmed_at
         log_event(
             "request_ended",
             request_id=request_id,
--- a/libraries/gateway/tarragonward_gateway/observer.py
+++ b/libraries/gateway/tarragonward_gateway/observer.py
@@ -21,6 +21,7 @@
 )
 
 from . import const as c
+from .clock import read_clock
 from .context import ForwardContext
 from .state import GatewayState
 
@@ -185,7 +186,7 @@
             metrics.observe("worst_pause", self._pause, length_class=length)
 
     def _get_confirmed_age(self) -> float | None:
-        age = self._loop.time() - self._state.table_confirmed_at
+        age = read_clock() - self._state.table_confirmed_at
         return age if age < float("inf") else None
 
     def _note(self, event: str, *, at: float | None = None, **fields: Any) -> None:
--- a/libraries/gateway/tarragonward_gateway/operators.py
+++ b/libraries/gateway/tarragonward_gateway/operators.py
@@ -14,9 +14,11 @@
     invariants,
     log_event,
 )
+from tarragonward_placement import TargetReach
 from tarragonward_wire import HttpRequest, HttpServer, Responder
 
 from . import const as c
+from .clock import read_clock
 from .state import GatewayState
 
 __all__ = ["OperatorsTask", "build_log_budget"]
@@ -39,12 +41,15 @@
     operators ask for may cost a caller its answer.
     """
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, reach: TargetReach) -> None:
         self._state = state
         address = state.settings.metrics
         self._server = HttpServer(address, self._async_handle) if address else None
         self._background = BackgroundTasks(state.metrics)
         _add_gauges(state)
+        state.metrics.add_gauge(
+            "targets_resting", "no connection to them", lambda: reach.resting
+        )
 
     @property
     def server(self) -> HttpServer | None:
@@ -82,7 +87,6 @@
 
 
 def _add_gauges(state: GatewayState) -> None:
-    loop = asyncio.get_running_loop()
     add = state.metrics.add_gauge
     add("targets", "targets registered", lambda: len(state.registry))
     add("targets_revision", "newest revision heard", lambda: state.registry.revision)
@@ -94,7 +98,12 @@
     add(
         "table_confirmed_age_seconds",
         "since the source last confirmed what is in force",
-        lambda: loop.time() - state.table_confirmed_at,
+        lambda: read_clock() - state.table_confirmed_at,
+    )
+    add(
+        "repeats_left",
+        "ordinary repeats that fit now, of the service with the least room",
+        lambda: state.budget.count_left(state.count_sharing_hosts(), read_clock()),
     )
     add("draining", "1 while the host leaves", lambda: int(state.is_draining))
     add("log_lines_dropped", "not within the budget", lambda: event_log.dropped)
--- /dev/null
+++ b/libraries/gateway/tests/test_operators.py
@@ -0,0 +1,115 @@
+"""Tests of the metrics address, and of what a request leaves behind."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from absl import logging
+
+from tarragonward_core import Address, LineBudget, event_log
+from tarragonward_gateway.operators import OperatorsTask
+from tarragonward_routes import RequestKind
+from tarragonward_standins import RawCaller, answer_with, async_reset, stream_events
+from tarragonward_wire import async_send_http
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    written = []
+    monkeypatch.setattr(event_log, "write", lambda data: written.append(data) or True)
+    verbosity = logging.get_verbosity()
+    logging.set_verbosity(logging.INFO)
+    yield written
+    logging.set_verbosity(verbosity)
+
+
+async def async_wait_for_end(lines):
+    async with asyncio.timeout(5):
+        while not any(b"event=request_ended" in data for data in lines):
+            await asyncio.sleep(0.01)
+
+
+async def test_a_request_that_goes_well_leaves_no_line(make_site, lines):
+    site = await make_site(answer_with())
+    assert (await site.async_ask()).status == 200
+    assert not lines
+    assert site.state.metrics.get_count("requests") == 1
+
+
+async def test_a_request_that_was_sent_twice_leaves_its_decisions(make_site, lines):
+    """The first target resets the connection; the route allows a second send."""
+    site = await make_site(async_reset, answer_with())
+    assert (await site.async_ask()).status == 200
+    text = b"".join(lines).decode()
+    events = [line.split("event=")[1].split()[0] for line in text.splitlines()]
+    assert events == [
+        "request_taken",
+        "target_chosen",
+        "send_failed",
+        "request_repeated",
+        "target_chosen",
+        "end_decided",
+        "request_ended",
+    ]
+    assert all("request_id=r1" in line for line in text.splitlines())
+    assert "reason=lost" in text
+
+
+async def test_a_caller_that_leaves_is_told_from_one_that_was_cut_off(make_site, lines):
+    async def script(request, writer):
+        await asyncio.sleep(30)
+
+    site = await make_site(script, kind=RequestKind.STREAM)
+    caller = await RawCaller.async_open(site.server.address)
+    caller.send("POST")
+    while not site.runs:
+        await asyncio.sleep(0.01)
+    caller.writer.close()
+    await async_wait_for_end(lines)
+    assert b'outcome="caller left"' in lines[-1]
+
+
+async def test_a_refusal_at_the_head_says_by_which_table(make_site, lines):
+    site = await make_site(answer_with())
+    assert (await site.async_ask(path="/other")).status == 404
+    assert b"outcome=UNKNOWN_ROUTE" in lines[-1]
+    assert b"table=1" in lines[-1]
+
+
+async def test_a_flood_of_refusals_costs_the_budget_and_no_more(make_site, lines):
+    site = await make_site(answer_with())
+    event_log.budget = LineBudget(lines_a_second=0, burst=10)
+    try:
+        for _ in range(30):
+            await site.async_ask(path="/other")
+        assert len(lines) <= 10
+        assert event_log.dropped >= 20
+    finally:
+        event_log.budget = None
+
+
+async def test_the_metrics_address_shows_what_was_counted(make_site):
+    site = await make_site(stream_events(range(1, 4)), kind=RequestKind.STREAM)
+    free = Address("127.0.0.1", 0)
+    site.state.settings = replace(site.state.settings, metrics=free)
+    operators = OperatorsTask(site.state, site.chooser.reach)
+    await operators.async_setup()
+    await site.async_ask("POST")
+    answer = await async_send_http(
+        operators.server.address, "GET", "/metrics", timeout=5
+    )
+    await operators.async_unload()
+    text = answer.body.decode()
+    for name in ("requests_total", "time_to_first_event", "table_version 1.0"):
+        assert f"tarragonward_{name}" in text
+    assert "tarragonward_targets_resting 0.0" in text
+
+
+async def test_a_metrics_address_in_use_costs_no_caller_its_answer(make_site, lines):
+    site = await make_site(answer_with())
+    site.state.settings = replace(site.state.settings, metrics=site.server.address)
+    operators = OperatorsTask(site.state, site.chooser.reach)
+    await operators.async_setup()
+    assert operators.server is None
+    assert b"event=metrics_unserved" in b"".join(lines)
+    await operators.async_unload()
--- a/libraries/requests/tarragonward_requests/shared_budget.py
+++ b/libraries/requests/tarragonward_requests/shared_budget.py
@@ -64,6 +64,17 @@
             service, hosts, now, is_urgent
         )
 
+    def count_left(self, hosts: int, now: float) -> int:
+        """Return how many ordinary repeats fit now, by the service with least room."""
+        return min(
+            (
+                int(self._compute_limit(service, hosts, now, is_urgent=False))
+                - self._count(service, now)
+                for service in self._usages
+            ),
+            default=0,
+        )
+
     def record_repeat(self, service: str, hosts: int, now: float) -> None:
         """Count a repeat that is about to be sent."""
         self._get(service).repeats.append(now)
