Play policies side by side on a modelled fleet

All policies of a run get the same arrivals; a part is switched off by replacing a number of placement/const.py or by not telling.

--- /dev/null
+++ b/libraries/bench/tarragonward_bench/experiment_policies.py
@@ -0,0 +1,220 @@
+"""Where a host of the experiment sends a prompt: simple policies, and the product's."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterator, Mapping, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Protocol
+
+from tarragonward_placement import (
+    FleetBook,
+    PromptNeed,
+    PromptWork,
+    const,
+    plan_reading,
+)
+from tarragonward_routes import EngineModel
+
+__all__ = ["POLICIES", "HostPolicy", "PolicyPlan", "Sending", "use_numbers"]
+
+
+@dataclass(frozen=True)
+class PolicyPlan:
+    """A policy of the run: which class, with which parts off.
+
+    numbers replace constants of the product's placement while the policy plays.
+    """
+
+    name: str
+    kind: str = "product"
+    numbers: Mapping[str, Any] = field(default_factory=dict)
+    tells_peers: bool = True
+    tells_at_once: bool = True
+    hears_counts: bool = True
+
+
+@dataclass(frozen=True)
+class Sending:
+    """One choice: the engine that answers, those that help it to read."""
+
+    leader: str
+    helpers: tuple[str, ...] = ()
+    work: PromptWork | None = None
+    predicted_seconds: float | None = None
+
+
+class HostPolicy(Protocol):
+    """What one host decides with, on what it knows itself and was told."""
+
+    book: FleetBook | None
+
+    def choose(
+        self, need: PromptNeed, tried: Collection[str], now: float
+    ) -> Sending | None:
+        """Return where to send, or None where no engine is left."""
+
+    def begin(self, sending: Sending) -> None:
+        """Count a request that goes out."""
+
+    def end(self, sending: Sending) -> None:
+        """Forget a request."""
+
+
+class _RoundRobin:
+    book = None
+
+    def __init__(self, engines: Sequence[str], model: EngineModel, rng: Random) -> None:
+        self._engines = engines
+        self._next = rng.randrange(len(engines))
+
+    def choose(
+        self, need: PromptNeed, tried: Collection[str], now: float
+    ) -> Sending | None:
+        for _ in self._engines:
+            self._next = (self._next + 1) % len(self._engines)
+            if self._engines[self._next] not in tried:
+                return Sending(self._engines[self._next])
+        return None
+
+    def begin(self, sending: Sending) -> None:
+        """Nothing is counted."""
+
+    def end(self, sending: Sending) -> None:
+        """Nothing is counted."""
+
+
+class _LeastInFlight:
+    book = None
+
+    def __init__(self, engines: Sequence[str], model: EngineModel, rng: Random) -> None:
+        self._engines, self._rng = engines, rng
+        self._in_flight: Counter[str] = Counter()
+
+    def choose(
+        self, need: PromptNeed, tried: Collection[str], now: float
+    ) -> Sending | None:
+        names = [name for name in self._engines if name not in tried]
+        draw = self._rng.random
+        key = min(((self._in_flight[n], draw(), n) for n in names), default=None)
+        return Sending(key[2]) if key else None
+
+    def begin(self, sending: Sending) -> None:
+        self._in_flight[sending.leader] += 1
+
+    def end(self, sending: Sending) -> None:
+        self._in_flight[sending.leader] -= 1
+
+
+class _Booked:
+    """A policy on the product's book of work in flight and peers' hints."""
+
+    def __init__(self, engines: Sequence[str], model: EngineModel, rng: Random) -> None:
+        self._engines, self._model, self._rng = engines, model, rng
+        self.book = FleetBook()
+
+    def begin(self, sending: Sending) -> None:
+        if sending.work is not None:
+            self.book.begin(sending.work)
+
+    def end(self, sending: Sending) -> None:
+        if sending.work is not None:
+            self.book.end(sending.work)
+
+
+class _LeastPredicted(_Booked):
+    """The engine that by prediction reads the prompt first, alone."""
+
+    def choose(
+        self, need: PromptNeed, tried: Collection[str], now: float
+    ) -> Sending | None:
+        known = self.book.get_all(now)
+        reads = self._model.compute_read_seconds(need.prompt_tokens)
+        best = None
+        for name in self._engines:
+            if name in tried:
+                continue
+            seconds, work = reads, known.get(name)
+            if work is not None:
+                seconds += work.reading_seconds + self._model.compute_write_seconds(
+                    work.writers, work.context_tokens
+                )
+            drawn = (seconds, self._rng.random(), name)
+            best = drawn if best is None else min(best, drawn)
+        if best is None:
+            return None
+        work = PromptWork(
+            leader=best[2],
+            reads_until={best[2]: now + best[0]},
+            part_seconds=reads,
+            context_tokens=need.prompt_tokens,
+            held_tokens={best[2]: need.memory_tokens},
+            pause_aim_seconds=need.pause_aim_seconds,
+            stake=need.stake,
+            placed_at=now,
+        )
+        return Sending(best[2], (), work, best[0])
+
+
+class _Product(_Booked):
+    """What a host of the product decides."""
+
+    def choose(
+        self, need: PromptNeed, tried: Collection[str], now: float
+    ) -> Sending | None:
+        names = [name for name in self._engines if name not in tried]
+        plan = plan_reading(
+            need,
+            names,
+            self.book.get_all(now),
+            self._model,
+            self._rng,
+            self.book.hears_peers(now),
+        )
+        if plan is None:
+            return Sending(self._rng.choice(names)) if names else None
+        return Sending(
+            leader=plan.leader,
+            helpers=tuple(plan.readers[1:]),
+            work=plan.build_work(need, now),
+            predicted_seconds=plan.first_event_seconds,
+        )
+
+
+POLICY_KINDS = {
+    "round_robin": _RoundRobin,
+    "least": _LeastInFlight,
+    "predicted": _LeastPredicted,
+    "product": _Product,
+}
+
+POLICIES = {
+    plan.name: plan
+    for plan in (
+        PolicyPlan("round_robin", "round_robin"),
+        PolicyPlan("least", "least"),
+        PolicyPlan("predicted", "predicted"),
+        PolicyPlan("product"),
+        PolicyPlan("no_joint", numbers={"READER_COUNTS": (1,)}),
+        PolicyPlan("no_lane", numbers={"LANE_WEIGHT": 0.0}),
+        PolicyPlan("no_margin", numbers={"SAFE_SHARE": 0.999, "MISSED_SHARE": 1.0}),
+        PolicyPlan("no_stakes", numbers={"STAKE_TOKENS": 1e12}),
+        PolicyPlan("no_hints", tells_peers=False),
+        PolicyPlan("hints_in_turn", tells_at_once=False),
+        PolicyPlan("no_counts", hears_counts=False),
+        PolicyPlan("no_hints_no_counts", tells_peers=False, hears_counts=False),
+    )
+}
+
+
+@contextmanager
+def use_numbers(numbers: Mapping[str, Any]) -> Iterator[None]:
+    """Replace constants of the product's placement; raise KeyError for one unknown."""
+    before = {name: vars(const)[name] for name in numbers}
+    vars(const).update(numbers)
+    try:
+        yield
+    finally:
+        vars(const).update(before)
--- /dev/null
+++ b/libraries/bench/tarragonward_bench/experiment_report.py
@@ -0,0 +1,146 @@
+"""Work out and print what a run of `script/experiment` showed."""
+
+from __future__ import annotations
+
+import math
+import statistics
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from .experiment_arrivals import compute_size
+from .experiment_fleet import Outcome, Played
+from .experiment_site import PromptKind, Site
+from .lengths_report import compute_quantile
+
+__all__ = ["KindFigures", "compute_worth", "print_policies", "summarise"]
+
+BASE_WORTH = 0.3
+SIZE_WORTH = 0.7
+MAX_WORTH = 4.0
+QUANTILES = (0.5, 0.95, 0.99)
+ALL = "all"
+
+
+@dataclass(frozen=True)
+class KindFigures:
+    """What one kind of requests got; shares from 0 to 1, times in seconds.
+
+    A request without a first event counts with its whole deadline in the times.
+    """
+
+    asked: int
+    in_aim: float
+    worth: float
+    first: tuple[float, ...]
+    worst_pause: float
+
+
+def compute_worth(outcome: Outcome, factor: float) -> tuple[float, float]:
+    """Return what a request earned, and what it could have earned."""
+    kind = outcome.arrival.kind
+    owed = kind.worth * factor
+    if not outcome.is_whole or outcome.first is None:
+        return 0.0, owed
+    if _is_in_aim(outcome):
+        return owed, owed
+    return kind.late_worth * factor, owed
+
+
+def summarise(site: Site, outcomes: Sequence[Outcome]) -> dict[str, KindFigures]:
+    """Return the figures by kind, and of all together."""
+    by_kind: dict[str, list[tuple[Outcome, float]]] = defaultdict(list)
+    for outcome, factor in _weigh(site, outcomes):
+        by_kind[outcome.arrival.kind.name].append((outcome, factor))
+        by_kind[ALL].append((outcome, factor))
+    names = [kind.name for kind in (*site.prompts, *site.calls)]
+    return {
+        name: _summarise_kind(by_kind[name]) for name in (*names, ALL) if by_kind[name]
+    }
+
+
+def print_policies(site: Site, plays: Iterable[Played]) -> None:
+    """Print a table a kind of request: a line a policy, means over the seeds."""
+    figures: dict[str, dict[str, list[KindFigures]]] = defaultdict(dict)
+    speeds: dict[str, list[float]] = defaultdict(list)
+    for played in plays:
+        for kind, one in summarise(site, played.outcomes).items():
+            figures[kind].setdefault(played.policy, []).append(one)
+        if played.decision_seconds:
+            speeds[played.policy].append(played.decisions / played.decision_seconds)
+    for kind, policies in figures.items():
+        print(f"\n{site.name}, {kind}")
+        print(
+            f"{'policy':20}{'asked':>7}{'in aim':>8}{'worth':>8}{'+-':>7}"
+            f"{'p50 s':>8}{'p95 s':>8}{'p99 s':>8}{'pause s':>9}"
+        )
+        for policy, seeds in policies.items():
+            print(_format_line(policy, seeds))
+    print("\ndecisions a second of one host's processor")
+    for policy, values in speeds.items():
+        print(f"{policy:20}{statistics.mean(values):9.0f}")
+
+
+def _weigh(site: Site, outcomes: Sequence[Outcome]) -> list[tuple[Outcome, float]]:
+    sizes: dict[str, list[float]] = defaultdict(list)
+    for outcome in outcomes:
+        sizes[outcome.arrival.kind.name].append(_get_size(site, outcome))
+    means = {name: statistics.mean(values) for name, values in sizes.items()}
+    return [
+        (outcome, _compute_factor(outcome, _get_size(site, outcome), means))
+        for outcome in outcomes
+    ]
+
+
+def _get_size(site: Site, outcome: Outcome) -> float:
+    arrival = outcome.arrival
+    return compute_size(site, arrival.prompt_tokens, arrival.events)
+
+
+def _compute_factor(outcome: Outcome, size: float, means: dict[str, float]) -> float:
+    if not isinstance(outcome.arrival.kind, PromptKind):
+        return 1.0
+    share = size / means[outcome.arrival.kind.name]
+    return min(BASE_WORTH + SIZE_WORTH * share, MAX_WORTH)
+
+
+def _is_in_aim(outcome: Outcome) -> bool:
+    kind = outcome.arrival.kind
+    if outcome.first is None or not outcome.is_whole:
+        return False
+    if outcome.first > kind.aim_ms / 1_000:
+        return False
+    is_prompt = isinstance(kind, PromptKind)
+    return not is_prompt or outcome.worst_pause <= kind.pause_aim_ms / 1_000
+
+
+def _summarise_kind(pairs: list[tuple[Outcome, float]]) -> KindFigures:
+    earned = owed = 0.0
+    times = []
+    for outcome, factor in pairs:
+        got, could = compute_worth(outcome, factor)
+        earned, owed = earned + got, owed + could
+        deadline = outcome.arrival.kind.deadline_ms / 1_000
+        times.append(deadline if outcome.first is None else outcome.first)
+    return KindFigures(
+        asked=len(pairs),
+        in_aim=sum(_is_in_aim(outcome) for outcome, _ in pairs) / len(pairs),
+        worth=earned / owed,
+        first=tuple(compute_quantile(times, q) for q in QUANTILES),
+        worst_pause=max(outcome.worst_pause for outcome, _ in pairs),
+    )
+
+
+def _format_line(policy: str, seeds: list[KindFigures]) -> str:
+    def mean(values: Iterable[float]) -> float:
+        return statistics.mean(list(values))
+
+    worths = [one.worth for one in seeds]
+    spread = statistics.stdev(worths) if len(worths) > 1 else math.nan
+    quantiles = [mean(one.first[n] for one in seeds) for n in range(len(QUANTILES))]
+    return (
+        f"{policy:20}{mean(one.asked for one in seeds):7.0f}"
+        f"{mean(one.in_aim for one in seeds):8.3f}{mean(worths):8.3f}{spread:7.3f}"
+        + "".join(f"{value:8.3f}" for value in quantiles)
+        + f"{max(one.worst_pause for one in seeds):9.3f}"
+    )
--- /dev/null
+++ b/libraries/bench/tarragonward_bench/experiment_site.py
@@ -0,0 +1,178 @@
+"""Read what the experiment tool plays: zones, engines, kinds of requests, turns."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from tarragonward_routes import EngineModel
+from tarragonward_standins.platform_engine import PassSizes
+
+__all__ = ["CallKind", "PromptKind", "Site", "Turn", "Zone", "read_site", "scale_site"]
+
+MILLISECONDS = 1_000.0
+THOUSAND = 1_000.0
+MILLION = 1_000_000.0
+
+
+@dataclass(frozen=True)
+class Zone:
+    """A failure domain; weight is its share of the clients."""
+
+    name: str
+    hosts: int
+    engines: int
+    weight: float
+
+
+@dataclass(frozen=True)
+class PromptKind:
+    """A kind of prompts; times in ms, rate a second over the whole site."""
+
+    name: str
+    per_s: float
+    tokens: float
+    tokens_spread: float
+    max_tokens: float
+    events: float
+    events_spread: float
+    max_events: float
+    aim_ms: float
+    pause_aim_ms: float
+    deadline_ms: float
+    worth: float
+    late_worth: float
+
+
+@dataclass(frozen=True)
+class CallKind:
+    """A kind of calls to the plain service; failed_share of them fail by themselves."""
+
+    name: str
+    per_s: float
+    may_repeat: bool
+    work_ms: float
+    work_spread: float
+    aim_ms: float
+    deadline_ms: float
+    failed_share: float
+    worth: float
+    late_worth: float
+
+
+@dataclass(frozen=True)
+class Turn:
+    """A span in which kinds come more or less often than usual."""
+
+    at_s: float
+    for_s: float
+    factors: dict[str, float]
+
+
+@dataclass(frozen=True)
+class Site:
+    """A deployment as it is played."""
+
+    name: str
+    zones: tuple[Zone, ...]
+    prompts: tuple[PromptKind, ...]
+    calls: tuple[CallKind, ...]
+    turns: tuple[Turn, ...]
+    sizes: PassSizes
+    queue: int
+    event_tokens: int
+    report_lag_seconds: float
+    call_targets: int
+    call_slots: int
+    client_seconds: float
+    in_zone_seconds: float
+    cross_zone_seconds: float
+
+    @property
+    def hosts(self) -> int:
+        """Return the number of entry hosts."""
+        return sum(zone.hosts for zone in self.zones)
+
+    @property
+    def engines(self) -> int:
+        """Return the number of engines."""
+        return sum(zone.engines for zone in self.zones)
+
+    def get_delay(self, one: str, other: str) -> float:
+        """Return the seconds one way between two failure domains."""
+        return self.in_zone_seconds if one == other else self.cross_zone_seconds
+
+    def build_engine_model(self) -> EngineModel:
+        """Return the constants as the product's decisions take them."""
+        sizes = self.sizes
+        return EngineModel(
+            slots=sizes.slots,
+            memory_tokens=sizes.memory_tokens,
+            stride_steps=sizes.stride,
+            chunk_tokens=sizes.chunk,
+            step_seconds=sizes.step_ms / MILLISECONDS,
+            writer_seconds=sizes.per_seq_ms / MILLISECONDS,
+            context_seconds=sizes.context_per_k / MILLISECONDS / THOUSAND,
+            read_tokens_per_second=sizes.read_per_s,
+            pair_seconds=sizes.pairs_per_m / MILLISECONDS / MILLION,
+            hop_seconds=sizes.hop_ms / MILLISECONDS,
+            report_lag_seconds=self.report_lag_seconds,
+        )
+
+
+def read_site(path: Path) -> Site:
+    """Read a settings file of a site; raise KeyError or TypeError where it is wrong."""
+    data = tomllib.loads(path.read_text())
+    engine = dict(data["engine"])
+    queue, event_tokens = engine.pop("queue"), engine.pop("event_tokens")
+    lag = engine.pop("report_lag_ms") / MILLISECONDS
+    calls = data.get("call_service", {"targets": 0, "slots": 0})
+    return Site(
+        name=data["name"],
+        zones=_read_all(Zone, data["zones"]),
+        prompts=_read_all(PromptKind, data["prompts"]),
+        calls=_read_all(CallKind, data.get("calls", [])),
+        turns=_read_all(Turn, data.get("turns", [])),
+        sizes=PassSizes(**engine),
+        queue=queue,
+        event_tokens=event_tokens,
+        report_lag_seconds=lag,
+        call_targets=calls["targets"],
+        call_slots=calls["slots"],
+        client_seconds=data["client_ms"] / MILLISECONDS,
+        in_zone_seconds=data["in_zone_ms"] / MILLISECONDS,
+        cross_zone_seconds=data["cross_zone_ms"] / MILLISECONDS,
+    )
+
+
+def scale_site(site: Site, hosts: int, engines: int = 0, load: float = 1.0) -> Site:
+    """Return the site with so many hosts; engines and rates grow with the engines.
+
+    Where engines is 0 they keep their number a host.
+    """
+    engines = engines or round(site.engines * hosts / site.hosts)
+    factor = engines / site.engines
+    whole = len(site.zones)
+    zones = tuple(
+        replace(
+            zone,
+            hosts=hosts // whole + (place < hosts % whole),
+            engines=engines // whole + (place < engines % whole),
+        )
+        for place, zone in enumerate(site.zones)
+    )
+    scaled = factor * load
+    return replace(
+        site,
+        name=f"{site.name}-{hosts}",
+        zones=zones,
+        prompts=tuple(replace(k, per_s=k.per_s * scaled) for k in site.prompts),
+        calls=tuple(replace(k, per_s=k.per_s * scaled) for k in site.calls),
+        call_targets=max(1, round(site.call_targets * factor)),
+    )
+
+
+def _read_all(kind: type, items: list[dict[str, Any]]) -> tuple[Any, ...]:
+    return tuple(kind(**item) for item in items)
--- /dev/null
+++ b/libraries/bench/tests/test_experiment.py
@@ -0,0 +1,142 @@
+"""The experiment tool: its arrivals, its engines, its worth, and its policies."""
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from tarragonward_bench.experiment import main, play_seed
+from tarragonward_bench.experiment_arrivals import Arrival, draw_arrivals
+from tarragonward_bench.experiment_fleet import Outcome
+from tarragonward_bench.experiment_policies import POLICIES, use_numbers
+from tarragonward_bench.experiment_report import compute_worth, summarise
+from tarragonward_bench.experiment_site import read_site, scale_site
+from tarragonward_placement import const
+
+SITES = sorted((Path(__file__).parents[3] / "examples/sites").glob("*.toml"))
+SECONDS = 6.0
+
+
+@pytest.fixture
+def site():
+    return read_site(SITES[0])
+
+
+def alone(site, tokens, events):
+    """Return a site of one engine, and a prompt that comes to it alone."""
+    zone = replace(site.zones[0], hosts=1, engines=1)
+    kind = site.prompts[0]
+    return replace(site, zones=(zone,)), Arrival(0, 0.0, kind, 0, tokens, events)
+
+
+def play_alone(monkeypatch, site, arrivals):
+    monkeypatch.setattr(
+        "tarragonward_bench.experiment.draw_arrivals", lambda *_: arrivals
+    )
+    return play_seed(site, POLICIES["round_robin"], 1, SECONDS).outcomes
+
+
+@pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
+def test_a_seed_gives_the_same_arrivals_and_another_seed_others(path):
+    site = read_site(path)
+    first = draw_arrivals(site, 1, SECONDS)
+    assert first == draw_arrivals(site, 1, SECONDS)
+    assert first != draw_arrivals(site, 2, SECONDS)
+    assert [a.at for a in first] == sorted(a.at for a in first)
+    assert {a.kind.name for a in first} <= {
+        kind.name for kind in (*site.prompts, *site.calls)
+    }
+
+
+def test_kinds_come_at_their_rate_and_more_often_in_their_turn(site):
+    kind = site.prompts[0]
+    turn = site.turns[1]
+    site = replace(site, prompts=(kind,), calls=(), turns=(turn,))
+    arrivals = [a for seed in range(20) for a in draw_arrivals(site, seed, 34.0)]
+    inside = [a for a in arrivals if turn.at_s <= a.at < turn.at_s + turn.for_s]
+    rate = len(inside) / 20 / turn.for_s
+    outside = (len(arrivals) - len(inside)) / 20 / (34.0 - turn.for_s)
+    assert outside == pytest.approx(kind.per_s, rel=0.1)
+    assert rate == pytest.approx(kind.per_s * turn.factors[kind.name], rel=0.1)
+
+
+def test_a_lone_prompt_takes_what_the_published_constants_say(site, monkeypatch):
+    site, arrival = alone(site, 20_000, 4)
+    (outcome,) = play_alone(monkeypatch, site, [arrival])
+    sizes = site.sizes
+    reads = -(-20_000 // sizes.chunk) * sizes.step_ms
+    reads += 20_000 / sizes.read_per_s * 1_000
+    reads += 20_000**2 / 2 / 1e6 * sizes.pairs_per_m
+    ways = outcome.first * 1_000 - reads
+    assert 2 * site.client_seconds * 1_000 <= ways <= 15
+    step = sizes.step_ms + sizes.per_seq_ms + 20.0 * sizes.context_per_k
+    assert outcome.worst_pause * 1_000 == pytest.approx(step * sizes.stride, rel=0.02)
+    assert outcome.is_whole
+
+
+def test_a_long_read_holds_the_next_event_of_a_writer(site, monkeypatch):
+    site, writer = alone(site, 1_000, 20)
+    reader = replace(writer, number=1, at=0.2, prompt_tokens=90_000)
+    outcomes = play_alone(monkeypatch, site, [writer, reader])
+    assert outcomes[0].worst_pause > site.build_engine_model().compute_read_seconds(
+        90_000
+    )
+
+
+def test_a_prompt_beyond_one_engines_memory_is_refused(site, monkeypatch):
+    site, arrival = alone(site, 500_000, 1)
+    (outcome,) = play_alone(monkeypatch, site, [arrival])
+    assert outcome.is_refused and outcome.first is None
+
+
+def test_worth_is_whole_in_aim_less_when_late_and_none_when_cut(site):
+    kind = site.prompts[0]
+    arrival = Arrival(0, 0.0, kind, 0, 1_000, 3)
+    in_aim = Outcome(arrival, first=kind.aim_ms / 1_000, is_whole=True)
+    late = replace(in_aim, first=kind.aim_ms / 1_000 + 0.001)
+    paused = replace(in_aim, worst_pause=kind.pause_aim_ms / 1_000 + 0.001)
+    cut = replace(in_aim, is_whole=False)
+    assert compute_worth(in_aim, 2.0) == (2 * kind.worth, 2 * kind.worth)
+    assert compute_worth(late, 2.0)[0] == 2 * kind.late_worth
+    assert compute_worth(paused, 2.0)[0] == 2 * kind.late_worth
+    assert compute_worth(cut, 2.0)[0] == 0
+
+
+@pytest.mark.parametrize("name", sorted(POLICIES))
+def test_each_policy_plays_and_a_seed_repeats(site, name):
+    outcomes = play_seed(site, POLICIES[name], 3, SECONDS).outcomes
+    again = play_seed(site, POLICIES[name], 3, SECONDS).outcomes
+    assert [o.first for o in outcomes] == [o.first for o in again]
+    assert all(o.is_refused or o.first is None or o.first > 0 for o in outcomes)
+    assert 0 < summarise(site, outcomes)["all"].worth <= 1
+
+
+def test_only_joint_reading_takes_more_than_one_engine(site):
+    joint = play_seed(site, POLICIES["product"], 3, SECONDS).outcomes
+    without = play_seed(site, POLICIES["no_joint"], 3, SECONDS).outcomes
+    assert max(len(o.readers) for o in joint) > 1
+    assert max(len(o.readers) for o in without) == 1
+
+
+def test_numbers_hold_while_a_policy_plays_and_unknown_ones_are_refused():
+    before = const.READER_COUNTS
+    with use_numbers({"READER_COUNTS": (1,)}):
+        assert const.READER_COUNTS == (1,)
+    assert const.READER_COUNTS == before
+    with pytest.raises(KeyError), use_numbers({"NO_SUCH": 1}):
+        pass
+
+
+def test_a_larger_site_has_its_hosts_engines_and_rates(site):
+    large = scale_site(site, 30, 2 * site.engines)
+    assert (large.hosts, large.engines) == (30, 2 * site.engines)
+    assert large.prompts[0].per_s == pytest.approx(2 * site.prompts[0].per_s)
+
+
+def test_the_tool_prints_its_tables_and_draws(tmp_path, capsys):
+    arguments = ["--seeds=1", "--seconds=3", "--jobs=1", f"--plot={tmp_path}"]
+    arguments += ["--policy=least", "--policy=product", str(SITES[0])]
+    assert main(arguments) == 0
+    printed = capsys.readouterr().out
+    assert "in aim" in printed and "decisions a second" in printed
+    assert len(list(tmp_path.glob("*.png"))) == 6
