--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -180,13 +180,6 @@
             self._log_failed(target, event, err)
         return self._hear(event) if event is not None else None
 
-    def _note_reach(self, target: RegisteredTarget, is_reached: bool) -> None:
-        reach = self._chooser.reach
-        if is_reached and reach.note_reached(target.id):
-            log_event("target_regained", target=target.id)
-        elif not is_reached and reach.note_failed(target.id, self._loop.time()):
-            log_event("target_unreachable", target=target.id, address=target.address)
-
     async def _async_place(self) -> tuple[SendChoice, Lease | None] | None:
         """Return where to send, with the memory held where one engine has too little.
 
@@ -206,6 +199,13 @@
             await asyncio.sleep(self._state.random.random() * wait)
         return None
 
+    def _note_reach(self, target: RegisteredTarget, is_reached: bool) -> None:
+        reach = self._chooser.reach
+        if is_reached and reach.note_reached(target.id):
+            log_event("target_regained", target=target.id)
+        elif not is_reached and reach.note_failed(target.id, self._loop.time()):
+            log_event("target_unreachable", target=target.id, address=target.address)
+
     def _build_need(self) -> TargetNeed:
         return TargetNeed(
             service=self._context.service,
