Count the harm that a reading adds, also to prompts that wait

Each engine's entry now holds what it still reads for whom until when, also in the digests; the harm of a part is the change that it makes.

--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -8,7 +8,7 @@
 
 from . import const as c
 
-__all__ = ["EngineWork", "FleetBook", "PromptWork"]
+__all__ = ["EngineWork", "FleetBook", "PromptWork", "Unread"]
 
 MILLISECONDS = 1_000
 THOUSAND = 1_000
@@ -26,6 +26,7 @@
     pause_aim_seconds: float
     stake: float
     placed_at: float
+    aim_at: float
     first_event_at: float | None = None
 
     def compute_reading_left(self, engine: str, now: float) -> float:
@@ -36,6 +37,23 @@
         return min(max(left, c.OVERDUE_SHARE * self.part_seconds), self.part_seconds)
 
 
+@dataclass(frozen=True)
+class Unread:
+    """A prompt that an engine reads: until when, and when its first event is due."""
+
+    ends_seconds: float
+    aim_seconds: float
+    stake: float
+
+    def age(self, seconds: float) -> Unread:
+        """Return it so many seconds later."""
+        return Unread(
+            max(0.0, self.ends_seconds - seconds),
+            self.aim_seconds - seconds,
+            self.stake,
+        )
+
+
 @dataclass
 class EngineWork:
     """What is known to lie on one engine; stakes are by pause aim in milliseconds."""
@@ -47,6 +65,7 @@
     held_tokens: int = 0
     reading_seconds: float = 0.0
     stakes: dict[int, float] = field(default_factory=dict)
+    unread: list[Unread] = field(default_factory=list)
 
     @property
     def requests(self) -> int:
@@ -155,6 +174,14 @@
                 work.held_tokens // THOUSAND,
                 int(work.reading_seconds * MILLISECONDS),
                 [[aim, round(stake, 1)] for aim, stake in work.stakes.items()],
+                [
+                    [
+                        int(unread.ends_seconds * MILLISECONDS),
+                        int(unread.aim_seconds * MILLISECONDS),
+                        round(unread.stake, 1),
+                    ]
+                    for unread in work.unread
+                ],
             ]
         return digest
 
@@ -179,7 +206,10 @@
 
     def _add_own(self, engine: str, known: EngineWork, now: float) -> None:
         for work in self._own[engine]:
-            known.reading_seconds += work.compute_reading_left(engine, now)
+            left = work.compute_reading_left(engine, now)
+            known.reading_seconds += left
+            if left:
+                known.unread.append(Unread(left, work.aim_at - now, work.stake))
             known.held_tokens += work.held_tokens.get(engine, 0)
             if engine != work.leader:
                 known.parts += work.first_event_at is None
@@ -191,7 +221,7 @@
 
 
 def _parse_entry(entry: Sequence[Any]) -> EngineWork:
-    writers, readers, parts, context, held, reading, stakes = entry
+    writers, readers, parts, context, held, reading, stakes, unread = entry
     return EngineWork(
         int(writers),
         int(readers),
@@ -200,6 +230,10 @@
         int(held) * THOUSAND,
         int(reading) / MILLISECONDS,
         {int(aim): float(stake) for aim, stake in stakes},
+        [
+            Unread(int(ends) / MILLISECONDS, int(aim) / MILLISECONDS, float(stake))
+            for ends, aim, stake in unread
+        ],
     )
 
 
@@ -212,3 +246,4 @@
     known.reading_seconds += max(0.0, hint.reading_seconds - age)
     for aim, stake in hint.stakes.items():
         known.add_stake(aim, stake)
+    known.unread += [unread.age(age) for unread in hint.unread]
--- a/libraries/placement/tarragonward_placement/readings.py
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -74,6 +74,7 @@
             pause_aim_seconds=need.pause_aim_seconds,
             stake=need.stake,
             placed_at=now,
+            aim_at=now + need.aim_seconds,
         )
 
 
@@ -99,6 +100,11 @@
     return min(max(missed, 0.0), 1.0) + far
 
 
+def _compute_change(seconds: float, added: float, bound: float) -> float:
+    """Return how much more surely a bound is missed with some time added."""
+    return compute_overrun(seconds + added, bound) - compute_overrun(seconds, bound)
+
+
 def plan_reading(
     need: PromptNeed,
     engines: Sequence[str],
@@ -176,9 +182,13 @@
 ) -> _Candidate:
     steps = model.compute_write_seconds(work.writers, work.context_tokens)
     pause = steps + work.reading_seconds + part
+    # What is already harmed by the reading that waits there is not harmed again.
     harm = sum(
-        stake * compute_overrun(pause, aim / MILLISECONDS)
+        stake * _compute_change(pause - part, part, aim / MILLISECONDS)
         for aim, stake in work.stakes.items()
+    ) + sum(
+        unread.stake * _compute_change(unread.ends_seconds, part, unread.aim_seconds)
+        for unread in work.unread
     )
     ends = work.reading_seconds + part
     if work.writers:
--- a/libraries/placement/tests/test_readings.py
+++ b/libraries/placement/tests/test_readings.py
@@ -167,7 +167,7 @@
 
 
 @pytest.mark.parametrize(
-    "data", [None, [], {"e00": 3}, {"e00": [1]}, {"e00": [0, 0, 0, 0, 0, 0, 3]}]
+    "data", [None, [], {"e00": 3}, {"e00": [1]}, {"e00": [0, 0, 0, 0, 0, 0, 3, 3]}]
 )
 def test_digest_that_is_none_changes_nothing(data: object) -> None:
     """A peer of another version may send anything."""
