Give the events before a gap, and take no header for a number that is none

Two faults found by reading run.py, each with a test that failed before: - events 1, 2 and 9 in one packet: 1 and 2 were noted as given, then the gap ended the send before they went out, and the stream went on elsewhere after 2: two pieces were missing (ORDER). What was noted goes out first now. - token counts or a target's load of 5,000 digits, or of superscript digits, ended in 500 of ours; a load header so spoiled did it to a request that had run.

--- a/libraries/gateway/tarragonward_gateway/observer.py
+++ b/libraries/gateway/tarragonward_gateway/observer.py
@@ -22,6 +22,7 @@
 
 from . import const as c
 from .context import ForwardContext
+from .headers import parse_count
 from .state import GatewayState
 
 __all__ = ["RequestObserver"]
@@ -215,5 +216,4 @@
 
 
 def _read_prompt_tokens(text: str) -> int:
-    prompt = text.partition(",")[0]
-    return int(prompt) if prompt.isdigit() else 0
+    return parse_count(text.partition(",")[0]) or 0
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -323,21 +323,24 @@
         self, stream: HttpStream, events: list[StreamEvent]
     ) -> None:
         given = []
+        has_gap = False
         for event in events:
             last_id = self._exchange.last_id
             if event.number is not None and last_id is not None:
                 if event.number <= last_id:
                     continue
-                if event.number != last_id + 1:
-                    raise SpoiledAnswerError("an event is missing")
+                has_gap = event.number != last_id + 1
+                if has_gap:
+                    break
             given.append(event.data)
             if event.number is not None:
                 self._hear(EventsGiven(event.number))
-        if not given:
-            return
-        if not self._exchange.is_started:
+        if given and not self._exchange.is_started:
             self._start_answer(stream)
+        # What was noted as given goes out before the stream goes on elsewhere after it.
         await self._responder.async_send_chunk(b"".join(given))
+        if has_gap:
+            raise SpoiledAnswerError("an event is missing")
 
     def _start_answer(self, stream: HttpStream) -> None:
         self._hear(AnswerStarted())
@@ -346,7 +349,6 @@
 
 def _parse_counts(text: str) -> tuple[int, int] | None:
     """Return the prompt's and the most output tokens, None where they aren't told."""
-    prompt, _, output = text.partition(",")
-    if not prompt.isdigit() or not output.isdigit():
-        return None
-    return int(prompt), int(output)
+    first, _, second = text.partition(",")
+    prompt, output = parse_count(first), parse_count(second)
+    return None if prompt is None or output is None else (prompt, output)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -20,6 +20,7 @@
 )
 from tarragonward_routes import Route, Service
 
+from .headers import parse_count
 from .state import GatewayState
 
 __all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetNeed"]
@@ -135,11 +136,10 @@
 
     def note_load(self, target: RegisteredTarget, text: str | None) -> None:
         """Take the load that a target tells with its answer."""
-        counts = (text or "").split(LOAD_SEPARATOR)
-        if len(counts) != LOAD_FIELDS or not all(count.isdigit() for count in counts):
+        counts = [parse_count(part) for part in (text or "").split(LOAD_SEPARATOR)]
+        if len(counts) != LOAD_FIELDS or counts[0] is None or counts[1] is None:
             return
-        running, waiting, _ = map(int, counts)
-        self.book.note_count(target.id, running + waiting, self._clock())
+        self.book.note_count(target.id, counts[0] + counts[1], self._clock())
 
     def _choose_least_busy(self, ready: Sequence[RegisteredTarget]) -> RegisteredTarget:
         random = self._state.random.random
--- a/libraries/gateway/tests/test_failures.py
+++ b/libraries/gateway/tests/test_failures.py
@@ -233,6 +233,26 @@
     assert answer.body == build_event(1) + build_event(2)
 
 
+async def test_events_before_a_gap_are_given_before_the_stream_goes_on(make_site):
+    """One packet holds events 1 and 2 and then 9: a target lost some on the way.
+
+    The caller gets 1 and 2, and the next target goes on after 2: noting 2 as given
+    without giving it would leave both out.
+    """
+
+    async def script(request, writer):
+        events = build_event(1) + build_event(2) + build_event(9)
+        writer.write(build_answer(request, b"", "200 OK", STREAM_LINES, [CHUNKED]))
+        writer.write(build_chunk(events) + b"0\r\n\r\n")
+
+    site = await make_site(
+        script, stream_events([3]), kind=RequestKind.STREAM, is_resumable=True
+    )
+    answer = await site.async_ask("POST")
+    assert answer.is_whole
+    assert answer.body == b"".join(build_event(number) for number in (1, 2, 3))
+
+
 async def test_a_stream_that_may_not_go_on_elsewhere_ends_visibly(make_site):
     site = await make_site(
         stream_events([1, 2], is_ended=False),
--- a/libraries/gateway/tests/test_forwarding.py
+++ b/libraries/gateway/tests/test_forwarding.py
@@ -72,6 +72,20 @@
     assert answer.status in (200, 503, 504)
 
 
+@pytest.mark.parametrize("counts", ["7" * 5_000 + ",1", "\xb2,\xb2", ",", "many"])
+async def test_counts_that_are_no_numbers_go_on_unchanged(make_site, counts):
+    site = await make_site(answer_with())
+    answer = await site.async_ask(lines=[f"X-Tokens: {counts}"])
+    assert answer.status == 200
+    assert site.targets[0].seen[0].get("x-tokens") == [counts]
+
+
+@pytest.mark.parametrize("load", ["7" * 5_000 + ",1,1", "\xb2,\xb2,\xb2", "1", ""])
+async def test_a_targets_load_that_is_no_number_is_passed_over(make_site, load):
+    site = await make_site(answer_with(lines=[f"X-Target-Load: {load}"]))
+    assert (await site.async_ask()).status == 200
+
+
 async def test_the_target_hears_how_much_time_is_left(make_site):
     site = await make_site(answer_with(), timeout_seconds=2.0)
     await site.async_ask(lines=["X-Time-Limit-Ms: 900"])
