--- /dev/null
+++ b/libraries/bench/tarragonward_bench/platform_troubles.py
@@ -0,0 +1,212 @@
+"""Play short days with drawn troubles on the stand-in of the users' platform."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from tarragonward_standins.platform_day import DayPlan, DayReport, PlatformDay
+from tarragonward_standins.platform_runner import PlatformRunner, RunnerFaults
+from tarragonward_standins.platform_site import (
+    PLAIN_SERVICE,
+    ROUTES,
+    PlatformHost,
+    PlatformPlan,
+    PlatformSite,
+    describe_route,
+)
+from tarragonward_standins.platform_store import StoreTrouble
+
+__all__ = ["TroubledDay", "main"]
+
+TEMPLATE = Path("deploy/settings.toml")
+TROUBLE_SECONDS = 2.5
+FREEZE_SECONDS = 1.5
+LEAVE_SECONDS = 3.0
+RESTART_SECONDS = 0.3
+TROUBLES_A_DAY = 3
+PAUSE_SECONDS = (0.5, 2.0)
+FAULT_SHARE = 0.1
+LEAVING_SHARE = 0.1
+DAY_SECONDS = 8.0
+FAULT_MARKS = ("handler_failed", "invariant_violated", "Traceback", "loop_exception")
+# A killed host leaves requests without an answer, which no rule forbids.
+EXCUSED_BY_KILL = frozenset({"LOST"})
+
+
+class TroubledDay:
+    """One seed's day: three troubles, drawn from all kinds, amid the traffic."""
+
+    def __init__(self, site: PlatformSite, seed: int) -> None:
+        self._site = site
+        self._random = random.Random(seed)
+        self._busy: set[str] = set()
+        self.drawn: list[str] = []
+        self._kinds: dict[str, Callable[[], Awaitable[None]]] = {
+            "model crashes": self._async_crash_model,
+            "plain runner crashes": self._async_crash_plain,
+            "runner leaves": self._async_leave,
+            "runners fail": self._async_fail,
+            "store in trouble": self._async_trouble_store,
+            "store refuses one": self._async_trouble_door,
+            "history dropped": self._async_drop_history,
+            "configuration": self._async_configure,
+            "host stopped": self._async_stop,
+            "host killed": self._async_kill,
+            "host frozen": self._async_freeze,
+        }
+        self._day = PlatformDay(
+            site,
+            DayPlan(
+                seconds=DAY_SECONDS,
+                leaving_share=self._random.choice([0.0, LEAVING_SHARE]),
+                seed=seed,
+            ),
+        )
+
+    async def async_play(self) -> DayReport:
+        """Play it and return what came of it; excused findings are left out."""
+        playing = asyncio.ensure_future(self._day.async_play())
+        troubles = []
+        for _ in range(TROUBLES_A_DAY):
+            await asyncio.sleep(self._random.uniform(*PAUSE_SECONDS))
+            kind = self._random.choice(list(self._kinds))
+            self.drawn.append(kind)
+            troubles.append(asyncio.ensure_future(self._kinds[kind]()))
+        await playing
+        await asyncio.gather(*troubles)
+        report = self._day.judge()
+        if "host killed" in self.drawn:
+            report.broken = [b for b in report.broken if b[0] not in EXCUSED_BY_KILL]
+        return report
+
+    def list_faults(self) -> list[str]:
+        """Return the hosts' log lines that tell of a fault in a host."""
+        return [
+            f"{host.name} {line}"
+            for host in self._site.hosts
+            for line in self._site.read_log(host).splitlines()
+            if any(mark in line for mark in FAULT_MARKS)
+        ]
+
+    async def _async_crash_model(self) -> None:
+        await self._random.choice(self._site.models).async_crash()
+
+    async def _async_crash_plain(self) -> None:
+        await self._random.choice(self._site.plain).async_crash()
+
+    async def _async_leave(self) -> None:
+        runner = self._random.choice(self._list_runners())
+        if not runner.is_leaving:
+            await runner.async_leave(LEAVE_SECONDS)
+
+    async def _async_fail(self) -> None:
+        runners = self._random.sample(self._list_runners(), 3)
+        shares = [self._random.choice([0.0, FAULT_SHARE]) for _ in vars(RunnerFaults())]
+        for runner in runners:
+            runner.faults = RunnerFaults(*shares)
+        await asyncio.sleep(TROUBLE_SECONDS)
+        for runner in runners:
+            runner.faults = RunnerFaults()
+
+    async def _async_trouble_store(self) -> None:
+        self._site.store.trouble = self._random.choice(list(StoreTrouble))
+        self.drawn.append(self._site.store.trouble.value)
+        await asyncio.sleep(TROUBLE_SECONDS)
+        self._site.store.trouble = StoreTrouble.NONE
+
+    async def _async_trouble_door(self) -> None:
+        door = self._random.choice(self._site.hosts).door
+        door.trouble = self._random.choice(list(StoreTrouble))
+        self.drawn.append(door.trouble.value)
+        await asyncio.sleep(TROUBLE_SECONDS)
+        door.trouble = StoreTrouble.NONE
+
+    async def _async_drop_history(self) -> None:
+        self._site.store.drop_history()
+
+    async def _async_configure(self) -> None:
+        name = f"new{self._random.getrandbits(16):x}"
+        self._site.publish([*ROUTES, describe_route(name, "idempotent", PLAIN_SERVICE)])
+
+    async def _async_stop(self) -> None:
+        await self._async_with_host(self._async_stop_and_start)
+
+    async def _async_kill(self) -> None:
+        await self._async_with_host(self._async_kill_and_start)
+
+    async def _async_freeze(self) -> None:
+        await self._async_with_host(self._async_freeze_and_wake)
+
+    async def _async_with_host(
+        self, act: Callable[[PlatformHost], Awaitable[None]]
+    ) -> None:
+        host = self._random.choice(self._site.hosts)
+        if host.name in self._busy:
+            return
+        self._busy.add(host.name)
+        await act(host)
+        self._busy.discard(host.name)
+
+    async def _async_stop_and_start(self, host: PlatformHost) -> None:
+        code = await self._site.async_stop_host(host)
+        if code:
+            self.drawn.append(f"exit code {code}")
+        await asyncio.sleep(RESTART_SECONDS)
+        await self._site.async_start_host(host)
+
+    async def _async_kill_and_start(self, host: PlatformHost) -> None:
+        await self._site.async_kill_host(host)
+        await asyncio.sleep(RESTART_SECONDS)
+        await self._site.async_start_host(host)
+
+    async def _async_freeze_and_wake(self, host: PlatformHost) -> None:
+        assert host.process is not None
+        host.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_SECONDS)
+        host.process.send_signal(signal.SIGCONT)
+
+    def _list_runners(self) -> list[PlatformRunner]:
+        return [*self._site.models, *self._site.plain]
+
+
+async def _async_play(seed: int) -> bool:
+    async with AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        site = PlatformSite(folder, PlatformPlan(seed=seed), TEMPLATE)
+        stack.push_async_callback(site.async_unload)
+        await site.async_setup()
+        day = TroubledDay(site, seed)
+        report = await day.async_play()
+        faults = day.list_faults()
+        ends = {k: v for k, v in report.score.items() if k.startswith("status_")}
+        rules = dict(Counter(rule for rule, _ in report.broken))
+        print(f"seed={seed} {report.format_line()} {day.drawn} {ends} {rules}")
+        for line in (*faults[:5], *map(str, report.broken[:5])):
+            print(f"    {line[:300]}")
+        return not (report.broken or faults)
+
+
+def main() -> None:
+    """Play the seeds named; end with 1 where a rule broke or a host had a fault."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    parser.add_argument("--days", type=int, default=5, help="how many seeds")
+    arguments = parser.parse_args()
+    sys.stdout.reconfigure(line_buffering=True)
+    seeds = range(arguments.first, arguments.first + arguments.days)
+    results = [asyncio.run(_async_play(seed)) for seed in seeds]
+    print(f"days={len(results)} bad={results.count(False)}")
+    sys.exit(0 if all(results) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/libraries/gateway/tests/test_forwarding.py
+++ b/libraries/gateway/tests/test_forwarding.py
@@ -247,3 +247,34 @@
     answer = await site.async_ask("POST")
     assert answer.status == 503
     assert float(answer.get("retry-after")[0]) > 0
+
+
+async def test_an_offer_to_change_the_protocol_is_passed_over(make_site):
+    """The offer concerns this connection only; the next request on it is served too."""
+    site = await make_site(answer_with())
+    caller = await RawCaller.async_open(site.server.address)
+    for number in range(2):
+        lines = ["Connection: Upgrade", "Upgrade: websocket"]
+        caller.send(lines=lines, request_id=f"u{number}")
+        answer = await caller.async_read_answer()
+        assert (answer.status, answer.get("x-request-id")) == (200, [f"u{number}"])
+        assert not site.targets[0].seen[number].get("upgrade")
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("OPTIONS", "*", 404),
+        ("CONNECT", "app.example:80", 404),
+        ("GET", "http://app.example/app/x?y", 200),
+        ("DELETE", "/app/", 200),
+        ("GET", "/app", 404),
+    ],
+)
+async def test_targets_in_other_forms_find_their_route_or_none(
+    make_site, method, path, status
+):
+    site = await make_site(answer_with())
+    assert (await site.async_ask(method, path)).status == status
+    if status == 200:
+        assert site.targets[0].seen[0].first_line == f"{method} {path} HTTP/1.1"
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -1,6 +1,7 @@
 """Tests of real entry hosts on the stand-in of the users' platform."""
 
 import asyncio
+import sys
 from collections import Counter
 from pathlib import Path
 
@@ -149,3 +150,21 @@
     rules = {rule for rule, _ in report.broken}
     assert rules <= {"LOST"}, explain(site, report)
     assert report.score["whole"] > report.score["sent"] * 0.8, explain(site, report)
+
+
+async def test_the_demo_on_the_platform_ends_with_its_figures():
+    """`script/demo --platform` with a shorter day."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "tarragonward_bench.platform_demo",
+        "--seconds=1",
+        cwd=TEMPLATE.parents[1],
+        stdout=asyncio.subprocess.PIPE,
+    )
+    async with asyncio.timeout(60):
+        output, _ = await process.communicate()
+    last = output.decode().splitlines()[-1]
+    assert process.returncode == 0, output.decode()
+    assert last.startswith("sent=")
+    assert last.endswith("late=0 wrong=0 doubled=0 broken_rules=0")
