Pause two tests' connections where the client now makes them

Cause: since the HTTP client connects by the loop's create_connection, while three cases paused it by replacing asyncio.open_connection.

Change: the pause goes into the running loop's create_connection, and each test asserts that the pause took place, so that it cannot fall out of use unseen again.

--- a/libraries/daemon/tests/test_order_task.py
+++ b/libraries/daemon/tests/test_order_task.py
@@ -53,19 +53,22 @@
     number no longer in force, and sends nothing.
     """
     engine, task = await make_engine(True), make_task(3)
-    connect = asyncio.open_connection
+    loop = asyncio.get_running_loop()
+    connect, pauses = loop.create_connection, []
 
     async def async_connect_then_pause(*arguments):
         connection = await connect(*arguments)
+        pauses.append(arguments)
         if has_moved_on:
             task._host.configuration_number = 4
         else:
             time.sleep(1.1)
         return connection
 
-    monkeypatch.setattr(asyncio, "open_connection", async_connect_then_pause)
+    monkeypatch.setattr(loop, "create_connection", async_connect_then_pause)
     await task._async_look_then_send(engine, EngineOrder("engine-1", 3, ()))
     monkeypatch.undo()
+    assert pauses
     assert await async_get_fencing(engine) == 0
 
 
--- a/libraries/daemon/tests/test_owned_calls.py
+++ b/libraries/daemon/tests/test_owned_calls.py
@@ -92,16 +92,19 @@
     Woken, the next thing that it would do is write. It looks at the time first, with
     no await between, so the service never sees the call, and "not run" is true.
     """
-    connect = asyncio.open_connection
+    loop = asyncio.get_running_loop()
+    connect, pauses = loop.create_connection, []
 
     async def async_connect_then_pause(*arguments):
         connection = await connect(*arguments)
+        pauses.append(arguments)
         time.sleep(0.4)
         return connection
 
-    monkeypatch.setattr(asyncio, "open_connection", async_connect_then_pause)
+    monkeypatch.setattr(loop, "create_connection", async_connect_then_pause)
     reply = await owner.async_run(limit=0.3)
     monkeypatch.undo()
+    assert pauses
     assert reply.code in (ResultCode.CALL_NOT_RUN, ResultCode.IN_PROGRESS)
     await asyncio.sleep(0.1)
     assert (await owner.async_run()).code is ResultCode.CALL_NOT_RUN
