Learn that a failure domain is out of reach after three targets, not one by one

Three failures in a row in one failure domain, with no answer from it between, let the whole domain rest, with one request trying it each time; an answer from any of its targets ends that at once, so targets that crash together hold back their neighbours for half a second at most. A 421 proves the link, so it rests one target only.

--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -170,7 +170,7 @@
                 event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
-            self._note_reach(target, is_reached=False)
+            self._note_unreached(target)
             self._log_failed(target, event, err)
         except SpoiledAnswerError as err:
             event = SendFailed(SendFault.SPOILED)
@@ -199,12 +199,17 @@
             await asyncio.sleep(self._state.random.random() * wait)
         return None
 
-    def _note_reach(self, target: RegisteredTarget, is_reached: bool) -> None:
+    def _note_unreached(self, target: RegisteredTarget) -> None:
+        if self._chooser.reach.note_failed(target, self._loop.time()):
+            log_event("target_unreachable", target=target.id, address=target.address)
+
+    def _note_answered(self, target: RegisteredTarget, stream: HttpStream) -> None:
         reach = self._chooser.reach
-        if is_reached and reach.note_reached(target.id):
+        if self._is_elsewhere(target, stream):
+            if reach.note_replaced(target, self._loop.time()):
+                log_event("target_replaced", target=target.id, address=target.address)
+        elif reach.note_reached(target):
             log_event("target_regained", target=target.id)
-        elif not is_reached and reach.note_failed(target.id, self._loop.time()):
-            log_event("target_unreachable", target=target.id, address=target.address)
 
     def _build_need(self) -> TargetNeed:
         return TargetNeed(
@@ -261,7 +266,7 @@
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
-        self._note_reach(choice.target, not self._is_elsewhere(choice.target, stream))
+        self._note_answered(choice.target, stream)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
         if self._is_refusal(stream):
             self._observer.note_failure(
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -110,7 +110,7 @@
             # A long prompt may need more engines than those known to be in reach.
             choice = self._choose_among(ready, need)
         if choice is not None:
-            self.reach.note_chosen(choice.target.id, now)
+            self.reach.note_chosen(choice.target, now)
         return choice
 
     def _choose_among(
--- a/libraries/gateway/tests/test_no_end.py
+++ b/libraries/gateway/tests/test_no_end.py
@@ -133,7 +133,8 @@
     """The planner finds no engines for a prompt, while one of them rests."""
     site = await make_site(answer_with(), answer_with())
     site.chooser._choose_among = lambda ready, need: None
-    site.chooser.reach.note_failed("t0", asyncio.get_running_loop().time())
+    resting = site.state.registry.get_ready("s")[0]
+    site.chooser.reach.note_failed(resting, asyncio.get_running_loop().time())
     answer = await site.async_ask()
     assert answer.status == 503
     assert not site.runs
