Divide a large fleet into cells that plan their engines among them

Change: above 16 hosts, the hosts and engines of a failure domain are dealt by hash into cells of about nine hosts; a host tells its mates all in each round, and uses the engines of its cell; after a failed send, all. Up to 16 hosts nothing changes.

Left: hosts know 10 to 13 of the 27 of their domain after 16 s, so cells differ.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -16,6 +16,7 @@
 from tarragonward_wire import HttpLimits, HttpServer
 
 from . import const as c
+from .cells import CellKeeper
 from .forwarder import Forwarder
 from .health import HealthRoutes
 from .operators import OperatorsTask
@@ -55,6 +56,8 @@
         )
         self.targets.book.on_change.append(self.peers.tell_now)
         self.reservations = ReservationTask(self.state, calls)
+        self.cells = CellKeeper(self.state, self.peers, time.monotonic)
+        self.targets.get_cell = self.cells.get
         self.forwarder = Forwarder(self.state, self.targets, self.reservations)
         self.callers = HttpServer(
             settings.callers,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -70,6 +70,8 @@
 
 # A packet that is lost on the way to a new connection is sent again after a second or
 # more, so waiting on towards that brings nothing; a target's answer takes far less.
+CELL_SECONDS = 0.5
+
 CONNECT_SECONDS = 0.2
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from contextlib import suppress
 from typing import Any
 
@@ -119,8 +119,14 @@
     def tell_now(self) -> None:
         """Tell the peers what the sections hold without waiting for the round."""
         peers = self.members.get_peers()
-        if len(peers) <= MAX_MESH_PEERS:
-            self._send([peer.identity.address for peer in peers], with_sections=True)
+        told = [peer.identity.address for peer in peers]
+        if len(peers) > MAX_MESH_PEERS:
+            told = self.members.get_mates()
+        self._send(told, with_sections=True)
+
+    def set_mates(self, names: Collection[str]) -> None:
+        """Tell the hosts of these names all that this host does, in each round."""
+        self.members.set_mates(names)
 
     def set_leaving(self) -> None:
         """Tell the peers now that this host takes no more."""
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -12,6 +12,7 @@
 
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
+    Cell,
     FleetBook,
     PromptNeed,
     PromptWork,
@@ -84,6 +85,8 @@
         self._clock = clock
         self._in_flight: Counter[str] = Counter()
         self.book = FleetBook()
+        # The engines that this host uses, by service; all where nothing is set.
+        self.get_cell: Callable[[str], Cell] | None = None
         self.reach = TargetReach()
 
     def build_digest(self) -> dict[str, list[Any]]:
@@ -160,6 +163,17 @@
         random = self._state.random.random
         return min(ready, key=lambda t: (self._in_flight[t.id], random()))
 
+    def _keep_cell(
+        self, need: TargetNeed, ready: Sequence[RegisteredTarget]
+    ) -> Sequence[RegisteredTarget]:
+        """Return the engines of this host's cell, or all after one has failed."""
+        if self.get_cell is None or need.tried:
+            return ready
+        cell = self.get_cell(need.service)
+        if cell.is_whole:
+            return ready
+        return [target for target in ready if target.id in cell.engines] or ready
+
     def _plan(
         self, need: TargetNeed, ready: Sequence[RegisteredTarget], service: Service
     ) -> SendChoice | None:
@@ -171,7 +185,7 @@
             aim_seconds=need.aim_at - now,
             pause_aim_seconds=need.route.pause_aim_seconds,
         )
-        by_id = {target.id: target for target in ready}
+        by_id = {target.id: target for target in self._keep_cell(need, ready)}
         plan = plan_reading(
             prompt,
             sorted(by_id, key=_compute_place),
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from functools import singledispatch
 
@@ -131,6 +131,7 @@
         self._lost: dict[Address, None] = {}
         self._seeds_asked_at = float("-inf")
         self._credit = 0.0
+        self._mates: frozenset[str] = frozenset()
         self._round_at = now
         # What this host itself counted, and what others did, are kept apart: told
         # on as one, an old figure would go from host to host for good.
@@ -305,10 +306,23 @@
         if len(peers) <= c.MAX_MESH_PEERS:
             chosen.update(dict.fromkeys(peer.identity.address for peer in peers))
         else:
+            chosen.update(dict.fromkeys(self.get_mates()))
             chosen.update(dict.fromkeys(self._sample(peers, sent_bytes)))
         invariants.check(self.own.address not in chosen, "no_hello_to_itself")
         return tuple(chosen)
 
+    def set_mates(self, names: Collection[str]) -> None:
+        """Tell the hosts of these names in each round, also in a large fleet."""
+        self._mates = frozenset(names)
+
+    def get_mates(self) -> list[Address]:
+        """Return the addresses of the mates that are there."""
+        return [
+            peer.identity.address
+            for peer in self._peers.values()
+            if peer.name in self._mates
+        ]
+
     def _choose_unheard(self, now: float) -> list[Address]:
         is_hurried = now - self._started_at < c.SEED_HURRY_SECONDS
         if not is_hurried and now - self._seeds_asked_at < c.SEED_RETRY_SECONDS:
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -1,6 +1,7 @@
 """Decisions, without I/O, about where prompts run and which are admitted."""
 
 from .affinity import CacheUpdate, PrefixIndex, hash_blocks
+from .cells import Cell, Located, choose_cell
 from .const import (
     BLOCK_TOKENS,
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
@@ -33,20 +34,22 @@
 from .readings import PromptNeed, ReadingPlan, plan_reading
 
 __all__ = [
-    "BLOCK_TOKENS",
-    "DEFAULT_PREFILL_TOKENS_PER_SECOND",
-    "FIRST_LONG_PRIORITY",
     "AccountLimits",
+    "BLOCK_TOKENS",
     "CacheUpdate",
+    "Cell",
+    "DEFAULT_PREFILL_TOKENS_PER_SECOND",
     "EngineLoad",
     "EngineView",
     "EngineWork",
+    "FIRST_LONG_PRIORITY",
     "FleetBook",
     "FleetView",
     "GroupEffect",
     "GroupMember",
     "GroupReady",
     "GroupReservation",
+    "Located",
     "Placed",
     "Placement",
     "PlacementPolicy",
@@ -62,6 +65,7 @@
     "ReservePart",
     "RetryGroup",
     "TargetReach",
+    "choose_cell",
     "choose_loads",
     "count_parallel_loads",
     "hash_blocks",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -94,3 +94,9 @@
 # How long an engine that refused a reservation is taken to be full.
 FULL_SECONDS = 0.5
 FULL_TOKENS = 1 << 40
+
+# Up to so many hosts tell each other all; larger fleets are divided into cells.
+MAX_WHOLE_HOSTS = 16
+CELL_HOSTS = 9
+MIN_CELL_ENGINES = 4
+MAX_HASHED_NAMES = 8_192
