Keep the ends of watches apart, and hold repeats a little over a window

A change wakes all watches at once, so with equal waits all ended at once: for up to 10 s no host could tell whether an unknown route was new. Each now waits for its place by address, 1.3 s a place.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -37,8 +37,8 @@
 
 MIN_WATCH_SECONDS = 2.5
 MAX_WATCH_SECONDS = 25.0
-# All hosts together end a watch about once in this time.
-WATCH_SECONDS_A_HOST = 1.3
+# One of the hosts ends a watch about each so many seconds.
+WATCH_SLOT_SECONDS = 1.3
 WATCH_ANSWER_SECONDS = 1.0
 READ_SECONDS = 1.5
 CHANGE_PAUSE_SECONDS = 0.1
@@ -57,9 +57,12 @@
 RETURN_SPREAD_SECONDS = 0.4
 OUTAGE_SECONDS = 1.0
 OUTAGE_MEMORY_SECONDS = 3.0
+# So long without any answer, to this host or one that it knows, is an outage too.
+OUTAGE_AGE_SECONDS = 5.0
 # Of the time that a leaving target goes on serving, how much is used for one whose
-# record may have lapsed only because the source was away.
-LINGER_SHARE = 0.6
+# record may have lapsed only because the source was away; less where that is a guess.
+LINGER_SHARE = 0.9
+GUESSED_LINGER_SHARE = 0.7
 # So many ready targets of a service that vanish at once have lapsed, not left.
 LAPSE_SHARE = 0.3
 LAPSE_MIN_TARGETS = 3
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -100,13 +100,14 @@
     """Follow the source with few calls, and the peers where it does not answer.
 
     Each call is priced, and one watch a host wakes for each change. So watches wait
-    long, the longer the more hosts there are: together they ask as often as one alone.
+    long, the longer the more hosts there are, and one ends about each second.
     A peer that holds a newer record shows a watch that died in silence.
     """
 
     def __init__(self, rng: random.Random, now: float) -> None:
         self._random = rng
         self._must_read = True
+        self._is_woken = True
         self._pause_until = now
         self._changed_at = float("-inf")
         self._behind_since: float | None = None
@@ -118,14 +119,17 @@
         self._is_return_tried = False
         self.failures = 0
 
-    def choose_step(self, hosts: int, now: float) -> Step:
-        """Return what to do now."""
+    def choose_step(self, hosts: int, rank: int, now: float) -> Step:
+        """Return what to do now; rank is this host's place among the hosts."""
         if now < self._pause_until:
             return Pause(self._pause_until - now)
         if self._must_read:
             return ReadAll()
-        wait = hosts * c.WATCH_SECONDS_A_HOST * self._random.uniform(0.8, 1.2)
-        return Watch(min(max(wait, c.MIN_WATCH_SECONDS), c.MAX_WATCH_SECONDS))
+        # A change wakes all watches at once. Symptom: they also end at once, and for
+        # seconds nobody knows whether anything is new. Places keep their ends apart.
+        slot = max(c.WATCH_SLOT_SECONDS, c.MIN_WATCH_SECONDS / hosts)
+        slot = min(slot, c.MAX_WATCH_SECONDS / hosts)
+        return Watch(slot * (rank + 1 if self._is_woken else hosts))
 
     def hear(
         self, event: FollowEvent, complete: int, hosts: int, now: float
@@ -140,6 +144,7 @@
     def take_answer(self, has_changes: bool, is_gap: bool, now: float) -> None:
         """Note an answer of the source."""
         self._note_outage(now)
+        self._is_woken = has_changes or bool(self.failures)
         self.failures = 0
         self._failing_since = None
         self._must_read = is_gap
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -79,8 +79,9 @@
     async def _async_follow(self) -> None:
         while True:
             self._wake.clear()
-            hosts = self._peers.members.count_hosts()
-            step = self._follower.choose_step(hosts, read_clock())
+            members = self._peers.members
+            hosts, rank = members.count_hosts(), members.compute_rank()
+            step = self._follower.choose_step(hosts, rank, read_clock())
             if isinstance(step, Pause):
                 await self._async_until_woken(asyncio.sleep(step.seconds))
             else:
@@ -214,28 +215,31 @@
             known = target_id and self._state.registry.get(target_id)
             if known:
                 gone.append((known, record.revision))
-        linger = c.LINGER_SHARE * self._state.settings.bounds.drain_seconds
-        lapsed = self._find_lapsed([target for target, _ in gone])
+        shares = self._choose_linger_shares([target for target, _ in gone])
         for target, revision in gone:
             withdrawn = Withdrawn(target.id, revision)
-            if target.id not in lapsed:
+            share = shares[target.service] if target.is_ready else 0.0
+            if not share:
                 self._take_out(withdrawn)
                 continue
             log_event("target_lapsed", target=target.id)
+            linger = share * self._state.settings.bounds.drain_seconds
             asyncio.get_running_loop().call_later(linger, self._take_out, withdrawn)
 
-    def _find_lapsed(self, gone: list[RegisteredTarget]) -> set[str]:
-        ready = [target for target in gone if target.is_ready]
-        if self._follower.is_after_outage(read_clock()):
-            return {target.id for target in ready}
-        counts = Counter(target.service for target in ready)
-        lapsed = {
-            service
-            for service, count in counts.items()
-            if count >= c.LAPSE_MIN_TARGETS
-            and count >= c.LAPSE_SHARE * len(self._state.registry.get_ready(service))
-        }
-        return {target.id for target in ready if target.service in lapsed}
+    def _choose_linger_shares(self, gone: list[RegisteredTarget]) -> dict[str, float]:
+        """Return by service how much of the drain time its gone targets are used."""
+        now = read_clock()
+        is_silent = now - self._state.table_confirmed_at > c.OUTAGE_AGE_SECONDS
+        is_outage = is_silent or self._follower.is_after_outage(now)
+        counts = Counter(target.service for target in gone if target.is_ready)
+        shares = dict.fromkeys((target.service for target in gone), 0.0)
+        for service, count in counts.items():
+            ready = len(self._state.registry.get_ready(service))
+            if is_outage:
+                shares[service] = c.LINGER_SHARE
+            elif count >= max(c.LAPSE_MIN_TARGETS, c.LAPSE_SHARE * ready):
+                shares[service] = c.GUESSED_LINGER_SHARE
+        return shares
 
     def _take_out(self, withdrawn: Withdrawn) -> None:
         if self._state.registry.apply(withdrawn):
--- /dev/null
+++ b/libraries/gateway/tests/test_publications.py
@@ -0,0 +1,190 @@
+"""What a host makes of records, from a scripted source and from its peers."""
+
+import asyncio
+import json
+import socket
+from contextlib import AsyncExitStack
+
+import pytest
+
+from tarragonward_core import Address
+from tarragonward_gateway import Record, Records, SourceError, const
+from tarragonward_gateway.clock import read_clock
+from tarragonward_gateway.peers import Peers
+from tarragonward_gateway.ports import HeaderNames, Paths
+from tarragonward_gateway.publications import PublicationTask
+from tarragonward_gateway.record_book import Portion
+from tarragonward_gateway.settings import Bounds, GatewaySettings
+from tarragonward_gateway.state import GatewayState
+from tarragonward_membership import RegisteredTarget
+from tarragonward_routes import CallerLimits, RoutingTable
+
+FIRST, SECOND = "127.0.0.5", "127.0.0.6"
+
+
+class Parser:
+    """Read items of a form of its own."""
+
+    def get_target_id(self, key):
+        return key.removeprefix("t/") if key.startswith("t/") else None
+
+    def parse_target(self, record):
+        target_id = self.get_target_id(record.key)
+        if target_id is None or record.value is None:
+            return None
+        entry = json.loads(record.value)
+        return RegisteredTarget(
+            target_id, "s", Address("127.0.0.1", 9), "d", 8, entry, record.revision
+        )
+
+    def parse_table(self, record):
+        if record.key != "table" or record.value is None:
+            return None
+        return RoutingTable(int(record.value), (), {}, CallerLimits(), {}, False)
+
+
+class Source:
+    """Answer with what was set, or fail."""
+
+    def __init__(self, items=None):
+        self.items = items or {}
+        self.revision = len(self.items)
+        self.is_down = False
+        self.calls = 0
+        self.changed = asyncio.Event()
+
+    def put(self, key, value):
+        self.revision += 1
+        self.items[key] = Record(key, self.revision, value)
+        self.changed.set()
+
+    async def async_read_all(self, timeout):
+        self.calls += 1
+        if self.is_down:
+            raise SourceError("down")
+        return Records(tuple(self.items.values()), self.revision)
+
+    async def async_watch(self, after, wait, timeout):
+        self.calls += 1
+        if self.is_down:
+            raise SourceError("down")
+        if self.revision <= after:
+            self.changed.clear()
+            await self.changed.wait()
+        new = [r for r in self.items.values() if r.revision > after]
+        return Records(tuple(new), self.revision)
+
+
+def find_free_port(kind):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((FIRST, 0))
+        return probe.getsockname()[1]
+
+
+def build_host(address, source, ports):
+    peers_port, control_port = ports
+    settings = GatewaySettings(
+        name=address,
+        failure_domain="d",
+        callers=Address(address, 1),
+        health=Address(address, 2),
+        control=Address(address, control_port),
+        peers=Address(address, peers_port),
+        seeds=(Address(FIRST, control_port),),
+        source=Address(address, 3),
+        bounds=Bounds(),
+    )
+    state = GatewayState(settings, HeaderNames(), Paths())
+    peers = Peers(state)
+    return state, peers, PublicationTask(state, source, Parser(), peers)
+
+
+@pytest.fixture
+async def start():
+    ports = find_free_port(socket.SOCK_DGRAM), find_free_port(socket.SOCK_STREAM)
+    async with AsyncExitStack() as stack:
+
+        async def async_start(address, source):
+            state, peers, task = build_host(address, source, ports)
+            for part in (peers, task):
+                await part.async_setup()
+                stack.push_async_callback(part.async_unload)
+            return state, task
+
+        yield async_start
+
+
+async def async_wait_for(is_met):
+    async with asyncio.timeout(10.0):
+        while not is_met():
+            await asyncio.sleep(0.01)
+
+
+def get_items():
+    return {
+        "table": Record("table", 1, b"4"),
+        "t/a": Record("t/a", 2, b"true"),
+    }
+
+
+async def test_a_host_beside_a_dead_store_serves_by_what_a_peer_holds(start):
+    """A host restarts while the store is down for it; callers need it at once.
+
+    It is given table and targets by a peer, later changes too, and does not call
+    fresh what no answer of the store stands behind.
+    """
+    source, dead = Source(get_items()), Source()
+    dead.is_down = True
+    first, _ = await start(FIRST, source)
+    second, _ = await start(SECOND, dead)
+    await async_wait_for(lambda: second.table is not None and len(second.registry))
+    assert read_clock() - second.table_confirmed_at < const.TABLE_FRESH_SECONDS
+    source.put("table", b"7")
+    await async_wait_for(lambda: second.table.version == 7)
+    assert first.table.version == 7
+
+
+async def test_nothing_is_called_fresh_without_an_answer_of_the_source(start):
+    dead = Source()
+    dead.is_down = True
+    states = [(await start(address, dead))[0] for address in (FIRST, SECOND)]
+    await async_wait_for(lambda: dead.calls > 6)
+    assert all(state.table_confirmed_at == float("-inf") for state in states)
+
+
+async def test_an_older_table_and_an_older_record_change_nothing(start):
+    state, task = await start(FIRST, Source(get_items()))
+    await async_wait_for(lambda: state.table is not None)
+    late = (Record("table", 9, b"3"), Record("t/a", 1, b"false"))
+    task.take(Portion(late, 9, False), 2)
+    assert state.table.version == 4
+    assert state.registry.get("a").is_ready
+
+
+def build_whole(count, revision):
+    records = tuple(Record(f"t/{n}", n + 1, b"true") for n in range(count))
+    return Portion(records, revision, True)
+
+
+async def test_targets_that_lapse_together_are_used_a_moment_longer(start):
+    """The store was away; the records of all targets lapsed, and come back soon.
+
+    Without them all requests were refused. One that is back is kept, one that is
+    not is gone once the drain time is nearly over.
+    """
+    state, task = await start(FIRST, Source())
+    await async_wait_for(lambda: state.table_confirmed_at > 0)
+    task.take(build_whole(6, 10), 0)
+    task.take(Portion((), 20, True), 10)
+    assert len(state.registry.get_ready("s")) == 6
+    task.take(Portion((Record("t/0", 21, b"true"),), 21, False), 20)
+    await asyncio.sleep(state.settings.bounds.drain_seconds * const.LINGER_SHARE + 0.1)
+    assert [target.id for target in state.registry.get_ready("s")] == ["0"]
+
+
+async def test_a_single_target_that_is_withdrawn_is_gone_at_once(start):
+    state, task = await start(FIRST, Source())
+    await async_wait_for(lambda: state.table_confirmed_at > 0)
+    task.take(build_whole(6, 10), 0)
+    task.take(Portion((Record("t/0", 11, None),), 11, False), 10)
+    assert len(state.registry.get_ready("s")) == 5
--- a/libraries/requests/tarragonward_requests/shared_budget.py
+++ b/libraries/requests/tarragonward_requests/shared_budget.py
@@ -90,8 +90,11 @@
         return sum(count for _, count in buckets)
 
     def _count(self, service: str, now: float) -> int:
+        # Repeats arrive later than they are sent, one more so than another: two that
+        # were sent a window apart may arrive in one.
+        oldest = now - self.bounds.window_seconds - c.BUDGET_ARRIVAL_SECONDS
         repeats = self._get(service).repeats
-        while repeats and repeats[0] <= now - self.bounds.window_seconds:
+        while repeats and repeats[0] < oldest:
             repeats.popleft()
         return len(repeats)
 
