--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -74,7 +74,7 @@
     ) -> None:
         state = self._state
         state.metrics.count("requests", refusal.code.name)
-        age = asyncio.get_running_loop().time() - state.table_confirmed_at
+        age = read_clock() - state.table_confirmed_at
         log_event(
             "request_ended",
             request_id=request_id,
@@ -90,7 +90,7 @@
     def _admit(self, head: HttpHead, now: float) -> ForwardContext:
         if not self._state.is_admitting:
             raise RequestRefusedError(
-                ResultCode.DRAINING, retry_after_seconds=c.NOT_READY_RETRY_SECONDS
+                ResultCode.DRAINING, retry_after_seconds=c.DRAINING_RETRY_SECONDS
             )
         table = self._state.table
         if table is None:
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -5,7 +5,12 @@
 import asyncio
 from contextlib import ExitStack
 
-from tarragonward_core import ConnectionLostError, NotConnectedError, TargetError
+from tarragonward_core import (
+    ConnectionLostError,
+    NotConnectedError,
+    TargetError,
+    log_event,
+)
 from tarragonward_membership import RegisteredTarget
 from tarragonward_requests import (
     AnswerStarted,
@@ -165,6 +170,7 @@
                 event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
+            self._note_reach(target, is_reached=False)
             self._log_failed(target, event, err)
         except SpoiledAnswerError as err:
             event = SendFailed(SendFault.SPOILED)
@@ -193,6 +199,13 @@
             await asyncio.sleep(self._state.random.random() * wait)
         return None
 
+    def _note_reach(self, target: RegisteredTarget, is_reached: bool) -> None:
+        reach = self._chooser.reach
+        if is_reached and reach.note_reached(target.id):
+            log_event("target_regained", target=target.id)
+        elif not is_reached and reach.note_failed(target.id, self._loop.time()):
+            log_event("target_unreachable", target=target.id, address=target.address)
+
     def _build_need(self) -> TargetNeed:
         return TargetNeed(
             service=self._context.service,
@@ -248,6 +261,7 @@
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
+        self._note_reach(choice.target, is_reached=True)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
         if self._is_refusal(stream):
             self._observer.note_failure(
@@ -323,21 +337,24 @@
         self, stream: HttpStream, events: list[StreamEvent]
     ) -> None:
         given = []
+        has_gap = False
         for event in events:
             last_id = self._exchange.last_id
             if event.number is not None and last_id is not None:
                 if event.number <= last_id:
                     continue
-                if event.number != last_id + 1:
-                    raise SpoiledAnswerError("an event is missing")
+                has_gap = event.number != last_id + 1
+                if has_gap:
+                    break
             given.append(event.data)
             if event.number is not None:
                 self._hear(EventsGiven(event.number))
-        if not given:
-            return
-        if not self._exchange.is_started:
+        if given and not self._exchange.is_started:
             self._start_answer(stream)
+        # What was noted as given goes out before the stream goes on elsewhere after it.
         await self._responder.async_send_chunk(b"".join(given))
+        if has_gap:
+            raise SpoiledAnswerError("an event is missing")
 
     def _start_answer(self, stream: HttpStream) -> None:
         self._hear(AnswerStarted())
@@ -346,7 +363,6 @@
 
 def _parse_counts(text: str) -> tuple[int, int] | None:
     """Return the prompt's and the most output tokens, None where they aren't told."""
-    prompt, _, output = text.partition(",")
-    if not prompt.isdigit() or not output.isdigit():
-        return None
-    return int(prompt), int(output)
+    first, _, second = text.partition(",")
+    prompt, output = parse_count(first), parse_count(second)
+    return None if prompt is None or output is None else (prompt, output)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -16,10 +16,12 @@
     PromptNeed,
     PromptWork,
     ReadingPlan,
+    TargetReach,
     plan_reading,
 )
 from tarragonward_routes import Route, Service
 
+from .headers import parse_count
 from .state import GatewayState
 
 __all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetNeed"]
@@ -82,6 +84,7 @@
         self._clock = clock
         self._in_flight: Counter[str] = Counter()
         self.book = FleetBook()
+        self.reach = TargetReach()
 
     def build_digest(self) -> dict[str, list[Any]]:
         """Return this host's prompts in flight, to be told to the other hosts."""
@@ -100,6 +103,19 @@
         ]
         if not ready:
             return None
+        now = self._clock()
+        awake = self.reach.select(ready, now)
+        choice = self._choose_among(awake, need)
+        if choice is None and len(awake) < len(ready):
+            # A long prompt may need more engines than those known to be in reach.
+            choice = self._choose_among(ready, need)
+        if choice is not None:
+            self.reach.note_chosen(choice.target.id, now)
+        return choice
+
+    def _choose_among(
+        self, ready: Sequence[RegisteredTarget], need: TargetNeed
+    ) -> SendChoice | None:
         table = self._state.table
         service = table.services.get(need.service) if table is not None else None
         if need.tokens is None or service is None or service.engine is None:
@@ -135,11 +151,10 @@
 
     def note_load(self, target: RegisteredTarget, text: str | None) -> None:
         """Take the load that a target tells with its answer."""
-        counts = (text or "").split(LOAD_SEPARATOR)
-        if len(counts) != LOAD_FIELDS or not all(count.isdigit() for count in counts):
+        counts = [parse_count(part) for part in (text or "").split(LOAD_SEPARATOR)]
+        if len(counts) != LOAD_FIELDS or counts[0] is None or counts[1] is None:
             return
-        running, waiting, _ = map(int, counts)
-        self.book.note_count(target.id, running + waiting, self._clock())
+        self.book.note_count(target.id, counts[0] + counts[1], self._clock())
 
     def _choose_least_busy(self, ready: Sequence[RegisteredTarget]) -> RegisteredTarget:
         random = self._state.random.random
--- a/libraries/gateway/tests/test_forwarding.py
+++ b/libraries/gateway/tests/test_forwarding.py
@@ -72,6 +72,20 @@
     assert answer.status in (200, 503, 504)
 
 
+@pytest.mark.parametrize("counts", ["7" * 5_000 + ",1", "\xb2,\xb2", ",", "many"])
+async def test_counts_that_are_no_numbers_go_on_unchanged(make_site, counts):
+    site = await make_site(answer_with())
+    answer = await site.async_ask(lines=[f"X-Tokens: {counts}"])
+    assert answer.status == 200
+    assert site.targets[0].seen[0].get("x-tokens") == [counts]
+
+
+@pytest.mark.parametrize("load", ["7" * 5_000 + ",1,1", "\xb2,\xb2,\xb2", "1", ""])
+async def test_a_targets_load_that_is_no_number_is_passed_over(make_site, load):
+    site = await make_site(answer_with(lines=[f"X-Target-Load: {load}"]))
+    assert (await site.async_ask()).status == 200
+
+
 async def test_the_target_hears_how_much_time_is_left(make_site):
     site = await make_site(answer_with(), timeout_seconds=2.0)
     await site.async_ask(lines=["X-Time-Limit-Ms: 900"])
@@ -233,3 +247,34 @@
     answer = await site.async_ask("POST")
     assert answer.status == 503
     assert float(answer.get("retry-after")[0]) > 0
+
+
+async def test_an_offer_to_change_the_protocol_is_passed_over(make_site):
+    """The offer concerns this connection only; the next request on it is served too."""
+    site = await make_site(answer_with())
+    caller = await RawCaller.async_open(site.server.address)
+    for number in range(2):
+        lines = ["Connection: Upgrade", "Upgrade: websocket"]
+        caller.send(lines=lines, request_id=f"u{number}")
+        answer = await caller.async_read_answer()
+        assert (answer.status, answer.get("x-request-id")) == (200, [f"u{number}"])
+        assert not site.targets[0].seen[number].get("upgrade")
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("OPTIONS", "*", 404),
+        ("CONNECT", "app.example:80", 404),
+        ("GET", "http://app.example/app/x?y", 200),
+        ("DELETE", "/app/", 200),
+        ("GET", "/app", 404),
+    ],
+)
+async def test_targets_in_other_forms_find_their_route_or_none(
+    make_site, method, path, status
+):
+    site = await make_site(answer_with())
+    assert (await site.async_ask(method, path)).status == status
+    if status == 200:
+        assert site.targets[0].seen[0].first_line == f"{method} {path} HTTP/1.1"
