--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -119,7 +119,7 @@
     follower.hear(SourceFailed(), 0, HOSTS, 0.5)
     told = PeerTold("peer", 12, float("inf"))
     assert follower.hear(told, 0, HOSTS, 0.6) == [AskPeer("peer")]
-    assert isinstance(follower.choose_step(HOSTS, 9.0), ReadAll)
+    assert isinstance(follower.choose_step(HOSTS, 0, 9.0), ReadAll)
 
 
 def test_after_a_watch_that_was_cut_all_is_read_anew(watching):
@@ -130,10 +130,10 @@
     go on being served. A whole reading brings the change at once.
     """
     watching.hear(SourceFailed(), 10, HOSTS, 2.0)
-    step = watching.choose_step(HOSTS, 2.0 + c.SOURCE_RETRY_FIRST_SECONDS)
+    step = watching.choose_step(HOSTS, 0, 2.0 + c.SOURCE_RETRY_FIRST_SECONDS)
     assert step == ReadAll()
     watching.hear(SourceAnswered(True), 14, HOSTS, 2.1)
-    assert isinstance(watching.choose_step(HOSTS, 3.0), Watch)
+    assert isinstance(watching.choose_step(HOSTS, 0, 3.0), Watch)
 
 
 def test_a_host_that_starts_beside_a_silent_source_is_not_held_up(follower):
