--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -147,6 +147,7 @@
         self._is_woken = has_changes or bool(self.failures)
         self.failures = 0
         self._failing_since = None
+        self._is_return_tried = False
         self._must_read = is_gap
         self._behind_since = None
         if not has_changes:
@@ -167,7 +168,6 @@
         # with the watch, a new one waits in silence until the next change. Symptom:
         # a table that was replaced is used for seconds. Reading all sees any change.
         self._must_read = True
-        self._is_return_tried = False
         limit = c.SOURCE_RETRY_MAX_SECONDS
         if complete:
             limit = max(limit, hosts * c.SOURCE_RETRY_SECONDS_A_HOST)
--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -178,6 +178,20 @@
     assert AskSource() not in again
 
 
+def test_a_source_that_refuses_one_host_only_is_not_asked_at_each_hint(watching):
+    """The store turns this host away for long and serves the others.
+
+    Their answers are newer than each failure here, and each call is priced.
+    """
+    asked = 0
+    for step in range(10):
+        now = 4.0 + 2.0 * step
+        watching.hear(SourceFailed(), 10, HOSTS, now)
+        told = PeerTold("peer", 10, 0.1)
+        asked += AskSource() in watching.hear(told, 10, HOSTS, now + 1.0)
+    assert asked == 1
+
+
 def test_an_outage_is_remembered_for_moments(watching):
     watching.hear(SourceFailed(), 10, HOSTS, 2.0)
     watching.hear(SourceAnswered(False), 10, HOSTS, 2.2)
