Let the experiment hold tickets, and split the prompt's way off

Reservations are held in engine order and given back as the gateway does, with its own tries and waits; a holder's passes are slowed by its part.

--- a/libraries/bench/tarragonward_bench/experiment_arrivals.py
+++ b/libraries/bench/tarragonward_bench/experiment_arrivals.py
@@ -5,19 +5,23 @@
 import math
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .experiment_site import CallKind, PromptKind, Site
 
-__all__ = ["Arrival", "compute_size", "draw_arrivals"]
+__all__ = ["Arrival", "Outcome", "compute_size", "draw_arrivals"]
 
 CLIENTS_A_HOST = 10
 OUTPUT_WEIGHT = 10
+MAX_FAILURES = 4
 
 
 @dataclass(frozen=True)
 class Arrival:
-    """One request: when, of which kind, at which host; work in seconds for calls."""
+    """One request: when, of which kind, at which host.
+
+    For calls work is in seconds, and failures is how many sends fail in a row.
+    """
 
     number: int
     at: float
@@ -26,7 +30,23 @@
     prompt_tokens: int = 0
     events: int = 0
     work_seconds: float = 0.0
-    fails: bool = False
+    failures: int = 0
+
+
+@dataclass
+class Outcome:
+    """What a caller saw; times in seconds from its first attempt."""
+
+    arrival: Arrival
+    first: float | None = None
+    worst_pause: float = 0.0
+    is_whole: bool = False
+    is_refused: bool = False
+    sends: int = 0
+    readers: tuple[str, ...] = ()
+    predicted: float | None = None
+    placed_at: float = 0.0
+    last_event: float = field(default=0.0, repr=False)
 
 
 def draw_arrivals(site: Site, seed: int, seconds: float) -> list[Arrival]:
@@ -88,8 +108,10 @@
 def _draw_request(kind: PromptKind | CallKind, rng: random.Random) -> dict[str, float]:
     if isinstance(kind, CallKind):
         work = _draw_size(rng, kind.work_ms, kind.work_spread, math.inf)
-        fails = rng.random() < kind.failed_share
-        return {"work_seconds": work / 1_000, "fails": fails}
+        failures = 0
+        while failures < MAX_FAILURES and rng.random() < kind.failed_share:
+            failures += 1
+        return {"work_seconds": work / 1_000, "failures": failures}
     tokens = _draw_size(rng, kind.tokens, kind.tokens_spread, kind.max_tokens)
     events = _draw_size(rng, kind.events, kind.events_spread, kind.max_events)
     return {"prompt_tokens": max(1, int(tokens)), "events": max(1, round(events))}
--- a/libraries/bench/tarragonward_bench/experiment_calls.py
+++ b/libraries/bench/tarragonward_bench/experiment_calls.py
@@ -5,14 +5,11 @@
 from collections import deque
 from collections.abc import Callable
 from random import Random
-from typing import TYPE_CHECKING
 
+from .experiment_arrivals import Outcome
 from .experiment_engine import Clock
 from .experiment_site import CallKind, Site
 
-if TYPE_CHECKING:
-    from .experiment_fleet import Outcome
-
 __all__ = ["CallService"]
 
 MAX_SENDS = 2
@@ -63,7 +60,7 @@
         kind = outcome.arrival.kind
         assert isinstance(kind, CallKind)
         way = self._site.cross_zone_seconds
-        fails = outcome.arrival.fails and outcome.sends == 1
+        fails = outcome.sends <= outcome.arrival.failures
         if fails and kind.may_repeat and outcome.sends < MAX_SENDS:
             self._at(now + way, lambda: self.send(outcome, now + way, place))
             return
--- a/libraries/bench/tarragonward_bench/experiment_engine.py
+++ b/libraries/bench/tarragonward_bench/experiment_engine.py
@@ -14,6 +14,10 @@
 
 __all__ = ["Clock", "EngineNode", "Run"]
 
+# Longer than any run: in the experiment no host dies with what it holds.
+HOLD_SECONDS = 1e6
+STATUS_HELD = 200
+
 Clock = Callable[[float, Callable[[], None]], None]
 
 
@@ -50,6 +54,7 @@
         self._after = after
         self._runs: dict[PassWork, Run] = {}
         self._part_ends: dict[PassWork, Callable[[], None]] = {}
+        self._holders: set[PassWork] = set()
         self._is_in_pass = False
 
     @property
@@ -68,9 +73,13 @@
         self.engine.add(run.work)
         self._start(now)
 
-    def add_part(self, work: PassWork, on_read: Callable[[], None], now: float) -> None:
-        """Read a part of a prompt that another engine answers."""
+    def add_part(
+        self, work: PassWork, holds: bool, on_read: Callable[[], None], now: float
+    ) -> None:
+        """Read a part of a prompt that another engine answers, and hold it or not."""
         self._part_ends[work] = on_read
+        if holds:
+            self._holders.add(work)
         self.engine.add(work)
         self._start(now)
 
@@ -78,10 +87,21 @@
         """Go on where a request may write now."""
         self._start(now)
 
+    def hold(self, ticket: str, tokens: int, now: float) -> bool:
+        """Set memory aside; return whether there was enough."""
+        status = self.engine.reserve(ticket, tokens, HOLD_SECONDS, False, now)
+        return status == STATUS_HELD
+
+    def release(self, ticket: str, now: float) -> None:
+        """Free what was set aside, for those that wait for memory."""
+        self.engine.release(ticket)
+        self._start(now)
+
     def remove(self, work: PassWork) -> None:
         """Drop a request or a part."""
         self._runs.pop(work, None)
         self._part_ends.pop(work, None)
+        self._holders.discard(work)
         self.engine.remove(work)
 
     def _start(self, now: float) -> None:
@@ -107,7 +127,9 @@
     def _note_read(self, work: PassWork, now: float) -> None:
         on_read = self._part_ends.pop(work, None)
         if on_read is not None:
-            self.engine.remove(work)
+            # A holder's passes are slowed by its part until the answer has ended.
+            if work not in self._holders:
+                self.engine.remove(work)
             on_read()
         elif work in self._runs and not work.waits_for and not work.written:
             self.give_first(work, now)
--- a/libraries/bench/tarragonward_bench/experiment_policies.py
+++ b/libraries/bench/tarragonward_bench/experiment_policies.py
@@ -44,6 +44,7 @@
     helpers: tuple[str, ...] = ()
     work: PromptWork | None = None
     predicted_seconds: float | None = None
+    tickets: Mapping[str, int] = field(default_factory=dict)
 
 
 class HostPolicy(Protocol):
@@ -180,6 +181,7 @@
             helpers=tuple(plan.readers[1:]),
             work=plan.build_work(need, now),
             predicted_seconds=plan.first_event_seconds,
+            tickets=plan.tickets,
         )
 
 
@@ -198,6 +200,7 @@
         PolicyPlan("predicted", "predicted"),
         PolicyPlan("product"),
         PolicyPlan("no_joint", numbers={"READER_COUNTS": (1,)}),
+        PolicyPlan("always_tickets", numbers={"MEMORY_SHARE": 0.0}),
         PolicyPlan("no_lane", numbers={"LANE_WEIGHT": 0.0}),
         PolicyPlan("no_margin", numbers={"SAFE_SHARE": 0.999, "MISSED_SHARE": 1.0}),
         PolicyPlan("no_stakes", numbers={"STAKE_TOKENS": 1e12}),
--- a/libraries/bench/tarragonward_bench/experiment_report.py
+++ b/libraries/bench/tarragonward_bench/experiment_report.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from .experiment_arrivals import compute_size
-from .experiment_fleet import Outcome, Played
+from .experiment_arrivals import Outcome, compute_size
+from .experiment_fleet import Played
 from .experiment_site import PromptKind, Site
 from .lengths_report import compute_quantile
 
--- a/libraries/bench/tests/test_experiment.py
+++ b/libraries/bench/tests/test_experiment.py
@@ -6,8 +6,7 @@
 import pytest
 
 from tarragonward_bench.experiment import main, play_seed
-from tarragonward_bench.experiment_arrivals import Arrival, draw_arrivals
-from tarragonward_bench.experiment_fleet import Outcome
+from tarragonward_bench.experiment_arrivals import Arrival, Outcome, draw_arrivals
 from tarragonward_bench.experiment_policies import POLICIES, use_numbers
 from tarragonward_bench.experiment_report import compute_worth, summarise
 from tarragonward_bench.experiment_site import read_site, scale_site
