Tell at once only in small fleets, and test tickets and repeats of the experiment

As the gateway does (peers.tell_now sends to a mesh only). Two tests: a prompt of 700,000 tokens lies on several engines and nothing stays held; a call that may repeat is sent once more and another is not.

--- a/libraries/bench/tarragonward_bench/experiment_fleet.py
+++ b/libraries/bench/tarragonward_bench/experiment_fleet.py
@@ -114,7 +114,8 @@
             begin = self._rng.uniform(0, membership_const.HELLO_INTERVAL_SECONDS)
             self._at(begin, self._make_tell(number, host))
             book = host.policy.book
-            if self._plan.tells_at_once and book is not None:
+            is_mesh = len(self.hosts) - 1 <= membership_const.MAX_MESH_PEERS
+            if self._plan.tells_at_once and is_mesh and book is not None:
                 book.on_change.append(self._make_tell_at_once(number, host))
 
     def _make_tell(self, number: int, host: Host) -> Callable[[], None]:
--- a/libraries/bench/tests/test_experiment.py
+++ b/libraries/bench/tests/test_experiment.py
@@ -139,3 +139,30 @@
     printed = capsys.readouterr().out
     assert "in aim" in printed and "decisions a second" in printed
     assert len(list(tmp_path.glob("*.png"))) == 6
+
+
+def test_a_prompt_beyond_one_engine_lies_on_several_and_nothing_stays_held(
+    site, monkeypatch
+):
+    _, arrival = alone(site, 700_000, 5)
+    site = replace(site, zones=(replace(site.zones[0], hosts=1, engines=8),))
+    arrival = replace(arrival, kind=site.prompts[-1])
+    monkeypatch.setattr(
+        "tarragonward_bench.experiment.draw_arrivals", lambda *_: [arrival]
+    )
+    played = play_seed(site, POLICIES["product"], 1, SECONDS)
+    (outcome,) = played.outcomes
+    assert outcome.is_whole and len(outcome.readers) > 1
+    assert [node.engine.held_tokens for node in played.engines] == [0] * 8
+    assert not any(node.engine.tickets for node in played.engines)
+
+
+def test_a_call_that_may_repeat_is_sent_once_more_and_another_is_not(site, monkeypatch):
+    arrivals = [
+        Arrival(number, 0.0, kind, 0, work_seconds=0.01, failures=1)
+        for number, kind in enumerate(site.calls)
+    ]
+    outcomes = play_alone(monkeypatch, site, arrivals)
+    for outcome in outcomes:
+        assert outcome.is_whole == outcome.arrival.kind.may_repeat
+        assert outcome.sends == 1 + outcome.arrival.kind.may_repeat
