--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -21,6 +21,7 @@
 )
 from tarragonward_routes import Route, Service
 
+from .headers import parse_count
 from .state import GatewayState
 
 __all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetNeed"]
@@ -103,13 +104,18 @@
         if not ready:
             return None
         now = self._clock()
-        choice = self._choose_among(self.reach.select(ready, now), need)
-        self.reach.note_chosen(choice.target.id, now)
+        awake = self.reach.select(ready, now)
+        choice = self._choose_among(awake, need)
+        if choice is None and len(awake) < len(ready):
+            # A long prompt may need more engines than those known to be in reach.
+            choice = self._choose_among(ready, need)
+        if choice is not None:
+            self.reach.note_chosen(choice.target.id, now)
         return choice
 
     def _choose_among(
         self, ready: Sequence[RegisteredTarget], need: TargetNeed
-    ) -> SendChoice:
+    ) -> SendChoice | None:
         table = self._state.table
         service = table.services.get(need.service) if table is not None else None
         if need.tokens is None or service is None or service.engine is None:
@@ -145,11 +151,10 @@
 
     def note_load(self, target: RegisteredTarget, text: str | None) -> None:
         """Take the load that a target tells with its answer."""
-        counts = (text or "").split(LOAD_SEPARATOR)
-        if len(counts) != LOAD_FIELDS or not all(count.isdigit() for count in counts):
+        counts = [parse_count(part) for part in (text or "").split(LOAD_SEPARATOR)]
+        if len(counts) != LOAD_FIELDS or counts[0] is None or counts[1] is None:
             return
-        running, waiting, _ = map(int, counts)
-        self.book.note_count(target.id, running + waiting, self._clock())
+        self.book.note_count(target.id, counts[0] + counts[1], self._clock())
 
     def _choose_least_busy(self, ready: Sequence[RegisteredTarget]) -> RegisteredTarget:
         random = self._state.random.random
