Leave out targets and domains that cannot be reached

A target that was not reached is left out for 0.4 s and more; two of one failure domain with no answer between them leave out the domain. A connection without a request takes them back.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -83,6 +83,7 @@
             self.peers,
             self.publications,
             self.reservations,
+            self.targets.doubts,
             self.callers,
             self.health,
             self.settings,
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -172,6 +172,8 @@
         except ConnectionLostError as err:
             event = SendFailed(SendFault.LOST)
             self._log_failed(target, event, err)
+        if isinstance(event, SendFailed):
+            self._chooser.doubts.note_failed(target, event.fault)
         return self._hear(event) if event is not None else None
 
     async def _async_place(self) -> tuple[SendChoice, Lease | None] | None:
@@ -249,11 +251,15 @@
     ) -> ExchangeEvent | None:
         names = self._state.headers
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
+        self._chooser.doubts.note_answered(choice.target)
         if self._is_refusal(stream):
+            at_fault = stream.headers.get(names.at_target)
+            if at_fault is not None and at_fault != choice.target.id:
+                self._chooser.doubts.note_gone(at_fault)
             self._observer.note_failure(
                 "send_refused",
                 status=stream.status,
-                at_target=stream.headers.get(names.at_target),
+                at_target=at_fault,
             )
             return SendFailed(SendFault.NOT_RUN)
         self._check_head(stream)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -20,6 +20,7 @@
 )
 from tarragonward_routes import Route, Service
 
+from .doubts import TargetDoubts
 from .state import GatewayState
 
 __all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetNeed"]
@@ -82,6 +83,7 @@
         self._clock = clock
         self._in_flight: Counter[str] = Counter()
         self.book = FleetBook()
+        self.doubts = TargetDoubts(state)
 
     def build_digest(self) -> dict[str, list[Any]]:
         """Return this host's prompts in flight, to be told to the other hosts."""
@@ -100,6 +102,7 @@
         ]
         if not ready:
             return None
+        ready = self.doubts.select(ready)
         table = self._state.table
         service = table.services.get(need.service) if table is not None else None
         if need.tokens is None or service is None or service.engine is None:
--- a/libraries/membership/tarragonward_membership/registry.py
+++ b/libraries/membership/tarragonward_membership/registry.py
@@ -83,6 +83,10 @@
         """Return the boot with this id, or None where it is not registered."""
         return self._targets.get(target_id)
 
+    def get_all(self) -> tuple[RegisteredTarget, ...]:
+        """Return all registered boots."""
+        return tuple(self._targets.values())
+
     def get_ready(self, service: str) -> tuple[RegisteredTarget, ...]:
         """Return the boots of a service that may get work, ordered by id."""
         if service not in self._by_service:
