--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -77,6 +77,7 @@
 DOUBT_WINDOW_SECONDS = 1.0
 DOUBT_DOMAIN_TARGETS = 2
 DOUBT_ROUND_SECONDS = 0.1
+REACHED_SECONDS = 0.5
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
 # Other hosts serve already: the caller loses its aim by waiting.
@@ -106,3 +107,12 @@
 MAX_TRAIL_LINES = 24
 SETTINGS_CHECK_SECONDS = 1.0
 ROUTE_METRICS = "/metrics"
+
+# How long a target may say nothing: so many times the predicted time and the aim, and
+# so many times the pause aim; at least so long.
+SILENCE_FACTOR = 3.0
+SILENCE_PAUSES = 4.0
+SILENCE_MIN_FIRST_SECONDS = 0.5
+SILENCE_MIN_PAUSE_SECONDS = 0.8
+SILENCE_AGAIN_SECONDS = 0.2
+SILENCE_MIN_LEFT_SECONDS = 0.3
--- a/libraries/gateway/tarragonward_gateway/doubts.py
+++ b/libraries/gateway/tarragonward_gateway/doubts.py
@@ -48,6 +48,7 @@
         self._targets = OutlierDetector(rule)
         self._domains = OutlierDetector(rule)
         self._unreached: dict[str, dict[str, float]] = {}
+        self._reached_at: dict[str, float] = {}
         self._probing: set[asyncio.Task[None]] = set()
         self._task: asyncio.Task[None] | None = None
 
@@ -65,6 +66,7 @@
     def note_answered(self, target: RegisteredTarget) -> None:
         """Note that a target was reached and began its answer."""
         self._targets.record_success(target.id)
+        self._reached_at[target.id] = read_clock()
         self._domains.record_success(target.failure_domain)
         self._unreached.pop(target.failure_domain, None)
 
@@ -85,6 +87,31 @@
         if target is not None:
             self.note_failed(target, SendFault.SILENT)
 
+    async def async_check(self, targets: Sequence[RegisteredTarget]) -> bool:
+        """Return whether all targets can be reached; those that can't are doubted.
+
+        A leader whose helper is gone finds out after the stall that the platform
+        allows, and the send is spent. A connection to each helper that has not
+        answered lately finds out before.
+        """
+        now = read_clock()
+        unsure = [
+            target
+            for target in targets
+            if now - self._reached_at.get(target.id, -c.REACHED_SECONDS)
+            >= c.REACHED_SECONDS
+        ]
+        reached = await asyncio.gather(
+            *(_async_connect(target.address) for target in unsure)
+        )
+        for target, is_reached in zip(unsure, reached, strict=True):
+            if is_reached:
+                self._reached_at[target.id] = read_clock()
+            else:
+                self._reach.note_failed(target.id, read_clock())
+                self.note_failed(target, SendFault.NOT_CONNECTED)
+        return all(reached)
+
     def select(self, ready: Sequence[RegisteredTarget]) -> list[RegisteredTarget]:
         """Return the targets that are not in doubt; all where all are."""
         now = read_clock()
@@ -110,6 +137,8 @@
             await asyncio.sleep(c.DOUBT_ROUND_SECONDS)
             registered = self._state.registry.get_all()
             self._targets.forget_others(target.id for target in registered)
+            for target_id in self._reached_at.keys() - {each.id for each in registered}:
+                del self._reached_at[target_id]
             self._domains.forget_others(target.failure_domain for target in registered)
             now = read_clock()
             for target_id in self._targets.get_due_probes(now):
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import ExitStack
+from contextlib import AsyncExitStack, ExitStack
 
 from tarragonward_core import (
     ConnectionLostError,
@@ -12,6 +12,7 @@
     log_event,
 )
 from tarragonward_membership import RegisteredTarget
+from tarragonward_placement import ReadingPlan
 from tarragonward_requests import (
     AnswerStarted,
     BreakOff,
@@ -39,6 +40,7 @@
 from .headers import build_answer_headers, build_target_headers, parse_count
 from .observer import RequestObserver
 from .reservations import Lease, ReservationTask
+from .silence import SilenceWatch, TargetSilentError
 from .state import GatewayState
 from .targets import SendChoice, TargetChooser, TargetNeed
 
@@ -99,6 +101,7 @@
             request.headers.get(state.headers.token_counts, ""),
         )
         self._tried: set[str] = set()
+        self._watch: SilenceWatch | None = None
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
         state.record_request(context.service)
 
@@ -172,6 +175,9 @@
             event = SendFailed(SendFault.NOT_CONNECTED)
             self._note_reach(target, is_reached=False)
             self._log_failed(target, event, err)
+        except TargetSilentError as err:
+            event = SendFailed(SendFault.SILENT)
+            self._log_failed(target, event, err)
         except SpoiledAnswerError as err:
             event = SendFailed(SendFault.SPOILED)
             self._log_failed(target, event, err)
@@ -190,8 +196,16 @@
         """
         for attempt in range(c.RESERVATION_TRIES):
             choice = self._chooser.choose(self._build_need())
-            if choice is None or not choice.needs_tickets:
-                return choice and (choice, None)
+            if choice is None:
+                return None
+            is_last = attempt + 1 == c.RESERVATION_TRIES
+            if choice.helpers and not is_last:
+                with self._chooser.hold(choice):
+                    are_reached = await self._chooser.doubts.async_check(choice.helpers)
+                if not are_reached:
+                    continue
+            if not choice.needs_tickets:
+                return choice, None
             with self._chooser.hold(choice):
                 held = await self._reservations.async_reserve(choice)
             if isinstance(held, Lease):
@@ -231,17 +245,44 @@
     ) -> ExchangeEvent | None:
         target = choice.target
         left = self._context.limit_at - self._loop.time()
-        async with async_open_http(
-            target.address,
-            self._request.method,
-            self._request.target,
-            headers=self._build_headers(choice, effect, left),
-            body=self._request.body,
-            connect_timeout=min(c.CONNECT_SECONDS, left),
-            before_write=self._exchange.note_sent,
-        ) as stream:
+        async with AsyncExitStack() as stack:
+            if choice.plan is not None and self._exchange.policy.may_run_again:
+                self._watch = self._build_watch(choice.plan)
+                await stack.enter_async_context(self._watch)
+            stream = await stack.enter_async_context(
+                async_open_http(
+                    target.address,
+                    self._request.method,
+                    self._request.target,
+                    headers=self._build_headers(choice, effect, left),
+                    body=self._request.body,
+                    connect_timeout=min(c.CONNECT_SECONDS, left),
+                    before_write=self._exchange.note_sent,
+                )
+            )
             return await self._async_take_answer(choice, stream)
 
+    def _build_watch(self, plan: ReadingPlan) -> SilenceWatch:
+        aim = max(self._route.aim_seconds, c.SILENCE_MIN_FIRST_SECONDS)
+        pause = c.SILENCE_PAUSES * self._route.pause_aim_seconds
+
+        def may_leave() -> bool:
+            now = self._loop.time()
+            left = self._context.limit_at - now
+            return (
+                self._exchange.can_send_again(now)
+                and left > plan.first_event_seconds + c.SILENCE_MIN_LEFT_SECONDS
+                and self._state.may_repeat(
+                    self._context.service, is_urgent=self._exchange.is_started
+                )
+            )
+
+        return SilenceWatch(
+            c.SILENCE_FACTOR * plan.first_event_seconds + aim,
+            max(pause, c.SILENCE_MIN_PAUSE_SECONDS),
+            may_leave,
+        )
+
     def _build_headers(
         self, choice: SendChoice, effect: SendTo, left: float
     ) -> tuple[tuple[bytes, bytes], ...]:
@@ -327,7 +368,11 @@
                 raise SpoiledAnswerError(str(err)) from None
             if events:
                 choice.note_first_event(self._loop.time())
+                if self._watch is not None:
+                    self._watch.pause()
                 await self._async_give_events(stream, events)
+                if self._watch is not None:
+                    self._watch.resume()
         if cutter.has_rest:
             raise SpoiledAnswerError("the stream ended within an event")
         if not self._exchange.is_started:
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/silence.py
@@ -0,0 +1,74 @@
+"""Leave a target that is silent for too long, while another may have the request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from types import TracebackType
+
+from . import const as c
+
+__all__ = ["SilenceWatch", "TargetSilentError"]
+
+
+class TargetSilentError(Exception):
+    """Report that a target was left because it said nothing."""
+
+
+class SilenceWatch:
+    """The time that a target has until its next event.
+
+    A target behind a cut, or frozen, keeps its connections open. Symptom: the caller
+    waits until it gives up, though others are free. Silence alone ends no answer: it
+    is left only while may_leave() says that another target may go on; else it is
+    asked again later. Time in which the caller does not read is not the target's.
+    """
+
+    def __init__(
+        self, first_seconds: float, pause_seconds: float, may_leave: Callable[[], bool]
+    ) -> None:
+        self._first_seconds = first_seconds
+        self._pause_seconds = pause_seconds
+        self._may_leave = may_leave
+        self._loop = asyncio.get_running_loop()
+        self._scope = asyncio.timeout(None)
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def __aenter__(self) -> SilenceWatch:
+        """Begin to wait for the first event."""
+        await self._scope.__aenter__()
+        self._arm(self._first_seconds)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop to wait; raise TargetSilentError where the target was left."""
+        self.pause()
+        try:
+            await self._scope.__aexit__(kind, error, trace)
+        except TimeoutError as err:
+            raise TargetSilentError("no event in time") from err
+
+    def pause(self) -> None:
+        """Do not count the time from here on."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def resume(self) -> None:
+        """Wait for the next event."""
+        self.pause()
+        self._arm(self._pause_seconds)
+
+    def _arm(self, seconds: float) -> None:
+        self._timer = self._loop.call_later(seconds, self._decide)
+
+    def _decide(self) -> None:
+        if self._may_leave():
+            self._scope.reschedule(self._loop.time())
+        else:
+            self._arm(c.SILENCE_AGAIN_SECONDS)
--- /dev/null
+++ b/libraries/gateway/tests/test_prompts.py
@@ -0,0 +1,120 @@
+"""Check how prompts are sent to engines whose passes are published."""
+
+import asyncio
+from dataclasses import replace
+
+from tarragonward_gateway import const as c
+from tarragonward_routes import EngineModel, RequestKind
+from tarragonward_standins import CHUNKED, build_answer, refuse_with, stream_events
+
+ENGINE = EngineModel(
+    slots=8,
+    memory_tokens=450_000,
+    stride_steps=46,
+    chunk_tokens=2_048,
+    step_seconds=0.000925,
+    writer_seconds=0.00001,
+    context_seconds=2.54e-9,
+    read_tokens_per_second=256_000.0,
+    pair_seconds=9.17e-11,
+)
+STREAM = {
+    "kind": RequestKind.STREAM,
+    "is_resumable": True,
+    "aim_seconds": 3.0,
+    "pause_aim_seconds": 0.8,
+}
+
+
+async def async_make_engines(make_site, *scripts, **route):
+    """Return a site whose targets are engines."""
+    site = await make_site(*scripts, **{**STREAM, **route})
+    table = site.state.table
+    service = replace(table.services["s"], engine=ENGINE)
+    site.state.table = replace(table, services={"s": service})
+    return site
+
+
+async def async_ask(site, tokens):
+    """Send a prompt and return its answer."""
+    return await site.async_ask("POST", lines=[f"X-Tokens: {tokens}"])
+
+
+async def test_long_prompt_is_read_by_several_engines(make_site):
+    """The leader gets the addresses of the others; a short prompt has no helpers."""
+    site = await async_make_engines(make_site, *[stream_events([1, 2])] * 3)
+    answer = await async_ask(site, "300000,500")
+    assert answer.status == 200
+    (leader,) = [target for target in site.targets if target.seen]
+    (helpers,) = leader.seen[0].get("x-helper-engines")
+    others = {str(target.address) for target in site.targets if target is not leader}
+    assert set(helpers.split(",")) == others
+    await async_ask(site, "2000,500")
+    assert not [
+        request
+        for target in site.targets
+        for request in target.seen[target is leader :]
+        if request.get("x-helper-engines")
+    ]
+
+
+async def test_helper_that_is_gone_is_left_out_of_the_next_try(make_site):
+    """A leader refuses, as it can't reach a helper; the caller gets its answer.
+
+    Engine t1 or t2 is named as gone by whichever leader is asked first. The second
+    try is led by another engine, and the one that is gone reads no part of it.
+    """
+    gone, asked = [], []
+
+    async def script(request, writer):
+        asked.append(request)
+        if len(asked) > 1:
+            await stream_events([1])(request, writer)
+            return
+        own = request.get("x-expected-target")[0]
+        gone.append(next(target for target in site.targets if target.id != own))
+        lines = [f"X-Failed-Target: {gone[0].id}"]
+        await refuse_with(lines=lines)(request, writer)
+
+    site = await async_make_engines(make_site, *[script] * 4)
+    answer = await async_ask(site, "300000,500")
+    assert answer.status == 200
+    assert str(gone[0].address) in asked[0].get("x-helper-engines")[0]
+    assert str(gone[0].address) not in asked[1].get("x-helper-engines")[0]
+    assert not gone[0].seen
+
+
+async def test_prompt_that_no_group_can_hold_is_refused_at_once(make_site):
+    """The caller is told when to come back, and that nothing has run."""
+    site = await async_make_engines(make_site, stream_events([1]))
+    async with asyncio.timeout(2):
+        answer = await async_ask(site, "900000,500")
+    assert answer.status == 503
+    assert site.runs == 0
+
+
+async def test_silent_engine_is_left_for_another_in_mid_stream(make_site, monkeypatch):
+    """The engine stops after its second event, and its connection stays open.
+
+    The caller reads one whole stream: the next engine goes on at the third event.
+    """
+    monkeypatch.setattr(c, "SILENCE_MIN_PAUSE_SECONDS", 0.05)
+
+    async def script(request, writer):
+        if request.get("last-event-id"):
+            await stream_events([3, 4])(request, writer)
+            return
+        lines = ("Content-Type: text/event-stream",)
+        writer.write(build_answer(request, b"", "200 OK", lines, [CHUNKED]))
+        piece = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+        writer.write(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
+        await writer.drain()
+        await asyncio.sleep(5)
+
+    site = await async_make_engines(
+        make_site, script, script, pause_aim_seconds=0.01, timeout_seconds=4.0
+    )
+    answer = await async_ask(site, "2000,500")
+    assert answer.status == 200
+    assert [f"piece {n}".encode() in answer.body for n in (1, 2, 3, 4)] == [True] * 4
+    assert site.runs == 2
--- /dev/null
+++ b/libraries/gateway/tests/test_silence.py
@@ -0,0 +1,51 @@
+"""Check that a silent target is left only while another may go on."""
+
+import asyncio
+
+import pytest
+
+from tarragonward_gateway import const as c
+from tarragonward_gateway.silence import SilenceWatch, TargetSilentError
+
+
+async def test_silent_target_is_left():
+    with pytest.raises(TargetSilentError):
+        async with SilenceWatch(0.01, 1.0, lambda: True):
+            await asyncio.Event().wait()
+
+
+async def test_pause_within_a_stream_is_bounded_too():
+    with pytest.raises(TargetSilentError):
+        async with SilenceWatch(5.0, 0.01, lambda: True) as watch:
+            watch.pause()
+            watch.resume()
+            await asyncio.Event().wait()
+
+
+async def test_silence_ends_nothing_while_no_other_may_go_on(monkeypatch):
+    """A caller that no other target can serve keeps the answer that may still come."""
+    monkeypatch.setattr(c, "SILENCE_AGAIN_SECONDS", 0.01)
+    asked = []
+
+    def may_leave():
+        asked.append(1)
+        return False
+
+    async with SilenceWatch(0.01, 0.01, may_leave):
+        async with asyncio.timeout(5):
+            while len(asked) < 3:
+                await asyncio.sleep(0.005)
+
+
+async def test_time_in_which_the_caller_does_not_read_is_not_counted():
+    """The target is not at fault while the caller's connection takes nothing."""
+    async with SilenceWatch(0.02, 0.02, lambda: True) as watch:
+        watch.pause()
+        await asyncio.sleep(0.06)
+
+
+async def test_end_of_the_request_is_not_taken_for_silence():
+    """The request's own limit passes through; it has another answer."""
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.01), SilenceWatch(5.0, 5.0, lambda: True):
+            await asyncio.Event().wait()
