--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -22,6 +22,7 @@
 )
 from tarragonward_routes import Route, Service
 
+from .doubts import TargetDoubts
 from .headers import parse_count
 from .state import GatewayState
 
@@ -88,6 +89,7 @@
         # The engines that this host uses, by service; all where nothing is set.
         self.get_cell: Callable[[str], Cell] | None = None
         self.reach = TargetReach()
+        self.doubts = TargetDoubts(state, self.reach)
 
     def build_digest(self) -> dict[str, list[Any]]:
         """Return this host's prompts in flight, to be told to the other hosts."""
@@ -107,7 +109,7 @@
         if not ready:
             return None
         now = self._clock()
-        awake = self.reach.select(ready, now)
+        awake = self.reach.select(self.doubts.select(ready), now)
         choice = self._choose_among(awake, need)
         if choice is None and len(awake) < len(ready):
             # A long prompt may need more engines than those known to be in reach.
