--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -37,8 +37,8 @@
 
 MIN_WATCH_SECONDS = 2.5
 MAX_WATCH_SECONDS = 25.0
-# All hosts together end a watch about once in this time.
-WATCH_SECONDS_A_HOST = 1.3
+# One of the hosts ends a watch about each so many seconds.
+WATCH_SLOT_SECONDS = 1.3
 WATCH_ANSWER_SECONDS = 1.0
 READ_SECONDS = 1.5
 CHANGE_PAUSE_SECONDS = 0.1
@@ -57,9 +57,12 @@
 RETURN_SPREAD_SECONDS = 0.4
 OUTAGE_SECONDS = 1.0
 OUTAGE_MEMORY_SECONDS = 3.0
+# So long without any answer, to this host or one that it knows, is an outage too.
+OUTAGE_AGE_SECONDS = 5.0
 # Of the time that a leaving target goes on serving, how much is used for one whose
-# record may have lapsed only because the source was away.
-LINGER_SHARE = 0.6
+# record may have lapsed only because the source was away; less where that is a guess.
+LINGER_SHARE = 0.9
+GUESSED_LINGER_SHARE = 0.7
 # So many ready targets of a service that vanish at once have lapsed, not left.
 LAPSE_SHARE = 0.3
 LAPSE_MIN_TARGETS = 3
@@ -70,7 +73,16 @@
 
 # A packet that is lost on the way to a new connection is sent again after a second or
 # more, so waiting on towards that brings nothing; a target's answer takes far less.
+CELL_SECONDS = 0.5
+
 CONNECT_SECONDS = 0.2
+# How long targets that failed are left out, and what puts a whole domain in doubt.
+DOUBT_BASE_SECONDS = 0.4
+DOUBT_CAP_SECONDS = 1.0
+DOUBT_WINDOW_SECONDS = 1.0
+DOUBT_DOMAIN_TARGETS = 2
+DOUBT_ROUND_SECONDS = 0.1
+REACHED_SECONDS = 0.5
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
 # Other hosts serve already: the caller loses its aim by waiting.
@@ -100,3 +112,12 @@
 MAX_TRAIL_LINES = 24
 SETTINGS_CHECK_SECONDS = 1.0
 ROUTE_METRICS = "/metrics"
+
+# How long a target may say nothing: so many times the predicted time and the aim, and
+# so many times the pause aim; at least so long.
+SILENCE_FACTOR = 3.0
+SILENCE_PAUSES = 4.0
+SILENCE_MIN_FIRST_SECONDS = 0.5
+SILENCE_MIN_PAUSE_SECONDS = 0.8
+SILENCE_AGAIN_SECONDS = 0.2
+SILENCE_MIN_LEFT_SECONDS = 0.3
