--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from tarragonward_core import ConnectionLostError, NotConnectedError, log_event
+from tarragonward_core import ConnectionLostError, NotConnectedError, TargetError
 from tarragonward_membership import RegisteredTarget
 from tarragonward_requests import (
     AnswerStarted,
@@ -30,16 +30,21 @@
 from . import const as c
 from .answers import async_send_refusal
 from .context import ForwardContext
-from .headers import build_answer_headers, build_target_headers
+from .headers import build_answer_headers, build_target_headers, parse_count
+from .observer import RequestObserver
 from .state import GatewayState
-from .targets import TargetChooser
+from .targets import SendChoice, TargetChooser, TargetNeed
 
 __all__ = ["ForwardRun"]
 
 MILLISECONDS = 1_000
 STATUS_OK = 200
+STATUS_CALLER_FAILURES = 400
 STATUS_FAILURES = 500
 STATUS_MISDIRECTED = 421
+PROMISING_STATUSES = (408, 429, 503)
+BODILESS_STATUSES = (204, 304)
+METHOD_HEAD = "HEAD"
 CONTENT_ENCODING = "content-encoding"
 CONTENT_TYPE = "content-type"
 EVENT_STREAM = "text/event-stream"
@@ -78,11 +83,25 @@
             ),
             last_id=self._read_last_id(),
         )
+        self._observer = RequestObserver(
+            state,
+            context,
+            self._request_id,
+            request.headers.get(state.headers.token_counts, ""),
+        )
         self._tried: set[str] = set()
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
 
     async def async_run(self) -> None:
-        """See the request to its end."""
+        """See the request to its end, and say what became of it."""
+        try:
+            await self._async_run()
+        except BaseException as err:
+            self._observer.end(err)
+            raise
+        self._observer.end()
+
+    async def _async_run(self) -> None:
         effect: ExchangeEffect | None = self._exchange.begin()
         try:
             async with asyncio.timeout_at(self._context.limit_at):
@@ -95,43 +114,40 @@
         await self._async_end(effect)
 
     def _read_last_id(self) -> int | None:
-        text = self._request.headers.get(self._state.headers.last_event_id, "")
-        return int(text) if text.isdigit() else None
+        headers = self._request.headers
+        return parse_count(headers.get(self._state.headers.last_event_id, ""))
 
     def _hear(self, event: ExchangeEvent) -> ExchangeEffect | None:
-        return self._exchange.hear(event, self._loop.time(), budget=True)
+        now = self._loop.time()
+        effect = self._exchange.hear(event, now, budget=True)
+        self._observer.note_decision(event, effect, now)
+        return effect
 
     async def _async_end(self, effect: ExchangeEffect | None) -> None:
         if isinstance(effect, GiveAnswer):
             assert self._answer is not None
             status, headers, body = self._answer
+            self._observer.note_status(status)
             await self._responder.async_send_bytes(status, body, headers)
         elif isinstance(effect, Refuse):
-            log_event(
-                "request_ended",
-                request_id=self._request_id,
-                code=effect.code.name,
-                sends=self._exchange.sends,
-            )
+            self._observer.note_status(effect.code.http_status)
             await async_send_refusal(
                 self._responder, effect.code, effect.retry_after_seconds
             )
         elif isinstance(effect, BreakOff):
-            log_event(
-                "stream_broken_off",
-                request_id=self._request_id,
-                last_id=self._exchange.last_id,
-            )
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
-        target = self._chooser.choose(self._context.service, self._tried)
-        if target is None:
+        choice = self._chooser.choose(self._build_need())
+        chosen = None if choice is None else choice.target
+        self._observer.note_choice(chosen, tried=len(self._tried))
+        if choice is None:
             return self._hear(SendFailed(SendFault.NO_TARGET))
+        target = choice.target
         self._tried.add(target.id)
         try:
-            with self._chooser.hold(target):
-                event = await self._async_attempt(target, effect)
+            with self._chooser.hold(choice):
+                event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
             self._log_failed(target, event, err)
@@ -143,78 +159,112 @@
             self._log_failed(target, event, err)
         return self._hear(event) if event is not None else None
 
+    def _build_need(self) -> TargetNeed:
+        return TargetNeed(
+            service=self._context.service,
+            route=self._route,
+            aim_at=self._context.received_at + self._route.aim_seconds,
+            tokens=_parse_counts(
+                self._request.headers.get(self._state.headers.token_counts, "")
+            ),
+            tried=self._tried,
+        )
+
     def _log_failed(
         self, target: RegisteredTarget, event: SendFailed, err: Exception
     ) -> None:
-        log_event(
-            "send_failed",
-            request_id=self._request_id,
-            target=target.id,
-            fault=event.fault.value,
-            error=str(err),
+        self._observer.note_failure(
+            "send_failed", fault=event.fault.value, error=str(err)
         )
 
     async def _async_attempt(
-        self, target: RegisteredTarget, effect: SendTo
+        self, choice: SendChoice, effect: SendTo
     ) -> ExchangeEvent | None:
+        target = choice.target
         left = self._context.limit_at - self._loop.time()
         async with async_open_http(
             target.address,
             self._request.method,
             self._request.target,
-            headers=self._build_headers(target, effect, left),
+            headers=self._build_headers(choice, effect, left),
             body=self._request.body,
             connect_timeout=min(c.CONNECT_SECONDS, left),
             before_write=self._exchange.note_sent,
         ) as stream:
-            return await self._async_take_answer(target, stream)
+            return await self._async_take_answer(choice, stream)
 
     def _build_headers(
-        self, target: RegisteredTarget, effect: SendTo, left: float
+        self, choice: SendChoice, effect: SendTo, left: float
     ) -> tuple[tuple[bytes, bytes], ...]:
         names = self._state.headers
         ours = {
             names.deadline_ms: str(max(1, int(left * MILLISECONDS))),
-            names.expected_target: target.id,
+            names.expected_target: choice.target.id,
         }
         if self._context.account is not None:
             ours[names.account] = self._context.account.name
+        if choice.helpers:
+            ours[names.helpers] = choice.helper_list
         if effect.last_id is not None:
             ours[names.last_event_id] = str(effect.last_id)
         stripped = (names.caller_key, names.account, names.priority, names.helpers)
         return build_target_headers(self._request.raw_headers, ours, stripped)
 
     async def _async_take_answer(
-        self, target: RegisteredTarget, stream: HttpStream
+        self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
-        if stream.status == STATUS_MISDIRECTED or names.not_run in stream.headers:
-            log_event(
+        self._chooser.note_load(choice.target, stream.headers.get(names.load))
+        if self._is_refusal(stream):
+            self._observer.note_failure(
                 "send_refused",
-                request_id=self._request_id,
-                target=target.id,
                 status=stream.status,
-                at=stream.headers.get(names.at_target),
+                at_target=stream.headers.get(names.at_target),
             )
             return SendFailed(SendFault.NOT_RUN)
         self._check_head(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
-            return await self._async_pass_events(stream)
-        body = await stream.async_read_body()
-        self._answer = (stream.status, build_answer_headers(stream.raw_headers), body)
+            return await self._async_pass_events(choice, stream)
+        try:
+            body = await stream.async_read_body(c.MAX_ANSWER_BYTES)
+        except ConnectionLostError:
+            raise
+        except TargetError as err:
+            raise SpoiledAnswerError(str(err)) from None
+        has_body = self._request.method != METHOD_HEAD and (
+            stream.status not in BODILESS_STATUSES
+        )
+        headers = build_answer_headers(stream.raw_headers, has_body)
+        self._answer = (stream.status, headers, body)
         return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
 
-    def _check_head(self, stream: HttpStream) -> None:
+    def _is_refusal(self, stream: HttpStream) -> bool:
         names = self._state.headers
-        if stream.headers.get(names.request_id, "") != self._request_id:
+        answered_id = stream.headers.get(names.request_id, self._request_id)
+        if answered_id != self._request_id:
             raise SpoiledAnswerError("the answer is to another request")
-        if names.seal not in stream.headers:
+        is_failure = stream.status >= STATUS_CALLER_FAILURES
+        return stream.status == STATUS_MISDIRECTED or (
+            is_failure and names.not_run in stream.headers
+        )
+
+    def _check_head(self, stream: HttpStream) -> None:
+        names = self._state.headers
+        if names.request_id not in stream.headers:
+            raise SpoiledAnswerError("the answer does not say to which request")
+        # The caller reads these as "not run and never will be". A target that does not
+        # say so itself may have run the request, and the caller would send it again.
+        if stream.status in PROMISING_STATUSES:
+            raise SpoiledAnswerError("the answer promises what it does not say")
+        if stream.status < STATUS_CALLER_FAILURES and names.seal not in stream.headers:
             raise SpoiledAnswerError("the answer has no seal")
         if CONTENT_ENCODING in stream.headers:
             raise SpoiledAnswerError("the body is encoded")
 
-    async def _async_pass_events(self, stream: HttpStream) -> ExchangeEvent | None:
+    async def _async_pass_events(
+        self, choice: SendChoice, stream: HttpStream
+    ) -> ExchangeEvent | None:
         cutter = EventCutter()
         async for data in stream.async_iterate_chunks():
             try:
@@ -222,9 +272,15 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
+                choice.note_first_event(self._loop.time())
                 await self._async_give_events(stream, events)
-        if cutter.has_rest or not self._exchange.is_started:
+        if cutter.has_rest:
             raise SpoiledAnswerError("the stream ended within an event")
+        if not self._exchange.is_started:
+            # Only a stream that the caller had up to its last event may be empty.
+            if self._exchange.last_id is None:
+                raise SpoiledAnswerError("the stream has no event")
+            self._start_answer(stream)
         await self._responder.async_finish()
         self._exchange.has_ended = True
         return None
@@ -246,8 +302,17 @@
         if not given:
             return
         if not self._exchange.is_started:
-            self._hear(AnswerStarted())
-            self._responder.start(
-                stream.status, build_answer_headers(stream.raw_headers)
-            )
+            self._start_answer(stream)
         await self._responder.async_send_chunk(b"".join(given))
+
+    def _start_answer(self, stream: HttpStream) -> None:
+        self._hear(AnswerStarted())
+        self._responder.start(stream.status, build_answer_headers(stream.raw_headers))
+
+
+def _parse_counts(text: str) -> tuple[int, int] | None:
+    """Return the prompt's and the most output tokens, None where they aren't told."""
+    prompt, _, output = text.partition(",")
+    if not prompt.isdigit() or not output.isdigit():
+        return None
+    return int(prompt), int(output)
