--- a/libraries/gateway/tarragonward_gateway/__init__.py
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -10,7 +10,9 @@
     RecordParser,
     RecordReader,
     Records,
+    Reservation,
     SourceError,
+    TargetCalls,
 )
 from .settings import (
     GatewaySettings,
@@ -28,7 +30,9 @@
     "RecordParser",
     "RecordReader",
     "Records",
+    "Reservation",
     "SourceError",
+    "TargetCalls",
     "build_log_budget",
     "load_gateway_settings",
     "parse_gateway_settings",
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -47,9 +47,10 @@
 
 @dataclass(frozen=True)
 class SourceAnswered:
-    """The source answered, with changes or after a wait without any."""
+    """The source answered; is_gap where its revision grew and no change was told."""
 
     has_changes: bool
+    is_gap: bool = False
 
 
 @dataclass(frozen=True)
@@ -109,6 +110,7 @@
         self._pause_until = now
         self._changed_at = float("-inf")
         self._behind_since: float | None = None
+        self._ahead = 0
         self._asked_peer_at = float("-inf")
         self._failing_since: float | None = None
         self._failed_at = float("-inf")
@@ -131,21 +133,16 @@
         """Take an event; return what follows. complete is the book's revision."""
         return _hear(event, self, complete, hosts, now)
 
-    def note_complete(self) -> None:
-        """Note that the book was filled by a peer: changes are enough from here."""
-        self._must_read = False
-        self._behind_since = None
-
     def is_after_outage(self, now: float) -> bool:
         """Return whether the source was away for a while until moments ago."""
         return now - self._last_outage_at < c.OUTAGE_MEMORY_SECONDS
 
-    def take_answer(self, has_changes: bool, now: float) -> None:
+    def take_answer(self, has_changes: bool, is_gap: bool, now: float) -> None:
         """Note an answer of the source."""
         self._note_outage(now)
         self.failures = 0
         self._failing_since = None
-        self._must_read = False
+        self._must_read = is_gap
         self._behind_since = None
         if not has_changes:
             return
@@ -161,6 +158,10 @@
         if self._failing_since is None:
             self._failing_since = now
         self._failed_at = now
+        # A watch goes on from a revision. Where the history after it was dropped
+        # with the watch, a new one waits in silence until the next change. Symptom:
+        # a table that was replaced is used for seconds. Reading all sees any change.
+        self._must_read = True
         self._is_return_tried = False
         limit = c.SOURCE_RETRY_MAX_SECONDS
         if complete:
@@ -180,10 +181,14 @@
     ) -> list[FollowEffect]:
         """Compare with what a peer holds."""
         effects: list[FollowEffect] = []
-        if told.changed <= complete:
+        if self._ahead <= complete:
+            # Only what this host holds ends its being behind: peers that hold less
+            # tell nothing about it.
             self._behind_since = None
+        if told.changed <= complete:
             effects.append(Confirm(told.confirmed_age))
         else:
+            self._ahead = max(self._ahead, told.changed)
             effects += self._catch_up(told.name, complete, now)
         if self._shows_return(told, now):
             self._is_return_tried = True
@@ -195,14 +200,17 @@
     def _catch_up(self, name: str, complete: int, now: float) -> list[FollowEffect]:
         if self._behind_since is None:
             self._behind_since = now
-        # This host's own watch most often brings the same a moment later.
-        grace = 0.0 if self.failures else c.BEHIND_SECONDS
+        # Its own watch most often brings a host the same a moment later.
+        grace = c.BEHIND_SECONDS if complete else c.BEHIND_AT_START_SECONDS
+        if self.failures:
+            grace = 0.0
         is_early = now - self._behind_since < grace
         if is_early or now - self._asked_peer_at < c.ASK_PEER_SECONDS:
             return []
         self._asked_peer_at = now
         effects: list[FollowEffect] = [AskPeer(name)]
         if complete and not self.failures:
+            self._must_read = True
             effects.append(AskSource())
         return effects
 
@@ -228,7 +236,7 @@
 def _(
     event: SourceAnswered, follower: Follower, complete: int, hosts: int, now: float
 ) -> list[FollowEffect]:
-    follower.take_answer(event.has_changes, now)
+    follower.take_answer(event.has_changes, event.is_gap, now)
     return [Confirm(0.0)]
 
 
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -13,6 +13,7 @@
 from .clock import read_clock
 from .context import ForwardContext
 from .headers import parse_count
+from .reservations import ReservationTask
 from .run import ForwardRun
 from .state import GatewayState
 from .targets import TargetChooser
@@ -25,8 +26,14 @@
 class Forwarder:
     """Handle the callers' requests of one host."""
 
-    def __init__(self, state: GatewayState, chooser: TargetChooser) -> None:
+    def __init__(
+        self,
+        state: GatewayState,
+        chooser: TargetChooser,
+        reservations: ReservationTask,
+    ) -> None:
         self._state = state
+        self._reservations = reservations
         self._chooser = chooser
         self.in_flight = 0
 
@@ -55,7 +62,9 @@
             return
         self.in_flight += 1
         try:
-            run = ForwardRun(self._state, self._chooser, request, responder)
+            run = ForwardRun(
+                self._state, self._chooser, self._reservations, request, responder
+            )
             await run.async_run()
         finally:
             self.in_flight -= 1
@@ -81,7 +90,7 @@
     def _admit(self, head: HttpHead, now: float) -> ForwardContext:
         if not self._state.is_admitting:
             raise RequestRefusedError(
-                ResultCode.DRAINING, retry_after_seconds=c.NOT_READY_RETRY_SECONDS
+                ResultCode.DRAINING, retry_after_seconds=c.DRAINING_RETRY_SECONDS
             )
         table = self._state.table
         if table is None:
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -12,6 +12,7 @@
 
 from tarragonward_core import (
     Address,
+    BackgroundTasks,
     FrameError,
     HostIdentity,
     TarragonwardError,
@@ -29,7 +30,7 @@
     SeedMembership,
     SeedPeer,
 )
-from tarragonward_membership.const import HELLO_INTERVAL_SECONDS
+from tarragonward_membership.const import HELLO_INTERVAL_SECONDS, MAX_MESH_PEERS
 
 from . import const as c
 from .clock import read_clock
@@ -40,6 +41,7 @@
 Build = Callable[[], Any]
 Take = Callable[[str, Any, float], None]
 # What reading another version's or a spoiled section may raise.
+TASK_NAME = "peers"
 SECTION_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 
 
@@ -56,7 +58,7 @@
         self._port = settings.peers.port
         self._sections: dict[str, tuple[Build, Take]] = {}
         self._transport: asyncio.DatagramTransport | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(state.metrics)
         self._sent_bytes = 0
         self.on_pause: list[Callable[[], None]] = []
         self.members = SeedMembership(
@@ -77,11 +79,19 @@
         """
         self._sections[name] = (build, take)
 
+    def apply_settings(self) -> None:
+        """Take over the seeds of changed settings."""
+        self.members.set_seeds(self._place(self._state.settings.seeds))
+
     def get_names(self) -> tuple[str, ...]:
         """Return the names of the peers that were heard, leaving ones left out."""
         peers = self.members.get_peers()
         return tuple(peer.name for peer in peers if peer.name and not peer.is_leaving)
 
+    def count_sharing_hosts(self) -> int:
+        """Return how many hosts what all share is divided by, never too few."""
+        return self.members.count_most_hosts(read_clock())
+
     def get_control_address(self, name: str) -> Address | None:
         """Return where a peer is asked over TCP; ports are the same on all hosts."""
         for peer in self.members.get_peers():
@@ -97,17 +107,21 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(address.host, address.port)
         )
-        self._task = asyncio.create_task(self._async_tell())
+        self._background.start(TASK_NAME, self._async_tell)
 
     async def async_unload(self) -> None:
         """Tell the peers that this host leaves, and stop."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.async_unload()
         if self._transport is not None:
             self.set_leaving()
             self._transport.close()
 
+    def tell_now(self) -> None:
+        """Tell the peers what the sections hold without waiting for the round."""
+        peers = self.members.get_peers()
+        if len(peers) <= MAX_MESH_PEERS:
+            self._send([peer.identity.address for peer in peers], with_sections=True)
+
     def set_leaving(self) -> None:
         """Tell the peers now that this host takes no more."""
         self.members.is_leaving = True
