End connections to targets whose host has vanished, by the kernel's probes

Ruled out: a time limit of ours on silence, which cannot tell a long read from a dead engine (LOST: a runner's silence is no reason).

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -71,6 +71,7 @@
 # A packet that is lost on the way to a new connection is sent again after a second or
 # more, so waiting on towards that brings nothing; a target's answer takes far less.
 CONNECT_SECONDS = 0.2
+TARGET_UNREACHABLE_SECONDS = 2.5
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
 # Other hosts serve already: the caller loses its aim by waiting.
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -237,6 +237,7 @@
             body=self._request.body,
             connect_timeout=min(c.CONNECT_SECONDS, left),
             before_write=self._exchange.note_sent,
+            unreachable_timeout=c.TARGET_UNREACHABLE_SECONDS,
         ) as stream:
             return await self._async_take_answer(choice, stream)
 
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -18,13 +19,18 @@
     TargetError,
 )
 
-from .const import DEFAULT_CONNECT_TIMEOUT_SECONDS
+from .const import (
+    DEFAULT_CONNECT_TIMEOUT_SECONDS,
+    SHORT_KEEPALIVE_PROBES,
+    SHORT_KEEPALIVE_SECONDS,
+)
 from .http_messages import RawHeaders, encode_headers
 from .receiver import Receiver
 
 __all__ = ["HttpAnswer", "HttpStream", "async_open_http", "async_send_http"]
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MILLISECONDS = 1_000
 
 
 @dataclass(frozen=True)
@@ -127,12 +133,16 @@
     body: bytes = b"",
     connect_timeout: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
     before_write: Callable[[], None] | None = None,
+    unreachable_timeout: float | None = None,
 ) -> AsyncIterator[HttpStream]:
     """Send a request and give its answer as a stream; closed on every path.
 
     Raw headers are sent as they are, with their host; a body without a length gets one.
     A map of headers is completed with host and length.
 
+    A peer whose host has not acknowledged anything for unreachable_timeout seconds ends
+    the connection, however long its answer may take; None leaves it to the kernel.
+
     before_write runs right before the first byte is written, with no await between;
     what it raises goes to the caller, and nothing was sent.
     Raise NotConnectedError only where nothing can have been sent, and
@@ -152,6 +162,8 @@
         reason = str(err) or f"no connection in {connect_timeout:.3g} s"
         raise NotConnectedError(f"{address}: {reason}") from err
     try:
+        if unreachable_timeout is not None:
+            _end_when_unreachable(transport, unreachable_timeout)
         if before_write is not None:
             before_write()
         # One write for head and body: one system call where the body is short.
@@ -169,6 +181,21 @@
         transport.abort()
 
 
+def _end_when_unreachable(transport: asyncio.Transport, timeout: float) -> None:
+    # A peer that lost its power, or is cut off, sends no reset. Symptom: the wait for
+    # an answer ends only with the request's own time. Its kernel answers probes while
+    # it lives, so the silence of a peer at work is not taken for its end.
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, SHORT_KEEPALIVE_SECONDS),
+        (socket.TCP_KEEPINTVL, SHORT_KEEPALIVE_SECONDS),
+        (socket.TCP_KEEPCNT, SHORT_KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, int(timeout * MILLISECONDS)),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _build_headers(
     address: Address, headers: dict[str, str] | RawHeaders | None, body: bytes
 ) -> list[tuple[bytes, bytes]]:
