--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -12,6 +12,7 @@
 
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
+    Cell,
     FleetBook,
     PromptNeed,
     PromptWork,
@@ -21,6 +22,7 @@
 )
 from tarragonward_routes import Route, Service
 
+from .doubts import TargetDoubts
 from .headers import parse_count
 from .state import GatewayState
 
@@ -84,7 +86,10 @@
         self._clock = clock
         self._in_flight: Counter[str] = Counter()
         self.book = FleetBook()
+        # The engines that this host uses, by service; all where nothing is set.
+        self.get_cell: Callable[[str], Cell] | None = None
         self.reach = TargetReach()
+        self.doubts = TargetDoubts(state, self.reach)
 
     def build_digest(self) -> dict[str, list[Any]]:
         """Return this host's prompts in flight, to be told to the other hosts."""
@@ -104,13 +109,13 @@
         if not ready:
             return None
         now = self._clock()
-        awake = self.reach.select(ready, now)
+        awake = self.reach.select(self.doubts.select(ready), now)
         choice = self._choose_among(awake, need)
         if choice is None and len(awake) < len(ready):
             # A long prompt may need more engines than those known to be in reach.
             choice = self._choose_among(ready, need)
         if choice is not None:
-            self.reach.note_chosen(choice.target.id, now)
+            self.reach.note_chosen(choice.target, now)
         return choice
 
     def _choose_among(
@@ -160,6 +165,17 @@
         random = self._state.random.random
         return min(ready, key=lambda t: (self._in_flight[t.id], random()))
 
+    def _keep_cell(
+        self, need: TargetNeed, ready: Sequence[RegisteredTarget]
+    ) -> Sequence[RegisteredTarget]:
+        """Return the engines of this host's cell, or all after one has failed."""
+        if self.get_cell is None or need.tried:
+            return ready
+        cell = self.get_cell(need.service)
+        if cell.is_whole:
+            return ready
+        return [target for target in ready if target.id in cell.engines] or ready
+
     def _plan(
         self, need: TargetNeed, ready: Sequence[RegisteredTarget], service: Service
     ) -> SendChoice | None:
@@ -171,7 +187,7 @@
             aim_seconds=need.aim_at - now,
             pause_aim_seconds=need.route.pause_aim_seconds,
         )
-        by_id = {target.id: target for target in ready}
+        by_id = {target.id: target for target in self._keep_cell(need, ready)}
         plan = plan_reading(
             prompt,
             sorted(by_id, key=_compute_place),
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from functools import singledispatch
 
@@ -31,7 +31,7 @@
 class SeedPeer:
     """Another host; heard_at is when anyone heard it, as far as this host was told.
 
-    name and failure_domain are empty until the peer itself was heard.
+    name is empty until the peer itself was heard, failure_domain until anyone told it.
     """
 
     identity: HostIdentity
@@ -131,6 +131,7 @@
         self._lost: dict[Address, None] = {}
         self._seeds_asked_at = float("-inf")
         self._credit = 0.0
+        self._mates: frozenset[Address] = frozenset()
         self._round_at = now
         # What this host itself counted, and what others did, are kept apart: told
         # on as one, an old figure would go from host to host for good.
@@ -169,6 +170,11 @@
         """Return how many hosts are there, this one with them."""
         return len(self._peers) + 1
 
+    def compute_rank(self) -> int:
+        """Return this host's place among those that are there, by address."""
+        own = self.own.address
+        return sum(address < own for address in self._peers)
+
     def count_most_hosts(self, now: float) -> int:
         """Return the most hosts that anyone heard of knew in the last minutes.
 
@@ -191,7 +197,7 @@
         for peer in known[:count]:
             peer.told += 1
         return tuple(
-            PeerEntry(peer.identity, max(0.0, now - peer.heard_at))
+            PeerEntry(peer.identity, max(0.0, now - peer.heard_at), peer.failure_domain)
             for peer in known[:count]
         )
 
@@ -261,6 +267,7 @@
             self._add(entry, now)
             return [PeerFound(entry.identity)]
         if known.identity == entry.identity:
+            known.failure_domain = known.failure_domain or entry.failure_domain
             if heard_at > known.heard_at + c.HELLO_INTERVAL_SECONDS:
                 known.told = 0
             known.heard_at = max(known.heard_at, heard_at)
@@ -278,7 +285,11 @@
     def _add(self, entry: PeerEntry, now: float) -> SeedPeer:
         address = entry.identity.address
         self._lost.pop(address, None)
-        peer = SeedPeer(entry.identity, now - entry.age_seconds)
+        peer = SeedPeer(
+            entry.identity,
+            now - entry.age_seconds,
+            failure_domain=entry.failure_domain,
+        )
         self._peers[address] = peer
         return peer
 
@@ -305,10 +316,19 @@
         if len(peers) <= c.MAX_MESH_PEERS:
             chosen.update(dict.fromkeys(peer.identity.address for peer in peers))
         else:
+            chosen.update(dict.fromkeys(self.get_mates()))
             chosen.update(dict.fromkeys(self._sample(peers, sent_bytes)))
         invariants.check(self.own.address not in chosen, "no_hello_to_itself")
         return tuple(chosen)
 
+    def set_mates(self, addresses: Collection[Address]) -> None:
+        """Tell the hosts of these addresses in each round, also in a large fleet."""
+        self._mates = frozenset(addresses)
+
+    def get_mates(self) -> list[Address]:
+        """Return the addresses of the mates that are there."""
+        return [address for address in self._peers if address in self._mates]
+
     def _choose_unheard(self, now: float) -> list[Address]:
         is_hurried = now - self._started_at < c.SEED_HURRY_SECONDS
         if not is_hurried and now - self._seeds_asked_at < c.SEED_RETRY_SECONDS:
