--- a/libraries/bench/tarragonward_bench/experiment_fleet.py
+++ b/libraries/bench/tarragonward_bench/experiment_fleet.py
@@ -114,10 +114,14 @@
             begin = self._rng.uniform(0, membership_const.HELLO_INTERVAL_SECONDS)
             self._at(begin, self._make_tell(number, host))
             book = host.policy.book
-            is_mesh = len(self.hosts) - 1 <= membership_const.MAX_MESH_PEERS
-            if self._plan.tells_at_once and is_mesh and book is not None:
+            if self._plan.tells_at_once and self._is_mesh and book is not None:
                 book.on_change.append(self._make_tell_at_once(number, host))
 
+    @property
+    def _is_mesh(self) -> bool:
+        is_small = len(self.hosts) - 1 <= membership_const.MAX_MESH_PEERS
+        return is_small or self._plan.tells_all
+
     def _make_tell(self, number: int, host: Host) -> Callable[[], None]:
         def tell() -> None:
             self._tell(number, host)
@@ -130,7 +134,7 @@
 
     def _tell(self, number: int, host: Host) -> None:
         others = [other for other in self.hosts if other is not host]
-        if len(others) > membership_const.MAX_MESH_PEERS:
+        if not self._is_mesh:
             others = self._rng.sample(others, membership_const.HELLO_FANOUT)
         assert host.policy.book is not None
         digest = host.policy.book.build_digest(self.now)
--- a/libraries/bench/tarragonward_bench/experiment_policies.py
+++ b/libraries/bench/tarragonward_bench/experiment_policies.py
@@ -26,6 +26,7 @@
     """A policy of the run: which class, with which parts off.
 
     numbers replace constants of the product's placement while the policy plays.
+    tells_all: each host tells all others, also where the product tells a few.
     """
 
     name: str
@@ -33,6 +34,7 @@
     numbers: Mapping[str, Any] = field(default_factory=dict)
     tells_peers: bool = True
     tells_at_once: bool = True
+    tells_all: bool = False
     hears_counts: bool = True
 
 
@@ -206,6 +208,7 @@
         PolicyPlan("no_stakes", numbers={"STAKE_TOKENS": 1e12}),
         PolicyPlan("no_hints", tells_peers=False),
         PolicyPlan("hints_in_turn", tells_at_once=False),
+        PolicyPlan("hints_from_all", tells_all=True),
         PolicyPlan("no_counts", hears_counts=False),
         PolicyPlan("no_hints_no_counts", tells_peers=False, hears_counts=False),
     )
