--- a/libraries/bench/tarragonward_bench/experiment_policies.py
+++ b/libraries/bench/tarragonward_bench/experiment_policies.py
@@ -13,6 +13,7 @@
     FleetBook,
     PromptNeed,
     PromptWork,
+    ReadingPlan,
     const,
     plan_reading,
 )
@@ -148,16 +149,14 @@
             best = drawn if best is None else min(best, drawn)
         if best is None:
             return None
-        work = PromptWork(
-            leader=best[2],
-            reads_until={best[2]: now + best[0]},
+        plan = ReadingPlan(
+            readers=(best[2],),
             part_seconds=reads,
-            context_tokens=need.prompt_tokens,
-            held_tokens={best[2]: need.memory_tokens},
-            pause_aim_seconds=need.pause_aim_seconds,
-            stake=need.stake,
-            placed_at=now,
+            reads_until={best[2]: best[0]},
+            first_event_seconds=best[0],
+            harm=0.0,
         )
+        work = plan.build_work(need, now)
         return Sending(best[2], (), work, best[0])
 
 
