--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -76,6 +76,7 @@
 CELL_SECONDS = 0.5
 
 CONNECT_SECONDS = 0.2
+TARGET_UNREACHABLE_SECONDS = 2.5
 # How long targets that failed are left out, and what puts a whole domain in doubt.
 DOUBT_BASE_SECONDS = 0.4
 DOUBT_CAP_SECONDS = 1.0
