--- a/libraries/gateway/tarragonward_gateway/doubts.py
+++ b/libraries/gateway/tarragonward_gateway/doubts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Coroutine, Sequence
 from contextlib import suppress
 from typing import Any
@@ -108,7 +109,7 @@
             if is_reached:
                 self._reached_at[target.id] = read_clock()
             else:
-                self._reach.note_failed(target.id, read_clock())
+                self._reach.note_failed(target, time.monotonic())
                 self.note_failed(target, SendFault.NOT_CONNECTED)
         return all(reached)
 
@@ -159,7 +160,7 @@
         self._targets.record_probe(target.id, is_alive=False, now=read_clock())
         if await _async_connect(target.address):
             self._targets.record_probe(target.id, is_alive=True, now=read_clock())
-            self._reach.note_reached(target.id)
+            self._reach.note_reached(target)
 
     async def _async_try_domain(
         self, domain: str, targets: Sequence[RegisteredTarget]
--- a/libraries/gateway/tests/test_no_end.py
+++ b/libraries/gateway/tests/test_no_end.py
@@ -160,3 +160,16 @@
     site = await make_site(refuse_with("421 Misdirected", names), answer_with())
     await site.async_ask()
     assert not site.chooser.reach.resting
+
+
+async def test_an_engine_that_cannot_be_reached_before_a_joint_reading_rests(make_site):
+    """A long prompt's engines are tried first, and one is behind a cut.
+
+    Six such prompts of a cut zone were answered 500: the trial told the rests an id
+    where they take a target. Seen in trouble-1 of shelfwise-jordan at 34 s.
+    """
+    site = await make_site(answer_with(), answer_with())
+    await site.targets[0].async_unload()
+    targets = site.state.registry.get_ready("s")
+    assert not await site.chooser.doubts.async_check(targets)
+    assert site.chooser.reach.resting == 1
