--- a/libraries/membership/tarragonward_membership/const.py
+++ b/libraries/membership/tarragonward_membership/const.py
@@ -80,7 +80,7 @@
 # Silence after which a peer is dropped: at least so long, and longer in large fleets,
 # where news of each comes more seldom.
 PEER_SILENT_SECONDS = 3.0
-PEER_SILENT_SECONDS_A_PEER = 0.06
+PEER_SILENT_SECONDS_A_PEER = 0.1
 MAX_LOST_PEERS = 64
 HOST_COUNT_MEMORY_SECONDS = 300.0
 HOST_COUNT_GUESS_SECONDS = 60.0
