--- a/libraries/bench/tarragonward_bench/experiment_policies.py
+++ b/libraries/bench/tarragonward_bench/experiment_policies.py
@@ -13,6 +13,7 @@
     FleetBook,
     PromptNeed,
     PromptWork,
+    ReadingPlan,
     const,
     plan_reading,
 )
@@ -26,6 +27,7 @@
     """A policy of the run: which class, with which parts off.
 
     numbers replace constants of the product's placement while the policy plays.
+    tells_all: each host tells all others, also where the product tells a few.
     """
 
     name: str
@@ -33,6 +35,7 @@
     numbers: Mapping[str, Any] = field(default_factory=dict)
     tells_peers: bool = True
     tells_at_once: bool = True
+    tells_all: bool = False
     hears_counts: bool = True
 
 
@@ -146,16 +149,14 @@
             best = drawn if best is None else min(best, drawn)
         if best is None:
             return None
-        work = PromptWork(
-            leader=best[2],
-            reads_until={best[2]: now + best[0]},
+        plan = ReadingPlan(
+            readers=(best[2],),
             part_seconds=reads,
-            context_tokens=need.prompt_tokens,
-            held_tokens={best[2]: need.memory_tokens},
-            pause_aim_seconds=need.pause_aim_seconds,
-            stake=need.stake,
-            placed_at=now,
+            reads_until={best[2]: best[0]},
+            first_event_seconds=best[0],
+            harm=0.0,
         )
+        work = plan.build_work(need, now)
         return Sending(best[2], (), work, best[0])
 
 
@@ -206,6 +207,7 @@
         PolicyPlan("no_stakes", numbers={"STAKE_TOKENS": 1e12}),
         PolicyPlan("no_hints", tells_peers=False),
         PolicyPlan("hints_in_turn", tells_at_once=False),
+        PolicyPlan("hints_from_all", tells_all=True),
         PolicyPlan("no_counts", hears_counts=False),
         PolicyPlan("no_hints_no_counts", tells_peers=False, hears_counts=False),
     )
