--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -173,7 +173,7 @@
                 event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
-            self._note_reach(target, is_reached=False)
+            self._note_unreached(target)
             self._log_failed(target, event, err)
         except TargetSilentError as err:
             event = SendFailed(SendFault.SILENT)
@@ -215,12 +215,17 @@
             await asyncio.sleep(self._state.random.random() * wait)
         return None
 
-    def _note_reach(self, target: RegisteredTarget, is_reached: bool) -> None:
+    def _note_unreached(self, target: RegisteredTarget) -> None:
+        if self._chooser.reach.note_failed(target, self._loop.time()):
+            log_event("target_unreachable", target=target.id, address=target.address)
+
+    def _note_answered(self, target: RegisteredTarget, stream: HttpStream) -> None:
         reach = self._chooser.reach
-        if is_reached and reach.note_reached(target.id):
+        if self._is_elsewhere(target, stream):
+            if reach.note_replaced(target, self._loop.time()):
+                log_event("target_replaced", target=target.id, address=target.address)
+        elif reach.note_reached(target):
             log_event("target_regained", target=target.id)
-        elif not is_reached and reach.note_failed(target.id, self._loop.time()):
-            log_event("target_unreachable", target=target.id, address=target.address)
 
     def _build_need(self) -> TargetNeed:
         return TargetNeed(
@@ -258,6 +263,7 @@
                     body=self._request.body,
                     connect_timeout=min(c.CONNECT_SECONDS, left),
                     before_write=self._exchange.note_sent,
+                    unreachable_timeout=c.TARGET_UNREACHABLE_SECONDS,
                 )
             )
             return await self._async_take_answer(choice, stream)
@@ -304,7 +310,7 @@
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
-        self._note_reach(choice.target, is_reached=True)
+        self._note_answered(choice.target, stream)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
         self._chooser.doubts.note_answered(choice.target)
         if self._is_refusal(stream):
@@ -334,6 +340,15 @@
         self._answer = (stream.status, headers, body)
         return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
 
+    def _is_elsewhere(self, target: RegisteredTarget, stream: HttpStream) -> bool:
+        # The address of a target that crashed is used by another one, while its own
+        # record stands until it lapses. Symptom: being idle it is chosen first by each
+        # request, refuses all, and their sends are used up. It rests like one that
+        # takes no connection; a helper at fault is named, and is not this target.
+        at_fault = stream.headers.get(self._state.headers.at_target)
+        is_own = at_fault is None or at_fault == str(target.address)
+        return stream.status == STATUS_MISDIRECTED and is_own
+
     def _is_refusal(self, stream: HttpStream) -> bool:
         names = self._state.headers
         answered_id = stream.headers.get(names.request_id, self._request_id)
