Tell mates of a cell without word of other hosts

Cause: in a large fleet a hello carries 20 entries of other hosts, some 700 bytes, and went to each mate five times a second; the users allow 3 KB/s a host for control.

--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -122,7 +122,7 @@
         told = [peer.identity.address for peer in peers]
         if len(peers) > MAX_MESH_PEERS:
             told = self.members.get_mates()
-        self._send(told, with_sections=True)
+        self._send(told, with_sections=True, is_brief=True)
 
     def set_mates(self, addresses: Collection[Address]) -> None:
         """Tell the hosts at these addresses all that this host does, in each round."""
@@ -186,18 +186,24 @@
     ) -> None:
         for effect in effects:
             if isinstance(effect, Greet):
-                self._send(effect.addresses, with_sections)
+                self._send(effect.addresses, with_sections, effect.is_brief)
             elif isinstance(effect, PeerFound):
                 log_event("peer_found", peer=effect.identity)
             elif isinstance(effect, PeerLost):
                 log_event("peer_lost", peer=effect.identity, name=effect.name)
 
-    def _send(self, addresses: Iterable[Address], with_sections: bool) -> None:
+    def _send(
+        self,
+        addresses: Iterable[Address],
+        with_sections: bool,
+        is_brief: bool = False,
+    ) -> None:
         targets = list(addresses)
         if self._transport is None or not targets:
             return
-        data = self._pack(self._build_sections() if with_sections else {})
-        self._sent_bytes = len(data)
+        data = self._pack(self._build_sections() if with_sections else {}, is_brief)
+        if not is_brief:
+            self._sent_bytes = len(data)
         for target in targets:
             # A cut or full link: hints may be lost.
             with suppress(OSError):
@@ -218,8 +224,8 @@
             sections[name] = packed
         return sections
 
-    def _pack(self, sections: dict[str, bytes]) -> bytes:
-        hello = self.members.build_hello(read_clock())
+    def _pack(self, sections: dict[str, bytes], is_brief: bool = False) -> bytes:
+        hello = self.members.build_hello(read_clock(), is_brief)
         return msgpack.packb((c.PEER_FORMAT, hello.pack(), sections))
 
     def _unpack(self, data: bytes, sender: Address) -> tuple[Hello, dict[str, bytes]]:
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -78,9 +78,10 @@
 
 @dataclass(frozen=True)
 class Greet:
-    """Send a hello to these addresses."""
+    """Send a hello to these addresses; a brief one tells of no other hosts."""
 
     addresses: tuple[Address, ...]
+    is_brief: bool = False
 
 
 @dataclass(frozen=True)
@@ -147,7 +148,7 @@
         """Take over the seeds of new settings."""
         self._seeds = tuple(seed for seed in seeds if seed != self.own.address)
 
-    def build_hello(self, now: float) -> Hello:
+    def build_hello(self, now: float, is_brief: bool = False) -> Hello:
         """Return what this host says now."""
         return Hello(
             self.own,
@@ -156,7 +157,7 @@
             int(now * MICROSECONDS),
             max(self.count_hosts(), self._most_counted.get(now)),
             self.is_leaving,
-            self._choose_entries(now),
+            () if is_brief else self._choose_entries(now),
         )
 
     def get_peers(self) -> tuple[SeedPeer, ...]:
@@ -321,7 +322,6 @@
         if len(peers) <= c.MAX_MESH_PEERS:
             chosen.update(dict.fromkeys(peer.identity.address for peer in peers))
         else:
-            chosen.update(dict.fromkeys(self.get_mates()))
             chosen.update(dict.fromkeys(self._sample(peers, sent_bytes)))
         invariants.check(self.own.address not in chosen, "no_hello_to_itself")
         return tuple(chosen)
@@ -334,6 +334,16 @@
         """Return the addresses of the mates that are there."""
         return [address for address in self._mates if address in self._peers]
 
+    def choose_brief(self, greeted: Collection[Address]) -> tuple[Address, ...]:
+        """Return the mates that this round's whole hellos leave out.
+
+        Mates want each other's sections often; word of other hosts spreads without
+        them, and is most of a hello's bytes.
+        """
+        if len(self._peers) <= c.MAX_MESH_PEERS:
+            return ()
+        return tuple(mate for mate in self.get_mates() if mate not in greeted)
+
     def _choose_unheard(self, now: float) -> list[Address]:
         is_hurried = now - self._started_at < c.SEED_HURRY_SECONDS
         if not is_hurried and now - self._seeds_asked_at < c.SEED_RETRY_SECONDS:
@@ -370,4 +380,6 @@
 @_hear.register
 def _(event: RoundDue, members: SeedMembership, now: float) -> list[SeedEffect]:
     lost = members.drop_silent(now)
-    return [*lost, Greet(members.choose_greeted(now, event.sent_bytes))]
+    greeted = members.choose_greeted(now, event.sent_bytes)
+    mates = members.choose_brief(greeted)
+    return [*lost, Greet(greeted), *([Greet(mates, is_brief=True)] if mates else [])]
