--- /dev/null
+++ b/libraries/membership/tests/test_registry.py
@@ -0,0 +1,78 @@
+"""The registry of boots: records in any order, none comes back."""
+
+import random
+
+import pytest
+
+from tarragonward_core import Address
+from tarragonward_membership import RegisteredTarget, TargetRegistry, Withdrawn
+
+
+def build(target_id, revision, is_ready=True, service="s", port=8000):
+    return RegisteredTarget(
+        target_id, service, Address("10.0.0.1", port), "a", 8, is_ready, revision
+    )
+
+
+@pytest.fixture
+def registry():
+    return TargetRegistry()
+
+
+def get_ready_ids(registry, service="s"):
+    return [target.id for target in registry.get_ready(service)]
+
+
+def test_a_target_that_drains_gets_nothing_new(registry):
+    registry.apply(build("i-1", 1))
+    registry.apply(build("i-2", 2))
+    assert get_ready_ids(registry) == ["i-1", "i-2"]
+    registry.apply(build("i-1", 3, is_ready=False))
+    assert get_ready_ids(registry) == ["i-2"]
+
+
+def test_a_late_record_does_not_bring_a_boot_back(registry):
+    """A peer passes on a record that is older than the withdrawal heard since.
+
+    The boot is gone and its address may be another's; a caller's request sent there
+    would be refused at best, so the older record changes nothing.
+    """
+    registry.apply(build("i-1", 5))
+    assert registry.apply(Withdrawn("i-1", 9))
+    assert not registry.apply(build("i-1", 7))
+    assert get_ready_ids(registry) == []
+    assert registry.apply(build("i-1", 11))
+    assert get_ready_ids(registry) == ["i-1"]
+
+
+def test_a_withdrawal_before_the_record_is_heard_holds(registry):
+    registry.apply(Withdrawn("i-1", 9))
+    assert not registry.apply(build("i-1", 5))
+    assert len(registry) == 0
+
+
+def test_a_whole_reading_withdraws_what_it_lacks_but_nothing_newer(registry):
+    registry.apply(build("i-1", 1))
+    registry.apply(build("i-3", 30))
+    registry.apply_all([build("i-2", 2)], revision=20)
+    assert get_ready_ids(registry) == ["i-2", "i-3"]
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_records_in_any_order_lead_to_the_same_targets(seed):
+    drawn = random.Random(seed)
+    records = []
+    for revision in range(1, 60):
+        target_id = f"i-{drawn.randrange(8)}"
+        if drawn.random() < 0.3:
+            records.append(Withdrawn(target_id, revision))
+        else:
+            records.append(build(target_id, revision, drawn.random() < 0.7))
+    in_order, mixed = TargetRegistry(), TargetRegistry()
+    for record in records:
+        in_order.apply(record)
+    drawn.shuffle(records)
+    for record in records + records[:20]:
+        mixed.apply(record)
+    assert mixed.get_ready("s") == in_order.get_ready("s")
+    assert mixed.revision == in_order.revision
--- /dev/null
+++ b/libraries/routes/tests/test_table.py
@@ -0,0 +1,70 @@
+"""Routes by host and longest prefix, splits, keys."""
+
+import pytest
+
+from tarragonward_routes import (
+    Account,
+    EngineModel,
+    RequestKind,
+    Route,
+    RoutingTable,
+    Share,
+)
+
+
+def build_route(prefix, host="a.example", **fields):
+    shares = fields.pop("shares", (Share("s", 1),))
+    return Route(prefix, host, prefix, RequestKind.IDEMPOTENT, shares, **fields)
+
+
+@pytest.fixture
+def table():
+    prefixes = ("/", "/one/", "/one/two/")
+    routes = [build_route(prefix) for prefix in prefixes]
+    routes.append(build_route("/only/", host="b.example"))
+    accounts = {"key": Account("account")}
+    return RoutingTable(7, tuple(routes), accounts_by_key=accounts, needs_key=True)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "prefix"),
+    [
+        ("a.example", "/one/two/three", "/one/two/"),
+        ("a.example", "/one/two", "/one/"),
+        ("a.example", "/one", "/"),
+        ("A.Example:8080", "/one/", "/one/"),
+        ("b.example", "/only/x/", "/only/"),
+        ("b.example", "/one/", None),
+        ("c.example", "/", None),
+        ("b.example", "", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_is_chosen(table, host, path, prefix):
+    route = table.select_route(host, path)
+    assert (route and route.prefix) == prefix
+
+
+def test_a_key_finds_its_account_or_none(table):
+    assert table.find_account("key").name == "account"
+    assert table.find_account("") is None
+
+
+@pytest.mark.parametrize(
+    ("draw", "service"), [(0.0, "x"), (0.89, "x"), (0.9, "y"), (0.999, "y")]
+)
+def test_a_split_follows_its_weights(draw, service):
+    route = build_route("/", shares=(Share("x", 90), Share("y", 10)))
+    assert route.choose_service(draw) == service
+
+
+def test_a_service_without_weight_gets_nothing():
+    route = build_route("/", shares=(Share("x", 0), Share("y", 10)))
+    assert route.choose_service(0.0) == "y"
+
+
+def test_a_prompt_is_read_in_the_published_time():
+    model = EngineModel(8, 450_000, 46, 2_048, 1e-3, 0.0, 0.0, 256_000, 1e-10)
+    assert model.compute_read_seconds(256_000) == pytest.approx(1.0 + 3.2768)
+    assert model.compute_read_seconds(256_000, 4) == pytest.approx(4.2768 / 4)
+    assert model.compute_write_seconds(0, 0) == pytest.approx(1e-3)
+    assert model.compute_write_seconds(2, 0) == pytest.approx(46e-3)
