Stay with an engine that pauses in mid-stream

Ruled out: the change of configuration itself (the request kept its route's limit), a lost link (the engine's connection was open), the retry budget.

Change: once events were given, silence alone does not end a send; before the first event it may, as the caller has lost nothing yet.

--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -273,6 +273,12 @@
         pause = c.SILENCE_PAUSES * self._route.pause_aim_seconds
 
         def may_leave() -> bool:
+            # An engine that pauses may well be at work, and the next one may refuse.
+            # Symptom: a stream that would have ended whole is broken off. Before the
+            # first event the caller has nothing to lose; after it, only the end of
+            # the connection shows that the engine is gone.
+            if self._exchange.is_started:
+                return False
             now = self._loop.time()
             left = self._context.limit_at - now
             return (
