--- /dev/null
+++ b/libraries/bench/tarragonward_bench/impairment_plays.py
@@ -0,0 +1,156 @@
+"""Play the days of `impairment_days` by the users' bench, one after the other.
+
+`write` makes deploy/days/; `play` plays each day that is not yet in the file of --out
+and appends a JSON line a play; `table` turns such a file into rows of docs/PLATFORM.md.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import json
+import re
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+from .impairment_days import KINDS, LONGEST_CLASS, PAIRS, PAIRS_FOLDER, write_days
+
+ROOT = Path(__file__).resolve().parents[3]
+DAYS = ROOT / "deploy" / "days"
+TARGET = ROOT / "target" / "kinds"
+WORTH = re.compile(r"^worth (-?[\d.]+)", re.MULTILINE)
+NO_RESULT = "NO RESULT"
+
+
+@dataclasses.dataclass(frozen=True)
+class Play:
+    """One play of a day, as it stands in the file of results."""
+
+    site: str
+    day: str
+    worth: float | None
+    broken: tuple[str, ...]
+    exit: int = 0
+    seed: int | None = None
+
+
+def play_days(options: argparse.Namespace) -> None:
+    """Play the days named, or all, that are not yet in the file."""
+    out = Path(options.out)
+    played = {(play.site, play.day, play.seed) for play in read_plays(out)}
+    for seed in options.seed or [None]:
+        for name in options.day or all_days(options.pairs):
+            for site in options.site:
+                if (Path(site).stem, name, seed) in played:
+                    continue
+                play = play_one(options.bench, Path(site), name, seed)
+                with out.open("a", encoding="utf-8") as file:
+                    file.write(json.dumps(dataclasses.asdict(play)) + "\n")
+
+
+def all_days(are_pairs: bool) -> list[str]:
+    """Return the names of all days of a pair, or of one impairment."""
+    if are_pairs:
+        return [f"{PAIRS_FOLDER}/{name}" for name in PAIRS]
+    return [*KINDS, *(f"{name}-twice" for name in KINDS)]
+
+
+def play_one(bench: str, site: Path, name: str, seed: int | None) -> Play:
+    """Play one day; its output, with the log of all hosts, stays in target/kinds."""
+    label = f"{site.stem}-{name.replace('/', '-')}-{seed or 'own'}"
+    day = day_for_site(DAYS / f"{name}.toml", site, TARGET / f"{label}.toml")
+    why = f"kinds: {name}"
+    command = [bench, "run", str(site), str(day.relative_to(ROOT)), "--no-cpu"]
+    command += ["--jobs", "2", "--log", "all", "--why", why]
+    if seed is not None:
+        command += ["--seed", str(seed)]
+    before = set((ROOT / "journal").glob("*.json"))
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    text = done.stdout + done.stderr
+    (TARGET / f"{label}.txt").write_text(text, encoding="utf-8")
+    worth = WORTH.search(text)
+    return Play(
+        site=site.stem,
+        day=name,
+        worth=float(worth[1]) if worth else None,
+        broken=broken_rules(set((ROOT / "journal").glob("*.json")) - before, why),
+        exit=done.returncode,
+        seed=seed,
+    )
+
+
+def day_for_site(day: Path, site: Path, filled: Path) -> Path:
+    """Return the day, with the site's class of longest prompts named in a copy."""
+    text = day.read_text("utf-8")
+    filled.parent.mkdir(parents=True, exist_ok=True)
+    if LONGEST_CLASS not in text:
+        return day
+    classes = tomllib.loads(site.read_text("utf-8"))["classes"]
+    longest = max(classes, key=lambda entry: entry["worth"])
+    filled.write_text(text.replace(LONGEST_CLASS, longest["name"]), encoding="utf-8")
+    return filled
+
+
+def broken_rules(entries: set[Path], why: str) -> tuple[str, ...]:
+    """Return the rules broken by the newest of the journal's new entries with `why`.
+
+    The bench may copy entries of plays elsewhere into the journal meanwhile.
+    """
+    read = [json.loads(path.read_text("utf-8")) for path in sorted(entries)]
+    days = [day for entry in read if entry["why"] == why for day in entry["days"]]
+    return tuple(sorted(days[-1]["rules"])) if days else (NO_RESULT,)
+
+
+def read_plays(path: Path) -> list[Play]:
+    """Return the plays of a file of results."""
+    if not path.exists():
+        return []
+    rows = [json.loads(line) for line in path.read_text("utf-8").splitlines()]
+    return [Play(**{**row, "broken": tuple(row["broken"])}) for row in rows]
+
+
+def format_table(plays: list[Play]) -> str:
+    """Return a row a day, a column a site and seed: worth, and the rules broken."""
+    columns = sorted({(play.site, play.seed or 0) for play in plays})
+    cells = {(play.day, play.site, play.seed or 0): play for play in plays}
+    heads = [f"{site}, {seed or 'own seed'}" for site, seed in columns]
+    lines = ["| day | " + " | ".join(heads) + " |", "| --- |" + " --- |" * len(heads)]
+    for day in dict.fromkeys(play.day for play in plays):
+        row = [show(cells.get((day, *column))) for column in columns]
+        lines.append(f"| {day.removeprefix('pairs/')} | " + " | ".join(row) + " |")
+    return "\n".join(lines)
+
+
+def show(play: Play | None) -> str:
+    """Return a cell of the table."""
+    if play is None:
+        return "not run"
+    worth = "no figure" if play.worth is None else f"{play.worth:.3f}"
+    return " ".join([worth, *(f"**{rule}**" for rule in play.broken)])
+
+
+def main() -> int:
+    """Run one of the three jobs."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("job", choices=("write", "play", "table"))
+    parser.add_argument("site", nargs="*", help="site files, for play")
+    parser.add_argument("--bench", help="the program of the users' bench")
+    parser.add_argument("--day", action="append", help="only this day")
+    parser.add_argument("--pairs", action="store_true", help="the days of pairs")
+    parser.add_argument("--seed", action="append", type=int, help="in the day's place")
+    parser.add_argument("--out", default=str(ROOT / "target" / "kinds.jsonl"))
+    options = parser.parse_args()
+    match options.job:
+        case "write":
+            write_days(DAYS)
+        case "play":
+            play_days(options)
+        case "table":
+            print(format_table(read_plays(Path(options.out))))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/libraries/bench/tests/test_impairments.py
@@ -0,0 +1,72 @@
+"""Tests of the days of impairments and of their table."""
+
+import json
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tarragonward_bench import impairment_days as days
+from tarragonward_bench import impairment_plays as plays
+
+COMMITTED = Path(__file__).parents[3] / "deploy" / "days"
+
+
+@pytest.fixture(scope="module")
+def written(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("days")
+    days.write_days(folder)
+    return folder
+
+
+def test_the_committed_days_are_those_that_are_written(written):
+    for path in written.rglob("*.toml"):
+        committed = COMMITTED / path.relative_to(written)
+        assert committed.read_text("utf-8") == path.read_text("utf-8"), path.name
+
+
+def test_a_pair_has_the_others_before_within_and_after_the_first(written):
+    text = (written / "pairs" / "compact-scale_in.toml").read_text("utf-8")
+    [day] = tomllib.loads(text)["day"]
+    [first] = day["faults"]
+    began, ended = first["at"], first["at"] + first["for_s"]
+    before, within, after = (entry["at"] for entry in day["plan"])
+    assert before < began < within < ended < after < ended + 1.0
+
+
+def test_twice_the_strength_of_a_share_ends_at_the_whole():
+    assert days.double("herd_kill", {"share": 0.55})["share"] == 1.0
+    assert days.double("garble", {"x": 0.6, "share": 0.1})["x"] == 1.0
+    assert days.double("burst", {"x": 1.7})["x"] == 3.4
+
+
+def test_the_class_of_the_longest_prompts_is_filled_in_for_a_site(written, tmp_path):
+    site = tmp_path / "site.toml"
+    site.write_text('classes = [{name = "a", worth = 1}, {name = "b", worth = 9}]')
+    day = written / "pairs" / "lossy-hot_key.toml"
+    filled = plays.day_for_site(day, site, tmp_path / "filled.toml")
+    [entry] = tomllib.loads(filled.read_text("utf-8"))["day"]
+    classes = {fault["class"] for fault in entry["faults"] if "class" in fault}
+    assert classes == {"b"}
+
+
+def test_a_rule_is_read_from_the_own_entry_of_the_journal(tmp_path):
+    """A newer entry of a play elsewhere is copied in while a day is played."""
+    own, other = tmp_path / "1.json", tmp_path / "2.json"
+    own.write_text(json.dumps({"why": "own", "days": [{"rules": {"CONFIG": 1}}]}))
+    other.write_text(json.dumps({"why": "other", "days": [{"rules": {}}]}))
+    assert plays.broken_rules({own, other}, "own") == ("CONFIG",)
+    assert plays.broken_rules({other}, "own") == (plays.NO_RESULT,)
+
+
+def test_the_table_names_broken_rules_and_what_was_not_run():
+    table = plays.format_table(
+        [
+            plays.Play("one", "pairs/x", 0.5, ("LEAK",)),
+            plays.Play("two", "pairs/y", None, ()),
+        ]
+    )
+    assert table.splitlines()[2:] == [
+        "| x | 0.500 **LEAK** | not run |",
+        "| y | not run | no figure |",
+    ]
