Measure predictions of first events against what is seen

Cause: choices rest on predicted first events, and nothing showed how far off they are, so the model could not be mended by what it gets wrong. Now a histogram by length class (prediction_error) with a count of early and late, a field of the request's line (predicted, beside first_event), and a table of the experiment tool (5th, 50th, 95th percentile of seen less predicted, and of its size).

Weighed: the ratio of seen to predicted; an error in seconds is what aims are held against, so that is what is counted.

--- a/libraries/bench/tarragonward_bench/experiment_arrivals.py
+++ b/libraries/bench/tarragonward_bench/experiment_arrivals.py
@@ -35,7 +35,10 @@
 
 @dataclass
 class Outcome:
-    """What a caller saw; times in seconds from its first attempt."""
+    """What a caller saw; times in seconds from its first attempt.
+
+    predicted and heard are the first event's at the host, from its last choice on.
+    """
 
     arrival: Arrival
     first: float | None = None
@@ -46,6 +49,7 @@
     readers: tuple[str, ...] = ()
     predicted: float | None = None
     placed_at: float = 0.0
+    heard: float | None = None
     last_event: float = field(default=0.0, repr=False)
 
 
--- a/libraries/bench/tarragonward_bench/experiment_prompt.py
+++ b/libraries/bench/tarragonward_bench/experiment_prompt.py
@@ -85,6 +85,7 @@
             self._outcome.is_refused = self._has_ended = True
             return
         self._sending = sending
+        self._outcome.placed_at = fleet.now
         self._host.policy.begin(sending)
         if sending.tickets:
             self._reserve(sorted(sending.tickets), 0, tries)
@@ -146,7 +147,6 @@
         self._outcome.sends += 1
         self._outcome.readers = (sending.leader, *sending.helpers)
         self._outcome.predicted = sending.predicted_seconds
-        self._outcome.placed_at = fleet.now
         self._tried.add(sending.leader)
         engine = fleet.engines[sending.leader]
         fleet.after(self._get_way(engine) + HANDSHAKE_SECONDS, self._reach)
@@ -246,6 +246,7 @@
 
     def _hear_first(self, engine: str, requests: int) -> None:
         assert self._sending is not None
+        self._outcome.heard = self._fleet.now - self._outcome.placed_at
         if self._sending.work is not None:
             self._sending.work.first_event_at = self._fleet.now
         book = self._host.policy.book
--- a/libraries/bench/tarragonward_bench/experiment_report.py
+++ b/libraries/bench/tarragonward_bench/experiment_report.py
@@ -8,18 +8,29 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from tarragonward_core import get_length_class
+
 from .experiment_arrivals import Outcome, compute_size
 from .experiment_fleet import Played
 from .experiment_site import PromptKind, Site
 from .lengths_report import compute_quantile
 
-__all__ = ["KindFigures", "compute_worth", "print_policies", "summarise"]
+__all__ = [
+    "KindFigures",
+    "compute_worth",
+    "print_policies",
+    "print_predictions",
+    "summarise",
+]
 
 BASE_WORTH = 0.3
 SIZE_WORTH = 0.7
 MAX_WORTH = 4.0
 QUANTILES = (0.5, 0.95, 0.99)
 ALL = "all"
+MILLISECONDS = 1_000
+ERROR_QUANTILES = (0.05, 0.5, 0.95)
+ERROR_TITLES = f"{'p5':>9}{'p50':>9}{'p95':>9}{'size p50':>9}{'size p95':>9}"
 
 
 @dataclass(frozen=True)
@@ -59,7 +70,7 @@
     }
 
 
-def print_policies(site: Site, plays: Iterable[Played]) -> None:
+def print_policies(site: Site, plays: Sequence[Played]) -> None:
     """Print a table a kind of request: a line a policy, means over the seeds."""
     figures: dict[str, dict[str, list[KindFigures]]] = defaultdict(dict)
     speeds: dict[str, list[float]] = defaultdict(list)
@@ -76,11 +87,36 @@
         )
         for policy, seeds in policies.items():
             print(_format_line(policy, seeds))
+    print_predictions(plays)
     print("\ndecisions a second of one host's processor")
     for policy, values in speeds.items():
         print(f"{policy:20}{statistics.mean(values):9.0f}")
 
 
+def print_predictions(plays: Sequence[Played]) -> None:
+    """Print how far first events came from their predicted times, in milliseconds."""
+    errors: dict[tuple[str, str], list[float]] = defaultdict(list)
+    for played in plays:
+        for outcome in played.outcomes:
+            if outcome.predicted is None or outcome.heard is None:
+                continue
+            length = get_length_class(outcome.arrival.prompt_tokens)
+            error = outcome.heard - outcome.predicted
+            errors[played.policy, length].append(error * MILLISECONDS)
+    if not errors:
+        return
+    print("\nfirst event, seen less predicted, ms")
+    print(f"{'policy':20}{'prompts':>12}{'seen':>7}" + ERROR_TITLES)
+    for (policy, length), values in sorted(errors.items()):
+        sizes = [abs(value) for value in values]
+        figures = [compute_quantile(values, q) for q in ERROR_QUANTILES]
+        figures += [compute_quantile(sizes, q) for q in (0.5, 0.95)]
+        print(
+            f"{policy:20}{length:>12}{len(values):7}"
+            + "".join(f"{value:9.1f}" for value in figures)
+        )
+
+
 def _weigh(site: Site, outcomes: Sequence[Outcome]) -> list[tuple[Outcome, float]]:
     sizes: dict[str, list[float]] = defaultdict(list)
     for outcome in outcomes:
--- a/libraries/bench/tests/test_experiment.py
+++ b/libraries/bench/tests/test_experiment.py
@@ -8,7 +8,11 @@
 from tarragonward_bench.experiment import main, play_seed
 from tarragonward_bench.experiment_arrivals import Arrival, Outcome, draw_arrivals
 from tarragonward_bench.experiment_policies import POLICIES, use_numbers
-from tarragonward_bench.experiment_report import compute_worth, summarise
+from tarragonward_bench.experiment_report import (
+    compute_worth,
+    print_predictions,
+    summarise,
+)
 from tarragonward_bench.experiment_site import read_site, scale_site
 from tarragonward_placement import const
 
@@ -166,3 +170,16 @@
     for outcome in outcomes:
         assert outcome.is_whole == outcome.arrival.kind.may_repeat
         assert outcome.sends == 1 + outcome.arrival.kind.may_repeat
+
+
+def test_a_lone_prompts_first_event_is_near_its_prediction(site, monkeypatch, capsys):
+    """Nothing else is read or written, so only the ways are not predicted."""
+    site, arrival = alone(site, 20_000, 4)
+    monkeypatch.setattr(
+        "tarragonward_bench.experiment.draw_arrivals", lambda *_: [arrival]
+    )
+    played = play_seed(site, POLICIES["product"], 1, SECONDS)
+    (outcome,) = played.outcomes
+    assert 0 < outcome.heard - outcome.predicted < 0.02
+    print_predictions([played])
+    assert "to_32k" in capsys.readouterr().out
--- a/libraries/gateway/tarragonward_gateway/observer.py
+++ b/libraries/gateway/tarragonward_gateway/observer.py
@@ -32,6 +32,9 @@
 OUTCOME_BROKEN_OFF = "broken off"
 OUTCOME_CALLER_LEFT = "caller left"
 OUTCOME_FAILED_HERE = "failed here"
+# Whether a first event came before the predicted time, or after it.
+EARLY = "early"
+LATE = "late"
 
 
 class RequestObserver:
@@ -56,13 +59,24 @@
         self._outcome = ""
         self._status: int | None = None
         self._first_at: float | None = None
+        self._predicted_at: float | None = None
         self._event_at = 0.0
         self._pause = 0.0
         self._last_id: int | None = None
         self._note_taken()
 
-    def note_choice(self, target: RegisteredTarget | None, **inputs: Any) -> None:
-        """Note a choice of target and what it was made on."""
+    def note_choice(
+        self,
+        target: RegisteredTarget | None,
+        predicted_at: float | None = None,
+        **inputs: Any,
+    ) -> None:
+        """Note a choice of target and what it was made on.
+
+        predicted_at is when the first event should come, on the loop's clock.
+        """
+        if self._first_at is None:
+            self._predicted_at = predicted_at
         registry = self._state.registry
         self._target = target
         if target is not None:
@@ -144,7 +158,7 @@
     def _note_ended(
         self, outcome: str, now: float, error: BaseException | None
     ) -> None:
-        first = self._first_at
+        first, predicted = self._first_at, self._predicted_at
         received_at = self._context.received_at
         has_failed = error is not None and not isinstance(error, asyncio.CancelledError)
         unwritten, self._unwritten = self._unwritten, 0
@@ -157,6 +171,7 @@
             sends=self._sends,
             seconds=now - received_at,
             first_event=None if first is None else first - received_at,
+            predicted=None if predicted is None else predicted - received_at,
             worst_pause=self._pause or None,
             last_event=self._last_id,
             aim=self._context.route.aim_seconds if self._context.route else None,
@@ -183,6 +198,10 @@
         started_at = now if self._first_at is None else self._first_at
         taken = started_at - context.received_at
         metrics.observe("time_to_first_event", taken, account, length)
+        if self._first_at is not None and self._predicted_at is not None:
+            error = self._first_at - self._predicted_at
+            metrics.observe("prediction_error", abs(error), length_class=length)
+            metrics.count("predictions", EARLY if error < 0 else LATE)
         if self._pause:
             metrics.observe("worst_pause", self._pause, length_class=length)
 
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -158,12 +158,12 @@
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
         placed = await self._async_place()
-        chosen = None if placed is None else placed[0].target
-        self._observer.note_choice(chosen, tried=len(self._tried))
         if placed is None:
+            self._observer.note_choice(None, tried=len(self._tried))
             return self._hear(SendFailed(SendFault.NO_TARGET))
         choice, lease = placed
         target = choice.target
+        self._observer.note_choice(target, choice.predicted_at, tried=len(self._tried))
         self._tried.add(target.id)
         try:
             with ExitStack() as stack:
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -60,6 +60,13 @@
         if self.work is not None and self.work.first_event_at is None:
             self.work.first_event_at = now
 
+    @property
+    def predicted_at(self) -> float | None:
+        """Return when the first event is predicted, None where nothing was."""
+        if self.plan is None or self.work is None:
+            return None
+        return self.work.placed_at + self.plan.first_event_seconds
+
     @property
     def helper_list(self) -> str:
         """Return the helpers as they are told to the target."""
--- a/libraries/gateway/tests/test_operators.py
+++ b/libraries/gateway/tests/test_operators.py
@@ -8,7 +8,7 @@
 
 from tarragonward_core import Address, LineBudget, event_log
 from tarragonward_gateway.operators import OperatorsTask
-from tarragonward_routes import RequestKind
+from tarragonward_routes import EngineModel, RequestKind
 from tarragonward_standins import RawCaller, answer_with, async_reset, stream_events
 from tarragonward_wire import async_send_http
 
@@ -113,3 +113,30 @@
     assert operators.server is None
     assert b"event=metrics_unserved" in b"".join(lines)
     await operators.async_unload()
+
+
+async def test_the_error_of_a_prediction_is_counted_and_in_the_requests_line(
+    make_site, lines
+):
+    """An engine answers half a second later than predicted, over the aim.
+
+    Operators find the error in the metrics by length class, and beside the first
+    event in the line of the request.
+    """
+
+    async def script(request, writer):
+        await asyncio.sleep(0.5)
+        await stream_events([1, 2])(request, writer)
+
+    site = await make_site(script, kind=RequestKind.STREAM, aim_seconds=0.2)
+    engine = EngineModel(8, 450_000, 46, 2_048, 9e-4, 1e-5, 2.5e-9, 256_000.0, 9e-11)
+    table = site.state.table
+    service = replace(table.services["s"], engine=engine)
+    site.state.table = replace(table, services={"s": service})
+    await site.async_ask("POST", lines=["X-Tokens: 2000,500"])
+    metrics = site.state.metrics
+    error = metrics.get_quantile("prediction_error", 0.5, length_class="to_4k")
+    assert 0.4 < error < 5
+    assert metrics.get_count("predictions") == 1
+    fields = dict(pair.split(b"=", 1) for pair in lines[-1].split() if b"=" in pair)
+    assert float(fields[b"first_event"]) - float(fields[b"predicted"]) > 0.4
