Decide in one place which targets are out of reach

Cause: TargetReach (placement) and TargetDoubts (gateway, over OutlierDetector) both learned which targets and failure domains take no connection, with two sets of numbers (rests of 0.5 to 2 s and 3 targets a domain; 0.4 to 1 s and 2), and a target was used only if both let it. TargetReach is now the one decision: it hears Evidence of a target and the time, returns what changes, the least doubted targets and what to connect to. The gateway's TargetProbes only connects, notes and logs. The numbers kept are those that decided before, 0.4 to 1 s and 2 targets, as a probe's end cleared the other's too; where another boot answers a connection proves nothing, so one request tries after 0.4 to 2 s.

Ruled out: counting failed probes as new evidence of a cut (two dead targets of a domain, each probed once a second with no answer between, would keep the domain out for good; a test holds that); trying the targets of a doubted domain one by one (the domain's own probes tell first, so these are saved).

Tests: those of both old modules go on in the new names, with the same assertions or more. Replaced by as strict ones: a rest's end by one request where a connection failed (now by a connection without a request, and the target stays out for 1000 s without one); three targets for a domain (now two, as the old gateway had it, which was in force).

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -86,7 +86,7 @@
             self.peers,
             self.publications,
             self.reservations,
-            self.targets.doubts,
+            self.targets.probes,
             self.callers,
             self.health,
             self.settings,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -77,13 +77,9 @@
 
 CONNECT_SECONDS = 0.2
 TARGET_UNREACHABLE_SECONDS = 2.5
-# How long targets that failed are left out, and what puts a whole domain in doubt.
-DOUBT_BASE_SECONDS = 0.4
-DOUBT_CAP_SECONDS = 1.0
-DOUBT_WINDOW_SECONDS = 1.0
-DOUBT_DOMAIN_TARGETS = 2
-DOUBT_ROUND_SECONDS = 0.1
-REACHED_SECONDS = 0.5
+# How often it is looked at which doubted targets are due, and how many of a domain.
+PROBE_ROUND_SECONDS = 0.1
+PROBED_IN_DOMAIN = 2
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
 # Other hosts serve already: the caller loses its aim by waiting.
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -0,0 +1,142 @@
+"""Connect to targets that are in doubt, and tell the decisions what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from contextlib import suppress
+
+from tarragonward_core import Address, log_event
+from tarragonward_membership import RegisteredTarget
+from tarragonward_placement import (
+    DomainDoubted,
+    DomainRegained,
+    Evidence,
+    ProbeDomain,
+    ProbeTarget,
+    TargetDoubted,
+    TargetReach,
+    TargetRegained,
+)
+from tarragonward_requests import SendFault
+
+from . import const as c
+from .clock import read_clock
+from .state import GatewayState
+
+__all__ = ["TargetProbes"]
+
+EVIDENCE = {
+    SendFault.NOT_CONNECTED: Evidence.NOT_CONNECTED,
+    SendFault.LOST: Evidence.LOST,
+    SendFault.SPOILED: Evidence.SPOILED,
+    SendFault.SILENT: Evidence.SILENT,
+}
+
+
+class TargetProbes:
+    """The eyes of TargetReach: it decides, this connects, notes and logs."""
+
+    def __init__(self, state: GatewayState, reach: TargetReach) -> None:
+        self._state = state
+        self._reach = reach
+        self._probing: set[asyncio.Task[bool]] = set()
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Begin to try what is in doubt."""
+        self._task = asyncio.create_task(self._async_try())
+
+    async def async_unload(self) -> None:
+        """Stop to try."""
+        tasks = [task for task in (self._task, *self._probing) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def note(self, target: RegisteredTarget, evidence: Evidence) -> None:
+        """Take in what was seen of a target, and log what changes by it."""
+        for effect in self._reach.hear(target, evidence, read_clock()):
+            if isinstance(effect, TargetDoubted):
+                log_event(
+                    "target_doubted",
+                    target=target.id,
+                    address=target.address,
+                    evidence=effect.evidence.value,
+                )
+            elif isinstance(effect, TargetRegained):
+                log_event("target_regained", target=target.id)
+            elif isinstance(effect, DomainDoubted):
+                log_event("domain_doubted", domain=effect.domain)
+            elif isinstance(effect, DomainRegained):
+                log_event("domain_regained", domain=effect.domain)
+
+    def note_failed(self, target: RegisteredTarget, fault: SendFault) -> None:
+        """Note a send that brought nothing."""
+        evidence = EVIDENCE.get(fault)
+        if evidence is not None:
+            self.note(target, evidence)
+
+    def note_named(self, helpers: Sequence[RegisteredTarget], name: str) -> None:
+        """Note that a refusal names a helper as at fault, by its address or its id."""
+        for helper in helpers:
+            if name in (str(helper.address), helper.id):
+                self.note(helper, Evidence.NAMED)
+
+    async def async_check(self, targets: Sequence[RegisteredTarget]) -> bool:
+        """Return whether all targets can be reached; those that can't are doubted.
+
+        A leader whose helper is gone finds out after the stall that the platform
+        allows, and the send is spent. A connection to each helper that has not
+        answered lately finds out before.
+        """
+        unsure = self._reach.get_unsure(targets, read_clock())
+        reached = await asyncio.gather(*(self._async_probe(each) for each in unsure))
+        for target, is_reached in zip(unsure, reached, strict=True):
+            if not is_reached:
+                self.note(target, Evidence.NOT_CONNECTED)
+        return all(reached)
+
+    async def _async_try(self) -> None:
+        while True:
+            await asyncio.sleep(c.PROBE_ROUND_SECONDS)
+            registered = self._state.registry.get_all()
+            self._reach.forget_others(registered)
+            for probe in self._reach.take_due_probes(read_clock()):
+                for target in self._get_probed(probe, registered):
+                    task = asyncio.create_task(self._async_probe(target))
+                    self._probing.add(task)
+                    task.add_done_callback(self._probing.discard)
+
+    def _get_probed(
+        self, probe: ProbeTarget | ProbeDomain, registered: Sequence[RegisteredTarget]
+    ) -> Sequence[RegisteredTarget]:
+        if isinstance(probe, ProbeTarget):
+            target = self._state.registry.get(probe.target_id)
+            return () if target is None else (target,)
+        targets = [each for each in registered if each.failure_domain == probe.domain]
+        if len(targets) <= c.PROBED_IN_DOMAIN:
+            return targets
+        return self._state.random.sample(targets, c.PROBED_IN_DOMAIN)
+
+    async def _async_probe(self, target: RegisteredTarget) -> bool:
+        # A probe that fails says nothing new of a target that is in doubt already.
+        # Symptom, were it counted: two dead targets of a failure domain, each tried
+        # once a second, put the whole domain in doubt for good.
+        is_reached = await _async_connect(target.address)
+        if is_reached:
+            self.note(target, Evidence.CONNECTED)
+        return is_reached
+
+
+async def _async_connect(address: Address) -> bool:
+    """Return whether a connection can be made; nothing is asked on it."""
+    try:
+        async with asyncio.timeout(c.CONNECT_SECONDS):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    with suppress(OSError):
+        await writer.wait_closed()
+    return True
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -9,10 +9,9 @@
     ConnectionLostError,
     NotConnectedError,
     TargetError,
-    log_event,
 )
 from tarragonward_membership import RegisteredTarget
-from tarragonward_placement import ReadingPlan
+from tarragonward_placement import Evidence, ReadingPlan
 from tarragonward_requests import (
     AnswerStarted,
     BreakOff,
@@ -173,7 +172,6 @@
                 event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
-            self._note_unreached(target)
             self._log_failed(target, event, err)
         except TargetSilentError as err:
             event = SendFailed(SendFault.SILENT)
@@ -185,7 +183,7 @@
             event = SendFailed(SendFault.LOST)
             self._log_failed(target, event, err)
         if isinstance(event, SendFailed):
-            self._chooser.doubts.note_failed(target, event.fault)
+            self._chooser.probes.note_failed(target, event.fault)
         return self._hear(event) if event is not None else None
 
     async def _async_place(self) -> tuple[SendChoice, Lease | None] | None:
@@ -201,7 +199,7 @@
             is_last = attempt + 1 == c.RESERVATION_TRIES
             if choice.helpers and not is_last:
                 with self._chooser.hold(choice):
-                    are_reached = await self._chooser.doubts.async_check(choice.helpers)
+                    are_reached = await self._chooser.probes.async_check(choice.helpers)
                 if not are_reached:
                     continue
             if not choice.needs_tickets:
@@ -215,17 +213,10 @@
             await asyncio.sleep(self._state.random.random() * wait)
         return None
 
-    def _note_unreached(self, target: RegisteredTarget) -> None:
-        if self._chooser.reach.note_failed(target, self._loop.time()):
-            log_event("target_unreachable", target=target.id, address=target.address)
-
     def _note_answered(self, target: RegisteredTarget, stream: HttpStream) -> None:
-        reach = self._chooser.reach
-        if self._is_elsewhere(target, stream):
-            if reach.note_replaced(target, self._loop.time()):
-                log_event("target_replaced", target=target.id, address=target.address)
-        elif reach.note_reached(target):
-            log_event("target_regained", target=target.id)
+        is_elsewhere = self._is_elsewhere(target, stream)
+        evidence = Evidence.REPLACED if is_elsewhere else Evidence.ANSWERED
+        self._chooser.probes.note(target, evidence)
 
     def _build_need(self) -> TargetNeed:
         return TargetNeed(
@@ -318,11 +309,10 @@
         names = self._state.headers
         self._note_answered(choice.target, stream)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
-        self._chooser.doubts.note_answered(choice.target)
         if self._is_refusal(stream):
             at_fault = stream.headers.get(names.at_target)
-            if at_fault is not None and at_fault != choice.target.id:
-                self._chooser.doubts.note_gone(at_fault)
+            if at_fault is not None:
+                self._chooser.probes.note_named(choice.helpers, at_fault)
             self._observer.note_failure(
                 "send_refused",
                 status=stream.status,
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -22,8 +22,9 @@
 )
 from tarragonward_routes import Route, Service
 
-from .doubts import TargetDoubts
+from .clock import read_clock
 from .headers import parse_count
+from .probes import TargetProbes
 from .state import GatewayState
 
 __all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetNeed"]
@@ -89,7 +90,7 @@
         # The engines that this host uses, by service; all where nothing is set.
         self.get_cell: Callable[[str], Cell] | None = None
         self.reach = TargetReach()
-        self.doubts = TargetDoubts(state, self.reach)
+        self.probes = TargetProbes(state, self.reach)
 
     def build_digest(self) -> dict[str, list[Any]]:
         """Return this host's prompts in flight, to be told to the other hosts."""
@@ -108,8 +109,8 @@
         ]
         if not ready:
             return None
-        now = self._clock()
-        awake = self.reach.select(self.doubts.select(ready), now)
+        now = read_clock()
+        awake = self.reach.select(ready, now)
         choice = self._choose_among(awake, need)
         if choice is None and len(awake) < len(ready):
             # A long prompt may need more engines than those known to be in reach.
--- a/libraries/gateway/tests/test_no_end.py
+++ b/libraries/gateway/tests/test_no_end.py
@@ -12,6 +12,7 @@
 from tarragonward_gateway.publications import PublicationTask
 from tarragonward_gateway.settings import Bounds, GatewaySettings
 from tarragonward_gateway.state import GatewayState
+from tarragonward_placement import Evidence
 from tarragonward_standins import answer_with, refuse_with
 from tarragonward_wire import HttpServer
 
@@ -134,7 +135,7 @@
     site = await make_site(answer_with(), answer_with())
     site.chooser._choose_among = lambda ready, need: None
     resting = site.state.registry.get_ready("s")[0]
-    site.chooser.reach.note_failed(resting, asyncio.get_running_loop().time())
+    site.chooser.probes.note(resting, Evidence.NOT_CONNECTED)
     answer = await site.async_ask()
     assert answer.status == 503
     assert not site.runs
@@ -171,5 +172,5 @@
     site = await make_site(answer_with(), answer_with())
     await site.targets[0].async_unload()
     targets = site.state.registry.get_ready("s")
-    assert not await site.chooser.doubts.async_check(targets)
+    assert not await site.chooser.probes.async_check(targets)
     assert site.chooser.reach.resting == 1
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -30,10 +30,26 @@
     Refused,
 )
 from .placement import Placement
-from .reach import TargetReach
+from .reach import (
+    DomainDoubted,
+    DomainRegained,
+    Evidence,
+    ProbeDomain,
+    ProbeTarget,
+    TargetDoubted,
+    TargetReach,
+    TargetRegained,
+)
 from .readings import PromptNeed, ReadingPlan, plan_reading
 
 __all__ = [
+    "TargetRegained",
+    "TargetDoubted",
+    "ProbeTarget",
+    "ProbeDomain",
+    "Evidence",
+    "DomainRegained",
+    "DomainDoubted",
     "AccountLimits",
     "BLOCK_TOKENS",
     "CacheUpdate",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -100,3 +100,20 @@
 CELL_HOSTS = 9
 MIN_CELL_ENGINES = 4
 MAX_HASHED_NAMES = 8_192
+
+# How long a target or a failure domain in doubt rests before it is connected to again;
+# a request that has to try costs a send, so it waits for longer.
+REST_FIRST_SECONDS = 0.4
+REST_MAX_SECONDS = 1.0
+REST_MAX_BEFORE_REQUEST_SECONDS = 2.0
+# While one request tries a target, the others wait for it.
+TRIAL_SECONDS = 0.3
+# So many faults that may be one request's alone, in a row, are the target's.
+FAILURES_IN_A_ROW = 3
+# So many targets of a failure domain that can't be connected to within this time, and
+# none that answers between, are its link and not they.
+DOMAIN_TARGETS = 2
+DOMAIN_WINDOW_SECONDS = 1.0
+# A connection this long ago says that the target is still there.
+REACHED_SECONDS = 0.5
+MAX_DOUBTED = 4_096
--- a/libraries/placement/tarragonward_placement/reach.py
+++ b/libraries/placement/tarragonward_placement/reach.py
@@ -1,21 +1,45 @@
-"""Remember which targets this host could not connect to, and try them again soon."""
+"""Decide which targets are in doubt, and which of them are to be connected to."""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
-from typing import Protocol, TypeVar
+from enum import Enum
+from typing import Any, Protocol, TypeVar
 
-__all__ = ["TargetReach"]
+from tarragonward_core import invariants
 
-FIRST_REST_SECONDS = 0.5
-MAX_REST_SECONDS = 2.0
-# So many targets of a failure domain that fail in turn, and none that answers between,
-# are its link and not they.
-DOMAIN_FAILURES = 3
-# While one request tries a target that was out of reach, the others wait for it.
-TRIAL_SECONDS = 0.3
-MAX_REMEMBERED = 4_096
+from . import const as c
+
+__all__ = [
+    "DomainDoubted",
+    "DomainRegained",
+    "Evidence",
+    "ProbeDomain",
+    "ProbeTarget",
+    "ReachEffect",
+    "TargetDoubted",
+    "TargetReach",
+    "TargetRegained",
+]
+
+
+class Evidence(Enum):
+    """What a connection or a send has shown of a target."""
+
+    CONNECTED = "connected"
+    ANSWERED = "answered"
+    NOT_CONNECTED = "not connected"
+    REPLACED = "replaced"
+    NAMED = "named at fault"
+    SILENT = "silent"
+    LOST = "lost"
+    SPOILED = "spoiled"
+
+
+AT_ONCE = frozenset(
+    {Evidence.NOT_CONNECTED, Evidence.REPLACED, Evidence.NAMED, Evidence.SILENT}
+)
 
 
 class Placed(Protocol):
@@ -33,92 +57,246 @@
 Target = TypeVar("Target", bound=Placed)
 
 
+@dataclass(frozen=True)
+class TargetDoubted:
+    """A target that was in order is not chosen from now on."""
+
+    target_id: str
+    evidence: Evidence
+
+
+@dataclass(frozen=True)
+class TargetRegained:
+    """A target may be chosen again."""
+
+    target_id: str
+
+
+@dataclass(frozen=True)
+class DomainDoubted:
+    """No target of a failure domain is chosen from now on: its link seems cut."""
+
+    domain: str
+
+
+@dataclass(frozen=True)
+class DomainRegained:
+    """The link to a failure domain stands."""
+
+    domain: str
+
+
+@dataclass(frozen=True)
+class ProbeTarget:
+    """Connect to this target, without a request."""
+
+    target_id: str
+
+
+@dataclass(frozen=True)
+class ProbeDomain:
+    """Connect to some targets of this failure domain, without a request."""
+
+    domain: str
+
+
+ReachEffect = TargetDoubted | TargetRegained | DomainDoubted | DomainRegained
+Probe = ProbeTarget | ProbeDomain
+
+
 @dataclass
-class _Rest:
-    until: float
-    failures: int
+class _Doubt:
+    """What is held against a target or a domain; until is None where it may be used."""
+
+    until: float | None = None
+    strikes: int = 0
+    failures: int = 0
+    # Where another boot answers, a connection proves nothing: a request has to try.
+    needs_request: bool = False
+
+    def prolong(self, now: float) -> None:
+        most = c.REST_MAX_SECONDS
+        if self.needs_request:
+            most = c.REST_MAX_BEFORE_REQUEST_SECONDS
+        self.strikes += 1
+        self.failures = 0
+        seconds = c.REST_FIRST_SECONDS * 2 ** (min(self.strikes, 8) - 1)
+        self.until = now + min(seconds, most)
+
+    def keeps_out(self, now: float) -> bool:
+        if self.until is None:
+            return False
+        return not self.needs_request or now < self.until
 
 
 class TargetReach:
-    """The targets that rest after a connection to them failed; times in seconds.
-
-    A link that is cut leaves its targets registered and idle, so the least busy of
-    all. Symptom: every request waits for a connection that never comes, or uses up
-    its sends on targets out of reach, while others have room. One failure lets a
-    target rest for half a second, more for longer, then one request tries it; three
-    in a row let their failure domain rest in the same way. Resting ones are chosen
-    where there are no others: nothing is refused for a guess.
+    """The targets and failure domains that this host leaves out; times in seconds.
+
+    A link that is cut, or an engine that is dead, leaves its targets registered and
+    idle, so the least busy of all. Symptom: every request waits for a connection that
+    never comes, or uses up its sends on targets out of reach, while others have room.
+    One failure to connect, one refusal as another boot or one silence leaves a target
+    out, other faults some in a row. Two that can't be connected to, and no answer of
+    their failure domain between, are its link: the domain is left out. What takes no
+    connection is taken back by one without a request, so that no caller has to try;
+    where another boot answers, one request tries. Where all are in doubt the least
+    doubted are used: nothing is refused for a guess.
     """
 
     def __init__(self) -> None:
-        self._resting: dict[str, _Rest] = {}
-        self._domains: dict[str, _Rest] = {}
-        self._failed: dict[str, set[str]] = {}
+        self._targets: dict[str, _Doubt] = {}
+        self._domains: dict[str, _Doubt] = {}
+        # By failure domain: its targets that failed to connect, and when.
+        self._unreached: dict[str, dict[str, float]] = {}
+        self._reached_at: dict[str, float] = {}
 
     @property
     def resting(self) -> int:
-        """Return how many targets are remembered as out of reach."""
-        return len(self._resting)
-
-    def note_failed(self, target: Placed, now: float) -> bool:
-        """Note a failed connection; return whether the target was in reach before."""
-        is_new = self._let_rest(target, now)
-        failed = self._failed.setdefault(target.failure_domain, set())
-        if len(failed) < DOMAIN_FAILURES:
-            failed.add(target.id)
-        if len(failed) >= DOMAIN_FAILURES:
-            domain = self._domains.setdefault(target.failure_domain, _Rest(now, 0))
-            _prolong(domain, now)
-        return is_new
-
-    def note_replaced(self, target: Placed, now: float) -> bool:
-        """Note that another one answers at its address; return whether that is new."""
-        self._note_link(target)
-        return self._let_rest(target, now)
-
-    def note_reached(self, target: Placed) -> bool:
-        """Note that a target answered; return whether it was out of reach before."""
-        self._note_link(target)
-        return self._resting.pop(target.id, None) is not None
+        """Return how many targets are left out by themselves."""
+        return sum(doubt.until is not None for doubt in self._targets.values())
+
+    @property
+    def resting_domains(self) -> int:
+        """Return how many failure domains are left out."""
+        return len(self._domains)
+
+    def hear(
+        self, target: Placed, evidence: Evidence, now: float
+    ) -> tuple[ReachEffect, ...]:
+        """Take in what was seen of a target; return what changes by it."""
+        if evidence is Evidence.ANSWERED:
+            return self._regain(target, now, is_well=True)
+        if evidence is Evidence.CONNECTED:
+            return self._regain(target, now, is_well=False)
+        if evidence is Evidence.NOT_CONNECTED:
+            self._reached_at.pop(target.id, None)
+            return self._doubt(target, evidence, now) + self._doubt_domain(target, now)
+        effects: tuple[ReachEffect, ...] = ()
+        if evidence is Evidence.REPLACED:
+            effects = self._regain_domain(target.failure_domain)
+        return effects + self._doubt(target, evidence, now)
 
     def note_chosen(self, target: Placed, now: float) -> None:
-        """Let a target that is tried again rest for others until that is known."""
-        for rest in self._get_rests(target):
-            rest.until = max(rest.until, now + TRIAL_SECONDS)
+        """Let a target that one request tries again rest for the others meanwhile."""
+        doubt = self._targets.get(target.id)
+        if doubt is not None and doubt.until is not None and doubt.needs_request:
+            doubt.until = max(doubt.until, now + c.TRIAL_SECONDS)
 
     def select(self, targets: Sequence[Target], now: float) -> Sequence[Target]:
-        """Return the targets that do not rest, or all where all of them do."""
-        if not self._resting and not self._domains:
+        """Return the least doubted of the targets: none only where none was given."""
+        if not self._targets and not self._domains:
             return targets
-        awake = [
+        levels: tuple[list[Target], list[Target], list[Target]] = ([], [], [])
+        for target in targets:
+            levels[self._grade(target, now)].append(target)
+        selected = next((level for level in levels if level), [])
+        invariants.check(bool(selected) == bool(targets), "never_all_left_out")
+        return selected
+
+    def get_unsure(self, targets: Sequence[Target], now: float) -> list[Target]:
+        """Return those that were not connected to lately."""
+        long_ago = now - c.REACHED_SECONDS
+        return [
             target
             for target in targets
-            if all(now >= rest.until for rest in self._get_rests(target))
+            if self._reached_at.get(target.id, long_ago) <= long_ago
         ]
-        return awake or targets
-
-    def _let_rest(self, target: Placed, now: float) -> bool:
-        rest = self._resting.get(target.id)
-        if rest is None:
-            if len(self._resting) >= MAX_REMEMBERED:
-                self._resting.pop(next(iter(self._resting)))
-            rest = self._resting[target.id] = _Rest(now, 0)
-        _prolong(rest, now)
-        return rest.failures == 1
-
-    def _note_link(self, target: Placed) -> None:
-        self._failed.pop(target.failure_domain, None)
-        self._domains.pop(target.failure_domain, None)
-
-    def _get_rests(self, target: Placed) -> list[_Rest]:
-        found = (
-            self._resting.get(target.id),
-            self._domains.get(target.failure_domain),
-        )
-        return [rest for rest in found if rest is not None]
-
-
-def _prolong(rest: _Rest, now: float) -> None:
-    rest.failures += 1
-    seconds = FIRST_REST_SECONDS * 2 ** (min(rest.failures, 8) - 1)
-    rest.until = now + min(seconds, MAX_REST_SECONDS)
+
+    def take_due_probes(self, now: float) -> list[Probe]:
+        """Return what is to be connected to now; it is not returned again at once.
+
+        While a failure domain is left out its targets are not tried one by one.
+        """
+        due: list[Probe] = []
+        for domain, doubt in self._domains.items():
+            if doubt.until is not None and now >= doubt.until:
+                doubt.prolong(now)
+                due.append(ProbeDomain(domain))
+        hidden = {
+            target_id
+            for domain in self._domains
+            for target_id in self._unreached.get(domain, ())
+        }
+        for target_id, doubt in self._targets.items():
+            if doubt.until is None or doubt.needs_request or target_id in hidden:
+                continue
+            if now >= doubt.until:
+                doubt.prolong(now)
+                due.append(ProbeTarget(target_id))
+        return due
+
+    def forget_others(self, registered: Collection[Placed]) -> None:
+        """Forget what is registered no more, so that memory is bounded."""
+        ids = {target.id for target in registered}
+        domains = {target.failure_domain for target in registered}
+        _keep(self._targets, ids)
+        _keep(self._reached_at, ids)
+        _keep(self._domains, domains)
+        _keep(self._unreached, domains)
+        for failed in self._unreached.values():
+            _keep(failed, ids)
+
+    def _doubt(
+        self, target: Placed, evidence: Evidence, now: float
+    ) -> tuple[ReachEffect, ...]:
+        doubt = self._targets.get(target.id)
+        if doubt is None:
+            if len(self._targets) >= c.MAX_DOUBTED:
+                self._targets.pop(next(iter(self._targets)))
+            doubt = self._targets[target.id] = _Doubt()
+        was_out = doubt.until is not None
+        if doubt.until is not None and now < doubt.until and not doubt.needs_request:
+            return ()
+        doubt.failures += 1
+        if evidence not in AT_ONCE and doubt.failures < c.FAILURES_IN_A_ROW:
+            return ()
+        doubt.needs_request = evidence is Evidence.REPLACED
+        doubt.prolong(now)
+        return () if was_out else (TargetDoubted(target.id, evidence),)
+
+    def _doubt_domain(self, target: Placed, now: float) -> tuple[ReachEffect, ...]:
+        domain = target.failure_domain
+        failed = self._unreached.setdefault(domain, {})
+        failed[target.id] = now
+        recent = [at for at in failed.values() if now - at <= c.DOMAIN_WINDOW_SECONDS]
+        if len(recent) < c.DOMAIN_TARGETS or domain in self._domains:
+            return ()
+        doubt = self._domains[domain] = _Doubt()
+        doubt.prolong(now)
+        return (DomainDoubted(domain),)
+
+    def _regain(
+        self, target: Placed, now: float, is_well: bool
+    ) -> tuple[ReachEffect, ...]:
+        """Take a target back; strikes stay until it answers.
+
+        One that takes connections but fails its work is left out for longer each time.
+        """
+        self._reached_at[target.id] = now
+        effects = self._regain_domain(target.failure_domain)
+        doubt = self._targets.get(target.id)
+        if doubt is None or (doubt.needs_request and not is_well):
+            return effects
+        was_out = doubt.until is not None
+        if is_well:
+            del self._targets[target.id]
+        elif was_out:
+            doubt.until, doubt.failures = None, 0
+        return (*effects, TargetRegained(target.id)) if was_out else effects
+
+    def _regain_domain(self, domain: str) -> tuple[ReachEffect, ...]:
+        self._unreached.pop(domain, None)
+        known = self._domains.pop(domain, None)
+        return () if known is None else (DomainRegained(domain),)
+
+    def _grade(self, target: Placed, now: float) -> int:
+        """Return 0 for no doubt, 1 for the domain's alone, 2 for the target's own."""
+        doubt = self._targets.get(target.id)
+        if doubt is not None and doubt.keeps_out(now):
+            return 2
+        return int(target.failure_domain in self._domains)
+
+
+def _keep(known: dict[str, Any], names: Collection[str]) -> None:
+    for name in known.keys() - names:
+        del known[name]
--- a/libraries/placement/tests/test_reach.py
+++ b/libraries/placement/tests/test_reach.py
@@ -2,7 +2,16 @@
 
 from dataclasses import dataclass
 
-from tarragonward_placement import TargetReach
+from tarragonward_placement import (
+    DomainDoubted,
+    DomainRegained,
+    Evidence,
+    ProbeDomain,
+    ProbeTarget,
+    TargetDoubted,
+    TargetReach,
+    TargetRegained,
+)
 
 
 @dataclass(frozen=True)
@@ -21,82 +30,133 @@
     connection in vain. Seen in docs/incidents/shelfwise-inc-71f2.md.
     """
     reach = TargetReach()
-    assert reach.note_failed(FAR, 10.0)
+    doubted = TargetDoubted("far", Evidence.NOT_CONNECTED)
+    assert reach.hear(FAR, Evidence.NOT_CONNECTED, 10.0) == (doubted,)
     assert reach.select([NEAR, FAR], 10.4) == [NEAR]
-    assert not reach.note_failed(FAR, 10.4)
+    assert reach.hear(FAR, Evidence.NOT_CONNECTED, 10.4) == ()
+    assert reach.select([NEAR, FAR], 1000.0) == [NEAR]
+
+
+def test_a_connection_without_a_request_takes_a_target_back():
+    reach = TargetReach()
+    reach.hear(FAR, Evidence.NOT_CONNECTED, 10.0)
+    assert reach.take_due_probes(10.3) == []
+    assert reach.take_due_probes(10.5) == [ProbeTarget("far")]
+    assert reach.take_due_probes(10.6) == []
+    assert reach.hear(FAR, Evidence.CONNECTED, 10.6) == (TargetRegained("far"),)
+    assert list(reach.select([NEAR, FAR], 10.7)) == [NEAR, FAR]
+    assert reach.take_due_probes(20.0) == []
 
 
 def test_after_its_rest_one_request_tries_a_target_and_others_wait():
+    """A connection proves nothing of a target whose address another one uses."""
     reach = TargetReach()
-    reach.note_failed(FAR, 10.0)
+    reach.hear(FAR, Evidence.REPLACED, 10.0)
+    assert reach.hear(FAR, Evidence.CONNECTED, 10.1) == ()
+    assert reach.select([NEAR, FAR], 10.3) == [NEAR]
+    assert reach.take_due_probes(10.6) == []
     assert list(reach.select([NEAR, FAR], 10.6)) == [NEAR, FAR]
     reach.note_chosen(FAR, 10.6)
     assert reach.select([NEAR, FAR], 10.7) == [NEAR]
-    assert reach.note_reached(FAR)
+    assert reach.hear(FAR, Evidence.ANSWERED, 10.7) == (TargetRegained("far"),)
     assert list(reach.select([NEAR, FAR], 10.7)) == [NEAR, FAR]
 
 
 def test_rests_grow_and_end():
     reach, now = TargetReach(), 0.0
     for _ in range(20):
-        reach.note_failed(FAR, now)
+        reach.hear(FAR, Evidence.REPLACED, now)
         now += 1.0
     assert reach.select([NEAR, FAR], now - 1.0 + 1.9) == [NEAR]
     assert list(reach.select([NEAR, FAR], now - 1.0 + 2.1)) == [NEAR, FAR]
 
 
+def test_probes_of_a_dead_target_grow_rare_to_one_a_second():
+    reach = TargetReach()
+    reach.hear(FAR, Evidence.NOT_CONNECTED, 0.0)
+    tenths = [now for now in range(100) if reach.take_due_probes(now / 10 + 0.05)]
+    assert tenths == [4, 12, *range(22, 100, 10)]
+
+
+def test_a_target_that_takes_connections_but_fails_waits_longer_each_time():
+    reach = TargetReach()
+    for now in (0.0, 1.0, 2.0):
+        assert reach.hear(FAR, Evidence.SILENT, now)
+        reach.hear(FAR, Evidence.CONNECTED, now)
+    reach.hear(FAR, Evidence.SILENT, 10.0)
+    assert reach.take_due_probes(10.9) == []
+    assert reach.take_due_probes(11.1) == [ProbeTarget("far")]
+
+
+def test_faults_that_may_be_one_requests_alone_count_only_in_a_row():
+    reach = TargetReach()
+    for evidence in (Evidence.LOST, Evidence.SPOILED, Evidence.ANSWERED):
+        assert reach.hear(FAR, evidence, 0.0) == ()
+    assert reach.hear(FAR, Evidence.LOST, 0.0) == ()
+    assert reach.hear(FAR, Evidence.LOST, 0.0) == ()
+    assert list(reach.select([NEAR, FAR], 0.0)) == [NEAR, FAR]
+    assert reach.hear(FAR, Evidence.LOST, 0.0)
+    assert reach.select([NEAR, FAR], 0.0) == [NEAR]
+
+
 def test_nothing_is_refused_for_a_guess():
     """All targets rest: a choice among them is better than none."""
     reach = TargetReach()
-    reach.note_failed(NEAR, 0.0)
-    reach.note_failed(FAR, 0.0)
+    reach.hear(NEAR, Evidence.NOT_CONNECTED, 0.0)
+    reach.hear(FAR, Evidence.NOT_CONNECTED, 0.0)
     assert list(reach.select([NEAR, FAR], 0.1)) == [NEAR, FAR]
 
 
 def test_what_is_remembered_is_bounded():
     reach = TargetReach()
     for number in range(10_000):
-        reach.note_failed(Target(f"i-{number}"), 0.0)
+        reach.hear(Target(f"i-{number}"), Evidence.NOT_CONNECTED, 0.0)
     assert reach.resting <= 4_096
+    reach.forget_others([FAR])
+    assert not reach.resting
+    assert not reach.resting_domains
 
 
 FARS = [Target(f"far-{number}", "b") for number in range(6)]
 
 
-def fail_three(now):
+def fail_two(now):
     reach = TargetReach()
-    for target in FARS[:3]:
-        reach.note_failed(target, now)
+    reach.hear(FARS[0], Evidence.NOT_CONNECTED, now)
+    assert reach.hear(FARS[1], Evidence.NOT_CONNECTED, now)[1:] == (DomainDoubted("b"),)
     return reach
 
 
-def test_a_domain_behind_a_cut_is_learned_after_three_targets_not_after_all():
+def test_a_domain_behind_a_cut_is_learned_after_two_targets_not_after_all():
     """A stream loses its engine at the cut, and has one more send.
 
     Learned one by one, its next engine lies behind the same cut and the answer breaks
     off, though nine others there had failed. Request 24a381e194057a3f of
     docs/incidents/shelfwise-inc-71f2.md.
     """
-    reach = fail_three(10.0)
+    reach = fail_two(10.0)
     assert reach.select([NEAR, *FARS], 10.1) == [NEAR]
 
 
-def test_a_domain_where_some_crashed_is_tried_again_by_one_request():
-    """Three targets crash at once, three beside them live on: not a cut link."""
-    reach = fail_three(10.0)
-    assert list(reach.select([NEAR, *FARS[3:]], 10.6)) == [NEAR, *FARS[3:]]
-    reach.note_chosen(FARS[3], 10.6)
-    assert reach.select([NEAR, *FARS[3:]], 10.7) == [NEAR]
-    reach.note_reached(FARS[3])
-    assert list(reach.select([NEAR, *FARS[3:]], 10.7)) == [NEAR, *FARS[3:]]
+def test_a_domain_where_some_crashed_is_taken_back_by_one_connection():
+    """Two targets crash at once, four beside them live on: not a cut link.
+
+    The domain is tried, not its dead targets; they come back each by itself.
+    """
+    reach = fail_two(10.0)
+    assert reach.take_due_probes(10.5) == [ProbeDomain("b")]
+    assert reach.select([NEAR, *FARS[2:]], 10.6) == [NEAR]
+    assert reach.hear(FARS[3], Evidence.CONNECTED, 10.6) == (DomainRegained("b"),)
+    assert list(reach.select([NEAR, *FARS], 10.7)) == [NEAR, *FARS[2:]]
+    probes = [ProbeTarget("far-0"), ProbeTarget("far-1")]
+    assert reach.take_due_probes(10.7) == probes
 
 
 def test_an_answer_in_between_shows_that_the_link_stands():
     reach = TargetReach()
-    reach.note_failed(FARS[0], 10.0)
-    reach.note_failed(FARS[1], 10.0)
-    reach.note_reached(FARS[4])
-    reach.note_failed(FARS[2], 10.0)
+    reach.hear(FARS[0], Evidence.NOT_CONNECTED, 10.0)
+    reach.hear(FARS[4], Evidence.ANSWERED, 10.0)
+    reach.hear(FARS[1], Evidence.NOT_CONNECTED, 10.0)
     assert list(reach.select([NEAR, FARS[5]], 10.1)) == [NEAR, FARS[5]]
 
 
@@ -104,5 +164,19 @@
     """Their domain's link stands: another target answered there."""
     reach = TargetReach()
     for target in FARS[:4]:
-        assert reach.note_replaced(target, 10.0)
+        assert reach.hear(target, Evidence.REPLACED, 10.0)
     assert list(reach.select([NEAR, *FARS], 10.1)) == [NEAR, *FARS[4:]]
+
+
+def test_where_all_are_in_doubt_those_of_a_doubted_domain_come_first():
+    """The near target is known dead; of the domain behind two others is not known."""
+    reach = fail_two(10.0)
+    reach.hear(NEAR, Evidence.NOT_CONNECTED, 10.0)
+    assert list(reach.select([NEAR, *FARS], 10.1)) == FARS[2:]
+
+
+def test_only_what_was_not_connected_to_lately_is_unsure():
+    reach = TargetReach()
+    reach.hear(NEAR, Evidence.CONNECTED, 10.0)
+    assert reach.get_unsure([NEAR, FAR], 10.4) == [FAR]
+    assert reach.get_unsure([NEAR, FAR], 10.5) == [NEAR, FAR]
