--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -16,6 +16,7 @@
 from .budget_runs import run_budget_seed
 from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
+from .reach_runs import run_reach_seed
 from .soak_calls import run_calls_seed
 from .soak_configuration import run_configuration_seed
 
@@ -28,6 +29,7 @@
 Machine = Callable[[int], int]
 MACHINES: dict[str, Machine] = {
     "budget": run_budget_seed,
+    "reach": run_reach_seed,
     "calls": run_calls_seed,
     "configuration": run_configuration_seed,
     "membership": run_membership_seed,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -77,9 +77,8 @@
 
 CONNECT_SECONDS = 0.2
 TARGET_UNREACHABLE_SECONDS = 2.5
-# How often it is looked at which doubted targets are due, and how many of a domain.
+# How often it is looked at which doubted targets are due to be connected to.
 PROBE_ROUND_SECONDS = 0.1
-PROBED_IN_DOMAIN = 2
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
 # Other hosts serve already: the caller loses its aim by waiting.
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -12,8 +12,6 @@
     DomainDoubted,
     DomainRegained,
     Evidence,
-    ProbeDomain,
-    ProbeTarget,
     TargetDoubted,
     TargetReach,
     TargetRegained,
@@ -102,22 +100,10 @@
             await asyncio.sleep(c.PROBE_ROUND_SECONDS)
             registered = self._state.registry.get_all()
             self._reach.forget_others(registered)
-            for probe in self._reach.take_due_probes(read_clock()):
-                for target in self._get_probed(probe, registered):
-                    task = asyncio.create_task(self._async_probe(target))
-                    self._probing.add(task)
-                    task.add_done_callback(self._probing.discard)
-
-    def _get_probed(
-        self, probe: ProbeTarget | ProbeDomain, registered: Sequence[RegisteredTarget]
-    ) -> Sequence[RegisteredTarget]:
-        if isinstance(probe, ProbeTarget):
-            target = self._state.registry.get(probe.target_id)
-            return () if target is None else (target,)
-        targets = [each for each in registered if each.failure_domain == probe.domain]
-        if len(targets) <= c.PROBED_IN_DOMAIN:
-            return targets
-        return self._state.random.sample(targets, c.PROBED_IN_DOMAIN)
+            for target in self._reach.take_due_probes(registered, read_clock()):
+                task = asyncio.create_task(self._async_probe(target))
+                self._probing.add(task)
+                task.add_done_callback(self._probing.discard)
 
     async def _async_probe(self, target: RegisteredTarget) -> bool:
         # A probe that fails says nothing new of a target that is in doubt already.
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -34,8 +34,6 @@
     DomainDoubted,
     DomainRegained,
     Evidence,
-    ProbeDomain,
-    ProbeTarget,
     TargetDoubted,
     TargetReach,
     TargetRegained,
@@ -45,8 +43,6 @@
 __all__ = [
     "TargetRegained",
     "TargetDoubted",
-    "ProbeTarget",
-    "ProbeDomain",
     "Evidence",
     "DomainRegained",
     "DomainDoubted",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -114,6 +114,7 @@
 # none that answers between, are its link and not they.
 DOMAIN_TARGETS = 2
 DOMAIN_WINDOW_SECONDS = 1.0
+PROBED_IN_DOMAIN = 2
 # A connection this long ago says that the target is still there.
 REACHED_SECONDS = 0.5
 MAX_DOUBTED = 4_096
--- a/libraries/placement/tarragonward_placement/reach.py
+++ b/libraries/placement/tarragonward_placement/reach.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol, TypeVar
 
@@ -15,8 +15,6 @@
     "DomainDoubted",
     "DomainRegained",
     "Evidence",
-    "ProbeDomain",
-    "ProbeTarget",
     "ReachEffect",
     "TargetDoubted",
     "TargetReach",
@@ -86,22 +84,7 @@
     domain: str
 
 
-@dataclass(frozen=True)
-class ProbeTarget:
-    """Connect to this target, without a request."""
-
-    target_id: str
-
-
-@dataclass(frozen=True)
-class ProbeDomain:
-    """Connect to some targets of this failure domain, without a request."""
-
-    domain: str
-
-
 ReachEffect = TargetDoubted | TargetRegained | DomainDoubted | DomainRegained
-Probe = ProbeTarget | ProbeDomain
 
 
 @dataclass
@@ -113,6 +96,8 @@
     failures: int = 0
     # Where another boot answers, a connection proves nothing: a request has to try.
     needs_request: bool = False
+    # Of a domain: when its targets were last connected to on its behalf.
+    tried_at: dict[str, float] = field(default_factory=dict)
 
     def prolong(self, now: float) -> None:
         most = c.REST_MAX_SECONDS
@@ -202,29 +187,38 @@
             if self._reached_at.get(target.id, long_ago) <= long_ago
         ]
 
-    def take_due_probes(self, now: float) -> list[Probe]:
-        """Return what is to be connected to now; it is not returned again at once.
+    def take_due_probes(self, registered: Sequence[Target], now: float) -> list[Target]:
+        """Return what is to be connected to now, without a request.
 
-        While a failure domain is left out its targets are not tried one by one.
+        It is not returned again at once. For a failure domain its targets are tried
+        in turn, a few at a time, so that one that lives is found among many dead ones;
+        meanwhile those that put it in doubt are not tried by themselves.
         """
-        due: list[Probe] = []
+        due: list[Target] = []
         for domain, doubt in self._domains.items():
             if doubt.until is not None and now >= doubt.until:
                 doubt.prolong(now)
-                due.append(ProbeDomain(domain))
-        hidden = {
-            target_id
-            for domain in self._domains
-            for target_id in self._unreached.get(domain, ())
-        }
-        for target_id, doubt in self._targets.items():
-            if doubt.until is None or doubt.needs_request or target_id in hidden:
+                due += self._take_in_turn(domain, doubt, registered, now)
+        for target in registered:
+            known = self._targets.get(target.id)
+            if known is None or known.until is None or known.needs_request:
                 continue
-            if now >= doubt.until:
-                doubt.prolong(now)
-                due.append(ProbeTarget(target_id))
+            is_behind = target.failure_domain in self._domains
+            if now >= known.until and not is_behind:
+                known.prolong(now)
+                due.append(target)
         return due
 
+    def _take_in_turn(
+        self, domain: str, doubt: _Doubt, registered: Sequence[Target], now: float
+    ) -> list[Target]:
+        tried_at = doubt.tried_at
+        inside = [target for target in registered if target.failure_domain == domain]
+        inside.sort(key=lambda t: (tried_at.get(t.id, 0.0), t.id in self._targets))
+        taken = inside[: c.PROBED_IN_DOMAIN]
+        tried_at.update((target.id, now) for target in taken)
+        return taken
+
     def forget_others(self, registered: Collection[Placed]) -> None:
         """Forget what is registered no more, so that memory is bounded."""
         ids = {target.id for target in registered}
--- a/libraries/placement/tests/test_reach.py
+++ b/libraries/placement/tests/test_reach.py
@@ -6,8 +6,6 @@
     DomainDoubted,
     DomainRegained,
     Evidence,
-    ProbeDomain,
-    ProbeTarget,
     TargetDoubted,
     TargetReach,
     TargetRegained,
@@ -40,12 +38,12 @@
 def test_a_connection_without_a_request_takes_a_target_back():
     reach = TargetReach()
     reach.hear(FAR, Evidence.NOT_CONNECTED, 10.0)
-    assert reach.take_due_probes(10.3) == []
-    assert reach.take_due_probes(10.5) == [ProbeTarget("far")]
-    assert reach.take_due_probes(10.6) == []
+    assert reach.take_due_probes([NEAR, FAR], 10.3) == []
+    assert reach.take_due_probes([NEAR, FAR], 10.5) == [FAR]
+    assert reach.take_due_probes([NEAR, FAR], 10.6) == []
     assert reach.hear(FAR, Evidence.CONNECTED, 10.6) == (TargetRegained("far"),)
     assert list(reach.select([NEAR, FAR], 10.7)) == [NEAR, FAR]
-    assert reach.take_due_probes(20.0) == []
+    assert reach.take_due_probes([NEAR, FAR], 20.0) == []
 
 
 def test_after_its_rest_one_request_tries_a_target_and_others_wait():
@@ -54,7 +52,7 @@
     reach.hear(FAR, Evidence.REPLACED, 10.0)
     assert reach.hear(FAR, Evidence.CONNECTED, 10.1) == ()
     assert reach.select([NEAR, FAR], 10.3) == [NEAR]
-    assert reach.take_due_probes(10.6) == []
+    assert reach.take_due_probes([NEAR, FAR], 10.6) == []
     assert list(reach.select([NEAR, FAR], 10.6)) == [NEAR, FAR]
     reach.note_chosen(FAR, 10.6)
     assert reach.select([NEAR, FAR], 10.7) == [NEAR]
@@ -74,7 +72,9 @@
 def test_probes_of_a_dead_target_grow_rare_to_one_a_second():
     reach = TargetReach()
     reach.hear(FAR, Evidence.NOT_CONNECTED, 0.0)
-    tenths = [now for now in range(100) if reach.take_due_probes(now / 10 + 0.05)]
+    tenths = [
+        now for now in range(100) if reach.take_due_probes([FAR], now / 10 + 0.05)
+    ]
     assert tenths == [4, 12, *range(22, 100, 10)]
 
 
@@ -84,8 +84,8 @@
         assert reach.hear(FAR, Evidence.SILENT, now)
         reach.hear(FAR, Evidence.CONNECTED, now)
     reach.hear(FAR, Evidence.SILENT, 10.0)
-    assert reach.take_due_probes(10.9) == []
-    assert reach.take_due_probes(11.1) == [ProbeTarget("far")]
+    assert reach.take_due_probes([NEAR, FAR], 10.9) == []
+    assert reach.take_due_probes([NEAR, FAR], 11.1) == [FAR]
 
 
 def test_faults_that_may_be_one_requests_alone_count_only_in_a_row():
@@ -144,12 +144,21 @@
     The domain is tried, not its dead targets; they come back each by itself.
     """
     reach = fail_two(10.0)
-    assert reach.take_due_probes(10.5) == [ProbeDomain("b")]
+    assert reach.take_due_probes(FARS, 10.5) == FARS[2:4]
     assert reach.select([NEAR, *FARS[2:]], 10.6) == [NEAR]
     assert reach.hear(FARS[3], Evidence.CONNECTED, 10.6) == (DomainRegained("b"),)
     assert list(reach.select([NEAR, *FARS], 10.7)) == [NEAR, *FARS[2:]]
-    probes = [ProbeTarget("far-0"), ProbeTarget("far-1")]
-    assert reach.take_due_probes(10.7) == probes
+    assert reach.take_due_probes(FARS, 10.7) == FARS[:2]
+
+
+def test_one_living_target_of_a_dead_domain_is_found_within_its_turn():
+    """Five of six targets crash; two a try, the sixth is tried at the third at most.
+
+    Tried at random, the sixth could stay unused for as long as the others are listed.
+    """
+    reach = fail_two(10.0)
+    tried = [reach.take_due_probes(FARS, now) for now in (10.5, 11.5, 12.6)]
+    assert sorted(t.id for turn in tried for t in turn) == [t.id for t in FARS]
 
 
 def test_an_answer_in_between_shows_that_the_link_stands():
