Know the least delay of a peer that was dropped while the host stood still

Cause: after a suspension of over 3 s a host first drops all that was silent to it, then reads what lay in its socket. The first datagram set the least delay anew, so word that was seconds old counted as fresh. The test failed before (age 0.0 for 10.0).

--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -130,7 +130,7 @@
         self._random = rng
         self._started_at = now
         self._peers: dict[Address, SeedPeer] = {}
-        self._lost: dict[Address, None] = {}
+        self._lost: dict[Address, SeedPeer] = {}
         self._seeds_asked_at = float("-inf")
         self._credit = 0.0
         self._mates: tuple[Address, ...] = ()
@@ -290,12 +290,17 @@
 
     def _add(self, entry: PeerEntry, now: float) -> SeedPeer:
         address = entry.identity.address
-        self._lost.pop(address, None)
+        lost = self._lost.pop(address, None)
         peer = SeedPeer(
             entry.identity,
             now - entry.age_seconds,
             failure_domain=entry.failure_domain,
         )
+        if lost is not None and lost.identity == entry.identity:
+            # A host that stood still drops all, then takes what lay in its socket.
+            # Symptom: the first of it sets the least delay, so old word counts as
+            # fresh. What was known of the same life tells how late it is.
+            peer.least_delay, peer.last_stamp = lost.least_delay, lost.last_stamp
         self._peers[address] = peer
         return peer
 
@@ -305,7 +310,7 @@
         silent = [peer for peer in self._peers.values() if peer.heard_at < limit]
         for peer in silent:
             del self._peers[peer.identity.address]
-            self._lost[peer.identity.address] = None
+            self._lost[peer.identity.address] = peer
         while len(self._lost) > c.MAX_LOST_PEERS:
             self._lost.pop(next(iter(self._lost)))
         return [PeerLost(peer.identity, peer.name) for peer in silent]
--- a/libraries/membership/tests/test_seeds.py
+++ b/libraries/membership/tests/test_seeds.py
@@ -196,6 +196,24 @@
     assert peer.heard_at == heard_at
 
 
+def test_what_lay_in_a_socket_is_old_also_after_its_sender_was_dropped():
+    """A host stands still for long; callers are denied by what it takes for fresh.
+
+    It wakes and drops all that was silent to it, then reads what lay in its socket.
+    The sender is the same life, so its least delay is still known and tells the age.
+    """
+    net = Net(1, 2)
+    net.run(1.0)
+    one, other = net.hosts.values()
+    late = other.build_hello(net.now)
+    woken = net.now + 10.0
+    one.hear(RoundDue(500), woken)
+    assert one.get_peer(other.own.address) is None
+    one.hear(HelloHeard(late), woken)
+    peer = one.get_peer(other.own.address)
+    assert one.compute_age(peer, late.stamp, woken) == pytest.approx(10.0, abs=0.1)
+
+
 def test_an_old_entry_brings_nobody_back():
     net = Net(1, 2)
     net.run(1.0)
