Tell the revision of a whole reading to peers

Cause: a host that started after a withdrawal reads all without seeing it, and told the greatest revision of a record held. A peer that still held the withdrawn item found the same number and took the other's confirmed word as its own. A whole reading now raises the revision that is told, so that the peer asks. The test failed before.

--- a/libraries/gateway/tarragonward_gateway/record_book.py
+++ b/libraries/gateway/tarragonward_gateway/record_book.py
@@ -25,7 +25,7 @@
     """Records by key; revisions only grow, so they may come in any order, from anyone.
 
     complete is the revision up to which no change is missing; changed is the greatest
-    revision of a record held.
+    revision of a record held or of a whole reading, which peers need to have too.
     """
 
     def __init__(self) -> None:
@@ -46,6 +46,9 @@
             # What came and went before this reading was never seen here, so a peer
             # that holds it must be given all, or it would keep it for good.
             self._forgotten = max(self._forgotten, portion.complete)
+            # What was withdrawn before it was ever seen here leaves no record. Symptom:
+            # a peer that still holds it takes this host's word for its own being whole.
+            self.changed = max(self.changed, portion.complete)
         if portion.is_whole or after <= self.complete:
             self._raise_complete(portion.complete)
         return new
--- a/libraries/gateway/tests/test_record_book.py
+++ b/libraries/gateway/tests/test_record_book.py
@@ -115,3 +115,15 @@
     assert portion.is_whole
     away.take(portion, away.complete)
     assert [r.key for r in away.get_since(0).records if r.value] == ["k2"]
+
+
+def test_a_peer_of_one_that_read_all_learns_that_it_lacks_a_withdrawal():
+    """A target goes; a host that starts then reads all without ever seeing it.
+
+    A peer that still holds the target compared the greatest revisions held, which
+    were the same, and took the other's confirmed word for its own.
+    """
+    held, started = RecordBook(), RecordBook()
+    held.take(Portion((Record("t/a", 1, b""), Record("t/b", 2, b"")), 2, True), 0)
+    started.take(Portion((Record("t/b", 2, b""),), 3, True), 0)
+    assert started.changed > held.complete
