--- a/libraries/gateway/tarragonward_gateway/record_exchange.py
+++ b/libraries/gateway/tarragonward_gateway/record_exchange.py
@@ -35,8 +35,15 @@
 
 
 def pack_age(seconds: float) -> int | None:
-    """Return an age as it travels; None is never."""
-    return int(seconds * MILLISECONDS) if math.isfinite(seconds) else None
+    """Return an age as it travels, never less than it is; None is never.
+
+    Ages are told to and fro. Symptom: what each way takes off adds up, and hosts that
+    hear only each other find what they know ever younger. What a datagram takes at
+    best is not measured, so each way adds more than that.
+    """
+    if not math.isfinite(seconds):
+        return None
+    return math.ceil((seconds + c.HOP_SECONDS) * MILLISECONDS)
 
 
 def unpack_age(item: Any) -> float:
