Count how long a host stood still as an answer's age

Cause: an answer of the source that lay in the socket of a suspended host was called confirmed at the moment it was taken. The clocks that count and don't count suspension give how long it was, which is now the answer's age. Not covered: a process that is stopped while its host runs on, as no clock shows that.

--- a/libraries/gateway/tarragonward_gateway/clock.py
+++ b/libraries/gateway/tarragonward_gateway/clock.py
@@ -4,7 +4,7 @@
 
 import time
 
-__all__ = ["read_clock"]
+__all__ = ["read_clock", "read_suspended"]
 
 
 def read_clock() -> float:
@@ -15,3 +15,8 @@
     follow the time of day when that jumps.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def read_suspended() -> float:
+    """Return how many seconds the host was suspended since it booted."""
+    return read_clock() - time.clock_gettime(time.CLOCK_MONOTONIC)
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -47,10 +47,14 @@
 
 @dataclass(frozen=True)
 class SourceAnswered:
-    """The source answered; is_gap where its revision grew and no change was told."""
+    """The source answered; is_gap where its revision grew and no change was told.
+
+    age_seconds is how old the answer may be, as this host stood still meanwhile.
+    """
 
     has_changes: bool
     is_gap: bool = False
+    age_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -242,7 +246,7 @@
     event: SourceAnswered, follower: Follower, complete: int, hosts: int, now: float
 ) -> list[FollowEffect]:
     follower.take_answer(event.has_changes, event.is_gap, now)
-    return [Confirm(0.0)]
+    return [Confirm(event.age_seconds)]
 
 
 @_hear.register
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -12,7 +12,7 @@
 from tarragonward_wire import HttpServer
 
 from . import const as c
-from .clock import read_clock
+from .clock import read_clock, read_suspended
 from .following import (
     AskPeer,
     AskSource,
@@ -121,16 +121,20 @@
             self._hear(answered)
 
     async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered:
-        after = self.book.complete
+        after, suspended = self.book.complete, read_suspended()
+        is_whole = isinstance(step, ReadAll)
         if isinstance(step, ReadAll):
             read = await self._reader.async_read_all(c.READ_SECONDS)
             log_event("records_read", count=len(read.records), revision=read.revision)
-            new = self.take(Portion(read.records, read.revision, True), after)
-            return SourceAnswered(bool(new))
-        timeout = step.seconds + c.WATCH_ANSWER_SECONDS
-        read = await self._reader.async_watch(after, step.seconds, timeout)
-        new = self.take(Portion(read.records, read.revision, False), after)
-        return SourceAnswered(bool(new), not read.records and read.revision > after)
+        else:
+            timeout = step.seconds + c.WATCH_ANSWER_SECONDS
+            read = await self._reader.async_watch(after, step.seconds, timeout)
+        # The answer may have lain in the socket of a host that stood still. Symptom:
+        # the host, and all that hear it, take an old table for confirmed just now.
+        age = max(0.0, read_suspended() - suspended)
+        new = self.take(Portion(read.records, read.revision, is_whole), after)
+        is_gap = not is_whole and not read.records and read.revision > after
+        return SourceAnswered(bool(new), is_gap, age)
 
     def _hear(self, event: FollowEvent) -> None:
         now = read_clock()
--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -18,6 +18,7 @@
     SourceFailed,
     Watch,
 )
+from tarragonward_gateway.record_exchange import pack_age, unpack_age
 
 HOSTS = 9
 
@@ -200,3 +201,22 @@
     watching.hear(SourceAnswered(True), 10, HOSTS, 6.0)
     assert watching.is_after_outage(6.1)
     assert not watching.is_after_outage(6.0 + c.OUTAGE_MEMORY_SECONDS)
+
+
+def test_an_answer_that_a_host_stood_still_over_is_as_old(watching):
+    """A host is suspended with the source's answer in its socket; the table changes.
+
+    Awake, it called itself and all its peers sure of what is published just now.
+    """
+    assert watching.hear(SourceAnswered(False, False, 2.5), 10, HOSTS, 9.0) == [
+        Confirm(2.5)
+    ]
+
+
+def test_ages_told_to_and_fro_never_fall():
+    """Two hosts hear only each other; what they know must not seem ever younger."""
+    delay, age, waited = 0.005, 1.0, 0.0
+    for _ in range(100):
+        age = unpack_age(pack_age(age))
+        waited += delay
+    assert age >= 1.0 + waited
