Doubt the first word of a peer that may have lain in the socket

Cause: in a large fleet most peers are known by others' word only, so no delay of theirs is known; what lay in the socket of a host that stood still then set the least delay and counted as fresh. The test failed before.

--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -33,7 +33,7 @@
 from tarragonward_membership.const import HELLO_INTERVAL_SECONDS, MAX_MESH_PEERS
 
 from . import const as c
-from .clock import read_clock
+from .clock import read_clock, read_suspended
 from .state import GatewayState
 
 __all__ = ["Peers"]
@@ -60,6 +60,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._background = BackgroundTasks(state.metrics)
         self._sent_bytes = 0
+        self._suspended = read_suspended()
         self.on_pause: list[Callable[[], None]] = []
         self.members = SeedMembership(
             HostIdentity(settings.peers, new_incarnation()),
@@ -142,6 +143,7 @@
             self._state.metrics.count("peer_datagrams_refused")
             return
         now = read_clock()
+        self._note_suspended(now)
         known = self.members.get_peer(hello.identity.address)
         last_stamp = known.last_stamp if known is not None else -1
         self._carry_out(self.members.hear(HelloHeard(hello), now))
@@ -173,6 +175,11 @@
             expected_at = read_clock() + wait
             await asyncio.sleep(wait)
 
+    def _note_suspended(self, now: float) -> None:
+        before, self._suspended = self._suspended, read_suspended()
+        if self._suspended - before > c.SUSPENDED_SECONDS:
+            self.members.note_suspended(self._suspended - before, now)
+
     def _note_pause(self, seconds: float) -> None:
         log_event("pause_noticed", seconds=seconds)
         for notify in self.on_pause:
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -33,6 +33,7 @@
     """Another host; heard_at is when anyone heard it, as far as this host was told.
 
     name is empty until the peer itself was heard, failure_domain until anyone told it.
+    doubt_seconds is by how much the least delay may be too long.
     """
 
     identity: HostIdentity
@@ -42,6 +43,7 @@
     is_leaving: bool = False
     last_stamp: int = -1
     least_delay: float = float("inf")
+    doubt_seconds: float = 0.0
     told: int = 0
 
 
@@ -129,6 +131,8 @@
         self._seed_count = max(1, len(listed))
         self._random = rng
         self._started_at = now
+        self._woken_at = float("-inf")
+        self._suspended_seconds = 0.0
         self._peers: dict[Address, SeedPeer] = {}
         self._lost: dict[Address, SeedPeer] = {}
         self._seeds_asked_at = float("-inf")
@@ -144,6 +148,11 @@
         """Take an event; return what follows from it."""
         return _hear(event, self, now)
 
+    def note_suspended(self, seconds: float, now: float) -> None:
+        """Note that the host stood still for so long, until now."""
+        self._woken_at = now
+        self._suspended_seconds = seconds
+
     def set_seeds(self, seeds: Iterable[Address]) -> None:
         """Take over the seeds of new settings."""
         self._seeds = tuple(seed for seed in seeds if seed != self.own.address)
@@ -247,6 +256,13 @@
         peer.failure_domain = hello.failure_domain
         peer.is_leaving = hello.is_leaving
         delay = now - hello.stamp / MICROSECONDS
+        # What lay in the socket of a host that stood still may be the first that it
+        # has from a peer. Symptom: old word sets the least delay, and counts as fresh.
+        # The socket is empty moments later, and what comes then shows the true delay.
+        if now - self._woken_at >= c.WOKEN_SECONDS:
+            peer.doubt_seconds = 0.0
+        elif peer.least_delay == float("inf"):
+            peer.doubt_seconds = self._suspended_seconds
         peer.least_delay = min(peer.least_delay, delay)
         peer.heard_at = max(peer.heard_at, now - (delay - peer.least_delay))
         peer.told = 0
@@ -258,7 +274,8 @@
         loads are taken for fresh. The clocks of two hosts differ by a constant, so
         the delay above the least seen bounds the age from below well enough.
         """
-        return max(0.0, now - stamp / MICROSECONDS - peer.least_delay)
+        late = now - stamp / MICROSECONDS - peer.least_delay
+        return max(0.0, late) + peer.doubt_seconds
 
     def _take_entry(self, entry: PeerEntry, now: float) -> list[SeedEffect]:
         address = entry.identity.address
--- a/libraries/membership/tests/test_seeds.py
+++ b/libraries/membership/tests/test_seeds.py
@@ -214,6 +214,24 @@
     assert one.compute_age(peer, late.stamp, woken) == pytest.approx(10.0, abs=0.1)
 
 
+def test_the_first_word_of_a_peer_is_in_doubt_when_it_may_have_lain_in_the_socket():
+    """A host stands still; a peer that it never heard itself tells what it knows.
+
+    In a large fleet many are known by others' word only, so no delay of theirs is
+    known. What comes when the socket has been read shows the true delay.
+    """
+    net = Net(1, 2)
+    one, other = net.hosts.values()
+    late, fresh = other.build_hello(net.now), other.build_hello(net.now + 3.0)
+    woken = net.now + 2.0
+    one.note_suspended(2.0, woken)
+    one.hear(HelloHeard(late), woken)
+    peer = one.get_peer(other.own.address)
+    assert one.compute_age(peer, late.stamp, woken) == pytest.approx(2.0)
+    one.hear(HelloHeard(fresh), net.now + 3.0)
+    assert one.compute_age(peer, fresh.stamp, net.now + 3.0) == pytest.approx(0.0)
+
+
 def test_an_old_entry_brings_nobody_back():
     net = Net(1, 2)
     net.run(1.0)
