Let two hosts of each group ask the source and feed the others

Hosts of a domain are parted into groups of about nine by an order that all share. The first two that were heard of lately ask; the others follow what peers tell, pull at once when behind, and ask by themselves (one short watch) once what they hold was confirmed 1.1 s ago or longer, whoever confirmed it. Up to 16 hosts all is as before.

--- /dev/null
+++ b/libraries/bench/tarragonward_bench/hearing_host.py
@@ -0,0 +1,326 @@
+"""One host of the runs of hearing: the product's decisions on a fake clock."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import msgpack
+
+from tarragonward_core import Address, HostIdentity
+from tarragonward_gateway import const as gateway_const
+from tarragonward_gateway.following import (
+    AskPeer,
+    AskSource,
+    Confirm,
+    Follower,
+    FollowEvent,
+    HistoryLost,
+    Pause,
+    PeerTold,
+    ReadAll,
+    SourceAnswered,
+    SourceFailed,
+    Step,
+)
+from tarragonward_gateway.ports import Record
+from tarragonward_gateway.readers import KnownHost, Place, choose_place
+from tarragonward_gateway.record_book import Portion, RecordBook
+from tarragonward_gateway.record_exchange import pack_age, unpack_age
+from tarragonward_membership import (
+    Greet,
+    Hello,
+    HelloHeard,
+    PeerEntry,
+    RoundDue,
+    SeedEffect,
+    SeedMembership,
+)
+from tarragonward_membership.const import HELLO_INTERVAL_SECONDS, MAX_MESH_PEERS
+from tarragonward_placement import Located
+
+from .hearing_world import TABLE_KEY, Answer, FakeSource, Links, Lost, World
+
+# The revision that is told, its confirmed age as it travels, the table's version.
+Section = tuple[int, int | None, int]
+
+__all__ = ["Fleet", "Host", "build_address"]
+
+PORT = 7_340
+SEEDS = 3
+# The digest of three prompts in flight, which goes with most hellos.
+DIGEST_BYTES = 170
+DATAGRAM_HEAD_BYTES = 28
+MATES_SECONDS = 1.0
+HOSTS_A_BYTE = 200
+
+
+def build_address(number: int) -> Address:
+    """Return the address of a host by its number."""
+    host = f"10.{number // HOSTS_A_BYTE}.0.{number % HOSTS_A_BYTE + 1}"
+    return Address(host, PORT)
+
+
+@dataclass
+class Fleet:
+    """What all hosts share in a run: the world, and the hosts by address."""
+
+    world: World
+    source: FakeSource
+    links: Links
+    domains: int
+    hosts: dict[Address, Host] = field(default_factory=dict)
+    sent_bytes: int = 0
+    messages: int = 0
+
+
+class Host:
+    """One life of a host, with the tasks of the gateway played by events."""
+
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        self._fleet, self._world = fleet, fleet.world
+        self.number = number
+        self.domain = f"domain-{number % fleet.domains}"
+        self.address = build_address(number)
+        rng = random.Random(self._world.random.random())
+        self._random = rng
+        identity = HostIdentity(self.address, rng.getrandbits(48))
+        seeds = [build_address(seed) for seed in range(SEEDS)]
+        self.members = SeedMembership(
+            identity, f"host-{number}", self.domain, seeds, rng, self._world.now
+        )
+        self.follower = Follower(rng, self._world.now)
+        self.book = RecordBook()
+        self.version = 0
+        self.confirmed_at = -math.inf
+        self.is_dead = False
+        self.frozen_until = -math.inf
+        self._suspended = self._noted = 0.0
+        self._asked = 0
+        self._sent = 0
+        self._mates_at = -math.inf
+        self.place = Place(1, 0)
+        self._round()
+        self._follow()
+
+    def freeze(self, until: float) -> None:
+        """Let the host stand still until a time."""
+        self._suspended += max(0.0, until - max(self._world.now, self.frozen_until))
+        self.frozen_until = max(until, self.frozen_until)
+
+    def settle(self) -> None:
+        """Let the host know all that are there."""
+        now = self._world.now
+        entries = tuple(
+            PeerEntry(host.members.own, 0.0, host.domain)
+            for host in self._fleet.hosts.values()
+        )
+        other = next(h for h in self._fleet.hosts.values() if h is not self)
+        hello = replace(other.members.build_hello(now), entries=entries)
+        self.members.hear(HelloHeard(hello), now)
+        self._set_mates()
+
+    # What waits for a host that stands still is taken when it wakes.
+
+    def _wake_at(self, act: Callable[..., None], *details: Any) -> bool:
+        """Return whether to act now; else act when the host runs again, if ever."""
+        if self.is_dead:
+            return False
+        if self._world.now < self.frozen_until:
+            self._world.at(self.frozen_until, lambda: act(*details))
+            return False
+        return True
+
+    def _follow(self, asked: int = 0) -> None:
+        if asked != self._asked or not self._wake_at(self._follow, asked):
+            return
+        now = self._world.now
+        step = self._choose_step(now)
+        self._asked += 1
+        asked = self._asked
+        if isinstance(step, Pause):
+            self._world.after(step.seconds, lambda: self._follow(asked))
+            return
+        self._ask(step, asked)
+
+    def _choose_step(self, now: float) -> Step:
+        return self.follower.choose_step(self.place, now - self.confirmed_at, now)
+
+    def _ask(self, step: Step, asked: int) -> None:
+        after, suspended = self.book.complete, self._suspended
+
+        def reply(answer: Answer) -> None:
+            is_whole = isinstance(step, ReadAll)
+            self._take_answer(answer, is_whole, after, asked, suspended)
+
+        source = self._fleet.source
+        timeout = gateway_const.READ_SECONDS
+        if not isinstance(step, ReadAll):
+            timeout = step.seconds + gateway_const.WATCH_ANSWER_SECONDS
+        self._world.after(timeout, lambda: reply(Lost()))
+        if self._fleet.links.is_out(self.number):
+            source.calls += 1
+        elif isinstance(step, ReadAll):
+            source.read_all(self.number, reply)
+        else:
+            source.watch(self.number, after, step.seconds, reply)
+
+    def _take_answer(
+        self,
+        answer: Answer,
+        is_whole: bool,
+        after: int,
+        asked: int,
+        suspended: float,
+    ) -> None:
+        details = answer, is_whole, after, asked, suspended
+        if asked != self._asked or not self._wake_at(self._take_answer, *details):
+            return
+        if self._fleet.links.is_out(self.number):
+            answer = Lost()
+        if isinstance(answer, Lost):
+            self._hear(HistoryLost() if answer.is_history else SourceFailed())
+        else:
+            portion = Portion(answer.records, answer.revision, is_whole)
+            new = self.take(portion, after)
+            is_gap = not is_whole and not answer.records and answer.revision > after
+            age = self._suspended - suspended
+            self._hear(SourceAnswered(bool(new), is_gap, age))
+        self._follow(self._asked)
+
+    def take(self, portion: Portion, after: int) -> list[Record]:
+        """Take records in, put a table in force."""
+        new = self.book.take(portion, after)
+        for record in new:
+            if record.key == TABLE_KEY and record.value is not None:
+                version = int(record.value)
+                assert version > self.version, "a table's version fell"
+                self.version = version
+        return new
+
+    def _hear(self, event: FollowEvent) -> None:
+        now = self._world.now
+        hosts = self.members.count_hosts()
+        for effect in self.follower.hear(event, self.book.complete, hosts, now):
+            if isinstance(effect, Confirm):
+                self.confirmed_at = max(self.confirmed_at, now - effect.age_seconds)
+            elif isinstance(effect, AskPeer):
+                self._pull(effect.name)
+            elif isinstance(effect, AskSource):
+                self._asked += 1
+                asked = self._asked
+                self._world.after(0.0, lambda: self._follow(asked))
+
+    def _pull(self, name: str) -> None:
+        other = build_address(int(name.rpartition("-")[2]))
+        after, asked_at = self.book.complete, self._world.now
+        links = self._fleet.links
+
+        def answer() -> None:
+            peer = self._fleet.hosts[other]
+            is_cut = links.is_cut(self.number, peer.number)
+            if peer.is_dead or is_cut or self._world.now < peer.frozen_until:
+                return
+            portion = peer.book.get_since(after)
+            age = self._world.now - peer.confirmed_at
+            self._world.after(
+                self._world.draw_delay(), lambda: take(portion, age, peer.number)
+            )
+
+        def take(portion: Portion, age: float, number: int) -> None:
+            if links.is_cut(self.number, number):
+                return
+            if self._wake_at(take, portion, age, number):
+                self.take(portion, after)
+                if portion.complete >= self.book.changed:
+                    self.confirmed_at = max(self.confirmed_at, asked_at - age)
+
+        self._world.after(self._world.draw_delay(), answer)
+
+    def _round(self) -> None:
+        if not self._wake_at(self._round):
+            return
+        now = self._world.now
+        if now - self._mates_at >= MATES_SECONDS:
+            self._mates_at = now
+            self._set_mates()
+        self._carry_out(self.members.hear(RoundDue(self._sent), now))
+        wait = HELLO_INTERVAL_SECONDS * self._random.uniform(0.9, 1.1)
+        self._world.after(wait, self._round)
+
+    def _set_mates(self) -> None:
+        own, now = Located(str(self.address), self.domain), self._world.now
+        others = [
+            KnownHost(
+                Located(str(peer.identity.address), peer.failure_domain),
+                now - peer.heard_at,
+            )
+            for peer in self.members.get_peers()
+            if peer.failure_domain and not peer.is_leaving
+        ]
+        self.place = choose_place(own, others)
+        group = self.place.group or [other.located.name for other in others]
+        self.members.set_mates([Address.parse(name) for name in group])
+
+    def tell_now(self) -> None:
+        """Tell the mates at once, as for a long prompt."""
+        if self._wake_at(self.tell_now):
+            peers = [peer.identity.address for peer in self.members.get_peers()]
+            mates = self.members.get_mates()
+            told = mates if len(peers) > MAX_MESH_PEERS else peers
+            self._carry_out([Greet(tuple(told), is_brief=True)])
+
+    def _carry_out(self, effects: list[SeedEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Greet) and effect.addresses:
+                self._send(effect.addresses, effect.is_brief)
+
+    def _send(self, addresses: tuple[Address, ...], is_brief: bool) -> None:
+        now, fleet = self._world.now, self._fleet
+        hello = self.members.build_hello(now, is_brief)
+        age = now - self.confirmed_at
+        section = (self.book.changed, pack_age(age), self.version)
+        sections = {"publications": msgpack.packb(section)}
+        size = len(msgpack.packb((1, hello.pack(), sections))) + DIGEST_BYTES
+        if not is_brief:
+            self._sent = size
+        for address in addresses:
+            fleet.sent_bytes += size
+            fleet.messages += 1
+            other = fleet.hosts.get(address)
+            is_lost = self._world.random.random() < fleet.links.loss
+            if other is not None and not is_lost:
+                delay = self._world.draw_delay()
+                self._world.after(
+                    delay, lambda to=address: self._deliver(to, hello, section)
+                )
+
+    def _deliver(
+        self, address: Address, hello: Hello, section: tuple[Any, ...]
+    ) -> None:
+        other = self._fleet.hosts[address]
+        if not self._fleet.links.is_cut(self.number, other.number):
+            other.take_datagram(hello, section)
+
+    def take_datagram(self, hello: Hello, section: Section) -> None:
+        """Take a peer's hello and what it tells of the records."""
+        if not self._wake_at(self.take_datagram, hello, section):
+            return
+        now, address = self._world.now, hello.identity.address
+        if self._suspended > self._noted:
+            self.members.note_suspended(self._suspended - self._noted, now)
+            self._noted = self._suspended
+        known = self.members.get_peer(address)
+        last_stamp = known.last_stamp if known is not None else -1
+        self._carry_out(self.members.hear(HelloHeard(hello), now))
+        peer = self.members.get_peer(address)
+        if peer is None or peer.identity != hello.identity:
+            return
+        if known is peer and hello.stamp <= last_stamp:
+            return
+        changed, packed_age, _ = section
+        late = self.members.compute_age(peer, hello.stamp, now)
+        self._hear(PeerTold(hello.name, changed, unpack_age(packed_age) + late))
--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -14,6 +14,7 @@
 from tarragonward_core import TarragonwardError, invariants
 
 from .budget_runs import run_budget_seed
+from .hearing_runs import run_hearing_seed
 from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
 from .soak_calls import run_calls_seed
@@ -30,6 +31,7 @@
     "budget": run_budget_seed,
     "calls": run_calls_seed,
     "configuration": run_configuration_seed,
+    "hearing": run_hearing_seed,
     "membership": run_membership_seed,
     "models": run_model_requests,
 }
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -48,7 +48,10 @@
         self.state = GatewayState(settings, headers or HeaderNames(), paths or Paths())
         self.peers = Peers(self.state)
         self.state.count_sharing_hosts = self.peers.count_sharing_hosts
-        self.publications = PublicationTask(self.state, reader, parser, self.peers)
+        self.cells = CellKeeper(self.state, self.peers, time.monotonic)
+        self.publications = PublicationTask(
+            self.state, reader, parser, self.peers, self.cells.get_place
+        )
         self.publications.on_table.append(self._apply_limits)
         self.targets = TargetChooser(self.state, time.monotonic)
         self.peers.add_section(
@@ -56,7 +59,6 @@
         )
         self.targets.book.on_change.append(self.peers.tell_now)
         self.reservations = ReservationTask(self.state, calls)
-        self.cells = CellKeeper(self.state, self.peers, time.monotonic)
         self.targets.get_cell = self.cells.get
         self.forwarder = Forwarder(self.state, self.targets, self.reservations)
         self.callers = HttpServer(
--- a/libraries/gateway/tarragonward_gateway/cells.py
+++ b/libraries/gateway/tarragonward_gateway/cells.py
@@ -9,7 +9,9 @@
 from tarragonward_placement import Cell, Located, choose_cell
 
 from . import const as c
+from .clock import read_clock
 from .peers import Peers
+from .readers import KnownHost, Place, choose_place
 from .state import GatewayState
 
 __all__ = ["CellKeeper"]
@@ -25,6 +27,8 @@
         self._peers = peers
         self._clock = clock
         self._cells: dict[str, tuple[float, Cell]] = {}
+        self._place_at = float("-inf")
+        self._place = Place(1, 0)
 
     def get(self, service: str) -> Cell:
         """Return this host's cell among the engines of a service."""
@@ -34,7 +38,6 @@
             return cell
         new = self._choose(service)
         if new != cell:
-            self._peers.set_mates([Address.parse(name) for name in new.hosts])
             log_event(
                 "cell_chosen",
                 service=service,
@@ -43,19 +46,48 @@
                 whole=new.is_whole,
             )
         self._cells[service] = now, new
+        if new != cell:
+            self._tell_mates()
         return new
 
+    def get_place(self) -> Place:
+        """Return this host's place among those that ask for what is published."""
+        now = self._clock()
+        if now - self._place_at < c.CELL_SECONDS:
+            return self._place
+        old, self._place_at = self._place, now
+        self._place = choose_place(self._locate_own(), self._list_hosts())
+        if self._place.group != old.group:
+            self._tell_mates()
+        return self._place
+
+    def _tell_mates(self) -> None:
+        names = set(self._place.group)
+        for _, cell in self._cells.values():
+            names |= cell.hosts
+        self._peers.set_mates([Address.parse(name) for name in names])
+
     def _choose(self, service: str) -> Cell:
+        hosts = [host.located for host in self._list_hosts()]
+        ready = self._state.registry.get_ready(service)
+        engines = [_locate(target) for target in ready]
+        return choose_cell(self._locate_own(), hosts, engines)
+
+    def _locate_own(self) -> Located:
         settings = self._state.settings
-        own = Located(str(settings.peers), settings.failure_domain)
+        return Located(str(settings.peers), settings.failure_domain)
+
+    def _list_hosts(self) -> list[KnownHost]:
+        now = read_clock()
         # A host is known by others' word before it was heard itself, so by address.
-        hosts = [
-            Located(str(peer.identity.address), peer.failure_domain)
+        return [
+            KnownHost(
+                Located(str(peer.identity.address), peer.failure_domain),
+                now - peer.heard_at,
+            )
             for peer in self._peers.members.get_peers()
             if peer.failure_domain and not peer.is_leaving
         ]
-        ready = self._state.registry.get_ready(service)
-        return choose_cell(own, hosts, [_locate(target) for target in ready])
 
 
 def _locate(target: RegisteredTarget) -> Located:
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -39,6 +39,18 @@
 MAX_WATCH_SECONDS = 25.0
 # One of the hosts ends a watch about each so many seconds.
 WATCH_SLOT_SECONDS = 1.3
+# The same in a fleet where a few hosts of each group ask: what those that are fed know
+# must mostly be younger than what lets them ask by themselves.
+FED_WATCH_SLOT_SECONDS = 0.5
+READERS_A_GROUP = 2
+# A reader that nobody heard for so long is passed over.
+READER_SILENT_SECONDS = 3.0
+# A host that others ask for asks by itself once what it holds was confirmed so long
+# ago; the later, the farther back its place, so that one asks for all of a group.
+FED_SECONDS = 1.1
+FED_RANK_SECONDS = 0.05
+FED_WATCH_SECONDS = 0.05
+FED_CHECK_SECONDS = 0.05
 WATCH_ANSWER_SECONDS = 1.0
 READ_SECONDS = 1.5
 CHANGE_PAUSE_SECONDS = 0.1
@@ -110,6 +122,8 @@
 PEER_ROUND_JITTER = 0.1
 # A round that comes so much later than asked shows that the process stood still.
 PAUSE_SECONDS = 1.0
+# What two clocks that are read one after the other differ by is far less.
+SUSPENDED_SECONDS = 0.02
 
 LOG_BURST_LINES = 200
 MAX_TRAIL_LINES = 24
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -7,6 +7,7 @@
 from functools import singledispatch
 
 from . import const as c
+from .readers import Place
 
 __all__ = [
     "AskPeer",
@@ -121,19 +122,46 @@
         self._failed_at = float("-inf")
         self._last_outage_at = float("-inf")
         self._is_return_tried = False
+        self._is_fed = False
         self.failures = 0
 
-    def choose_step(self, hosts: int, rank: int, now: float) -> Step:
-        """Return what to do now; rank is this host's place among the hosts."""
+    def choose_step(self, place: Place, confirmed_age: float, now: float) -> Step:
+        """Return what to do now; confirmed_age is that of what the host holds."""
+        fed_left = self._compute_fed_left(place, confirmed_age)
+        self._is_fed = fed_left > 0.0
+        if self._is_fed:
+            self._end_failing(now)
+            return Pause(max(fed_left, c.FED_CHECK_SECONDS))
         if now < self._pause_until:
             return Pause(self._pause_until - now)
         if self._must_read:
             return ReadAll()
+        if place.fed_rank is not None:
+            return Watch(c.FED_WATCH_SECONDS)
+        return Watch(self._choose_wait(place))
+
+    def _compute_fed_left(self, place: Place, confirmed_age: float) -> float:
+        """Return how much longer others ask for this host.
+
+        Its readers may be dead, frozen or cut off from it or from the source. Symptom:
+        work goes to targets that left. What was confirmed of late was so old at most,
+        whoever confirmed it, so it is enough to ask once that age is too great. The
+        first of a group asks shortly, which confirms for all that hear it.
+        """
+        if place.fed_rank is None:
+            return 0.0
+        return c.FED_SECONDS + place.fed_rank * c.FED_RANK_SECONDS - confirmed_age
+
+    def _choose_wait(self, place: Place) -> float:
+        hosts = place.hosts
+        if place.group:
+            wait = min(c.MAX_WATCH_SECONDS, hosts * c.FED_WATCH_SLOT_SECONDS)
+            return wait * (place.rank + 1) / hosts if self._is_woken else wait
         # A change wakes all watches at once. Symptom: they also end at once, and for
         # seconds nobody knows whether anything is new. Places keep their ends apart.
         slot = max(c.WATCH_SLOT_SECONDS, c.MIN_WATCH_SECONDS / hosts)
         slot = min(slot, c.MAX_WATCH_SECONDS / hosts)
-        return Watch(slot * (rank + 1 if self._is_woken else hosts))
+        return slot * (place.rank + 1 if self._is_woken else hosts)
 
     def hear(
         self, event: FollowEvent, complete: int, hosts: int, now: float
@@ -211,14 +239,15 @@
             self._behind_since = now
         # Its own watch most often brings a host the same a moment later.
         grace = c.BEHIND_SECONDS if complete else c.BEHIND_AT_START_SECONDS
-        if self.failures:
+        if self.failures or self._is_fed:
             grace = 0.0
         is_early = now - self._behind_since < grace
         if is_early or now - self._asked_peer_at < c.ASK_PEER_SECONDS:
             return []
         self._asked_peer_at = now
         effects: list[FollowEffect] = [AskPeer(name)]
-        if complete and not self.failures:
+        # A host that is fed and stays behind is confirmed by nobody, and asks for that.
+        if complete and not self.failures and not self._is_fed:
             self._must_read = True
             effects.append(AskSource())
         return effects
@@ -228,6 +257,13 @@
         is_news = answered_at > self._failed_at + c.HINT_MARGIN_SECONDS
         return bool(self.failures) and is_news and not self._is_return_tried
 
+    def _end_failing(self, now: float) -> None:
+        """Forget the failures of a host that is fed again."""
+        self._note_outage(now)
+        self._failing_since = None
+        self._is_return_tried = False
+        self.failures = 0
+
     def _note_outage(self, now: float) -> None:
         since = self._failing_since
         if since is not None and now - since > c.OUTAGE_SECONDS:
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -29,6 +29,7 @@
 )
 from .peers import Peers
 from .ports import HistoryLostError, Record, RecordParser, RecordReader, SourceError
+from .readers import Place
 from .record_book import Portion, RecordBook
 from .record_exchange import RecordRoutes, async_ask_peer, pack_age, unpack_age
 from .state import GatewayState
@@ -48,8 +49,10 @@
         reader: RecordReader,
         parser: RecordParser,
         peers: Peers,
+        get_place: Callable[[], Place],
     ) -> None:
         self._state = state
+        self._get_place = get_place
         self._reader = reader
         self._parser = parser
         self._peers = peers
@@ -81,9 +84,9 @@
     async def _async_follow(self) -> None:
         while True:
             self._wake.clear()
-            members = self._peers.members
-            hosts, rank = members.count_hosts(), members.compute_rank()
-            step = self._follower.choose_step(hosts, rank, read_clock())
+            now = read_clock()
+            age = now - self._state.table_confirmed_at
+            step = self._follower.choose_step(self._get_place(), age, now)
             if isinstance(step, Pause):
                 await self._async_until_woken(asyncio.sleep(step.seconds))
             else:
--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -18,9 +18,11 @@
     SourceFailed,
     Watch,
 )
+from tarragonward_gateway.readers import Place
 from tarragonward_gateway.record_exchange import pack_age, unpack_age
 
 HOSTS = 9
+NO_AGE = 0.0
 
 
 @pytest.fixture
@@ -35,18 +37,22 @@
 
 
 def test_all_is_read_first_and_after_lost_history(follower):
-    assert follower.choose_step(HOSTS, 0, 0.0) == ReadAll()
+    assert follower.choose_step(Place(HOSTS, 0), NO_AGE, 0.0) == ReadAll()
     follower.hear(SourceAnswered(False), 10, HOSTS, 0.1)
-    assert isinstance(follower.choose_step(HOSTS, 0, 0.1), Watch)
+    assert isinstance(follower.choose_step(Place(HOSTS, 0), NO_AGE, 0.1), Watch)
     follower.hear(HistoryLost(), 10, HOSTS, 0.2)
-    assert follower.choose_step(HOSTS, 0, 0.2) == ReadAll()
+    assert follower.choose_step(Place(HOSTS, 0), NO_AGE, 0.2) == ReadAll()
 
 
 def test_more_hosts_wait_longer_each(watching):
     watching.hear(SourceAnswered(False), 10, HOSTS, 1.0)
-    assert watching.choose_step(1, 0, 1.0) == Watch(c.MIN_WATCH_SECONDS)
-    assert watching.choose_step(HOSTS, 3, 1.0) == Watch(HOSTS * c.WATCH_SLOT_SECONDS)
-    assert watching.choose_step(320, 9, 1.0) == Watch(c.MAX_WATCH_SECONDS)
+    assert watching.choose_step(Place(1, 0), NO_AGE, 1.0) == Watch(c.MIN_WATCH_SECONDS)
+    assert watching.choose_step(Place(HOSTS, 3), NO_AGE, 1.0) == Watch(
+        HOSTS * c.WATCH_SLOT_SECONDS
+    )
+    assert watching.choose_step(Place(320, 9), NO_AGE, 1.0) == Watch(
+        c.MAX_WATCH_SECONDS
+    )
 
 
 def test_watches_that_a_change_woke_end_one_after_the_other(follower):
@@ -56,7 +62,9 @@
     to come back, and a store that has died in silence is noticed late.
     """
     follower.hear(SourceAnswered(True), 10, HOSTS, 1.0)
-    steps = [follower.choose_step(HOSTS, rank, 2.0) for rank in range(HOSTS)]
+    steps = [
+        follower.choose_step(Place(HOSTS, rank), NO_AGE, 2.0) for rank in range(HOSTS)
+    ]
     ends = [step.seconds for step in steps]
     slots = [c.WATCH_SLOT_SECONDS * (rank + 1) for rank in range(HOSTS)]
     assert ends == pytest.approx(slots)
@@ -64,10 +72,10 @@
 
 def test_changes_in_a_crowd_are_fetched_together(watching):
     watching.hear(SourceAnswered(True), 11, HOSTS, 2.0)
-    step = watching.choose_step(HOSTS, 0, 2.0)
+    step = watching.choose_step(Place(HOSTS, 0), NO_AGE, 2.0)
     assert step.seconds == pytest.approx(c.CHANGE_PAUSE_SECONDS)
     watching.hear(SourceAnswered(True), 12, HOSTS, 2.5)
-    step = watching.choose_step(HOSTS, 0, 2.5)
+    step = watching.choose_step(Place(HOSTS, 0), NO_AGE, 2.5)
     assert step.seconds == pytest.approx(c.CROWD_PAUSE_SECONDS)
 
 
@@ -93,14 +101,14 @@
     is in no history, and shows only when the next one comes.
     """
     watching.hear(SourceFailed(), 10, HOSTS, 2.0)
-    assert watching.choose_step(HOSTS, 0, 9.0) == ReadAll()
+    assert watching.choose_step(Place(HOSTS, 0), NO_AGE, 9.0) == ReadAll()
 
 
 def test_all_is_read_after_an_answer_that_passes_over_a_change(watching):
     watching.hear(SourceAnswered(False, is_gap=True), 12, HOSTS, 2.0)
-    assert watching.choose_step(HOSTS, 0, 2.0) == ReadAll()
+    assert watching.choose_step(Place(HOSTS, 0), NO_AGE, 2.0) == ReadAll()
     watching.hear(SourceAnswered(False), 12, HOSTS, 2.1)
-    assert isinstance(watching.choose_step(HOSTS, 0, 2.1), Watch)
+    assert isinstance(watching.choose_step(Place(HOSTS, 0), NO_AGE, 2.1), Watch)
 
 
 def test_a_change_that_its_own_watch_brings_asks_nobody(watching):
@@ -120,7 +128,7 @@
     follower.hear(SourceFailed(), 0, HOSTS, 0.5)
     told = PeerTold("peer", 12, float("inf"))
     assert follower.hear(told, 0, HOSTS, 0.6) == [AskPeer("peer")]
-    assert isinstance(follower.choose_step(HOSTS, 0, 9.0), ReadAll)
+    assert isinstance(follower.choose_step(Place(HOSTS, 0), NO_AGE, 9.0), ReadAll)
 
 
 def test_after_a_watch_that_was_cut_all_is_read_anew(watching):
@@ -131,10 +139,12 @@
     go on being served. A whole reading brings the change at once.
     """
     watching.hear(SourceFailed(), 10, HOSTS, 2.0)
-    step = watching.choose_step(HOSTS, 0, 2.0 + c.SOURCE_RETRY_FIRST_SECONDS)
+    step = watching.choose_step(
+        Place(HOSTS, 0), NO_AGE, 2.0 + c.SOURCE_RETRY_FIRST_SECONDS
+    )
     assert step == ReadAll()
     watching.hear(SourceAnswered(True), 14, HOSTS, 2.1)
-    assert isinstance(watching.choose_step(HOSTS, 0, 3.0), Watch)
+    assert isinstance(watching.choose_step(Place(HOSTS, 0), NO_AGE, 3.0), Watch)
 
 
 def test_a_host_that_starts_beside_a_silent_source_is_not_held_up(follower):
@@ -158,13 +168,16 @@
     now = 2.0
     for _ in range(10):
         watching.hear(SourceFailed(), 10, HOSTS, now)
-        step = watching.choose_step(HOSTS, 0, now)
+        step = watching.choose_step(Place(HOSTS, 0), NO_AGE, now)
         now += step.seconds
     assert step.seconds > 1.3
     lone = Follower(random.Random(1), 0.0)
     for _ in range(10):
         lone.hear(SourceFailed(), 0, HOSTS, 2.0)
-    assert lone.choose_step(HOSTS, 0, 2.0).seconds <= c.SOURCE_RETRY_MAX_SECONDS
+    assert (
+        lone.choose_step(Place(HOSTS, 0), NO_AGE, 2.0).seconds
+        <= c.SOURCE_RETRY_MAX_SECONDS
+    )
 
 
 def test_a_source_that_is_back_for_a_peer_is_tried_once_more_at_once(watching):
@@ -173,7 +186,7 @@
         watching.hear(SourceFailed(), 10, HOSTS, 4.0)
     effects = watching.hear(PeerTold("peer", 10, 0.2), 10, HOSTS, 4.5)
     assert AskSource() in effects
-    step = watching.choose_step(HOSTS, 0, 4.5)
+    step = watching.choose_step(Place(HOSTS, 0), NO_AGE, 4.5)
     assert not isinstance(step, Pause) or step.seconds <= c.RETURN_SPREAD_SECONDS
     again = watching.hear(PeerTold("peer", 10, 0.1), 10, HOSTS, 4.6)
     assert AskSource() not in again
--- a/libraries/gateway/tests/test_no_end.py
+++ b/libraries/gateway/tests/test_no_end.py
@@ -10,6 +10,7 @@
 from tarragonward_gateway import HeaderNames, Paths
 from tarragonward_gateway.peers import Peers
 from tarragonward_gateway.publications import PublicationTask
+from tarragonward_gateway.readers import Place
 from tarragonward_gateway.settings import Bounds, GatewaySettings
 from tarragonward_gateway.state import GatewayState
 from tarragonward_standins import answer_with, refuse_with
@@ -49,7 +50,7 @@
     """
     monkeypatch.setattr(background, "RESTART_SECONDS", 0.05)
     state, reader = make_state(), FaultyReader()
-    task = PublicationTask(state, reader, None, Peers(state))
+    task = PublicationTask(state, reader, None, Peers(state), lambda: Place(1, 0))
     await task.async_setup()
     async with asyncio.timeout(5):
         while reader.asked < 3:
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import socket
+import time
 from contextlib import AsyncExitStack
 
 import pytest
 
 from tarragonward_core import Address
 from tarragonward_gateway import Record, Records, SourceError, const
+from tarragonward_gateway.cells import CellKeeper
 from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.peers import Peers
 from tarragonward_gateway.ports import HeaderNames, Paths
@@ -96,7 +98,8 @@
     )
     state = GatewayState(settings, HeaderNames(), Paths())
     peers = Peers(state)
-    return state, peers, PublicationTask(state, source, Parser(), peers)
+    place = CellKeeper(state, peers, time.monotonic).get_place
+    return state, peers, PublicationTask(state, source, Parser(), peers, place)
 
 
 @pytest.fixture
--- /dev/null
+++ b/libraries/gateway/tests/test_readers.py
@@ -0,0 +1,113 @@
+"""Who asks the source of publications, and who is fed."""
+
+import random
+
+import pytest
+
+from tarragonward_gateway import const as c
+from tarragonward_gateway.following import (
+    AskPeer,
+    Confirm,
+    Follower,
+    Pause,
+    PeerTold,
+    ReadAll,
+    SourceAnswered,
+    SourceFailed,
+    Watch,
+)
+from tarragonward_gateway.readers import KnownHost, Place, choose_place
+from tarragonward_placement import Located
+from tarragonward_placement.const import MAX_WHOLE_HOSTS
+
+DOMAINS = ("a", "b", "c")
+FED = Place(18, 1, fed_rank=0, group=frozenset({"x"}))
+READER = Place(18, 1, group=frozenset({"x"}))
+
+
+def build_hosts(count):
+    return [Located(f"10.0.{n}.1:7000", DOMAINS[n % 3]) for n in range(count)]
+
+
+def choose_all(hosts, silent=()):
+    known = [KnownHost(h, 60.0 if h.name in silent else 0.0) for h in hosts]
+    return {
+        own.name: choose_place(own, [k for k in known if k.located != own])
+        for own in hosts
+    }
+
+
+@pytest.fixture
+def fed():
+    follower = Follower(random.Random(1), 0.0)
+    follower.hear(SourceAnswered(False), 10, 75, 1.0)
+    follower.choose_step(FED, 0.0, 1.0)
+    return follower
+
+
+def test_all_hosts_of_a_small_fleet_ask():
+    places = choose_all(build_hosts(MAX_WHOLE_HOSTS)).values()
+    assert {place.rank for place in places} == set(range(MAX_WHOLE_HOSTS))
+    assert all(place.fed_rank is None for place in places)
+
+
+def test_two_hosts_of_each_group_ask_in_turn():
+    places = choose_all(build_hosts(75))
+    readers = [place for place in places.values() if place.fed_rank is None]
+    groups = {place.group for place in places.values()}
+    assert len(readers) == c.READERS_A_GROUP * len(groups) == readers[0].hosts
+    assert {place.rank for place in readers} == set(range(len(readers)))
+    assert all(name in place.group for name, place in places.items())
+
+
+def test_a_reader_that_is_silent_is_replaced():
+    hosts = build_hosts(75)
+    before = choose_all(hosts)
+    dead = {name for name, place in before.items() if place.fed_rank is None}
+    after = choose_all(hosts, silent=dead)
+    again = [n for n, p in after.items() if p.fed_rank is None and n not in dead]
+    assert len(again) == len(dead)
+
+
+def test_a_fed_host_asks_once_nobody_confirms_what_it_holds(fed):
+    """Both readers of a group die; work must not go to a target that then leaves.
+
+    What the host holds is confirmed by nobody from then on, and after a second its
+    own short watch shows what is new; its answer is what the others wait for.
+    """
+    step = fed.choose_step(FED, 0.3, 2.0)
+    assert step == Pause(pytest.approx(c.FED_SECONDS - 0.3))
+    assert fed.choose_step(FED, c.FED_SECONDS, 3.0) == Watch(c.FED_WATCH_SECONDS)
+    behind = Place(18, 1, fed_rank=4, group=FED.group)
+    assert isinstance(fed.choose_step(behind, c.FED_SECONDS, 3.0), Pause)
+
+
+def test_a_fed_host_that_is_behind_pulls_at_once_and_asks_no_source(fed):
+    told = PeerTold("mate", 11, 0.01)
+    assert fed.hear(told, 10, 75, 1.1) == [AskPeer("mate")]
+    assert fed.hear(told, 10, 75, 1.1 + c.BEHIND_SECONDS) == [AskPeer("mate")]
+    assert fed.hear(told, 11, 75, 2.0) == [Confirm(0.01)]
+    assert isinstance(fed.choose_step(FED, 0.01, 2.0), Pause)
+
+
+def test_failures_of_a_fed_host_end_when_it_is_fed_again(fed):
+    """Alone, it asked in vain; much later one more failure is no long outage."""
+    fed.choose_step(FED, 9.0, 2.0)
+    fed.hear(SourceFailed(), 10, 75, 2.0)
+    assert fed.choose_step(FED, 9.0, 2.9) == ReadAll()
+    assert isinstance(fed.choose_step(FED, 0.1, 3.0), Pause)
+    fed.choose_step(FED, 9.0, 50.0)
+    fed.hear(SourceFailed(), 10, 75, 50.0)
+    assert fed.failures == 1
+    assert not fed.is_after_outage(50.0)
+
+
+def test_readers_watches_that_a_change_woke_end_one_after_the_other():
+    follower = Follower(random.Random(1), 0.0)
+    follower.hear(SourceAnswered(True), 10, 75, 1.0)
+    waits = [
+        follower.choose_step(Place(18, rank, group=READER.group), 0.0, 2.0).seconds
+        for rank in range(18)
+    ]
+    slots = [c.FED_WATCH_SLOT_SECONDS * (rank + 1) for rank in range(18)]
+    assert waits == pytest.approx(slots)
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -1,7 +1,7 @@
 """Decisions, without I/O, about where prompts run and which are admitted."""
 
 from .affinity import CacheUpdate, PrefixIndex, hash_blocks
-from .cells import Cell, Located, choose_cell
+from .cells import Cell, Located, choose_cell, divide_hosts
 from .const import (
     BLOCK_TOKENS,
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
@@ -66,6 +66,7 @@
     "RetryGroup",
     "TargetReach",
     "choose_cell",
+    "divide_hosts",
     "choose_loads",
     "count_parallel_loads",
     "hash_blocks",
--- a/libraries/placement/tarragonward_placement/cells.py
+++ b/libraries/placement/tarragonward_placement/cells.py
@@ -9,7 +9,7 @@
 
 from . import const as c
 
-__all__ = ["Cell", "Located", "choose_cell"]
+__all__ = ["Cell", "Located", "choose_cell", "divide_hosts"]
 
 
 @dataclass(frozen=True)
@@ -68,6 +68,22 @@
     )
 
 
+def divide_hosts(hosts: Iterable[Located]) -> list[tuple[str, ...]]:
+    """Return the hosts of each failure domain in parts of about a cell each.
+
+    All hosts that know the same ones return the same parts, and order them alike.
+    """
+    domains: dict[str, list[str]] = {}
+    for host in hosts:
+        domains.setdefault(host.failure_domain, []).append(host.name)
+    parts = []
+    for _, names in sorted(domains.items()):
+        ordered = _order(names)
+        count = max(1, round(len(ordered) / c.CELL_HOSTS))
+        parts += [tuple(_take_part(ordered, n, count)) for n in range(count)]
+    return parts
+
+
 def _find_domain(engine: Located, domains: Sequence[str]) -> str:
     """Return the domain whose hosts use an engine: its own, if any host is there."""
     if engine.failure_domain in domains:
