--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -22,8 +22,9 @@
 )
 from tarragonward_routes import Route, Service
 
-from .doubts import TargetDoubts
+from .clock import read_clock
 from .headers import parse_count
+from .probes import TargetProbes
 from .state import GatewayState
 
 __all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetNeed"]
@@ -60,6 +61,13 @@
         if self.work is not None and self.work.first_event_at is None:
             self.work.first_event_at = now
 
+    @property
+    def predicted_at(self) -> float | None:
+        """Return when the first event is predicted, None where nothing was."""
+        if self.plan is None or self.work is None:
+            return None
+        return self.work.placed_at + self.plan.first_event_seconds
+
     @property
     def helper_list(self) -> str:
         """Return the helpers as they are told to the target."""
@@ -89,7 +97,7 @@
         # The engines that this host uses, by service; all where nothing is set.
         self.get_cell: Callable[[str], Cell] | None = None
         self.reach = TargetReach()
-        self.doubts = TargetDoubts(state, self.reach)
+        self.probes = TargetProbes(state, self.reach)
 
     def build_digest(self) -> dict[str, list[Any]]:
         """Return this host's prompts in flight, to be told to the other hosts."""
@@ -108,8 +116,8 @@
         ]
         if not ready:
             return None
-        now = self._clock()
-        awake = self.reach.select(self.doubts.select(ready), now)
+        now = read_clock()
+        awake = self.reach.select(ready, now)
         choice = self._choose_among(awake, need)
         if choice is None and len(awake) < len(ready):
             # A long prompt may need more engines than those known to be in reach.
