Show in a trail what had held on its hosts for long

explain showed what its hosts said from 3 s before a request on; a host that leaves refuses from 3 s after its drain began, so the cause of a DRAINING was never among the lines, though docs/OPERATIONS.md says to look at drain_started there. Ruled out: a longer window, which for a source that is away is never long enough. Two tests failed before (2 failed, 5 passed) and pass after (7 passed): script/test libraries/cli/tests/test_explain.py.

--- a/libraries/cli/tarragonward_cli/explain.py
+++ b/libraries/cli/tarragonward_cli/explain.py
@@ -19,6 +19,15 @@
 EVENT_ENDED = "request_ended"
 EVENT_DROPPED = "log_lines_dropped"
 ABOUT_TARGETS = ("target_registered", "target_withdrawn")
+# What holds until a later event of the same group. A host that leaves, or that has
+# lost its source, says so once; the requests that it refuses for it come later.
+GROUPS = {
+    "host_started": "life",
+    "drain_started": "life",
+    "source_lost": "source",
+    "source_regained": "source",
+    "table_in_force": "table",
+}
 # How long before a request what its hosts heard is still of interest.
 BEFORE_SECONDS = 3.0
 MAX_MEANWHILE = 20
@@ -37,6 +46,7 @@
     """A request's lines, what its hosts heard meanwhile, and what ended it."""
 
     trail: tuple[Timed, ...]
+    standing: tuple[Timed, ...]
     meanwhile: tuple[Timed, ...]
     targets: tuple[Timed, ...]
     lines_dropped: int
@@ -74,6 +84,7 @@
     near = [pair for pair in others if pair[0] >= begin]
     return Explanation(
         trail=trail,
+        standing=_find_standing(others, begin),
         meanwhile=tuple(p for p in near if p[1].event not in ABOUT_TARGETS),
         targets=tuple(p for p in others if p[1].fields.get("target") in targets),
         lines_dropped=sum(
@@ -84,6 +95,16 @@
     )
 
 
+def _find_standing(others: list[Timed], begin: float) -> tuple[Timed, ...]:
+    """Return by host what had been said before `begin` and still held then."""
+    last: dict[tuple[str, str], Timed] = {}
+    for at, line in others:
+        group = GROUPS.get(line.event)
+        if group is not None and at < begin:
+            last[line.host, group] = (at, line)
+    return tuple(sorted(last.values(), key=lambda pair: pair[0]))
+
+
 class ExplainCommand(ToolCommand):
     """Show a request's trail over all hosts, and name the decision that ended it."""
 
@@ -124,6 +145,9 @@
     began = found.trail[0][0]
     yield f"request {request_id}"
     yield from (_format(at - began, line) for at, line in found.trail)
+    if found.standing:
+        yield "what held on its hosts before"
+        yield from (_format(at - began, line) for at, line in found.standing)
     if found.targets:
         yield "its targets, as its hosts had heard"
         yield from (_format(at - began, line) for at, line in found.targets)
@@ -168,6 +192,7 @@
         "outcome": found.outcome,
         "ended_by": found.end.host if found.end else None,
         "trail": show(found.trail),
+        "standing": show(found.standing),
         "targets": show(found.targets),
         "meanwhile": show(found.meanwhile),
         "lines_dropped": found.lines_dropped,
--- a/libraries/cli/tests/test_explain.py
+++ b/libraries/cli/tests/test_explain.py
@@ -81,6 +81,53 @@
     ]
 
 
+def test_what_holds_since_long_before_a_refusal_is_shown(tmp_path):
+    """A host that leaves refuses from three seconds after its drain began.
+
+    The refusal has one line, and nothing near it says why: the drain, a lost source
+    and the table are older. Each is shown while it still holds, of that host alone.
+    """
+    log = tmp_path / "log"
+    log.write_text(
+        "\n".join(
+            [
+                make_line(0.0, "host_started"),
+                make_line(1.0, "table_in_force", version=2),
+                make_line(2.0, "source_lost", error="silent"),
+                make_line(3.0, "table_in_force", version=4),
+                make_line(4.0, "source_regained"),
+                make_line(10.0, "drain_started", in_flight=1),
+                make_line(13.1, "request_ended", request_id="r1", outcome="DRAINING"),
+                make_line(0.0, "host_started", host="entry-2"),
+                make_line(9.0, "drain_started", host="entry-2", in_flight=7),
+            ]
+        )
+    )
+    shown = run("explain", f"r1 {log}")
+    assert shown.status_code == 0
+    text = shown.io.fetch_output()
+    assert "drain_started  in_flight=1" in text
+    assert "table_in_force  version=4" in text
+    assert "source_regained" in text
+    assert "version=2" not in text
+    assert "source_lost" not in text
+    assert "in_flight=7" not in text
+
+
+def test_a_drain_of_a_hosts_earlier_life_is_not_shown(tmp_path):
+    log = tmp_path / "log"
+    lines = [
+        make_line(0.0, "host_started"),
+        make_line(1.0, "drain_started", in_flight=1),
+        make_line(0.0, "host_started", jump=20),
+        make_line(9.0, "request_ended", jump=20, request_id="r1", outcome="NOT_READY"),
+    ]
+    log.write_text("\n".join(lines))
+    text = run("explain", f"r1 {log}").io.fetch_output()
+    assert "host_started" in text
+    assert "drain_started" not in text
+
+
 def test_a_request_without_lines_says_how_many_were_dropped(tmp_path):
     log = tmp_path / "log"
     log.write_text(make_line(1.0, "log_lines_dropped", lines=7) + "\n")
