Leave out a boot whose address a newer record has

A boot that crashed stays registered until its record lapses (23 ready where 21 are); its address is another boot's by then, idle and chosen first, and a probe that connects to the new boot even ends the doubt of the old one. Two refusals use up the attempts of a route. The registry has both records, so it can tell: an address is given on only after its boot has ended, so the newest record's boot is there.

Two older tests had all boots at one address, which no platform has, and failed with the mend: build() in test_registry and Parser in test_publications now give each boot its own, and the randomised order test draws from six addresses, so that it covers shared ones too; nothing they assert is changed. script/test of membership, standins, gateway's publications and tests/test_platform_*: 216 passed.

--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -35,9 +35,8 @@
         if target_id is None or record.value is None:
             return None
         entry = json.loads(record.value)
-        return RegisteredTarget(
-            target_id, "s", Address("127.0.0.1", 9), "d", 8, entry, record.revision
-        )
+        address = Address(f"address-of-{target_id}", 9)
+        return RegisteredTarget(target_id, "s", address, "d", 8, entry, record.revision)
 
     def parse_table(self, record):
         if record.key != "table" or record.value is None:
--- a/libraries/membership/tarragonward_membership/registry.py
+++ b/libraries/membership/tarragonward_membership/registry.py
@@ -45,7 +45,9 @@
     def __init__(self) -> None:
         self._targets: dict[str, RegisteredTarget] = {}
         self._withdrawn: dict[str, int] = {}
+        # Both are built anew after a change, when they are asked for.
         self._by_service: dict[str, tuple[RegisteredTarget, ...]] = {}
+        self._holders: dict[Address, RegisteredTarget] = {}
         self.revision = 0
 
     def __len__(self) -> int:
@@ -60,12 +62,11 @@
         if isinstance(record, Withdrawn):
             self._remember_withdrawn(record)
             gone = self._targets.pop(record.id, None)
-            if gone is not None:
-                self._by_service.pop(gone.service, None)
+            self._forget_built()
             return gone is not None
         self._withdrawn.pop(record.id, None)
         self._targets[record.id] = record
-        self._by_service.pop(record.service, None)
+        self._forget_built()
         return True
 
     def apply_all(self, records: Iterable[RegisteredTarget], revision: int) -> None:
@@ -90,18 +91,33 @@
     def get_ready(self, service: str) -> tuple[RegisteredTarget, ...]:
         """Return the boots of a service that may get work, ordered by id."""
         if service not in self._by_service:
+            usable = (
+                target
+                for target in self._targets.values()
+                if target.service == service and target.is_ready
+            )
             self._by_service[service] = tuple(
-                sorted(
-                    (
-                        target
-                        for target in self._targets.values()
-                        if target.service == service and target.is_ready
-                    ),
-                    key=lambda target: target.id,
-                )
+                sorted(filter(self._holds_address, usable), key=lambda each: each.id)
             )
         return self._by_service[service]
 
+    def _holds_address(self, target: RegisteredTarget) -> bool:
+        # A boot that crashed stays registered until its record lapses, seconds later,
+        # and its address may be another boot's by then. Symptom: being idle it is
+        # chosen first, the other one refuses as misdirected, and two such refusals use
+        # up a request's attempts. An address is given on only after its boot has ended,
+        # and a boot that ended writes no more, so the newest record tells who is there.
+        if not self._holders:
+            for each in self._targets.values():
+                holder = self._holders.get(each.address)
+                if holder is None or each.revision > holder.revision:
+                    self._holders[each.address] = each
+        return self._holders[target.address] is target
+
+    def _forget_built(self) -> None:
+        self._by_service.clear()
+        self._holders.clear()
+
     def _get_revision(self, target_id: str) -> int:
         target = self._targets.get(target_id)
         if target is not None:
--- a/libraries/membership/tests/test_registry.py
+++ b/libraries/membership/tests/test_registry.py
@@ -8,7 +8,9 @@
 from tarragonward_membership import RegisteredTarget, TargetRegistry, Withdrawn
 
 
-def build(target_id, revision, is_ready=True, service="s", port=8000):
+def build(target_id, revision, is_ready=True, service="s", port=None):
+    """Return a record of a boot, by default at an address of its own."""
+    port = port or 8000 + int(target_id.removeprefix("i-"))
     return RegisteredTarget(
         target_id, service, Address("10.0.0.1", port), "a", 8, is_ready, revision
     )
@@ -51,6 +53,33 @@
     assert len(registry) == 0
 
 
+@pytest.mark.parametrize("service", ["s", "other"])
+@pytest.mark.parametrize("is_ready", [True, False])
+def test_a_boot_whose_address_a_newer_one_has_gets_nothing(registry, service, is_ready):
+    """A caller hears 503 though the service has targets that are well.
+
+    Two targets crash, and their addresses go to new boots. The old records stand until
+    they lapse; being idle both are chosen, the new boots refuse as misdirected, and the
+    request's two attempts are used up.
+    """
+    registry.apply(build("i-1", 1, port=8001))
+    registry.apply(build("i-2", 2, port=8002))
+    registry.apply(build("i-3", 3, port=8003))
+    assert get_ready_ids(registry) == ["i-1", "i-2", "i-3"]
+    registry.apply(build("i-9", 4, is_ready, service, port=8001))
+    assert "i-1" not in get_ready_ids(registry)
+    assert {"i-2", "i-3"} <= set(get_ready_ids(registry))
+    assert ("i-9" in get_ready_ids(registry, service)) is is_ready
+
+
+def test_the_order_of_records_does_not_decide_who_has_an_address(registry):
+    registry.apply(build("i-9", 4, port=8001))
+    registry.apply(build("i-1", 1, port=8001))
+    assert get_ready_ids(registry) == ["i-9"]
+    registry.apply(Withdrawn("i-9", 5))
+    assert get_ready_ids(registry) == ["i-1"]
+
+
 def test_a_whole_reading_withdraws_what_it_lacks_but_nothing_newer(registry):
     registry.apply(build("i-1", 1))
     registry.apply(build("i-3", 30))
@@ -67,7 +96,8 @@
         if drawn.random() < 0.3:
             records.append(Withdrawn(target_id, revision))
         else:
-            records.append(build(target_id, revision, drawn.random() < 0.7))
+            is_ready, port = drawn.random() < 0.7, 8000 + drawn.randrange(6)
+            records.append(build(target_id, revision, is_ready, port=port))
     in_order, mixed = TargetRegistry(), TargetRegistry()
     for record in records:
         in_order.apply(record)
