Bound what mates are told by bytes, and tell them the source's answers at once

And a host that asked for its group told its answer only in its next round, so the others asked too.

All hosts together may now tell so many bytes a second: 448 KB/s to mates, 400 KB/s of whole hellos; so each of 75 has 6 KB/s for its mates and each of 320 has 1.4 KB/s, who was told longest ago first. News (a long prompt, an answer of the source) go at once to all mates and the rounds after pay for them. Groups begin to ask for themselves one after the other.

Ruled out: leaving the digest out of rounds (the placement's part; hints' freshness earns worth).

--- a/libraries/gateway/tarragonward_gateway/cells.py
+++ b/libraries/gateway/tarragonward_gateway/cells.py
@@ -53,7 +53,7 @@
     def get_place(self) -> Place:
         """Return this host's place among those that ask for what is published."""
         now = self._clock()
-        if now - self._place_at < c.CELL_SECONDS:
+        if now - self._place_at < c.PLACE_SECONDS:
             return self._place
         old, self._place_at = self._place, now
         self._place = choose_place(self._locate_own(), self._list_hosts())
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -46,9 +46,10 @@
 # A reader that nobody heard for so long is passed over.
 READER_SILENT_SECONDS = 3.0
 # A host that others ask for asks by itself once what it holds was confirmed so long
-# ago; the later, the farther back its place, so that one asks for all of a group.
+# ago; the later, the farther back its place, so that one asks for all.
 FED_SECONDS = 1.1
-FED_RANK_SECONDS = 0.05
+FED_GROUPS_SECONDS = 0.4
+FED_RANK_SECONDS = 0.03
 FED_WATCH_SECONDS = 0.05
 FED_CHECK_SECONDS = 0.05
 WATCH_ANSWER_SECONDS = 1.0
@@ -88,6 +89,7 @@
 # A packet that is lost on the way to a new connection is sent again after a second or
 # more, so waiting on towards that brings nothing; a target's answer takes far less.
 CELL_SECONDS = 0.5
+PLACE_SECONDS = 1.0
 
 CONNECT_SECONDS = 0.2
 TARGET_UNREACHABLE_SECONDS = 2.5
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -146,11 +146,13 @@
         Its readers may be dead, frozen or cut off from it or from the source. Symptom:
         work goes to targets that left. What was confirmed of late was so old at most,
         whoever confirmed it, so it is enough to ask once that age is too great. The
-        first of a group asks shortly, which confirms for all that hear it.
+        first of a group asks shortly, which confirms for all that hear it, and groups
+        begin one after the other, as one that is answered confirms for all of them.
         """
         if place.fed_rank is None:
             return 0.0
-        return c.FED_SECONDS + place.fed_rank * c.FED_RANK_SECONDS - confirmed_age
+        wait = c.FED_SECONDS + place.group_share * c.FED_GROUPS_SECONDS
+        return wait + place.fed_rank * c.FED_RANK_SECONDS - confirmed_age
 
     def _choose_wait(self, place: Place) -> float:
         hosts = place.hosts
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -30,7 +30,7 @@
     SeedMembership,
     SeedPeer,
 )
-from tarragonward_membership.const import HELLO_INTERVAL_SECONDS, MAX_MESH_PEERS
+from tarragonward_membership.const import HELLO_INTERVAL_SECONDS
 
 from . import const as c
 from .clock import read_clock, read_suspended
@@ -59,7 +59,7 @@
         self._sections: dict[str, tuple[Build, Take]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._background = BackgroundTasks(state.metrics)
-        self._sent_bytes = 0
+        self._sent_bytes = self._brief_bytes = 0
         self._suspended = read_suspended()
         self.on_pause: list[Callable[[], None]] = []
         self.members = SeedMembership(
@@ -119,10 +119,7 @@
 
     def tell_now(self) -> None:
         """Tell the peers what the sections hold without waiting for the round."""
-        peers = self.members.get_peers()
-        told = [peer.identity.address for peer in peers]
-        if len(peers) > MAX_MESH_PEERS:
-            told = self.members.get_mates()
+        told = self.members.choose_news(self._brief_bytes)
         self._send(told, with_sections=True, is_brief=True)
 
     def set_mates(self, addresses: Collection[Address]) -> None:
@@ -166,7 +163,7 @@
             is_paused = now - expected_at > c.PAUSE_SECONDS
             if is_paused:
                 self._note_pause(now - expected_at)
-            event = RoundDue(self._sent_bytes)
+            event = RoundDue(self._sent_bytes, self._brief_bytes)
             # After a pause, views are old: this round tells only that the host is
             # there, so that nobody takes what it knew before for fresh.
             self._carry_out(self.members.hear(event, now), with_sections=not is_paused)
@@ -209,7 +206,9 @@
         if self._transport is None or not targets:
             return
         data = self._pack(self._build_sections() if with_sections else {}, is_brief)
-        if not is_brief:
+        if is_brief:
+            self._brief_bytes = len(data)
+        else:
             self._sent_bytes = len(data)
         for target in targets:
             # A cut or full link: hints may be lost.
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -122,6 +122,9 @@
             if self._follower.failures:
                 log_event("source_regained", failures=self._follower.failures)
             self._hear(answered)
+            # In a large fleet few hosts ask, so the others wait for this one's word.
+            if self._get_place().group:
+                self._peers.tell_now()
 
     async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered:
         after, suspended = self.book.complete, read_suspended()
--- a/libraries/gateway/tarragonward_gateway/readers.py
+++ b/libraries/gateway/tarragonward_gateway/readers.py
@@ -26,13 +26,15 @@
     """A host's place among those that ask the source, and who feeds each other.
 
     rank is its place among the hosts that ask; fed_rank is its place among those of
-    its group that others ask for, None where it asks itself.
+    its group that others ask for, None where it asks itself. group_share is how many
+    of the groups come before its own.
     """
 
     hosts: int
     rank: int
     fed_rank: int | None = None
     group: frozenset[str] = frozenset()
+    group_share: float = 0.0
 
 
 def choose_place(own: Located, others: Iterable[KnownHost]) -> Place:
@@ -60,4 +62,5 @@
         rank=number * c.READERS_A_GROUP + min(rank, c.READERS_A_GROUP - 1),
         fed_rank=rank - c.READERS_A_GROUP if is_fed else None,
         group=frozenset(parts[number]),
+        group_share=number / len(parts),
     )
--- a/libraries/membership/tarragonward_membership/const.py
+++ b/libraries/membership/tarragonward_membership/const.py
@@ -69,6 +69,13 @@
 # This share of hellos may leave the failure domain; bytes between domains are dear.
 FAR_HELLO_SHARE = 0.25
 MAX_GOSSIP_BYTES_PER_SECOND = 2_500
+MAX_MATES_BYTES_PER_SECOND = 16_000
+# What all hosts together may tell a second, so that each of very many tells less: a
+# host of 320 has 3 KB/s for all control.
+FLEET_GOSSIP_BYTES = 400_000
+FLEET_MATES_BYTES = 448_000
+# News are told at once as long as rounds can pay for them within so long.
+MATES_DEBT_SECONDS = 1.0
 MESH_HELLO_ENTRIES = 3
 GOSSIP_HELLO_ENTRIES = 20
 MAX_HELLO_ENTRIES = 64
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -66,9 +66,10 @@
 
 @dataclass(frozen=True)
 class RoundDue:
-    """It is time to tell others; sent_bytes is what a hello took in the last round."""
+    """It is time to tell others; the bytes are what the last hellos took."""
 
     sent_bytes: int = 0
+    brief_bytes: int = 0
 
 
 @dataclass(frozen=True)
@@ -137,6 +138,7 @@
         self._lost: dict[Address, SeedPeer] = {}
         self._seeds_asked_at = float("-inf")
         self._credit = 0.0
+        self._mates_credit = 0.0
         self._mates: tuple[Address, ...] = ()
         self._round_at = now
         # What this host itself counted, and what others did, are kept apart: told
@@ -332,12 +334,18 @@
             self._lost.pop(next(iter(self._lost)))
         return [PeerLost(peer.identity, peer.name) for peer in silent]
 
-    def choose_greeted(self, now: float, sent_bytes: int) -> tuple[Address, ...]:
-        """Return whom to tell in this round."""
+    def end_round(self, now: float) -> float:
+        """Return how many seconds the last round took."""
         elapsed = max(0.0, now - self._round_at)
         self._round_at = now
+        return elapsed
+
+    def choose_greeted(
+        self, now: float, sent_bytes: int, elapsed: float
+    ) -> tuple[Address, ...]:
+        """Return whom to tell in this round."""
         chosen = dict.fromkeys(self._choose_unheard(now))
-        rate = c.MAX_GOSSIP_BYTES_PER_SECOND
+        rate = self._limit_rate(c.MAX_GOSSIP_BYTES_PER_SECOND, c.FLEET_GOSSIP_BYTES)
         self._credit = min(rate, self._credit + rate * elapsed)
         self._credit -= sent_bytes * len(chosen)
         peers = list(self._peers.values())
@@ -350,21 +358,53 @@
 
     def set_mates(self, addresses: Collection[Address]) -> None:
         """Tell the hosts of these addresses in each round, also in a large fleet."""
-        self._mates = tuple(sorted(addresses))
+        if set(addresses) != set(self._mates):
+            self._mates = tuple(sorted(addresses))
 
     def get_mates(self) -> list[Address]:
         """Return the addresses of the mates that are there."""
         return [address for address in self._mates if address in self._peers]
 
-    def choose_brief(self, greeted: Collection[Address]) -> tuple[Address, ...]:
+    def choose_brief(
+        self, greeted: Collection[Address], brief_bytes: int, elapsed: float
+    ) -> tuple[Address, ...]:
         """Return the mates that this round's whole hellos leave out.
 
         Mates want each other's sections often; word of other hosts spreads without
-        them, and is most of a hello's bytes.
+        them, and is most of a hello's bytes. In a very large fleet they are told in
+        turn, as many as the bytes allow.
         """
+        rate = self._limit_rate(c.MAX_MATES_BYTES_PER_SECOND, c.FLEET_MATES_BYTES)
+        self._mates_credit = min(rate, self._mates_credit + rate * elapsed)
         if len(self._peers) <= c.MAX_MESH_PEERS:
             return ()
-        return tuple(mate for mate in self.get_mates() if mate not in greeted)
+        waiting = [mate for mate in self.get_mates() if mate not in greeted]
+        if brief_bytes:
+            room = int(max(0.0, self._mates_credit) // brief_bytes)
+            waiting = waiting[:room]
+        self._spend_on_mates(waiting, brief_bytes)
+        return tuple(waiting)
+
+    def choose_news(self, brief_bytes: int) -> tuple[Address, ...]:
+        """Return whom to tell at once; the rounds after it pay for its bytes."""
+        if len(self._peers) <= c.MAX_MESH_PEERS:
+            return tuple(self._peers)
+        rate = self._limit_rate(c.MAX_MATES_BYTES_PER_SECOND, c.FLEET_MATES_BYTES)
+        if self._mates_credit < -rate * c.MATES_DEBT_SECONDS:
+            return ()
+        mates = self.get_mates()
+        self._spend_on_mates(mates, brief_bytes)
+        return tuple(mates)
+
+    def _spend_on_mates(self, told: list[Address], brief_bytes: int) -> None:
+        self._mates_credit -= len(told) * brief_bytes
+        # Who was told comes last in the next round.
+        rest = [mate for mate in self._mates if mate not in told]
+        self._mates = (*rest, *told)
+
+    def _limit_rate(self, rate: float, fleet_rate: float) -> float:
+        """Return the bytes a second that one of so many hosts may tell."""
+        return min(rate, fleet_rate / self.count_hosts())
 
     def _choose_unheard(self, now: float) -> list[Address]:
         is_hurried = now - self._started_at < c.SEED_HURRY_SECONDS
@@ -402,6 +442,7 @@
 @_hear.register
 def _(event: RoundDue, members: SeedMembership, now: float) -> list[SeedEffect]:
     lost = members.drop_silent(now)
-    greeted = members.choose_greeted(now, event.sent_bytes)
-    mates = members.choose_brief(greeted)
+    elapsed = members.end_round(now)
+    greeted = members.choose_greeted(now, event.sent_bytes, elapsed)
+    mates = members.choose_brief(greeted, event.brief_bytes, elapsed)
     return [*lost, Greet(greeted), *([Greet(mates, is_brief=True)] if mates else [])]
