Pass the word of other groups on to the mates, and records at any price

Word that makes a host surer by 0.5 s goes to its mates at once, without the digest of prompts; changes are told whatever was spent.

--- a/libraries/bench/tarragonward_bench/hearing_runs.py
+++ b/libraries/bench/tarragonward_bench/hearing_runs.py
@@ -39,6 +39,7 @@
     """What one run plays; seconds are those of the fake clock.
 
     is_settled: each host is told of all when it starts, as finding them takes long.
+    is_isolating: nothing fails but domains whose readers can't reach the source.
     """
 
     hosts: int
@@ -48,6 +49,7 @@
     tells_a_second: float = 0.3
     start_seconds: float = START_SECONDS
     is_settled: bool = False
+    is_isolating: bool = False
 
 
 @dataclass(frozen=True)
@@ -166,6 +168,9 @@
     # What fails.
 
     def _fail(self) -> None:
+        if self._plan.is_isolating:
+            self._isolate_readers()
+            return
         faults = (
             self._cut_domain,
             self._isolate_readers,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -52,6 +52,8 @@
 FED_RANK_SECONDS = 0.03
 FED_WATCH_SECONDS = 0.05
 FED_CHECK_SECONDS = 0.05
+# What another group's word must make this host surer by to be told to its mates.
+RELAY_SECONDS = 0.5
 WATCH_ANSWER_SECONDS = 1.0
 READ_SECONDS = 1.5
 CHANGE_PAUSE_SECONDS = 0.1
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -117,10 +117,20 @@
             self.set_leaving()
             self._transport.close()
 
-    def tell_now(self) -> None:
-        """Tell the peers what the sections hold without waiting for the round."""
-        told = self.members.choose_news(self._brief_bytes)
-        self._send(told, with_sections=True, is_brief=True)
+    def tell_now(self, only: str = "", is_urgent: bool = False) -> None:
+        """Tell the peers what the sections hold without waiting for the round.
+
+        only is the section that has news, where it is one; is_urgent: at any price.
+        """
+        sections = self._build_sections(only)
+        data = self._pack(sections, is_brief=True)
+        self._send_data(data, self.members.choose_news(len(data), is_urgent))
+
+    def is_mate(self, name: str) -> bool:
+        """Return whether a peer is among the mates."""
+        mates = self.members.get_mates()
+        peers = (self.members.get_peer(address) for address in mates)
+        return any(peer is not None and peer.name == name for peer in peers)
 
     def set_mates(self, addresses: Collection[Address]) -> None:
         """Tell the hosts at these addresses all that this host does, in each round."""
@@ -210,15 +220,22 @@
             self._brief_bytes = len(data)
         else:
             self._sent_bytes = len(data)
+        self._send_data(data, targets)
+
+    def _send_data(self, data: bytes, targets: Iterable[Address]) -> None:
+        if self._transport is None:
+            return
         for target in targets:
             # A cut or full link: hints may be lost.
             with suppress(OSError):
                 self._transport.sendto(data, (target.host, target.port))
 
-    def _build_sections(self) -> dict[str, bytes]:
+    def _build_sections(self, only: str = "") -> dict[str, bytes]:
         sections = {}
         room = c.MAX_SENT_DATAGRAM_BYTES
         for name, (build, _) in self._sections.items():
+            if only not in ("", name):
+                continue
             content = build()
             if content is None:
                 continue
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -124,7 +124,7 @@
             self._hear(answered)
             # In a large fleet few hosts ask, so the others wait for this one's word.
             if self._get_place().group:
-                self._peers.tell_now()
+                self._peers.tell_now(SECTION, is_urgent=answered.has_changes)
 
     async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered:
         after, suspended = self.book.complete, read_suspended()
@@ -183,7 +183,13 @@
         changed, confirmed_age, _version = data
         if type(changed) is not int or changed < 0:
             raise ValueError("not a revision")
+        before = self._state.table_confirmed_at
         self._hear(PeerTold(name, changed, unpack_age(confirmed_age) + age))
+        is_news = self._state.table_confirmed_at - before > c.RELAY_SECONDS
+        # Word of another group reaches one host of this one. Symptom: the rest of the
+        # group asks the source for what is known. Mates were told by their own mate.
+        if is_news and self._get_place().group and not self._peers.is_mate(name):
+            self._peers.tell_now(SECTION)
 
     def take(self, portion: Portion, after: int) -> list[Record]:
         """Take records in, in any order; return those that were new."""
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -385,12 +385,18 @@
         self._spend_on_mates(waiting, brief_bytes)
         return tuple(waiting)
 
-    def choose_news(self, brief_bytes: int) -> tuple[Address, ...]:
-        """Return whom to tell at once; the rounds after it pay for its bytes."""
+    def choose_news(
+        self, brief_bytes: int, is_urgent: bool = False
+    ) -> tuple[Address, ...]:
+        """Return whom to tell at once; the rounds after it pay for its bytes.
+
+        What is urgent is told also where rounds can't pay for it soon.
+        """
         if len(self._peers) <= c.MAX_MESH_PEERS:
             return tuple(self._peers)
         rate = self._limit_rate(c.MAX_MATES_BYTES_PER_SECOND, c.FLEET_MATES_BYTES)
-        if self._mates_credit < -rate * c.MATES_DEBT_SECONDS:
+        is_in_debt = self._mates_credit < -rate * c.MATES_DEBT_SECONDS
+        if is_in_debt and not is_urgent:
             return ()
         mates = self.get_mates()
         self._spend_on_mates(mates, brief_bytes)
