--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -88,7 +88,7 @@
             self.peers,
             self.publications,
             self.reservations,
-            self.targets.doubts,
+            self.targets.probes,
             self.callers,
             self.health,
             self.settings,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -95,13 +95,8 @@
 
 CONNECT_SECONDS = 0.2
 TARGET_UNREACHABLE_SECONDS = 2.5
-# How long targets that failed are left out, and what puts a whole domain in doubt.
-DOUBT_BASE_SECONDS = 0.4
-DOUBT_CAP_SECONDS = 1.0
-DOUBT_WINDOW_SECONDS = 1.0
-DOUBT_DOMAIN_TARGETS = 2
-DOUBT_ROUND_SECONDS = 0.1
-REACHED_SECONDS = 0.5
+# How often it is looked at which doubted targets are due to be connected to.
+PROBE_ROUND_SECONDS = 0.1
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
 # Other hosts serve already: the caller loses its aim by waiting.
