--- a/libraries/standins/tarragonward_standins/platform_engine.py
+++ b/libraries/standins/tarragonward_standins/platform_engine.py
@@ -60,6 +60,11 @@
         """Return the prompt tokens that this engine reads."""
         return self.prompt_tokens if self.part_tokens is None else self.part_tokens
 
+    @property
+    def is_joint(self) -> bool:
+        """Return whether several engines read the prompt."""
+        return self.own_tokens < self.prompt_tokens
+
     @property
     def is_read(self) -> bool:
         """Return whether this engine has read its tokens."""
@@ -82,7 +87,7 @@
 
     def count_pairs(self, tokens: int) -> float:
         """Return the pairs of the next tokens with those before them."""
-        if self.part_tokens is not None and self.part_tokens < self.prompt_tokens:
+        if self.is_joint:
             return tokens * self.prompt_tokens / 2
         end = self.read + tokens
         return (end * end - self.read * self.read) / 2
@@ -260,7 +265,7 @@
         left = self.sizes.chunk * steps
         total = 0.0
         unread = [work for work in self.running if not work.is_read]
-        for work in sorted(unread, key=lambda w: (not w.is_part, w.urgency, w.order)):
+        for work in sorted(unread, key=_get_turn):
             if left <= 0:
                 break
             tokens = min(left, work.own_tokens - work.read)
@@ -269,3 +274,14 @@
             left -= tokens
             result.read.append(work)
         return total
+
+
+def _get_turn(work: PassWork) -> tuple[bool, int, int]:
+    """Return the place of a read: shares of joint prompts first, the newest of them.
+
+    The page says that parts go ahead of other reads. That the newest goes ahead of
+    older ones, and the first engine's own share with them, is as the runners did it.
+    """
+    if work.is_joint:
+        return False, 0, -work.order
+    return True, work.urgency, work.order
--- a/libraries/standins/tests/test_platform_engine.py
+++ b/libraries/standins/tests/test_platform_engine.py
@@ -54,6 +54,27 @@
     assert measure(run(beside)) > 5 * measure(run(alone))
 
 
+def test_the_newest_share_of_a_joint_prompt_is_read_first():
+    """An older share and a whole prompt wait until a newer share is read.
+
+    So the runners did it: their own shares of joint prompts and those they read for
+    others alike. The first event of the older prompt comes later by all of the newer
+    share.
+    """
+    engine = PassEngine(SIZES)
+    whole = PassWork("whole", 40_000, 1)
+    older = PassWork("older", 400_000, 1, part_tokens=50_000, waits_for=1)
+    newer = PassWork("newer", 400_000, 0, part_tokens=50_000, is_part=True)
+    for work in (whole, older):
+        engine.add(work)
+    engine.end_pass(engine.begin_pass())
+    engine.add(newer)
+    done = []
+    while engine.has_work and len(done) < 3:
+        done += engine.end_pass(engine.begin_pass())
+    assert [work.id for work in dict.fromkeys(done)] == ["newer", "older", "whole"]
+
+
 def test_the_more_urgent_waits_less():
     engine = PassEngine(PassSizes(slots=1))
     for number, urgency in enumerate((5, 5, 0)):
