--- a/libraries/bench/tarragonward_bench/experiment_report.py
+++ b/libraries/bench/tarragonward_bench/experiment_report.py
@@ -18,6 +18,7 @@
 __all__ = [
     "KindFigures",
     "compute_worth",
+    "print_changes",
     "print_policies",
     "print_predictions",
     "summarise",
@@ -87,12 +88,49 @@
         )
         for policy, seeds in policies.items():
             print(_format_line(policy, seeds))
+    print_changes(site, plays)
     print_predictions(plays)
     print("\ndecisions a second of one host's processor")
     for policy, values in speeds.items():
         print(f"{policy:20}{statistics.mean(values):9.0f}")
 
 
+def print_changes(site: Site, plays: Sequence[Played]) -> None:
+    """Print what each policy changes against the first one, seed by seed.
+
+    All policies of a seed play the same arrivals, so the spread of their differences
+    is far smaller than that of the seeds.
+    """
+    by_policy: dict[str, dict[int, dict[str, KindFigures]]] = defaultdict(dict)
+    for played in plays:
+        by_policy[played.policy][played.seed] = summarise(site, played.outcomes)
+    first, *others = by_policy
+    if not others or len(by_policy[first]) < 2:
+        return
+    print(f"\nagainst {first}, by seed: mean change +- its standard error")
+    names = [kind.name for kind in site.prompts] + [ALL]
+    print(f"{'policy':20}{'':8}" + "".join(f"{name:>20}" for name in names))
+    for policy in others:
+        for field in ("worth", "in_aim"):
+            line = f"{policy:20}{field:8}"
+            for name in names:
+                changes = [
+                    getattr(by_policy[policy][seed][name], field)
+                    - getattr(figures[name], field)
+                    for seed, figures in by_policy[first].items()
+                    if name in figures
+                ]
+                line += f"{_format_change(changes):>20}"
+            print(line)
+
+
+def _format_change(changes: Sequence[float]) -> str:
+    if len(changes) < 2:
+        return "-"
+    error = statistics.stdev(changes) / math.sqrt(len(changes))
+    return f"{statistics.mean(changes):+.3f} +- {error:.3f}"
+
+
 def print_predictions(plays: Sequence[Played]) -> None:
     """Print how far first events came from their predicted times, in milliseconds."""
     errors: dict[tuple[str, str], list[float]] = defaultdict(list)
--- a/libraries/bench/tests/test_experiment.py
+++ b/libraries/bench/tests/test_experiment.py
@@ -10,6 +10,7 @@
 from tarragonward_bench.experiment_policies import POLICIES, use_numbers
 from tarragonward_bench.experiment_report import (
     compute_worth,
+    print_changes,
     print_predictions,
     summarise,
 )
@@ -183,3 +184,12 @@
     assert 0 < outcome.heard - outcome.predicted < 0.02
     print_predictions([played])
     assert "to_32k" in capsys.readouterr().out
+
+
+def test_changes_are_taken_seed_by_seed(site, capsys):
+    """A policy against itself changes nothing, whatever its seeds differ by."""
+    plays = [play_seed(site, POLICIES["least"], seed, SECONDS) for seed in (1, 2)]
+    same = [replace(played, policy="same") for played in plays]
+    print_changes(site, [*plays, *same])
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.count("+0.000 +- 0.000") for line in lines if "same" in line] == [4, 4]
