Divide large fleets into cells in the experiment tool

Hosts now get their cell by the product's choose_cell, tell its members and use its engines, and all engines after a send that failed; no_cells plays the fleet without them.

--- a/libraries/bench/tarragonward_bench/experiment_fleet.py
+++ b/libraries/bench/tarragonward_bench/experiment_fleet.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from tarragonward_membership import const as membership_const
-from tarragonward_placement import PromptNeed
+from tarragonward_placement import Located, PromptNeed, choose_cell
 
 from .experiment_arrivals import Arrival, Outcome
 from .experiment_calls import CallService
@@ -22,6 +22,7 @@
 __all__ = ["Played", "play"]
 
 TAIL_SECONDS = 16.0
+PRODUCT = "product"
 
 
 @dataclass
@@ -64,6 +65,11 @@
             for zone in site.zones
             for n in range(zone.hosts)
         ]
+        self._mates = [
+            [other for other in self.hosts if other is not host] for host in self.hosts
+        ]
+        if plan.has_cells and plan.kind == PRODUCT:
+            self._divide()
         self._calls = CallService(site, self._at, random.Random(f"calls {seed}"))
         self._decisions, self._decision_seconds = 0, 0.0
         self._outcomes: list[Outcome] = []
@@ -107,6 +113,18 @@
 
         return arrive
 
+    def _divide(self) -> None:
+        """Give each host its cell: the hosts that it tells, the engines that it uses."""
+        hosts = [Located(str(n), host.zone) for n, host in enumerate(self.hosts)]
+        engines = [Located(node.name, node.zone) for node in self.engines.values()]
+        for number, host in enumerate(self.hosts):
+            cell = choose_cell(hosts[number], hosts, engines)
+            if cell.is_whole:
+                return
+            host.policy.cell = cell.engines
+            mates = cell.hosts - {str(number)}
+            self._mates[number] = [self.hosts[int(name)] for name in sorted(mates)]
+
     # What hosts tell each other.
 
     def _start_gossip(self) -> None:
@@ -119,8 +137,8 @@
 
     @property
     def _is_mesh(self) -> bool:
-        is_small = len(self.hosts) - 1 <= membership_const.MAX_MESH_PEERS
-        return is_small or self._plan.tells_all
+        most = max(map(len, self._mates))
+        return most <= membership_const.MAX_MESH_PEERS or self._plan.tells_all
 
     def _make_tell(self, number: int, host: Host) -> Callable[[], None]:
         def tell() -> None:
@@ -133,7 +151,7 @@
         return lambda: self._tell(number, host)
 
     def _tell(self, number: int, host: Host) -> None:
-        others = [other for other in self.hosts if other is not host]
+        others = self._mates[number]
         if not self._is_mesh:
             others = self._rng.sample(others, membership_const.HELLO_FANOUT)
         assert host.policy.book is not None
--- a/libraries/bench/tarragonward_bench/experiment_policies.py
+++ b/libraries/bench/tarragonward_bench/experiment_policies.py
@@ -28,6 +28,7 @@
 
     numbers replace constants of the product's placement while the policy plays.
     tells_all: each host tells all others, also where the product tells a few.
+    has_cells: a large fleet is divided into cells, as the product divides it.
     """
 
     name: str
@@ -36,6 +37,7 @@
     tells_peers: bool = True
     tells_at_once: bool = True
     tells_all: bool = False
+    has_cells: bool = True
     hears_counts: bool = True
 
 
@@ -54,6 +56,7 @@
     """What one host decides with, on what it knows itself and was told."""
 
     book: FleetBook | None
+    cell: Collection[str] | None
 
     def choose(
         self, need: PromptNeed, tried: Collection[str], now: float
@@ -69,6 +72,7 @@
 
 class _RoundRobin:
     book = None
+    cell = None
 
     def __init__(self, engines: Sequence[str], model: EngineModel, rng: Random) -> None:
         self._engines = engines
@@ -92,6 +96,7 @@
 
 class _LeastInFlight:
     book = None
+    cell = None
 
     def __init__(self, engines: Sequence[str], model: EngineModel, rng: Random) -> None:
         self._engines, self._rng = engines, rng
@@ -115,6 +120,8 @@
 class _Booked:
     """A policy on the product's book of work in flight and peers' hints."""
 
+    cell: Collection[str] | None = None
+
     def __init__(self, engines: Sequence[str], model: EngineModel, rng: Random) -> None:
         self._engines, self._model, self._rng = engines, model, rng
         self.book = FleetBook()
@@ -161,12 +168,14 @@
 
 
 class _Product(_Booked):
-    """What a host of the product decides."""
+    """What a host of the product decides; cell has the engines it uses at first."""
 
     def choose(
         self, need: PromptNeed, tried: Collection[str], now: float
     ) -> Sending | None:
         names = [name for name in self._engines if name not in tried]
+        if self.cell is not None and not tried:
+            names = [name for name in names if name in self.cell]
         plan = plan_reading(
             need,
             names,
@@ -211,7 +220,8 @@
         PolicyPlan("no_stakes", numbers={"STAKE_TOKENS": 1e12}),
         PolicyPlan("no_hints", tells_peers=False),
         PolicyPlan("hints_in_turn", tells_at_once=False),
-        PolicyPlan("hints_from_all", tells_all=True),
+        PolicyPlan("hints_from_all", tells_all=True, has_cells=False),
+        PolicyPlan("no_cells", has_cells=False),
         PolicyPlan("no_counts", hears_counts=False),
         PolicyPlan("no_hints_no_counts", tells_peers=False, hears_counts=False),
     )
--- a/libraries/bench/tests/test_experiment.py
+++ b/libraries/bench/tests/test_experiment.py
@@ -193,3 +193,17 @@
     print_changes(site, [*plays, *same])
     lines = capsys.readouterr().out.splitlines()
     assert [line.count("+0.000 +- 0.000") for line in lines if "same" in line] == [4, 4]
+
+
+def test_hosts_of_a_large_fleet_keep_to_their_cells(site):
+    """A prompt is read by the engines of its host's cell, which few hosts use."""
+    large = scale_site(site, 36, 24, load=0.3)
+    played = play_seed(large, POLICIES["product"], 1, SECONDS)
+    used = {}
+    for outcome in played.outcomes:
+        if outcome.readers and outcome.sends == 1:
+            used.setdefault(outcome.arrival.host, set()).update(outcome.readers)
+    assert max(map(len, used.values())) < len(played.engines) / 2
+    whole = play_seed(large, POLICIES["no_cells"], 1, SECONDS)
+    everywhere = set().union(*(o.readers for o in whole.outcomes if o.readers))
+    assert len(everywhere) > len(played.engines) / 2
