--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -39,6 +39,18 @@
 MAX_WATCH_SECONDS = 25.0
 # One of the hosts ends a watch about each so many seconds.
 WATCH_SLOT_SECONDS = 1.3
+# The same in a fleet where a few hosts of each group ask: what those that are fed know
+# must mostly be younger than what lets them ask by themselves.
+FED_WATCH_SLOT_SECONDS = 0.5
+READERS_A_GROUP = 2
+# A reader that nobody heard for so long is passed over.
+READER_SILENT_SECONDS = 3.0
+# A host that others ask for asks by itself once what it holds was confirmed so long
+# ago; the later, the farther back its place, so that one asks for all of a group.
+FED_SECONDS = 1.1
+FED_RANK_SECONDS = 0.05
+FED_WATCH_SECONDS = 0.05
+FED_CHECK_SECONDS = 0.05
 WATCH_ANSWER_SECONDS = 1.0
 READ_SECONDS = 1.5
 CHANGE_PAUSE_SECONDS = 0.1
@@ -54,6 +66,8 @@
 ASK_PEER_SECONDS = 0.25
 ASK_PEER_TIMEOUT_SECONDS = 1.0
 HINT_MARGIN_SECONDS = 0.1
+# More than a datagram takes at best from one host to another.
+HOP_SECONDS = 0.01
 RETURN_SPREAD_SECONDS = 0.4
 OUTAGE_SECONDS = 1.0
 OUTAGE_MEMORY_SECONDS = 3.0
@@ -77,13 +91,8 @@
 
 CONNECT_SECONDS = 0.2
 TARGET_UNREACHABLE_SECONDS = 2.5
-# How long targets that failed are left out, and what puts a whole domain in doubt.
-DOUBT_BASE_SECONDS = 0.4
-DOUBT_CAP_SECONDS = 1.0
-DOUBT_WINDOW_SECONDS = 1.0
-DOUBT_DOMAIN_TARGETS = 2
-DOUBT_ROUND_SECONDS = 0.1
-REACHED_SECONDS = 0.5
+# How often it is looked at which doubted targets are due to be connected to.
+PROBE_ROUND_SECONDS = 0.1
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
 # Other hosts serve already: the caller loses its aim by waiting.
@@ -108,6 +117,8 @@
 PEER_ROUND_JITTER = 0.1
 # A round that comes so much later than asked shows that the process stood still.
 PAUSE_SECONDS = 1.0
+# What two clocks that are read one after the other differ by is far less.
+SUSPENDED_SECONDS = 0.02
 
 LOG_BURST_LINES = 200
 MAX_TRAIL_LINES = 24
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -12,7 +12,7 @@
 from tarragonward_wire import HttpServer
 
 from . import const as c
-from .clock import read_clock
+from .clock import read_clock, read_suspended
 from .following import (
     AskPeer,
     AskSource,
@@ -29,6 +29,7 @@
 )
 from .peers import Peers
 from .ports import HistoryLostError, Record, RecordParser, RecordReader, SourceError
+from .readers import Place
 from .record_book import Portion, RecordBook
 from .record_exchange import RecordRoutes, async_ask_peer, pack_age, unpack_age
 from .state import GatewayState
@@ -48,8 +49,10 @@
         reader: RecordReader,
         parser: RecordParser,
         peers: Peers,
+        get_place: Callable[[], Place],
     ) -> None:
         self._state = state
+        self._get_place = get_place
         self._reader = reader
         self._parser = parser
         self._peers = peers
@@ -81,9 +84,9 @@
     async def _async_follow(self) -> None:
         while True:
             self._wake.clear()
-            members = self._peers.members
-            hosts, rank = members.count_hosts(), members.compute_rank()
-            step = self._follower.choose_step(hosts, rank, read_clock())
+            now = read_clock()
+            age = now - self._state.table_confirmed_at
+            step = self._follower.choose_step(self._get_place(), age, now)
             if isinstance(step, Pause):
                 await self._async_until_woken(asyncio.sleep(step.seconds))
             else:
@@ -121,16 +124,20 @@
             self._hear(answered)
 
     async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered:
-        after = self.book.complete
+        after, suspended = self.book.complete, read_suspended()
+        is_whole = isinstance(step, ReadAll)
         if isinstance(step, ReadAll):
             read = await self._reader.async_read_all(c.READ_SECONDS)
             log_event("records_read", count=len(read.records), revision=read.revision)
-            new = self.take(Portion(read.records, read.revision, True), after)
-            return SourceAnswered(bool(new))
-        timeout = step.seconds + c.WATCH_ANSWER_SECONDS
-        read = await self._reader.async_watch(after, step.seconds, timeout)
-        new = self.take(Portion(read.records, read.revision, False), after)
-        return SourceAnswered(bool(new), not read.records and read.revision > after)
+        else:
+            timeout = step.seconds + c.WATCH_ANSWER_SECONDS
+            read = await self._reader.async_watch(after, step.seconds, timeout)
+        # The answer may have lain in the socket of a host that stood still. Symptom:
+        # the host, and all that hear it, take an old table for confirmed just now.
+        age = max(0.0, read_suspended() - suspended)
+        new = self.take(Portion(read.records, read.revision, is_whole), after)
+        is_gap = not is_whole and not read.records and read.revision > after
+        return SourceAnswered(bool(new), is_gap, age)
 
     def _hear(self, event: FollowEvent) -> None:
         now = read_clock()
