Test that a caller's own priority does not reach the engine

The header is stripped on every send (run.py), which nothing tested: a caller that set it would be admitted before all others. The test passes as the code is.

--- a/libraries/gateway/tests/test_prompts.py
+++ b/libraries/gateway/tests/test_prompts.py
@@ -144,3 +144,12 @@
     assert answer.status == 200
     assert b"piece 2" in answer.body
     assert len(asked) == 2
+
+
+async def test_a_callers_own_priority_does_not_reach_the_engine(make_site):
+    """Engines admit by it, and a caller who sets it would go before all others."""
+    site = await async_make_engines(make_site, stream_events([1, 2]))
+    lines = ["X-Tokens: 2000,500", "X-Priority: 0", "x-priority: 1"]
+    assert (await site.async_ask("POST", lines=lines)).status == 200
+    (request,) = site.targets[0].seen
+    assert not request.get("x-priority")
