--- a/libraries/bench/tarragonward_bench/experiment_prompt.py
+++ b/libraries/bench/tarragonward_bench/experiment_prompt.py
@@ -251,8 +251,7 @@
             self._sending.work.first_event_at = self._fleet.now
         book = self._host.policy.book
         if book is not None and self._fleet.hears_counts:
-            own = book.count_own(engine)
-            book.note_count(engine, requests, own, self._fleet.now)
+            book.note_count(engine, requests, self._fleet.now)
 
     def _note_end(self, now: float) -> None:
         self._outcome.is_whole = self._has_ended = True
