--- a/libraries/bench/tests/test_experiment.py
+++ b/libraries/bench/tests/test_experiment.py
@@ -10,6 +10,7 @@
 from tarragonward_bench.experiment_policies import POLICIES, use_numbers
 from tarragonward_bench.experiment_report import (
     compute_worth,
+    print_changes,
     print_predictions,
     summarise,
 )
@@ -183,3 +184,26 @@
     assert 0 < outcome.heard - outcome.predicted < 0.02
     print_predictions([played])
     assert "to_32k" in capsys.readouterr().out
+
+
+def test_changes_are_taken_seed_by_seed(site, capsys):
+    """A policy against itself changes nothing, whatever its seeds differ by."""
+    plays = [play_seed(site, POLICIES["least"], seed, SECONDS) for seed in (1, 2)]
+    same = [replace(played, policy="same") for played in plays]
+    print_changes(site, [*plays, *same])
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.count("+0.000 +- 0.000") for line in lines if "same" in line] == [4, 4]
+
+
+def test_hosts_of_a_large_fleet_keep_to_their_cells(site):
+    """A prompt is read by the engines of its host's cell, which few hosts use."""
+    large = scale_site(site, 36, 24, load=0.3)
+    played = play_seed(large, POLICIES["product"], 1, SECONDS)
+    used = {}
+    for outcome in played.outcomes:
+        if outcome.readers and outcome.sends == 1:
+            used.setdefault(outcome.arrival.host, set()).update(outcome.readers)
+    assert max(map(len, used.values())) < len(played.engines) / 2
+    whole = play_seed(large, POLICIES["no_cells"], 1, SECONDS)
+    everywhere = set().union(*(o.readers for o in whole.outcomes if o.readers))
+    assert len(everywhere) > len(played.engines) / 2
