Read all by pages that are kept, and leave first readings to the seeds

Each host read all items by itself, 60 pages of 50 at 300 machines: 18,000 calls where the store takes 2,000 a second, and a refused page threw away those before it.

Now a reading keeps its pages (the product decides over pages, the adapter makes the call: platform/ lost its loop), a page resets the back-off, a reading's age counts for how fresh its table is, and a host that starts and is no seed waits 0.2 s for a peer that has read, up to 2 s while peers give it records; a host gives records to four at a time.

Ruled out: stale reads for the start (a tenth of the price and not bounded, but the page says they may be seconds old, and what their revision means is not said).

--- a/libraries/gateway/tarragonward_gateway/__init__.py
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -5,6 +5,7 @@
 from .ports import (
     HeaderNames,
     HistoryLostError,
+    Page,
     Paths,
     Record,
     RecordParser,
@@ -25,6 +26,7 @@
     "GatewaySettings",
     "HeaderNames",
     "HistoryLostError",
+    "Page",
     "Paths",
     "Record",
     "RecordParser",
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -41,6 +41,8 @@
 WATCH_SLOT_SECONDS = 1.3
 WATCH_ANSWER_SECONDS = 1.0
 READ_SECONDS = 1.5
+# A reading by pages is begun anew when older; the source's history is longer.
+MAX_READING_SECONDS = 8.0
 CHANGE_PAUSE_SECONDS = 0.1
 CROWD_SECONDS = 1.0
 CROWD_PAUSE_SECONDS = 0.4
@@ -50,7 +52,13 @@
 SOURCE_RETRY_LIMIT_SECONDS = 5.0
 # A peer that is ahead for longer shows that this host's watch is dead.
 BEHIND_SECONDS = 0.7
-BEHIND_AT_START_SECONDS = 0.1
+# A host that starts and is no seed leaves the first readings to those that are, for so
+# long; while peers give it what they hold, it waits on, up to so long in all.
+START_WAIT_SECONDS = 0.2
+START_PULL_SECONDS = 0.5
+START_LONGEST_SECONDS = 2.0
+# How many peers are given records at a time; the others ask another host.
+MAX_PORTIONS_GIVEN = 4
 ASK_PEER_SECONDS = 0.25
 ASK_PEER_TIMEOUT_SECONDS = 1.0
 HINT_MARGIN_SECONDS = 0.1
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -16,6 +16,7 @@
     "FollowEvent",
     "Follower",
     "HistoryLost",
+    "PageRead",
     "Pause",
     "PeerTold",
     "ReadAll",
@@ -47,10 +48,19 @@
 
 @dataclass(frozen=True)
 class SourceAnswered:
-    """The source answered; is_gap where its revision grew and no change was told."""
+    """The source answered; is_gap where its revision grew and no change was told.
+
+    age_seconds is how old the answer may be, as a reading takes time.
+    """
 
     has_changes: bool
     is_gap: bool = False
+    age_seconds: float = 0.0
+
+
+@dataclass(frozen=True)
+class PageRead:
+    """The source answered with a page of a reading that goes on."""
 
 
 @dataclass(frozen=True)
@@ -92,7 +102,7 @@
 
 
 Step = ReadAll | Watch | Pause
-FollowEvent = SourceAnswered | SourceFailed | HistoryLost | PeerTold
+FollowEvent = SourceAnswered | PageRead | SourceFailed | HistoryLost | PeerTold
 FollowEffect = AskPeer | AskSource | Confirm
 
 
@@ -104,11 +114,15 @@
     A peer that holds a newer record shows a watch that died in silence.
     """
 
-    def __init__(self, rng: random.Random, now: float) -> None:
+    def __init__(self, rng: random.Random, now: float, start_wait: float = 0.0) -> None:
         self._random = rng
+        self._started_at = now
         self._must_read = True
         self._is_woken = True
-        self._pause_until = now
+        # Hosts that start at once would all read all. Symptom: the source refuses most
+        # of their calls, and a large fleet serves only seconds after its start. Those
+        # that wait are fed by the first; alone, they read after the wait.
+        self._pause_until = now + start_wait
         self._changed_at = float("-inf")
         self._behind_since: float | None = None
         self._ahead = 0
@@ -159,6 +173,13 @@
         self._pause_until = now + pause
         self._changed_at = now
 
+    def take_page(self, now: float) -> None:
+        """Note a page of a reading that goes on: the source answers again."""
+        self._note_outage(now)
+        self.failures = 0
+        self._failing_since = None
+        self._is_return_tried = False
+
     def take_failure(self, complete: int, hosts: int, now: float) -> None:
         """Note a failed call, and wait longer the more hosts ask."""
         if self._failing_since is None:
@@ -206,7 +227,7 @@
         if self._behind_since is None:
             self._behind_since = now
         # Its own watch most often brings a host the same a moment later.
-        grace = c.BEHIND_SECONDS if complete else c.BEHIND_AT_START_SECONDS
+        grace = c.BEHIND_SECONDS if complete else 0.0
         if self.failures:
             grace = 0.0
         is_early = now - self._behind_since < grace
@@ -214,6 +235,10 @@
             return []
         self._asked_peer_at = now
         effects: list[FollowEffect] = [AskPeer(name)]
+        if not complete:
+            longest = self._started_at + c.START_LONGEST_SECONDS
+            given_until = min(now + c.START_PULL_SECONDS, longest)
+            self._pause_until = max(self._pause_until, given_until)
         if complete and not self.failures:
             self._must_read = True
             effects.append(AskSource())
@@ -242,7 +267,15 @@
     event: SourceAnswered, follower: Follower, complete: int, hosts: int, now: float
 ) -> list[FollowEffect]:
     follower.take_answer(event.has_changes, event.is_gap, now)
-    return [Confirm(0.0)]
+    return [Confirm(event.age_seconds)]
+
+
+@_hear.register
+def _(
+    event: PageRead, follower: Follower, complete: int, hosts: int, now: float
+) -> list[FollowEffect]:
+    follower.take_page(now)
+    return []
 
 
 @_hear.register
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -12,6 +12,7 @@
 __all__ = [
     "HeaderNames",
     "HistoryLostError",
+    "Page",
     "Paths",
     "Record",
     "RecordParser",
@@ -68,6 +69,15 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class Page:
+    """Some of all items by key, at a revision; next_after is None on the last page."""
+
+    records: tuple[Record, ...]
+    revision: int
+    next_after: str | None = None
+
+
 class SourceError(TarragonwardError):
     """Report that the source of publications gave no answer that can be used."""
 
@@ -79,8 +89,11 @@
 class RecordReader(Protocol):
     """Reads what is published; raises SourceError, also when time runs out."""
 
-    async def async_read_all(self, timeout: float) -> Records:
-        """Return all items."""
+    async def async_read_page(self, after: str, timeout: float) -> Page:
+        """Return the items whose keys follow a key, the first ones where it is empty.
+
+        Pages are no snapshot: each is as of its own revision.
+        """
 
     async def async_watch(self, after: int, wait: float, timeout: float) -> Records:
         """Return what changed after a revision, or nothing after wait seconds."""
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -20,6 +20,7 @@
     Follower,
     FollowEvent,
     HistoryLost,
+    PageRead,
     Pause,
     PeerTold,
     ReadAll,
@@ -29,6 +30,7 @@
 )
 from .peers import Peers
 from .ports import HistoryLostError, Record, RecordParser, RecordReader, SourceError
+from .reading import WholeReading
 from .record_book import Portion, RecordBook
 from .record_exchange import RecordRoutes, async_ask_peer, pack_age, unpack_age
 from .state import GatewayState
@@ -53,7 +55,8 @@
         self._reader = reader
         self._parser = parser
         self._peers = peers
-        self._follower = Follower(state.random, read_clock())
+        self._follower = Follower(state.random, read_clock(), self._choose_start_wait())
+        self._reading = WholeReading()
         self._background = BackgroundTasks(state.metrics)
         self._pulls: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
@@ -64,6 +67,12 @@
         )
         peers.add_section(SECTION, self._build_section, self._take_section)
 
+    def _choose_start_wait(self) -> float:
+        settings = self._state.settings
+        others = [seed for seed in settings.seeds if seed != settings.control]
+        is_seed = len(others) < len(settings.seeds)
+        return 0.0 if is_seed or not others else c.START_WAIT_SECONDS
+
     async def async_setup(self) -> None:
         """Start to follow, and to give peers what they lack."""
         await self._control.async_setup()
@@ -110,6 +119,7 @@
             answered = await self._async_read(step)
         except HistoryLostError:
             log_event("source_history_lost", revision=self.book.complete)
+            self._reading.clear()
             self._hear(HistoryLost())
         except SourceError as err:
             if not self._follower.failures:
@@ -120,18 +130,27 @@
                 log_event("source_regained", failures=self._follower.failures)
             self._hear(answered)
 
-    async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered:
-        after = self.book.complete
+    async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered | PageRead:
         if isinstance(step, ReadAll):
-            read = await self._reader.async_read_all(c.READ_SECONDS)
-            log_event("records_read", count=len(read.records), revision=read.revision)
-            new = self.take(Portion(read.records, read.revision, True), after)
-            return SourceAnswered(bool(new))
+            return await self._async_read_page()
+        after = self.book.complete
         timeout = step.seconds + c.WATCH_ANSWER_SECONDS
         read = await self._reader.async_watch(after, step.seconds, timeout)
         new = self.take(Portion(read.records, read.revision, False), after)
         return SourceAnswered(bool(new), not read.records and read.revision > after)
 
+    async def _async_read_page(self) -> SourceAnswered | PageRead:
+        asked_at = read_clock()
+        after = self._reading.choose_after(asked_at)
+        page = await self._reader.async_read_page(after, c.READ_SECONDS)
+        read = self._reading.take(page, asked_at)
+        if read is None:
+            return PageRead()
+        log_event("records_read", count=len(read.records), revision=read.revision)
+        new = self.take(Portion(read.records, read.revision, True), self.book.complete)
+        age = self._reading.compute_age(read_clock())
+        return SourceAnswered(bool(new), age_seconds=age)
+
     def _hear(self, event: FollowEvent) -> None:
         now = read_clock()
         hosts = self._peers.members.count_hosts()
--- a/libraries/gateway/tarragonward_gateway/record_exchange.py
+++ b/libraries/gateway/tarragonward_gateway/record_exchange.py
@@ -54,6 +54,7 @@
     def __init__(self, state: GatewayState, book: RecordBook) -> None:
         self._state = state
         self._book = book
+        self._given = 0
 
     async def async_handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer with the records after a revision."""
@@ -61,8 +62,21 @@
         if request.path != c.RECORDS_PATH or not after.isdecimal():
             await responder.async_send_error(ResultCode.UNKNOWN_ROUTE)
             return
-        portion = self._book.get_since(int(after))
-        body = msgpack.packb(
+        # All that start at once ask the few hosts that hold the records. Symptom: their
+        # links are full, and no asker has its answer in time. Those refused ask again,
+        # most often another host, and each that was given the records gives them on.
+        if self._given >= c.MAX_PORTIONS_GIVEN:
+            await responder.async_send_error(ResultCode.OVERLOADED)
+            return
+        self._given += 1
+        try:
+            body = self._pack(self._book.get_since(int(after)))
+            await responder.async_send_bytes(STATUS_OK, body, BODY_HEADERS)
+        finally:
+            self._given -= 1
+
+    def _pack(self, portion: Portion) -> bytes:
+        return msgpack.packb(
             (
                 c.RECORDS_FORMAT,
                 portion.complete,
@@ -71,7 +85,6 @@
                 [(r.key, r.revision, r.value) for r in portion.records],
             )
         )
-        await responder.async_send_bytes(STATUS_OK, body, BODY_HEADERS)
 
 
 async def async_ask_peer(address: Address, after: int) -> PeerPortion:
--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -11,6 +11,7 @@
     Confirm,
     Follower,
     HistoryLost,
+    PageRead,
     Pause,
     PeerTold,
     ReadAll,
@@ -200,3 +201,40 @@
     watching.hear(SourceAnswered(True), 10, HOSTS, 6.0)
     assert watching.is_after_outage(6.1)
     assert not watching.is_after_outage(6.0 + c.OUTAGE_MEMORY_SECONDS)
+
+
+def test_a_host_that_starts_leaves_the_first_reading_to_the_seeds():
+    """300 hosts start at once, and callers are refused for seconds.
+
+    Each reads all by itself, the source bounds their calls together, and refuses most.
+    A host that is no seed waits a moment; a peer that has read all is asked at once,
+    and while it gives, this host does not ask the source.
+    """
+    follower = Follower(random.Random(1), 0.0, c.START_WAIT_SECONDS)
+    assert follower.choose_step(3, 0, 0.0) == Pause(c.START_WAIT_SECONDS)
+    told = PeerTold("seed", 12, 0.0)
+    assert AskPeer("seed") in follower.hear(told, 0, 3, 0.1)
+    assert isinstance(follower.choose_step(3, 0, 0.3), Pause)
+
+
+def test_a_host_that_starts_alone_reads_by_itself():
+    """The seeds are dead or cut off; nobody tells anything, and the wait is short."""
+    follower = Follower(random.Random(1), 0.0, c.START_WAIT_SECONDS)
+    assert follower.choose_step(1, 0, c.START_WAIT_SECONDS) == ReadAll()
+
+
+def test_peers_that_tell_much_and_give_nothing_hold_up_no_start():
+    """Each peer is asked and gives nothing; the host still reads within two seconds."""
+    follower = Follower(random.Random(1), 0.0, c.START_WAIT_SECONDS)
+    for turn in range(40):
+        follower.hear(PeerTold("busy", 12, 0.0), 0, 3, 0.1 * turn)
+    assert follower.choose_step(3, 0, c.START_LONGEST_SECONDS) == ReadAll()
+
+
+def test_a_page_between_refusals_lets_the_reading_go_on_soon(follower):
+    for _ in range(6):
+        follower.hear(SourceFailed(), 0, HOSTS, 1.0)
+    follower.hear(PageRead(), 0, HOSTS, 3.0)
+    follower.hear(SourceFailed(), 0, HOSTS, 3.1)
+    step = follower.choose_step(HOSTS, 0, 3.1)
+    assert step.seconds <= c.SOURCE_RETRY_FIRST_SECONDS
--- a/libraries/gateway/tests/test_no_end.py
+++ b/libraries/gateway/tests/test_no_end.py
@@ -25,11 +25,12 @@
     def __init__(self):
         self.asked = 0
 
-    async def async_read_all(self, timeout):
+    async def async_read_page(self, after, timeout):
         self.asked += 1
         raise AttributeError("not an answer")
 
-    async_watch = async_read_all
+    async def async_watch(self, after, wait, timeout):
+        return await self.async_read_page("", timeout)
 
 
 def make_state():
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tarragonward_core import Address
-from tarragonward_gateway import Record, Records, SourceError, const
+from tarragonward_gateway import Page, Record, Records, SourceError, const
 from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.peers import Peers
 from tarragonward_gateway.ports import HeaderNames, Paths
@@ -58,11 +58,11 @@
         self.items[key] = Record(key, self.revision, value)
         self.changed.set()
 
-    async def async_read_all(self, timeout):
+    async def async_read_page(self, after, timeout):
         self.calls += 1
         if self.is_down:
             raise SourceError("down")
-        return Records(tuple(self.items.values()), self.revision)
+        return Page(tuple(self.items.values()), self.revision)
 
     async def async_watch(self, after, wait, timeout):
         self.calls += 1
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,6 +7,7 @@
 
 from tarragonward_core import Address
 from tarragonward_gateway import HistoryLostError, Record, SourceError
+from tarragonward_gateway.reading import WholeReading
 from tarragonward_platform.documents import DocumentParser
 from tarragonward_platform.store import StoreReader
 from tarragonward_routes import RequestKind
@@ -52,7 +53,10 @@
     first = {"items": [build_item("a", 3)], "morePages": True, "asOf": 9}
     second = {"items": [build_item("b", 11)], "morePages": False, "asOf": 12}
     reader, asked = await make_reader((200, first), (200, second))
-    read = await reader.async_read_all(1.0)
+    reading, read = WholeReading(), None
+    while read is None:
+        page = await reader.async_read_page(reading.choose_after(0.0), 1.0)
+        read = reading.take(page, 0.0)
     assert [record.key for record in read.records] == ["a", "b"]
     assert read.revision == 9
     assert [query.get("after") for _, query in asked] == [None, "a"]
@@ -91,7 +95,7 @@
 
 async def test_a_store_that_is_not_there_is_a_fault_of_the_source():
     with pytest.raises(SourceError):
-        await StoreReader(Address("127.0.0.1", 1)).async_read_all(0.5)
+        await StoreReader(Address("127.0.0.1", 1)).async_read_page("", 0.5)
 
 
 ENTRY = {
