--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -7,6 +7,7 @@
 from functools import singledispatch
 
 from . import const as c
+from .readers import Place
 
 __all__ = [
     "AskPeer",
@@ -50,7 +51,8 @@
 class SourceAnswered:
     """The source answered; is_gap where its revision grew and no change was told.
 
-    age_seconds is how old the answer may be, as a reading takes time.
+    age_seconds is how old the answer may be: a reading takes time, and a host that
+    stood still takes an answer late.
     """
 
     has_changes: bool
@@ -121,7 +123,9 @@
         self._is_woken = True
         # Hosts that start at once would all read all. Symptom: the source refuses most
         # of their calls, and a large fleet serves only seconds after its start. Those
-        # that wait are fed by the first; alone, they read after the wait.
+        # that wait, at first and after a page of many, are fed by the first; alone,
+        # they read after the wait.
+        self._leaves_reading = start_wait > 0.0
         self._pause_until = now + start_wait
         self._changed_at = float("-inf")
         self._behind_since: float | None = None
@@ -131,19 +135,46 @@
         self._failed_at = float("-inf")
         self._last_outage_at = float("-inf")
         self._is_return_tried = False
+        self._is_fed = False
         self.failures = 0
 
-    def choose_step(self, hosts: int, rank: int, now: float) -> Step:
-        """Return what to do now; rank is this host's place among the hosts."""
+    def choose_step(self, place: Place, confirmed_age: float, now: float) -> Step:
+        """Return what to do now; confirmed_age is that of what the host holds."""
+        fed_left = self._compute_fed_left(place, confirmed_age)
+        self._is_fed = fed_left > 0.0
+        if self._is_fed:
+            self._end_failing(now)
+            return Pause(max(fed_left, c.FED_CHECK_SECONDS))
         if now < self._pause_until:
             return Pause(self._pause_until - now)
         if self._must_read:
             return ReadAll()
+        if place.fed_rank is not None:
+            return Watch(c.FED_WATCH_SECONDS)
+        return Watch(self._choose_wait(place))
+
+    def _compute_fed_left(self, place: Place, confirmed_age: float) -> float:
+        """Return how much longer others ask for this host.
+
+        Its readers may be dead, frozen or cut off from it or from the source. Symptom:
+        work goes to targets that left. What was confirmed of late was so old at most,
+        whoever confirmed it, so it is enough to ask once that age is too great. The
+        first of a group asks shortly, which confirms for all that hear it.
+        """
+        if place.fed_rank is None:
+            return 0.0
+        return c.FED_SECONDS + place.fed_rank * c.FED_RANK_SECONDS - confirmed_age
+
+    def _choose_wait(self, place: Place) -> float:
+        hosts = place.hosts
+        if place.group:
+            wait = min(c.MAX_WATCH_SECONDS, hosts * c.FED_WATCH_SLOT_SECONDS)
+            return wait * (place.rank + 1) / hosts if self._is_woken else wait
         # A change wakes all watches at once. Symptom: they also end at once, and for
         # seconds nobody knows whether anything is new. Places keep their ends apart.
         slot = max(c.WATCH_SLOT_SECONDS, c.MIN_WATCH_SECONDS / hosts)
         slot = min(slot, c.MAX_WATCH_SECONDS / hosts)
-        return Watch(slot * (rank + 1 if self._is_woken else hosts))
+        return slot * (place.rank + 1 if self._is_woken else hosts)
 
     def hear(
         self, event: FollowEvent, complete: int, hosts: int, now: float
@@ -173,8 +204,10 @@
         self._pause_until = now + pause
         self._changed_at = now
 
-    def take_page(self, now: float) -> None:
+    def take_page(self, complete: int, now: float) -> None:
         """Note a page of a reading that goes on: the source answers again."""
+        if self._leaves_reading and not complete:
+            self._wait_to_be_given(now)
         self._note_outage(now)
         self.failures = 0
         self._failing_since = None
@@ -228,7 +261,7 @@
             self._behind_since = now
         # Its own watch most often brings a host the same a moment later.
         grace = c.BEHIND_SECONDS if complete else 0.0
-        if self.failures:
+        if self.failures or self._is_fed:
             grace = 0.0
         is_early = now - self._behind_since < grace
         if is_early or now - self._asked_peer_at < c.ASK_PEER_SECONDS:
@@ -236,19 +269,31 @@
         self._asked_peer_at = now
         effects: list[FollowEffect] = [AskPeer(name)]
         if not complete:
-            longest = self._started_at + c.START_LONGEST_SECONDS
-            given_until = min(now + c.START_PULL_SECONDS, longest)
-            self._pause_until = max(self._pause_until, given_until)
-        if complete and not self.failures:
+            self._wait_to_be_given(now)
+        # A host that is fed and stays behind is confirmed by nobody, and asks for that.
+        if complete and not self.failures and not self._is_fed:
             self._must_read = True
             effects.append(AskSource())
         return effects
 
+    def _wait_to_be_given(self, now: float) -> None:
+        """Leave the source to others while peers may give what they have read."""
+        longest = self._started_at + c.START_LONGEST_SECONDS
+        given_until = min(now + c.START_PULL_SECONDS, longest)
+        self._pause_until = max(self._pause_until, given_until)
+
     def _shows_return(self, told: PeerTold, now: float) -> bool:
         answered_at = now - told.confirmed_age
         is_news = answered_at > self._failed_at + c.HINT_MARGIN_SECONDS
         return bool(self.failures) and is_news and not self._is_return_tried
 
+    def _end_failing(self, now: float) -> None:
+        """Forget the failures of a host that is fed again."""
+        self._note_outage(now)
+        self._failing_since = None
+        self._is_return_tried = False
+        self.failures = 0
+
     def _note_outage(self, now: float) -> None:
         since = self._failing_since
         if since is not None and now - since > c.OUTAGE_SECONDS:
@@ -274,7 +319,7 @@
 def _(
     event: PageRead, follower: Follower, complete: int, hosts: int, now: float
 ) -> list[FollowEffect]:
-    follower.take_page(now)
+    follower.take_page(complete, now)
     return []
 
 
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -12,7 +12,7 @@
 from tarragonward_wire import HttpServer
 
 from . import const as c
-from .clock import read_clock
+from .clock import read_clock, read_suspended
 from .following import (
     AskPeer,
     AskSource,
@@ -30,6 +30,7 @@
 )
 from .peers import Peers
 from .ports import HistoryLostError, Record, RecordParser, RecordReader, SourceError
+from .readers import Place
 from .reading import WholeReading
 from .record_book import Portion, RecordBook
 from .record_exchange import RecordRoutes, async_ask_peer, pack_age, unpack_age
@@ -50,8 +51,10 @@
         reader: RecordReader,
         parser: RecordParser,
         peers: Peers,
+        get_place: Callable[[], Place],
     ) -> None:
         self._state = state
+        self._get_place = get_place
         self._reader = reader
         self._parser = parser
         self._peers = peers
@@ -90,9 +93,9 @@
     async def _async_follow(self) -> None:
         while True:
             self._wake.clear()
-            members = self._peers.members
-            hosts, rank = members.count_hosts(), members.compute_rank()
-            step = self._follower.choose_step(hosts, rank, read_clock())
+            now = read_clock()
+            age = now - self._state.table_confirmed_at
+            step = self._follower.choose_step(self._get_place(), age, now)
             if isinstance(step, Pause):
                 await self._async_until_woken(asyncio.sleep(step.seconds))
             else:
@@ -133,11 +136,15 @@
     async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered | PageRead:
         if isinstance(step, ReadAll):
             return await self._async_read_page()
-        after = self.book.complete
+        after, suspended = self.book.complete, read_suspended()
         timeout = step.seconds + c.WATCH_ANSWER_SECONDS
         read = await self._reader.async_watch(after, step.seconds, timeout)
+        # The answer may have lain in the socket of a host that stood still. Symptom:
+        # the host, and all that hear it, take an old table for confirmed just now.
+        age = max(0.0, read_suspended() - suspended)
         new = self.take(Portion(read.records, read.revision, False), after)
-        return SourceAnswered(bool(new), not read.records and read.revision > after)
+        is_gap = not read.records and read.revision > after
+        return SourceAnswered(bool(new), is_gap, age)
 
     async def _async_read_page(self) -> SourceAnswered | PageRead:
         asked_at = read_clock()
