--- a/libraries/bench/tarragonward_bench/hearing_host.py
+++ b/libraries/bench/tarragonward_bench/hearing_host.py
@@ -41,7 +41,7 @@
     SeedEffect,
     SeedMembership,
 )
-from tarragonward_membership.const import HELLO_INTERVAL_SECONDS, MAX_MESH_PEERS
+from tarragonward_membership.const import HELLO_INTERVAL_SECONDS
 from tarragonward_placement import Located
 
 from .hearing_world import TABLE_KEY, Answer, FakeSource, Links, Lost, World
@@ -57,7 +57,6 @@
 SEEDS = 3
 # The digest of three prompts in flight, which goes with most hellos.
 DIGEST_BYTES = 170
-DATAGRAM_HEAD_BYTES = 28
 MATES_SECONDS = 1.0
 HOSTS_A_BYTE = 200
 
@@ -107,7 +106,7 @@
         self.frozen_until = -math.inf
         self._suspended = self._noted = 0.0
         self._asked = 0
-        self._sent = 0
+        self._sent = self._sent_brief = 0
         self._mates_at = -math.inf
         self.place = Place(1, 0)
         self._round()
@@ -200,6 +199,8 @@
             is_gap = not answer.records and answer.revision > after
             age = self._suspended - suspended
             self._hear(SourceAnswered(bool(new), is_gap, age))
+            if self.place.group:
+                self._tell_records(bool(new))
         self._follow(self._asked)
 
     def _take_page(self, page: Page, asked_at: float) -> SourceAnswered | PageRead:
@@ -284,7 +285,7 @@
         if now - self._mates_at >= MATES_SECONDS:
             self._mates_at = now
             self._set_mates()
-        self._carry_out(self.members.hear(RoundDue(self._sent), now))
+        self._carry_out(self.members.hear(RoundDue(self._sent, self._sent_brief), now))
         wait = HELLO_INTERVAL_SECONDS * self._random.uniform(0.9, 1.1)
         self._world.after(wait, self._round)
 
@@ -305,31 +306,48 @@
     def tell_now(self) -> None:
         """Tell the mates at once, as for a long prompt."""
         if self._wake_at(self.tell_now):
-            peers = [peer.identity.address for peer in self.members.get_peers()]
-            mates = self.members.get_mates()
-            told = mates if len(peers) > MAX_MESH_PEERS else peers
-            self._carry_out([Greet(tuple(told), is_brief=True)])
+            told = self.members.choose_news(self._sent_brief)
+            self._carry_out([Greet(told, is_brief=True)])
+
+    def _tell_records(self, has_changes: bool) -> None:
+        section = self._build_section()
+        hello, size = self._pack(section, is_brief=True)
+        told = self.members.choose_news(size, has_changes)
+        self._send_to(told, hello, section, size)
 
     def _carry_out(self, effects: list[SeedEffect]) -> None:
         for effect in effects:
             if isinstance(effect, Greet) and effect.addresses:
                 self._send(effect.addresses, effect.is_brief)
 
-    def _send(self, addresses: tuple[Address, ...], is_brief: bool) -> None:
-        now, fleet = self._world.now, self._fleet
-        hello = self.members.build_hello(now, is_brief)
-        age = now - self.confirmed_at
-        section = (self.book.changed, pack_age(age), self.version)
+    def _build_section(self) -> Section:
+        age = self._world.now - self.confirmed_at
+        return self.book.changed, pack_age(age), self.version
+
+    def _pack(self, section: Section, is_brief: bool) -> tuple[Hello, int]:
+        hello = self.members.build_hello(self._world.now, is_brief)
         sections = {"publications": msgpack.packb(section)}
-        size = len(msgpack.packb((1, hello.pack(), sections))) + DIGEST_BYTES
-        if not is_brief:
+        return hello, len(msgpack.packb((1, hello.pack(), sections)))
+
+    def _send(self, addresses: tuple[Address, ...], is_brief: bool) -> None:
+        section = self._build_section()
+        hello, size = self._pack(section, is_brief)
+        size += DIGEST_BYTES
+        if is_brief:
+            self._sent_brief = size
+        else:
             self._sent = size
+        self._send_to(addresses, hello, section, size)
+
+    def _send_to(
+        self, addresses: tuple[Address, ...], hello: Hello, section: Section, size: int
+    ) -> None:
+        fleet = self._fleet
         for address in addresses:
             fleet.sent_bytes += size
             fleet.messages += 1
-            other = fleet.hosts.get(address)
             is_lost = self._world.random.random() < fleet.links.loss
-            if other is not None and not is_lost:
+            if address in fleet.hosts and not is_lost:
                 delay = self._world.draw_delay()
                 self._world.after(
                     delay, lambda to=address: self._deliver(to, hello, section)
@@ -360,4 +378,8 @@
             return
         changed, packed_age, _ = section
         late = self.members.compute_age(peer, hello.stamp, now)
+        before = self.confirmed_at
         self._hear(PeerTold(hello.name, changed, unpack_age(packed_age) + late))
+        is_news = self.confirmed_at - before > gateway_const.RELAY_SECONDS
+        if is_news and self.place.group and str(address) not in self.place.group:
+            self._tell_records(has_changes=False)
