--- a/libraries/bench/tarragonward_bench/hearing_world.py
+++ b/libraries/bench/tarragonward_bench/hearing_world.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tarragonward_gateway.ports import Record, Records
+from tarragonward_gateway.ports import Page, Record, Records
 
 __all__ = ["Answer", "FakeSource", "Links", "Lost", "World"]
 
@@ -17,6 +17,10 @@
 MIN_DELAY_SECONDS = 0.001
 MAX_DELAY_SECONDS = 0.005
 TABLE_KEY = "table"
+PAGE_ITEMS = 50
+# An idle second and two unanswered probes of the kernel, a second apart.
+DEAD_SECONDS = 3.0
+LIMIT_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -26,7 +30,7 @@
     is_history: bool = False
 
 
-Answer = Records | Lost
+Answer = Records | Page | Lost
 Reply = Callable[[Answer], None]
 
 
@@ -94,11 +98,15 @@
 class FakeSource:
     """Publish records; answer readings by pages and watches, or fail some hosts.
 
-    calls counts what is priced: each reading's page, and each watch.
+    calls counts what is priced: each reading's page, and each watch. Calls beyond
+    reads_a_second, of all hosts together, are refused.
     """
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: World, reads_a_second: float = float("inf")) -> None:
         self._world = world
+        self._allowed = reads_a_second * LIMIT_SECONDS
+        self._counted_from = world.now
+        self._counted = 0
         self._records: dict[str, Record] = {}
         self._kept_after = 0
         self._log: list[tuple[float, Record]] = []
@@ -132,29 +140,24 @@
         self._kept_after = self.revision
 
     def drop_watches(self, host: int) -> None:
-        """Let the watches of a host go silent for good."""
+        """Let the watches of a host go silent for good; probes show it by and by."""
+        dead = [one for one in self._waiting if one.host == host]
         self._waiting = [one for one in self._waiting if one.host != host]
+        for one in dead:
+            self._world.after(DEAD_SECONDS, lambda one=one: one.reply(Lost()))
 
-    def read_all(self, host: int, reply: Reply) -> None:
-        """Answer with all items, in two pages with time between them."""
-        self.calls += 1
+    def read_page(self, host: int, after: str, reply: Reply) -> None:
+        """Answer with the items that follow a key."""
         if not self._is_served(host, reply):
             return
-        first = self.revision
-        keys = sorted(self._records)
-        half = {key: self._records[key] for key in keys[: len(keys) // 2]}
-        last = keys[len(keys) // 2 - 1] if half else ""
-
-        def answer() -> None:
-            self.calls += 1
-            later = [r for key, r in self._records.items() if key > last]
-            reply(Records((*half.values(), *later), first))
-
-        self._world.after(2 * ANSWER_SECONDS, answer)
+        keys = sorted(key for key in self._records if key > after)
+        page, is_last = keys[:PAGE_ITEMS], len(keys) <= PAGE_ITEMS
+        records = tuple(self._records[key] for key in page)
+        read = Page(records, self.revision, None if is_last else page[-1])
+        self._world.after(ANSWER_SECONDS, lambda: reply(read))
 
     def watch(self, host: int, after: int, seconds: float, reply: Reply) -> None:
         """Answer with what changed after a revision, or nothing after a time."""
-        self.calls += 1
         if not self._is_served(host, reply):
             return
         if after < self._kept_after:
@@ -168,13 +171,20 @@
         self._world.after(seconds, lambda: self._end(waiting))
 
     def _is_served(self, host: int, reply: Reply) -> bool:
+        self.calls += 1
         if host in self.muted:
             return False
-        if self.is_down or host in self.refused:
+        if self.is_down or host in self.refused or self._is_over_limit():
             self._world.after(REFUSED_SECONDS, lambda: reply(Lost()))
             return False
         return True
 
+    def _is_over_limit(self) -> bool:
+        if self._world.now - self._counted_from >= LIMIT_SECONDS:
+            self._counted_from, self._counted = self._world.now, 0
+        self._counted += 1
+        return self._counted > self._allowed
+
     def _wake(self, waiting: _Waiting) -> None:
         if waiting.is_open and waiting.host not in self.muted:
             waiting.is_open = False
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -46,13 +46,19 @@
 # A reader that nobody heard for so long is passed over.
 READER_SILENT_SECONDS = 3.0
 # A host that others ask for asks by itself once what it holds was confirmed so long
-# ago; the later, the farther back its place, so that one asks for all of a group.
+# ago; the later, the farther back its place, so that one asks for all.
 FED_SECONDS = 1.1
-FED_RANK_SECONDS = 0.05
+FED_GROUPS_SECONDS = 0.4
+FED_RANK_SECONDS = 0.03
 FED_WATCH_SECONDS = 0.05
 FED_CHECK_SECONDS = 0.05
+# What another group's word must make this host surer by to be told to its mates.
+RELAY_SECONDS = 0.5
 WATCH_ANSWER_SECONDS = 1.0
+SOURCE_UNREACHABLE_SECONDS = 2.5
 READ_SECONDS = 1.5
+# A reading by pages is begun anew when older; the source's history is longer.
+MAX_READING_SECONDS = 8.0
 CHANGE_PAUSE_SECONDS = 0.1
 CROWD_SECONDS = 1.0
 CROWD_PAUSE_SECONDS = 0.4
@@ -62,7 +68,13 @@
 SOURCE_RETRY_LIMIT_SECONDS = 5.0
 # A peer that is ahead for longer shows that this host's watch is dead.
 BEHIND_SECONDS = 0.7
-BEHIND_AT_START_SECONDS = 0.1
+# A host that starts and is no seed leaves the first readings to those that are, for so
+# long; while peers give it what they hold, it waits on, up to so long in all.
+START_WAIT_SECONDS = 0.2
+START_PULL_SECONDS = 0.5
+START_LONGEST_SECONDS = 2.0
+# How many peers are given records at a time; the others ask another host.
+MAX_PORTIONS_GIVEN = 4
 ASK_PEER_SECONDS = 0.25
 ASK_PEER_TIMEOUT_SECONDS = 1.0
 HINT_MARGIN_SECONDS = 0.1
@@ -88,6 +100,7 @@
 # A packet that is lost on the way to a new connection is sent again after a second or
 # more, so waiting on towards that brings nothing; a target's answer takes far less.
 CELL_SECONDS = 0.5
+PLACE_SECONDS = 1.0
 
 CONNECT_SECONDS = 0.2
 TARGET_UNREACHABLE_SECONDS = 2.5
