--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -17,6 +17,7 @@
     "FollowEvent",
     "Follower",
     "HistoryLost",
+    "PageRead",
     "Pause",
     "PeerTold",
     "ReadAll",
@@ -50,7 +51,8 @@
 class SourceAnswered:
     """The source answered; is_gap where its revision grew and no change was told.
 
-    age_seconds is how old the answer may be, as this host stood still meanwhile.
+    age_seconds is how old the answer may be: a reading takes time, and a host that
+    stood still takes an answer late.
     """
 
     has_changes: bool
@@ -58,6 +60,11 @@
     age_seconds: float = 0.0
 
 
+@dataclass(frozen=True)
+class PageRead:
+    """The source answered with a page of a reading that goes on."""
+
+
 @dataclass(frozen=True)
 class SourceFailed:
     """The source gave no answer that can be used."""
@@ -97,7 +104,7 @@
 
 
 Step = ReadAll | Watch | Pause
-FollowEvent = SourceAnswered | SourceFailed | HistoryLost | PeerTold
+FollowEvent = SourceAnswered | PageRead | SourceFailed | HistoryLost | PeerTold
 FollowEffect = AskPeer | AskSource | Confirm
 
 
@@ -109,11 +116,17 @@
     A peer that holds a newer record shows a watch that died in silence.
     """
 
-    def __init__(self, rng: random.Random, now: float) -> None:
+    def __init__(self, rng: random.Random, now: float, start_wait: float = 0.0) -> None:
         self._random = rng
+        self._started_at = now
         self._must_read = True
         self._is_woken = True
-        self._pause_until = now
+        # Hosts that start at once would all read all. Symptom: the source refuses most
+        # of their calls, and a large fleet serves only seconds after its start. Those
+        # that wait, at first and after a page of many, are fed by the first; alone,
+        # they read after the wait.
+        self._leaves_reading = start_wait > 0.0
+        self._pause_until = now + start_wait
         self._changed_at = float("-inf")
         self._behind_since: float | None = None
         self._ahead = 0
@@ -193,6 +206,15 @@
         self._pause_until = now + pause
         self._changed_at = now
 
+    def take_page(self, complete: int, now: float) -> None:
+        """Note a page of a reading that goes on: the source answers again."""
+        if self._leaves_reading and not complete:
+            self._wait_to_be_given(now)
+        self._note_outage(now)
+        self.failures = 0
+        self._failing_since = None
+        self._is_return_tried = False
+
     def take_failure(self, complete: int, hosts: int, now: float) -> None:
         """Note a failed call, and wait longer the more hosts ask."""
         if self._failing_since is None:
@@ -240,7 +262,7 @@
         if self._behind_since is None:
             self._behind_since = now
         # Its own watch most often brings a host the same a moment later.
-        grace = c.BEHIND_SECONDS if complete else c.BEHIND_AT_START_SECONDS
+        grace = c.BEHIND_SECONDS if complete else 0.0
         if self.failures or self._is_fed:
             grace = 0.0
         is_early = now - self._behind_since < grace
@@ -248,12 +270,20 @@
             return []
         self._asked_peer_at = now
         effects: list[FollowEffect] = [AskPeer(name)]
+        if not complete:
+            self._wait_to_be_given(now)
         # A host that is fed and stays behind is confirmed by nobody, and asks for that.
         if complete and not self.failures and not self._is_fed:
             self._must_read = True
             effects.append(AskSource())
         return effects
 
+    def _wait_to_be_given(self, now: float) -> None:
+        """Leave the source to others while peers may give what they have read."""
+        longest = self._started_at + c.START_LONGEST_SECONDS
+        given_until = min(now + c.START_PULL_SECONDS, longest)
+        self._pause_until = max(self._pause_until, given_until)
+
     def _shows_return(self, told: PeerTold, now: float) -> bool:
         answered_at = now - told.confirmed_age
         is_news = answered_at > self._failed_at + c.HINT_MARGIN_SECONDS
@@ -287,6 +317,14 @@
     return [Confirm(event.age_seconds)]
 
 
+@_hear.register
+def _(
+    event: PageRead, follower: Follower, complete: int, hosts: int, now: float
+) -> list[FollowEffect]:
+    follower.take_page(complete, now)
+    return []
+
+
 @_hear.register
 def _(
     event: SourceFailed, follower: Follower, complete: int, hosts: int, now: float
