--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -133,7 +133,8 @@
                 log_event("source_regained", failures=self._follower.failures)
             self._hear(answered)
             # In a large fleet few hosts ask, so the others wait for this one's word.
-            if self._get_place().group:
+            is_whole = isinstance(answered, SourceAnswered)
+            if is_whole and self._get_place().group:
                 self._peers.tell_now(SECTION, is_urgent=answered.has_changes)
 
     async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered | PageRead:
