Count a target's own errors against it, and let one request try it

Cause: a target whose answers are errors of its own was never in doubt, and the head of any answer cleared what was held against it, so faults that come after the head (no seal, not whole) were never in a row. Such a target fails at once, is the least busy, and is chosen first. Now a head shows only that the target can be reached; a whole answer, a first event or a refusal clears it; a status of 500 or more that is no refusal counts (Evidence.FAILED); two faults in a row leave it out, three before; after errors of its own one request tries, as a connection proves nothing.

--- a/libraries/bench/tarragonward_bench/reach_runs.py
+++ b/libraries/bench/tarragonward_bench/reach_runs.py
@@ -26,6 +26,8 @@
 SENDS_A_SECOND = 1.0
 FREE_SENDS = 3.0
 
+FAULTS = (Evidence.SILENT, Evidence.LOST, Evidence.SPOILED, Evidence.FAILED)
+
 
 class Health(Enum):
     """What a target does with a connection and a request."""
@@ -154,7 +156,7 @@
         elif target.health is Health.REPLACED:
             evidence = Evidence.REPLACED
         elif target.health is Health.FLAKY and self.rng.random() < 0.5:
-            evidence = self.rng.choice((Evidence.SILENT, Evidence.LOST))
+            evidence = self.rng.choice(FAULTS)
         else:
             evidence = Evidence.ANSWERED
         target.is_learned |= evidence is not Evidence.ANSWERED
--- a/libraries/cli/tests/test_explain.py
+++ b/libraries/cli/tests/test_explain.py
@@ -107,3 +107,24 @@
     tester = CommandTester(build_application().find(name))
     tester.execute(arguments)
     return tester
+
+
+def test_a_target_in_doubt_is_shown_with_what_put_it_there():
+    """A stream goes on elsewhere, and the operator asks why its engine was left."""
+    found = explain(
+        "r1",
+        parse(
+            [
+                make_line(0.0, "host_started"),
+                make_line(0.5, "target_doubted", target="i-1", evidence="silent"),
+                make_line(0.6, "target_doubted", target="i-9", evidence="silent"),
+                make_line(0.9, "domain_doubted", domain="d1"),
+                make_line(1.0, "target_chosen", request_id="r1", target="i-1"),
+                make_line(1.5, "request_ended", request_id="r1", outcome="answered"),
+            ]
+        ),
+    )
+    (_, doubted), *others = found.targets
+    assert not others
+    assert doubted.fields == {"target": "i-1", "evidence": "silent"}
+    assert "domain_doubted" in [line.event for _, line in found.meanwhile]
--- a/libraries/gateway/tarragonward_gateway/operators.py
+++ b/libraries/gateway/tarragonward_gateway/operators.py
@@ -48,7 +48,10 @@
         self._background = BackgroundTasks(state.metrics)
         _add_gauges(state)
         state.metrics.add_gauge(
-            "targets_resting", "no connection to them", lambda: reach.resting
+            "targets_resting", "in doubt and left out", lambda: reach.resting
+        )
+        state.metrics.add_gauge(
+            "domains_resting", "no link to them", lambda: reach.resting_domains
         )
 
     @property
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -213,9 +213,16 @@
             await asyncio.sleep(self._state.random.random() * wait)
         return None
 
-    def _note_answered(self, target: RegisteredTarget, stream: HttpStream) -> None:
-        is_elsewhere = self._is_elsewhere(target, stream)
-        evidence = Evidence.REPLACED if is_elsewhere else Evidence.ANSWERED
+    def _note_head(self, target: RegisteredTarget, stream: HttpStream) -> None:
+        # A head alone is no answer: a sick target may spoil what comes after it.
+        # Symptom, were it taken as one: its faults are never two in a row.
+        evidence = Evidence.CONNECTED
+        if self._is_elsewhere(target, stream):
+            evidence = Evidence.REPLACED
+        elif self._is_refusal(stream):
+            evidence = Evidence.ANSWERED
+        elif stream.status >= STATUS_FAILURES:
+            evidence = Evidence.FAILED
         self._chooser.probes.note(target, evidence)
 
     def _build_need(self) -> TargetNeed:
@@ -307,7 +314,7 @@
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
-        self._note_answered(choice.target, stream)
+        self._note_head(choice.target, stream)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
         if self._is_refusal(stream):
             at_fault = stream.headers.get(names.at_target)
@@ -334,6 +341,8 @@
         )
         headers = build_answer_headers(stream.raw_headers, has_body)
         self._answer = (stream.status, headers, body)
+        if stream.status < STATUS_FAILURES:
+            self._chooser.probes.note(choice.target, Evidence.ANSWERED)
         return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
 
     def _is_elsewhere(self, target: RegisteredTarget, stream: HttpStream) -> bool:
@@ -378,7 +387,7 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
-                choice.note_first_event(self._loop.time())
+                self._note_events(choice)
                 if self._watch is not None:
                     self._watch.pause()
                 await self._async_give_events(stream, events)
@@ -395,6 +404,12 @@
         self._exchange.has_ended = True
         return None
 
+    def _note_events(self, choice: SendChoice) -> None:
+        if not choice.has_events:
+            choice.has_events = True
+            self._chooser.probes.note(choice.target, Evidence.ANSWERED)
+        choice.note_first_event(self._loop.time())
+
     async def _async_give_events(
         self, stream: HttpStream, events: list[StreamEvent]
     ) -> None:
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -55,6 +55,7 @@
     plan: ReadingPlan | None = None
     work: PromptWork | None = None
     ticket: str = ""
+    has_events: bool = False
 
     def note_first_event(self, now: float) -> None:
         """Note that the prompt has been read."""
--- a/libraries/gateway/tests/test_operators.py
+++ b/libraries/gateway/tests/test_operators.py
@@ -103,6 +103,7 @@
     for name in ("requests_total", "time_to_first_event", "table_version 1.0"):
         assert f"tarragonward_{name}" in text
     assert "tarragonward_targets_resting 0.0" in text
+    assert "tarragonward_domains_resting 0.0" in text
 
 
 async def test_a_metrics_address_in_use_costs_no_caller_its_answer(make_site, lines):
--- a/libraries/gateway/tests/test_probes.py
+++ b/libraries/gateway/tests/test_probes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tarragonward_core import Address
 from tarragonward_gateway import GatewaySettings, HeaderNames, Paths
 from tarragonward_gateway import const as c
@@ -13,7 +15,7 @@
 from tarragonward_placement import Evidence, TargetReach
 from tarragonward_placement import const as placement_const
 from tarragonward_requests import SendFault
-from tarragonward_standins import answer_with, refuse_with
+from tarragonward_standins import answer_with, async_reset, refuse_with
 
 LOCAL = Address("127.0.0.1", 0)
 CLOSED = Address("127.0.0.1", 9)
@@ -151,6 +153,22 @@
     assert list(site.chooser.reach.select(ready, read_clock())) == [leader, other]
 
 
+@pytest.mark.parametrize(
+    "script",
+    [answer_with(status="500 Failed"), answer_with(seal="X-None: 1"), async_reset],
+)
+async def test_a_target_that_fails_all_its_work_gets_little_of_it(make_site, script):
+    """A target answers its checks, and fails each request the moment it comes.
+
+    So it is the least busy one, and each request went there first: half of the sends
+    were spent on it for as long as it was sick. After two in a row it rests.
+    """
+    site = await make_site(script, answer_with())
+    for _ in range(6):
+        assert (await site.async_ask()).status == 200
+    assert [len(target.seen) for target in site.targets] == [2, 6]
+
+
 class Plan:
     """Stand for the plan of a prompt that needs no reservation."""
 
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -106,10 +106,10 @@
 REST_FIRST_SECONDS = 0.4
 REST_MAX_SECONDS = 1.0
 REST_MAX_BEFORE_REQUEST_SECONDS = 2.0
-# While one request tries a target, the others wait for it.
-TRIAL_SECONDS = 0.3
+# While one request tries a target, the others wait for its answer, so long at most.
+TRIAL_SECONDS = 2.0
 # So many faults that may be one request's alone, in a row, are the target's.
-FAILURES_IN_A_ROW = 3
+FAILURES_IN_A_ROW = 2
 # So many targets of a failure domain that can't be connected to within this time, and
 # none that answers between, are its link and not they.
 DOMAIN_TARGETS = 2
--- a/libraries/placement/tarragonward_placement/reach.py
+++ b/libraries/placement/tarragonward_placement/reach.py
@@ -33,11 +33,13 @@
     SILENT = "silent"
     LOST = "lost"
     SPOILED = "spoiled"
+    FAILED = "failed itself"
 
 
-AT_ONCE = frozenset(
-    {Evidence.NOT_CONNECTED, Evidence.REPLACED, Evidence.NAMED, Evidence.SILENT}
-)
+# Faults that may be one request's alone count only some in a row.
+IN_A_ROW = frozenset({Evidence.LOST, Evidence.SPOILED, Evidence.FAILED})
+# What one request has to try: a connection proves nothing of it.
+BY_REQUEST = frozenset({Evidence.REPLACED, Evidence.FAILED})
 
 
 class Placed(Protocol):
@@ -94,7 +96,6 @@
     until: float | None = None
     strikes: int = 0
     failures: int = 0
-    # Where another boot answers, a connection proves nothing: a request has to try.
     needs_request: bool = False
     # Of a domain: when its targets were last connected to on its behalf.
     tried_at: dict[str, float] = field(default_factory=dict)
@@ -122,10 +123,11 @@
     never comes, or uses up its sends on targets out of reach, while others have room.
     One failure to connect, one refusal as another boot or one silence leaves a target
     out, other faults some in a row. Two that can't be connected to, and no answer of
-    their failure domain between, are its link: the domain is left out. What takes no
-    connection is taken back by one without a request, so that no caller has to try;
-    where another boot answers, one request tries. Where all are in doubt the least
-    doubted are used: nothing is refused for a guess.
+    their failure domain between, are its link: the domain is left out. What is left out
+    is taken back by a connection without a request, so that no caller has to try; what
+    answers with errors of its own, or as another boot, takes connections, so there one
+    request tries. Where all are in doubt the least doubted are used: nothing is refused
+    for a guess.
     """
 
     def __init__(self) -> None:
@@ -157,7 +159,7 @@
             self._reached_at.pop(target.id, None)
             return self._doubt(target, evidence, now) + self._doubt_domain(target, now)
         effects: tuple[ReachEffect, ...] = ()
-        if evidence is Evidence.REPLACED:
+        if evidence in (Evidence.REPLACED, Evidence.FAILED):
             effects = self._regain_domain(target.failure_domain)
         return effects + self._doubt(target, evidence, now)
 
@@ -239,12 +241,13 @@
                 self._targets.pop(next(iter(self._targets)))
             doubt = self._targets[target.id] = _Doubt()
         was_out = doubt.until is not None
-        if doubt.until is not None and now < doubt.until and not doubt.needs_request:
+        is_probed = was_out and not doubt.needs_request
+        if is_probed and doubt.until is not None and now < doubt.until:
             return ()
         doubt.failures += 1
-        if evidence not in AT_ONCE and doubt.failures < c.FAILURES_IN_A_ROW:
+        if evidence in IN_A_ROW and doubt.failures < c.FAILURES_IN_A_ROW:
             return ()
-        doubt.needs_request = evidence is Evidence.REPLACED
+        doubt.needs_request = evidence in BY_REQUEST
         doubt.prolong(now)
         return () if was_out else (TargetDoubted(target.id, evidence),)
 
