--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -20,6 +20,7 @@
     Follower,
     FollowEvent,
     HistoryLost,
+    PageRead,
     Pause,
     PeerTold,
     ReadAll,
@@ -30,6 +31,7 @@
 from .peers import Peers
 from .ports import HistoryLostError, Record, RecordParser, RecordReader, SourceError
 from .readers import Place
+from .reading import WholeReading
 from .record_book import Portion, RecordBook
 from .record_exchange import RecordRoutes, async_ask_peer, pack_age, unpack_age
 from .state import GatewayState
@@ -56,7 +58,8 @@
         self._reader = reader
         self._parser = parser
         self._peers = peers
-        self._follower = Follower(state.random, read_clock())
+        self._follower = Follower(state.random, read_clock(), self._choose_start_wait())
+        self._reading = WholeReading()
         self._background = BackgroundTasks(state.metrics)
         self._pulls: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
@@ -67,6 +70,12 @@
         )
         peers.add_section(SECTION, self._build_section, self._take_section)
 
+    def _choose_start_wait(self) -> float:
+        settings = self._state.settings
+        others = [seed for seed in settings.seeds if seed != settings.control]
+        is_seed = len(others) < len(settings.seeds)
+        return 0.0 if is_seed or not others else c.START_WAIT_SECONDS
+
     async def async_setup(self) -> None:
         """Start to follow, and to give peers what they lack."""
         await self._control.async_setup()
@@ -113,6 +122,7 @@
             answered = await self._async_read(step)
         except HistoryLostError:
             log_event("source_history_lost", revision=self.book.complete)
+            self._reading.clear()
             self._hear(HistoryLost())
         except SourceError as err:
             if not self._follower.failures:
@@ -122,23 +132,35 @@
             if self._follower.failures:
                 log_event("source_regained", failures=self._follower.failures)
             self._hear(answered)
+            # In a large fleet few hosts ask, so the others wait for this one's word.
+            if self._get_place().group:
+                self._peers.tell_now(SECTION, is_urgent=answered.has_changes)
 
-    async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered:
-        after, suspended = self.book.complete, read_suspended()
-        is_whole = isinstance(step, ReadAll)
+    async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered | PageRead:
         if isinstance(step, ReadAll):
-            read = await self._reader.async_read_all(c.READ_SECONDS)
-            log_event("records_read", count=len(read.records), revision=read.revision)
-        else:
-            timeout = step.seconds + c.WATCH_ANSWER_SECONDS
-            read = await self._reader.async_watch(after, step.seconds, timeout)
+            return await self._async_read_page()
+        after, suspended = self.book.complete, read_suspended()
+        timeout = step.seconds + c.WATCH_ANSWER_SECONDS
+        read = await self._reader.async_watch(after, step.seconds, timeout)
         # The answer may have lain in the socket of a host that stood still. Symptom:
         # the host, and all that hear it, take an old table for confirmed just now.
         age = max(0.0, read_suspended() - suspended)
-        new = self.take(Portion(read.records, read.revision, is_whole), after)
-        is_gap = not is_whole and not read.records and read.revision > after
+        new = self.take(Portion(read.records, read.revision, False), after)
+        is_gap = not read.records and read.revision > after
         return SourceAnswered(bool(new), is_gap, age)
 
+    async def _async_read_page(self) -> SourceAnswered | PageRead:
+        asked_at = read_clock()
+        after = self._reading.choose_after(asked_at)
+        page = await self._reader.async_read_page(after, c.READ_SECONDS)
+        read = self._reading.take(page, asked_at)
+        if read is None:
+            return PageRead()
+        log_event("records_read", count=len(read.records), revision=read.revision)
+        new = self.take(Portion(read.records, read.revision, True), self.book.complete)
+        age = self._reading.compute_age(read_clock())
+        return SourceAnswered(bool(new), age_seconds=age)
+
     def _hear(self, event: FollowEvent) -> None:
         now = read_clock()
         hosts = self._peers.members.count_hosts()
@@ -180,7 +202,13 @@
         changed, confirmed_age, _version = data
         if type(changed) is not int or changed < 0:
             raise ValueError("not a revision")
+        before = self._state.table_confirmed_at
         self._hear(PeerTold(name, changed, unpack_age(confirmed_age) + age))
+        is_news = self._state.table_confirmed_at - before > c.RELAY_SECONDS
+        # Word of another group reaches one host of this one. Symptom: the rest of the
+        # group asks the source for what is known. Mates were told by their own mate.
+        if is_news and self._get_place().group and not self._peers.is_mate(name):
+            self._peers.tell_now(SECTION)
 
     def take(self, portion: Portion, after: int) -> list[Record]:
         """Take records in, in any order; return those that were new."""
