Admit work until the balancer has read that a host leaves

Cause, to the line: app.py `_async_wait_idle` admitted for 0.5 s after SIGTERM, whether or not anybody had asked for its health since. The stand-in's Balancer asked all hosts in one round (observe.py, `gather`) and took nothing over before the slowest check ended, at most 0.5 s, then slept 0.2 s: 0.7 s between two checks of one host. A request in between met a host that refused, or whose process had ended.

No test was eased. Ruled out: a longer fixed notice, which is wrong for the next slower balancer and makes each stop as slow.

--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -150,9 +150,13 @@
 
     async def _async_wait_idle(self) -> None:
         # The balancer goes on sending until it has seen the health check fail. Symptom
-        # of refusing at once: callers read errors during each replacement. So work is
-        # admitted for the time that the balancer needs.
+        # of refusing before: callers read errors during each replacement. So work is
+        # admitted until the failing check was read, and for the time that this takes
+        # to have effect. Without a balancer that asks, the wait is bounded.
         self.host.is_draining = True
+        with suppress(TimeoutError):
+            async with asyncio.timeout(c.BALANCER_ASKS_SECONDS):
+                await self.host.drain_read.wait()
         await asyncio.sleep(c.BALANCER_NOTICE_SECONDS)
         self.host.is_admitting = False
         self.calls.start_drain()
--- a/libraries/daemon/tarragonward_daemon/core.py
+++ b/libraries/daemon/tarragonward_daemon/core.py
@@ -33,6 +33,7 @@
     """One host's identity, its configuration in force, and whether it is leaving.
 
     is_draining fails the health check; work is admitted for a little longer.
+    drain_read is set once a failing check was answered, as the balancer may have it.
     """
 
     settings: Settings
@@ -44,6 +45,7 @@
     started_at: float = field(default_factory=time.monotonic)
     requests_in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
+    drain_read: asyncio.Event = field(default_factory=asyncio.Event)
     status_sections: dict[str, Callable[[], Any]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/libraries/standins/tarragonward_standins/observe.py
+++ b/libraries/standins/tarragonward_standins/observe.py
@@ -122,14 +122,18 @@
         return hosts[next(self._turn) % len(hosts)]
 
     async def _async_check_all(self) -> None:
+        # Each host is checked on its own. Symptom of waiting for the slowest check: a
+        # host that hangs puts off the word of one that leaves, beyond its notice.
+        async with asyncio.TaskGroup() as group:
+            for host in self._site.hosts.values():
+                group.create_task(self._async_check(host))
+
+    async def _async_check(self, host: SiteHost) -> None:
         while True:
-            hosts = self._site.hosts.values()
-            results = await asyncio.gather(*map(_async_is_healthy, hosts))
-            self._healthy = {
-                host.name: host
-                for host, is_healthy in zip(hosts, results, strict=True)
-                if is_healthy
-            }
+            if await _async_is_healthy(host):
+                self._healthy[host.name] = host
+            else:
+                self._healthy.pop(host.name, None)
             await asyncio.sleep(HEALTH_SECONDS)
 
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -70,6 +70,20 @@
     assert await ending == 0
 
 
+async def test_a_balancer_that_asks_each_second_loses_no_request(make_site):
+    """The balancer's check comes 0.8 s after SIGTERM; until then it sends here.
+
+    What it sends is served. Once it has read that the check fails, the host ends.
+    """
+    site = await make_site(ONE_DOMAIN)
+    ending = asyncio.ensure_future(site.async_terminate(HOST, 20.0))
+    await asyncio.sleep(0.8)
+    late = await ask(site, "late", site.hosts[HOST].callers, 5)
+    assert late.outcome is Outcome.WHOLE
+    assert await get_health(site) == 503
+    assert await ending == 0
+
+
 @pytest.mark.parametrize("plan", [ONE_DOMAIN, HURRIED])
 async def test_a_drain_cut_short_gives_each_caller_its_answer(make_site, plan):
     """A second SIGTERM, or the time limit of the drain, meets a long answer.
