--- /dev/null
+++ b/libraries/gateway/tests/test_app.py
@@ -0,0 +1,187 @@
+"""Tests of the order in which a whole host leaves."""
+
+import asyncio
+import socket
+from contextlib import ExitStack
+
+import pytest
+
+from tarragonward_core import Address
+from tarragonward_gateway import GatewaySettings, Records
+from tarragonward_gateway import const as c
+from tarragonward_gateway.app import Gateway
+from tarragonward_gateway.settings import Bounds
+from tarragonward_membership import RegisteredTarget
+from tarragonward_routes import (
+    Account,
+    CallerLimits,
+    RequestKind,
+    Route,
+    RoutingTable,
+    Service,
+    Share,
+)
+from tarragonward_standins import RawCaller, ScriptedTarget, answer_with, build_answer
+
+IP = "127.0.0.9"
+WAIT_SECONDS = 10.0
+TABLE = RoutingTable(
+    1,
+    (
+        Route(
+            "r",
+            "app.example",
+            "/app/",
+            RequestKind.IDEMPOTENT,
+            attempts=1,
+            timeout_seconds=60.0,
+            shares=(Share("s", 1),),
+        ),
+    ),
+    {"s": Service("s", 100)},
+    CallerLimits(head_seconds=60.0),
+    {"k1": Account("town")},
+    needs_key=True,
+)
+
+
+class SilentSource:
+    """Publish nothing."""
+
+    async def async_read_all(self, timeout):
+        return Records((), 1)
+
+    async def async_watch(self, after, wait, timeout):
+        await asyncio.Event().wait()
+
+
+def find_ports(count):
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind((IP, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+class Host:
+    """A gateway in this process, with one scripted target."""
+
+    def __init__(self, grace_seconds):
+        addresses = [Address(IP, port) for port in find_ports(5)]
+        settings = GatewaySettings(
+            "h1",
+            "d1",
+            *addresses[:4],
+            (),
+            addresses[4],
+            Bounds(grace_seconds=grace_seconds),
+        )
+        self.gateway = Gateway(settings, SilentSource(), None, None)
+        self.running = None
+
+    async def async_start(self, script):
+        """Serve with a target of this script."""
+        target = ScriptedTarget(script, "t0")
+        await target.async_setup()
+        state = self.gateway.state
+        state.put_in_force(TABLE)
+        self.gateway._apply_limits()
+        state.registry.apply(
+            RegisteredTarget("t0", "s", target.address, "d1", 8, True, 1)
+        )
+        self.running = asyncio.create_task(self.gateway.async_run())
+        while True:
+            try:
+                return await self.async_open(), target
+            except OSError:
+                await asyncio.sleep(0.01)
+
+    async def async_open(self):
+        """Return a caller's new connection."""
+        return await RawCaller.async_open(self.gateway.state.settings.callers)
+
+    async def async_until(self, holds):
+        """Return as soon as the condition holds."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not holds():
+                await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def make_host():
+    hosts = []
+
+    def make(grace_seconds):
+        hosts.append(Host(grace_seconds))
+        return hosts[-1]
+
+    yield make
+    for host in hosts:
+        host.running.cancel()
+        await asyncio.gather(host.running, return_exceptions=True)
+
+
+async def test_a_host_that_leaves_admits_until_the_balancer_has_noticed(
+    make_host, monkeypatch
+):
+    """A host is told to leave; the balancer goes on sending until it has asked twice.
+
+    What comes meanwhile, on new connections and kept ones, is served, and each answer
+    says that its connection ends.
+    """
+    monkeypatch.setattr(c, "BALANCER_NOTICE_SECONDS", 40.0)
+    host = make_host(60.0)
+    kept, _ = await host.async_start(answer_with())
+    kept.send()
+    assert (await kept.async_read_answer()).get("connection") == []
+    host.gateway.ask_stop()
+    await host.async_until(lambda: host.gateway.state.is_draining)
+    for caller in (kept, await host.async_open()):
+        caller.send()
+        answer = await caller.async_read_answer()
+        assert (answer.status, answer.get("connection")) == (200, ["close"])
+
+
+async def test_a_host_that_leaves_ends_what_is_in_progress(make_host, monkeypatch):
+    """A request is at its target, another caller's connection is idle.
+
+    The idle one is closed, as nothing has come on it; the answer is given whole, and
+    only then does the host end.
+    """
+    monkeypatch.setattr(c, "BALANCER_NOTICE_SECONDS", 0.0)
+    go_on = asyncio.Event()
+
+    async def script(request, writer):
+        await go_on.wait()
+        writer.write(build_answer(request))
+
+    host = make_host(60.0)
+    caller, target = await host.async_start(script)
+    idle = await host.async_open()
+    caller.send()
+    await host.async_until(lambda: target.seen)
+    host.gateway.ask_stop()
+    async with asyncio.timeout(WAIT_SECONDS):
+        assert await idle.reader.read() == b""
+    assert not host.running.done()
+    go_on.set()
+    answer = await caller.async_read_answer()
+    assert (answer.status, answer.body) == (200, b"whole")
+    async with asyncio.timeout(WAIT_SECONDS):
+        await host.running
+
+
+async def test_a_drain_ends_within_the_grace(make_host, monkeypatch):
+    """A target never answers; the host ends by itself before it would be killed."""
+    monkeypatch.setattr(c, "BALANCER_NOTICE_SECONDS", 0.0)
+
+    async def script(request, writer):
+        await asyncio.Event().wait()
+
+    host = make_host(0.6)
+    caller, target = await host.async_start(script)
+    caller.send()
+    await host.async_until(lambda: target.seen)
+    host.gateway.ask_stop()
+    async with asyncio.timeout(WAIT_SECONDS):
+        await host.running
--- a/libraries/gateway/tests/test_doubts.py
+++ b/libraries/gateway/tests/test_doubts.py
@@ -51,7 +51,7 @@
 
 def test_answer_between_two_failures_clears_the_domain():
     """Two targets that were taken away are no cut."""
-    doubts, targets = build([("a", CLOSED)] * 4)
+    doubts, targets = build([("a", CLOSED)] * 4 + [("b", CLOSED)])
     doubts.note_failed(targets[0], SendFault.NOT_CONNECTED)
     doubts.note_answered(targets[2])
     doubts.note_failed(targets[1], SendFault.NOT_CONNECTED)
--- a/libraries/gateway/tests/test_prompts.py
+++ b/libraries/gateway/tests/test_prompts.py
@@ -144,3 +144,57 @@
     assert answer.status == 200
     assert b"piece 2" in answer.body
     assert len(asked) == 2
+
+
+class Orders:
+    """Engines that hold what is asked, by engine and reservation."""
+
+    def __init__(self):
+        self.held = set()
+        self.taken = 0
+
+    async def async_reserve(self, reservation, timeout):
+        self.held.add((reservation.target.id, reservation.id))
+        self.taken += 1
+        return True
+
+    async def async_release(self, reservation, timeout):
+        self.held.discard((reservation.target.id, reservation.id))
+        return True
+
+
+async def test_memory_held_for_a_prompt_is_freed_when_its_send_ends(make_site):
+    """A prompt beyond one engine's memory is answered; no engine stays short of it."""
+    site = await async_make_engines(make_site, *[stream_events([1])] * 4)
+    orders = site.forwarder._reservations._calls = Orders()
+    answer = await async_ask(site, "700000,500")
+    assert answer.status == 200
+    assert orders.taken
+    async with asyncio.timeout(5):
+        while orders.held:
+            await asyncio.sleep(0.01)
+
+
+async def test_a_helper_that_cannot_be_reached_is_left_out_before_the_send(
+    make_site, monkeypatch
+):
+    """An engine goes dark and stays registered; the next long prompt would need it.
+
+    Sent its address, the leader would find out after a stall, and the send be spent.
+    """
+    monkeypatch.setattr(c, "REACHED_SECONDS", 0.0)
+    site = await async_make_engines(make_site, *[stream_events([1])] * 3)
+    await async_ask(site, "300000,500")
+    (leader,) = [target for target in site.targets if target.seen]
+    dark = next(target for target in site.targets if target is not leader)
+    address = str(dark.address)
+    assert address in leader.seen[0].get("x-helper-engines")[0]
+    await dark.async_unload()
+    assert (await async_ask(site, "300000,500")).status == 200
+    later = [request for target in site.targets for request in target.seen][1:]
+    assert later
+    assert not any(
+        address in names
+        for request in later
+        for names in request.get("x-helper-engines")
+    )
--- a/libraries/gateway/tests/test_record_book.py
+++ b/libraries/gateway/tests/test_record_book.py
@@ -115,3 +115,16 @@
     assert portion.is_whole
     away.take(portion, away.complete)
     assert [r.key for r in away.get_since(0).records if r.value] == ["k2"]
+
+
+def test_a_withdrawal_heard_ahead_of_its_turn_holds():
+    """A peer tells of a withdrawal before all changes up to it are known here.
+
+    A record of before it, from another peer, comes later and must change nothing.
+    """
+    book = RecordBook()
+    book.take(Portion((), 3, True), 0)
+    book.take(Portion((Record("k", 9, None),), 9, False), 7)
+    assert book.complete == 3
+    book.take(Portion((Record("k", 8, b"x"),), 8, False), 7)
+    assert [r.key for r in book.get_since(0).records if r.value] == []
--- a/libraries/gateway/tests/test_reservations.py
+++ b/libraries/gateway/tests/test_reservations.py
@@ -27,11 +27,13 @@
         self.silent_after_holding: set[str] = set()
         self.hanging: set[str] = set()
         self.lost_releases = 0
+        self.hold_seconds: list[float] = []
 
     async def async_reserve(self, reservation: Reservation, timeout: float) -> bool:
         """Hold a part."""
         target = reservation.target.id
         self.calls.append(("reserve", target))
+        self.hold_seconds.append(reservation.hold_seconds)
         await asyncio.sleep(0)
         if target in self.hanging:
             await asyncio.Event().wait()
@@ -163,3 +165,22 @@
         assert isinstance(lease, Lease)
         lease.release()
     assert len({choice.ticket for choice in choices}) == len(choices)
+
+
+async def test_renewing_goes_on_after_a_renewal_that_was_lost() -> None:
+    """A hold that lapses cuts its request off; one lost answer must not let it."""
+    targets = FakeTargets()
+    lease = await build_task(targets, 0.02).async_reserve(build_choice())
+    assert isinstance(lease, Lease)
+    targets.silent_after_holding = {"t1", "t2"}
+    await async_wait_until(lambda: targets.calls.count(("reserve", "t1")) > 4)
+    lease.release()
+
+
+async def test_a_hold_is_short_enough_to_end_with_a_dead_host() -> None:
+    """A killed host renews and releases nothing; its memory must be free in time."""
+    targets = FakeTargets()
+    lease = await build_task(targets, free_seconds=4.0).async_reserve(build_choice())
+    assert isinstance(lease, Lease)
+    assert targets.hold_seconds and max(targets.hold_seconds) < 4.0
+    lease.release()
--- a/libraries/membership/tests/test_seeds.py
+++ b/libraries/membership/tests/test_seeds.py
@@ -196,6 +196,21 @@
     assert peer.heard_at == heard_at
 
 
+def test_an_earlier_hello_that_comes_later_changes_nothing():
+    """A host tells that it leaves; a hello that it sent before is overtaken.
+
+    Taken for news, it would bring the host back among those that take part.
+    """
+    net = Net(1, 2)
+    net.run(1.0)
+    one, other = net.hosts.values()
+    earlier = other.build_hello(net.now)
+    other.is_leaving = True
+    one.hear(HelloHeard(other.build_hello(net.now + 0.1)), net.now + 0.2)
+    one.hear(HelloHeard(earlier), net.now + 0.3)
+    assert one.get_peer(other.own.address).is_leaving
+
+
 def test_an_old_entry_brings_nobody_back():
     net = Net(1, 2)
     net.run(1.0)
--- a/libraries/requests/tests/test_exchange.py
+++ b/libraries/requests/tests/test_exchange.py
@@ -154,3 +154,12 @@
         exchange.note_sent()
     with pytest.raises(Exception, match="one_terminal_answer"):
         exchange.hear(TimeOver(), 0.0, True)
+
+
+def test_a_second_send_of_what_may_have_run_is_stopped():
+    """A decision that sends a booking again in error is stopped at its first byte."""
+    exchange = Exchange(ExchangePolicy(False, False, 3, DEADLINE))
+    exchange.begin()
+    exchange.note_sent()
+    with pytest.raises(Exception, match="sent_at_most_once"):
+        exchange.note_sent()
--- a/libraries/requests/tests/test_shared_budget.py
+++ b/libraries/requests/tests/test_shared_budget.py
@@ -37,6 +37,7 @@
     budget = SharedBudget(BOUNDS, 0.0)
     first = count_repeats(budget, 3, OLD)
     assert count_repeats(budget, 3, OLD + 10.0) == 0
+    assert count_repeats(budget, 3, OLD + 10.4) == 0
     assert count_repeats(budget, 3, OLD + 10.6) == first
 
 
