--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -292,9 +292,13 @@
         return fault == ""
 
     def _refuse(
-        self, writer: asyncio.StreamWriter, arrival: Arrival | None, status: int
+        self,
+        writer: asyncio.StreamWriter,
+        arrival: Arrival | None,
+        status: int,
+        more: tuple[tuple[str, str], ...] = (),
     ) -> bool:
-        headers = [("X-Not-Run", "1"), ("X-Instance-Id", self.id)]
+        headers = [("X-Not-Run", "1"), ("X-Instance-Id", self.id), *more]
         if arrival is not None:
             arrival.status = status
             headers.append(("X-Request-Id", arrival.request_id))
--- /dev/null
+++ b/libraries/standins/tarragonward_standins/platform_tickets.py
@@ -0,0 +1,84 @@
+"""Keep what became of each reservation at a runner, and judge it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .platform_engine import Ticket
+
+__all__ = ["TicketJournal", "TicketRecord", "judge_tickets"]
+
+# The platform's bounds: freeMs and idleMaxMs.
+FREE_SECONDS = 4.0
+IDLE_SECONDS = 9.0
+
+
+@dataclass(eq=False)
+class TicketRecord:
+    """One reservation from its grant or wait to its end; times are the loop's."""
+
+    runner_id: str
+    ticket: Ticket
+    made_at: float
+    ended_at: float | None = None
+    used_by: str = ""
+    last_use_ended_at: float | None = None
+    is_shared: bool = False
+
+    def begin_use(self, request_id: str) -> None:
+        """Note that a request uses it, or wants to while another one does."""
+        if self.used_by:
+            self.is_shared = True
+        else:
+            self.used_by = request_id
+
+    def end_use(self, request_id: str, now: float) -> None:
+        """Note that a request has ended, or was rejected."""
+        if self.used_by in ("", request_id):
+            self.used_by = ""
+            self.last_use_ended_at = now
+
+
+class TicketJournal:
+    """The records of one runner; what its engine holds is looked at again and again."""
+
+    def __init__(self, runner_id: str) -> None:
+        self._runner_id = runner_id
+        self.records: list[TicketRecord] = []
+        self._open: dict[str, TicketRecord] = {}
+
+    def note(self, tickets: Iterable[Ticket], now: float) -> None:
+        """Take in the reservations that the engine holds now."""
+        held = {ticket.id: ticket for ticket in tickets}
+        for ticket_id, record in list(self._open.items()):
+            if held.get(ticket_id) is not record.ticket:
+                record.ended_at = now
+                del self._open[ticket_id]
+        for ticket_id, ticket in held.items():
+            if ticket_id not in self._open:
+                record = TicketRecord(self._runner_id, ticket, now)
+                self._open[ticket_id] = record
+                self.records.append(record)
+
+    def get(self, ticket_id: str) -> TicketRecord | None:
+        """Return the record of a reservation that is held."""
+        return self._open.get(ticket_id)
+
+
+def judge_tickets(records: Iterable[TicketRecord], now: float) -> list[tuple[str, str]]:
+    """Return the broken rules, each with the reservation that broke it."""
+    broken = []
+    for record in records:
+        name = f"{record.runner_id}/{record.ticket.id}"
+        end = now if record.ended_at is None else record.ended_at
+        used_until = record.last_use_ended_at
+        if record.is_shared:
+            broken.append(("LIMIT", name))
+        if used_until is None and not record.used_by:
+            if end - record.made_at > IDLE_SECONDS:
+                broken.append(("STUCK", name))
+        elif used_until is not None and not record.used_by:
+            if end - used_until > FREE_SECONDS:
+                broken.append(("LEAK", name))
+    return broken
--- a/libraries/standins/tests/test_platform_checker.py
+++ b/libraries/standins/tests/test_platform_checker.py
@@ -154,3 +154,12 @@
         requests.append(replace(request, attempts=[changed]))
         arrivals.append(replace(arrival, request_id=request_id))
     return {rule for rule, _ in Checker(requests, arrivals, [STEP]).check()}
+
+
+def test_an_event_that_tells_of_new_weights_is_the_event_that_it_was():
+    request, _, arrival = build_day("stream")
+    first, second = build_piece("7:9", 1, False), build_piece("7:9", 2, True)
+    request.pieces = first + b"x-weight-versions: 2\n" + second
+    assert judge(request, [arrival]) == set()
+    request.pieces = first + b"x-weight-versions: two\n" + second
+    assert judge(request, [arrival]) == {"ORDER"}
