Put links before the stand-in's runners and store, and draw their troubles

The stand-in of the platform had no links: nothing was delayed, lost, cut or silent for good with real processes (docs/PLATFORM.md, "Not played"). Now the fault-injecting proxy that was there stands before each runner and each machine's door of the store. It gained loss (a packet that comes 0.2 s late), open connections that go silent for good while new ones work, resets that stay resets, and what a cut holds up is lost with its sender's connection.

What it is not: a connection made during a cut is made and held, where a real one is never made; links between hosts (UDP) have none yet.

libraries/standins, tests/test_platform_day.py and test_platform_store.py: 80 passed.

--- a/libraries/bench/tarragonward_bench/platform_troubles.py
+++ b/libraries/bench/tarragonward_bench/platform_troubles.py
@@ -9,11 +9,13 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
+from collections.abc import Awaitable, Callable, Iterable
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 
+from tarragonward_standins.fault_proxy import FaultProxy
 from tarragonward_standins.platform_day import DayPlan, DayReport, PlatformDay
+from tarragonward_standins.platform_engine import PassSizes
 from tarragonward_standins.platform_runner import PlatformRunner, RunnerFaults
 from tarragonward_standins.platform_site import (
     PLAIN_SERVICE,
@@ -37,6 +39,14 @@
 FAULT_SHARE = 0.1
 LEAVING_SHARE = 0.1
 DAY_SECONDS = 8.0
+# Engines so small that a few prompts need the memory of several.
+SIZES = PassSizes(memory_tokens=60_000)
+HUGE_PER_SECOND = 1.5
+LINK_DELAY_SECONDS = 0.02
+LOST_SHARE = 0.03
+# Memory must be free within the bound of the platform's page; a day ends after that.
+FREE_SECONDS = 4.5
+FREE_STEP_SECONDS = 0.1
 FAULT_MARKS = ("handler_failed", "invariant_violated", "Traceback", "loop_exception")
 # A killed host leaves requests without an answer, which no rule forbids.
 EXCUSED_BY_KILL = frozenset({"LOST"})
@@ -62,12 +72,18 @@
             "host stopped": self._async_stop,
             "host killed": self._async_kill,
             "host frozen": self._async_freeze,
+            "links lose packets": self._async_lose_packets,
+            "domain cut off": self._async_cut_domain,
+            "target's connections silent": self._async_silence_target,
+            "store's connections silent": self._async_silence_store,
+            "weights loaded": self._async_load_weights,
         }
         self._day = PlatformDay(
             site,
             DayPlan(
                 seconds=DAY_SECONDS,
                 leaving_share=self._random.choice([0.0, LEAVING_SHARE]),
+                huge_per_second=HUGE_PER_SECOND,
                 seed=seed,
             ),
         )
@@ -83,11 +99,18 @@
             troubles.append(asyncio.ensure_future(self._kinds[kind]()))
         await playing
         await asyncio.gather(*troubles)
+        await self._async_wait_free()
         report = self._day.judge()
         if "host killed" in self.drawn:
             report.broken = [b for b in report.broken if b[0] not in EXCUSED_BY_KILL]
         return report
 
+    async def _async_wait_free(self) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FREE_SECONDS):
+                while any(model.engine.tickets for model in self._site.models):
+                    await asyncio.sleep(FREE_STEP_SECONDS)
+
     def list_faults(self) -> list[str]:
         """Return the hosts' log lines that tell of a fault in a host."""
         return [
@@ -174,6 +197,41 @@
         await asyncio.sleep(FREEZE_SECONDS)
         host.process.send_signal(signal.SIGCONT)
 
+    async def _async_lose_packets(self) -> None:
+        links = self._list_links(self._list_runners())
+        links += [host.door.link for host in self._site.hosts]
+        for link in links:
+            link.faults.delay_seconds = LINK_DELAY_SECONDS
+            link.faults.lost_share = LOST_SHARE
+        await asyncio.sleep(TROUBLE_SECONDS)
+        for link in links:
+            link.faults.delay_seconds = link.faults.lost_share = 0.0
+
+    async def _async_cut_domain(self) -> None:
+        zone = self._random.choice(self._site.plan.zones)
+        links = self._list_links(
+            [r for r in self._list_runners() if r.plan.zone == zone]
+        )
+        for link in links:
+            link.faults.frozen = True
+        await asyncio.sleep(TROUBLE_SECONDS)
+        for link in links:
+            link.faults.frozen = False
+
+    async def _async_silence_target(self) -> None:
+        for link in self._list_links([self._random.choice(self._list_runners())]):
+            link.silence_open()
+
+    async def _async_silence_store(self) -> None:
+        self._random.choice(self._site.hosts).door.link.silence_open()
+
+    async def _async_load_weights(self) -> None:
+        self._random.choice(self._site.models).change_weights()
+
+    @staticmethod
+    def _list_links(runners: Iterable[PlatformRunner]) -> list[FaultProxy]:
+        return [runner.link for runner in runners if runner.link is not None]
+
     def _list_runners(self) -> list[PlatformRunner]:
         return [*self._site.models, *self._site.plain]
 
@@ -181,7 +239,7 @@
 async def _async_play(seed: int) -> bool:
     async with AsyncExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        site = PlatformSite(folder, PlatformPlan(seed=seed), TEMPLATE)
+        site = PlatformSite(folder, PlatformPlan(seed=seed, sizes=SIZES), TEMPLATE)
         stack.push_async_callback(site.async_unload)
         await site.async_setup()
         day = TroubledDay(site, seed)
--- a/libraries/standins/tarragonward_standins/fault_proxy.py
+++ b/libraries/standins/tarragonward_standins/fault_proxy.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import socket
+import struct
 from dataclasses import dataclass
 
 from tarragonward_core import Address
@@ -10,6 +13,10 @@
 __all__ = ["FaultProxy", "Faults"]
 
 READ_BYTES = 64 * 1024
+# A lost packet is sent again after this time, and what follows it waits.
+RESEND_SECONDS = 0.2
+FROZEN_STEP_SECONDS = 0.01
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclass
@@ -19,10 +26,12 @@
     cut_to_target and cut_to_caller swallow bytes of one direction (a one-way cut
     leaves connections open); refuse ends connections at once; frozen holds bytes
     until it is False again; drop_after_bytes ends a connection after that many bytes
-    towards the caller, within a frame if need be.
+    towards the caller, within a frame if need be. lost_share is of packets, each of
+    which comes late.
     """
 
     delay_seconds: float = 0.0
+    lost_share: float = 0.0
     cut_to_target: bool = False
     cut_to_caller: bool = False
     refuse: bool = False
@@ -30,11 +39,20 @@
     drop_after_bytes: int | None = None
 
 
+@dataclass(eq=False)
+class _Link:
+    """One connection; a silent one passes nothing, not even its target's end."""
+
+    is_silent: bool = False
+
+
 class FaultProxy:
     """Stands on one address before one target."""
 
-    def __init__(self, address: Address, target: Address) -> None:
+    def __init__(self, address: Address, target: Address, seed: int = 1) -> None:
         self.faults = Faults()
+        self._random = random.Random(seed)
+        self._links: set[_Link] = set()
         self._address = address
         self._target = target
         self._server: asyncio.Server | None = None
@@ -68,6 +86,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_open(self) -> None:
+        """Let the connections that are open go silent for good; new ones work."""
+        for link in self._links:
+            link.is_silent = True
+
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -94,21 +117,28 @@
             self._target.host, self._target.port
         )
         self._writers.add(target_writer)
+        link = _Link()
+        self._links.add(link)
         directions = [
-            asyncio.create_task(self._async_pass(reader, target_writer, True)),
-            asyncio.create_task(self._async_pass(target_reader, writer, False)),
+            asyncio.create_task(self._async_pass(link, reader, target_writer, True)),
+            asyncio.create_task(self._async_pass(link, target_reader, writer, False)),
         ]
         try:
             await asyncio.wait(directions, return_when=asyncio.FIRST_COMPLETED)
         finally:
             for direction in directions:
                 direction.cancel()
-            await asyncio.gather(*directions, return_exceptions=True)
+            ends = await asyncio.gather(*directions, return_exceptions=True)
+            if any(isinstance(end, ConnectionResetError) for end in ends):
+                _make_reset(writer)
+                _make_reset(target_writer)
+            self._links.discard(link)
             self._writers.discard(target_writer)
             target_writer.transport.abort()
 
     async def _async_pass(
         self,
+        link: _Link,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         to_target: bool,
@@ -116,10 +146,13 @@
         passed = 0
         while data := await reader.read(READ_BYTES):
             faults = self.faults
-            await asyncio.sleep(faults.delay_seconds)
-            while faults.frozen:
-                await asyncio.sleep(0.01)
-            if faults.cut_to_target if to_target else faults.cut_to_caller:
+            was_frozen = faults.frozen
+            await self._async_delay()
+            if to_target and was_frozen and reader.at_eof():
+                # What a cut held up is lost with its sender's connection.
+                return
+            is_cut = faults.cut_to_target if to_target else faults.cut_to_caller
+            if is_cut or link.is_silent:
                 continue
             limit = faults.drop_after_bytes
             if not to_target and limit is not None and passed + len(data) > limit:
@@ -129,3 +162,20 @@
             passed += len(data)
             writer.write(data)
             await writer.drain()
+        if link.is_silent and not to_target:
+            await asyncio.Event().wait()
+
+    async def _async_delay(self) -> None:
+        faults = self.faults
+        if faults.delay_seconds:
+            await asyncio.sleep(faults.delay_seconds)
+        while faults.lost_share and self._random.random() < faults.lost_share:
+            await asyncio.sleep(RESEND_SECONDS)
+        while faults.frozen:
+            await asyncio.sleep(FROZEN_STEP_SECONDS)
+
+
+def _make_reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/libraries/standins/tarragonward_standins/platform_day.py
+++ b/libraries/standins/tarragonward_standins/platform_day.py
@@ -14,6 +14,8 @@
 
 PIECE_TOKENS = 46
 DRAFT_PROMPTS = ((0.85, (1_000, 8_000)), (1.0, (20_000, 60_000)))
+# Beyond one engine's memory where a site's engines are small.
+HUGE_PROMPTS = (90_000, 130_000)
 SHARED_PART = "5c1e07a2:40"
 
 
@@ -26,6 +28,7 @@
     calls_per_second: float = 20.0
     clients: int = 24
     leaving_share: float = 0.0
+    huge_per_second: float = 0.0
     seed: int = 1
 
 
@@ -108,6 +111,9 @@
         leaves_after = None
         if self._random.random() < self._plan.leaving_share:
             leaves_after = self._random.uniform(0.005, 0.2)
+        huge_share = self._plan.huge_per_second / rate
+        if huge_share and self._random.random() < huge_share:
+            return self._draw_draft(leaves_after, HUGE_PROMPTS)
         if self._random.random() * rate < self._plan.drafts_per_second:
             return self._draw_draft(leaves_after)
         if self._random.random() < 0.5:
@@ -130,9 +136,12 @@
             leaves_after=leaves_after,
         )
 
-    def _draw_draft(self, leaves_after: float | None) -> RequestPlan:
+    def _draw_draft(
+        self, leaves_after: float | None, bounds: tuple[int, int] | None = None
+    ) -> RequestPlan:
         draw = self._random.random()
-        bounds = next(bounds for below, bounds in DRAFT_PROMPTS if draw < below)
+        if bounds is None:
+            bounds = next(bounds for below, bounds in DRAFT_PROMPTS if draw < below)
         prompt = self._random.randint(*bounds)
         answer = PIECE_TOKENS * self._random.randint(3, 12)
         self._subjects += 1
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -13,6 +13,7 @@
 
 from tarragonward_core import Address
 
+from .fault_proxy import FaultProxy
 from .platform_http import (
     PlainRequest,
     PlainServer,
@@ -113,6 +114,8 @@
         self._server = PlainServer(
             self._async_handle, plan.host, max_connections=plan.max_connections
         )
+        self.link: FaultProxy | None = None
+        self._address = Address(plan.host, 0)
         self._paths: dict[
             tuple[str, str],
             Callable[[PlainRequest, asyncio.StreamWriter], Awaitable[bool]],
@@ -120,12 +123,15 @@
 
     @property
     def address(self) -> Address:
-        """Return the address that it listens on."""
-        return self._server.address
+        """Return the address that it is reached at, through its link."""
+        return self._address
 
     async def async_setup(self) -> None:
         """Listen and register."""
         await self._server.async_setup()
+        self.link = FaultProxy(self._address, self._server.address)
+        await self.link.async_setup()
+        self._address = self.link.address
         self._beating = asyncio.create_task(self._async_beat())
 
     async def async_unload(self) -> None:
@@ -133,6 +139,8 @@
         if self._beating is not None:
             self._beating.cancel()
         await self._server.async_unload()
+        if self.link is not None:
+            await self.link.async_unload()
 
     async def async_leave(self, serve_seconds: float) -> None:
         """Say that it is draining, serve on, and be gone."""
--- a/libraries/standins/tarragonward_standins/platform_store.py
+++ b/libraries/standins/tarragonward_standins/platform_store.py
@@ -15,6 +15,7 @@
 
 from tarragonward_core import Address
 
+from .fault_proxy import FaultProxy
 from .platform_http import (
     PlainRequest,
     PlainServer,
@@ -68,14 +69,26 @@
     store: PlatformStore
     trouble: StoreTrouble = StoreTrouble.NONE
     server: PlainServer = field(init=False)
+    link: FaultProxy = field(init=False)
 
     def __post_init__(self) -> None:
         self.server = PlainServer(self._async_handle)
 
     @property
     def address(self) -> Address:
-        """Return the address in use."""
-        return self.server.address
+        """Return the address in use, that of its link."""
+        return self.link.address
+
+    async def async_setup(self) -> None:
+        """Listen."""
+        await self.server.async_setup()
+        self.link = FaultProxy(Address(self.server.host, 0), self.server.address)
+        await self.link.async_setup()
+
+    async def async_unload(self) -> None:
+        """Close the address."""
+        await self.server.async_unload()
+        await self.link.async_unload()
 
     async def _async_handle(
         self, request: PlainRequest, writer: asyncio.StreamWriter
@@ -144,14 +157,14 @@
     async def async_open_door(self) -> StoreDoor:
         """Listen on one more address."""
         door = StoreDoor(self)
-        await door.server.async_setup()
+        await door.async_setup()
         self._doors.append(door)
         return door
 
     async def async_unload(self) -> None:
         """Close all addresses."""
         for door in self._doors:
-            await door.server.async_unload()
+            await door.async_unload()
 
     def put(self, key: str, value: Any) -> int:
         """Write a document and return its revision."""
