Prove with real hosts that memory of joint prompts is free in time

Now a test plays prompts that lie on several engines, one of which dies, on real hosts, and waits for the bound.

--- a/libraries/bench/tarragonward_bench/platform_troubles.py
+++ b/libraries/bench/tarragonward_bench/platform_troubles.py
@@ -247,7 +247,9 @@
         faults = day.list_faults()
         ends = {k: v for k, v in report.score.items() if k.startswith("status_")}
         rules = dict(Counter(rule for rule, _ in report.broken))
-        print(f"seed={seed} {report.format_line()} {day.drawn} {ends} {rules}")
+        held = sum(len(model.tickets.records) for model in site.models)
+        line = f"{report.format_line()} reservations={held}"
+        print(f"seed={seed} {line} {day.drawn} {ends} {rules}")
         for line in (*faults[:5], *map(str, report.broken[:5])):
             print(f"    {line[:300]}")
         return not (report.broken or faults)
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -3,12 +3,14 @@
 import asyncio
 import sys
 from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 
 from tarragonward_standins.platform_clients import RequestPlan
 from tarragonward_standins.platform_day import DayPlan, PlatformDay
+from tarragonward_standins.platform_engine import PassSizes
 from tarragonward_standins.platform_runner import RunnerFaults
 from tarragonward_standins.platform_site import (
     HOST_NAME,
@@ -24,6 +26,7 @@
 TEMPLATE = Path(__file__).parents[1] / "deploy" / "settings.toml"
 SMALL = PlatformPlan(zones=("a", "b"), models_per_zone=1)
 QUIET_STOP_SECONDS = 7.0
+FREE_SECONDS = 4.5
 
 
 @pytest.fixture
@@ -89,6 +92,29 @@
     assert report.score["whole"] > report.score["sent"] * 0.9, explain(site, report)
 
 
+async def test_memory_of_prompts_on_several_engines_is_free_in_time(make_site):
+    """Prompts lie on several engines under reservations, and one engine dies.
+
+    What it held is gone; what other engines set aside for its requests must be free
+    again within the bound, and no reservation is used by two requests.
+    """
+    sizes = PassSizes(memory_tokens=60_000)
+    site = await make_site(PlatformPlan(("a", "b"), models_per_zone=2, sizes=sizes))
+    day = PlatformDay(site, DayPlan(seconds=2.0, huge_per_second=8.0, seed=6))
+    playing = asyncio.ensure_future(day.async_play())
+    await asyncio.sleep(1.2)
+    crashing = asyncio.ensure_future(site.models[0].async_crash())
+    await playing
+    with suppress(TimeoutError):
+        async with asyncio.timeout(FREE_SECONDS):
+            while any(model.engine.tickets for model in site.models[1:]):
+                await asyncio.sleep(0.05)
+    await crashing
+    report = day.judge()
+    assert any(model.tickets.records for model in site.models)
+    assert not report.broken, explain(site, report)
+
+
 async def test_planned_work_cuts_off_nothing(make_site):
     """A host is stopped, a runner is emptied and routes change under load.
 
