--- a/libraries/gateway/tests/test_no_end.py
+++ b/libraries/gateway/tests/test_no_end.py
@@ -10,8 +10,10 @@
 from tarragonward_gateway import HeaderNames, Paths
 from tarragonward_gateway.peers import Peers
 from tarragonward_gateway.publications import PublicationTask
+from tarragonward_gateway.readers import Place
 from tarragonward_gateway.settings import Bounds, GatewaySettings
 from tarragonward_gateway.state import GatewayState
+from tarragonward_placement import Evidence
 from tarragonward_standins import answer_with, refuse_with
 from tarragonward_wire import HttpServer
 
@@ -49,7 +51,7 @@
     """
     monkeypatch.setattr(background, "RESTART_SECONDS", 0.05)
     state, reader = make_state(), FaultyReader()
-    task = PublicationTask(state, reader, None, Peers(state))
+    task = PublicationTask(state, reader, None, Peers(state), lambda: Place(1, 0))
     await task.async_setup()
     async with asyncio.timeout(5):
         while reader.asked < 3:
@@ -134,7 +136,7 @@
     site = await make_site(answer_with(), answer_with())
     site.chooser._choose_among = lambda ready, need: None
     resting = site.state.registry.get_ready("s")[0]
-    site.chooser.reach.note_failed(resting, asyncio.get_running_loop().time())
+    site.chooser.probes.note(resting, Evidence.NOT_CONNECTED)
     answer = await site.async_ask()
     assert answer.status == 503
     assert not site.runs
@@ -171,5 +173,5 @@
     site = await make_site(answer_with(), answer_with())
     await site.targets[0].async_unload()
     targets = site.state.registry.get_ready("s")
-    assert not await site.chooser.doubts.async_check(targets)
+    assert not await site.chooser.probes.async_check(targets)
     assert site.chooser.reach.resting == 1
--- a/libraries/gateway/tests/test_prompts.py
+++ b/libraries/gateway/tests/test_prompts.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from tarragonward_gateway import const as c
+from tarragonward_placement import const as placement_const
 from tarragonward_routes import EngineModel, RequestKind
 from tarragonward_standins import CHUNKED, build_answer, refuse_with, stream_events
 
@@ -182,7 +183,7 @@
 
     Sent its address, the leader would find out after a stall, and the send be spent.
     """
-    monkeypatch.setattr(c, "REACHED_SECONDS", 0.0)
+    monkeypatch.setattr(placement_const, "REACHED_SECONDS", 0.0)
     site = await async_make_engines(make_site, *[stream_events([1])] * 3)
     await async_ask(site, "300000,500")
     (leader,) = [target for target in site.targets if target.seen]
--- a/libraries/gateway/tests/test_record_book.py
+++ b/libraries/gateway/tests/test_record_book.py
@@ -128,3 +128,15 @@
     assert book.complete == 3
     book.take(Portion((Record("k", 8, b"x"),), 8, False), 7)
     assert [r.key for r in book.get_since(0).records if r.value] == []
+
+
+def test_a_peer_of_one_that_read_all_learns_that_it_lacks_a_withdrawal():
+    """A target goes; a host that starts then reads all without ever seeing it.
+
+    A peer that still holds the target compared the greatest revisions held, which
+    were the same, and took the other's confirmed word for its own.
+    """
+    held, started = RecordBook(), RecordBook()
+    held.take(Portion((Record("t/a", 1, b""), Record("t/b", 2, b"")), 2, True), 0)
+    started.take(Portion((Record("t/b", 2, b""),), 3, True), 0)
+    assert started.changed > held.complete
