--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -30,7 +30,7 @@
     SeedMembership,
     SeedPeer,
 )
-from tarragonward_membership.const import HELLO_INTERVAL_SECONDS, MAX_MESH_PEERS
+from tarragonward_membership.const import HELLO_INTERVAL_SECONDS
 
 from . import const as c
 from .clock import read_clock, read_suspended
@@ -59,7 +59,7 @@
         self._sections: dict[str, tuple[Build, Take]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._background = BackgroundTasks(state.metrics)
-        self._sent_bytes = 0
+        self._sent_bytes = self._brief_bytes = 0
         self._suspended = read_suspended()
         self.on_pause: list[Callable[[], None]] = []
         self.members = SeedMembership(
@@ -117,13 +117,20 @@
             self.set_leaving()
             self._transport.close()
 
-    def tell_now(self) -> None:
-        """Tell the peers what the sections hold without waiting for the round."""
-        peers = self.members.get_peers()
-        told = [peer.identity.address for peer in peers]
-        if len(peers) > MAX_MESH_PEERS:
-            told = self.members.get_mates()
-        self._send(told, with_sections=True, is_brief=True)
+    def tell_now(self, only: str = "", is_urgent: bool = False) -> None:
+        """Tell the peers what the sections hold without waiting for the round.
+
+        only is the section that has news, where it is one; is_urgent: at any price.
+        """
+        sections = self._build_sections(only)
+        data = self._pack(sections, is_brief=True)
+        self._send_data(data, self.members.choose_news(len(data), is_urgent))
+
+    def is_mate(self, name: str) -> bool:
+        """Return whether a peer is among the mates."""
+        mates = self.members.get_mates()
+        peers = (self.members.get_peer(address) for address in mates)
+        return any(peer is not None and peer.name == name for peer in peers)
 
     def set_mates(self, addresses: Collection[Address]) -> None:
         """Tell the hosts at these addresses all that this host does, in each round."""
@@ -166,7 +173,7 @@
             is_paused = now - expected_at > c.PAUSE_SECONDS
             if is_paused:
                 self._note_pause(now - expected_at)
-            event = RoundDue(self._sent_bytes)
+            event = RoundDue(self._sent_bytes, self._brief_bytes)
             # After a pause, views are old: this round tells only that the host is
             # there, so that nobody takes what it knew before for fresh.
             self._carry_out(self.members.hear(event, now), with_sections=not is_paused)
@@ -209,17 +216,26 @@
         if self._transport is None or not targets:
             return
         data = self._pack(self._build_sections() if with_sections else {}, is_brief)
-        if not is_brief:
+        if is_brief:
+            self._brief_bytes = len(data)
+        else:
             self._sent_bytes = len(data)
+        self._send_data(data, targets)
+
+    def _send_data(self, data: bytes, targets: Iterable[Address]) -> None:
+        if self._transport is None:
+            return
         for target in targets:
             # A cut or full link: hints may be lost.
             with suppress(OSError):
                 self._transport.sendto(data, (target.host, target.port))
 
-    def _build_sections(self) -> dict[str, bytes]:
+    def _build_sections(self, only: str = "") -> dict[str, bytes]:
         sections = {}
         room = c.MAX_SENT_DATAGRAM_BYTES
         for name, (build, _) in self._sections.items():
+            if only not in ("", name):
+                continue
             content = build()
             if content is None:
                 continue
--- a/libraries/gateway/tests/test_prompts.py
+++ b/libraries/gateway/tests/test_prompts.py
@@ -199,3 +199,12 @@
         for request in later
         for names in request.get("x-helper-engines")
     )
+
+
+async def test_a_callers_own_priority_does_not_reach_the_engine(make_site):
+    """Engines admit by it, and a caller who sets it would go before all others."""
+    site = await async_make_engines(make_site, stream_events([1, 2]))
+    lines = ["X-Tokens: 2000,500", "X-Priority: 0", "x-priority: 1"]
+    assert (await site.async_ask("POST", lines=lines)).status == 200
+    (request,) = site.targets[0].seen
+    assert not request.get("x-priority")
