Learn by events that an engine is slow, and plan with its pace

Cause: the plan took all engines to be as fast as published. Now each event of a stream tells a pass: its time against the published one at placement, while the caller reads. The second shortest of an engine's last eight is its pace where it is 1.4 or more (reading makes passes longer, held-up events come together). No probe is sent. Each host learns for itself; digests do not tell it.

--- a/libraries/bench/tarragonward_bench/experiment_fleet.py
+++ b/libraries/bench/tarragonward_bench/experiment_fleet.py
@@ -114,7 +114,7 @@
         return arrive
 
     def _divide(self) -> None:
-        """Give each host its cell: the hosts that it tells, the engines that it uses."""
+        """Give each host its cell: whom it tells, and the engines that it uses."""
         hosts = [Located(str(n), host.zone) for n, host in enumerate(self.hosts)]
         engines = [Located(node.name, node.zone) for node in self.engines.values()]
         for number, host in enumerate(self.hosts):
--- a/libraries/bench/tarragonward_bench/experiment_policies.py
+++ b/libraries/bench/tarragonward_bench/experiment_policies.py
@@ -50,6 +50,7 @@
     work: PromptWork | None = None
     predicted_seconds: float | None = None
     tickets: Mapping[str, int] = field(default_factory=dict)
+    pass_seconds: float = 0.0
 
 
 class HostPolicy(Protocol):
@@ -192,6 +193,7 @@
             work=plan.build_work(need, now),
             predicted_seconds=plan.first_event_seconds,
             tickets=plan.tickets,
+            pass_seconds=plan.pass_seconds,
         )
 
 
@@ -221,6 +223,7 @@
         PolicyPlan("no_hints", tells_peers=False),
         PolicyPlan("hints_in_turn", tells_at_once=False),
         PolicyPlan("hints_from_all", tells_all=True, has_cells=False),
+        PolicyPlan("no_paces", numbers={"SLOW_PACE": 1e9}),
         PolicyPlan("no_cells", has_cells=False),
         PolicyPlan("no_counts", hears_counts=False),
         PolicyPlan("no_hints_no_counts", tells_peers=False, hears_counts=False),
--- a/libraries/bench/tarragonward_bench/experiment_prompt.py
+++ b/libraries/bench/tarragonward_bench/experiment_prompt.py
@@ -242,8 +242,14 @@
         else:
             pause = now - outcome.last_event
             outcome.worst_pause = max(outcome.worst_pause, pause)
+            self._note_pass(engine.name, pause)
         outcome.last_event = now
 
+    def _note_pass(self, engine: str, pause: float) -> None:
+        sending, book = self._sending, self._host.policy.book
+        if sending is not None and sending.pass_seconds and book is not None:
+            book.note_pass(engine, pause / sending.pass_seconds, self._fleet.now)
+
     def _hear_first(self, engine: str, requests: int) -> None:
         assert self._sending is not None
         self._outcome.heard = self._fleet.now - self._outcome.placed_at
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -378,10 +378,12 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
-                choice.note_first_event(self._loop.time())
+                self._chooser.note_events(choice, len(events))
                 if self._watch is not None:
                     self._watch.pause()
                 await self._async_give_events(stream, events)
+                # While the caller does not read, the engine's pace is not seen.
+                choice.reading_since = self._loop.time()
                 if self._watch is not None:
                     self._watch.resume()
         if cutter.has_rest:
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -55,12 +55,23 @@
     plan: ReadingPlan | None = None
     work: PromptWork | None = None
     ticket: str = ""
+    reading_since: float | None = None
 
     def note_first_event(self, now: float) -> None:
         """Note that the prompt has been read."""
         if self.work is not None and self.work.first_event_at is None:
             self.work.first_event_at = now
 
+    def compute_pace(self, events: int, now: float) -> float | None:
+        """Return how many times as long as published the passes of new events took.
+
+        Each event is of one pass. None for the first one, which waits for the reading.
+        """
+        since = self.reading_since
+        if since is None or self.plan is None or not self.plan.pass_seconds:
+            return None
+        return (now - since) / events / self.plan.pass_seconds
+
     @property
     def predicted_at(self) -> float | None:
         """Return when the first event is predicted, None where nothing was."""
@@ -158,6 +169,14 @@
             if not self._in_flight[target.id]:
                 del self._in_flight[target.id]
 
+    def note_events(self, choice: SendChoice, events: int) -> None:
+        """Note that events of an answer came, and learn the engine's pace by them."""
+        now = self._clock()
+        choice.note_first_event(now)
+        pace = choice.compute_pace(events, now)
+        if pace is not None:
+            self.book.note_pass(choice.target.id, pace, now)
+
     def note_full(self, target_id: str) -> None:
         """Note that a target has no memory for a reservation."""
         self.book.note_full(target_id, self._clock())
--- a/libraries/gateway/tests/test_prompts.py
+++ b/libraries/gateway/tests/test_prompts.py
@@ -5,7 +5,14 @@
 
 from tarragonward_gateway import const as c
 from tarragonward_routes import EngineModel, RequestKind
-from tarragonward_standins import CHUNKED, build_answer, refuse_with, stream_events
+from tarragonward_standins import (
+    CHUNKED,
+    build_answer,
+    build_chunk,
+    build_event,
+    refuse_with,
+    stream_events,
+)
 
 ENGINE = EngineModel(
     slots=8,
@@ -153,3 +160,27 @@
     assert (await site.async_ask("POST", lines=lines)).status == 200
     (request,) = site.targets[0].seen
     assert not request.get("x-priority")
+
+
+async def test_a_host_learns_by_events_that_an_engine_is_slow(make_site):
+    """Each event comes 0.2 s after the one before; a pass is published as 0.043 s.
+
+    The caller sees a slow stream; the next prompt goes to the other engine.
+    """
+
+    async def script(request, writer):
+        lines = ["Content-Type: text/event-stream"]
+        writer.write(build_answer(request, b"", "200 OK", lines, [CHUNKED]))
+        for number in range(1, 9):
+            writer.write(build_chunk(build_event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.2)
+        writer.write(build_chunk(b""))
+
+    site = await async_make_engines(make_site, script, script)
+    await async_ask(site, "2000,500")
+    (slow,) = [target for target in site.targets if target.seen]
+    known = site.chooser.book.get_all(site.chooser._clock())
+    assert [work.pace > 3 for work in known.values()] == [True]
+    await async_ask(site, "2000,500")
+    assert len(slow.seen) == 1
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -66,6 +66,12 @@
 TOLD_PART_SECONDS = 0.04
 # An engine's own count of its requests tells of others' until they have ended.
 MAX_COUNT_SECONDS = 1.5
+# An engine is slow where its passes take so many times as long as published; so many
+# of its last passes tell it, and for so long after the last one.
+SLOW_PACE = 1.4
+PACE_VALUES = 8
+PACE_MIN_VALUES = 3
+MAX_PACE_SECONDS = 30.0
 # What an overdue reading is still taken to need, of its whole time.
 OVERDUE_SHARE = 0.3
 # What is at stake with a prompt grows with its tokens, from one for the smallest.
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -66,6 +67,8 @@
     reading_seconds: float = 0.0
     stakes: dict[int, float] = field(default_factory=dict)
     unread: list[Unread] = field(default_factory=list)
+    # How many times as long as published the engine's passes take.
+    pace: float = 1.0
 
     @property
     def requests(self) -> int:
@@ -85,6 +88,25 @@
     engines: Mapping[str, EngineWork]
 
 
+@dataclass
+class _Paces:
+    """The paces of an engine's last passes that this host saw."""
+
+    seen_at: float = 0.0
+    values: deque[float] = field(default_factory=lambda: deque(maxlen=c.PACE_VALUES))
+
+    def estimate(self) -> float:
+        """Return the engine's pace, one where it is not surely slow.
+
+        What an engine reads makes a pass longer, so the shortest ones tell its pace;
+        events that were held up on the way come together, so the very shortest not.
+        """
+        if len(self.values) < c.PACE_MIN_VALUES:
+            return 1.0
+        pace = sorted(self.values)[1]
+        return pace if pace >= c.SLOW_PACE else 1.0
+
+
 @dataclass(frozen=True)
 class _Count:
     """What an engine itself counted beyond this host's own requests."""
@@ -103,6 +125,7 @@
     def __init__(self) -> None:
         self._counts: dict[str, _Count] = {}
         self._full: dict[str, float] = {}
+        self._paces: dict[str, _Paces] = {}
         self._own: dict[str, dict[PromptWork, None]] = {}
         # Called when peers should hear at once of a prompt, and not at their turn.
         self.on_change: list[Callable[[], None]] = []
@@ -129,6 +152,12 @@
         own = sum(work.leader == engine for work in self._own.get(engine, ()))
         self._counts[engine] = _Count(now, max(0, requests - own))
 
+    def note_pass(self, engine: str, pace: float, now: float) -> None:
+        """Take a pass that took so many times as long as published."""
+        paces = self._paces.setdefault(engine, _Paces())
+        paces.seen_at = now
+        paces.values.append(pace)
+
     def note_full(self, engine: str, now: float) -> None:
         """Take it that an engine has no free memory for a while."""
         self._full[engine] = now + c.FULL_SECONDS
@@ -158,6 +187,7 @@
             known.setdefault(engine, EngineWork()).held_tokens += c.FULL_TOKENS
         if not self._hints:
             self._add_counts(known, now)
+        self._add_paces(known, now)
         return known
 
     def build_digest(self, now: float) -> dict[str, list[Any]]:
@@ -204,6 +234,14 @@
             if left:
                 known.setdefault(engine, EngineWork()).writers += left
 
+    def _add_paces(self, known: dict[str, EngineWork], now: float) -> None:
+        for engine, paces in list(self._paces.items()):
+            # A slow engine is hardly used, so it is tried again when this is old.
+            if now - paces.seen_at > c.MAX_PACE_SECONDS:
+                del self._paces[engine]
+            elif (pace := paces.estimate()) > 1:
+                known.setdefault(engine, EngineWork()).pace = pace
+
     def _add_own(self, engine: str, known: EngineWork, now: float) -> None:
         for work in self._own[engine]:
             left = work.compute_reading_left(engine, now)
--- a/libraries/placement/tarragonward_placement/readings.py
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from tarragonward_routes import EngineModel
@@ -52,6 +52,8 @@
     first_event_seconds: float
     harm: float
     tickets: Mapping[str, int] = field(default_factory=dict)
+    # The published time of a pass of the leader, with the answer among its writers.
+    pass_seconds: float = 0.0
 
     @property
     def leader(self) -> str:
@@ -180,8 +182,10 @@
     is_long: bool,
     lane: float,
 ) -> _Candidate:
-    steps = model.compute_write_seconds(work.writers, work.context_tokens)
-    pause = steps + work.reading_seconds + part
+    part *= work.pace
+    reading = work.reading_seconds * work.pace
+    steps = model.compute_write_seconds(work.writers, work.context_tokens) * work.pace
+    pause = steps + reading + part
     # What is already harmed by the reading that waits there is not harmed again.
     harm = sum(
         stake * _compute_change(pause - part, part, aim / MILLISECONDS)
@@ -190,7 +194,7 @@
         unread.stake * _compute_change(unread.ends_seconds, part, unread.aim_seconds)
         for unread in work.unread
     )
-    ends = work.reading_seconds + part
+    ends = reading + part
     if work.writers:
         ends += 1.5 * steps
     order = 1 - place if is_long else max(0.0, place - lane)
@@ -221,7 +225,8 @@
     helpers = _choose_helpers(count - 1, others, need, model, random)
     if len(helpers) < count - 1:
         return None
-    return _build_plan([leader, *helpers], part, lead_harm, need)
+    plan = _build_plan([leader, *helpers], part, lead_harm, need)
+    return replace(plan, pass_seconds=_compute_pass(leader, need, model, count))
 
 
 def _plan_group(
@@ -262,7 +267,8 @@
     only_read = [
         each for each in readers if each is not leader and each.name not in tickets
     ]
-    return _build_plan([leader, *held, *only_read], part, lead_harm, need, tickets)
+    plan = _build_plan([leader, *held, *only_read], part, lead_harm, need, tickets)
+    return replace(plan, pass_seconds=_compute_pass(leader, need, model, count))
 
 
 def _choose_helpers(
@@ -309,6 +315,13 @@
     )
 
 
+def _compute_pass(
+    leader: _Candidate, need: PromptNeed, model: EngineModel, count: int
+) -> float:
+    context = leader.work.context_tokens + need.prompt_tokens // count
+    return model.compute_write_seconds(leader.work.writers + 1, context)
+
+
 def _count_room(each: _Candidate, model: EngineModel) -> int:
     """Return the memory that a part may take, with some left beside it."""
     return int(model.memory_tokens * c.TICKET_MEMORY_SHARE) - each.work.held_tokens
@@ -320,7 +333,7 @@
     """Return what it costs that this engine holds and writes the answer."""
     work = each.work
     pause = model.compute_write_seconds(work.writers + 1, work.context_tokens)
-    pause += work.reading_seconds
+    pause = (pause + work.reading_seconds) * work.pace
     harm = each.harm + each.order
     harm += need.stake * compute_overrun(pause, need.pause_aim_seconds)
     over = work.requests + 1 - model.slots
--- a/libraries/placement/tests/test_readings.py
+++ b/libraries/placement/tests/test_readings.py
@@ -14,6 +14,7 @@
     ReadingPlan,
     plan_reading,
 )
+from tarragonward_placement import const as c
 from tarragonward_routes import EngineModel
 
 MODEL = EngineModel(
@@ -193,3 +194,29 @@
     assert not told
     book.begin(plan(LONG).build_work(LONG, now=1.0))
     assert told
+
+
+def test_an_engine_that_passes_show_to_be_slow_is_spared() -> None:
+    """Its passes take six times as long as published, for all that write there.
+
+    One event that came late, or the reading of another prompt, does not make an
+    engine slow; and it is tried again once nothing was seen of it for a while.
+    """
+    book = FleetBook()
+    for number in range(c.PACE_VALUES):
+        book.note_pass("e00", 6.0, now=1.0)
+        book.note_pass("e01", 6.0 if number % 2 else 1.1, now=1.0)
+    known = book.get_all(1.0)
+    assert known["e00"].pace == 6.0
+    assert "e01" not in known
+    two = ENGINES[:2]
+    assert plan(SHORT, known, two).leader == "e01"
+    assert book.get_all(1.1 + c.MAX_PACE_SECONDS) == {}
+
+
+def test_a_slow_reader_makes_a_joint_reading_longer() -> None:
+    """Its part ends as much later as its passes take longer."""
+    slow = {name: EngineWork(pace=4.0) for name in ENGINES}
+    first = plan(LONG, slow).first_event_seconds
+    assert first > 2 * plan(LONG).first_event_seconds
+    assert set(plan(LONG, {"e03": EngineWork(pace=4.0)}).readers).isdisjoint({"e03"})
