--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -55,6 +55,7 @@
     plan: ReadingPlan | None = None
     work: PromptWork | None = None
     ticket: str = ""
+    has_events: bool = False
     reading_since: float | None = None
 
     def note_first_event(self, now: float) -> None:
