--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -387,10 +387,12 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
-                self._note_events(choice)
+                self._note_events(choice, len(events))
                 if self._watch is not None:
                     self._watch.pause()
                 await self._async_give_events(stream, events)
+                # While the caller does not read, the engine's pace is not seen.
+                choice.reading_since = self._loop.time()
                 if self._watch is not None:
                     self._watch.resume()
         if cutter.has_rest:
@@ -404,11 +406,11 @@
         self._exchange.has_ended = True
         return None
 
-    def _note_events(self, choice: SendChoice) -> None:
+    def _note_events(self, choice: SendChoice, events: int) -> None:
         if not choice.has_events:
             choice.has_events = True
             self._chooser.probes.note(choice.target, Evidence.ANSWERED)
-        choice.note_first_event(self._loop.time())
+        self._chooser.note_events(choice, events)
 
     async def _async_give_events(
         self, stream: HttpStream, events: list[StreamEvent]
