Let the test of a draining owner read its health as a balancer does

Cause: since a host admits work until a balancer has read its failing check, 3 s at most, and 0.5 s more; this test has no balancer and counted on a fixed 0.5 s.

The test now asks the health until it fails, then waits the same 0.9 s; all it asserts is unchanged: the new call is refused as not run for good, repeats get the recorded answer, one run in all.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -18,6 +18,7 @@
     has_proxies=True,
 )
 NORTH, SOUTH = "entry-north-1", "entry-south-1"
+UNHEALTHY = 503
 OK, UNKNOWN = ResultCode.OK.number, ResultCode.OUTCOME_UNKNOWN.number
 
 
@@ -208,6 +209,12 @@
     assert (long.code, long.body) == (OK, (await first).body)
 
 
+async def async_get_health(site, name):
+    """Ask a host's health as the balancer does."""
+    operators = site.hosts[name].operators
+    return (await async_send_http(operators, "GET", "/health", timeout=2.0)).status
+
+
 async def test_a_draining_owner_answers_repeats_and_runs_nothing_new(make_site):
     """The owner is told to leave; the clerk repeats a booking that ran before.
 
@@ -219,7 +226,9 @@
     first = asyncio.create_task(clerk.async_call(SOUTH))
     await clerk.async_wait_for_run()
     site.send_signal(NORTH, signal.SIGTERM)
-    # New work is admitted until the balancer has noticed, 0.5 s.
+    # New work is admitted until the balancer has read that the host leaves, and 0.5 s.
+    while await async_get_health(site, NORTH) != UNHEALTHY:
+        await asyncio.sleep(0.02)
     await asyncio.sleep(0.9)
     late = Clerk(site, clerk.key + "-late")
     assert (await late.async_call(SOUTH)).code == ResultCode.CALL_NOT_RUN.number
