Say when a published table can't be read, and forget counts of engines that are gone

(1) publications.py passed over a routing table that its parser refused without a word: the host goes on by the one before, calls itself fresh, and nothing shows why callers of a new route are denied. It is logged (table_refused, key and revision) and counted (tables_refused_total); the parser tells which key is the table's, as items of other keys are nobody's fault. (2) FleetBook kept the count that an engine told for good while peers were heard: one entry for each start of an engine.

Ruled out: taking the host out of rotation on a refused table (all hosts would leave at once).

--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -102,6 +102,9 @@
 class RecordParser(Protocol):
     """Turns published items into the product's own data."""
 
+    def is_table(self, key: str) -> bool:
+        """Return whether the routing table is published under a key."""
+
     def parse_table(self, record: Record) -> RoutingTable | None:
         """Return the routing table of a record, None where it holds none."""
 
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from absl import logging
+
 from tarragonward_core import BackgroundTasks, FrameError, TargetError, log_event
 from tarragonward_membership import RegisteredTarget, Withdrawn
 from tarragonward_wire import HttpServer
@@ -250,11 +252,24 @@
 
     def _put_table(self, record: Record) -> None:
         table = self._parser.parse_table(record)
-        if table is not None and self._state.put_in_force(table):
+        if table is None:
+            self._note_refused_table(record)
+        elif self._state.put_in_force(table):
             log_event("table_in_force", version=table.version, routes=len(table.routes))
             for notify in self.on_table:
                 notify()
 
+    def _note_refused_table(self, record: Record) -> None:
+        if self._parser.is_table(record.key):
+            # The host goes on by the table before it, so nothing else would show it.
+            self._state.metrics.count("tables_refused")
+            log_event(
+                "table_refused",
+                level=logging.ERROR,
+                key=record.key,
+                revision=record.revision,
+            )
+
     def _withdraw(self, records: Iterable[Record]) -> None:
         """Take out the targets whose records are gone.
 
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -38,8 +38,11 @@
         address = Address(f"address-of-{target_id}", 9)
         return RegisteredTarget(target_id, "s", address, "d", 8, entry, record.revision)
 
+    def is_table(self, key):
+        return key == "table"
+
     def parse_table(self, record):
-        if record.key != "table" or record.value is None:
+        if not self.is_table(record.key) or not (record.value or b"").isdigit():
             return None
         return RoutingTable(int(record.value), (), {}, CallerLimits(), {}, False)
 
@@ -169,6 +172,19 @@
     await async_wait_for(lambda: state.table.version == 9)
 
 
+async def test_a_table_that_cannot_be_read_is_counted_and_changes_nothing(start):
+    """A table is published in a form that this version does not know.
+
+    The host goes on by the one before; operators see that it refused the new one.
+    """
+    state, task = await start(FIRST, Source(get_items()))
+    await async_wait_for(lambda: state.table is not None)
+    unknown = (Record("table", 9, b"new form"), Record("other", 10, b"x"))
+    task.take(Portion(unknown, 10, False), 2)
+    assert state.table.version == 4
+    assert state.metrics.get_count("tables_refused") == 1
+
+
 async def test_an_older_table_and_an_older_record_change_nothing(start):
     state, task = await start(FIRST, Source(get_items()))
     await async_wait_for(lambda: state.table is not None)
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -185,6 +185,7 @@
                 del self._full[engine]
                 continue
             known.setdefault(engine, EngineWork()).held_tokens += c.FULL_TOKENS
+        self._forget_counts(now)
         if not self._hints:
             self._add_counts(known, now)
         self._add_paces(known, now)
@@ -224,12 +225,16 @@
             return
         self._hints[host] = _Hint(now - age, engines)
 
-    def _add_counts(self, known: dict[str, EngineWork], now: float) -> None:
+    def _forget_counts(self, now: float) -> None:
+        """Drop counts that are worth nothing: engines come and go for good."""
+        oldest = now - c.MAX_COUNT_SECONDS
         for engine, count in list(self._counts.items()):
-            age = now - count.seen_at
-            if age > c.MAX_COUNT_SECONDS:
+            if count.seen_at < oldest:
                 del self._counts[engine]
-                continue
+
+    def _add_counts(self, known: dict[str, EngineWork], now: float) -> None:
+        for engine, count in self._counts.items():
+            age = now - count.seen_at
             left = round(count.others * (1 - age / c.MAX_COUNT_SECONDS))
             if left:
                 known.setdefault(engine, EngineWork()).writers += left
--- a/libraries/placement/tests/test_readings.py
+++ b/libraries/placement/tests/test_readings.py
@@ -185,6 +185,15 @@
     assert book.get_all(5.0) == {}
 
 
+def test_counts_of_engines_that_are_gone_are_forgotten_beside_peers() -> None:
+    """Each start of an engine has a new id; its count must not be kept for good."""
+    book = FleetBook()
+    book.take_digest("peer", {}, age=0.0, now=9.0)
+    book.note_count("e00", 5, now=1.0)
+    book.get_all(9.0)
+    assert not book._counts
+
+
 def test_peers_are_told_at_once_of_a_long_reading_only() -> None:
     """Until they hear of it, they send short prompts to its engines."""
     book = FleetBook()
