--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -100,6 +100,7 @@
             request.headers.get(state.headers.token_counts, ""),
         )
         self._tried: set[str] = set()
+        self._repeat_at: float | None = None
         self._watch: SilenceWatch | None = None
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
         state.record_request(context.service)
@@ -137,7 +138,7 @@
         )
         effect = self._exchange.hear(event, now, budget=may_repeat)
         if isinstance(effect, SendTo) and effect.is_repeat:
-            self._state.record_repeat(service)
+            self._repeat_at = self._state.record_repeat(service)
         self._observer.note_decision(event, effect, now)
         return effect
 
@@ -159,6 +160,7 @@
         placed = await self._async_place()
         if placed is None:
             self._observer.note_choice(None, tried=len(self._tried))
+            self._return_repeat()
             return self._hear(SendFailed(SendFault.NO_TARGET))
         choice, lease = placed
         target = choice.target
@@ -172,6 +174,7 @@
                 event = await self._async_attempt(choice, effect)
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
+            self._return_repeat()
             self._log_failed(target, event, err)
         except TargetSilentError as err:
             event = SendFailed(SendFault.SILENT)
@@ -186,6 +189,12 @@
             self._chooser.probes.note_failed(target, event.fault)
         return self._hear(event) if event is not None else None
 
+    def _return_repeat(self) -> None:
+        """Give the budget back what a repeat that was never sent took of it."""
+        if self._repeat_at is not None:
+            self._state.budget.return_repeat(self._context.service, self._repeat_at)
+            self._repeat_at = None
+
     async def _async_place(self) -> tuple[SendChoice, Lease | None] | None:
         """Return where to send, with the memory held where one engine has too little.
 
@@ -213,9 +222,16 @@
             await asyncio.sleep(self._state.random.random() * wait)
         return None
 
-    def _note_answered(self, target: RegisteredTarget, stream: HttpStream) -> None:
-        is_elsewhere = self._is_elsewhere(target, stream)
-        evidence = Evidence.REPLACED if is_elsewhere else Evidence.ANSWERED
+    def _note_head(self, target: RegisteredTarget, stream: HttpStream) -> None:
+        # A head alone is no answer: a sick target may spoil what comes after it.
+        # Symptom, were it taken as one: its faults are never two in a row.
+        evidence = Evidence.CONNECTED
+        if self._is_elsewhere(target, stream):
+            evidence = Evidence.REPLACED
+        elif self._is_refusal(stream):
+            evidence = Evidence.ANSWERED
+        elif stream.status >= STATUS_FAILURES:
+            evidence = Evidence.FAILED
         self._chooser.probes.note(target, evidence)
 
     def _build_need(self) -> TargetNeed:
@@ -307,7 +323,7 @@
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
-        self._note_answered(choice.target, stream)
+        self._note_head(choice.target, stream)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
         if self._is_refusal(stream):
             at_fault = stream.headers.get(names.at_target)
@@ -334,6 +350,8 @@
         )
         headers = build_answer_headers(stream.raw_headers, has_body)
         self._answer = (stream.status, headers, body)
+        if stream.status < STATUS_FAILURES:
+            self._chooser.probes.note(choice.target, Evidence.ANSWERED)
         return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
 
     def _is_elsewhere(self, target: RegisteredTarget, stream: HttpStream) -> bool:
@@ -378,10 +396,12 @@
             except ValueError as err:
                 raise SpoiledAnswerError(str(err)) from None
             if events:
-                choice.note_first_event(self._loop.time())
+                self._note_events(choice, len(events))
                 if self._watch is not None:
                     self._watch.pause()
                 await self._async_give_events(stream, events)
+                # While the caller does not read, the engine's pace is not seen.
+                choice.reading_since = self._loop.time()
                 if self._watch is not None:
                     self._watch.resume()
         if cutter.has_rest:
@@ -395,6 +415,12 @@
         self._exchange.has_ended = True
         return None
 
+    def _note_events(self, choice: SendChoice, events: int) -> None:
+        if not choice.has_events:
+            choice.has_events = True
+            self._chooser.probes.note(choice.target, Evidence.ANSWERED)
+        self._chooser.note_events(choice, events)
+
     async def _async_give_events(
         self, stream: HttpStream, events: list[StreamEvent]
     ) -> None:
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -66,6 +66,12 @@
 TOLD_PART_SECONDS = 0.04
 # An engine's own count of its requests tells of others' until they have ended.
 MAX_COUNT_SECONDS = 1.5
+# An engine is slow where its passes take so many times as long as published; so many
+# of its last passes tell it, and for so long after the last one.
+SLOW_PACE = 1.4
+PACE_VALUES = 8
+PACE_MIN_VALUES = 3
+MAX_PACE_SECONDS = 30.0
 # What an overdue reading is still taken to need, of its whole time.
 OVERDUE_SHARE = 0.3
 # What is at stake with a prompt grows with its tokens, from one for the smallest.
@@ -106,10 +112,10 @@
 REST_FIRST_SECONDS = 0.4
 REST_MAX_SECONDS = 1.0
 REST_MAX_BEFORE_REQUEST_SECONDS = 2.0
-# While one request tries a target, the others wait for it.
-TRIAL_SECONDS = 0.3
+# While one request tries a target, the others wait for its answer, so long at most.
+TRIAL_SECONDS = 2.0
 # So many faults that may be one request's alone, in a row, are the target's.
-FAILURES_IN_A_ROW = 3
+FAILURES_IN_A_ROW = 2
 # So many targets of a failure domain that can't be connected to within this time, and
 # none that answers between, are its link and not they.
 DOMAIN_TARGETS = 2
