--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from contextlib import suppress
 
-from tarragonward_core import Address, log_event
+from tarragonward_core import Address, BackgroundTasks, log_event
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
     DomainDoubted,
@@ -24,6 +24,7 @@
 
 __all__ = ["TargetProbes"]
 
+TASK_NAME = "probes"
 EVIDENCE = {
     SendFault.NOT_CONNECTED: Evidence.NOT_CONNECTED,
     SendFault.LOST: Evidence.LOST,
@@ -33,24 +34,26 @@
 
 
 class TargetProbes:
-    """The eyes of TargetReach: it decides, this connects, notes and logs."""
+    """Connects for TargetReach, which decides; tells it what was seen, and logs it."""
 
     def __init__(self, state: GatewayState, reach: TargetReach) -> None:
         self._state = state
         self._reach = reach
         self._probing: set[asyncio.Task[bool]] = set()
-        self._task: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(state.metrics)
 
     async def async_setup(self) -> None:
         """Begin to try what is in doubt."""
-        self._task = asyncio.create_task(self._async_try())
+        # Were the loop to end by a fault, what is in doubt would stay out for good.
+        self._background.start(TASK_NAME, self._async_try)
 
     async def async_unload(self) -> None:
         """Stop to try."""
-        tasks = [task for task in (self._task, *self._probing) if task is not None]
-        for task in tasks:
+        await self._background.async_unload()
+        probing = list(self._probing)
+        for task in probing:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*probing, return_exceptions=True)
 
     def note(self, target: RegisteredTarget, evidence: Evidence) -> None:
         """Take in what was seen of a target, and log what changes by it."""
--- a/libraries/gateway/tests/test_probes.py
+++ b/libraries/gateway/tests/test_probes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tarragonward_core import Address
+from tarragonward_core import Address, background
 from tarragonward_gateway import GatewaySettings, HeaderNames, Paths
 from tarragonward_gateway import const as c
 from tarragonward_gateway.clock import read_clock
@@ -107,6 +107,29 @@
         await server.wait_closed()
 
 
+async def test_a_fault_of_the_loop_keeps_no_target_out_for_good(monkeypatch):
+    """A round of probes raises what nobody foresaw; the loop must go on.
+
+    Ended, it would connect to nothing any more, and a target that is well again would
+    stay out as long as others are there.
+    """
+    monkeypatch.setattr(c, "PROBE_ROUND_SECONDS", 0.01)
+    monkeypatch.setattr(background, "RESTART_SECONDS", 0.02)
+    doubts = Doubts([("a", CLOSED)])
+    rounds = []
+
+    def fail(registered, now):
+        rounds.append(now)
+        raise LookupError("not foreseen")
+
+    monkeypatch.setattr(doubts.reach, "take_due_probes", fail)
+    await doubts.probes.async_setup()
+    async with asyncio.timeout(5):
+        while len(rounds) < 3:
+            await asyncio.sleep(0.01)
+    await doubts.probes.async_unload()
+
+
 async def test_dead_targets_that_are_probed_put_no_domain_in_doubt(monkeypatch):
     """Two of a domain's three targets are dead, and this host has little to send.
 
