Take only an outage of all hosts for an outage, and keep what is told as a change in time

These three had been cut off from the store to 13 s while their peers told them all; back in touch, that was 'after an outage' for 3 s, so the withdrawal, a runner that never says that it drains, was taken for a lapse and lingered 0.9 of the drain time, counted from when it was heard, not from the store's ack.

The guess without an outage is 0.6 too, 0.7 before.

Ruled out: hearing itself (c-2 heard within 0.3 s), no linger at all (all targets of a service may lapse beside a store that is down).

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -89,9 +89,11 @@
 # So long without any answer, to this host or one that it knows, is an outage too.
 OUTAGE_AGE_SECONDS = 5.0
 # Of the time that a leaving target goes on serving, how much is used for one whose
-# record may have lapsed only because the source was away; less where that is a guess.
+# record may have lapsed only because the source was away: the most where a reading
+# after it lacks the record; less where its withdrawal is told as a change, which takes
+# up to a second to be heard, or where the outage is a guess.
 LINGER_SHARE = 0.9
-GUESSED_LINGER_SHARE = 0.7
+GUESSED_LINGER_SHARE = 0.6
 # So many ready targets of a service that vanish at once have lapsed, not left.
 LAPSE_SHARE = 0.3
 LAPSE_MIN_TARGETS = 3
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -144,6 +144,7 @@
         self._failing_since: float | None = None
         self._failed_at = float("-inf")
         self._last_outage_at = float("-inf")
+        self._confirmed_at = float("-inf")
         self._is_return_tried = False
         self._is_fed = False
         self._is_watching = False
@@ -151,6 +152,7 @@
 
     def choose_step(self, place: Place, confirmed_age: float, now: float) -> Step:
         """Return what to do now; confirmed_age is that of what the host holds."""
+        self._confirmed_at = now - confirmed_age
         step = self._choose_step(place, confirmed_age, now)
         self._is_watching = isinstance(step, Watch)
         return step
@@ -327,8 +329,12 @@
         self.failures = 0
 
     def _note_outage(self, now: float) -> None:
+        # A host may be the only one that the source does not reach. Symptom, were that
+        # an outage: it takes what its peers tell it has left for what has lapsed, and
+        # uses it past the drain's bound. What peers confirm shows that all others hear.
         since = self._failing_since
-        if since is not None and now - since > c.OUTAGE_SECONDS:
+        is_long = since is not None and now - since > c.OUTAGE_SECONDS
+        if is_long and now - self._confirmed_at > c.UNCONFIRMED_SECONDS:
             self._last_outage_at = now
 
 
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -232,7 +232,7 @@
         for record in new:
             if record.value is not None:
                 self._put(record)
-        self._withdraw(gone)
+        self._withdraw(gone, portion.is_whole)
         return new
 
     def _put(self, record: Record) -> None:
@@ -270,7 +270,7 @@
                 revision=record.revision,
             )
 
-    def _withdraw(self, records: Iterable[Record]) -> None:
+    def _withdraw(self, records: Iterable[Record], is_reading: bool) -> None:
         """Take out the targets whose records are gone.
 
         While the source is away the records of targets that are well lapse, and are
@@ -284,7 +284,7 @@
             known = target_id and self._state.registry.get(target_id)
             if known:
                 gone.append((known, record.revision))
-        shares = self._choose_linger_shares([target for target, _ in gone])
+        shares = self._choose_linger_shares([target for target, _ in gone], is_reading)
         for target, revision in gone:
             withdrawn = Withdrawn(target.id, revision)
             share = shares[target.service] if target.is_ready else 0.0
@@ -295,7 +295,9 @@
             linger = share * self._state.settings.bounds.drain_seconds
             asyncio.get_running_loop().call_later(linger, self._take_out, withdrawn)
 
-    def _choose_linger_shares(self, gone: list[RegisteredTarget]) -> dict[str, float]:
+    def _choose_linger_shares(
+        self, gone: list[RegisteredTarget], is_reading: bool
+    ) -> dict[str, float]:
         """Return by service how much of the drain time its gone targets are used."""
         now = read_clock()
         is_silent = now - self._state.table_confirmed_at > c.OUTAGE_AGE_SECONDS
@@ -305,7 +307,8 @@
         for service, count in counts.items():
             ready = len(self._state.registry.get_ready(service))
             if is_outage:
-                shares[service] = c.LINGER_SHARE
+                most = c.LINGER_SHARE if is_reading else c.GUESSED_LINGER_SHARE
+                shares[service] = most
             elif count >= max(c.LAPSE_MIN_TARGETS, c.LAPSE_SHARE * ready):
                 shares[service] = c.GUESSED_LINGER_SHARE
         return shares
--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -218,6 +218,20 @@
     assert not watching.is_after_outage(6.0 + c.OUTAGE_MEMORY_SECONDS)
 
 
+def test_a_host_that_alone_is_cut_off_from_the_source_knows_of_no_outage(watching):
+    """A target leaves; a request reaches it 2.08 s after that, past the bound of 2 s.
+
+    The host had been cut off from the source while its peers told it all. Back in
+    touch, it took the withdrawal for a lapse of an outage, and used the target on.
+    """
+    for now in (2.0, 3.0, 4.0, 5.0):
+        watching.choose_step(Place(HOSTS, 0), 1.5, now)
+        watching.hear(SourceFailed(), 10, HOSTS, now)
+    watching.choose_step(Place(HOSTS, 0), 1.5, 6.0)
+    watching.hear(SourceAnswered(False), 10, HOSTS, 6.1)
+    assert not watching.is_after_outage(6.1)
+
+
 def test_a_host_that_starts_leaves_the_first_reading_to_the_seeds():
     """300 hosts start at once, and callers are refused for seconds.
 
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -215,6 +215,22 @@
     assert [target.id for target in state.registry.get_ready("s")] == ["0"]
 
 
+async def test_a_withdrawal_told_as_a_change_after_an_outage_is_in_time(start):
+    """A target leaves moments after the store is back; its withdrawal is heard late.
+
+    It may have lapsed, and is used a moment longer, but so that what hearing takes,
+    up to a second, and that moment stay within the drain's time together.
+    """
+    state, task = await start(FIRST, Source())
+    await async_wait_for(lambda: state.table_confirmed_at > 0)
+    task.take(build_whole(6, 10), 0)
+    task._follower._last_outage_at = read_clock()
+    task.take(Portion((Record("t/0", 11, None),), 11, False), 10)
+    assert len(state.registry.get_ready("s")) == 6
+    await asyncio.sleep(state.settings.bounds.drain_seconds * 0.6 + 0.1)
+    assert len(state.registry.get_ready("s")) == 5
+
+
 async def test_a_single_target_that_is_withdrawn_is_gone_at_once(start):
     state, task = await start(FIRST, Source())
     await async_wait_for(lambda: state.table_confirmed_at > 0)
