--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -166,6 +166,22 @@
     assert AskSource() not in asked
 
 
+def test_peers_that_hold_less_do_not_hide_that_a_watch_is_dead(watching):
+    """A target left; work still goes to it, as this host's watch died in silence.
+
+    One peer tells the newer revision. The others' watches are as deaf: they hold what
+    this host holds, and their word must not let it forget that it is behind.
+    """
+    ahead, level = PeerTold("peer", 12, 0.1), PeerTold("deaf", 10, 0.1)
+    asked = []
+    for step in range(9):
+        now = 5.0 + 0.1 * step
+        asked += watching.hear(ahead, 10, HOSTS, now)
+        asked += watching.hear(level, 10, HOSTS, now + 0.05)
+    assert AskPeer("peer") in asked
+    assert AskSource() in asked
+
+
 def test_failures_back_off_further_while_others_ask_too(watching):
     now = 2.0
     for _ in range(10):
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -166,7 +166,8 @@
     monkeypatch.setattr(const, "UNCONFIRMED_SECONDS", 0.3)
     source = Source(get_items())
     state, _ = await start(FIRST, source)
-    await async_wait_for(lambda: state.table is not None)
+    # The page, then the watch, which waits from here on and is never woken.
+    await async_wait_for(lambda: state.table is not None and source.calls == 2)
     source.items["table"] = Record("table", 8, b"9")
     source.revision = 8
     await async_wait_for(lambda: state.table.version == 9)
