--- a/libraries/bench/tarragonward_bench/impairment_days.py
+++ b/libraries/bench/tarragonward_bench/impairment_days.py
@@ -34,11 +34,12 @@
 # In these kinds x is a share of something, so that it ends at 1.
 SHARES = ("answer_lost", "applied_late", "garble", "lossy", "platform_lost")
 SHARES += ("reset_conns", "srv_grey")
-PLAN = ("big_config", "config_change", "config_storm", "hup", "release", "revoke")
-PLAN += ("roll_term", "scale_in", "scale_out")
+PLAN = ("add_nodes", "big_config", "config_change", "config_storm", "hup", "release")
+PLAN += ("revoke", "roll_term", "scale_in", "scale_out")
 # As the sites' own list of troubles writes them, without names of one site; then
 # those that may come too, as `fleetbench kinds` gives them.
 KINDS = {
+    "add_nodes": {"count": 2},
     "after_ack_kill": {"for_s": 3.0},
     "answer_lost": {"share": 0.45, "x": 0.025, "for_s": 5.5},
     "answer_lost-reset": {"how": "reset", "share": 0.5, "x": 0.05, "for_s": 4.0},
@@ -64,6 +65,7 @@
     "herd_kill-plain": {"share": 0.55, "for_s": 2.0},
     "hot_key": {"share": 0.28, "for_s": 5.5},
     "hup": {"share": 0.6, "gap_s": 2.0},
+    "idle_race": {"share": 0.5, "x": 300.0, "for_s": 6.5},
     "lossy": {"x": 0.025, "for_s": 5.5},
     "node_cut": {"share": 0.17, "for_s": 5.5},
     "node_cut-reset": {"how": "reset revoke", "share": 0.3, "for_s": 8.0},
@@ -94,9 +96,15 @@
     "srv_crash-dark": {"share": 0.17, "for_s": 4.5, "how": "dark"},
     "srv_crash-gone": {"share": 0.14, "for_s": 4.5, "how": "gone"},
     "srv_cut": {"share": 0.2, "for_s": 5.0},
+    "srv_flap": {"share": 0.1, "gap_s": 1.4, "for_s": 6.5},
+    "srv_grey-errors": {"share": 0.14, "for_s": 6.5, "how": "errors", "x": 0.45},
     "srv_grey-hang": {"share": 0.14, "for_s": 6.5, "how": "hang", "x": 0.45},
     "srv_grey-mute": {"share": 0.14, "for_s": 6.5, "how": "mute", "x": 0.45},
     "srv_grey-shed": {"share": 0.14, "for_s": 6.5, "how": "shed", "x": 0.45},
+    "srv_lying_health-bad": {"share": 0.1, "for_s": 6.5, "how": "bad"},
+    "srv_lying_health-errors": {"share": 0.1, "for_s": 6.5, "how": "errors"},
+    "srv_lying_health-hang": {"share": 0.1, "for_s": 6.5, "how": "hang"},
+    "srv_lying_health-reset": {"share": 0.1, "for_s": 6.5, "how": "reset"},
     "srv_slow": {"share": 0.15, "x": 4.0, "for_s": 5.0},
     "zone_cut": {"for_s": 5.5},
     "zone_cut-refuse": {"for_s": 5.5, "how": "refuse"},
