--- a/libraries/bench/tarragonward_bench/impairment_days.py
+++ b/libraries/bench/tarragonward_bench/impairment_days.py
@@ -37,7 +37,8 @@
 PLAN = ("add_nodes", "big_config", "config_change", "config_storm", "hup", "release")
 PLAN += ("revoke", "roll_term", "scale_in", "scale_out")
 # As the sites' own list of troubles writes them, without names of one site; then
-# those that may come too, as `fleetbench kinds` gives them.
+# those that may come too, as `fleetbench kinds` gives them. srv_flap and
+# srv_lying_health are played only on sites whose contracts have health.
 KINDS = {
     "add_nodes": {"count": 2},
     "after_ack_kill": {"for_s": 3.0},
@@ -100,6 +101,7 @@
     "srv_grey-errors": {"share": 0.14, "for_s": 6.5, "how": "errors", "x": 0.45},
     "srv_grey-hang": {"share": 0.14, "for_s": 6.5, "how": "hang", "x": 0.45},
     "srv_grey-mute": {"share": 0.14, "for_s": 6.5, "how": "mute", "x": 0.45},
+    "srv_grey-reset": {"share": 0.14, "for_s": 6.5, "how": "reset", "x": 0.45},
     "srv_grey-shed": {"share": 0.14, "for_s": 6.5, "how": "shed", "x": 0.45},
     "srv_lying_health-bad": {"share": 0.1, "for_s": 6.5, "how": "bad"},
     "srv_lying_health-errors": {"share": 0.1, "for_s": 6.5, "how": "errors"},
