Give each failure domain a lane of its own, and pack short prompts in it

Writers stood on 12 of 18 engines at 17 short prompts a second, where 4 would do, so each long reading met some. Hypothesis: near engines for answers, and denser lanes, lose fewer streams to cuts and readings. Change: places.py (moved out of readings.py, which was the largest room): lanes by failure domain, places beyond the lane weigh 1.0 (0.15 before) of the whole, the lane is filled to 0.85 of the slots (0.6), an answer from another domain weighs 0.1.

--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -223,6 +223,8 @@
             service.engine,
             self._state.random,
             self.book.hears_peers(now),
+            {target.id: target.failure_domain for target in by_id.values()},
+            self._state.settings.failure_domain,
         )
         if plan is None:
             return None
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -30,6 +30,7 @@
     Refused,
 )
 from .placement import Placement
+from .places import PromptNeed
 from .reach import (
     DomainDoubted,
     DomainRegained,
@@ -38,7 +39,7 @@
     TargetReach,
     TargetRegained,
 )
-from .readings import PromptNeed, ReadingPlan, plan_reading
+from .readings import ReadingPlan, plan_reading
 
 __all__ = [
     "TargetRegained",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -90,7 +90,9 @@
 # What each further reader and a place out of the lane count, in the stake's unit.
 READER_WEIGHT = 0.004
 LANE_WEIGHT = 0.15
-LANE_FILL_SHARE = 0.6
+PACKING_WEIGHT = 1.0
+FAR_WEIGHT = 0.1
+LANE_FILL_SHARE = 0.85
 SLOT_WAIT_SECONDS = 0.7
 MEMORY_SHARE = 0.97
 MAX_PLANNED_ENGINES = 64
--- /dev/null
+++ b/libraries/placement/tarragonward_placement/places.py
@@ -0,0 +1,109 @@
+"""Say where each engine stands in the order that keeps short prompts from long ones."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from tarragonward_routes import EngineModel
+
+from . import const as c
+from .fleet import EngineWork
+
+__all__ = ["EnginePlace", "PromptNeed", "place_engines"]
+
+MILLISECONDS = 1_000
+
+
+@dataclass(frozen=True)
+class PromptNeed:
+    """A prompt to be placed; aim_seconds is what is left until its first event's."""
+
+    prompt_tokens: int
+    output_tokens: int
+    aim_seconds: float
+    pause_aim_seconds: float
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the memory that the prompt and its answer take."""
+        return self.prompt_tokens + self.output_tokens
+
+    @property
+    def stake(self) -> float:
+        """Return what is at stake, in that of the smallest prompt."""
+        return 1 + self.prompt_tokens / c.STAKE_TOKENS
+
+
+@dataclass(frozen=True)
+class EnginePlace:
+    """An engine's place in its failure domain, in the order that all hosts share.
+
+    behind_lane is how many engines beyond those that the strictest writers there need,
+    as a share of all engines; before_end is its distance from the domain's last one,
+    0 to 1; is_in_lane: writers of the prompt's kind, were it short, need this engine.
+    """
+
+    name: str
+    behind_lane: float
+    before_end: float
+    is_near: bool
+
+    def weigh(self, is_long: bool) -> float:
+        """Return what the place counts against the engine, in the stake's unit."""
+        if is_long:
+            return c.LANE_WEIGHT * self.before_end
+        return c.PACKING_WEIGHT * self.behind_lane
+
+    def weigh_distance(self) -> float:
+        """Return what it counts that the answer comes from another failure domain."""
+        return 0.0 if self.is_near else c.FAR_WEIGHT
+
+
+def place_engines(
+    need: PromptNeed,
+    engines: Sequence[str],
+    known: Mapping[str, EngineWork],
+    model: EngineModel,
+    domains: Mapping[str, str],
+    own_domain: str,
+) -> list[EnginePlace]:
+    """Return the places of engines that are given in the order of all hosts.
+
+    Each failure domain has a lane of its own, and a prompt prefers those of its
+    host's: a domain that is cut off from the others keeps the streams it writes. Were
+    there one lane, two of three streams crossed the cut, and paused until their
+    callers left.
+    """
+    by_domain: dict[str, list[str]] = {}
+    for name in engines:
+        by_domain.setdefault(domains.get(name, ""), []).append(name)
+    places = []
+    for domain, names in by_domain.items():
+        lane = _count_lane(need, names, known, model)
+        is_near = domain == own_domain or own_domain not in by_domain
+        places += [
+            EnginePlace(
+                name=name,
+                behind_lane=max(0, place - lane) / len(engines),
+                before_end=1 - place / len(names),
+                is_near=is_near,
+            )
+            for place, name in enumerate(names, start=1)
+        ]
+    return places
+
+
+def _count_lane(
+    need: PromptNeed,
+    names: Sequence[str],
+    known: Mapping[str, EngineWork],
+    model: EngineModel,
+) -> int:
+    """Return how many engines the strictest writers and one more need."""
+    aim = int(need.pause_aim_seconds * MILLISECONDS)
+    works = (known[name] for name in names if name in known)
+    requests = sum(work.requests for work in works if aim in work.stakes)
+    fill = max(model.slots * c.LANE_FILL_SHARE, 1.0)
+    return math.ceil((requests + 1) / fill)
--- a/libraries/placement/tarragonward_placement/readings.py
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -11,6 +10,7 @@
 
 from . import const as c
 from .fleet import EngineWork, PromptWork
+from .places import EnginePlace, PromptNeed, place_engines
 
 __all__ = ["PromptNeed", "ReadingPlan", "plan_reading"]
 
@@ -18,26 +18,6 @@
 NO_WORK = EngineWork()
 
 
-@dataclass(frozen=True)
-class PromptNeed:
-    """A prompt to be placed; aim_seconds is what is left until its first event's."""
-
-    prompt_tokens: int
-    output_tokens: int
-    aim_seconds: float
-    pause_aim_seconds: float
-
-    @property
-    def memory_tokens(self) -> int:
-        """Return the memory that the prompt and its answer take."""
-        return self.prompt_tokens + self.output_tokens
-
-    @property
-    def stake(self) -> float:
-        """Return what is at stake, in that of the smallest prompt."""
-        return 1 + self.prompt_tokens / c.STAKE_TOKENS
-
-
 @dataclass(frozen=True)
 class ReadingPlan:
     """Who reads a prompt; the leader, which writes the answer, is the first.
@@ -89,6 +69,8 @@
     ends_seconds: float
     harm: float
     order: float
+    # What it counts, as the engine that answers, that it is in another failure domain.
+    distance: float
 
 
 def compute_overrun(seconds: float, bound: float) -> float:
@@ -114,6 +96,8 @@
     model: EngineModel,
     random: Random,
     hears_peers: bool = True,
+    domains: Mapping[str, str] | None = None,
+    own_domain: str = "",
 ) -> ReadingPlan | None:
     """Return the readers with the least predicted harm, None where none has memory.
 
@@ -122,11 +106,11 @@
     writers that bear no pause stay few. A host that hears no peer spreads its
     prompts: hosts that each pack blindly would all pack the same engines.
     """
-    chosen = _sample(engines, known, random)
+    places = place_engines(need, engines, known, model, domains or {}, own_domain)
     if not hears_peers:
-        chosen = [(0.0, name) for _, name in chosen]
+        places = [replace(each, behind_lane=0, before_end=0.0) for each in places]
+    chosen = _sample(places, random)
     alone = model.compute_read_seconds(need.prompt_tokens)
-    lane = _count_lane(known, model, need, len(engines))
     best = None
     needs_tickets = need.memory_tokens > model.memory_tokens * c.MEMORY_SHARE
     for count in c.READER_COUNTS:
@@ -138,9 +122,9 @@
         is_long = alone >= c.MIN_JOINT_SECONDS
         candidates = [
             _build_candidate(
-                name, place, known.get(name, NO_WORK), part, need, model, is_long, lane
+                place, known.get(place.name, NO_WORK), part, model, is_long
             )
-            for place, name in chosen
+            for place in chosen
         ]
         if needs_tickets:
             plan = _plan_group(count, part, candidates, need, model, random)
@@ -151,36 +135,19 @@
     return best
 
 
-def _sample(
-    engines: Sequence[str], known: Mapping[str, EngineWork], random: Random
-) -> list[tuple[float, str]]:
-    """Return a bounded number of engines with their places, from 0 to 1."""
-    whole = max(len(engines), 1)
-    placed = [(place / whole, name) for place, name in enumerate(engines, start=1)]
-    if len(placed) <= c.MAX_PLANNED_ENGINES:
-        return placed
-    return random.sample(placed, c.MAX_PLANNED_ENGINES)
-
-
-def _count_lane(
-    known: Mapping[str, EngineWork], model: EngineModel, need: PromptNeed, whole: int
-) -> float:
-    """Return the share of the engines that the strictest writers need."""
-    aim = int(need.pause_aim_seconds * MILLISECONDS)
-    requests = sum(work.requests for work in known.values() if aim in work.stakes)
-    fill = max(model.slots * c.LANE_FILL_SHARE, 1.0)
-    return (math.ceil(requests / fill) + 1) / max(whole, 1)
+def _sample(places: list[EnginePlace], random: Random) -> list[EnginePlace]:
+    """Return a bounded number of engines."""
+    if len(places) <= c.MAX_PLANNED_ENGINES:
+        return places
+    return random.sample(places, c.MAX_PLANNED_ENGINES)
 
 
 def _build_candidate(
-    name: str,
-    place: float,
+    place: EnginePlace,
     work: EngineWork,
     part: float,
-    need: PromptNeed,
     model: EngineModel,
     is_long: bool,
-    lane: float,
 ) -> _Candidate:
     part *= work.pace
     reading = work.reading_seconds * work.pace
@@ -197,8 +164,8 @@
     ends = reading + part
     if work.writers:
         ends += 1.5 * steps
-    order = 1 - place if is_long else max(0.0, place - lane)
-    return _Candidate(name, work, ends, harm, c.LANE_WEIGHT * order)
+    order = place.weigh(is_long)
+    return _Candidate(place.name, work, ends, harm, order, place.weigh_distance())
 
 
 def _plan_for(
@@ -334,7 +301,7 @@
     work = each.work
     pause = model.compute_write_seconds(work.writers + 1, work.context_tokens)
     pause = (pause + work.reading_seconds) * work.pace
-    harm = each.harm + each.order
+    harm = each.harm + each.order + each.distance
     harm += need.stake * compute_overrun(pause, need.pause_aim_seconds)
     over = work.requests + 1 - model.slots
     first = each.ends_seconds + max(over, 0) * c.SLOT_WAIT_SECONDS
