--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -78,11 +78,15 @@
         if evidence is not None:
             self.note(target, evidence)
 
-    def note_named(self, helpers: Sequence[RegisteredTarget], name: str) -> None:
-        """Note that a refusal names a helper as at fault, by its address or its id."""
-        for helper in helpers:
-            if name in (str(helper.address), helper.name):
-                self.note(helper, Evidence.NAMED)
+    def note_named(self, helpers: Sequence[RegisteredTarget], name: str) -> bool:
+        """Note that a refusal names a target as at fault, by its address or its name.
+
+        Return whether it is one of the helpers.
+        """
+        named = [h for h in helpers if name in (str(h.address), h.name)]
+        for helper in named:
+            self.note(helper, Evidence.NAMED)
+        return bool(named)
 
     async def async_check(self, targets: Sequence[RegisteredTarget]) -> bool:
         """Return whether all targets can be reached; those that can't are doubted.
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -100,6 +100,7 @@
             request.headers.get(state.headers.token_counts, ""),
         )
         self._tried: set[str] = set()
+        self._leader = ""
         self._repeat_at: float | None = None
         self._watch: SilenceWatch | None = None
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
@@ -157,7 +158,11 @@
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
-        placed = await self._async_place()
+        placed = await self._async_place(self._leader if effect.returns else "")
+        if placed is None and effect.returns:
+            self._exchange.note_not_returned()
+            if self._exchange.can_send_again(self._loop.time()):
+                placed = await self._async_place()
         if placed is None:
             self._observer.note_choice(None, tried=len(self._tried))
             self._return_repeat()
@@ -166,6 +171,7 @@
         target = choice.target
         self._observer.note_choice(target, choice.predicted_at, tried=len(self._tried))
         self._tried.add(target.id)
+        self._leader = target.id
         try:
             with ExitStack() as stack:
                 if lease is not None:
@@ -195,14 +201,18 @@
             self._state.budget.return_repeat(self._context.service, self._repeat_at)
             self._repeat_at = None
 
-    async def _async_place(self) -> tuple[SendChoice, Lease | None] | None:
+    async def _async_place(
+        self, leader: str = ""
+    ) -> tuple[SendChoice, Lease | None] | None:
         """Return where to send, with the memory held where one engine has too little.
 
+        Where a leader is given, it is the one that is to answer.
+
         Hosts that refuse each other's groups try again after random times, so that one
         of them comes first.
         """
         for attempt in range(c.RESERVATION_TRIES):
-            choice = self._chooser.choose(self._build_need())
+            choice = self._chooser.choose(self._build_need(leader))
             if choice is None:
                 return None
             is_last = attempt + 1 == c.RESERVATION_TRIES
@@ -234,7 +244,7 @@
             evidence = Evidence.FAILED
         self._chooser.probes.note(target, evidence)
 
-    def _build_need(self) -> TargetNeed:
+    def _build_need(self, leader: str) -> TargetNeed:
         return TargetNeed(
             service=self._context.service,
             route=self._route,
@@ -243,6 +253,7 @@
                 self._request.headers.get(self._state.headers.token_counts, "")
             ),
             tried=self._tried,
+            leader=leader,
         )
 
     def _log_failed(
@@ -327,14 +338,15 @@
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
         if self._is_refusal(stream):
             at_fault = stream.headers.get(names.at_target)
-            if at_fault is not None:
+            is_helpers_fault = at_fault is not None and (
                 self._chooser.probes.note_named(choice.helpers, at_fault)
+            )
             self._observer.note_failure(
                 "send_refused",
                 status=stream.status,
                 at_target=at_fault,
             )
-            return SendFailed(SendFault.NOT_RUN)
+            return SendFailed(SendFault.NOT_RUN, is_others_fault=is_helpers_fault)
         self._check_head(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -44,6 +44,12 @@
     aim_at: float
     tokens: tuple[int, int] | None = None
     tried: Collection[str] = ()
+    # The one that is to answer, where that is settled.
+    leader: str = ""
+
+    def allows(self, target: RegisteredTarget) -> bool:
+        """Return whether the request may still go to a target."""
+        return target.id not in self.tried or target.id == self.leader
 
 
 @dataclass
@@ -124,14 +130,16 @@
         ready = [
             target
             for target in self._state.registry.get_ready(need.service)
-            if target.id not in need.tried and self._has_connection(target)
+            if need.allows(target) and self._has_connection(target)
         ]
         if not ready:
             return None
         now = read_clock()
         awake = self.reach.select(ready, now)
+        if need.leader and all(target.id != need.leader for target in awake):
+            return None
         choice = self._choose_among(awake, need)
-        if choice is None and len(awake) < len(ready):
+        if choice is None and len(awake) < len(ready) and not need.leader:
             # A long prompt may need more engines than those known to be in reach.
             choice = self._choose_among(ready, need)
         if choice is not None:
@@ -214,6 +222,7 @@
             output_tokens=need.tokens[1],
             aim_seconds=need.aim_at - now,
             pause_aim_seconds=need.route.pause_aim_seconds,
+            leader=need.leader,
         )
         by_id = {target.id: target for target in self._keep_cell(need, ready)}
         plan = plan_reading(
--- a/libraries/placement/tarragonward_placement/places.py
+++ b/libraries/placement/tarragonward_placement/places.py
@@ -18,12 +18,20 @@
 
 @dataclass(frozen=True)
 class PromptNeed:
-    """A prompt to be placed; aim_seconds is what is left until its first event's."""
+    """A prompt to be placed; aim_seconds is what is left until its first event's.
+
+    leader is the engine that is to answer, where that is settled already.
+    """
 
     prompt_tokens: int
     output_tokens: int
     aim_seconds: float
     pause_aim_seconds: float
+    leader: str = ""
+
+    def may_lead(self, engine: str) -> bool:
+        """Return whether an engine may answer the prompt."""
+        return not self.leader or engine == self.leader
 
     @property
     def memory_tokens(self) -> int:
--- a/libraries/placement/tarragonward_placement/reach.py
+++ b/libraries/placement/tarragonward_placement/reach.py
@@ -39,7 +39,8 @@
 # Faults that may be one request's alone count only some in a row.
 IN_A_ROW = frozenset({Evidence.LOST, Evidence.SPOILED, Evidence.FAILED})
 # What one request has to try: a connection proves nothing of it.
-BY_REQUEST = frozenset({Evidence.REPLACED, Evidence.FAILED})
+# A target that leaves takes connections and refuses to help others.
+BY_REQUEST = frozenset({Evidence.REPLACED, Evidence.FAILED, Evidence.NAMED})
 
 
 class Placed(Protocol):
--- a/libraries/placement/tarragonward_placement/readings.py
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -185,6 +185,7 @@
                 each,
             )
             for each in candidates
+            if need.may_lead(each.name)
         ),
         key=lambda item: item[:3],
     )
@@ -209,12 +210,20 @@
     The roomiest readers hold, so that few reservations are needed; the leader is the
     one of them that is harmed least.
     """
-    readers = _choose_helpers(count, candidates, need, model, random)
+    settled = [each for each in candidates if each.name == need.leader]
+    others = [each for each in candidates if each.name != need.leader]
+    readers = _choose_helpers(count - len(settled), others, need, model, random)
+    readers = settled + readers
     roomy = sorted(readers, key=lambda each: (each.work.held_tokens, random.random()))
     holders = roomy[: c.MAX_TICKETS + 1]
+    if settled and settled[0] not in holders:
+        holders[-1] = settled[0]
     if len(readers) < count or not holders:
         return None
-    leader = min(holders, key=lambda each: (_count_room(each, model) <= 0, each.harm))
+    leader = min(
+        (each for each in holders if need.may_lead(each.name)),
+        key=lambda each: (_count_room(each, model) <= 0, each.harm),
+    )
     left = need.memory_tokens - max(_count_room(leader, model), 0)
     tickets: dict[str, int] = {}
     for each in holders:
--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -45,3 +45,5 @@
 BUDGET_PART = 0.75
 BUDGET_YOUNG_PART = 0.125
 BUDGET_ORDINARY_PART = 0.8
+# How often a request goes back to a target that refused it for another one's fault.
+MAX_RETURNS = 4
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -60,10 +60,14 @@
 
 @dataclass(frozen=True)
 class SendFailed:
-    """A send ended without an answer."""
+    """A send ended without an answer.
+
+    is_others_fault: the target refused it, as another one that should help it can't.
+    """
 
     fault: SendFault
     retry_after_seconds: float | None = None
+    is_others_fault: bool = False
 
 
 @dataclass(frozen=True)
@@ -92,11 +96,15 @@
 
 @dataclass(frozen=True)
 class SendTo:
-    """Send the request to a target that has not had it; go on after last_id."""
+    """Send the request to a target that has not had it; go on after last_id.
+
+    returns: to the target that had it last, which has not run it and is not at fault.
+    """
 
     last_id: int | None
     is_repeat: bool
     delay_seconds: float = 0.0
+    returns: bool = False
 
 
 @dataclass(frozen=True)
@@ -133,6 +141,7 @@
         self.last_id = last_id
         self.sends = 0
         self._possible_runs = 0
+        self._returns = 0
         # Whether a target's own failure, a whole answer, is held during a repeat.
         self.holds_answer = False
         self.is_started = False
@@ -160,6 +169,26 @@
         """Note that the target which had the request last has proved not to run it."""
         self._possible_runs -= 1
 
+    def return_send(self, now: float) -> bool:
+        """Return whether the last target may get the request again, and count it.
+
+        Engines that leave while the registry is silent refuse to help, one after the
+        other. Symptom: a long prompt uses up its two sends on refusals within 20 ms and
+        is refused, though the engines that were to answer it are well. The same target
+        again is not one more, so what the route allows still bounds the targets.
+        """
+        if self._returns >= c.MAX_RETURNS or self.sends == 0:
+            return False
+        if self.policy.deadline - now <= c.MIN_SEND_SECONDS:
+            return False
+        self._returns += 1
+        self.sends -= 1
+        return True
+
+    def note_not_returned(self) -> None:
+        """Note that the last target could not be sent to again, so it counts."""
+        self.sends += 1
+
     def hear(
         self, event: ExchangeEvent, now: float, budget: bool
     ) -> ExchangeEffect | None:
@@ -207,6 +236,8 @@
 ) -> ExchangeEffect | None:
     if event.fault is SendFault.NOT_RUN:
         exchange.note_not_run()
+        if event.is_others_fault and budget and exchange.return_send(now):
+            return SendTo(exchange.last_id, is_repeat=True, returns=True)
     if event.fault is SendFault.NO_TARGET:
         return exchange.end(event.retry_after_seconds)
     if exchange.can_send_again(now) and (budget or not exchange.sends):
