Move a stream off an engine that begins to read for long

Hypothesis: read again on another engine, a short prompt goes on within its pause aim. Change: relocation.py decides; the host hears of readings by its own plans and by digests told at once; the stream leaves its engine and goes on by its last event id, where the plan says it is in time, within the route's targets and the budget of repeats (counted at the decision).

--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import AsyncExitStack, ExitStack
 
 from tarragonward_core import (
@@ -11,7 +12,13 @@
     TargetError,
 )
 from tarragonward_membership import RegisteredTarget
-from tarragonward_placement import Evidence, ReadingPlan
+from tarragonward_placement import (
+    EngineWork,
+    Evidence,
+    ReadingPlan,
+    gains_by_moving,
+    predict_wait,
+)
 from tarragonward_requests import (
     AnswerStarted,
     BreakOff,
@@ -39,7 +46,7 @@
 from .headers import build_answer_headers, build_target_headers, parse_count
 from .observer import RequestObserver
 from .reservations import Lease, ReservationTask
-from .silence import SilenceWatch, TargetSilentError
+from .silence import SilenceWatch, StreamMovedError, TargetSilentError
 from .state import GatewayState
 from .targets import SendChoice, TargetChooser, TargetNeed
 
@@ -101,6 +108,8 @@
         )
         self._tried: set[str] = set()
         self._leader = ""
+        # Whether the stream leaves its target, with its repeat counted already.
+        self._is_moving = False
         self._repeat_at: float | None = None
         self._watch: SilenceWatch | None = None
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
@@ -135,11 +144,12 @@
         now = self._loop.time()
         service, is_started = self._context.service, self._exchange.is_started
         may_repeat = isinstance(event, (SendFailed, TargetAnswered)) and (
-            self._state.may_repeat(service, is_urgent=is_started)
+            self._is_moving or self._state.may_repeat(service, is_urgent=is_started)
         )
         effect = self._exchange.hear(event, now, budget=may_repeat)
-        if isinstance(effect, SendTo) and effect.is_repeat:
+        if isinstance(effect, SendTo) and effect.is_repeat and not self._is_moving:
             self._repeat_at = self._state.record_repeat(service)
+        self._is_moving = False
         self._observer.note_decision(event, effect, now)
         return effect
 
@@ -182,6 +192,9 @@
             event = SendFailed(SendFault.NOT_CONNECTED)
             self._return_repeat()
             self._log_failed(target, event, err)
+        except StreamMovedError as err:
+            event = SendFailed(SendFault.MOVED)
+            self._log_failed(target, event, err)
         except TargetSilentError as err:
             event = SendFailed(SendFault.SILENT)
             self._log_failed(target, event, err)
@@ -244,11 +257,11 @@
             evidence = Evidence.FAILED
         self._chooser.probes.note(target, evidence)
 
-    def _build_need(self, leader: str) -> TargetNeed:
+    def _build_need(self, leader: str = "") -> TargetNeed:
         return TargetNeed(
             service=self._context.service,
             route=self._route,
-            aim_at=self._context.received_at + self._route.aim_seconds,
+            aim_at=self._compute_aim_at(),
             tokens=_parse_counts(
                 self._request.headers.get(self._state.headers.token_counts, "")
             ),
@@ -256,6 +269,12 @@
             leader=leader,
         )
 
+    def _compute_aim_at(self) -> float:
+        """Return when the next event is due: the first one's aim, then the pause's."""
+        if self._exchange.is_started:
+            return self._loop.time() + self._route.pause_aim_seconds
+        return self._context.received_at + self._route.aim_seconds
+
     def _log_failed(
         self, target: RegisteredTarget, event: SendFailed, err: Exception
     ) -> None:
@@ -272,6 +291,9 @@
             if choice.plan is not None and self._exchange.policy.may_run_again:
                 self._watch = self._build_watch(choice.plan)
                 await stack.enter_async_context(self._watch)
+                stack.enter_context(
+                    self._chooser.watch_readings(choice, self._make_mover(choice))
+                )
             stream = await stack.enter_async_context(
                 async_open_http(
                     target.address,
@@ -313,6 +335,44 @@
             may_leave,
         )
 
+    def _make_mover(self, choice: SendChoice) -> Callable[[EngineWork], None]:
+        """Return what leaves the target where a reading there holds the stream up."""
+
+        def consider(work: EngineWork) -> None:
+            if self._may_move() and self._gains_by_moving(choice, work):
+                # Counted now: were the budget used up before the next send, the
+                # stream would be broken off.
+                self._is_moving = True
+                service = self._context.service
+                self._repeat_at = self._state.record_repeat(service)
+                self._watch.leave()
+
+        return consider
+
+    def _may_move(self) -> bool:
+        now = self._loop.time()
+        return (
+            not self._is_moving
+            and self._watch is not None
+            and not self._exchange.has_ended
+            and self._exchange.can_send_again(now)
+            and self._state.may_repeat(self._context.service, is_urgent=False)
+        )
+
+    def _gains_by_moving(self, choice: SendChoice, work: EngineWork) -> bool:
+        plan, own = choice.plan, choice.work
+        assert plan is not None and own is not None
+        if plan.tickets:
+            return False
+        now, need = self._loop.time(), self._build_need()
+        waits, limit = predict_wait(work, plan.pass_seconds), need.aim_at - now
+        if not gains_by_moving(waits, 0.0, limit):
+            return False
+        other = self._chooser.choose(need)
+        if other is None or other.plan is None or other.plan.tickets:
+            return False
+        return gains_by_moving(waits, other.plan.first_event_seconds, limit)
+
     def _build_headers(
         self, choice: SendChoice, effect: SendTo, left: float
     ) -> tuple[tuple[bytes, bytes], ...]:
--- a/libraries/gateway/tarragonward_gateway/silence.py
+++ b/libraries/gateway/tarragonward_gateway/silence.py
@@ -8,13 +8,17 @@
 
 from . import const as c
 
-__all__ = ["SilenceWatch", "TargetSilentError"]
+__all__ = ["SilenceWatch", "StreamMovedError", "TargetSilentError"]
 
 
 class TargetSilentError(Exception):
     """Report that a target was left because it said nothing."""
 
 
+class StreamMovedError(Exception):
+    """Report that a target was left for one that is not held up."""
+
+
 class SilenceWatch:
     """The time that a target has until its next event.
 
@@ -33,6 +37,14 @@
         self._loop = asyncio.get_running_loop()
         self._scope = asyncio.timeout(None)
         self._timer: asyncio.TimerHandle | None = None
+        self._is_leaving = False
+
+    def leave(self) -> None:
+        """Leave the target now, or once what came from it has been given on."""
+        # While events are given on, an end would cut one in two.
+        self._is_leaving = True
+        if self._timer is not None:
+            self._arm(0.0)
 
     async def __aenter__(self) -> SilenceWatch:
         """Begin to wait for the first event."""
@@ -46,11 +58,13 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Stop to wait; raise TargetSilentError where the target was left."""
+        """Stop to wait; raise an error that says why where the target was left."""
         self.pause()
         try:
             await self._scope.__aexit__(kind, error, trace)
         except TimeoutError as err:
+            if self._is_leaving:
+                raise StreamMovedError("held up by a reading") from err
             raise TargetSilentError("no event in time") from err
 
     def pause(self) -> None:
@@ -61,14 +75,14 @@
 
     def resume(self) -> None:
         """Wait for the next event."""
-        self.pause()
-        self._arm(self._pause_seconds)
+        self._arm(0.0 if self._is_leaving else self._pause_seconds)
 
     def _arm(self, seconds: float) -> None:
+        self.pause()
         self._timer = self._loop.call_later(seconds, self._decide)
 
     def _decide(self) -> None:
-        if self._may_leave():
+        if self._is_leaving or self._may_leave():
             self._scope.reschedule(self._loop.time())
         else:
             self._arm(c.SILENCE_AGAIN_SECONDS)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -13,6 +13,7 @@
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
     Cell,
+    EngineWork,
     FleetBook,
     PromptNeed,
     PromptWork,
@@ -114,6 +115,8 @@
         self.book = FleetBook()
         # The engines that this host uses, by service; all where nothing is set.
         self.get_cell: Callable[[str], Cell] | None = None
+        self._streams: dict[str, dict[Callable[[EngineWork], None], None]] = {}
+        self.book.on_reading.append(self._note_reading)
         self.reach = TargetReach()
         self.probes = TargetProbes(state, self.reach)
 
@@ -178,6 +181,27 @@
             if not self._in_flight[target.id]:
                 del self._in_flight[target.id]
 
+    @contextmanager
+    def watch_readings(
+        self, choice: SendChoice, note_reading: Callable[[EngineWork], None]
+    ) -> Iterator[None]:
+        """Call back each time that the target is known to read for long."""
+        watching = self._streams.setdefault(choice.target.id, {})
+        watching[note_reading] = None
+        try:
+            yield
+        finally:
+            watching.pop(note_reading, None)
+            if not watching:
+                self._streams.pop(choice.target.id, None)
+
+    def _note_reading(self, engines: Collection[str]) -> None:
+        watched = [engine for engine in engines if engine in self._streams]
+        known = self.book.get_all(self._clock()) if watched else {}
+        for engine in watched:
+            for note_reading in list(self._streams.get(engine, ())):
+                note_reading(known.get(engine, EngineWork()))
+
     def note_events(self, choice: SendChoice, events: int) -> None:
         """Note that events of an answer came, and learn the engine's pace by them."""
         now = self._clock()
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -40,6 +40,7 @@
     TargetRegained,
 )
 from .readings import ReadingPlan, plan_reading
+from .relocation import gains_by_moving, predict_wait
 
 __all__ = [
     "TargetRegained",
@@ -83,6 +84,8 @@
     "choose_loads",
     "count_parallel_loads",
     "hash_blocks",
+    "gains_by_moving",
     "plan_reading",
+    "predict_wait",
     "share_by_weight",
 ]
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -82,6 +82,12 @@
 MAX_OVERRUN = 8.0
 OVERRUN_WEIGHT = 0.04
 MIN_LEFT_SECONDS = 0.02
+# A stream moves where its next event comes after so much of the bound, and elsewhere
+# before so much of it.
+MOVE_FROM_SHARE = 1.1
+MOVE_TO_SHARE = 0.8
+# A reading of a peer that is told and is longer than this may hold streams up.
+HOLDING_SECONDS = 0.1
 # Prompts that are read in less time than this are read by one engine.
 MIN_JOINT_SECONDS = 0.05
 MIN_PART_SECONDS = 0.012
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -80,6 +80,9 @@
         self.stakes[pause_aim] = self.stakes.get(pause_aim, 0.0) + stake
 
 
+NO_WORK = EngineWork()
+
+
 @dataclass(frozen=True)
 class _Hint:
     """A peer's digest; made_at is by this host's clock."""
@@ -129,6 +132,8 @@
         self._own: dict[str, dict[PromptWork, None]] = {}
         # Called when peers should hear at once of a prompt, and not at their turn.
         self.on_change: list[Callable[[], None]] = []
+        # Called with engines on which this host has prompts and that read for long.
+        self.on_reading: list[Callable[[Collection[str]], None]] = []
         self._hints: dict[str, _Hint] = {}
 
     def begin(self, work: PromptWork) -> None:
@@ -138,6 +143,13 @@
         if work.part_seconds >= c.TOLD_PART_SECONDS:
             for tell in self.on_change:
                 tell()
+        if work.part_seconds >= c.HOLDING_SECONDS:
+            self._tell_reading(work.reads_until)
+
+    def _tell_reading(self, engines: Collection[str]) -> None:
+        held_up = [engine for engine in engines if engine in self._own]
+        for tell in self.on_reading if held_up else ():
+            tell(held_up)
 
     def end(self, work: PromptWork) -> None:
         """Forget a prompt."""
@@ -223,7 +235,9 @@
         except (AttributeError, TypeError, ValueError):
             # A peer of another version; without its hint it is as if not heard.
             return
+        before = self._hints.get(host)
         self._hints[host] = _Hint(now - age, engines)
+        self._tell_reading(_list_new_readings(engines, before))
 
     def _forget_counts(self, now: float) -> None:
         """Drop counts that are worth nothing: engines come and go for good."""
@@ -263,6 +277,19 @@
             known.add_stake(int(work.pause_aim_seconds * MILLISECONDS), work.stake)
 
 
+def _list_new_readings(
+    engines: Mapping[str, EngineWork], before: _Hint | None
+) -> list[str]:
+    """Return the engines that read for long and did not so far."""
+    known = before.engines if before is not None else {}
+    return [
+        name
+        for name, work in engines.items()
+        if work.reading_seconds - known.get(name, NO_WORK).reading_seconds
+        >= c.HOLDING_SECONDS
+    ]
+
+
 def _parse_entry(entry: Sequence[Any]) -> EngineWork:
     writers, readers, parts, context, held, reading, stakes, unread = entry
     return EngineWork(
--- a/libraries/placement/tarragonward_placement/readings.py
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -9,13 +9,12 @@
 from tarragonward_routes import EngineModel
 
 from . import const as c
-from .fleet import EngineWork, PromptWork
+from .fleet import NO_WORK, EngineWork, PromptWork
 from .places import EnginePlace, PromptNeed, place_engines
 
 __all__ = ["PromptNeed", "ReadingPlan", "plan_reading"]
 
 MILLISECONDS = 1_000
-NO_WORK = EngineWork()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/libraries/placement/tarragonward_placement/relocation.py
@@ -0,0 +1,24 @@
+"""Decide whether a stream goes on elsewhere, as its engine begins to read for long."""
+
+from __future__ import annotations
+
+from . import const as c
+from .fleet import EngineWork
+
+__all__ = ["gains_by_moving", "predict_wait"]
+
+
+def predict_wait(work: EngineWork, pass_seconds: float) -> float:
+    """Return the seconds until an engine's writers have their next event."""
+    return (work.reading_seconds + pass_seconds) * work.pace
+
+
+def gains_by_moving(waits: float, elsewhere: float, limit: float) -> bool:
+    """Return whether a stream is in time elsewhere and is not where it is; seconds.
+
+    A long prompt's part is read within one pass of the writers beside it, so they all
+    pause for as long as it takes; the caller of a short one leaves after two seconds.
+    Read again on another engine, a short prompt goes on within a tenth of a second.
+    What is nearly in time stays: a prediction is not exact, and a move costs a repeat.
+    """
+    return waits > limit * c.MOVE_FROM_SHARE and elsewhere <= limit * c.MOVE_TO_SHARE
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -37,6 +37,7 @@
     LOST = "lost"
     SPOILED = "spoiled"
     SILENT = "silent"
+    MOVED = "moved"
 
     @property
     def has_surely_not_run(self) -> bool:
