Let a stream that is refused where it moved go back, and test the moves

A stream that left its engine and is refused by the next one has used both targets of its route; it was broken off, though the first one is at work. Tests: a stream moves and is whole within its pause aim, stays where no other engine is in time, returns when refused; relocation and places without a network. test_experiment's large fleet has a load of 1.5 (0.3): packed, the lighter one needs less than a half of the engines.

--- a/libraries/bench/tests/test_experiment.py
+++ b/libraries/bench/tests/test_experiment.py
@@ -19,6 +19,8 @@
 
 SITES = sorted((Path(__file__).parents[3] / "examples/sites").glob("*.toml"))
 SECONDS = 6.0
+# Prompts are packed, so that less would not need a half of the engines.
+LARGE_LOAD = 1.5
 
 
 @pytest.fixture
@@ -197,7 +199,7 @@
 
 def test_hosts_of_a_large_fleet_keep_to_their_cells(site):
     """A prompt is read by the engines of its host's cell, which few hosts use."""
-    large = scale_site(site, 36, 24, load=0.3)
+    large = scale_site(site, 36, 24, load=LARGE_LOAD)
     played = play_seed(large, POLICIES["product"], 1, SECONDS)
     used = {}
     for outcome in played.outcomes:
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -108,6 +108,7 @@
         )
         self._tried: set[str] = set()
         self._leader = ""
+        self._moved_from = ""
         # Whether the stream leaves its target, with its repeat counted already.
         self._is_moving = False
         self._repeat_at: float | None = None
@@ -168,7 +169,9 @@
             raise ConnectionAbortedError("the answer ends early")
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
-        placed = await self._async_place(self._leader if effect.returns else "")
+        placed = await self._async_place(
+            self._choose_return() if effect.returns else ""
+        )
         if placed is None and effect.returns:
             self._exchange.note_not_returned()
             if self._exchange.can_send_again(self._loop.time()):
@@ -208,6 +211,10 @@
             self._chooser.probes.note_failed(target, event.fault)
         return self._hear(event) if event is not None else None
 
+    def _choose_return(self) -> str:
+        """Return the target to go back to: where a stream came from, or the last."""
+        return self._moved_from if self._exchange.is_started else self._leader
+
     def _return_repeat(self) -> None:
         """Give the budget back what a repeat that was never sent took of it."""
         if self._repeat_at is not None:
@@ -343,6 +350,7 @@
                 # Counted now: were the budget used up before the next send, the
                 # stream would be broken off.
                 self._is_moving = True
+                self._moved_from = choice.target.id
                 service = self._context.service
                 self._repeat_at = self._state.record_repeat(service)
                 self._watch.leave()
--- a/libraries/gateway/tests/test_prompts.py
+++ b/libraries/gateway/tests/test_prompts.py
@@ -155,6 +155,115 @@
     assert len(asked) == 2
 
 
+def read_for_long(site, target, seconds):
+    """Let a peer tell that an engine reads a part of its long prompt for so long."""
+    stake, aim = 20.0, 3_000
+    entry = [
+        0,
+        0,
+        1,
+        0,
+        0,
+        int(seconds * 1_000),
+        [],
+        [[int(seconds * 1_000), aim, stake]],
+    ]
+    site.chooser.take_digest("peer", {target: entry}, 0.0)
+
+
+def begin_stream(on_start):
+    """Return a script that gives two events, tells that it has, and goes silent."""
+
+    async def script(request, writer):
+        lines = ("Content-Type: text/event-stream",)
+        writer.write(build_answer(request, b"", "200 OK", lines, [CHUNKED]))
+        writer.write(build_chunk(build_event(1) + build_event(2)))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        on_start()
+        await asyncio.sleep(5)
+
+    return script
+
+
+async def test_a_stream_moves_off_an_engine_that_begins_to_read_for_long(make_site):
+    """A short prompt's answer is written, as another host reads a long one beside it.
+
+    The engine writes nothing for two seconds, and the caller would leave. It is told
+    at once by the other host, goes on at the next event on an engine that is free, and
+    the caller has the whole answer within the pause that it bears. The engine that was
+    left is in no doubt.
+    """
+    asked = []
+
+    async def script(request, writer):
+        asked.append(request)
+        target = request.get("x-expected-target")[0]
+        if len(asked) == 1:
+            start = begin_stream(lambda: read_for_long(site, target, 2.0))
+            await start(request, writer)
+            return
+        await stream_events([3, 4])(request, writer)
+
+    site = await async_make_engines(
+        make_site, script, script, pause_aim_seconds=0.4, timeout_seconds=4.0
+    )
+    async with asyncio.timeout(1.0):
+        answer = await async_ask(site, "2000,500")
+    assert [f"piece {n}".encode() in answer.body for n in (1, 2, 3, 4)] == [True] * 4
+    assert asked[1].get("last-event-id") == ["2"]
+    assert asked[0].get("x-expected-target") != asked[1].get("x-expected-target")
+    assert site.chooser.reach.resting == 0
+
+
+async def test_a_stream_stays_where_no_other_engine_would_be_in_time(make_site):
+    """All engines read for long: left, the stream would only wait elsewhere."""
+    asked = []
+
+    async def script(request, writer):
+        asked.append(request)
+
+        def read_everywhere():
+            entry = [0, 0, 1, 0, 0, 300, [], [[300, 3_000, 20.0]]]
+            digest = {target.id: entry for target in site.targets}
+            site.chooser.take_digest("peer", digest, 0.0)
+
+        await begin_stream(read_everywhere)(request, writer)
+
+    site = await async_make_engines(
+        make_site, script, script, pause_aim_seconds=0.2, timeout_seconds=0.6
+    )
+    await async_ask(site, "2000,500")
+    assert len(asked) == 1
+
+
+async def test_a_stream_that_is_refused_where_it_went_returns(make_site):
+    """A stream moves, and the engine that it moves to is full by then.
+
+    Both targets that the route allows have had it. Broken off, the caller would lose
+    its answer, though the engine that it came from goes on after its reading.
+    """
+    asked = []
+
+    async def script(request, writer):
+        target = request.get("x-expected-target")[0]
+        asked.append(target)
+        if len(asked) == 1:
+            start = begin_stream(lambda: read_for_long(site, target, 2.0))
+            await start(request, writer)
+        elif len(asked) == 2:
+            await refuse_with()(request, writer)
+        else:
+            await stream_events([3, 4])(request, writer)
+
+    site = await async_make_engines(
+        make_site, script, script, pause_aim_seconds=0.4, timeout_seconds=4.0
+    )
+    answer = await async_ask(site, "2000,500")
+    assert [f"piece {n}".encode() in answer.body for n in (1, 2, 3, 4)] == [True] * 4
+    assert asked[2] == asked[0]
+
+
 class Orders:
     """Engines that hold what is asked, by engine and reservation."""
 
--- /dev/null
+++ b/libraries/placement/tests/test_places.py
@@ -0,0 +1,47 @@
+"""The lanes that keep short prompts from long ones, one a failure domain."""
+
+from tarragonward_placement import EngineWork, PromptNeed
+from tarragonward_placement.places import place_engines
+from tarragonward_routes import EngineModel
+
+MODEL = EngineModel(8, 450_000, 46, 2_048, 0.000925, 0.000004, 0.0, 256_000, 0.0)
+DOMAINS = {f"{domain}{number}": domain for domain in "abc" for number in range(4)}
+ENGINES = sorted(DOMAINS)
+SHORT = PromptNeed(5_000, 1_000, 0.3, 0.2)
+
+
+def place(known, own_domain="a", domains=DOMAINS):
+    places = place_engines(SHORT, ENGINES, known, MODEL, domains, own_domain)
+    return {each.name: each for each in places}
+
+
+def test_each_domain_keeps_as_many_engines_as_its_own_writers_need():
+    """Two domains write little, one much; its lane grows, and theirs do not.
+
+    The engines beyond the lanes stay free of writers that bear no pause.
+    """
+    busy = {f"b{number}": EngineWork(writers=6, stakes={200: 9.0}) for number in (0, 1)}
+    places = place(busy)
+    in_lane = [name for name, each in places.items() if not each.behind_lane]
+    assert in_lane == ["a0", "b0", "b1", "c0"]
+
+
+def test_a_domain_cut_off_keeps_the_streams_of_its_own_hosts():
+    """A failure domain is cut off from the others, with streams on their engines.
+
+    Such a stream pauses until its caller leaves. So a host prefers the engines of its
+    own domain for answers, and takes others only where these are worse.
+    """
+    places = place({})
+    near = [name for name, each in places.items() if not each.weigh_distance()]
+    assert near == ["a0", "a1", "a2", "a3"]
+
+
+def test_a_domain_without_engines_prefers_none():
+    assert all(each.is_near for each in place({}, own_domain="d").values())
+
+
+def test_long_prompts_take_the_ends_of_all_lanes():
+    places = place({})
+    last = {name for name, each in places.items() if not each.weigh(is_long=True)}
+    assert last == {"a3", "b3", "c3"}
--- /dev/null
+++ b/libraries/placement/tests/test_relocation.py
@@ -0,0 +1,26 @@
+"""Whether a stream goes on elsewhere as its engine begins to read for long."""
+
+import pytest
+
+from tarragonward_placement import EngineWork, gains_by_moving, predict_wait
+
+PAUSE_AIM = 0.25
+
+
+@pytest.mark.parametrize(
+    ("waits", "elsewhere", "moves"),
+    [
+        (2.3, 0.1, True),
+        (2.3, 0.24, False),
+        (0.26, 0.1, False),
+        (0.2, 0.1, False),
+        (2.3, 2.4, False),
+    ],
+)
+def test_a_stream_moves_where_only_elsewhere_it_is_in_time(waits, elsewhere, moves):
+    assert gains_by_moving(waits, elsewhere, PAUSE_AIM) is moves
+
+
+def test_a_slow_engine_holds_its_writers_longer():
+    work = EngineWork(reading_seconds=0.2, pace=2.0)
+    assert predict_wait(work, 0.05) == pytest.approx(0.5)
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -170,6 +170,15 @@
         """Note that the target which had the request last has proved not to run it."""
         self._possible_runs -= 1
 
+    def may_return(self, refusal: SendFailed, now: float) -> bool:
+        """Return whether a refusal leaves a target that had the request to go back to.
+
+        A stream that moved, and is refused where it went, has used up its targets.
+        Symptom: it is broken off, though the one that it came from is at work.
+        """
+        is_stranded = self.is_started and not self.can_send_again(now)
+        return refusal.is_others_fault or is_stranded
+
     def return_send(self, now: float) -> bool:
         """Return whether the last target may get the request again, and count it.
 
@@ -237,7 +246,7 @@
 ) -> ExchangeEffect | None:
     if event.fault is SendFault.NOT_RUN:
         exchange.note_not_run()
-        if event.is_others_fault and budget and exchange.return_send(now):
+        if exchange.may_return(event, now) and budget and exchange.return_send(now):
             return SendTo(exchange.last_id, is_repeat=True, returns=True)
     if event.fault is SendFault.NO_TARGET:
         return exchange.end(event.retry_after_seconds)
