--- a/libraries/core/tarragonward_core/logs.py
+++ b/libraries/core/tarragonward_core/logs.py
@@ -135,14 +135,15 @@
         """Return how many lines were not written in this process."""
         return self.budget.dropped if self.budget is not None else 0
 
-    def log(self, happenings: Sequence[Happening], is_urgent: bool = False) -> None:
-        """Write happenings as lines, all of them or none."""
+    def log(self, happenings: Sequence[Happening], is_urgent: bool = False) -> bool:
+        """Write happenings as lines, all of them or none; return whether it was."""
         now = self._read_steady()
         self.say_dropped(now)
         count = len(happenings)
         if self.budget and not self.budget.admit(now, count, is_urgent):
-            return
+            return False
         self._write(happenings, now)
+        return True
 
     def say_dropped(self, now: float | None = None) -> None:
         """Say how many lines were dropped, once a second at most."""
--- a/libraries/gateway/tarragonward_gateway/observer.py
+++ b/libraries/gateway/tarragonward_gateway/observer.py
@@ -62,6 +62,9 @@
         self._predicted_at: float | None = None
         self._event_at = 0.0
         self._pause = 0.0
+        self._readers = 0
+        self._held_up = 0.0
+        self._faults: list[str] = []
         self._last_id: int | None = None
         self._note_taken()
 
@@ -69,12 +72,15 @@
         self,
         target: RegisteredTarget | None,
         predicted_at: float | None = None,
+        readers: int = 0,
         **inputs: Any,
     ) -> None:
         """Note a choice of target and what it was made on.
 
-        predicted_at is when the first event should come, on the loop's clock.
+        predicted_at is when the first event should come, on the loop's clock; readers
+        is how many engines read the prompt.
         """
+        self._readers = readers
         if self._first_at is None:
             self._predicted_at = predicted_at
         registry = self._state.registry
@@ -96,6 +102,10 @@
         target = self._target.id if self._target else None
         self._note(event, target=target, **fields)
 
+    def note_reading(self, seconds: float) -> None:
+        """Note that the target is known to read for so long, beside this request."""
+        self._held_up = max(self._held_up, seconds)
+
     def note_status(self, status: int) -> None:
         """Note the status of the answer that goes to the caller."""
         self._status = status
@@ -104,6 +114,8 @@
         self, event: ExchangeEvent, effect: ExchangeEffect | None, now: float
     ) -> None:
         """Note what an event of the exchange led to."""
+        if isinstance(event, SendFailed):
+            self._faults.append(event.fault.value)
         if isinstance(event, EventsGiven):
             self._note_events(event, now)
         elif isinstance(event, AnswerStarted):
@@ -131,7 +143,10 @@
         if outcome == OUTCOME_ANSWERED and self._sends == 1 and not self._is_late(now):
             return
         self._note_ended(outcome, now, error)
-        event_log.log(self._trail)
+        # How it ended is written beyond the budget of ordinary lines: a busy second
+        # would otherwise hide the requests that were lost in it.
+        if not event_log.log(self._trail):
+            event_log.log(self._trail[-1:], is_urgent=True)
 
     def _note_taken(self) -> None:
         context = self._context
@@ -175,15 +190,25 @@
             worst_pause=self._pause or None,
             last_event=self._last_id,
             aim=self._context.route.aim_seconds if self._context.route else None,
+            pause_aim=self._get_pause_aim(),
+            prompt_tokens=self._prompt_tokens or None,
+            target=self._target.id if self._target else None,
+            readers=self._readers or None,
+            held_up=self._held_up or None,
+            faults=",".join(self._faults) or None,
             unwritten=unwritten or None,
         )
 
+    def _get_pause_aim(self) -> float | None:
+        route = self._context.route
+        return (route.pause_aim_seconds or None) if route is not None else None
+
     def _is_late(self, now: float) -> bool:
         route = self._context.route
         assert route is not None
         first_at = now if self._first_at is None else self._first_at
         aim = route.aim_seconds
-        pause_aim = route.pause_aim_seconds or float("inf")
+        pause_aim = self._get_pause_aim() or float("inf")
         return first_at - self._context.received_at > aim or self._pause > pause_aim
 
     def _count(self, outcome: str, now: float) -> None:
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -182,7 +182,10 @@
             return self._hear(SendFailed(SendFault.NO_TARGET))
         choice, lease = placed
         target = choice.target
-        self._observer.note_choice(target, choice.predicted_at, tried=len(self._tried))
+        readers = len(choice.helpers) + 1 if choice.plan is not None else 0
+        self._observer.note_choice(
+            target, choice.predicted_at, readers, tried=len(self._tried)
+        )
         self._tried.add(target.id)
         self._leader = target.id
         try:
@@ -346,6 +349,7 @@
         """Return what leaves the target where a reading there holds the stream up."""
 
         def consider(work: EngineWork) -> None:
+            self._observer.note_reading(work.reading_seconds)
             if self._may_move() and self._gains_by_moving(choice, work):
                 # Counted now: were the budget used up before the next send, the
                 # stream would be broken off.
