Price what a long reading costs the short prompts that come while it lasts

Hypothesis: a plan that counts those who will come reads on fewer engines, or by more of the rest. Change: outlook.py. By Little's law those who write now tell what comes: places taken over the time that a usual answer takes, which the engine's table publishes. What finds no place on the engines that the plan leaves free, over what finds none without it, is added to the plan's harm.

--- /dev/null
+++ b/libraries/placement/tarragonward_placement/outlook.py
@@ -0,0 +1,82 @@
+"""Price what a long reading costs the short prompts that come while it lasts."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from tarragonward_routes import EngineModel
+
+from . import const as c
+from .fleet import NO_WORK, EngineWork
+
+__all__ = ["Outlook", "observe_outlook"]
+
+MILLISECONDS = 1_000
+
+
+@dataclass(frozen=True)
+class Outlook:
+    """What short prompts are expected to need in the next seconds.
+
+    places are those that they take now, stake_per_second what comes with new ones;
+    free are the engines that read nothing long, each with so many places for them.
+    """
+
+    places: float = 0.0
+    stake_per_second: float = 0.0
+    free: frozenset[str] = frozenset()
+    places_an_engine: float = 1.0
+
+    def compute_loss(self, readers: Sequence[str], seconds: float) -> float:
+        """Return the stake expected to be late as readers read for so many seconds.
+
+        It is the load of a burst: a prompt of 600,000 tokens that is read on 17 of 18
+        engines is in time, and for two seconds all short prompts meet on the last one.
+        Those that write now are the best guess of those that will come (by Little's
+        law as many as places times what they hold one), so the part that finds no
+        place on the engines left is lost, over what finds none without the reading.
+        """
+        if not self.places:
+            return 0.0
+        left = len(self.free.difference(readers))
+        lost = self._compute_lost_share(left) - self._compute_lost_share(len(self.free))
+        return self.stake_per_second * seconds * lost
+
+    def _compute_lost_share(self, engines: int) -> float:
+        return max(0.0, 1 - engines * self.places_an_engine / self.places)
+
+
+def observe_outlook(
+    engines: Sequence[str],
+    known: Mapping[str, EngineWork],
+    model: EngineModel,
+    reading_seconds: float,
+) -> Outlook:
+    """Return the outlook for those whom a pause of a reading's length harms."""
+    works = {name: known.get(name, NO_WORK) for name in engines}
+    pause = int(reading_seconds * MILLISECONDS)
+    harmed = [
+        (work.requests, sum(stake for aim, stake in work.stakes.items() if aim < pause))
+        for work in works.values()
+        if any(aim < pause for aim in work.stakes)
+    ]
+    strictest = min(
+        (min(work.stakes) for work in works.values() if work.stakes), default=0
+    )
+    return Outlook(
+        places=float(sum(requests for requests, _ in harmed)),
+        stake_per_second=sum(stake for _, stake in harmed) / _compute_hold(model),
+        free=frozenset(
+            name
+            for name, work in works.items()
+            if work.reading_seconds * MILLISECONDS <= strictest
+        ),
+        places_an_engine=max(model.slots * c.LANE_FILL_SHARE, 1.0),
+    )
+
+
+def _compute_hold(model: EngineModel) -> float:
+    """Return for how many seconds a usual answer takes a place."""
+    passes = max(model.usual_answer_tokens / max(model.stride_steps, 1), 1.0)
+    return passes * model.compute_write_seconds(model.slots // 2, 0)
--- a/libraries/placement/tarragonward_placement/readings.py
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -10,6 +10,7 @@
 
 from . import const as c
 from .fleet import NO_WORK, EngineWork, PromptWork
+from .outlook import observe_outlook
 from .places import EnginePlace, PromptNeed, place_engines
 
 __all__ = ["PromptNeed", "ReadingPlan", "plan_reading"]
@@ -129,7 +130,13 @@
             plan = _plan_group(count, part, candidates, need, model, random)
         else:
             plan = _plan_for(count, part, candidates, need, model, random)
-        if plan is not None and (best is None or plan.harm < best.harm):
+        if plan is None:
+            continue
+        if is_long:
+            outlook = observe_outlook(engines, known, model, plan.part_seconds)
+            loss = outlook.compute_loss(plan.readers, plan.part_seconds)
+            plan = replace(plan, harm=plan.harm + loss)
+        if best is None or plan.harm < best.harm:
             best = plan
     return best
 
--- /dev/null
+++ b/libraries/placement/tests/test_outlook.py
@@ -0,0 +1,71 @@
+"""What a long reading costs the short prompts that come while it lasts."""
+
+from dataclasses import replace
+
+import pytest
+
+from tarragonward_placement import EngineWork
+from tarragonward_placement.outlook import Outlook, observe_outlook
+from tarragonward_routes import EngineModel
+
+MODEL = EngineModel(
+    slots=8,
+    memory_tokens=450_000,
+    stride_steps=46,
+    chunk_tokens=2_048,
+    step_seconds=0.000925,
+    writer_seconds=0.000004,
+    context_seconds=0.0,
+    read_tokens_per_second=256_000,
+    pair_seconds=0.0000001,
+    usual_answer_tokens=46 * 30,
+)
+ENGINES = [f"e{number}" for number in range(10)]
+WRITING = EngineWork(writers=6, stakes={200: 9.0})
+READING = EngineWork(reading_seconds=2.0)
+
+
+def observe(busy=(), reading=(), seconds=2.0):
+    known = {name: WRITING for name in busy} | {name: READING for name in reading}
+    return observe_outlook(ENGINES, known, MODEL, seconds)
+
+
+def test_a_reading_costs_nothing_while_the_rest_has_room():
+    outlook = observe(busy=ENGINES[:3])
+    assert outlook.compute_loss(ENGINES[3:], 2.0) == 0.0
+
+
+def test_a_reading_that_leaves_one_engine_costs_most_of_what_comes():
+    """Eighteen short prompts write, and a long one would read on nine engines of ten.
+
+    The last engine has seven places; of those that come in two seconds, more than a
+    half would wait for the reading's end and be late.
+    """
+    outlook = observe(busy=ENGINES[:3])
+    loss = outlook.compute_loss(ENGINES[1:], 2.0)
+    coming = outlook.stake_per_second * 2.0
+    assert coming / 2 < loss < coming
+
+
+def test_what_is_short_of_room_already_is_not_the_readings_cost():
+    outlook = observe(busy=ENGINES[:3], reading=ENGINES[1:])
+    assert outlook.compute_loss(ENGINES[1:], 2.0) == 0.0
+
+
+def test_more_readers_cost_more_and_longer_ones_too():
+    outlook = observe(busy=ENGINES[:4])
+    losses = [outlook.compute_loss(ENGINES[:count], 2.0) for count in (6, 8, 10)]
+    assert losses == sorted(losses)
+    assert losses[-1] > losses[0]
+    assert outlook.compute_loss(ENGINES, 4.0) == pytest.approx(2 * losses[-1])
+
+
+def test_those_who_bear_the_pause_cost_nothing():
+    assert observe(busy=ENGINES, seconds=0.1).compute_loss(ENGINES, 0.1) == 0.0
+    assert Outlook().compute_loss(ENGINES, 9.0) == 0.0
+
+
+def test_a_usual_answer_that_is_not_published_is_no_fault():
+    known = {"e0": WRITING}
+    outlook = observe_outlook(ENGINES, known, replace(MODEL, usual_answer_tokens=0), 2)
+    assert outlook.stake_per_second > 0
