--- /dev/null
+++ b/libraries/bench/tarragonward_bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measure what control costs, and set the design size against its budget."""
--- a/libraries/bench/tarragonward_bench/capacity_check.py
+++ b/libraries/bench/tarragonward_bench/capacity/check.py
@@ -20,10 +20,10 @@
 from tarragonward_standins import PlatformStandIn
 from tarragonward_wire import PeerServer, encode_message
 
-from .capacity_fleet import measure_gossip
-from .capacity_loopback import async_measure_loopback, build_gossip, count_bytes
-from .capacity_slopes import fit_slope
-from .membership_network import FakeNetwork, NetworkPlan
+from ..membership_network import FakeNetwork, NetworkPlan
+from .fleet import measure_gossip
+from .loopback import async_measure_loopback, build_gossip, count_bytes
+from .slopes import fit_slope
 
 __all__ = ["main"]
 
@@ -187,7 +187,7 @@
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "tarragonward_bench.capacity_check",
+        "tarragonward_bench.capacity.check",
         "--child",
         str(number),
         "--platform",
--- a/libraries/bench/tarragonward_bench/capacity_fleet.py
+++ b/libraries/bench/tarragonward_bench/capacity/fleet.py
@@ -16,8 +16,8 @@
     RecordState,
 )
 
-from .capacity_slopes import measure_kept_bytes
-from .membership_network import FakeNetwork, NetworkPlan
+from ..membership_network import FakeNetwork, NetworkPlan
+from .slopes import measure_kept_bytes
 
 __all__ = ["GossipLoad", "measure_gossip", "measure_member_bytes", "tell_all"]
 
--- a/libraries/bench/tarragonward_bench/capacity_heal.py
+++ b/libraries/bench/tarragonward_bench/capacity/heal.py
@@ -8,8 +8,8 @@
 
 from absl import logging
 
-from .capacity_fleet import tell_all
-from .membership_network import FakeHost, FakeNetwork, NetworkPlan
+from ..membership_network import FakeHost, FakeNetwork, NetworkPlan
+from .fleet import tell_all
 
 __all__ = ["main"]
 
--- a/libraries/bench/tarragonward_bench/capacity_loopback.py
+++ b/libraries/bench/tarragonward_bench/capacity/loopback.py
@@ -17,7 +17,7 @@
 from tarragonward_standins import PlatformStandIn
 from tarragonward_wire import PeerLinks, PeerServer, async_send_http
 
-from .capacity_slopes import Slope
+from .slopes import Slope
 
 __all__ = ["ByteCount", "async_measure_loopback", "build_gossip", "count_bytes"]
 
--- a/libraries/bench/tarragonward_bench/capacity.py
+++ b/libraries/bench/tarragonward_bench/capacity/main.py
@@ -12,12 +12,12 @@
 
 from tarragonward_wire import encode_message
 
-from .capacity_fleet import GossipLoad, measure_gossip, measure_member_bytes
-from .capacity_loopback import PAYLOADS, async_measure_loopback, build_gossip
-from .capacity_rows import Row, build_rows, compute_costs, count_over_budget
-from .capacity_sizes import DESIGN, TODAY
-from .capacity_slopes import Slope, fit_slope
-from .capacity_state import measure_state_slopes
+from .fleet import GossipLoad, measure_gossip, measure_member_bytes
+from .loopback import PAYLOADS, async_measure_loopback, build_gossip
+from .rows import Row, build_rows, compute_costs, count_over_budget
+from .sizes import DESIGN, TODAY
+from .slopes import Slope, fit_slope
+from .state import measure_state_slopes
 
 __all__ = ["main"]
 
--- a/libraries/bench/tarragonward_bench/capacity_rows.py
+++ b/libraries/bench/tarragonward_bench/capacity/rows.py
@@ -9,9 +9,9 @@
 from tarragonward_daemon import const as daemon
 from tarragonward_membership.const import TARGET_WATCHERS
 
-from .capacity_fleet import GossipLoad
-from .capacity_sizes import BUDGET, DAY_SECONDS, Sizes
-from .capacity_slopes import Slope
+from .fleet import GossipLoad
+from .sizes import BUDGET, DAY_SECONDS, Sizes
+from .slopes import Slope
 
 __all__ = ["Costs", "Row", "build_rows", "compute_costs", "count_over_budget"]
 
--- a/libraries/bench/tarragonward_bench/capacity_state.py
+++ b/libraries/bench/tarragonward_bench/capacity/state.py
@@ -26,14 +26,14 @@
 )
 from tarragonward_wire import HttpAnswer
 
-from .capacity_slopes import (
+from ..membership_network import FakeNetwork, NetworkPlan
+from .slopes import (
     Slope,
     fit_slope,
     measure_cpu_seconds,
     measure_kept_bytes,
     measure_peak_bytes,
 )
-from .membership_network import FakeNetwork, NetworkPlan
 
 __all__ = ["build_document", "build_host_list", "measure_state_slopes"]
 
--- a/libraries/bench/tarragonward_bench/days/variants.py
+++ b/libraries/bench/tarragonward_bench/days/variants.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ..edits import Edit
+from ..proofs.edits import Edit
 
 __all__ = ["Variant", "VariantError", "load_variants", "make_copy"]
 
--- /dev/null
+++ b/libraries/bench/tarragonward_bench/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Play policies side by side on a modelled fleet."""
--- /dev/null
+++ b/libraries/bench/tarragonward_bench/experiment/__main__.py
@@ -0,0 +1,7 @@
+"""Let `python3 -m tarragonward_bench.experiment` run the room's main job."""
+
+import sys
+
+from .main import main
+
+sys.exit(main())
--- a/libraries/bench/tarragonward_bench/experiment_arrivals.py
+++ b/libraries/bench/tarragonward_bench/experiment/arrivals.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from .experiment_site import CallKind, PromptKind, Site
+from .site import CallKind, PromptKind, Site
 
 __all__ = ["Arrival", "Outcome", "compute_size", "draw_arrivals"]
 
--- a/libraries/bench/tarragonward_bench/experiment_calls.py
+++ b/libraries/bench/tarragonward_bench/experiment/calls.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from random import Random
 
-from .experiment_arrivals import Outcome
-from .experiment_engine import Clock
-from .experiment_site import CallKind, Site
+from .arrivals import Outcome
+from .engine import Clock
+from .site import CallKind, Site
 
 __all__ = ["CallService"]
 
--- a/libraries/bench/tarragonward_bench/experiment_fleet.py
+++ b/libraries/bench/tarragonward_bench/experiment/fleet.py
@@ -12,12 +12,12 @@
 from tarragonward_membership import const as membership_const
 from tarragonward_placement import Located, PromptNeed, choose_cell
 
-from .experiment_arrivals import Arrival, Outcome
-from .experiment_calls import CallService
-from .experiment_engine import EngineNode
-from .experiment_policies import POLICY_KINDS, PolicyPlan, Sending
-from .experiment_prompt import HANDLING_SECONDS, Host, PromptRun
-from .experiment_site import CallKind, Site
+from .arrivals import Arrival, Outcome
+from .calls import CallService
+from .engine import EngineNode
+from .policies import POLICY_KINDS, PolicyPlan, Sending
+from .prompt import HANDLING_SECONDS, Host, PromptRun
+from .site import CallKind, Site
 
 __all__ = ["Played", "play"]
 
--- a/libraries/bench/tarragonward_bench/experiment.py
+++ b/libraries/bench/tarragonward_bench/experiment/main.py
@@ -10,12 +10,12 @@
 from dataclasses import replace
 from pathlib import Path
 
-from .experiment_arrivals import draw_arrivals
-from .experiment_fleet import Played, play
-from .experiment_plots import draw
-from .experiment_policies import POLICIES, PolicyPlan, use_numbers
-from .experiment_report import print_policies
-from .experiment_site import Site, read_site, scale_site
+from .arrivals import draw_arrivals
+from .fleet import Played, play
+from .plots import draw
+from .policies import POLICIES, PolicyPlan, use_numbers
+from .report import print_policies
+from .site import Site, read_site, scale_site
 
 __all__ = ["main", "play_seed"]
 
--- a/libraries/bench/tarragonward_bench/experiment_plots.py
+++ b/libraries/bench/tarragonward_bench/experiment/plots.py
@@ -6,8 +6,8 @@
 
 import matplotlib
 
-from .experiment_fleet import Played
-from .experiment_site import Site
+from .fleet import Played
+from .site import Site
 
 __all__ = ["draw"]
 
--- a/libraries/bench/tarragonward_bench/experiment_prompt.py
+++ b/libraries/bench/tarragonward_bench/experiment/prompt.py
@@ -10,10 +10,10 @@
 from tarragonward_placement import PromptNeed
 from tarragonward_standins.platform_engine import PassWork
 
-from .experiment_arrivals import Outcome
-from .experiment_engine import EngineNode, Run
-from .experiment_policies import HostPolicy, Sending
-from .experiment_site import PromptKind, Site
+from .arrivals import Outcome
+from .engine import EngineNode, Run
+from .policies import HostPolicy, Sending
+from .site import PromptKind, Site
 
 __all__ = ["HANDLING_SECONDS", "Fleet", "Host", "PromptRun"]
 
--- a/libraries/bench/tarragonward_bench/experiment_report.py
+++ b/libraries/bench/tarragonward_bench/experiment/report.py
@@ -10,10 +10,10 @@
 
 from tarragonward_core import get_length_class
 
-from .experiment_arrivals import Outcome, compute_size
-from .experiment_fleet import Played
-from .experiment_site import PromptKind, Site
-from .lengths_report import compute_quantile
+from ..lengths.report import compute_quantile
+from .arrivals import Outcome, compute_size
+from .fleet import Played
+from .site import PromptKind, Site
 
 __all__ = [
     "KindFigures",
--- /dev/null
+++ b/libraries/bench/tarragonward_bench/hearing/__init__.py
@@ -0,0 +1,1 @@
+"""Run the hearing of publications at random, hosts and source in simulated time."""
--- a/libraries/bench/tarragonward_bench/hearing_host.py
+++ b/libraries/bench/tarragonward_bench/hearing/host.py
@@ -45,7 +45,7 @@
 from tarragonward_membership.const import HELLO_INTERVAL_SECONDS
 from tarragonward_placement import Located
 
-from .hearing_world import TABLE_KEY, Answer, FakeSource, Links, Lost, World
+from .world import TABLE_KEY, Answer, FakeSource, Links, Lost, World
 
 # The revision that is told, its confirmed age as it travels, the table's version.
 Section = tuple[int, int | None, int]
--- a/libraries/bench/tarragonward_bench/hearing_runs.py
+++ b/libraries/bench/tarragonward_bench/hearing/runs.py
@@ -1,6 +1,6 @@
 """Randomised runs of the whole hearing: who asks the source, who is fed, how old.
 
-`script/measure hearing_runs` prints calls, bytes and ages by size and seed.
+`script/measure hearing.runs` prints calls, bytes and ages by size and seed.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 from tarragonward_gateway.ports import Record
 from tarragonward_placement.const import MAX_WHOLE_HOSTS
 
-from .hearing_host import Fleet, Host, build_address
-from .hearing_world import TABLE_KEY, FakeSource, Links, World
+from .host import Fleet, Host, build_address
+from .world import TABLE_KEY, FakeSource, Links, World
 
 __all__ = ["HearingPlan", "HearingRun", "run_hearing", "run_hearing_seed"]
 
@@ -359,7 +359,7 @@
 def main() -> None:
     """Print a row for each size and seed."""
     parser = argparse.ArgumentParser(
-        prog="script/measure hearing_runs", description=__doc__
+        prog="script/measure hearing.runs", description=__doc__
     )
     parser.add_argument("--sizes", type=int, nargs="+", default=SIZES)
     parser.add_argument("--seed", type=int, default=1)
--- /dev/null
+++ b/libraries/bench/tarragonward_bench/impairments/__init__.py
@@ -0,0 +1,1 @@
+"""Write days of impairments for the users' bench, and play them."""
--- a/libraries/bench/tarragonward_bench/impairment_plays.py
+++ b/libraries/bench/tarragonward_bench/impairments/plays.py
@@ -1,4 +1,4 @@
-"""Play the days of `impairment_days` by the users' bench, one after the other.
+"""Play the days of `impairments.days` by the users' bench, one after the other.
 
 `write` makes deploy/days/; `play` plays each day that is not yet in the file of --out
 and appends a JSON line a play; `table` turns such a file into rows of docs/PLATFORM.md.
@@ -15,9 +15,9 @@
 import tomllib
 from pathlib import Path
 
-from .impairment_days import KINDS, LONGEST_CLASS, PAIRS, PAIRS_FOLDER, write_days
+from .days import KINDS, LONGEST_CLASS, PAIRS, PAIRS_FOLDER, write_days
 
-ROOT = Path(__file__).resolve().parents[3]
+ROOT = Path(__file__).resolve().parents[4]
 DAYS = ROOT / "deploy" / "days"
 TARGET = ROOT / "target" / "kinds"
 WORTH = re.compile(r"^worth (-?[\d.]+)", re.MULTILINE)
--- /dev/null
+++ b/libraries/bench/tarragonward_bench/lengths/__init__.py
@@ -0,0 +1,1 @@
+"""Measure policies for prompts of all lengths on modelled engines."""
--- a/libraries/bench/tarragonward_bench/lengths_fleet.py
+++ b/libraries/bench/tarragonward_bench/lengths/fleet.py
@@ -31,8 +31,8 @@
 )
 from tarragonward_standins.engine_model import EngineModel, EngineSizes, EngineWork
 
-from .lengths_mix import Arrival, Mix
-from .lengths_policies import HostPolicy
+from .mix import Arrival, Mix
+from .policies import HostPolicy
 
 __all__ = ["Faults", "Fleet", "Result"]
 
--- a/libraries/bench/tarragonward_bench/lengths_loading.py
+++ b/libraries/bench/tarragonward_bench/lengths/loading.py
@@ -1,4 +1,4 @@
-"""Measure how early a cold fleet is useful: `script/measure lengths_loading`."""
+"""Measure how early a cold fleet is useful: `script/measure lengths.loading`."""
 
 from __future__ import annotations
 
--- a/libraries/bench/tarragonward_bench/lengths.py
+++ b/libraries/bench/tarragonward_bench/lengths/main.py
@@ -11,10 +11,10 @@
 from tarragonward_core import get_length_class
 from tarragonward_standins.engine_model import EngineSizes
 
-from .lengths_fleet import Faults, Fleet
-from .lengths_mix import MIXES, Arrival, make_arrivals, scale_mix
-from .lengths_policies import ABLATIONS, LEAST, OURS, POLICIES, ROUND_ROBIN
-from .lengths_report import (
+from .fleet import Faults, Fleet
+from .mix import MIXES, Arrival, make_arrivals, scale_mix
+from .policies import ABLATIONS, LEAST, OURS, POLICIES, ROUND_ROBIN
+from .report import (
     CLASS_NAMES,
     LONG_CLASSES,
     SHORT_CLASS,
--- a/libraries/bench/tarragonward_bench/lengths_report.py
+++ b/libraries/bench/tarragonward_bench/lengths/report.py
@@ -11,7 +11,7 @@
 from tarragonward_core import LENGTH_CLASSES, get_length_class
 from tarragonward_placement import share_by_weight
 
-from .lengths_fleet import Result
+from .fleet import Result
 
 __all__ = ["Summary", "compute_quantile", "draw", "print_table", "summarise"]
 
--- /dev/null
+++ b/libraries/bench/tarragonward_bench/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Take safeguards out of a copy, and see that their tests fail there."""
--- a/libraries/bench/tarragonward_bench/prove.py
+++ b/libraries/bench/tarragonward_bench/proofs/main.py
@@ -16,7 +16,7 @@
 from enum import Enum
 from pathlib import Path
 
-from .prove_rows import Row, RowError, load_rows, remove_safeguard
+from .rows import Row, RowError, load_rows, remove_safeguard
 
 __all__ = ["Finding", "Verdict", "main", "prove"]
 
--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -14,7 +14,7 @@
 from tarragonward_core import TarragonwardError, invariants
 
 from .budget_runs import run_budget_seed
-from .hearing_runs import run_hearing_seed
+from .hearing.runs import run_hearing_seed
 from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
 from .reach_runs import run_reach_seed
--- a/libraries/bench/tests/test_days.py
+++ b/libraries/bench/tests/test_days.py
@@ -8,7 +8,7 @@
 from tarragonward_bench.days.pairs import compute_change, format_table, get_worth
 from tarragonward_bench.days.plays import PlayedDay, read_plays, write_play
 from tarragonward_bench.days.variants import load_variants
-from tarragonward_bench.edits import Edit, EditError
+from tarragonward_bench.proofs.edits import Edit, EditError
 
 ROOT = Path(__file__).resolve().parents[3]
 
--- a/libraries/bench/tests/test_experiment.py
+++ b/libraries/bench/tests/test_experiment.py
@@ -5,16 +5,16 @@
 
 import pytest
 
-from tarragonward_bench.experiment import main, play_seed
-from tarragonward_bench.experiment_arrivals import Arrival, Outcome, draw_arrivals
-from tarragonward_bench.experiment_policies import POLICIES, use_numbers
-from tarragonward_bench.experiment_report import (
+from tarragonward_bench.experiment.arrivals import Arrival, Outcome, draw_arrivals
+from tarragonward_bench.experiment.main import main, play_seed
+from tarragonward_bench.experiment.policies import POLICIES, use_numbers
+from tarragonward_bench.experiment.report import (
     compute_worth,
     print_changes,
     print_predictions,
     summarise,
 )
-from tarragonward_bench.experiment_site import read_site, scale_site
+from tarragonward_bench.experiment.site import read_site, scale_site
 from tarragonward_placement import const
 
 SITES = sorted((Path(__file__).parents[3] / "examples/sites").glob("*.toml"))
@@ -37,7 +37,7 @@
 
 def play_alone(monkeypatch, site, arrivals):
     monkeypatch.setattr(
-        "tarragonward_bench.experiment.draw_arrivals", lambda *_: arrivals
+        "tarragonward_bench.experiment.main.draw_arrivals", lambda *_: arrivals
     )
     return play_seed(site, POLICIES["round_robin"], 1, SECONDS).outcomes
 
@@ -155,7 +155,7 @@
     site = replace(site, zones=(replace(site.zones[0], hosts=1, engines=8),))
     arrival = replace(arrival, kind=site.prompts[-1])
     monkeypatch.setattr(
-        "tarragonward_bench.experiment.draw_arrivals", lambda *_: [arrival]
+        "tarragonward_bench.experiment.main.draw_arrivals", lambda *_: [arrival]
     )
     played = play_seed(site, POLICIES["product"], 1, SECONDS)
     (outcome,) = played.outcomes
@@ -179,7 +179,7 @@
     """Nothing else is read or written, so only the ways are not predicted."""
     site, arrival = alone(site, 20_000, 4)
     monkeypatch.setattr(
-        "tarragonward_bench.experiment.draw_arrivals", lambda *_: [arrival]
+        "tarragonward_bench.experiment.main.draw_arrivals", lambda *_: [arrival]
     )
     played = play_seed(site, POLICIES["product"], 1, SECONDS)
     (outcome,) = played.outcomes
--- a/libraries/bench/tests/test_hearing_runs.py
+++ b/libraries/bench/tests/test_hearing_runs.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tarragonward_bench.hearing_runs import HearingPlan, run_hearing
+from tarragonward_bench.hearing.runs import HearingPlan, run_hearing
 from tarragonward_gateway import const as gateway_const
 
 SMALL = HearingPlan(9, 12.0)
--- a/libraries/bench/tests/test_impairments.py
+++ b/libraries/bench/tests/test_impairments.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from tarragonward_bench import impairment_days as days
-from tarragonward_bench import impairment_plays as plays
+from tarragonward_bench.impairments import days, plays
 
 COMMITTED = Path(__file__).parents[3] / "deploy" / "days"
 
--- a/libraries/bench/tests/test_lengths.py
+++ b/libraries/bench/tests/test_lengths.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from tarragonward_bench.lengths_fleet import Faults, Fleet
-from tarragonward_bench.lengths_mix import MIXES, make_arrivals, scale_mix
-from tarragonward_bench.lengths_policies import OURS, POLICIES
-from tarragonward_bench.lengths_report import summarise
+from tarragonward_bench.lengths.fleet import Faults, Fleet
+from tarragonward_bench.lengths.mix import MIXES, make_arrivals, scale_mix
+from tarragonward_bench.lengths.policies import OURS, POLICIES
+from tarragonward_bench.lengths.report import summarise
 from tarragonward_core import invariants
 from tarragonward_standins.engine_model import EngineSizes
 
--- a/libraries/bench/tests/test_prove.py
+++ b/libraries/bench/tests/test_prove.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tarragonward_bench.prove import Verdict, prove
-from tarragonward_bench.prove_rows import Row, RowError, load_rows, remove_safeguard
+from tarragonward_bench.proofs.main import Verdict, prove
+from tarragonward_bench.proofs.rows import Row, RowError, load_rows, remove_safeguard
 
 ROOT = Path(__file__).parents[3]
 SOURCE = '''"""Divide."""
