--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/moving.py
@@ -0,0 +1,73 @@
+"""Move a stream off a target that begins to read for long, to one that is free."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tarragonward_placement import EngineWork, gains_by_moving, predict_wait
+from tarragonward_requests import Exchange
+
+from .silence import SilenceWatch
+from .state import GatewayState
+from .targets import SendChoice, TargetChooser, TargetNeed
+
+__all__ = ["StreamMover"]
+
+
+class StreamMover:
+    """Leaves a request's target where a reading beside it holds the request up.
+
+    is_moving: the target is being left, and the repeat is counted already; were it
+    counted later, the budget could be used up by then and the stream broken off.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        chooser: TargetChooser,
+        exchange: Exchange,
+        build_need: Callable[[], TargetNeed],
+    ) -> None:
+        self._state = state
+        self._chooser = chooser
+        self._exchange = exchange
+        self._build_need = build_need
+        self._loop = asyncio.get_running_loop()
+        self.is_moving = False
+        self.moved_from = ""
+        self.repeat_at: float | None = None
+
+    def consider(
+        self, choice: SendChoice, watch: SilenceWatch, work: EngineWork
+    ) -> None:
+        """Leave the target where another one would go on in time."""
+        need = self._build_need()
+        if not self._may_move(need) or not self._gains(choice, need, work):
+            return
+        self.is_moving = True
+        self.moved_from = choice.target.id
+        self.repeat_at = self._state.record_repeat(need.service)
+        watch.leave()
+
+    def _may_move(self, need: TargetNeed) -> bool:
+        return (
+            not self.is_moving
+            and not self._exchange.has_ended
+            and self._exchange.can_send_again(self._loop.time())
+            and self._state.may_repeat(need.service, is_urgent=False)
+        )
+
+    def _gains(self, choice: SendChoice, need: TargetNeed, work: EngineWork) -> bool:
+        plan = choice.plan
+        assert plan is not None
+        if plan.tickets:
+            return False
+        waits = predict_wait(work, plan.pass_seconds)
+        limit = need.aim_at - self._loop.time()
+        if not gains_by_moving(waits, 0.0, limit):
+            return False
+        other = self._chooser.choose(need)
+        if other is None or other.plan is None or other.plan.tickets:
+            return False
+        return gains_by_moving(waits, other.plan.first_event_seconds, limit)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from contextlib import AsyncExitStack, ExitStack
+from functools import partial
 
 from tarragonward_core import (
     ConnectionLostError,
@@ -16,8 +16,6 @@
     EngineWork,
     Evidence,
     ReadingPlan,
-    gains_by_moving,
-    predict_wait,
 )
 from tarragonward_requests import (
     AnswerStarted,
@@ -44,6 +42,8 @@
 from .answers import async_send_refusal
 from .context import ForwardContext
 from .headers import build_answer_headers, build_target_headers, parse_count
+from .heads import HeadCheck, SpoiledAnswerError
+from .moving import StreamMover
 from .observer import RequestObserver
 from .reservations import Lease, ReservationTask
 from .silence import SilenceWatch, StreamMovedError, TargetSilentError
@@ -54,21 +54,13 @@
 
 MILLISECONDS = 1_000
 STATUS_OK = 200
-STATUS_CALLER_FAILURES = 400
 STATUS_FAILURES = 500
-STATUS_MISDIRECTED = 421
-PROMISING_STATUSES = (408, 429, 503)
 BODILESS_STATUSES = (204, 304)
 METHOD_HEAD = "HEAD"
-CONTENT_ENCODING = "content-encoding"
 CONTENT_TYPE = "content-type"
 EVENT_STREAM = "text/event-stream"
 
 
-class SpoiledAnswerError(ConnectionLostError):
-    """Report an answer that is not the whole answer to this request."""
-
-
 class ForwardRun:
     """One request: its sends, one after the other, and its one answer."""
 
@@ -108,9 +100,8 @@
         )
         self._tried: set[str] = set()
         self._leader = ""
-        self._moved_from = ""
-        # Whether the stream leaves its target, with its repeat counted already.
-        self._is_moving = False
+        self._head = HeadCheck(state.headers, self._request_id)
+        self._mover = StreamMover(state, chooser, self._exchange, self._build_need)
         self._repeat_at: float | None = None
         self._watch: SilenceWatch | None = None
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
@@ -145,12 +136,17 @@
         now = self._loop.time()
         service, is_started = self._context.service, self._exchange.is_started
         may_repeat = isinstance(event, (SendFailed, TargetAnswered)) and (
-            self._is_moving or self._state.may_repeat(service, is_urgent=is_started)
+            self._mover.is_moving
+            or self._state.may_repeat(service, is_urgent=is_started)
         )
         effect = self._exchange.hear(event, now, budget=may_repeat)
-        if isinstance(effect, SendTo) and effect.is_repeat and not self._is_moving:
-            self._repeat_at = self._state.record_repeat(service)
-        self._is_moving = False
+        if isinstance(effect, SendTo) and effect.is_repeat:
+            self._repeat_at = (
+                self._mover.repeat_at
+                if self._mover.is_moving
+                else self._state.record_repeat(service)
+            )
+        self._mover.is_moving = False
         self._observer.note_decision(event, effect, now)
         return effect
 
@@ -216,7 +212,7 @@
 
     def _choose_return(self) -> str:
         """Return the target to go back to: where a stream came from, or the last."""
-        return self._moved_from if self._exchange.is_started else self._leader
+        return self._mover.moved_from if self._exchange.is_started else self._leader
 
     def _return_repeat(self) -> None:
         """Give the budget back what a repeat that was never sent took of it."""
@@ -259,9 +255,9 @@
         # A head alone is no answer: a sick target may spoil what comes after it.
         # Symptom, were it taken as one: its faults are never two in a row.
         evidence = Evidence.CONNECTED
-        if self._is_elsewhere(target, stream):
+        if self._head.is_elsewhere(target, stream):
             evidence = Evidence.REPLACED
-        elif self._is_refusal(stream):
+        elif self._head.is_refusal(stream):
             evidence = Evidence.ANSWERED
         elif stream.status >= STATUS_FAILURES:
             evidence = Evidence.FAILED
@@ -301,9 +297,8 @@
             if choice.plan is not None and self._exchange.policy.may_run_again:
                 self._watch = self._build_watch(choice.plan)
                 await stack.enter_async_context(self._watch)
-                stack.enter_context(
-                    self._chooser.watch_readings(choice, self._make_mover(choice))
-                )
+                note_reading = partial(self._note_reading, choice, self._watch)
+                stack.enter_context(self._chooser.watch_readings(choice, note_reading))
             stream = await stack.enter_async_context(
                 async_open_http(
                     target.address,
@@ -345,45 +340,11 @@
             may_leave,
         )
 
-    def _make_mover(self, choice: SendChoice) -> Callable[[EngineWork], None]:
-        """Return what leaves the target where a reading there holds the stream up."""
-
-        def consider(work: EngineWork) -> None:
-            self._observer.note_reading(work.reading_seconds)
-            if self._may_move() and self._gains_by_moving(choice, work):
-                # Counted now: were the budget used up before the next send, the
-                # stream would be broken off.
-                self._is_moving = True
-                self._moved_from = choice.target.id
-                service = self._context.service
-                self._repeat_at = self._state.record_repeat(service)
-                self._watch.leave()
-
-        return consider
-
-    def _may_move(self) -> bool:
-        now = self._loop.time()
-        return (
-            not self._is_moving
-            and self._watch is not None
-            and not self._exchange.has_ended
-            and self._exchange.can_send_again(now)
-            and self._state.may_repeat(self._context.service, is_urgent=False)
-        )
-
-    def _gains_by_moving(self, choice: SendChoice, work: EngineWork) -> bool:
-        plan, own = choice.plan, choice.work
-        assert plan is not None and own is not None
-        if plan.tickets:
-            return False
-        now, need = self._loop.time(), self._build_need()
-        waits, limit = predict_wait(work, plan.pass_seconds), need.aim_at - now
-        if not gains_by_moving(waits, 0.0, limit):
-            return False
-        other = self._chooser.choose(need)
-        if other is None or other.plan is None or other.plan.tickets:
-            return False
-        return gains_by_moving(waits, other.plan.first_event_seconds, limit)
+    def _note_reading(
+        self, choice: SendChoice, watch: SilenceWatch, work: EngineWork
+    ) -> None:
+        self._observer.note_reading(work.reading_seconds)
+        self._mover.consider(choice, watch, work)
 
     def _build_headers(
         self, choice: SendChoice, effect: SendTo, left: float
@@ -408,7 +369,7 @@
         names = self._state.headers
         self._note_head(choice.target, stream)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
-        if self._is_refusal(stream):
+        if self._head.is_refusal(stream):
             at_fault = stream.headers.get(names.at_target)
             is_helpers_fault = at_fault is not None and (
                 self._chooser.probes.note_named(choice.helpers, at_fault)
@@ -419,7 +380,7 @@
                 at_target=at_fault,
             )
             return SendFailed(SendFault.NOT_RUN, is_others_fault=is_helpers_fault)
-        self._check_head(stream)
+        self._head.check(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
             return await self._async_pass_events(choice, stream)
@@ -438,38 +399,6 @@
             self._chooser.probes.note(choice.target, Evidence.ANSWERED)
         return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
 
-    def _is_elsewhere(self, target: RegisteredTarget, stream: HttpStream) -> bool:
-        # The address of a target that crashed is used by another one, while its own
-        # record stands until it lapses. Symptom: being idle it is chosen first by each
-        # request, refuses all, and their sends are used up. It rests like one that
-        # takes no connection; a helper at fault is named, and is not this target.
-        at_fault = stream.headers.get(self._state.headers.at_target)
-        is_own = at_fault is None or at_fault == str(target.address)
-        return stream.status == STATUS_MISDIRECTED and is_own
-
-    def _is_refusal(self, stream: HttpStream) -> bool:
-        names = self._state.headers
-        answered_id = stream.headers.get(names.request_id, self._request_id)
-        if answered_id != self._request_id:
-            raise SpoiledAnswerError("the answer is to another request")
-        is_failure = stream.status >= STATUS_CALLER_FAILURES
-        return stream.status == STATUS_MISDIRECTED or (
-            is_failure and names.not_run in stream.headers
-        )
-
-    def _check_head(self, stream: HttpStream) -> None:
-        names = self._state.headers
-        if names.request_id not in stream.headers:
-            raise SpoiledAnswerError("the answer does not say to which request")
-        # The caller reads these as "not run and never will be". A target that does not
-        # say so itself may have run the request, and the caller would send it again.
-        if stream.status in PROMISING_STATUSES:
-            raise SpoiledAnswerError("the answer promises what it does not say")
-        if stream.status < STATUS_CALLER_FAILURES and names.seal not in stream.headers:
-            raise SpoiledAnswerError("the answer has no seal")
-        if CONTENT_ENCODING in stream.headers:
-            raise SpoiledAnswerError("the body is encoded")
-
     async def _async_pass_events(
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
