--- a/libraries/bench/tests/test_days.py
+++ b/libraries/bench/tests/test_days.py
@@ -1,12 +1,14 @@
 """Variants of the code and pairs of plays."""
 
 import math
+import tomllib
 from pathlib import Path
 
 import pytest
 
 from tarragonward_bench.days.pairs import compute_change, format_table, get_worth
 from tarragonward_bench.days.plays import PlayedDay, read_plays, write_play
+from tarragonward_bench.days.site_variation import vary_site
 from tarragonward_bench.days.variants import load_variants
 from tarragonward_bench.proofs.edits import Edit, EditError
 
@@ -59,3 +61,21 @@
     played = build("main", 0.9)
     write_play(tmp_path / "plays", played)
     assert read_plays(tmp_path / "plays") == [played]
+
+
+SITE = """
+services = [
+  { name = "e", model = "llm", servers = [{ zone = "a", count = 6 }], kv_tokens = 90 },
+  { name = "app", servers = [{ zone = "a", count = 1 }] },
+]
+traffic = [{ zone = "a", per_s = 17.8 }]
+"""
+
+
+def test_a_varied_site_has_other_figures_by_its_seed_alone():
+    """Constants fitted to the sites we know would pass unseen without such ones."""
+    one, other = (tomllib.loads(vary_site(SITE, seed)) for seed in (1, 2))
+    assert vary_site(SITE, 1) == vary_site(SITE, 1)
+    assert one["traffic"] != other["traffic"]
+    assert one["services"][0]["kv_tokens"] != 90
+    assert one["services"][1] == {"name": "app", "servers": [{"zone": "a", "count": 1}]}
