--- a/libraries/bench/tarragonward_bench/days/losses.py
+++ b/libraries/bench/tarragonward_bench/days/losses.py
@@ -33,7 +33,7 @@
 OUT_OF_REACH = ("not connected", "lost", "silent", "spoiled")
 SERVER_FAILURES = 500
 WINDOW_SECONDS = 2
-# The bench puts its own time, in seconds since the traffic began, before each line.
+# A log may carry the seconds since the traffic began before each line.
 SIMULATED = re.compile(r"^\s*(-?[0-9.]+) ")
 
 
