Tell thin links from silent peers, and say when a reading of the source is given up

The logs could not tell three hypotheses of the incident apart: 'no answer in 1 s' says neither whether anything came, nor did anything say that a host broke its own reading off. Now the error has the bytes that came, and source_ask_given_up what was broken off after how long (and a counter).

--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -104,8 +104,15 @@
             step = self._follower.choose_step(self._get_place(), age, read_clock())
             if isinstance(step, Pause):
                 await self._async_until_woken(asyncio.sleep(step.seconds))
-            else:
-                await self._async_until_woken(self._async_ask(step))
+                continue
+            begun_at = read_clock()
+            if not await self._async_until_woken(self._async_ask(step)):
+                self._note_given_up(step, read_clock() - begun_at)
+
+    def _note_given_up(self, step: ReadAll | Watch, seconds: float) -> None:
+        self._state.metrics.count("source_asks_given_up")
+        ask = "reading" if isinstance(step, ReadAll) else "watch"
+        log_event("source_ask_given_up", ask=ask, seconds=seconds)
 
     def _get_confirmed_age(self) -> float:
         return read_clock() - self._state.table_confirmed_at
@@ -117,8 +124,11 @@
             await asyncio.sleep(max(left, c.UNCONFIRMED_CHECK_SECONDS))
             self._hear(Unconfirmed(self._get_confirmed_age()))
 
-    async def _async_until_woken(self, work: Any) -> None:
-        """Do the work until its end, or until a peer shows that it is in vain."""
+    async def _async_until_woken(self, work: Any) -> bool:
+        """Do the work until its end, or until a peer shows that it is in vain.
+
+        Return whether it came to its end.
+        """
         doing = asyncio.ensure_future(work)
         waking = asyncio.create_task(self._wake.wait())
         try:
@@ -132,6 +142,7 @@
         # Passed over, an answer that can't be read would be asked for without a pause.
         if isinstance(done, Exception):
             raise done
+        return not isinstance(done, asyncio.CancelledError)
 
     async def _async_ask(self, step: ReadAll | Watch) -> None:
         try:
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -171,6 +171,7 @@
     source.items["table"] = Record("table", 8, b"9")
     source.revision = 8
     await async_wait_for(lambda: state.table.version == 9)
+    assert state.metrics.get_count("source_asks_given_up") >= 1
 
 
 async def test_a_table_that_cannot_be_read_is_counted_and_changes_nothing(start):
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -106,11 +106,17 @@
     async def async_read_body(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
         """Read the rest of the body; raise TargetError where it is too large."""
         body = bytearray()
+        await self.async_read_into(body, max_bytes)
+        return bytes(body)
+
+    async def async_read_into(
+        self, body: bytearray, max_bytes: int = MAX_ANSWER_BYTES
+    ) -> None:
+        """Add the rest of the body to what is there, which a cut leaves as it is."""
         async for chunk in self.async_iterate_chunks():
             body += chunk
             if len(body) > max_bytes:
                 raise TargetError("the answer is too large")
-        return bytes(body)
 
     async def _async_next_event(self) -> Any:
         try:
@@ -231,6 +237,7 @@
     Raise NotConnectedError or ConnectionLostError as async_open_http does; running
     out of time counts as ConnectionLostError.
     """
+    body_read = bytearray()
     try:
         async with (
             asyncio.timeout(timeout),
@@ -244,8 +251,8 @@
                 before_write=before_write,
             ) as stream,
         ):
-            return HttpAnswer(
-                stream.status, stream.headers, await stream.async_read_body()
-            )
+            await stream.async_read_into(body_read)
+            return HttpAnswer(stream.status, stream.headers, bytes(body_read))
     except TimeoutError as err:
-        raise ConnectionLostError(f"{address}: no answer in {timeout:.3g} s") from err
+        reason = f"no answer in {timeout:.3g} s, {len(body_read)} bytes of it came"
+        raise ConnectionLostError(f"{address}: {reason}") from err
--- a/libraries/wire/tests/test_http_client.py
+++ b/libraries/wire/tests/test_http_client.py
@@ -3,8 +3,10 @@
 import asyncio
 import socket
 
-from tarragonward_core import Address
-from tarragonward_wire import async_open_http
+import pytest
+
+from tarragonward_core import Address, ConnectionLostError
+from tarragonward_wire import async_open_http, async_send_http
 from tarragonward_wire.http_client import _end_when_unreachable
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
@@ -47,3 +49,21 @@
     async with async_open_http(address, "GET", "/", unreachable_timeout=0.5) as stream:
         assert await stream.async_read_body() == b"whole"
     server.close()
+
+
+async def test_an_answer_that_is_too_slow_tells_how_much_of_it_came():
+    """An answer comes in part and is given up: was its sender silent, or its link thin?
+
+    The error tells the two apart by the bytes that came.
+    """
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER[:-2])
+        await asyncio.sleep(4.0)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    with pytest.raises(ConnectionLostError, match="0.2 s, 3 bytes of it came"):
+        await async_send_http(address, "GET", "/", timeout=0.2)
+    server.close()
