--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import socket
 import time
 from contextlib import AsyncExitStack
@@ -20,8 +21,14 @@
 from tarragonward_gateway.state import GatewayState
 from tarragonward_membership import RegisteredTarget
 from tarragonward_routes import CallerLimits, RoutingTable
+from tarragonward_standins import FaultProxy
 
 FIRST, SECOND = "127.0.0.5", "127.0.0.6"
+# The largest item that the source takes, with routes that hardly repeat, the thinnest
+# link of an entry host, and how soon a table must be in force.
+LARGEST_ITEM_BYTES = 1024 * 1024
+THINNEST_LINK_BYTES_A_SECOND = 10_000_000 / 8
+APPLY_SECONDS = 3.0
 
 
 class Parser:
@@ -42,15 +49,17 @@
         return key == "table"
 
     def parse_table(self, record):
-        if not self.is_table(record.key) or not (record.value or b"").isdigit():
+        version, _, _routes = (record.value or b"").partition(b" ")
+        if not self.is_table(record.key) or not version.isdigit():
             return None
-        return RoutingTable(int(record.value), (), {}, CallerLimits(), {}, False)
+        return RoutingTable(int(version), (), {}, CallerLimits(), {}, False)
 
 
 class Source:
-    """Answer with what was set, or fail."""
+    """Answer with what was set, or fail; an answer is on its way for so long."""
 
-    def __init__(self, items=None):
+    def __init__(self, items=None, transfer_seconds=0.0):
+        self.transfer_seconds = transfer_seconds
         self.items = items or {}
         self.revision = len(self.items)
         self.is_down = False
@@ -66,6 +75,7 @@
         self.calls += 1
         if self.is_down:
             raise SourceError("down")
+        await asyncio.sleep(self.transfer_seconds)
         return Page(tuple(self.items.values()), self.revision)
 
     async def async_watch(self, after, wait, timeout):
@@ -75,6 +85,7 @@
         if self.revision <= after:
             self.changed.clear()
             await self.changed.wait()
+        await asyncio.sleep(self.transfer_seconds)
         new = [r for r in self.items.values() if r.revision > after]
         return Records(tuple(new), self.revision)
 
@@ -109,8 +120,8 @@
     ports = find_free_port(socket.SOCK_DGRAM), find_free_port(socket.SOCK_STREAM)
     async with AsyncExitStack() as stack:
 
-        async def async_start(address, source):
-            state, peers, task = build_host(address, source, ports)
+        async def async_start(address, source, control_port=ports[1]):
+            state, peers, task = build_host(address, source, (ports[0], control_port))
             for part in (peers, task):
                 await part.async_setup()
                 stack.push_async_callback(part.async_unload)
@@ -125,6 +136,16 @@
             await asyncio.sleep(0.01)
 
 
+async def async_wait_for_table(state, version):
+    begun_at = read_clock()
+    await async_wait_for(lambda: state.table and state.table.version == version)
+    return read_clock() - begun_at
+
+
+def build_table(version):
+    return b"%d " % version + random.Random(7).randbytes(LARGEST_ITEM_BYTES)
+
+
 def get_items():
     return {
         "table": Record("table", 1, b"4"),
@@ -239,3 +260,47 @@
     task.take(build_whole(6, 10), 0)
     task.take(Portion((Record("t/0", 11, None),), 11, False), 10)
     assert len(state.registry.get_ready("s")) == 5
+
+
+async def test_a_large_table_comes_over_a_thin_link_from_a_peer(start):
+    """A route was taken away seconds ago, and requests on it still run.
+
+    The host hears at once that it is behind and asks the peer that holds the new table.
+    The table is on its way for most of a second. A second pull begins beside it, both
+    share the link, each is given up after a second with most of its answer received,
+    and begins anew: none ever ends.
+    """
+    first, second = Source(get_items()), Source()
+    second.is_down = True
+    holder, task = await start(FIRST, first)
+    thin_port = find_free_port(socket.SOCK_STREAM)
+    link = FaultProxy(Address(FIRST, thin_port), task._control.address)
+    link.faults.bytes_a_second = THINNEST_LINK_BYTES_A_SECOND
+    async with AsyncExitStack() as stack:
+        await link.async_setup()
+        stack.push_async_callback(link.async_unload)
+        state, _ = await start(SECOND, second, thin_port)
+        await async_wait_for_table(state, 4)
+        first.put("table", build_table(5))
+        await async_wait_for_table(holder, 5)
+        assert await async_wait_for_table(state, 5) <= APPLY_SECONDS
+
+
+async def test_a_reading_of_the_source_comes_to_its_end_beside_peers_that_are_ahead(
+    start,
+):
+    """A route was taken away seconds ago, and requests on it still run.
+
+    The host's own link to the source is thin, and a peer with a better one says that it
+    is ahead, each 0.2 s. Each such word breaks the host's own reading off, which begins
+    anew and never ends, and the peer's records don't reach it.
+    """
+    first, second = Source(get_items()), Source(get_items(), transfer_seconds=0.9)
+    holder, _ = await start(FIRST, first)
+    nobody = find_free_port(socket.SOCK_STREAM)
+    state, _ = await start(SECOND, second, nobody)
+    await async_wait_for_table(state, 4)
+    for source in (first, second):
+        source.put("table", b"5")
+    await async_wait_for_table(holder, 5)
+    assert await async_wait_for_table(state, 5) <= APPLY_SECONDS
--- a/libraries/standins/tarragonward_standins/fault_proxy.py
+++ b/libraries/standins/tarragonward_standins/fault_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import socket
 import struct
@@ -13,6 +14,8 @@
 __all__ = ["FaultProxy", "Faults"]
 
 READ_BYTES = 64 * 1024
+# What one connection sends over a thin link before the others have their turn.
+THIN_LINK_TURN_BYTES = 8 * 1024
 # A lost packet is sent again after this time, and what follows it waits.
 RESEND_SECONDS = 0.2
 FROZEN_STEP_SECONDS = 0.01
@@ -27,7 +30,8 @@
     leaves connections open); refuse ends connections at once; frozen holds bytes
     until it is False again; drop_after_bytes ends a connection after that many bytes
     towards the caller, within a frame if need be. lost_share is of packets, each of
-    which comes late.
+    which comes late. bytes_a_second is what all connections together carry towards
+    the callers, as one thin link does.
     """
 
     delay_seconds: float = 0.0
@@ -37,6 +41,7 @@
     refuse: bool = False
     frozen: bool = False
     drop_after_bytes: int | None = None
+    bytes_a_second: float = math.inf
 
 
 @dataclass(eq=False)
@@ -53,6 +58,7 @@
         self.faults = Faults()
         self._random = random.Random(seed)
         self._links: set[_Link] = set()
+        self._is_free_at = 0.0
         self._address = address
         self._target = target
         self._server: asyncio.Server | None = None
@@ -160,11 +166,26 @@
                 await writer.drain()
                 return
             passed += len(data)
-            writer.write(data)
-            await writer.drain()
+            if to_target or math.isinf(faults.bytes_a_second):
+                writer.write(data)
+                await writer.drain()
+            else:
+                await self._async_pass_in_turns(data, writer)
         if link.is_silent and not to_target:
             await asyncio.Event().wait()
 
+    async def _async_pass_in_turns(
+        self, data: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        clock = asyncio.get_running_loop().time
+        for start in range(0, len(data), THIN_LINK_TURN_BYTES):
+            turn = data[start : start + THIN_LINK_TURN_BYTES]
+            seconds = len(turn) / self.faults.bytes_a_second
+            self._is_free_at = max(clock(), self._is_free_at) + seconds
+            await asyncio.sleep(self._is_free_at - clock())
+            writer.write(turn)
+            await writer.drain()
+
     async def _async_delay(self) -> None:
         faults = self.faults
         if faults.delay_seconds:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,7 +1,9 @@
 """The store's calls and documents, by a server that answers as told."""
 
+import asyncio
 import base64
 import json
+from contextlib import AsyncExitStack
 
 import pytest
 
@@ -93,6 +95,51 @@
         await reader.async_watch(3, 0.1, 1.0)
 
 
+@pytest.fixture
+async def open_trickle():
+    """Return a function that starts a store whose answer comes in pieces."""
+    async with AsyncExitStack() as stack:
+
+        async def async_open(pieces, pause):
+            async def async_answer(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                for piece in pieces:
+                    writer.write(piece)
+                    await asyncio.sleep(pause)
+
+            server = await asyncio.start_server(async_answer, "127.0.0.1", 0)
+            stack.callback(server.close)
+            return StoreReader(Address(*server.sockets[0].getsockname()[:2]))
+
+        yield async_open
+
+
+def build_pieces(count):
+    events = [build_item("op/config", 4, b"x")]
+    body = json.dumps({"events": events, "asOf": 5}).encode("ascii")
+    head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n".encode("ascii")
+    size = len(body) // (count - 1) + 1
+    return [head, *(body[at : at + size] for at in range(0, len(body), size))]
+
+
+async def test_an_answer_that_keeps_coming_is_waited_for(open_trickle):
+    """A host works by an old table, as the new one never reaches it whole.
+
+    The table is large and the host's link thin: the answer of the watch begins in time
+    and comes steadily, but takes longer than the store may be silent. Given up, all
+    that came is read again, over the same link, with the same end.
+    """
+    reader = await open_trickle(build_pieces(8), 0.1)
+    read = await reader.async_watch(3, 0.0, 0.3)
+    assert read.records[0].value == b"x"
+
+
+async def test_an_answer_that_stops_coming_is_given_up(open_trickle):
+    reader = await open_trickle(build_pieces(8)[:4], 0.05)
+    with pytest.raises(SourceError, match="bytes of it came"):
+        await reader.async_watch(3, 0.0, 0.3)
+
+
 async def test_a_store_that_is_not_there_is_a_fault_of_the_source():
     with pytest.raises(SourceError):
         await StoreReader(Address("127.0.0.1", 1)).async_read_page("", 0.5)
