Give up an answer that stops coming, not one that takes long

What callers saw: requests run by a table that was replaced more than 3 s ago. Cause: a pull from a peer, a page and a watch of the source, and the daemon's reading of the configuration were given up after a total time (1 to 2 s), whatever their size and link. Over a thin link that several transfers share none ends in time; each begins anew and fills the link again. What a watch brings counts as old as it was on its way, so nothing is called fresher than it is. Ruled out: peers that do not answer (no pull given up had received nothing).

--- a/libraries/daemon/tarragonward_daemon/configuration.py
+++ b/libraries/daemon/tarragonward_daemon/configuration.py
@@ -270,7 +270,13 @@
 
     async def _async_get(self, replica: Address, path: str, wait: float) -> Any:
         timeout = wait + c.CONFIGURATION_READ_SECONDS
-        answer = await async_send_http(replica, "GET", path, timeout=timeout)
+        answer = await async_send_http(
+            replica,
+            "GET",
+            path,
+            timeout=timeout,
+            silence_timeout=c.CONFIGURATION_READ_SECONDS,
+        )
         if answer.status != 200:
             raise TargetError(f"{replica} answered {answer.status}")
         return answer.parse_json()
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -63,10 +63,14 @@
 
 @dataclass(frozen=True)
 class Records:
-    """Items, and the source's revision that they are complete up to."""
+    """Items, and the source's revision that they are complete up to.
+
+    age_seconds is how long ago the source gave them: a large answer takes its time.
+    """
 
     records: tuple[Record, ...]
     revision: int
+    age_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -87,16 +91,25 @@
 
 
 class RecordReader(Protocol):
-    """Reads what is published; raises SourceError, also when time runs out."""
+    """Reads what is published; raises SourceError where the source is silent.
+
+    silence_timeout is for how many seconds the source may send nothing, before its
+    answer and within it; an answer that keeps coming is waited for.
+    """
 
-    async def async_read_page(self, after: str, timeout: float) -> Page:
+    async def async_read_page(self, after: str, silence_timeout: float) -> Page:
         """Return the items whose keys follow a key, the first ones where it is empty.
 
         Pages are no snapshot: each is as of its own revision.
         """
 
-    async def async_watch(self, after: int, wait: float, timeout: float) -> Records:
-        """Return what changed after a revision, or nothing after wait seconds."""
+    async def async_watch(
+        self, after: int, wait: float, silence_timeout: float
+    ) -> Records:
+        """Return what changed after a revision, or nothing after wait seconds.
+
+        The source may be silent for silence_timeout beyond the wait.
+        """
 
 
 class RecordParser(Protocol):
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -168,11 +168,12 @@
         if isinstance(step, ReadAll):
             return await self._async_read_page()
         after, suspended = self.book.complete, read_suspended()
-        timeout = step.seconds + c.WATCH_ANSWER_SECONDS
-        read = await self._reader.async_watch(after, step.seconds, timeout)
+        read = await self._reader.async_watch(
+            after, step.seconds, c.WATCH_ANSWER_SECONDS
+        )
         # The answer may have lain in the socket of a host that stood still. Symptom:
         # the host, and all that hear it, take an old table for confirmed just now.
-        age = max(0.0, read_suspended() - suspended)
+        age = read.age_seconds + max(0.0, read_suspended() - suspended)
         new = self.take(Portion(read.records, read.revision, False), after)
         is_gap = not read.records and read.revision > after
         return SourceAnswered(bool(new), is_gap, age)
--- a/libraries/gateway/tarragonward_gateway/record_exchange.py
+++ b/libraries/gateway/tarragonward_gateway/record_exchange.py
@@ -113,6 +113,7 @@
         METHOD_GET,
         f"{c.RECORDS_PATH}?{PARAMETER_AFTER}={after}",
         timeout=c.ASK_PEER_TIMEOUT_SECONDS,
+        silence_timeout=c.ASK_PEER_TIMEOUT_SECONDS,
     )
     if answer.status != STATUS_OK or len(answer.body) > c.MAX_RECORDS_BYTES:
         raise TargetError(f"status {answer.status}")
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -19,6 +19,7 @@
     TargetError,
 )
 
+from .answer_limit import AnswerLimit
 from .const import (
     DEFAULT_CONNECT_TIMEOUT_SECONDS,
     SHORT_KEEPALIVE_PROBES,
@@ -35,11 +36,15 @@
 
 @dataclass(frozen=True)
 class HttpAnswer:
-    """A whole answer; header names are in lower case."""
+    """A whole answer; header names are in lower case.
+
+    transfer_seconds is how long the body took from the answer's head to its end.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes = field(repr=False)
+    transfer_seconds: float = 0.0
 
     def parse_json(self) -> Any:
         """Return the body's JSON; raise TargetError where it is not valid."""
@@ -110,13 +115,21 @@
         return bytes(body)
 
     async def async_read_into(
-        self, body: bytearray, max_bytes: int = MAX_ANSWER_BYTES
+        self,
+        body: bytearray,
+        max_bytes: int = MAX_ANSWER_BYTES,
+        note_progress: Callable[[], None] = lambda: None,
     ) -> None:
-        """Add the rest of the body to what is there, which a cut leaves as it is."""
+        """Add the rest of the body to what is there, which a cut leaves as it is.
+
+        note_progress runs at the head, and after each piece of the body.
+        """
+        note_progress()
         async for chunk in self.async_iterate_chunks():
             body += chunk
             if len(body) > max_bytes:
                 raise TargetError("the answer is too large")
+            note_progress()
 
     async def _async_next_event(self) -> Any:
         try:
@@ -229,18 +242,24 @@
     headers: dict[str, str] | None = None,
     body: bytes = b"",
     timeout: float,
+    silence_timeout: float | None = None,
     connect_timeout: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
     before_write: Callable[[], None] | None = None,
 ) -> HttpAnswer:
     """Send a request and return its whole answer within timeout seconds.
 
+    With a silence_timeout an answer that began in time may take longer: it is given
+    up once nothing came for so many seconds, or LONGEST_TRANSFER_SECONDS after its
+    head.
+
     Raise NotConnectedError or ConnectionLostError as async_open_http does; running
     out of time counts as ConnectionLostError.
     """
+    limit = AnswerLimit(timeout, silence_timeout)
     body_read = bytearray()
     try:
         async with (
-            asyncio.timeout(timeout),
+            limit.timer,
             async_open_http(
                 address,
                 method,
@@ -251,8 +270,11 @@
                 before_write=before_write,
             ) as stream,
         ):
-            await stream.async_read_into(body_read)
-            return HttpAnswer(stream.status, stream.headers, bytes(body_read))
+            await stream.async_read_into(body_read, note_progress=limit.note_progress)
+            return HttpAnswer(
+                stream.status, stream.headers, bytes(body_read), limit.transfer_seconds
+            )
     except TimeoutError as err:
-        reason = f"no answer in {timeout:.3g} s, {len(body_read)} bytes of it came"
+        waited = f"no answer in {limit.waited_seconds:.1f} s"
+        reason = f"{waited}, {len(body_read)} bytes of it came"
         raise ConnectionLostError(f"{address}: {reason}") from err
