Let a reading of the source come to its end beside peers that are ahead

Cause: a host that reads for its group hears five times a second that others are ahead; each time it gave up what it was asking for, its own reading too, and began anew. With a table of 2,849 routes on a thin link a reading takes longer than the 0.25 s between two such words. Why this holds: only a watch or a pause is given up for a peer's word; a reading has its own end, by silence; what it misses as it began too soon shows by the next word after it.

--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -148,6 +148,7 @@
         self._is_return_tried = False
         self._is_fed = False
         self._is_watching = False
+        self._is_reading = False
         self.failures = 0
 
     def choose_step(self, place: Place, confirmed_age: float, now: float) -> Step:
@@ -155,6 +156,7 @@
         self._confirmed_at = now - confirmed_age
         step = self._choose_step(place, confirmed_age, now)
         self._is_watching = isinstance(step, Watch)
+        self._is_reading = isinstance(step, ReadAll)
         return step
 
     def _choose_step(self, place: Place, confirmed_age: float, now: float) -> Step:
@@ -287,7 +289,7 @@
             self._is_return_tried = True
             spread = self._random.uniform(0.0, c.RETURN_SPREAD_SECONDS)
             self._pause_until = min(self._pause_until, now + spread)
-            effects.append(AskSource())
+            effects += self._ask_source()
         return effects
 
     def _catch_up(self, name: str, complete: int, now: float) -> list[FollowEffect]:
@@ -307,9 +309,19 @@
         # A host that is fed and stays behind is confirmed by nobody, and asks for that.
         if complete and not self.failures and not self._is_fed:
             self._must_read = True
-            effects.append(AskSource())
+            effects += self._ask_source()
         return effects
 
+    def _ask_source(self) -> list[FollowEffect]:
+        """Ask the source at once, unless it is being read.
+
+        A large table takes its time on the host's link, and peers that are ahead say so
+        five times a second. Symptom, where each word begins the reading anew: it never
+        ends, and the host, and all that it feeds, work by the table before it. What
+        the reading misses as it began too soon shows by the next word after its end.
+        """
+        return [] if self._is_reading else [AskSource()]
+
     def _wait_to_be_given(self, now: float) -> None:
         """Leave the source to others while peers may give what they have read."""
         longest = self._started_at + c.START_LONGEST_SECONDS
