Give a connection's place back whose last bytes went out after its close

What callers would see: after some thousand large answers a host refuses everybody as too many, and its peers get no records. Cause: where an answer's last bytes still wait as the connection is closed, the transport ends by itself once they are out, and its abort then raises; the raise stood before the connection's place was given back. Why this holds: places are given back first, and only what did not close is aborted. Before: with one place, the second large answer to a slow reader was 503; now both come whole.

--- a/libraries/wire/tarragonward_wire/http_server.py
+++ b/libraries/wire/tarragonward_wire/http_server.py
@@ -158,6 +158,7 @@
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         connection = HttpConnection(self, reader, writer)
         self._open.add(connection)
+        is_closed = False
         try:
             if is_full:
                 await connection.async_refuse(ResultCode.OVERLOADED)
@@ -167,12 +168,17 @@
             # count before: a host that stops cuts the last answers of slow readers.
             with self.count_active():
                 await self._async_flush(writer)
+            is_closed = True
         except (OSError, TimeoutError, h11.ProtocolError, asyncio.CancelledError):
             pass
         finally:
-            writer.transport.abort()
             group.discard(task)
             self._open.discard(connection)
+            # A transport whose last bytes went out after it was closed raises where it
+            # is aborted. Symptom, with the abort before the place is given back: each
+            # such connection counts as open for good, until all callers are refused.
+            if not is_closed:
+                writer.transport.abort()
 
     async def _async_flush(self, writer: asyncio.StreamWriter) -> None:
         # A closed transport keeps its socket until its reader has taken all. Symptom:
--- a/libraries/wire/tests/test_http_server.py
+++ b/libraries/wire/tests/test_http_server.py
@@ -13,7 +13,11 @@
 from tarragonward_core import Address, RequestRefusedError, ResultCode
 from tarragonward_wire import BodyBudget, HttpLimits, HttpServer
 
+# More than small buffers of the kernel take, less than a server waits to have sent.
+MUCH_BYTES = 60 * 1024
+SMALL_BUFFER_BYTES = 4096
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+LAST_GET = GET.replace(b"Host: a", b"Host: a\r\nConnection: close")
 
 
 def post(size, *lines):
@@ -267,6 +271,43 @@
     assert produced < 16_000_000
 
 
+async def test_an_answer_that_outlasts_its_connections_close_gives_its_place_back(
+    make_server,
+):
+    """After some thousand large answers the host refuses all callers as too many.
+
+    The last bytes of an answer wait for a slow reader as the connection is closed, and
+    go out by themselves. The place of such a connection must be free again after that,
+    or each takes one for good.
+    """
+
+    async def answer_much(request, responder):
+        await responder.async_send_bytes(200, b"x" * MUCH_BYTES, {})
+
+    server = await make_server(answer_much, HttpLimits(max_connections=1))
+    listening = server._server.sockets[0]
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+    for _ in range(2):
+        answer = await async_read_slowly(server.address)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert len(answer) > MUCH_BYTES
+
+
+async def async_read_slowly(address):
+    """Return all that a connection brings to a reader of small portions."""
+    loop, answer = asyncio.get_running_loop(), bytearray()
+    with socket.socket() as reader:
+        reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        reader.setblocking(False)
+        await loop.sock_connect(reader, (address.host, address.port))
+        await loop.sock_sendall(reader, LAST_GET)
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(20):
+            while portion := await loop.sock_recv(reader, 64 * 1024):
+                answer += portion
+    return bytes(answer)
+
+
 async def test_head_requests_and_early_ends_leave_the_server_serving(make_server):
     server = await make_server()
     caller = await Caller.async_open(server)
