--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -5,7 +5,7 @@
 import random
 import socket
 import time
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 
 import pytest
 
@@ -84,10 +84,15 @@
             raise SourceError("down")
         if self.revision <= after:
             self.changed.clear()
-            await self.changed.wait()
+            await self._async_wait_for_change(wait)
         await asyncio.sleep(self.transfer_seconds)
         new = [r for r in self.items.values() if r.revision > after]
-        return Records(tuple(new), self.revision)
+        return Records(tuple(new), self.revision, self.transfer_seconds)
+
+    async def _async_wait_for_change(self, wait):
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait):
+                await self.changed.wait()
 
 
 def find_free_port(kind):
@@ -195,6 +200,21 @@
     assert state.metrics.get_count("source_asks_given_up") >= 1
 
 
+async def test_what_was_long_on_its_way_is_not_called_fresh(start, monkeypatch):
+    """A caller is told that a route is unknown, though it was published seconds ago.
+
+    A watch's answer says what the source held as it sent it, and a large one is on its
+    way for a while. What was published meanwhile is not in it.
+    """
+    monkeypatch.setattr(const, "MIN_WATCH_SECONDS", 0.2)
+    monkeypatch.setattr(const, "WATCH_SLOT_SECONDS", 0.2)
+    state, _ = await start(FIRST, Source(get_items(), transfer_seconds=0.5))
+    await async_wait_for_table(state, 4)
+    first = state.table_confirmed_at
+    await async_wait_for(lambda: state.table_confirmed_at > first)
+    assert read_clock() - state.table_confirmed_at >= 0.5
+
+
 async def test_a_table_that_cannot_be_read_is_counted_and_changes_nothing(start):
     """A table is published in a form that this version does not know.
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -132,6 +132,7 @@
     reader = await open_trickle(build_pieces(8), 0.1)
     read = await reader.async_watch(3, 0.0, 0.3)
     assert read.records[0].value == b"x"
+    assert read.age_seconds > 0.5
 
 
 async def test_an_answer_that_stops_coming_is_given_up(open_trickle):
