--- a/libraries/daemon/tests/test_configuration_task.py
+++ b/libraries/daemon/tests/test_configuration_task.py
@@ -1,6 +1,8 @@
 """Tests of one host's watch of several replicas, in one process."""
 
 import asyncio
+import json
+import math
 from types import SimpleNamespace
 
 import pytest
@@ -8,7 +10,7 @@
 from tarragonward_config import LogEntry, Verdict
 from tarragonward_core import Address, HostIdentity, Metrics
 from tarragonward_daemon.configuration import ConfigurationTask
-from tarragonward_standins import PlatformStandIn
+from tarragonward_standins import FaultProxy, PlatformStandIn
 from tarragonward_wire import PeerLinks
 
 IN_FORCE_SECONDS = 8.0
@@ -29,16 +31,20 @@
 async def make_host():
     started = []
 
-    async def async_make(replicas=1):
-        platforms = []
+    async def async_make(replicas=1, document=DOCUMENT, bytes_a_second=math.inf):
+        platforms, links = [], []
         for _ in range(replicas):
-            platform = PlatformStandIn(Address("127.0.0.1", 0), DOCUMENT, [])
+            platform = PlatformStandIn(Address("127.0.0.1", 0), document, [])
             await platform.async_setup()
+            link = FaultProxy(Address("127.0.0.1", 0), platform.address)
+            link.faults.bytes_a_second = bytes_a_second
+            await link.async_setup()
             platforms.append(platform)
-            started.append(platform)
+            links.append(link)
+            started.extend((platform, link))
         address = Address("127.0.0.1", 1)
         settings = SimpleNamespace(
-            configuration=tuple(platform.address for platform in platforms),
+            configuration=tuple(link.address for link in links),
             peers=address,
             failure_domain="north",
         )
@@ -51,8 +57,8 @@
             add_status_section=sections.__setitem__,
         )
         membership = SimpleNamespace(membership=SimpleNamespace(get_members=lambda: []))
-        links = PeerLinks(HostIdentity(address, 1), b"k" * 32)
-        task = ConfigurationTask(host, links, membership)
+        peers = PeerLinks(HostIdentity(address, 1), b"k" * 32)
+        task = ConfigurationTask(host, peers, membership)
         await task.async_setup()
         started.append(task)
         return platforms, host, task
@@ -85,6 +91,22 @@
     assert host.metrics.get_count("configuration_stale_reads") > 0
 
 
+async def test_a_large_configuration_comes_over_a_thin_link(make_host):
+    """A host that was replaced admits no work, and tells its callers to come back.
+
+    The configuration is on its way to it for three seconds. Given up after two, it is
+    asked for again and again, and never comes.
+    """
+    accounts = {
+        f"account-{number}": {"token_sha256": [f"{number:064x}"], "weight": 1}
+        for number in range(2_600)
+    }
+    document = {**DOCUMENT, "client_accounts": accounts}
+    size = len(json.dumps(document))
+    _, host, _ = await make_host(document=document, bytes_a_second=size / 3)
+    await async_wait_in_force(host, 0)
+
+
 async def test_a_forked_log_is_refused_visibly_and_not_read_in_a_loop(make_host):
     """The platform is restored from a backup, and other patches are published on top.
 
