Let a peer's large answer over a link come to its end

What callers would see: a daemon that was replaced waits for the configuration while the service is away, though its peers hold it. Now bytes count, not whole messages: AnswerLimit as for HTTP, for the configuration's pulls only. Before and after: an answer of 1.5 s within a time of 1 s was given up, now it comes (proved by removal). The forwarding gateway uses no such link.

--- a/libraries/daemon/tarragonward_daemon/configuration_peers.py
+++ b/libraries/daemon/tarragonward_daemon/configuration_peers.py
@@ -164,7 +164,10 @@
         question = PullConfiguration(self._history.sequence, self._history.digest)
         try:
             news = await self._links.async_ask(
-                address, question, c.CONFIGURATION_ASK_SECONDS
+                address,
+                question,
+                c.CONFIGURATION_ASK_SECONDS,
+                silence_timeout=c.CONFIGURATION_ASK_SECONDS,
             )
             if isinstance(news, ConfigurationNews):
                 self.take_news(news, str(address))
--- a/libraries/wire/tarragonward_wire/frames.py
+++ b/libraries/wire/tarragonward_wire/frames.py
@@ -6,6 +6,7 @@
 import hashlib
 import hmac
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -110,6 +111,7 @@
         self.clock_offset = 0.0
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.note_progress: Callable[[], None] = lambda: None
 
     async def async_send(self, payload: bytes) -> None:
         """Send one frame; raise FrameError where it is too large."""
@@ -150,13 +152,17 @@
         self._writer.transport.abort()
 
     async def _async_read(self, size: int, is_within_frame: bool) -> bytes:
-        try:
-            return await self._reader.readexactly(size)
-        except asyncio.IncompleteReadError as err:
-            if err.partial or is_within_frame:
-                detail = f"{len(err.partial)} of {size} bytes"
-                raise RefusedFrameError(BadFrame.TRUNCATED, detail) from err
-            raise
+        data = bytearray()
+        while len(data) < size:
+            piece = await self._reader.read(size - len(data))
+            if not piece and (data or is_within_frame):
+                detail = f"{len(data)} of {size} bytes"
+                raise RefusedFrameError(BadFrame.TRUNCATED, detail)
+            if not piece:
+                raise asyncio.IncompleteReadError(b"", size)
+            data += piece
+            self.note_progress()
+        return bytes(data)
 
     def _is_signed(self, mac: bytes, sequence: int, payload: bytes) -> bool:
         expected = self._sign(self._receive_label, sequence, payload)
--- a/libraries/wire/tarragonward_wire/links.py
+++ b/libraries/wire/tarragonward_wire/links.py
@@ -5,8 +5,8 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
-from contextlib import ExitStack
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,6 +21,7 @@
 )
 
 from . import const as c
+from .answer_limit import AnswerLimit
 from .codec import decode_message, encode_message
 from .envelopes import ClockProbe, Envelope, NoAnswer
 from .frames import FrameStream, async_shake_hands, count_bad_frame
@@ -38,8 +39,10 @@
         self._metrics = metrics
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
+        self._limits: set[AnswerLimit] = set()
         self._offset = stream.clock_offset
-        self._heard_at = self._made_at = _now()
+        self._heard_at = self._made_at = self._bytes_at = _now()
+        stream.note_progress = self._note_progress
         self._reader = asyncio.create_task(self._async_read())
 
     @property
@@ -57,7 +60,7 @@
         A host whose machine is lost sends no end of the connection. Symptom: the link
         stays open, and all is asked into the void until TCP gives up after minutes.
         """
-        if _now() - self._heard_at > c.LINK_SILENCE_SECONDS:
+        if _now() - self._bytes_at > c.LINK_SILENCE_SECONDS:
             self.stream.close()
 
     async def async_is_alive(self) -> bool:
@@ -76,6 +79,20 @@
         """Return what to add to this host's clock for a lower bound of the peer's."""
         return self._decay_offset()
 
+    def _note_progress(self) -> None:
+        self._bytes_at = _now()
+        for limit in self._limits:
+            limit.note_progress()
+
+    @contextmanager
+    def put_off(self, limit: AnswerLimit) -> Iterator[None]:
+        """Let what comes over the link put an answer's limit off."""
+        self._limits.add(limit)
+        try:
+            yield
+        finally:
+            self._limits.discard(limit)
+
     async def async_ask(self, body: bytes) -> Any:
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
@@ -160,15 +177,19 @@
         message: Any,
         timeout: float,
         incarnation: int | None = None,
+        silence_timeout: float | None = None,
     ) -> Any:
         """Send a message and return the peer's answer within timeout seconds.
 
+        With a silence_timeout an answer may take longer while the link brings bytes,
+        as AnswerLimit says.
+
         Raise NotConnectedError where the message cannot have arrived: no connection,
         or the host there has another incarnation than the one asked for. Raise
         ConnectionLostError where it may have arrived.
         """
         return await self.async_ask_with_clock(
-            address, lambda _: message, timeout, incarnation
+            address, lambda _: message, timeout, incarnation, silence_timeout
         )
 
     async def async_ask_with_clock(
@@ -177,6 +198,7 @@
         build: Callable[[float], Any],
         timeout: float,
         incarnation: int | None = None,
+        silence_timeout: float | None = None,
     ) -> Any:
         """Ask as async_ask does; build makes the message from the clock offset.
 
@@ -184,11 +206,13 @@
         seconds, so a time limit given as a point of it is never a later one.
         """
         link = None
+        limit = AnswerLimit(timeout, silence_timeout)
         try:
-            async with asyncio.timeout(timeout):
+            async with limit.timer:
                 link = await self._async_get_link(address, incarnation)
                 offset = link.compute_clock_offset()
-                answer = await link.async_ask(encode_message(build(offset)))
+                with link.put_off(limit):
+                    answer = await link.async_ask(encode_message(build(offset)))
         except (OSError, TimeoutError, FrameError) as err:
             if link is not None:
                 link.close_if_silent()
--- a/libraries/wire/tests/test_peers.py
+++ b/libraries/wire/tests/test_peers.py
@@ -15,6 +15,7 @@
     Metrics,
     NotConnectedError,
 )
+from tarragonward_standins import FaultProxy
 from tarragonward_wire import (
     PeerLinks,
     PeerServer,
@@ -80,6 +81,25 @@
     await links.async_unload()
 
 
+async def test_a_large_answer_comes_over_a_thin_link(server):
+    """A host that was replaced waits for the configuration, and no peer gives it.
+
+    The answer is on its way for a second and a half, and its time is one second. It is
+    given up while it comes, asked for again, and fills the link for nothing.
+    """
+    text = "x" * 300_000
+    link = FaultProxy(Address("127.0.0.1", 0), server[0])
+    link.faults.bytes_a_second = len(text) / 1.5
+    await link.async_setup()
+    links = PeerLinks(CLIENT, KEY)
+    with pytest.raises(ConnectionLostError):
+        await links.async_ask(link.address, Echo(text), 0.5)
+    answer = await links.async_ask(link.address, Echo(text), 1.0, silence_timeout=1.0)
+    assert answer.text == text
+    await links.async_unload()
+    await link.async_unload()
+
+
 async def test_links_of_vanished_hosts_are_ended_by_the_kernel(server, monkeypatch):
     """A host loses its power: its links here end without a word from it.
 
