--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -1,6 +1,7 @@
 """A gateway's forwarder in this process, with scripted targets."""
 
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -16,6 +17,7 @@
 from tarragonward_routes import (
     Account,
     CallerLimits,
+    EngineModel,
     RequestKind,
     Route,
     RoutingTable,
@@ -26,6 +28,23 @@
 from tarragonward_wire import HttpServer
 
 LOCAL = Address("127.0.0.1", 0)
+ENGINE = EngineModel(
+    slots=8,
+    memory_tokens=450_000,
+    stride_steps=46,
+    chunk_tokens=2_048,
+    step_seconds=0.000925,
+    writer_seconds=0.00001,
+    context_seconds=2.54e-9,
+    read_tokens_per_second=256_000.0,
+    pair_seconds=9.17e-11,
+)
+STREAM = {
+    "kind": RequestKind.STREAM,
+    "is_resumable": True,
+    "aim_seconds": 3.0,
+    "pause_aim_seconds": 0.8,
+}
 
 
 class FirstInOrder:
@@ -117,6 +136,10 @@
         caller.writer.close()
         return answer
 
+    async def async_ask_prompt(self, tokens):
+        """Send a prompt of so many prompt and output tokens; return its answer."""
+        return await self.async_ask("POST", lines=[f"X-Tokens: {tokens}"])
+
 
 @pytest.fixture
 async def make_site():
@@ -135,3 +158,17 @@
         await site.server.async_unload()
         for target in site.targets:
             await target.async_unload()
+
+
+@pytest.fixture
+def make_engines(make_site):
+    """Return a function that makes a site whose targets are engines."""
+
+    async def async_make(*scripts, **route):
+        site = await make_site(*scripts, **{**STREAM, **route})
+        table = site.state.table
+        service = replace(table.services["s"], engine=ENGINE)
+        site.state.table = replace(table, services={"s": service})
+        return site
+
+    return async_make
