Leave a time limit alone that is running out

What callers would see: one question over a link between daemons runs out of time, and all others over it fail with it. Found in reading the new limit again: the link's reader notes bytes for tasks that wait, and a timer that is running out can't be put off; the error ended the reader. Before: the test has 'Cannot change state of expiring Timeout'. Over HTTP the waiting task itself notes, so it can't happen there. Limits by silence, trickle and total time have tests of their own.

--- a/libraries/wire/tarragonward_wire/answer_limit.py
+++ b/libraries/wire/tarragonward_wire/answer_limit.py
@@ -46,7 +46,10 @@
         now = self._clock()
         if self._head_at is None:
             self._head_at = now
-        if self._silence_timeout is None:
+        # A link's reader notes for the tasks that wait. Symptom, where one's time runs
+        # out at that moment and its timer is put off: the reader fails, and with it
+        # all that wait at the link.
+        if self._silence_timeout is None or self.timer.expired():
             return
         longest = self._head_at + LONGEST_TRANSFER_SECONDS
         end = min(now + self._silence_timeout, longest)
