--- a/libraries/bench/tarragonward_bench/hearing/host.py
+++ b/libraries/bench/tarragonward_bench/hearing/host.py
@@ -84,6 +84,19 @@
     messages: int = 0
 
 
+@dataclass(frozen=True)
+class _SourceCall:
+    """One call to the source: its number, when, after which revision.
+
+    suspended is for how long the host had stood still by then, in seconds.
+    """
+
+    asked: int
+    asked_at: float
+    after: int
+    suspended: float
+
+
 class Host:
     """One life of a host, with the tasks of the gateway played by events."""
 
@@ -163,48 +176,50 @@
         return self.follower.choose_step(self.place, now - self.confirmed_at, now)
 
     def _ask(self, step: Step, asked: int) -> None:
-        after, suspended = self.book.complete, self._suspended
-        asked_at = self._world.now
-
-        def take(answer: Answer) -> None:
-            if asked != self._asked:
-                return
-            self._incoming = None
-            self._take_answer(answer, asked_at, after, asked, suspended)
-
-        def reply(answer: Answer) -> None:
-            if asked != self._asked or isinstance(answer, Lost):
-                take(answer)
-                return
-            sent_at = self._world.now
-
-            def come() -> None:
-                age = self._world.now - sent_at
-                is_watch = isinstance(answer, Records)
-                take(replace(answer, age_seconds=age) if is_watch else answer)
-
-            size = self._fleet.sizes.compute_read(answer.records)
-            self._incoming = self._fleet.transfers.start(None, self.number, size, come)
-            self._world.after(wire_const.LONGEST_TRANSFER_SECONDS, lambda: take(Lost()))
-
-        def give_up() -> None:
-            if self._incoming is None:
-                take(Lost())
-
+        call = _SourceCall(asked, self._world.now, self.book.complete, self._suspended)
         source = self._fleet.source
         timeout = gateway_const.READ_SECONDS
         if not isinstance(step, ReadAll):
             timeout = step.seconds + gateway_const.WATCH_ANSWER_SECONDS
-        self._world.after(timeout, give_up)
+        self._world.after(timeout, lambda: self._give_up_head(call))
         if self._fleet.links.is_out(self.number):
             source.calls += 1
         elif isinstance(step, ReadAll):
             key = self._reading.choose_after(self._world.now)
-            source.read_page(self.number, key, reply)
+            source.read_page(self.number, key, lambda a: self._transfer(call, a))
         else:
-            source.watch(self.number, after, step.seconds, reply)
+            source.watch(
+                self.number,
+                call.after,
+                step.seconds,
+                lambda a: self._transfer(call, a),
+            )
         self._doubt(asked)
 
+    def _give_up_head(self, call: _SourceCall) -> None:
+        if self._incoming is None:
+            self._take_answer(call, Lost())
+
+    def _transfer(self, call: _SourceCall, answer: Answer) -> None:
+        """Let an answer of the source take its time on this host's link."""
+        if call.asked != self._asked or isinstance(answer, Lost):
+            self._take_answer(call, answer)
+            return
+        sent_at = self._world.now
+
+        def come() -> None:
+            age = self._world.now - sent_at
+            is_watch = isinstance(answer, Records)
+            aged = replace(answer, age_seconds=age) if is_watch else answer
+            self._take_answer(call, aged)
+
+        size = self._fleet.sizes.compute_read(answer.records)
+        self._incoming = self._fleet.transfers.start(None, self.number, size, come)
+        self._world.after(
+            wire_const.LONGEST_TRANSFER_SECONDS,
+            lambda: self._take_answer(call, Lost()),
+        )
+
     def _give_up_incoming(self) -> None:
         if self._incoming is not None:
             self._fleet.transfers.cancel(self._incoming)
@@ -219,16 +234,11 @@
         wait = max(left, gateway_const.UNCONFIRMED_CHECK_SECONDS)
         self._world.after(wait, lambda: self._doubt(asked))
 
-    def _take_answer(
-        self,
-        answer: Answer,
-        asked_at: float,
-        after: int,
-        asked: int,
-        suspended: float,
-    ) -> None:
-        details = answer, asked_at, after, asked, suspended
-        if asked != self._asked or not self._wake_at(self._take_answer, *details):
+    def _take_answer(self, call: _SourceCall, answer: Answer) -> None:
+        if call.asked != self._asked:
+            return
+        self._incoming = None
+        if not self._wake_at(self._take_answer, call, answer):
             return
         if self._fleet.links.is_out(self.number):
             answer = Lost()
@@ -237,11 +247,11 @@
                 self._reading.clear()
             self._hear(HistoryLost() if answer.is_history else SourceFailed())
         elif isinstance(answer, Page):
-            self._hear(self._take_page(answer, asked_at))
+            self._hear(self._take_page(answer, call.asked_at))
         else:
-            new = self.take(Portion(answer.records, answer.revision, False), after)
-            is_gap = not answer.records and answer.revision > after
-            age = answer.age_seconds + self._suspended - suspended
+            new = self.take(Portion(answer.records, answer.revision, False), call.after)
+            is_gap = not answer.records and answer.revision > call.after
+            age = answer.age_seconds + self._suspended - call.suspended
             self._hear(SourceAnswered(bool(new), is_gap, age))
             if self.place.group:
                 self._tell_records(bool(new))
