--- a/libraries/bench/tarragonward_bench/hearing/runs.py
+++ b/libraries/bench/tarragonward_bench/hearing/runs.py
@@ -13,7 +13,7 @@
 from tarragonward_placement.const import MAX_WHOLE_HOSTS
 
 from .host import Fleet, Host, build_address
-from .transfers import RecordSizes, Transfers
+from .transfers import TARGET_BYTES, RecordSizes, Transfers
 from .world import TABLE_KEY, FakeSource, Links, World
 
 __all__ = [
@@ -403,6 +403,10 @@
     parser.add_argument("--changes", type=float, default=1.0, help="a second")
     parser.add_argument("--targets", type=int, default=TARGETS_A_HOST, help="a host")
     parser.add_argument("--reads", type=float, default=float("inf"), help="a second")
+    parser.add_argument("--link", type=float, default=LINK_BYTES_A_SECOND)
+    parser.add_argument("--read-table", type=int, default=TARGET_BYTES, help="bytes")
+    parser.add_argument("--given-table", type=int, default=TARGET_BYTES, help="bytes")
+    parser.add_argument("--held", type=float, default=HELD_SECONDS, help="seconds")
     parser.add_argument("--quiet", action="store_true", help="no faults")
     options = parser.parse_args()
     print(
@@ -419,6 +423,9 @@
             start_seconds=options.start,
             targets_a_host=options.targets,
             reads_a_second=options.reads,
+            link_bytes_a_second=options.link,
+            sizes=RecordSizes(options.read_table, options.given_table),
+            held_seconds=options.held,
         )
         for seed in range(options.seed, options.seed + options.seeds):
             run = run_hearing(seed, plan)
--- a/libraries/bench/tarragonward_bench/hearing/transfers.py
+++ b/libraries/bench/tarragonward_bench/hearing/transfers.py
@@ -11,7 +11,7 @@
 
 from .world import TABLE_KEY, World
 
-__all__ = ["RecordSizes", "Transfer", "Transfers"]
+__all__ = ["TARGET_BYTES", "RecordSizes", "Transfer", "Transfers"]
 
 # What an entry of a target takes on its way, reckoned from the published examples.
 TARGET_BYTES = 400
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -208,9 +208,9 @@
 
         A stream leaves a target that is at work for another one, which may have
         crashed and not been found out yet. Symptom: it is broken off, as its targets
-        are used up, though the first one goes on (two of the three streams that a day
-        with a crash of 18 engines broke off). The send still counts, so that no third
-        target follows; once, as what is lost there too has nowhere to go.
+        are used up, though the first one goes on: two of the three streams that were
+        broken off on two days with crashes among 18 engines. The send still counts, so
+        that no third target follows; once, as what is lost there too has nowhere to go.
         """
         if not (self.is_started and self._has_left) or self.can_send_again(now):
             return False
