Move no request to an engine in doubt

Cause, traced before (docs/LOAD.md, Left): a dead engine is the idlest by all that is known, and is found for a move or by the silence watch; the request leaves its place, comes back, and the queue is full.

Mend: a request that an engine has already looks for another one among those in no doubt (find_instead). A trial stays with requests that have no place yet. Two tests that failed before (a stream that moved, a prompt that left by silence).

--- a/libraries/gateway/tarragonward_gateway/moving.py
+++ b/libraries/gateway/tarragonward_gateway/moving.py
@@ -74,7 +74,7 @@
         limit = need.aim_at - self._loop.time()
         if not gains_by_moving(waits, 0.0, limit):
             return False
-        other = self._chooser.find(need)
+        other = self._chooser.find_instead(need)
         if other is None or other.plan is None or other.plan.tickets:
             return False
         return gains_by_moving(waits, other.plan.first_event_seconds, limit)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -358,7 +358,8 @@
             )
             # Nobody else may be there. Symptom: a request that waits at a busy engine
             # is left, has nowhere to go, and its caller hears that it may have run.
-            return may_send and self._chooser.find(self._build_need()) is not None
+            need = self._build_need()
+            return may_send and self._chooser.find_instead(need) is not None
 
         return SilenceWatch(
             c.SILENCE_FACTOR * plan.first_event_seconds + aim,
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -135,6 +135,19 @@
             self.reach.note_chosen(choice.target, read_clock())
         return choice
 
+    def find_instead(self, need: TargetNeed) -> SendChoice | None:
+        """Return where a request that a target has already would go in its place.
+
+        What is in doubt is the idlest by all that is known. Symptom, where it counts: a
+        request leaves its place at an engine that is well for one that is dead, comes
+        back to a full queue, and is refused or broken off. A trial by a request that
+        has no place yet finds out as soon.
+        """
+        choice = self.find(need)
+        if choice is None or self.reach.is_in_doubt(choice.target):
+            return None
+        return choice
+
     def find(self, need: TargetNeed) -> SendChoice | None:
         """Return where a send would go now, without one: no target is tried by it."""
         ready = [
--- a/libraries/gateway/tests/test_moving.py
+++ b/libraries/gateway/tests/test_moving.py
@@ -6,6 +6,7 @@
 
 from tarragonward_gateway import const as c
 from tarragonward_gateway.clock import read_clock
+from tarragonward_placement import Evidence
 from tarragonward_requests import BudgetBounds, SharedBudget
 from tarragonward_standins import (
     CHUNKED,
@@ -33,6 +34,13 @@
     site.chooser.take_digest("peer", {target: entry}, 0.0)
 
 
+def doubt_others(site, target_id):
+    """Let all targets but one have failed to connect."""
+    for target in site.state.registry.get_all():
+        if target.id != target_id:
+            site.chooser.probes.note(target, Evidence.NOT_CONNECTED)
+
+
 def begin_stream(on_start):
     """Return a script that gives two events, tells that it has, and goes silent."""
 
@@ -99,6 +107,50 @@
     assert len(asked) == 1
 
 
+async def test_a_stream_does_not_move_to_an_engine_in_doubt(make_engines):
+    """One of two engines has crashed; the other one reads a long prompt for a moment.
+
+    The dead one is idle by all that is known, so every stream would move to it. Each
+    comes back at once, finds its place at the live engine taken and the queue full,
+    and is broken off. Staying costs a pause.
+    """
+    asked = []
+
+    async def script(request, writer):
+        asked.append(request.get("x-expected-target")[0])
+        doubt_others(site, asked[0])
+        start = begin_stream(lambda: read_for_long(site, asked[0], 2.0))
+        await start(request, writer)
+
+    site = await make_engines(
+        script, script, pause_aim_seconds=0.2, timeout_seconds=0.6
+    )
+    await site.async_ask_prompt("2000,500")
+    assert len(asked) == 1
+
+
+async def test_a_prompt_does_not_leave_a_silent_engine_for_one_in_doubt(make_engines):
+    """One of two engines has crashed; prompts wait in the queue of the other one.
+
+    Late by their prediction, they would leave their places for the dead engine, and
+    come back to a queue that is full: they are refused, though each would have run.
+    """
+    asked = []
+
+    async def script(request, writer):
+        asked.append(request.get("x-expected-target")[0])
+        doubt_others(site, asked[0])
+        await asyncio.sleep(1.0)
+        await stream_events([1, 2])(request, writer)
+
+    site = await make_engines(
+        script, script, aim_seconds=0.1, pause_aim_seconds=0.2, timeout_seconds=4.0
+    )
+    answer = await site.async_ask_prompt("2000,500")
+    assert len(asked) == 1
+    assert b"piece 2" in answer.body
+
+
 async def test_a_stream_that_is_refused_where_it_went_returns(make_engines):
     """A stream moves, and the engine that it moves to is full by then.
 
--- a/libraries/placement/tarragonward_placement/reach.py
+++ b/libraries/placement/tarragonward_placement/reach.py
@@ -181,6 +181,12 @@
         invariants.check(bool(selected) == bool(targets), "never_all_left_out")
         return selected
 
+    def is_in_doubt(self, target: Placed) -> bool:
+        """Return whether a target or its domain is left out, or due to be tried."""
+        doubt = self._targets.get(target.id)
+        is_out = doubt is not None and doubt.until is not None
+        return is_out or target.failure_domain in self._domains
+
     def get_unsure(self, targets: Sequence[Target], now: float) -> list[Target]:
         """Return those that were not connected to lately."""
         long_ago = now - c.REACHED_SECONDS
