Ask the source by two readers a failure domain

Cause beside the start: two readers for each group of nine, 44 watches of 195 hosts wake at each change. With mates that are a whole failure domain the readers' word reaches it at once, so its groups can be as large. Test that failed before: a change of 195 hosts takes fewer calls than a tenth of the hosts.

--- a/libraries/bench/tests/test_hearing_runs.py
+++ b/libraries/bench/tests/test_hearing_runs.py
@@ -52,6 +52,17 @@
     assert run.start_calls < DESIGNED.hosts * 14 / 3
 
 
+def test_a_change_wakes_few_watches_of_a_large_fleet():
+    """195 hosts in three failure domains; each change is asked for by their readers.
+
+    Calls are priced. With two readers for each nine hosts a change took 32 and 39 calls
+    (seeds 1 and 2), with two for each domain of up to 40 it takes 13 and 11.
+    """
+    plan = HearingPlan(195, 6.0, has_faults=False, reads_a_second=16_000.0)
+    run = run_hearing(2, plan)
+    assert run.calls < run.changes * plan.hosts / 10
+
+
 def test_a_watch_that_died_in_silence_is_noticed_without_any_peer():
     """A host sends work to a target that left five seconds ago.
 
--- a/libraries/placement/tarragonward_placement/cells.py
+++ b/libraries/placement/tarragonward_placement/cells.py
@@ -68,7 +68,7 @@
 
 
 def divide_hosts(hosts: Iterable[Located]) -> list[tuple[str, ...]]:
-    """Return the hosts of each failure domain in groups of about GROUP_HOSTS.
+    """Return the hosts of each failure domain in groups of about CELL_HOSTS.
 
     All hosts that know the same ones return the same parts, and order them alike.
     """
@@ -78,7 +78,7 @@
     parts = []
     for _, names in sorted(domains.items()):
         ordered = _order(names)
-        count = max(1, round(len(ordered) / c.GROUP_HOSTS))
+        count = max(1, round(len(ordered) / c.CELL_HOSTS))
         parts += [tuple(_take_part(ordered, n, count)) for n in range(count)]
     return parts
 
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -117,13 +117,12 @@
 
 # Up to so many hosts tell each other all; larger fleets are divided into cells.
 MAX_WHOLE_HOSTS = 16
-# Prompts want many engines to choose from, and each prompt is told to all mates, which
-# costs bytes: a failure domain is divided only where it has far more than these.
+# Prompts want many engines to choose from, each change wakes the readers of each group,
+# and each prompt is told to all mates, which costs bytes: a failure domain is divided
+# only where it has far more than these.
 CELL_HOSTS = 40
 CELL_ENGINES = 40
 MIN_CELL_ENGINES = 4
-# The hosts that ask the source for each other.
-GROUP_HOSTS = 9
 MAX_HASHED_NAMES = 8_192
 
 # How long a target or a failure domain in doubt rests before it is connected to again;
