Let one test tell of streams that fail where they moved to

Two tests of test_moving.py had the same lines but for how the second engine fails (refused, as it is full; lost, as it crashes) and for a third engine.

--- a/libraries/gateway/tests/test_moving.py
+++ b/libraries/gateway/tests/test_moving.py
@@ -4,6 +4,8 @@
 import socket
 from dataclasses import replace
 
+import pytest
+
 from tarragonward_gateway import const as c
 from tarragonward_gateway.clock import read_clock
 from tarragonward_placement import Evidence
@@ -151,35 +153,16 @@
     assert b"piece 2" in answer.body
 
 
-async def test_a_stream_that_is_refused_where_it_went_returns(make_engines):
-    """A stream moves, and the engine that it moves to is full by then.
-
-    Both targets that the route allows have had it. Broken off, the caller would lose
-    its answer, though the engine that it came from goes on after its reading.
-    """
-    asked = []
-
-    async def script(request, writer):
-        target = request.get("x-expected-target")[0]
-        asked.append(target)
-        if len(asked) == 1:
-            start = begin_stream(lambda: read_for_long(site, target, 2.0))
-            await start(request, writer)
-        elif len(asked) == 2:
-            await refuse_with()(request, writer)
-        else:
-            await stream_events([3, 4])(request, writer)
-
-    site = await make_engines(
-        script, script, pause_aim_seconds=0.4, timeout_seconds=4.0
-    )
-    answer = await site.async_ask_prompt("2000,500")
-    assert [f"piece {n}".encode() in answer.body for n in (1, 2, 3, 4)] == [True] * 4
-    assert asked[2] == asked[0]
+async def async_lose(request, writer):
+    """Let the engine crash as it is asked."""
+    writer.transport.abort()
 
 
-async def test_a_stream_that_is_lost_where_it_went_returns(make_engines):
-    """A stream moves, and the engine that it moves to crashes as it is asked.
+@pytest.mark.parametrize(
+    ("fail", "engines"), [(refuse_with(), 2), (async_lose, 3)], ids=["refused", "lost"]
+)
+async def test_a_stream_that_fails_where_it_went_returns(make_engines, fail, engines):
+    """A stream moves; the engine that it moves to is full by then, or crashes.
 
     Both targets that the route allows have had it. Broken off, the caller would lose
     its answer, though the engine that it came from goes on after its reading.
@@ -193,12 +176,12 @@
             start = begin_stream(lambda: read_for_long(site, target, 2.0))
             await start(request, writer)
         elif len(asked) == 2:
-            writer.transport.abort()
+            await fail(request, writer)
         else:
             await stream_events([3, 4])(request, writer)
 
     site = await make_engines(
-        script, script, script, pause_aim_seconds=0.4, timeout_seconds=4.0
+        *[script] * engines, pause_aim_seconds=0.4, timeout_seconds=4.0
     )
     answer = await site.async_ask_prompt("2000,500")
     assert [f"piece {n}".encode() in answer.body for n in (1, 2, 3, 4)] == [True] * 4
