--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -151,6 +151,7 @@
         self._random = rng
         self._started_at = now
         self._must_read = True
+        # Whether the source has answered, and whether a peer gave what is held before.
         self._is_begun = False
         self._is_given = False
         self._is_woken = True
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -166,7 +166,7 @@
                 self._tell_answer(answered.has_changes)
 
     def _tell_answer(self, has_changes: bool) -> None:
-        """Tell the others that the source answered, who wait for it."""
+        """Tell peers that the source answered, and what this host holds."""
         if not self._has_told:
             # Hosts that start together each greeted this one before it held anything.
             # Symptom: they hear of it at their turn, up to a second later, and refuse
@@ -174,7 +174,7 @@
             self._has_told = True
             self._peers.tell_all(SECTION)
         elif self._get_place().group:
-            # In a large fleet few hosts ask.
+            # In a large fleet few hosts ask, and the others wait for their word.
             self._peers.tell_now(SECTION, is_urgent=has_changes)
 
     async def _async_read(self, step: ReadAll | Watch) -> SourceAnswered | PageRead:
--- a/libraries/membership/tarragonward_membership/const.py
+++ b/libraries/membership/tarragonward_membership/const.py
@@ -70,8 +70,8 @@
 FAR_HELLO_SHARE = 0.25
 MAX_GOSSIP_BYTES_PER_SECOND = 2_500
 MAX_MATES_BYTES_PER_SECOND = 16_000
-# What all hosts together may tell a second, so that each of very many tells less: a
-# host of 320 has 3 KB/s for all control.
+# What all hosts together may tell a second, so that each of very many tells less. What
+# mates are told stays within a failure domain, so it may be more.
 FLEET_GOSSIP_BYTES = 400_000
 FLEET_MATES_BYTES = 3_200_000
 # News are told at once as long as rounds can pay for them within so long.
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -133,7 +133,7 @@
         self._own: dict[str, dict[PromptWork, None]] = {}
         # Called when peers should hear at once of a prompt, and not at their turn.
         self.on_change: list[Callable[[], None]] = []
-        # Set where rounds are too rare to tell of prompts that are short.
+        # Set where rounds are too rare for short prompts: they have ended by the next.
         self.tells_each = False
         # Called with engines on which this host has prompts and that read for long.
         self.on_reading: list[Callable[[Collection[str]], None]] = []
