Let a test allow the 503 of a request that never reached its target

Shown by runs: with the loop stopped for 0.25 s at 1 or 2 ms after the ask the caller is told 503 with Retry-After and the target saw no request (2 of 8 such plays; in the other six it saw it, and the caller was told 504). That is what its neighbour test allows and what is true. The check is as strict: 504 wherever the target was asked, and 503 only where it never was, where it used to ask for 504.

--- a/libraries/gateway/tests/test_failures.py
+++ b/libraries/gateway/tests/test_failures.py
@@ -132,15 +132,22 @@
 
 
 async def test_time_over_before_any_answer_is_told_at_once(make_site):
-    """The target is silent; the caller hears 504 at the route's time limit."""
+    """The target is silent; the caller hears 504 at the route's time limit.
+
+    On a busy machine the time may be over before a connection to the target is made:
+    then, and only then, it has not run, and that is what is told.
+    """
+    asked = []
 
     async def script(request, writer):
+        asked.append(request)
         await asyncio.sleep(5)
 
     site = await make_site(script, kind=ONCE, timeout_seconds=0.2)
     loop = asyncio.get_running_loop()
     began = loop.time()
-    assert (await site.async_ask("POST")).status == 504
+    answer = await site.async_ask("POST")
+    assert answer.status == (504 if asked else 503)
     assert loop.time() - began < 2
 
 
