Log what a lost request shares with its repeats

A fingerprint of account, method, host, target and body stands on each lost send's line. It is worked out only for these. Nothing is decided by it.

--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack, ExitStack
-from functools import partial
+from functools import cached_property, partial
 
 from tarragonward_core import (
     ConnectionLostError,
@@ -34,6 +34,7 @@
     StreamEvent,
     TargetAnswered,
     TimeOver,
+    fingerprint_request,
 )
 from tarragonward_routes import RequestKind
 from tarragonward_wire import HttpRequest, HttpStream, Responder, async_open_http
@@ -57,6 +58,7 @@
 STATUS_FAILURES = 500
 BODILESS_STATUSES = (204, 304)
 METHOD_HEAD = "HEAD"
+HOST = "host"
 CONTENT_TYPE = "content-type"
 EVENT_STREAM = "text/event-stream"
 
@@ -118,6 +120,18 @@
             raise
         self._observer.end()
 
+    @cached_property
+    def _fingerprint(self) -> bytes:
+        """What the request shares with its repeats, at this host or another."""
+        account = self._context.account
+        return fingerprint_request(
+            account.name if account else "",
+            self._request.method,
+            self._request.headers.get(HOST, ""),
+            self._request.target,
+            self._request.body,
+        )
+
     async def _async_run(self) -> None:
         effect: ExchangeEffect | None = self._exchange.begin()
         try:
@@ -307,8 +321,12 @@
     def _log_failed(
         self, target: RegisteredTarget, event: SendFailed, err: Exception
     ) -> None:
+        is_lost = event.fault is SendFault.LOST
         self._observer.note_failure(
-            "send_failed", fault=event.fault.value, error=str(err)
+            "send_failed",
+            fault=event.fault.value,
+            error=str(err),
+            fingerprint=self._fingerprint.hex() if is_lost else None,
         )
 
     async def _async_attempt(
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -17,6 +17,7 @@
     TargetAnswered,
     TimeOver,
 )
+from .fingerprints import FINGERPRINT_BYTES, RequestShape, fingerprint_request
 from .keys import CallKey, mint_key_prefix, parse_key
 from .ledger import CallLedger, CallState, RecordedAnswer, Reply, Send, Wait
 from .lifecycle import RequestLifecycle
@@ -42,6 +43,7 @@
 from .sweep import HeldMemory, OwnerSign, Sweep
 
 __all__ = [
+    "FINGERPRINT_BYTES",
     "AnswerStarted",
     "AttemptFailed",
     "AttemptFault",
@@ -77,6 +79,7 @@
     "Refuse",
     "Reply",
     "RequestLifecycle",
+    "RequestShape",
     "RetryBudget",
     "Send",
     "SendFailed",
@@ -90,6 +93,7 @@
     "TextArrived",
     "TimeOver",
     "Wait",
+    "fingerprint_request",
     "mint_key_prefix",
     "parse_key",
 ]
