Reproduce a request that crashes its targets and is sent on

The stand-in's runners end under a marked body and are back as another boot after 1.5 to 3 s; the checker judges by the rule (at most three sends later than 3 s after the third crash).

--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -13,7 +13,7 @@
 from .platform_runner import Arrival
 from .platform_tickets import TicketRecord, judge_tickets
 
-__all__ = ["Checker", "ConfigStep", "Rule"]
+__all__ = ["Checker", "ConfigStep", "Rule", "count_crashes"]
 
 APPLY_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
@@ -21,6 +21,9 @@
 GONE_ALLOWED = 3
 HELD_SECONDS = 0.5
 HELD_SHARE = 0.5
+STABLE_SECONDS = 3.0
+CRASHES_KNOWN = 3
+SENDS_AFTER_CRASHES = 3
 NOT_FOUND = (401, 404)
 FAR = 1e18
 WEIGHTS_LINE = re.compile(rb"^x-weight-versions: \d+\n")
@@ -63,6 +66,7 @@
             if arrival.request_id not in sent:
                 self._note("UNASKED", arrival.request_id)
         self._check_many(by_id)
+        self._check_crashes()
         self.broken += judge_tickets(self.tickets, self.now)
         return self.broken
 
@@ -185,3 +189,28 @@
             self._note("GONE", f"{at_work} of {asked} still at work")
         if lasted > GONE_ALLOWED and held > lasted * HELD_SHARE:
             self._note("CONFIG", f"{held} of {lasted} held past the time limit")
+
+    def _check_crashes(self) -> None:
+        """Check that a request that crashes its runners is soon sent to none."""
+        by_request: dict[tuple[str, str, str], list[Arrival]] = defaultdict(list)
+        for arrival in self.arrivals:
+            account = arrival.headers.get("x-tenant", "")
+            identity = account, arrival.target, arrival.body_hash
+            by_request[identity].append(arrival)
+        for arrivals in by_request.values():
+            ends = sorted(count_crashes(arrivals).values())
+            if len(ends) < CRASHES_KNOWN:
+                continue
+            known_at = ends[CRASHES_KNOWN - 1] + STABLE_SECONDS
+            late = [arrival for arrival in arrivals if arrival.at > known_at]
+            if len(late) > SENDS_AFTER_CRASHES:
+                self._note("BUDGET", f"{len(late)} sends, {len(ends)} runners ended")
+
+
+def count_crashes(arrivals: Iterable[Arrival]) -> dict[str, float]:
+    """Return the runners that ended under one of the requests, and when each did."""
+    ended: dict[str, float] = {}
+    for arrival in arrivals:
+        if arrival.runner_crashed_at is not None:
+            ended.setdefault(arrival.runner_id, arrival.runner_crashed_at)
+    return ended
--- a/libraries/standins/tarragonward_standins/platform_model_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_model_runner.py
@@ -11,7 +11,13 @@
 
 from .platform_engine import PassEngine, PassSizes, PassWork
 from .platform_http import PlainRequest, async_reset_connection
-from .platform_runner import Arrival, Journal, PlatformRunner, RunnerPlan
+from .platform_runner import (
+    CRASH_MARK,
+    Arrival,
+    Journal,
+    PlatformRunner,
+    RunnerPlan,
+)
 from .platform_store import PlatformStore
 from .platform_tickets import TicketJournal
 
@@ -24,6 +30,7 @@
 MAX_HELPERS = 16
 REPORT_STEP_SECONDS = 0.02
 PIECES_BEFORE_FAULT = 2
+CRASH_SECONDS = 0.05
 STALL_SECONDS = 1.5
 WEIGHTS_HEADER = "X-Weight-Versions"
 
@@ -290,6 +297,10 @@
                 weights = (WEIGHTS_HEADER, str(told_version))
                 framing = (EVENT_STREAM, CHUNKED, weights)
                 writer.write(self.build_answer_head(arrival, framing))
+                if request.body.startswith(CRASH_MARK):
+                    await asyncio.sleep(CRASH_SECONDS)
+                    self.crash_by(arrival)
+                    return False
             if number <= skipped:
                 continue
             data = build_piece(subject, number, is_last)
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -22,7 +22,10 @@
 )
 from .platform_store import PlatformStore
 
-__all__ = ["Arrival", "PlatformRunner", "RunnerFaults", "RunnerPlan"]
+__all__ = ["CRASH_MARK", "Arrival", "PlatformRunner", "RunnerFaults", "RunnerPlan"]
+
+# A request whose body begins so ends each runner that begins to run it.
+CRASH_MARK = b"crash:"
 
 MILLISECONDS = 1_000
 RETRY_STATUS = 503
@@ -90,6 +93,8 @@
     status: int = 0
     body: bytes = field(default=b"", repr=False)
     has_broken_off: bool = False
+    # When the runner ended under the request.
+    runner_crashed_at: float | None = None
 
 
 class PlatformRunner:
@@ -115,6 +120,8 @@
             self._async_handle, plan.host, max_connections=plan.max_connections
         )
         self.link: FaultProxy | None = None
+        self.on_crash: list[Callable[[PlatformRunner], None]] = []
+        self._crashing: asyncio.Task[None] | None = None
         self._address = Address(plan.host, 0)
         self._paths: dict[
             tuple[str, str],
@@ -158,6 +165,15 @@
         self.left_at = asyncio.get_running_loop().time()
         self._store.delete(f"servers/{self.id}")
 
+    def crash_by(self, arrival: Arrival) -> None:
+        """End under a request; all else that is in progress here is lost with it."""
+        arrival.runner_crashed_at = asyncio.get_running_loop().time()
+        arrival.has_broken_off = True
+        if self._crashing is None:
+            self._crashing = asyncio.create_task(self.async_crash())
+            for notify in self.on_crash:
+                notify(self)
+
     def route(
         self,
         method: str,
@@ -234,6 +250,9 @@
                     self.waiting += 1
         finally:
             self.waiting -= 1
+        if request.body.startswith(CRASH_MARK):
+            self.crash_by(arrival)
+            return False
         arrival.status = 500 if fault == "error" else 200
         arrival.body = self._build_body(arrival)
         return await self._async_answer(arrival, fault, writer)
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -45,6 +45,8 @@
 MISSES_UNTIL_OUT = 2
 SETUP_SECONDS = 30.0
 STOP_SECONDS = 12.0
+# A runner that crashed is back, as another boot, after so long.
+RETURN_SECONDS = (1.5, 3.0)
 MODEL_SERVICE = "llm"
 PLAIN_SERVICE = "app"
 CONFIG_KEY = "op/config"
@@ -128,6 +130,7 @@
         self._seeds = itertools.count(plan.seed * 1_000)
         self._balancing: asyncio.Task[None] | None = None
         self._runners: list[PlatformRunner] = []
+        self._replacing: set[asyncio.Task[None]] = set()
 
     async def async_setup(self) -> None:
         """Start all, and wait until every host is ready."""
@@ -152,6 +155,8 @@
         """End all that was started."""
         if self._balancing is not None:
             self._balancing.cancel()
+        for task in self._replacing:
+            task.cancel()
         for client in self.clients:
             client.close()
         for host in self.hosts:
@@ -208,8 +213,7 @@
         """Start one more runner of the plain service."""
         plan = RunnerPlan(PLAIN_SERVICE, zone)
         runner = PlatformRunner(plan, self.store, self.arrivals, next(self._seeds))
-        await runner.async_setup()
-        self._runners.append(runner)
+        await self._async_begin(runner)
         return runner
 
     async def async_add_model(self, zone: str) -> ModelRunner:
@@ -224,9 +228,25 @@
             self.plan.sizes,
             self._neighbours,
         )
+        await self._async_begin(runner)
+        return runner
+
+    async def _async_begin(self, runner: PlatformRunner) -> None:
+        runner.on_crash.append(self._replace)
         await runner.async_setup()
         self._runners.append(runner)
-        return runner
+
+    def _replace(self, crashed: PlatformRunner) -> None:
+        task = asyncio.create_task(self._async_replace(crashed))
+        self._replacing.add(task)
+        task.add_done_callback(self._replacing.discard)
+
+    async def _async_replace(self, crashed: PlatformRunner) -> None:
+        await asyncio.sleep(self.random.uniform(*RETURN_SECONDS))
+        if isinstance(crashed, ModelRunner):
+            self.models.append(await self.async_add_model(crashed.plan.zone))
+        else:
+            self.plain.append(await self.async_add_plain(crashed.plan.zone))
 
     async def async_start_host(self, host: PlatformHost) -> None:
         """Start a host's process with its settings rendered anew."""
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -8,10 +8,11 @@
 
 import pytest
 
+from tarragonward_standins.platform_checker import count_crashes
 from tarragonward_standins.platform_clients import RequestPlan
 from tarragonward_standins.platform_day import DayPlan, PlatformDay
 from tarragonward_standins.platform_engine import PassSizes
-from tarragonward_standins.platform_runner import RunnerFaults
+from tarragonward_standins.platform_runner import CRASH_MARK, RunnerFaults
 from tarragonward_standins.platform_site import (
     HOST_NAME,
     MODEL_SERVICE,
@@ -92,6 +93,28 @@
     assert report.score["whole"] > report.score["sent"] * 0.9, explain(site, report)
 
 
+async def test_a_request_that_crashes_runners_is_sent_to_few(make_site):
+    """Callers repeat, at any host, a request that ends each runner that begins it."""
+    site = await make_site(PlatformPlan(models_per_zone=3))
+    day = PlatformDay(site, DayPlan(seconds=8.0, drafts_per_second=8, seed=7))
+    playing = asyncio.ensure_future(day.async_play())
+    plan = ask(
+        "/draft/crash",
+        "stream",
+        body=CRASH_MARK + b"1",
+        headers=(("X-Model", "m"), ("X-Token-Counts", "2000,400")),
+        is_resumable=True,
+    )
+    client = site.add_client()
+    while not playing.done():
+        await client.async_request(plan)
+        await asyncio.sleep(0.3)
+    report = await playing
+    assert not report.broken, explain(site, report)
+    ended = count_crashes(site.arrivals)
+    assert 3 <= len(ended) <= 6, explain(site, report)
+
+
 async def test_memory_of_prompts_on_several_engines_is_free_in_time(make_site):
     """Prompts lie on several engines under reservations, and one engine dies.
 
