Let the hosts of the stand-in of the platform hear each other

All hosts of a site have the same ports now, on addresses of their own.

The first test of test_crashes.py sent its body without a length, so it failed as the host took the body for the next request; with one it fails for what it names (8 of 8 targets ended).

--- a/libraries/gateway/tests/test_crashes.py
+++ b/libraries/gateway/tests/test_crashes.py
@@ -20,6 +20,11 @@
     return script
 
 
+def ask(site, body):
+    length = f"Content-Length: {len(body)}"
+    return site.async_ask("POST", body=body, lines=[length])
+
+
 async def make_crashing_site(make_site, count, **route):
     site = await make_site(**route)
     for _ in range(count):
@@ -31,6 +36,6 @@
     """A caller repeats a request that ends each target: ten repeats ended twenty."""
     site = await make_crashing_site(make_site, 8)
     for _ in range(6):
-        await site.async_ask("POST", body=MARK)
+        await ask(site, MARK)
     assert site.runs == 3
-    assert (await site.async_ask("POST", body=b"other")).status == 200
+    assert (await ask(site, b"other")).status == 200
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -10,7 +10,7 @@
 import socket
 import sys
 from collections.abc import Mapping
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -131,6 +131,7 @@
         self._balancing: asyncio.Task[None] | None = None
         self._runners: list[PlatformRunner] = []
         self._replacing: set[asyncio.Task[None]] = set()
+        self._ports: list[int] = []
 
     async def async_setup(self) -> None:
         """Start all, and wait until every host is ready."""
@@ -300,10 +301,13 @@
         return False
 
     async def _async_plan_host(self, zone: str, number: int) -> PlatformHost:
-        index = len(self.hosts) + 1
         name = f"front-{zone}-{number + 1}"
-        ip = f"127.0.1.{index}"
-        front, ready, control, peer = _find_ports(ip, 4)
+        ip = _build_ip(len(self.hosts))
+        if not self._ports:
+            # Hosts take their peers' ports for their own.
+            count = len(self.plan.zones) * self.plan.hosts_per_zone
+            self._ports = _find_ports([_build_ip(n) for n in range(count)], 4)
+        front, ready, control, peer = self._ports
         return PlatformHost(
             name,
             zone,
@@ -383,16 +387,28 @@
         }
 
 
-def _find_ports(ip: str, count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind((ip, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+def _build_ip(index: int) -> str:
+    return f"127.0.1.{index + 1}"
+
+
+def _find_ports(ips: list[str], count: int) -> list[int]:
+    """Return ports that are free at all of these addresses."""
+    found: list[int] = []
+    with ExitStack() as stack:
+        while len(found) < count:
+            port = _bind(stack, ips[0], 0)
+            with suppress(OSError):
+                for ip in ips[1:]:
+                    _bind(stack, ip, port)
+                found.append(port)
+    return found
+
+
+def _bind(stack: ExitStack, ip: str, port: int) -> int:
+    sock = stack.enter_context(socket.socket())
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((ip, port))
+    return sock.getsockname()[1]
 
 
 def describe_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
