--- a/libraries/core/tarragonward_core/codes.py
+++ b/libraries/core/tarragonward_core/codes.py
@@ -107,6 +107,15 @@
         "The call was not sent and will not be under this key.",
         Repeat.NEW_KEY,
     )
+    CRASHES_TARGETS = _not_run(
+        2009, 503, "Targets ended under this request; it was sent to none now."
+    )
+    ON_TRIAL = _not_run(
+        2010,
+        503,
+        "Targets ended under this request; another host tries it now.",
+        Repeat.AFTER_DELAY,
+    )
 
     DEADLINE_EXCEEDED = _Code(
         3001,
@@ -179,6 +188,13 @@
         Repeat.ASK_SERVICE,
         "The time limit passed after the request was sent to a target.",
     )
+    FORWARD_CRASHED_TARGETS = _Code(
+        4006,
+        502,
+        Conclusion.RUN,
+        Repeat.NO,
+        "Targets ended while they ran this request; it is sent to no more.",
+    )
 
     BAD_FRAME = _not_run(5001, 400, "A frame between hosts was refused.")
     WRONG_VERSION = _not_run(5002, 400, "The peer speaks another protocol version.")
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -27,6 +27,7 @@
 from .reservations import ReservationTask
 from .settings import GatewaySettings
 from .state import GatewayState
+from .suspect_news import SuspectNews
 from .targets import SECTION, TargetChooser
 
 __all__ = ["Gateway"]
@@ -68,7 +69,10 @@
             check_head=self.forwarder.check_head,
         )
         self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
-        self.operators = OperatorsTask(self.state, self.targets.reach)
+        self.suspect_news = SuspectNews(self.state, self.peers, self.forwarder.suspects)
+        self.operators = OperatorsTask(
+            self.state, self.targets.reach, self.forwarder.suspects
+        )
         self.settings = SettingsTask(self.state, settings_path)
         self.settings.on_change.append(self._apply_settings)
         self._stop_asked = asyncio.Event()
@@ -89,6 +93,7 @@
             self.publications,
             self.reservations,
             self.targets.probes,
+            self.suspect_news,
             self.callers,
             self.health,
             self.settings,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -148,10 +148,21 @@
 # What two clocks that are read one after the other differ by is far less.
 SUSPENDED_SECONDS = 0.02
 
+# What several crashes tell within so long goes out together.
+SUSPECT_NEWS_SECONDS = 0.02
+# Hosts that learn the same by putting together what they were told wait for up to so
+# long, each for a random time: the first one's word spares the others theirs.
+SUSPECT_TURN_SECONDS = 0.3
+SUSPECT_KEEPERS_A_DOMAIN = 2
+MAX_SUSPECTS_TOLD = 24
+MAX_SUSPECTS_IN_ROUNDS = 6
+SUSPECT_CHECK_SECONDS = 10.0
+
 LOG_BURST_LINES = 200
 MAX_TRAIL_LINES = 24
 SETTINGS_CHECK_SECONDS = 1.0
 ROUTE_METRICS = "/metrics"
+ROUTE_SUSPECTS = "/suspects"
 
 # How long a target may say nothing: so many times the predicted time and the aim, and
 # so many times the pause aim; at least so long.
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -16,6 +16,7 @@
 from .reservations import ReservationTask
 from .run import ForwardRun
 from .state import GatewayState
+from .suspects import SuspectWatch
 from .targets import TargetChooser
 
 __all__ = ["Forwarder"]
@@ -35,6 +36,7 @@
         self._state = state
         self._reservations = reservations
         self._chooser = chooser
+        self.suspects = SuspectWatch(state, chooser.probes)
         self.in_flight = 0
 
     def check_head(self, head: HttpHead) -> ForwardContext:
@@ -63,7 +65,12 @@
         self.in_flight += 1
         try:
             run = ForwardRun(
-                self._state, self._chooser, self._reservations, request, responder
+                self._state,
+                self._chooser,
+                self._reservations,
+                self.suspects,
+                request,
+                responder,
             )
             await run.async_run()
         finally:
--- a/libraries/gateway/tarragonward_gateway/operators.py
+++ b/libraries/gateway/tarragonward_gateway/operators.py
@@ -1,4 +1,4 @@
-"""Serve this host's metrics to the operators, and keep its log within its budget."""
+"""Serve metrics and suspects to the operators, and keep the log within its budget."""
 
 from __future__ import annotations
 
@@ -20,10 +20,12 @@
 from . import const as c
 from .clock import read_clock
 from .state import GatewayState
+from .suspects import SuspectWatch
 
 __all__ = ["OperatorsTask", "build_log_budget"]
 
 STATUS_OK = 200
+METHOD_DELETE = "DELETE"
 CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
 SAY_DROPPED_SECONDS = 1.0
 TASK_NAME = "log"
@@ -37,12 +39,18 @@
 class OperatorsTask:
     """The metrics address, where the settings name one, and the log's count of drops.
 
+    `GET /suspects` lists the requests that targets ended under; `DELETE` of one,
+    by its fingerprint, lets it be sent again, at all hosts.
+
     An address that can't be had is logged, and the host serves without it: nothing that
     operators ask for may cost a caller its answer.
     """
 
-    def __init__(self, state: GatewayState, reach: TargetReach) -> None:
+    def __init__(
+        self, state: GatewayState, reach: TargetReach, suspects: SuspectWatch
+    ) -> None:
         self._state = state
+        self._suspects = suspects
         address = state.settings.metrics
         self._server = HttpServer(address, self._async_handle) if address else None
         self._background = BackgroundTasks(state.metrics)
@@ -53,6 +61,11 @@
         state.metrics.add_gauge(
             "domains_resting", "no link to them", lambda: reach.resting_domains
         )
+        state.metrics.add_gauge(
+            "suspects",
+            "requests that targets ended under",
+            lambda: len(suspects.ledger),
+        )
 
     @property
     def server(self) -> HttpServer | None:
@@ -82,11 +95,25 @@
             event_log.say_dropped()
 
     async def _async_handle(self, request: HttpRequest, responder: Responder) -> None:
-        if request.path != c.ROUTE_METRICS:
+        if request.path == c.ROUTE_METRICS:
+            body = self._state.metrics.write_exposition()
+            await responder.async_send_bytes(STATUS_OK, body, (CONTENT_TYPE,))
+        elif request.path == c.ROUTE_SUSPECTS:
+            await responder.async_send_json(STATUS_OK, self._suspects.describe())
+        elif request.method == METHOD_DELETE and self._lift(request.path):
+            await responder.async_send_json(STATUS_OK, {})
+        else:
             await responder.async_send_error(ResultCode.UNKNOWN_ROUTE)
-            return
-        body = self._state.metrics.write_exposition()
-        await responder.async_send_bytes(STATUS_OK, body, (CONTENT_TYPE,))
+
+    def _lift(self, path: str) -> bool:
+        """Let a request be sent again; return whether there was such a one."""
+        route, _, name = path.rpartition("/")
+        if route != c.ROUTE_SUSPECTS:
+            return False
+        try:
+            return self._suspects.lift(bytes.fromhex(name))
+        except ValueError:
+            return False
 
 
 def _add_gauges(state: GatewayState) -> None:
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -131,6 +131,11 @@
         data = self._pack(self._build_sections(section), is_brief=True)
         self._send_data(data, self.members.choose_all())
 
+    def tell_some(self, section: str, addresses: Iterable[Address]) -> None:
+        """Tell the hosts at these addresses what one section holds."""
+        data = self._pack(self._build_sections(section), is_brief=True)
+        self._send_data(data, addresses)
+
     def is_mate(self, name: str) -> bool:
         """Return whether a peer is among the mates."""
         mates = self.members.get_mates()
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -40,6 +40,8 @@
         self._state = state
         self._reach = reach
         self._probing: set[asyncio.Task[bool]] = set()
+        # By target: the connection that shows whether it has ended.
+        self._ending: dict[str, asyncio.Task[bool]] = {}
         self._background = BackgroundTasks(state.metrics)
 
     async def async_setup(self) -> None:
@@ -50,7 +52,7 @@
     async def async_unload(self) -> None:
         """Stop to try."""
         await self._background.async_unload()
-        probing = list(self._probing)
+        probing = [*self._probing, *self._ending.values()]
         for task in probing:
             task.cancel()
         await asyncio.gather(*probing, return_exceptions=True)
@@ -102,6 +104,24 @@
                 self.note(target, Evidence.NOT_CONNECTED)
         return all(reached)
 
+    async def async_has_ended(self, target: RegisteredTarget) -> bool:
+        """Return whether a target that closed a connection takes no other.
+
+        All requests that it lost at once share one connection.
+        """
+        task = self._ending.get(target.id)
+        if task is None:
+            task = asyncio.create_task(self._async_note_ended(target))
+            self._ending[target.id] = task
+            task.add_done_callback(lambda _: self._ending.pop(target.id, None))
+        return await asyncio.shield(task)
+
+    async def _async_note_ended(self, target: RegisteredTarget) -> bool:
+        if await self._async_probe(target):
+            return False
+        self.note(target, Evidence.ENDED)
+        return True
+
     async def _async_try(self) -> None:
         while True:
             await asyncio.sleep(c.PROBE_ROUND_SECONDS)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from contextlib import AsyncExitStack, ExitStack
-from functools import cached_property, partial
+from functools import partial
 
 from tarragonward_core import (
     ConnectionLostError,
@@ -19,6 +20,7 @@
 )
 from tarragonward_requests import (
     AnswerStarted,
+    Blamed,
     BreakOff,
     EventCutter,
     EventsGiven,
@@ -34,7 +36,7 @@
     StreamEvent,
     TargetAnswered,
     TimeOver,
-    fingerprint_request,
+    Verdict,
 )
 from tarragonward_routes import RequestKind
 from tarragonward_wire import HttpRequest, HttpStream, Responder, async_open_http
@@ -46,19 +48,21 @@
 from .heads import HeadCheck, SpoiledAnswerError
 from .moving import StreamMover
 from .observer import RequestObserver
-from .reservations import Lease, ReservationTask
+from .placing import SendPlacer
+from .reservations import ReservationTask
 from .silence import SilenceWatch, StreamMovedError, TargetSilentError
 from .state import GatewayState
-from .targets import SendChoice, TargetChooser, TargetNeed
+from .suspects import RequestIdentity, SuspectWatch
+from .targets import SendChoice, TargetChooser
 
 __all__ = ["ForwardRun"]
 
+UNREACHABLE_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 MILLISECONDS = 1_000
 STATUS_OK = 200
 STATUS_FAILURES = 500
 BODILESS_STATUSES = (204, 304)
 METHOD_HEAD = "HEAD"
-HOST = "host"
 CONTENT_TYPE = "content-type"
 EVENT_STREAM = "text/event-stream"
 
@@ -71,12 +75,13 @@
         state: GatewayState,
         chooser: TargetChooser,
         reservations: ReservationTask,
+        suspects: SuspectWatch,
         request: HttpRequest,
         responder: Responder,
     ) -> None:
         self._state = state
         self._chooser = chooser
-        self._reservations = reservations
+        self._suspects = suspects
         self._request = request
         self._responder = responder
         context: ForwardContext = request.context
@@ -100,12 +105,19 @@
             self._request_id,
             request.headers.get(state.headers.token_counts, ""),
         )
-        self._tried: set[str] = set()
-        self._leader = ""
-        # The last target that was left while it was at work.
-        self._left = ""
+        self._identity = RequestIdentity(request, context.account)
+        self._placer = SendPlacer(
+            state,
+            chooser,
+            reservations,
+            self._exchange,
+            context,
+            _parse_counts(request.headers.get(state.headers.token_counts, "")),
+        )
         self._head = HeadCheck(state.headers, self._request_id)
-        self._mover = StreamMover(state, chooser, self._exchange, self._build_need)
+        self._mover = StreamMover(
+            state, chooser, self._exchange, self._placer.build_need
+        )
         self._repeat_at: float | None = None
         self._watch: SilenceWatch | None = None
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
@@ -120,20 +132,8 @@
             raise
         self._observer.end()
 
-    @cached_property
-    def _fingerprint(self) -> bytes:
-        """What the request shares with its repeats, at this host or another."""
-        account = self._context.account
-        return fingerprint_request(
-            account.name if account else "",
-            self._request.method,
-            self._request.headers.get(HOST, ""),
-            self._request.target,
-            self._request.body,
-        )
-
     async def _async_run(self) -> None:
-        effect: ExchangeEffect | None = self._exchange.begin()
+        effect = self._judge() or self._exchange.begin()
         try:
             async with asyncio.timeout_at(self._context.limit_at):
                 while isinstance(effect, SendTo):
@@ -183,30 +183,35 @@
         elif isinstance(effect, BreakOff):
             raise ConnectionAbortedError("the answer ends early")
 
+    def _judge(self) -> ExchangeEffect | None:
+        """Return the end of a request that may crash one more target, else None."""
+        verdict = self._suspects.judge(self._identity)
+        self._placer.is_suspect = verdict is Verdict.ALONE
+        if verdict is Verdict.REFUSED:
+            self._suspects.note_refused(self._identity)
+            return self._hear(Blamed())
+        if verdict is Verdict.LATER:
+            return self._hear(Blamed(self._suspects.get_trial_seconds(self._identity)))
+        return None
+
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
-        placed = await self._async_place(
-            self._choose_return() if effect.returns else ""
-        )
-        if placed is None and effect.returns:
-            self._exchange.note_not_returned()
-            if self._exchange.can_send_again(self._loop.time()):
-                placed = await self._async_place()
-        if placed is None and self._left:
-            placed = await self._async_place_again()
+        placed = await self._placer.async_place(effect.returns)
         if placed is None:
-            self._observer.note_choice(None, tried=len(self._tried))
+            self._observer.note_choice(None, tried=len(self._placer.tried))
             self._return_repeat()
             return self._hear(SendFailed(SendFault.NO_TARGET))
         choice, lease = placed
         target = choice.target
         readers = len(choice.helpers) + 1 if choice.plan is not None else 0
         self._observer.note_choice(
-            target, choice.predicted_at, readers, tried=len(self._tried)
+            target, choice.predicted_at, readers, tried=len(self._placer.tried)
         )
-        self._tried.add(target.id)
-        self._leader = target.id
+        self._placer.note_chosen(target)
         try:
             with ExitStack() as stack:
+                if self._placer.is_suspect:
+                    stack.enter_context(self._suspects.trial(self._identity))
+                    stack.enter_context(self._chooser.hold_alone(target))
                 if lease is not None:
                     stack.callback(lease.release)
                 stack.enter_context(self._chooser.hold(choice))
@@ -216,11 +221,11 @@
             self._return_repeat()
             self._log_failed(target, event, err)
         except StreamMovedError as err:
-            self._left = target.id
+            self._placer.left = target.id
             event = SendFailed(SendFault.MOVED)
             self._log_failed(target, event, err)
         except TargetSilentError as err:
-            self._left = target.id
+            self._placer.left = target.id
             event = SendFailed(SendFault.SILENT)
             self._log_failed(target, event, err)
         except SpoiledAnswerError as err:
@@ -229,65 +234,20 @@
         except ConnectionLostError as err:
             event = SendFailed(SendFault.LOST)
             self._log_failed(target, event, err)
+            if not _was_unreachable(err):
+                await self._suspects.async_note_lost(self._identity, target)
         if isinstance(event, SendFailed):
             self._chooser.probes.note_failed(target, event.fault)
+            is_lost = event.fault is SendFault.LOST
+            return (self._judge() if is_lost else None) or self._hear(event)
         return self._hear(event) if event is not None else None
 
-    def _choose_return(self) -> str:
-        """Return the target to go back to: where a stream came from, or the last."""
-        return (self._exchange.is_started and self._left) or self._leader
-
-    async def _async_place_again(self) -> tuple[SendChoice, Lease | None] | None:
-        """Return the target that was left while it was at work, if it may be sent to.
-
-        The one that the request left for may be dead, and nobody has found out yet.
-        Symptom: the caller hears that its request may have run, or its stream is broken
-        off, though the engine that it came from is well (of 88 requests of a day beside
-        a crash and a busy machine 10 ended so). It has had the request already, so it
-        is not one more target.
-        """
-        left, self._left = self._left, ""
-        if not self._exchange.can_send_again(self._loop.time()):
-            return None
-        return await self._async_place(left)
-
     def _return_repeat(self) -> None:
         """Give the budget back what a repeat that was never sent took of it."""
         if self._repeat_at is not None:
             self._state.budget.return_repeat(self._context.service, self._repeat_at)
             self._repeat_at = None
 
-    async def _async_place(
-        self, leader: str = ""
-    ) -> tuple[SendChoice, Lease | None] | None:
-        """Return where to send, with the memory held where one engine has too little.
-
-        Where a leader is given, it is the one that is to answer.
-
-        Hosts that refuse each other's groups try again after random times, so that one
-        of them comes first.
-        """
-        for attempt in range(c.RESERVATION_TRIES):
-            choice = self._chooser.choose(self._build_need(leader))
-            if choice is None:
-                return None
-            is_last = attempt + 1 == c.RESERVATION_TRIES
-            if choice.helpers and not is_last:
-                with self._chooser.hold(choice):
-                    are_reached = await self._chooser.probes.async_check(choice.helpers)
-                if not are_reached:
-                    continue
-            if not choice.needs_tickets:
-                return choice, None
-            with self._chooser.hold(choice):
-                held = await self._reservations.async_reserve(choice)
-            if isinstance(held, Lease):
-                return choice, held
-            self._chooser.note_full(held)
-            wait = c.RESERVATION_RETRY_SECONDS * 2**attempt
-            await asyncio.sleep(self._state.random.random() * wait)
-        return None
-
     def _note_head(self, target: RegisteredTarget, stream: HttpStream) -> None:
         # A head alone is no answer: a sick target may spoil what comes after it.
         # Symptom, were it taken as one: its faults are never two in a row.
@@ -300,24 +260,6 @@
             evidence = Evidence.FAILED
         self._chooser.probes.note(target, evidence)
 
-    def _build_need(self, leader: str = "") -> TargetNeed:
-        return TargetNeed(
-            service=self._context.service,
-            route=self._route,
-            aim_at=self._compute_aim_at(),
-            tokens=_parse_counts(
-                self._request.headers.get(self._state.headers.token_counts, "")
-            ),
-            tried=self._tried,
-            leader=leader,
-        )
-
-    def _compute_aim_at(self) -> float:
-        """Return when the next event is due: the first one's aim, then the pause's."""
-        if self._exchange.is_started:
-            return self._loop.time() + self._route.pause_aim_seconds
-        return self._context.received_at + self._route.aim_seconds
-
     def _log_failed(
         self, target: RegisteredTarget, event: SendFailed, err: Exception
     ) -> None:
@@ -326,7 +268,7 @@
             "send_failed",
             fault=event.fault.value,
             error=str(err),
-            fingerprint=self._fingerprint.hex() if is_lost else None,
+            fingerprint=self._identity.fingerprint.hex() if is_lost else None,
         )
 
     async def _async_attempt(
@@ -376,7 +318,7 @@
             )
             # Nobody else may be there. Symptom: a request that waits at a busy engine
             # is left, has nowhere to go, and its caller hears that it may have run.
-            need = self._build_need()
+            need = self._placer.build_need()
             return may_send and self._chooser.find_instead(need) is not None
 
         return SilenceWatch(
@@ -442,6 +384,7 @@
         self._answer = (stream.status, headers, body)
         if stream.status < STATUS_FAILURES:
             self._chooser.probes.note(choice.target, Evidence.ANSWERED)
+            self._suspects.note_answered(self._identity)
         return TargetAnswered(is_failure=stream.status >= STATUS_FAILURES)
 
     async def _async_pass_events(
@@ -469,6 +412,7 @@
             if self._exchange.last_id is None:
                 raise SpoiledAnswerError("the stream has no event")
             self._start_answer(stream)
+        self._suspects.note_answered(self._identity)
         await self._responder.async_finish()
         self._exchange.has_ended = True
         return None
@@ -507,6 +451,12 @@
         self._responder.start(stream.status, build_answer_headers(stream.raw_headers))
 
 
+def _was_unreachable(error: ConnectionLostError) -> bool:
+    """Return whether the connection ended by the silence of its link."""
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno in UNREACHABLE_ERRORS
+
+
 def _parse_counts(text: str) -> tuple[int, int] | None:
     """Return the prompt's and the most output tokens, None where they aren't told."""
     first, _, second = text.partition(",")
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/suspects.py
@@ -0,0 +1,135 @@
+"""Note which requests targets end under, and say what may be done with them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from functools import cached_property
+from typing import Any
+
+from tarragonward_core import log_event
+from tarragonward_membership import RegisteredTarget, hash_name
+from tarragonward_requests import SuspectLedger, Verdict, fingerprint_request
+from tarragonward_routes import Account
+from tarragonward_wire import HttpRequest
+
+from .clock import read_clock
+from .probes import TargetProbes
+from .state import GatewayState
+
+__all__ = ["RequestIdentity", "SuspectWatch"]
+
+HOST = "host"
+
+
+class RequestIdentity:
+    """What a request shares with its repeats; hashed only where it is needed."""
+
+    def __init__(self, request: HttpRequest, account: Account | None) -> None:
+        self._request = request
+        self._account = account.name if account is not None else ""
+        self.body_size = len(request.body)
+
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """The request's fingerprint."""
+        request = self._request
+        return fingerprint_request(
+            self._account,
+            request.method,
+            request.headers.get(HOST, ""),
+            request.target,
+            request.body,
+        )
+
+
+class SuspectWatch:
+    """The ledger of one host; on_news is called with what other hosts should hear."""
+
+    def __init__(self, state: GatewayState, probes: TargetProbes) -> None:
+        self.ledger = SuspectLedger()
+        self.on_news: list[Callable[[bytes], None]] = []
+        self._state = state
+        self._probes = probes
+
+    def judge(self, identity: RequestIdentity) -> Verdict:
+        """Return what may be done with a request."""
+        if not self.ledger.may_know(identity.body_size):
+            return Verdict.CLEAR
+        return self.ledger.judge(identity.fingerprint, read_clock())
+
+    def get_trial_seconds(self, identity: RequestIdentity) -> float:
+        """Return for how long another host may still try a request."""
+        return self.ledger.get_trial_seconds(identity.fingerprint, read_clock())
+
+    async def async_note_lost(
+        self, identity: RequestIdentity, target: RegisteredTarget
+    ) -> None:
+        """Note that a request's connection was lost, if the target has ended."""
+        # One that only closed the connection takes the next: it says nothing of the
+        # request, and a link that loses connections would make suspects of all.
+        if not await self._probes.async_has_ended(target):
+            return
+        fingerprint, now = identity.fingerprint, read_clock()
+        number = hash_name(target.id)
+        self.ledger.note_crash(fingerprint, identity.body_size, number, now)
+        self._state.metrics.count("requests_lost_in_crashes")
+        log_event(
+            "crash_noted",
+            target=target.id,
+            fingerprint=fingerprint.hex(),
+            targets=self.ledger.count(fingerprint),
+        )
+        self._tell(fingerprint)
+
+    def note_answered(self, identity: RequestIdentity) -> None:
+        """Note a whole answer of a target."""
+        if not self.ledger.may_know(identity.body_size):
+            return
+        fingerprint = identity.fingerprint
+        if self.ledger.note_answered(fingerprint, read_clock()):
+            log_event("suspect_acquitted", fingerprint=fingerprint.hex())
+            self._tell(fingerprint)
+
+    def note_refused(self, identity: RequestIdentity) -> None:
+        """Note that a request was refused for what it has done."""
+        self._state.metrics.count("requests_blamed")
+        self.ledger.note_refused(identity.fingerprint, read_clock())
+
+    @contextmanager
+    def trial(self, identity: RequestIdentity) -> Iterator[None]:
+        """Let the other hosts know that this one tries a request."""
+        fingerprint = identity.fingerprint
+        self.ledger.begin_trial(fingerprint, read_clock())
+        self._tell(fingerprint)
+        try:
+            yield
+        finally:
+            self.ledger.end_trial(fingerprint)
+
+    def lift(self, fingerprint: bytes) -> bool:
+        """Forget, at an operator's word, what a request has done; tell all hosts."""
+        has_lifted = self.ledger.lift(fingerprint, read_clock())
+        if has_lifted:
+            log_event("suspect_lifted", fingerprint=fingerprint.hex())
+            self._tell(fingerprint)
+        return has_lifted
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the suspects as operators see them, the worst first."""
+        now = read_clock()
+        known = [
+            {
+                "fingerprint": fingerprint.hex(),
+                "body_bytes": suspect.body_size,
+                "targets_ended": len(suspect.targets),
+                "verdict": self.ledger.judge(fingerprint, now).value,
+                "idle_seconds": round(now - suspect.renewed_at, 1),
+            }
+            for fingerprint, suspect in self.ledger.iterate()
+        ]
+        return sorted(known, key=lambda one: -one["targets_ended"])
+
+    def _tell(self, fingerprint: bytes) -> None:
+        for notify in self.on_news:
+            notify(fingerprint)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -47,6 +47,8 @@
     tried: Collection[str] = ()
     # The one that is to answer, where that is settled.
     leader: str = ""
+    # Whether targets have ended under the request.
+    is_suspect: bool = False
 
     def allows(self, target: RegisteredTarget) -> bool:
         """Return whether the request may still go to a target."""
@@ -112,6 +114,8 @@
         self._state = state
         self._clock = clock
         self._in_flight: Counter[str] = Counter()
+        # The targets at which suspects of this host are tried.
+        self._kept_clear: Counter[str] = Counter()
         self.book = FleetBook()
         # The engines that this host uses, by service; all where nothing is set.
         self.get_cell: Callable[[str], Cell] | None = None
@@ -166,6 +170,10 @@
                 return None
             others = (target for target in awake if target.id != need.leader)
             awake = [*settled, *others]
+        if need.is_suspect and not need.leader:
+            awake = self._choose_idle(awake)
+        elif self._kept_clear and not need.leader:
+            awake = [t for t in awake if t.id not in self._kept_clear] or awake
         choice = self._choose_among(awake, need)
         if choice is None and len(awake) < len(ready) and not need.leader:
             # A long prompt may need more engines than those known to be in reach.
@@ -181,6 +189,34 @@
             return SendChoice(self._choose_least_busy(ready))
         return self._plan(need, ready, service)
 
+    def _choose_idle(
+        self, ready: Sequence[RegisteredTarget]
+    ) -> Sequence[RegisteredTarget]:
+        """Return the target with the least in progress, by all that is known.
+
+        What else is in progress is lost with a target that ends.
+        """
+        known = self.book.get_all(self._clock())
+
+        def count(target: RegisteredTarget) -> tuple[int, int, int]:
+            work = known.get(target.id)
+            others = work.requests + work.parts if work is not None else 0
+            is_kept = self._kept_clear[target.id]
+            return is_kept, others, self._in_flight[target.id]
+
+        return [min(ready, key=count)]
+
+    @contextmanager
+    def hold_alone(self, target: RegisteredTarget) -> Iterator[None]:
+        """Keep this host's other requests off a target, while there are others."""
+        self._kept_clear[target.id] += 1
+        try:
+            yield
+        finally:
+            self._kept_clear[target.id] -= 1
+            if not self._kept_clear[target.id]:
+                del self._kept_clear[target.id]
+
     def _has_connection(self, target: RegisteredTarget) -> bool:
         # A target resets connections beyond those that it takes from all hosts
         # together. Symptom: a request is lost, and may have run. Each send has one
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -1,5 +1,7 @@
 """A gateway's forwarder in this process, with scripted targets."""
 
+import asyncio
+import socket
 import time
 from dataclasses import replace
 
@@ -172,3 +174,43 @@
         return site
 
     return async_make
+
+
+PEER_HOSTS = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
+
+
+@pytest.fixture
+def build_peer_state():
+    """Return a function that gives the state of one of three hosts, by number."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind((PEER_HOSTS[0], 0))
+        port = probe.getsockname()[1]
+
+    def build(number):
+        host = PEER_HOSTS[number]
+        settings = GatewaySettings(
+            name=f"host-{number}",
+            failure_domain="domain",
+            callers=Address(host, 1),
+            health=Address(host, 2),
+            control=Address(host, 3),
+            peers=Address(host, port),
+            seeds=(Address(PEER_HOSTS[0], 3),),
+            source=Address(host, 4),
+            bounds=Bounds(),
+        )
+        return GatewayState(settings, HeaderNames(), Paths())
+
+    return build
+
+
+@pytest.fixture
+def wait_for():
+    """Return a function that waits until a condition is met."""
+
+    async def async_wait(is_met):
+        async with asyncio.timeout(10.0):
+            while not is_met():
+                await asyncio.sleep(0.01)
+
+    return async_wait
--- a/libraries/gateway/tests/test_crashes.py
+++ b/libraries/gateway/tests/test_crashes.py
@@ -1,8 +1,15 @@
 """Tests of requests that crash the targets that run them."""
 
-from tarragonward_standins import answer_with
+from contextlib import ExitStack
+from dataclasses import replace
+
+from tarragonward_gateway.clock import read_clock
+from tarragonward_gateway.targets import TargetNeed
+from tarragonward_requests import Verdict, fingerprint_request
+from tarragonward_standins import answer_with, async_reset
 
 MARK = b"crash"
+FINGERPRINT = fingerprint_request("town", "POST", "app.example", b"/app/x", b"other")
 
 
 def crash_on_mark(targets):
@@ -39,3 +46,48 @@
         await ask(site, MARK)
     assert site.runs == 3
     assert (await ask(site, b"other")).status == 200
+
+
+async def test_a_target_that_only_drops_connections_makes_no_suspect(make_site):
+    """Links that lose connections would make suspects of all that pass them."""
+    site = await make_site(*[async_reset] * 2, attempts=2)
+    for _ in range(4):
+        assert (await ask(site, MARK)).status == 502
+    assert site.runs == 8
+    assert not len(site.forwarder.suspects.ledger)
+
+
+async def test_a_victim_is_answered_by_the_next_target(make_site):
+    """What is in progress beside a crash must not be refused for it."""
+    site = await make_crashing_site(make_site, 8)
+    victim = FINGERPRINT
+    ledger = site.forwarder.suspects.ledger
+    for target in (1, 2):
+        ledger.note_crash(victim, len(b"other"), target, read_clock())
+    assert ledger.judge(victim, read_clock()) is Verdict.ALONE
+    assert (await ask(site, b"other")).status == 200
+    assert ledger.judge(victim, read_clock()) is Verdict.CLEAR
+
+
+async def test_a_refusal_tells_the_truth_and_no_time_to_come_back(make_site):
+    """A caller told when to come back would end the next target then."""
+    site = await make_crashing_site(make_site, 8, attempts=3)
+    has_run = await ask(site, MARK)
+    assert (has_run.status, has_run.get("x-result-code")) == (502, ["4006"])
+    not_run = await ask(site, MARK)
+    assert (not_run.status, not_run.get("x-result-code")) == (503, ["2009"])
+    assert not not_run.get("retry-after")
+
+
+async def test_a_suspect_is_tried_where_nothing_else_is_in_progress(make_site):
+    """A third crash must end as little other work as can be."""
+    site = await make_crashing_site(make_site, 3)
+    chooser = site.chooser
+    need = TargetNeed("s", site.state.table.routes[0], 0.0)
+    with ExitStack() as stack:
+        for _ in range(2):
+            stack.enter_context(chooser.hold(chooser.choose(need)))
+        alone = chooser.choose(replace(need, is_suspect=True)).target
+        assert alone is site.state.registry.get_ready("s")[2]
+        stack.enter_context(chooser.hold_alone(alone))
+        assert chooser.choose(need).target is not alone
--- /dev/null
+++ b/libraries/gateway/tests/test_suspect_news.py
@@ -0,0 +1,105 @@
+"""Tests of what hosts tell each other of requests that targets end under."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+
+from tarragonward_core import Address, HostIdentity
+from tarragonward_gateway.clock import read_clock
+from tarragonward_gateway.peers import Peers
+from tarragonward_gateway.probes import TargetProbes
+from tarragonward_gateway.suspect_news import SuspectNews, choose_keepers
+from tarragonward_gateway.suspects import SuspectWatch
+from tarragonward_membership import SeedPeer
+from tarragonward_placement import TargetReach
+from tarragonward_requests import Verdict
+
+FINGERPRINT = b"12345678"
+
+
+class Host:
+    def __init__(self, state):
+        self.state = state
+        self.peers = Peers(self.state)
+        self.watch = SuspectWatch(self.state, TargetProbes(self.state, TargetReach()))
+        self.news = SuspectNews(self.state, self.peers, self.watch)
+        self._stack = AsyncExitStack()
+
+    async def async_setup(self):
+        for part in (self.peers, self.news):
+            await part.async_setup()
+            self._stack.push_async_callback(part.async_unload)
+
+    async def async_unload(self):
+        await self._stack.aclose()
+
+    @property
+    def verdict(self):
+        return self.watch.ledger.judge(FINGERPRINT, read_clock())
+
+    def crash(self, target):
+        self.watch.ledger.note_crash(FINGERPRINT, 9, target, read_clock())
+        self.news.tell(FINGERPRINT)
+
+
+@pytest.fixture
+async def hosts(build_peer_state, wait_for):
+    async with AsyncExitStack() as stack:
+        made = [Host(build_peer_state(number)) for number in range(3)]
+        for host in made:
+            await host.async_setup()
+            stack.push_async_callback(host.async_unload)
+        await wait_for(lambda: all(len(h.peers.get_names()) == 2 for h in made))
+        yield made
+
+
+async def test_crashes_that_hosts_see_one_each_are_added_up(hosts, wait_for):
+    """A request is repeated at another host each time; none sees it end two targets."""
+    for target, host in enumerate(hosts):
+        host.crash(target)
+    await wait_for(lambda: {h.verdict for h in hosts} == {Verdict.REFUSED})
+
+
+async def test_a_host_that_starts_hears_what_is_refused(
+    hosts, wait_for, build_peer_state
+):
+    """A host that was restarted must not let three more targets end."""
+    for target in range(3):
+        hosts[0].crash(target)
+    await wait_for(lambda: {h.verdict for h in hosts} == {Verdict.REFUSED})
+    await hosts[2].async_unload()
+    new = Host(build_peer_state(2))
+    # The closed socket leaves its port at the loop's next turn.
+    await asyncio.sleep(0)
+    await new.async_setup()
+    try:
+        await wait_for(lambda: new.verdict is Verdict.REFUSED)
+    finally:
+        await new.async_unload()
+
+
+async def test_what_an_operator_lifts_is_lifted_at_all_hosts(hosts, wait_for):
+    for target in range(3):
+        hosts[0].crash(target)
+    await wait_for(lambda: {h.verdict for h in hosts} == {Verdict.REFUSED})
+    await asyncio.sleep(0.01)
+    assert hosts[1].watch.lift(FINGERPRINT)
+    await wait_for(lambda: {h.verdict for h in hosts} == {Verdict.CLEAR})
+
+
+def test_keepers_are_of_each_failure_domain():
+    """Crashes must be added up on each side while failure domains are cut off."""
+    peers = tuple(
+        SeedPeer(
+            HostIdentity(Address(f"10.0.{number % 5}.{number}", 1), number),
+            0.0,
+            failure_domain=f"d{number % 5}",
+        )
+        for number in range(200)
+    )
+    keepers = choose_keepers(FINGERPRINT, peers)
+    domains = [address.host.split(".")[2] for address in keepers]
+    assert sorted(domains) == sorted("0011223344")
+    again = choose_keepers(FINGERPRINT, tuple(reversed(peers)))
+    assert set(keepers) == set(again)
--- a/libraries/membership/tarragonward_membership/__init__.py
+++ b/libraries/membership/tarragonward_membership/__init__.py
@@ -34,6 +34,7 @@
     Withdrawn,
     build_boot_id,
 )
+from .scales import hash_name
 from .seeds import (
     Greet,
     HelloHeard,
@@ -48,6 +49,7 @@
 from .watchers import choose_hosts
 
 __all__ = [
+    "hash_name",
     "REST_ACCOUNT",
     "AskHelper",
     "Effect",
--- a/libraries/placement/tarragonward_placement/reach.py
+++ b/libraries/placement/tarragonward_placement/reach.py
@@ -28,6 +28,8 @@
     CONNECTED = "connected"
     ANSWERED = "answered"
     NOT_CONNECTED = "not connected"
+    # It closed a connection and takes no other: its link is well.
+    ENDED = "ended"
     REPLACED = "replaced"
     NAMED = "named at fault"
     SILENT = "silent"
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -3,6 +3,7 @@
 from .events import EventCutter, StreamEvent
 from .exchange import (
     AnswerStarted,
+    Blamed,
     BreakOff,
     EventsGiven,
     Exchange,
@@ -17,7 +18,7 @@
     TargetAnswered,
     TimeOver,
 )
-from .fingerprints import FINGERPRINT_BYTES, RequestShape, fingerprint_request
+from .fingerprints import FINGERPRINT_BYTES, fingerprint_request
 from .keys import CallKey, mint_key_prefix, parse_key
 from .ledger import CallLedger, CallState, RecordedAnswer, Reply, Send, Wait
 from .lifecycle import RequestLifecycle
@@ -40,6 +41,7 @@
 from .outliers import ListLifetime, OutlierDetector, PlainBackoff, ProbedBackoff
 from .retries import RetryBudget
 from .shared_budget import BudgetBounds, SharedBudget
+from .suspects import Suspect, SuspectEntry, SuspectLedger, Verdict
 from .sweep import HeldMemory, OwnerSign, Sweep
 
 __all__ = [
@@ -48,6 +50,7 @@
     "AttemptFailed",
     "AttemptFault",
     "AttemptFinished",
+    "Blamed",
     "BreakOff",
     "BudgetBounds",
     "CallKey",
@@ -79,7 +82,6 @@
     "Refuse",
     "Reply",
     "RequestLifecycle",
-    "RequestShape",
     "RetryBudget",
     "Send",
     "SendFailed",
@@ -88,10 +90,14 @@
     "SharedBudget",
     "StartAttempt",
     "StreamEvent",
+    "Suspect",
+    "SuspectEntry",
+    "SuspectLedger",
     "Sweep",
     "TargetAnswered",
     "TextArrived",
     "TimeOver",
+    "Verdict",
     "Wait",
     "fingerprint_request",
     "mint_key_prefix",
--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -47,3 +47,13 @@
 BUDGET_ORDINARY_PART = 0.8
 # How often a request goes back to a target that refused it for another one's fault.
 MAX_RETURNS = 4
+
+# Requests that are suspected to crash the targets that run them.
+CRASHES_UNTIL_ALONE = 2
+CRASHES_UNTIL_REFUSED = 3
+MAX_SUSPECTS = 1_024
+MAX_SUSPECT_TARGETS = 8
+SUSPECT_MEMORY_SECONDS = 600.0
+REFUSED_MEMORY_SECONDS = 3_600.0
+ACQUITTAL_MEMORY_SECONDS = 60.0
+TRIAL_SECONDS = 2.0
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "AnswerStarted",
+    "Blamed",
     "BreakOff",
     "EventsGiven",
     "Exchange",
@@ -78,6 +79,16 @@
     is_failure: bool
 
 
+@dataclass(frozen=True)
+class Blamed:
+    """The request is held to end the targets that run it.
+
+    trial_seconds: for how long another host may still try it; None where it is refused.
+    """
+
+    trial_seconds: float | None = None
+
+
 @dataclass(frozen=True)
 class AnswerStarted:
     """The head of a streamed answer was given to the caller."""
@@ -127,7 +138,9 @@
     """Close the caller's connection in the middle of its answer, visibly."""
 
 
-ExchangeEvent = SendFailed | TargetAnswered | AnswerStarted | EventsGiven | TimeOver
+ExchangeEvent = (
+    SendFailed | TargetAnswered | AnswerStarted | EventsGiven | TimeOver | Blamed
+)
 ExchangeEffect = SendTo | GiveAnswer | Refuse | BreakOff
 
 
@@ -317,3 +330,17 @@
     if is_unknown and not exchange.is_started:
         return Refuse(ResultCode.FORWARD_TIMEOUT)
     return exchange.end()
+
+
+@_hear.register
+def _(
+    event: Blamed, exchange: Exchange, now: float, budget: bool
+) -> ExchangeEffect | None:
+    if exchange.is_started or exchange.holds_answer:
+        return exchange.end()
+    if exchange.may_have_run:
+        return Refuse(ResultCode.FORWARD_CRASHED_TARGETS)
+    if event.trial_seconds is None:
+        # No time to come back: a repeat would only be refused again.
+        return Refuse(ResultCode.CRASHES_TARGETS)
+    return Refuse(ResultCode.ON_TRIAL, event.trial_seconds)
--- a/libraries/requests/tarragonward_requests/fingerprints.py
+++ b/libraries/requests/tarragonward_requests/fingerprints.py
@@ -4,15 +4,12 @@
 
 import hashlib
 
-__all__ = ["FINGERPRINT_BYTES", "RequestShape", "fingerprint_request"]
+__all__ = ["FINGERPRINT_BYTES", "fingerprint_request"]
 
 FINGERPRINT_BYTES = 8
 # Lengths before the parts, so that no two lists of parts give the same bytes.
 LENGTH_BYTES = 8
 
-# What two requests must share to be worth hashing: host, target and body length.
-RequestShape = tuple[str, bytes, int]
-
 
 def fingerprint_request(
     account: str, method: str, host: str, target: bytes, body: bytes
--- /dev/null
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -0,0 +1,293 @@
+"""Decide which requests crash the targets that run them, by what all hosts saw."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from . import const as c
+from .fingerprints import FINGERPRINT_BYTES
+
+__all__ = ["Suspect", "SuspectEntry", "SuspectLedger", "Verdict"]
+
+MILLISECONDS = 1_000
+MAX_NUMBER = 1 << 62
+NEVER = float("-inf")
+
+
+class Verdict(Enum):
+    """What may be done with a request."""
+
+    CLEAR = "clear"
+    # Sent to one target at a time, where nothing else is in progress.
+    ALONE = "alone"
+    # Another host tries it just now.
+    LATER = "later"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True)
+class SuspectEntry:
+    """What one host tells another of a request; times are ages in seconds.
+
+    crashes holds, by a number for each target, how long ago it ended under the request.
+    answered_age is since the request last had a whole answer, None if never.
+    idle_age is since anyone saw a crash under it or refused it.
+    """
+
+    fingerprint: bytes
+    body_size: int
+    crashes: tuple[tuple[int, float], ...]
+    answered_age: float | None
+    idle_age: float
+    trial_seconds: float = 0.0
+
+    def pack(self) -> tuple[Any, ...]:
+        """Return the entry as it travels."""
+        answered = -1 if self.answered_age is None else _pack_age(self.answered_age)
+        crashes = [(target, _pack_age(age)) for target, age in self.crashes]
+        idle, trial = _pack_age(self.idle_age), _pack_age(self.trial_seconds)
+        return self.fingerprint, self.body_size, crashes, answered, idle, trial
+
+    @classmethod
+    def unpack(cls, item: Any) -> SuspectEntry:
+        """Return the entry that pack() gave; raise ValueError if it is not one."""
+        fingerprint, size, crashes, answered, idle, trial = item
+        if type(fingerprint) is not bytes or len(fingerprint) != FINGERPRINT_BYTES:
+            raise ValueError("not a fingerprint")
+        numbers = [
+            size,
+            answered + 1,
+            idle,
+            trial,
+            *(n for pair in crashes for n in pair),
+        ]
+        if not all(type(n) is int and 0 <= n < MAX_NUMBER for n in numbers):
+            raise ValueError("a number is not one")
+        if len(crashes) > c.MAX_SUSPECT_TARGETS:
+            raise ValueError("too many targets")
+        return cls(
+            fingerprint,
+            size,
+            tuple((target, age / MILLISECONDS) for target, age in crashes),
+            None if answered < 0 else answered / MILLISECONDS,
+            idle / MILLISECONDS,
+            min(trial / MILLISECONDS, c.TRIAL_SECONDS),
+        )
+
+
+@dataclass
+class Suspect:
+    """A request under which targets ended; times are the ledger's, in seconds."""
+
+    body_size: int
+    crashes: dict[int, float] = field(default_factory=dict)
+    answered_at: float = NEVER
+    renewed_at: float = NEVER
+    tried_until: float = NEVER
+
+    @property
+    def targets(self) -> frozenset[int]:
+        """Return the targets that ended under it since it was last answered."""
+        return frozenset(t for t, at in self.crashes.items() if at > self.answered_at)
+
+    def note_crash(self, target: int, now: float) -> None:
+        """Count a target that ended, once."""
+        if len(self.crashes) >= c.MAX_SUSPECT_TARGETS and target not in self.crashes:
+            del self.crashes[min(self.crashes, key=self.crashes.__getitem__)]
+        self.crashes[target] = max(now, self.crashes.get(target, NEVER))
+        self.renewed_at = max(self.renewed_at, now)
+
+    @property
+    def expires_at(self) -> float:
+        """Return when it is forgotten, unless it is seen again."""
+        count = len(self.targets)
+        if not count:
+            return self.answered_at + c.ACQUITTAL_MEMORY_SECONDS
+        if count < c.CRASHES_UNTIL_REFUSED:
+            return self.renewed_at + c.SUSPECT_MEMORY_SECONDS
+        return self.renewed_at + c.REFUSED_MEMORY_SECONDS
+
+
+class SuspectLedger:
+    """The requests under which targets ended, by fingerprint; times in seconds.
+
+    All that is in progress at a target that ends is suspected, so one crash says
+    little. A request that ends target after target is refused after the third; any
+    whole answer acquits it, as a request that crashes what runs it never has one.
+    What hosts tell each other is united, so that order, loss and doubling of messages
+    change nothing but the time until all know. Memory is bounded: what has the fewest
+    crashes, and of that the oldest, is forgotten first.
+    """
+
+    def __init__(self) -> None:
+        self._suspects: dict[bytes, Suspect] = {}
+        self._sizes: Counter[int] = Counter()
+        # Those that enough targets have ended under to be refused.
+        self._worst: set[bytes] = set()
+
+    def __len__(self) -> int:
+        """Return how many requests are known."""
+        return len(self._suspects)
+
+    def may_know(self, body_size: int) -> bool:
+        """Return whether a request with a body of so many bytes may be known."""
+        return self._sizes[body_size] > 0
+
+    def judge(self, fingerprint: bytes, now: float) -> Verdict:
+        """Return what may be done with a request."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return Verdict.CLEAR
+        count = self.count(fingerprint)
+        if count >= c.CRASHES_UNTIL_REFUSED:
+            return Verdict.REFUSED
+        if count < c.CRASHES_UNTIL_ALONE:
+            return Verdict.CLEAR
+        return Verdict.LATER if now < suspect.tried_until else Verdict.ALONE
+
+    def count(self, fingerprint: bytes) -> int:
+        """Return how many targets a request has ended, others' victims left out.
+
+        Symptom, were those counted: what was beside the request that crashes targets,
+        and came again beside it, is refused with it.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return 0
+        targets = suspect.targets
+        explained: set[int] = set()
+        for worst in self._worst:
+            others = self._suspects[worst].targets
+            if len(others) > len(targets):
+                explained |= others
+        return len(targets - explained)
+
+    def get_trial_seconds(self, fingerprint: bytes, now: float) -> float:
+        """Return for how long the trial of a request may still last."""
+        suspect = self._suspects.get(fingerprint)
+        return max(0.0, suspect.tried_until - now) if suspect is not None else 0.0
+
+    def note_crash(
+        self, fingerprint: bytes, body_size: int, target: int, now: float
+    ) -> None:
+        """Note that a target ended under a request."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            suspect = self._add(fingerprint, body_size, now)
+        suspect.note_crash(target, now)
+        self._sort(fingerprint)
+
+    def note_answered(self, fingerprint: bytes, now: float) -> bool:
+        """Acquit a request that had a whole answer; return whether it was suspected."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.targets:
+            return False
+        suspect.answered_at = now
+        suspect.tried_until = NEVER
+        self._sort(fingerprint)
+        return True
+
+    def note_refused(self, fingerprint: bytes, now: float) -> None:
+        """Note that a request was refused: it is asked still, so not forgotten."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.renewed_at = max(now, suspect.renewed_at)
+
+    def begin_trial(self, fingerprint: bytes, now: float) -> None:
+        """Note that this host tries a request now."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.tried_until = now + c.TRIAL_SECONDS
+
+    def end_trial(self, fingerprint: bytes) -> None:
+        """Note that the trial is over."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.tried_until = NEVER
+
+    def build_entry(self, fingerprint: bytes, now: float) -> SuspectEntry | None:
+        """Return what is known of a request, as it is told to other hosts."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return None
+        is_acquitted = suspect.answered_at > NEVER
+        return SuspectEntry(
+            fingerprint,
+            suspect.body_size,
+            tuple((target, now - at) for target, at in suspect.crashes.items()),
+            now - suspect.answered_at if is_acquitted else None,
+            now - suspect.renewed_at,
+            max(0.0, suspect.tried_until - now),
+        )
+
+    def take(self, entry: SuspectEntry, now: float, age: float = 0.0) -> bool:
+        """Take in what another host told, so many seconds ago.
+
+        Return whether both together know of more targets than either did.
+        """
+        suspect = self._suspects.get(entry.fingerprint)
+        at = now - age
+        if suspect is None:
+            suspect = self._add(entry.fingerprint, entry.body_size, at)
+        before = suspect.targets
+        for target, crash_age in entry.crashes:
+            suspect.note_crash(target, at - crash_age)
+        if entry.answered_age is not None:
+            answered_at = at - entry.answered_age
+            suspect.answered_at = max(suspect.answered_at, answered_at)
+        suspect.renewed_at = max(suspect.renewed_at, at - entry.idle_age)
+        if entry.trial_seconds > age:
+            suspect.tried_until = max(suspect.tried_until, at + entry.trial_seconds)
+        self._sort(entry.fingerprint)
+        told = {target for target, _ in entry.crashes}
+        return bool(suspect.targets - before) and bool(suspect.targets - told)
+
+    def lift(self, fingerprint: bytes, now: float) -> bool:
+        """Forget, at an operator's word, all crashes so far; return whether it did."""
+        return self.note_answered(fingerprint, now)
+
+    def expire(self, now: float) -> None:
+        """Forget what was not seen for long."""
+        gone = [f for f, known in self._suspects.items() if known.expires_at <= now]
+        for fingerprint in gone:
+            self._drop(fingerprint)
+
+    def get(self, fingerprint: bytes) -> Suspect | None:
+        """Return what is known of a request, None for nothing."""
+        return self._suspects.get(fingerprint)
+
+    def iterate(self) -> Iterator[tuple[bytes, Suspect]]:
+        """Give what is known, by fingerprint."""
+        yield from self._suspects.items()
+
+    def _add(self, fingerprint: bytes, body_size: int, now: float) -> Suspect:
+        if len(self._suspects) >= c.MAX_SUSPECTS:
+            self._drop(min(self._suspects, key=self._rank))
+        suspect = self._suspects[fingerprint] = Suspect(body_size, renewed_at=now)
+        self._sizes[body_size] += 1
+        return suspect
+
+    def _sort(self, fingerprint: bytes) -> None:
+        if len(self._suspects[fingerprint].targets) >= c.CRASHES_UNTIL_REFUSED:
+            self._worst.add(fingerprint)
+        else:
+            self._worst.discard(fingerprint)
+
+    def _rank(self, fingerprint: bytes) -> tuple[int, float]:
+        suspect = self._suspects[fingerprint]
+        return len(suspect.targets), suspect.renewed_at
+
+    def _drop(self, fingerprint: bytes) -> None:
+        self._worst.discard(fingerprint)
+        size = self._suspects.pop(fingerprint).body_size
+        self._sizes[size] -= 1
+        if not self._sizes[size]:
+            del self._sizes[size]
+
+
+def _pack_age(seconds: float) -> int:
+    return int(max(0.0, seconds) * MILLISECONDS)
--- /dev/null
+++ b/libraries/requests/tests/test_suspects.py
@@ -0,0 +1,139 @@
+"""Tests of which requests are held to crash targets."""
+
+import random
+
+import pytest
+
+from tarragonward_requests import SuspectEntry, SuspectLedger, Verdict
+from tarragonward_requests import const as c
+
+ONE, OTHER = b"1" * 8, b"2" * 8
+
+
+def make_ledger(*crashes, fingerprint=ONE, now=0.0):
+    ledger = SuspectLedger()
+    for target in crashes:
+        ledger.note_crash(fingerprint, 10, target, now)
+    return ledger
+
+
+@pytest.mark.parametrize(
+    ("crashes", "verdict"),
+    [
+        ([], Verdict.CLEAR),
+        ([1], Verdict.CLEAR),
+        ([1, 1, 1], Verdict.CLEAR),
+        ([1, 2], Verdict.ALONE),
+        ([1, 2, 3], Verdict.REFUSED),
+    ],
+)
+def test_distinct_targets_count(crashes, verdict):
+    assert make_ledger(*crashes).judge(ONE, 1.0) is verdict
+
+
+def test_a_whole_answer_acquits():
+    """A request that was beside crashes three times must not be refused for good."""
+    ledger = make_ledger(1, 2, 3)
+    assert ledger.note_answered(ONE, 1.0)
+    assert ledger.judge(ONE, 1.0) is Verdict.CLEAR
+    for target in (4, 5, 6):
+        ledger.note_crash(ONE, 10, target, 2.0)
+    assert ledger.judge(ONE, 2.0) is Verdict.REFUSED
+
+
+def test_victims_of_another_request_are_no_suspects():
+    """A request that was twice beside the one that crashes targets is sent as usual."""
+    ledger = make_ledger(1, 2, 3)
+    for target in (2, 3):
+        ledger.note_crash(OTHER, 10, target, 0.0)
+    assert ledger.judge(OTHER, 1.0) is Verdict.CLEAR
+    assert ledger.judge(ONE, 1.0) is Verdict.REFUSED
+
+
+def test_two_that_ended_the_same_targets_do_not_excuse_each_other():
+    """Were both excused, the one that crashes targets would be sent on and on."""
+    ledger = make_ledger(1, 2, 3)
+    for target in (1, 2, 3):
+        ledger.note_crash(OTHER, 10, target, 0.0)
+    assert ledger.judge(ONE, 1.0) is ledger.judge(OTHER, 1.0) is Verdict.REFUSED
+
+
+def test_one_trial_at_a_time():
+    """Hosts that all try a suspect at once would end as many targets."""
+    ledger = make_ledger(1, 2)
+    ledger.begin_trial(ONE, 1.0)
+    peer = SuspectLedger()
+    peer.take(ledger.build_entry(ONE, 1.1), 1.1)
+    assert peer.judge(ONE, 1.2) is Verdict.LATER
+    assert 0 < peer.get_trial_seconds(ONE, 1.2) <= c.TRIAL_SECONDS
+    assert peer.judge(ONE, 1.1 + c.TRIAL_SECONDS) is Verdict.ALONE
+
+
+def test_an_entry_travels_whole():
+    ledger = make_ledger(1, 2)
+    entry = ledger.build_entry(ONE, 0.5)
+    assert SuspectEntry.unpack(entry.pack()) == entry
+
+
+@pytest.mark.parametrize(
+    "item",
+    [
+        (b"short", 1, [], -1, 0, 0),
+        (ONE, -1, [], -1, 0, 0),
+        (ONE, 1, [(1, "2")], -1, 0, 0),
+        (ONE, 1, [(1, 2)] * (c.MAX_SUSPECT_TARGETS + 1), -1, 0, 0),
+        (ONE, 1, [], -2, 0, 0),
+        (ONE, True, [], -1, 0, 0),
+    ],
+)
+def test_a_malformed_entry_is_refused(item):
+    with pytest.raises(ValueError):
+        SuspectEntry.unpack(item)
+
+
+def test_hosts_agree_in_whatever_order_they_hear():
+    """Words that are lost, doubled or late must not leave hosts with other verdicts."""
+    rng = random.Random(1)
+    entries = [make_ledger(target).build_entry(ONE, 0.0) for target in range(4)]
+    acquitted = make_ledger(0, 1, now=-2.0)
+    acquitted.note_answered(ONE, -1.0)
+    entries.append(acquitted.build_entry(ONE, 0.0))
+    counts = set()
+    for _ in range(20):
+        ledger = SuspectLedger()
+        for entry in rng.sample(entries * 2, len(entries) * 2):
+            ledger.take(entry, 0.0)
+        counts.add(ledger.count(ONE))
+    assert counts == {4}
+
+
+def test_hosts_that_know_a_crash_each_know_both_together():
+    ledger = make_ledger(1)
+    assert not ledger.take(make_ledger(1).build_entry(ONE, 0.0), 0.0)
+    assert ledger.take(make_ledger(2).build_entry(ONE, 0.0), 0.0)
+    assert ledger.judge(ONE, 0.0) is Verdict.ALONE
+
+
+def test_memory_is_bounded_and_keeps_the_worst():
+    """A flood of new identities must not make hosts forget what is refused."""
+    ledger = make_ledger(1, 2, 3)
+    for number in range(2 * c.MAX_SUSPECTS):
+        ledger.note_crash(number.to_bytes(8, "big"), number, number + 9, 1.0 + number)
+    assert len(ledger) == c.MAX_SUSPECTS
+    assert ledger.judge(ONE, 2.0) is Verdict.REFUSED
+
+
+def test_what_is_asked_still_is_refused_still_and_forgotten_after():
+    ledger = make_ledger(1, 2, 3)
+    ledger.note_refused(ONE, 3_000.0)
+    ledger.expire(c.REFUSED_MEMORY_SECONDS + 1.0)
+    assert ledger.judge(ONE, c.REFUSED_MEMORY_SECONDS + 1.0) is Verdict.REFUSED
+    ledger.expire(3_000.0 + c.REFUSED_MEMORY_SECONDS)
+    assert ledger.judge(ONE, 0.0) is Verdict.CLEAR
+    assert not ledger.may_know(10)
+
+
+def test_requests_of_other_sizes_need_no_hash():
+    ledger = make_ledger(1)
+    assert ledger.may_know(10)
+    assert not ledger.may_know(11)
