Play requests that crash targets in randomised runs of 9 to 320 hosts

The runs carry the product's ledger, word between hosts and membership on a fake network: callers repeat marked requests at any host, some at four at once; targets end by them, and in herds by nobody; hosts are killed, frozen, restarted and cut off, one after the other and at once. The decisions on whom to tell are apart from the task (suspect_gossip.py).

--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -14,6 +14,7 @@
 from tarragonward_core import TarragonwardError, invariants
 
 from .budget_runs import run_budget_seed
+from .harm import run_crash_seed
 from .hearing.runs import run_hearing_seed
 from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
@@ -32,6 +33,7 @@
     "budget": run_budget_seed,
     "reach": run_reach_seed,
     "calls": run_calls_seed,
+    "crashes": run_crash_seed,
     "configuration": run_configuration_seed,
     "hearing": run_hearing_seed,
     "membership": run_membership_seed,
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -27,7 +27,7 @@
 from .reservations import ReservationTask
 from .settings import GatewaySettings
 from .state import GatewayState
-from .suspect_news import SuspectNews
+from .suspect_task import SuspectTask
 from .targets import SECTION, TargetChooser
 
 __all__ = ["Gateway"]
@@ -69,7 +69,7 @@
             check_head=self.forwarder.check_head,
         )
         self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
-        self.suspect_news = SuspectNews(self.state, self.peers, self.forwarder.suspects)
+        self.suspect_task = SuspectTask(self.state, self.peers, self.forwarder.suspects)
         self.operators = OperatorsTask(
             self.state, self.targets.reach, self.forwarder.suspects
         )
@@ -93,7 +93,7 @@
             self.publications,
             self.reservations,
             self.targets.probes,
-            self.suspect_news,
+            self.suspect_task,
             self.callers,
             self.health,
             self.settings,
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/suspect_gossip.py
@@ -0,0 +1,138 @@
+"""Decide whom to tell of requests that targets end under, and when."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from tarragonward_core import Address
+from tarragonward_membership import SeedMembership, SeedPeer
+from tarragonward_membership.const import MAX_MESH_PEERS
+from tarragonward_requests import SuspectEntry, SuspectLedger
+from tarragonward_requests.const import CRASHES_UNTIL_ALONE
+
+from . import const as c
+
+__all__ = ["SuspectGossip", "SuspectNews", "choose_keepers"]
+
+RANK_BYTES = 8
+
+
+@dataclass(frozen=True)
+class SuspectNews:
+    """Tell these hosts of these requests now."""
+
+    hosts: tuple[Address, ...]
+    fingerprints: tuple[bytes, ...]
+
+
+class SuspectGossip:
+    """What one host tells of its ledger of suspects; times in seconds.
+
+    In a small fleet all hosts hear of each crash. In a large one a first crash is told
+    to a few hosts of each failure domain, chosen by the fingerprint, so that crashes
+    seen by different hosts meet there; from the second on all are told at once. Rounds
+    repeat what all should know, for hosts that start, wake or come back from a cut.
+    """
+
+    def __init__(
+        self, ledger: SuspectLedger, members: SeedMembership, rng: random.Random
+    ) -> None:
+        self._ledger = ledger
+        self._members = members
+        self._random = rng
+        self._due: dict[bytes, float] = {}
+        self._turn = 0
+
+    @property
+    def due_at(self) -> float | None:
+        """Return when something is to be told next, None for nothing."""
+        return min(self._due.values(), default=None)
+
+    def note_changed(
+        self, fingerprint: bytes, now: float, delay: float = c.SUSPECT_NEWS_SECONDS
+    ) -> None:
+        """Note that the others should hear of a request, together with others."""
+        self._due.setdefault(fingerprint, now + delay)
+
+    def take_due(self, now: float) -> list[SuspectNews]:
+        """Return what is to be told now."""
+        by_hosts: dict[tuple[Address, ...], list[bytes]] = defaultdict(list)
+        for fingerprint in [f for f, due_at in self._due.items() if due_at <= now]:
+            del self._due[fingerprint]
+            by_hosts[self._choose_told(fingerprint)].append(fingerprint)
+        size = c.MAX_SUSPECTS_TOLD
+        return [
+            SuspectNews(hosts, tuple(told[start : start + size]))
+            for hosts, told in by_hosts.items()
+            for start in range(0, len(told), size)
+        ]
+
+    def build(self, fingerprints: Iterable[bytes], now: float) -> list[Any]:
+        """Return what is known of these requests, as it travels."""
+        entries = (self._ledger.build_entry(each, now) for each in fingerprints)
+        return [entry.pack() for entry in entries if entry is not None]
+
+    def choose_in_turn(self) -> list[bytes]:
+        """Return a few of those that all should know, others at each call."""
+        known = [
+            fingerprint
+            for fingerprint, suspect in self._ledger.iterate()
+            if len(suspect.crashes) >= CRASHES_UNTIL_ALONE
+        ]
+        if not known:
+            return []
+        start = self._turn % len(known)
+        self._turn = start + c.MAX_SUSPECTS_IN_ROUNDS
+        return (known[start:] + known[:start])[: c.MAX_SUSPECTS_IN_ROUNDS]
+
+    def take(self, data: Iterable[Any], age: float, now: float) -> None:
+        """Take what another host told; raise ValueError where it is malformed."""
+        for item in data:
+            entry = SuspectEntry.unpack(item)
+            if self._ledger.take(entry, now, age):
+                turn = self._random.random() * c.SUSPECT_TURN_SECONDS
+                self.note_changed(entry.fingerprint, now, turn)
+            elif self._knows_no_more(entry):
+                self._due.pop(entry.fingerprint, None)
+
+    def _choose_told(self, fingerprint: bytes) -> tuple[Address, ...]:
+        peers = self._members.get_peers()
+        suspect = self._ledger.get(fingerprint)
+        is_for_all = suspect is None or len(suspect.crashes) >= CRASHES_UNTIL_ALONE
+        if is_for_all or len(peers) <= MAX_MESH_PEERS:
+            return tuple(peer.identity.address for peer in peers)
+        return choose_keepers(fingerprint, peers)
+
+    def _knows_no_more(self, entry: SuspectEntry) -> bool:
+        """Return whether all that this host knows of a request was just told."""
+        suspect = self._ledger.get(entry.fingerprint)
+        told = {target for target, _ in entry.crashes}
+        return suspect is not None and told.issuperset(suspect.crashes)
+
+
+def choose_keepers(
+    fingerprint: bytes, peers: Iterable[SeedPeer]
+) -> tuple[Address, ...]:
+    """Return the hosts, some of each failure domain, that hear of a first crash.
+
+    Hosts with the same view choose the same; where views differ, most of them agree.
+    A failure domain that is cut off has its own.
+    """
+    by_domain: dict[str, list[Address]] = defaultdict(list)
+    for peer in peers:
+        by_domain[peer.failure_domain].append(peer.identity.address)
+    keepers: list[Address] = []
+    for _, addresses in sorted(by_domain.items()):
+        addresses.sort(key=lambda address: _rank(fingerprint, address))
+        keepers += addresses[: c.SUSPECT_KEEPERS_A_DOMAIN]
+    return tuple(keepers)
+
+
+def _rank(fingerprint: bytes, address: Address) -> bytes:
+    name = fingerprint + str(address).encode()
+    return hashlib.blake2b(name, digest_size=RANK_BYTES).digest()
--- a/libraries/gateway/tests/test_suspect_news.py
+++ b/libraries/gateway/tests/test_suspect_task.py
@@ -9,7 +9,8 @@
 from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.peers import Peers
 from tarragonward_gateway.probes import TargetProbes
-from tarragonward_gateway.suspect_news import SuspectNews, choose_keepers
+from tarragonward_gateway.suspect_gossip import choose_keepers
+from tarragonward_gateway.suspect_task import SuspectTask
 from tarragonward_gateway.suspects import SuspectWatch
 from tarragonward_membership import SeedPeer
 from tarragonward_placement import TargetReach
@@ -23,11 +24,11 @@
         self.state = state
         self.peers = Peers(self.state)
         self.watch = SuspectWatch(self.state, TargetProbes(self.state, TargetReach()))
-        self.news = SuspectNews(self.state, self.peers, self.watch)
+        self.task = SuspectTask(self.state, self.peers, self.watch)
         self._stack = AsyncExitStack()
 
     async def async_setup(self):
-        for part in (self.peers, self.news):
+        for part in (self.peers, self.task):
             await part.async_setup()
             self._stack.push_async_callback(part.async_unload)
 
@@ -40,7 +41,8 @@
 
     def crash(self, target):
         self.watch.ledger.note_crash(FINGERPRINT, 9, target, read_clock())
-        self.news.tell(FINGERPRINT)
+        for notify in self.watch.on_news:
+            notify(FINGERPRINT)
 
 
 @pytest.fixture
