--- a/libraries/gateway/tarragonward_gateway/headers.py
+++ b/libraries/gateway/tarragonward_gateway/headers.py
@@ -6,11 +6,17 @@
 
 from tarragonward_wire import RawHeaders
 
-__all__ = ["build_answer_headers", "build_target_headers", "parse_count"]
+__all__ = [
+    "build_answer_headers",
+    "build_target_headers",
+    "parse_count",
+    "parse_rate",
+]
 
 CONNECTION = b"connection"
 CONTENT_LENGTH = b"content-length"
 MAX_DIGITS = 18
+MAX_RATE = 1e9
 # Headers that concern one connection only. Source: RFC 9110, section 7.6.1.
 HOP_BY_HOP = frozenset(
     {
@@ -59,6 +65,15 @@
     return int(text) if is_count else None
 
 
+def parse_rate(text: str | None) -> float | None:
+    """Return the number a second that a header holds, None where it holds none."""
+    try:
+        rate = float(text) if text is not None and text.isascii() else -1.0
+    except ValueError:
+        return None
+    return rate if 0.0 <= rate <= MAX_RATE else None
+
+
 def _drop(headers: RawHeaders, names: set[bytes]) -> list[tuple[bytes, bytes]]:
     dropped = HOP_BY_HOP | names | (_get_listed(headers) - NEVER_LISTED)
     return [pair for pair in headers if pair[0].lower() not in dropped]
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -36,6 +36,7 @@
     seal: str = "x-answer-seal"
     not_run: str = "x-did-not-run"
     load: str = "x-target-load"
+    limit: str = "x-target-limit"
     last_event_id: str = "last-event-id"
     priority: str = "x-priority"
     token_counts: str = "x-tokens"
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -356,6 +356,7 @@
         names = self._state.headers
         self._note_head(choice.target, stream)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
+        self._chooser.note_limit(choice.target, stream.headers.get(names.limit))
         if self._head.is_refusal(stream):
             at_fault = stream.headers.get(names.at_target)
             is_helpers_fault = at_fault is not None and (
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -10,6 +10,7 @@
 from functools import lru_cache
 from typing import Any
 
+from tarragonward_core import log_event
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
     Cell,
@@ -24,7 +25,7 @@
 from tarragonward_routes import Route, Service
 
 from .clock import read_clock
-from .headers import parse_count
+from .headers import parse_count, parse_rate
 from .probes import TargetProbes
 from .state import GatewayState
 
@@ -121,6 +122,8 @@
         self.get_cell: Callable[[str], Cell] | None = None
         self._streams: dict[str, dict[Callable[[EngineWork], None], None]] = {}
         self.book.on_reading.append(self._note_reading)
+        # What targets themselves take a second, by id.
+        self._limits: dict[str, float] = {}
         self.reach = TargetReach()
         self.probes = TargetProbes(state, self.reach)
 
@@ -280,6 +283,17 @@
             return
         self.book.note_count(target.id, counts[0] + counts[1], self._clock())
 
+    def note_limit(self, target: RegisteredTarget, text: str | None) -> None:
+        """Take the requests a second that a target names with its answer, if any."""
+        rate = parse_rate(text)
+        if rate == self._limits.get(target.id):
+            return
+        if rate is None:
+            del self._limits[target.id]
+        else:
+            self._limits[target.id] = rate
+        log_event("target_limit", target=target.id, requests_per_second=rate)
+
     def _choose_least_busy(self, ready: Sequence[RegisteredTarget]) -> RegisteredTarget:
         random = self._state.random.random
         return min(ready, key=lambda t: (self._in_flight[t.id], random()))
--- a/libraries/gateway/tests/test_headers.py
+++ b/libraries/gateway/tests/test_headers.py
@@ -1,5 +1,8 @@
 """Tests of which headers go on to a target."""
 
+import pytest
+
+from tarragonward_gateway.headers import parse_rate
 from tarragonward_standins import answer_with
 
 
@@ -16,3 +19,23 @@
     (seen,) = site.targets[0].seen
     assert seen.get("host") == ["app.example"]
     assert seen.body == b"abcd"
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"),
+    [
+        ("1", 1.0),
+        ("0.25", 0.25),
+        ("0", 0.0),
+        ("", None),
+        (None, None),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("1e99", None),
+        ("one", None),
+        ("\u0661", None),
+    ],
+)
+def test_a_rate_is_read_or_there_is_none(text, rate):
+    assert parse_rate(text) == rate
