Reproduce a target that names a limit and gets more

The stand-in's runners name a limit for a while; the checker judges by the rule, from arrivals by host (four seconds, from 3 s after it was first named, hosts that were told 0.5 s before).

--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -5,15 +5,15 @@
 import hashlib
 import re
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from .platform_clients import PROMISES, Attempt, ClientRequest
 from .platform_model_runner import build_piece
-from .platform_runner import Arrival
+from .platform_runner import Arrival, LimitSpan
 from .platform_tickets import TicketRecord, judge_tickets
 
-__all__ = ["Checker", "ConfigStep", "Rule", "count_crashes"]
+__all__ = ["Checker", "ConfigStep", "Rule", "count_crashes", "count_most_within"]
 
 APPLY_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
@@ -24,6 +24,10 @@
 STABLE_SECONDS = 3.0
 CRASHES_KNOWN = 3
 SENDS_AFTER_CRASHES = 3
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_TOLD_SECONDS = 0.5
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 NOT_FOUND = (401, 404)
 FAR = 1e18
 WEIGHTS_LINE = re.compile(rb"^x-weight-versions: \d+\n")
@@ -48,6 +52,7 @@
     arrivals: Iterable[Arrival]
     steps: list[ConfigStep]
     tickets: Iterable[TicketRecord] = ()
+    limits: Iterable[LimitSpan] = ()
     now: float = 0.0
     broken: list[tuple[Rule, str]] = field(default_factory=list)
 
@@ -67,6 +72,8 @@
                 self._note("UNASKED", arrival.request_id)
         self._check_many(by_id)
         self._check_crashes()
+        for span in self.limits:
+            self._check_limit(span)
         self.broken += judge_tickets(self.tickets, self.now)
         return self.broken
 
@@ -206,6 +213,35 @@
             if len(late) > SENDS_AFTER_CRASHES:
                 self._note("BUDGET", f"{len(late)} sends, {len(ends)} runners ended")
 
+    def _check_limit(self, span: LimitSpan) -> None:
+        """Check what reached a runner from the hosts that it had told its limit."""
+        hosts = {a.request_id: a.node for r in self.requests for a in r.attempts}
+        told: dict[object, float] = {}
+        counted: list[float] = []
+        for arrival in sorted(self.arrivals, key=lambda arrival: arrival.at):
+            if arrival.runner_id != span.runner_id:
+                continue
+            host = hosts.get(arrival.request_id)
+            is_told = told.get(host, FAR) + LIMIT_TOLD_SECONDS <= arrival.at
+            is_stable = span.began_at + STABLE_SECONDS <= arrival.at < span.ended_at
+            if is_told and is_stable:
+                counted.append(arrival.at)
+            if arrival.limit_named_at is not None:
+                told[host] = min(told.get(host, FAR), arrival.limit_named_at)
+        allowed = LIMIT_FACTOR * span.rate * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+        if count_most_within(counted, LIMIT_WINDOW_SECONDS) > allowed:
+            self._note("LIMIT", f"{span.runner_id} named {span.rate:g} a second")
+
+
+def count_most_within(times: Sequence[float], seconds: float) -> int:
+    """Return the most of ordered times that lie in any span of so many seconds."""
+    most = first = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - seconds:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
 
 def count_crashes(arrivals: Iterable[Arrival]) -> dict[str, float]:
     """Return the runners that ended under one of the requests, and when each did."""
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -22,7 +22,14 @@
 )
 from .platform_store import PlatformStore
 
-__all__ = ["CRASH_MARK", "Arrival", "PlatformRunner", "RunnerFaults", "RunnerPlan"]
+__all__ = [
+    "CRASH_MARK",
+    "Arrival",
+    "LimitSpan",
+    "PlatformRunner",
+    "RunnerFaults",
+    "RunnerPlan",
+]
 
 # A request whose body begins so ends each runner that begins to run it.
 CRASH_MARK = b"crash:"
@@ -95,6 +102,18 @@
     has_broken_off: bool = False
     # When the runner ended under the request.
     runner_crashed_at: float | None = None
+    # When an answer that names a limit was begun.
+    limit_named_at: float | None = None
+
+
+@dataclass
+class LimitSpan:
+    """A time in which a runner named a limit, in requests a second."""
+
+    runner_id: str
+    rate: float
+    began_at: float
+    ended_at: float = float("inf")
 
 
 class PlatformRunner:
@@ -122,6 +141,7 @@
         self.link: FaultProxy | None = None
         self.on_crash: list[Callable[[PlatformRunner], None]] = []
         self._crashing: asyncio.Task[None] | None = None
+        self.limits: list[LimitSpan] = []
         self._address = Address(plan.host, 0)
         self._paths: dict[
             tuple[str, str],
@@ -165,6 +185,22 @@
         self.left_at = asyncio.get_running_loop().time()
         self._store.delete(f"servers/{self.id}")
 
+    def name_limit(self, rate: float | None) -> None:
+        """Name a limit in all answers from now on, or none."""
+        now = asyncio.get_running_loop().time()
+        for span in self.limits:
+            span.ended_at = min(span.ended_at, now)
+        if rate is not None:
+            self.limits.append(LimitSpan(self.id, rate, now))
+
+    def _build_limit(self, arrival: Arrival) -> tuple[tuple[str, str], ...]:
+        now = asyncio.get_running_loop().time()
+        span = self.limits[-1] if self.limits else None
+        if span is None or span.ended_at <= now:
+            return ()
+        arrival.limit_named_at = now
+        return (("Server-Limit", f"{span.rate:g}"),)
+
     def crash_by(self, arrival: Arrival) -> None:
         """End under a request; all else that is in progress here is lost with it."""
         arrival.runner_crashed_at = asyncio.get_running_loop().time()
@@ -287,6 +323,7 @@
             ("X-Request-Id", arrival.request_id),
             ("X-Response-Seal", f"{arrival.runner_id}.{arrival.request_id}"),
             ("X-Server-Load", load),
+            *self._build_limit(arrival),
             *framing,
         ]
         if self.is_leaving:
@@ -329,6 +366,7 @@
         if arrival is not None:
             arrival.status = status
             headers.append(("X-Request-Id", arrival.request_id))
+            headers += self._build_limit(arrival)
         writer.write(build_head(status, [*headers, ("Content-Length", "0")]))
         return True
 
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -195,8 +195,10 @@
         """Return the broken rules of all that was seen so far."""
         tickets = [r for model in self.models for r in model.tickets.records]
         now = asyncio.get_running_loop().time()
-        arrivals, steps = self.arrivals, self.steps
-        return Checker(self.requests, arrivals, steps, tickets, now).check()
+        limits = [span for runner in self._runners for span in runner.limits]
+        return Checker(
+            self.requests, self.arrivals, self.steps, tickets, limits, now
+        ).check()
 
     @property
     def requests(self) -> list[ClientRequest]:
--- a/libraries/standins/tests/test_platform_checker.py
+++ b/libraries/standins/tests/test_platform_checker.py
@@ -9,7 +9,7 @@
 from tarragonward_standins.platform_checker import Checker, ConfigStep
 from tarragonward_standins.platform_clients import Attempt, ClientRequest, RequestPlan
 from tarragonward_standins.platform_model_runner import build_piece
-from tarragonward_standins.platform_runner import Arrival
+from tarragonward_standins.platform_runner import Arrival, LimitSpan
 
 NODE = Address("127.0.0.1", 1)
 STEP = ConfigStep(0.0, {"/a/": frozenset({"s"})}, {"k": "town"})
@@ -163,3 +163,42 @@
     assert judge(request, [arrival]) == set()
     request.pieces = first + b"x-weight-versions: two\n" + second
     assert judge(request, [arrival]) == {"ORDER"}
+
+
+def build_crashes(count, at):
+    """Return arrivals of one request that end a runner each, then later ones."""
+    request, _, arrival = build_day("idempotent")
+    ended = [
+        replace(arrival, runner_id=f"i{number}", runner_crashed_at=10.0 + number)
+        for number in range(3)
+    ]
+    return request, [*ended, *(replace(arrival, at=at) for _ in range(count))]
+
+
+@pytest.mark.parametrize(
+    ("count", "at", "broken"),
+    [(3, 16.0, False), (4, 16.0, True), (9, 14.9, False)],
+)
+def test_a_request_that_ended_three_runners_and_is_sent_on_is_found(count, at, broken):
+    assert ("BUDGET" in judge(*build_crashes(count, at))) == broken
+
+
+@pytest.mark.parametrize(
+    ("count", "told", "stable_at", "broken"),
+    [
+        (11, True, 4.0, False),
+        (12, True, 4.0, True),
+        (12, False, 4.0, False),
+        (12, True, 2.0, False),
+    ],
+)
+def test_a_runner_that_gets_more_than_its_limit_is_found(
+    count, told, stable_at, broken
+):
+    request, attempt, arrival = build_day("idempotent")
+    named_at = 10.1 if told else None
+    first = replace(arrival, at=10.1, limit_named_at=named_at)
+    arrivals = [first, *(replace(arrival, at=10.0 + stable_at) for _ in range(count))]
+    span = LimitSpan("i", 1.0, 10.0)
+    checker = Checker([request], arrivals, [STEP], limits=[span])
+    assert ("LIMIT" in {rule for rule, _ in checker.check()}) == broken
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -115,6 +115,16 @@
     assert 3 <= len(ended) <= 6, explain(site, report)
 
 
+async def test_a_runner_that_names_a_limit_gets_no_more(make_site):
+    """One of three runners takes one request a second from all hosts together."""
+    site = await make_site(PlatformPlan(plain_per_zone=1))
+    site.plain[0].name_limit(1.0)
+    day = DayPlan(seconds=9.0, drafts_per_second=2, calls_per_second=30, seed=8)
+    report = await PlatformDay(site, day).async_play()
+    assert not report.broken, explain(site, report)
+    assert report.score["whole"] > report.score["sent"] * 0.98, explain(site, report)
+
+
 async def test_memory_of_prompts_on_several_engines_is_free_in_time(make_site):
     """Prompts lie on several engines under reservations, and one engine dies.
 
