Give the stand-in's hosts addresses of their process's own

All hosts of a site share their ports since they hear each other, and sites of test processes side by side shared the addresses 127.0.1.n: a port that was free on all of them was taken by another site before a host listened.

--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -390,7 +390,10 @@
 
 
 def _build_ip(index: int) -> str:
-    return f"127.0.1.{index + 1}"
+    # Sites of other processes have other addresses: a port that is free on some of
+    # them now may be taken by one of theirs before a host listens.
+    high, low = divmod(os.getpid(), 1 << 8)
+    return f"127.{high % 127 + 1}.{low}.{index + 1}"
 
 
 def _find_ports(ips: list[str], count: int) -> list[int]:
