Keep to the requests a second that targets name

Cause: no host read what targets name. Its class: harm to a target that each host, attempt and caller counts for itself, or not at all.

Mend: a host takes the limit from the head of each answer, tells all others what is new at once and repeats it in rounds; the newest word counts. Of a target that takes little, few hosts are users, chosen by a hash of it and them: at most twice the rate and three; each has its part of nine tenths of the rate and saves up one request, which together stays within one and a half times the rate and five in four seconds, whatever hosts come, go or believe: a host that may not know all is a user only if all it does not know could be before it, and hosts lost lately still count. Placement leaves out targets that take none now, and does not let limited ones help to read; where no other is left a request is refused at once with the time to come back. It ends with the first sealed answer that names none. A refusal without the header ends nothing.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -19,6 +19,7 @@
 from .cells import CellKeeper
 from .forwarder import Forwarder
 from .health import HealthRoutes
+from .limit_task import LimitTask
 from .operators import OperatorsTask
 from .peers import Peers
 from .ports import HeaderNames, Paths, RecordParser, RecordReader, TargetCalls
@@ -70,6 +71,8 @@
         )
         self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
         self.suspect_task = SuspectTask(self.state, self.peers, self.forwarder.suspects)
+        self.limit_task = LimitTask(self.state, self.peers, self.targets)
+        self.targets.get_host_view = self.peers.get_host_view
         self.operators = OperatorsTask(
             self.state, self.targets.reach, self.forwarder.suspects
         )
@@ -94,6 +97,7 @@
             self.reservations,
             self.targets.probes,
             self.suspect_task,
+            self.limit_task,
             self.callers,
             self.health,
             self.settings,
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/limit_task.py
@@ -0,0 +1,98 @@
+"""Tell the other hosts of the limits that targets name, and hear theirs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from tarragonward_core import BackgroundTasks
+from tarragonward_membership import hash_name
+from tarragonward_placement import LimitEntry
+
+from . import const as c
+from .clock import read_clock
+from .peers import Peers
+from .state import GatewayState
+from .targets import TargetChooser
+
+__all__ = ["SECTION", "LimitTask"]
+
+SECTION = "limits"
+TASK_NAME = "limits"
+
+
+class LimitTask:
+    """The part of the hosts' datagrams that is about limits of targets.
+
+    What a target names first, or changes, is told to all at once; rounds repeat it.
+    """
+
+    def __init__(
+        self, state: GatewayState, peers: Peers, chooser: TargetChooser
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._limits = chooser.limits
+        self._background = BackgroundTasks(state.metrics)
+        self._news: dict[int, None] = {}
+        self._telling: list[int] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._turn = 0
+        chooser.on_limit.append(self._note_changed)
+        peers.add_section(SECTION, self._build, self._take)
+        state.metrics.add_gauge(
+            "targets_limited", "name a limit", lambda: len(self._limits)
+        )
+
+    async def async_setup(self) -> None:
+        """Begin to forget the limits of targets that are no more."""
+        self._background.start(TASK_NAME, self._async_forget)
+
+    async def async_unload(self) -> None:
+        """Stop."""
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._background.async_unload()
+
+    async def _async_forget(self) -> None:
+        while True:
+            await asyncio.sleep(c.LIMIT_CHECK_SECONDS)
+            registered = self._state.registry.get_all()
+            numbers = {hash_name(target.id) for target in registered}
+            self._limits.keep_only(numbers, read_clock())
+
+    def _note_changed(self, number: int) -> None:
+        self._news[number] = None
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(c.LIMIT_NEWS_SECONDS, self._tell)
+
+    def _tell(self) -> None:
+        self._timer = None
+        news, self._news = list(self._news), {}
+        for start in range(0, len(news), c.MAX_LIMITS_TOLD):
+            self._telling = news[start : start + c.MAX_LIMITS_TOLD]
+            self._peers.tell_all(SECTION)
+        self._telling = []
+
+    def _build(self) -> list[Any] | None:
+        now = read_clock()
+        told = self._telling or self._choose_in_turn()
+        entries = (self._limits.build_entry(number, now) for number in told)
+        return [entry.pack() for entry in entries if entry is not None] or None
+
+    def _choose_in_turn(self) -> list[int]:
+        known = list(self._limits.iterate())
+        if not known:
+            return []
+        start = self._turn % len(known)
+        self._turn = start + c.MAX_LIMITS_IN_ROUNDS
+        return (known[start:] + known[:start])[: c.MAX_LIMITS_IN_ROUNDS]
+
+    def _take(self, host: str, data: Any, age: float) -> None:
+        now = read_clock()
+        for item in data:
+            entry = LimitEntry.unpack(item)
+            if self._limits.take(entry, now, age):
+                # Another host has told all of it.
+                self._news.pop(entry.number, None)
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -31,6 +31,7 @@
     SeedPeer,
 )
 from tarragonward_membership.const import HELLO_INTERVAL_SECONDS
+from tarragonward_placement import HostView
 
 from . import const as c
 from .clock import read_clock, read_suspended
@@ -61,6 +62,8 @@
         self._background = BackgroundTasks(state.metrics)
         self._sent_bytes = self._brief_bytes = 0
         self._suspended = read_suspended()
+        self._view = HostView("", frozenset(), 1)
+        self._view_at = float("-inf")
         self.on_pause: list[Callable[[], None]] = []
         self.members = SeedMembership(
             HostIdentity(settings.peers, new_incarnation()),
@@ -93,6 +96,19 @@
         """Return how many hosts what all share is divided by, never too few."""
         return self.members.count_most_hosts(read_clock())
 
+    def get_host_view(self) -> HostView:
+        """Return the hosts that this one knows, as they were moments ago."""
+        now = read_clock()
+        if now - self._view_at >= c.HOST_VIEW_SECONDS:
+            known = self.members.list_known(now)
+            most = max(len(known), self.members.count_most_known(now))
+            names = frozenset(map(str, known))
+            view = HostView(str(self.members.own.address), names, most)
+            if view != self._view:
+                self._view = view
+            self._view_at = now
+        return self._view
+
     def get_control_address(self, name: str) -> Address | None:
         """Return where a peer is asked over TCP; ports are the same on all hosts."""
         for peer in self.members.get_peers():
--- a/libraries/gateway/tarragonward_gateway/placing.py
+++ b/libraries/gateway/tarragonward_gateway/placing.py
@@ -98,6 +98,7 @@
                 with self._chooser.hold(choice):
                     are_reached = await self._chooser.probes.async_check(choice.helpers)
                 if not are_reached:
+                    self._chooser.return_send(choice.target)
                     continue
             if not choice.needs_tickets:
                 return choice, None
@@ -105,6 +106,7 @@
                 held = await self._reservations.async_reserve(choice)
             if isinstance(held, Lease):
                 return choice, held
+            self._chooser.return_send(choice.target)
             self._chooser.note_full(held)
             wait = c.RESERVATION_RETRY_SECONDS * 2**attempt
             await asyncio.sleep(self._state.random.random() * wait)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -199,7 +199,8 @@
         if placed is None:
             self._observer.note_choice(None, tried=len(self._placer.tried))
             self._return_repeat()
-            return self._hear(SendFailed(SendFault.NO_TARGET))
+            wait = self._chooser.compute_wait(self._placer.build_need())
+            return self._hear(SendFailed(SendFault.NO_TARGET, wait))
         choice, lease = placed
         target = choice.target
         readers = len(choice.helpers) + 1 if choice.plan is not None else 0
@@ -219,6 +220,7 @@
         except NotConnectedError as err:
             event = SendFailed(SendFault.NOT_CONNECTED)
             self._return_repeat()
+            self._chooser.return_send(target)
             self._log_failed(target, event, err)
         except StreamMovedError as err:
             self._placer.left = target.id
@@ -356,8 +358,12 @@
         names = self._state.headers
         self._note_head(choice.target, stream)
         self._chooser.note_load(choice.target, stream.headers.get(names.load))
-        self._chooser.note_limit(choice.target, stream.headers.get(names.limit))
-        if self._head.is_refusal(stream):
+        limit = stream.headers.get(names.limit)
+        is_refusal = self._head.is_refusal(stream)
+        # A refusal may leave the limit out, or come from another boot at the address.
+        if limit is not None or not is_refusal:
+            self._chooser.note_limit(choice.target, limit)
+        if is_refusal:
             at_fault = stream.headers.get(names.at_target)
             is_helpers_fault = at_fault is not None and (
                 self._chooser.probes.note_named(choice.helpers, at_fault)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -4,24 +4,27 @@
 
 import hashlib
 from collections import Counter
-from collections.abc import Callable, Collection, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any
 
 from tarragonward_core import log_event
-from tarragonward_membership import RegisteredTarget
+from tarragonward_membership import RegisteredTarget, hash_name
 from tarragonward_placement import (
     Cell,
     EngineWork,
     FleetBook,
+    HostView,
     PromptNeed,
     PromptWork,
     ReadingPlan,
+    TargetLimits,
     TargetReach,
     plan_reading,
 )
+from tarragonward_placement.const import MAX_LIMIT_WAIT_SECONDS
 from tarragonward_routes import Route, Service
 
 from .clock import read_clock
@@ -35,6 +38,7 @@
 MAX_ORDERED = 4_096
 LOAD_SEPARATOR = ","
 LOAD_FIELDS = 3
+ALONE = HostView("", frozenset({""}), 1)
 
 
 @dataclass(frozen=True)
@@ -122,8 +126,10 @@
         self.get_cell: Callable[[str], Cell] | None = None
         self._streams: dict[str, dict[Callable[[EngineWork], None], None]] = {}
         self.book.on_reading.append(self._note_reading)
-        # What targets themselves take a second, by id.
-        self._limits: dict[str, float] = {}
+        # What targets themselves take a second.
+        self.limits = TargetLimits(state.random)
+        self.on_limit: list[Callable[[int], None]] = []
+        self.get_host_view: Callable[[], HostView] = lambda: ALONE
         self.reach = TargetReach()
         self.probes = TargetProbes(state, self.reach)
 
@@ -140,8 +146,23 @@
         choice = self.find(need)
         if choice is not None:
             self.reach.note_chosen(choice.target, read_clock())
+            self.limits.record_send(hash_name(choice.target.id))
         return choice
 
+    def return_send(self, target: RegisteredTarget) -> None:
+        """Note that a target that was chosen is sent nothing."""
+        self.limits.return_send(hash_name(target.id))
+
+    def compute_wait(self, need: TargetNeed) -> float | None:
+        """Return when a target that names a limit takes one more, None for no such."""
+        now, view = read_clock(), self.get_host_view()
+        waits = [
+            self.limits.compute_wait(number, view, now)
+            for target in self._state.registry.get_ready(need.service)
+            if self.limits.is_limited(number := hash_name(target.id))
+        ]
+        return min(*waits, MAX_LIMIT_WAIT_SECONDS) if waits else None
+
     def find_instead(self, need: TargetNeed) -> SendChoice | None:
         """Return where a request that a target has already would go in its place.
 
@@ -162,6 +183,7 @@
             for target in self._state.registry.get_ready(need.service)
             if need.allows(target) and self._has_connection(target)
         ]
+        ready = self._keep_to_limits(ready)
         if not ready:
             return None
         now = read_clock()
@@ -192,6 +214,14 @@
             return SendChoice(self._choose_least_busy(ready))
         return self._plan(need, ready, service)
 
+    def _keep_to_limits(self, ready: list[RegisteredTarget]) -> list[RegisteredTarget]:
+        """Return the targets that take one more request of this host now."""
+        if not len(self.limits):
+            return ready
+        now, view = read_clock(), self.get_host_view()
+        may_send = self.limits.may_send
+        return [t for t in ready if may_send(hash_name(t.id), view, now)]
+
     def _choose_idle(
         self, ready: Sequence[RegisteredTarget]
     ) -> Sequence[RegisteredTarget]:
@@ -285,19 +315,19 @@
 
     def note_limit(self, target: RegisteredTarget, text: str | None) -> None:
         """Take the requests a second that a target names with its answer, if any."""
-        rate = parse_rate(text)
-        if rate == self._limits.get(target.id):
-            return
-        if rate is None:
-            del self._limits[target.id]
-        else:
-            self._limits[target.id] = rate
-        log_event("target_limit", target=target.id, requests_per_second=rate)
+        number, rate = hash_name(target.id), parse_rate(text)
+        if self.limits.note_named(number, rate, read_clock()):
+            log_event("target_limit", target=target.id, requests_per_second=rate)
+            for notify in self.on_limit:
+                notify(number)
 
     def _choose_least_busy(self, ready: Sequence[RegisteredTarget]) -> RegisteredTarget:
         random = self._state.random.random
         return min(ready, key=lambda t: (self._in_flight[t.id], random()))
 
+    def _is_limited(self, target_id: str) -> bool:
+        return self.limits.is_limited(hash_name(target_id))
+
     def _keep_cell(
         self, need: TargetNeed, ready: Sequence[RegisteredTarget]
     ) -> Sequence[RegisteredTarget]:
@@ -323,16 +353,24 @@
             leader=need.leader,
         )
         by_id = {target.id: target for target in self._keep_cell(need, ready)}
-        plan = plan_reading(
-            prompt,
-            sorted(by_id, key=_compute_place),
-            self.book.get_all(now),
-            service.engine,
-            self._state.random,
-            self.book.hears_peers(now),
-            {target.id: target.failure_domain for target in by_id.values()},
-            self._state.settings.failure_domain,
-        )
+
+        def plan_among(names: Iterable[str]) -> ReadingPlan | None:
+            return plan_reading(
+                prompt,
+                sorted(names, key=_compute_place),
+                self.book.get_all(now),
+                service.engine,
+                self._state.random,
+                self.book.hears_peers(now),
+                {name: by_id[name].failure_domain for name in names},
+                self._state.settings.failure_domain,
+            )
+
+        plan = plan_among(by_id)
+        if plan is not None and any(map(self._is_limited, plan.readers[1:])):
+            # A part that is read for another target is work that its limit leaves out.
+            free = [name for name in by_id if not self._is_limited(name)]
+            plan = plan_among(free) or plan
         if plan is None:
             return None
         return SendChoice(
--- a/libraries/gateway/tests/test_limits.py
+++ b/libraries/gateway/tests/test_limits.py
@@ -1,6 +1,6 @@
 """Tests of targets that name how many requests a second they take."""
 
-from tarragonward_standins import answer_with
+from tarragonward_standins import answer_with, stream_events
 
 
 async def test_a_target_that_names_a_limit_gets_no_more(make_site):
@@ -11,3 +11,47 @@
         assert (await site.async_ask()).status == 200
     assert len(site.targets[0].seen) <= 11
     assert len(site.targets[1].seen) >= 29
+
+
+async def test_all_targets_limited_are_refused_at_once_with_a_time_to_come_back(
+    make_site,
+):
+    """Callers that wait for a limit until their deadline get nothing and learn late."""
+    site = await make_site(answer_with(lines=["X-Target-Limit: 0.5"]))
+    answers = [await site.async_ask() for _ in range(6)]
+    statuses = [answer.status for answer in answers]
+    assert statuses.count(503) >= 3
+    last = answers[-1]
+    assert last.status == 503
+    assert 0 < float(last.get("retry-after")[0]) <= 1.0
+    assert last.get("x-result-code") == ["2001"]
+
+
+async def test_a_limit_that_is_named_no_more_has_ended(make_site):
+    """A target that has recovered must not be left at the rate it once named."""
+    named = []
+
+    async def script(request, writer):
+        lines = [] if len(named) > 2 else ["X-Target-Limit: 200"]
+        named.append(lines)
+        await answer_with(lines=lines)(request, writer)
+
+    site = await make_site(script)
+    for _ in range(40):
+        await site.async_ask()
+    assert not len(site.chooser.limits)
+    assert (await site.async_ask()).status == 200
+
+
+async def test_a_target_that_names_a_limit_helps_to_read_no_prompt(make_engines):
+    """A part read for another target is work that its limit leaves out."""
+    answer = stream_events(range(1, 3))
+    site = await make_engines(*[answer] * 4)
+    limited = site.state.registry.get_ready("s")[3]
+    site.chooser.note_limit(limited, "50")
+    assert (await site.async_ask_prompt("200000,46")).status == 200
+    helpers = [
+        seen.get("x-helper-engines") for target in site.targets for seen in target.seen
+    ]
+    assert any(helpers)
+    assert str(limited.address) not in str(helpers)
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -180,6 +180,12 @@
         """Return the peer at an address, None where none is known there."""
         return self._peers.get(address)
 
+    def list_known(self, now: float) -> frozenset[Address]:
+        """Return the hosts known lately, this one and those lost since then too."""
+        long_ago = now - c.HOST_COUNT_MEMORY_SECONDS
+        lost = (a for a, peer in self._lost.items() if peer.heard_at > long_ago)
+        return frozenset((self.own.address, *self._peers, *lost))
+
     def count_hosts(self) -> int:
         """Return how many hosts are there, this one with them."""
         return len(self._peers) + 1
@@ -199,8 +205,12 @@
         floor = self._seed_count
         if now - self._started_at < c.HOST_COUNT_GUESS_SECONDS:
             floor *= c.HOSTS_GUESSED_A_SEED
+        return max(floor, self.count_most_known(now))
+
+    def count_most_known(self, now: float) -> int:
+        """Return the same without a guess."""
         counted = self._most_counted.get(now), self._most_told.get(now)
-        return max(floor, self.count_hosts(), *counted)
+        return max(self._seed_count, self.count_hosts(), *counted)
 
     def _choose_entries(self, now: float) -> tuple[PeerEntry, ...]:
         count = c.GOSSIP_HELLO_ENTRIES
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -41,8 +41,13 @@
 )
 from .readings import ReadingPlan, plan_reading
 from .relocation import gains_by_moving, predict_wait
+from .target_limits import HostView, LimitEntry, TargetLimits, compute_part
 
 __all__ = [
+    "HostView",
+    "LimitEntry",
+    "TargetLimits",
+    "compute_part",
     "TargetRegained",
     "TargetDoubted",
     "Evidence",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -142,3 +142,12 @@
 # A connection this long ago says that the target is still there.
 REACHED_SECONDS = 0.5
 MAX_DOUBTED = 4_096
+
+# Requests a second that targets name, shared by hosts without shared state.
+LIMIT_SHARE = 0.9
+LIMIT_USERS_A_RATE = 2.0
+LIMIT_LEAST_USERS = 3
+LIMIT_LEAST_RATE = 0.001
+MAX_TARGET_LIMITS = 4_096
+LIMIT_MEMORY_SECONDS = 60.0
+MAX_LIMIT_WAIT_SECONDS = 1.0
--- /dev/null
+++ b/libraries/placement/tests/test_target_limits.py
@@ -0,0 +1,126 @@
+"""Tests of how hosts share the requests a second that targets name."""
+
+import random
+
+import pytest
+
+from tarragonward_placement import HostView, LimitEntry, TargetLimits, compute_part
+
+TARGET = 7
+WINDOW = 4.0
+
+
+def name_hosts(count, first=0):
+    return frozenset(f"h{number}" for number in range(first, first + count))
+
+
+def make_limits(rate=1.0, now=0.0, seed=1):
+    limits = TargetLimits(random.Random(seed))
+    limits.note_named(TARGET, rate, now)
+    return limits
+
+
+def count_allowed(rate):
+    """Return what a target takes in a window, by the users' rule."""
+    return 1.5 * rate * WINDOW + 5
+
+
+@pytest.mark.parametrize("hosts", [1, 2, 7, 9, 195, 320])
+@pytest.mark.parametrize("rate", [0.05, 0.3, 1.0, 2.5, 40.0, 1_000.0])
+def test_parts_add_up_to_no_more_than_the_rate_and_some_are_served(hosts, rate):
+    known = name_hosts(hosts)
+    parts = [compute_part(TARGET, rate, HostView(h, known, hosts)) for h in known]
+    assert 0.8 * rate < sum(parts) <= rate
+    # What all have saved up at once, and what they earn in a window.
+    saved = sum(part > 0 for part in parts)
+    assert saved + sum(parts) * WINDOW <= count_allowed(rate)
+
+
+@pytest.mark.parametrize("rate", [0.3, 1.0, 40.0])
+def test_hosts_that_believe_in_different_fleets_stay_within_the_rule(rate):
+    """Two sides of a cut each drop the other from their view, not from the count."""
+    hosts, parts = 195, []
+    for first, count in ((0, 150), (150, 45)):
+        known = name_hosts(count, first)
+        parts += [compute_part(TARGET, rate, HostView(h, known, hosts)) for h in known]
+    saved = sum(part > 0 for part in parts)
+    assert saved + sum(parts) * WINDOW <= count_allowed(rate)
+
+
+def test_a_host_that_knows_few_of_many_uses_no_target_that_takes_little():
+    """A host that has just started would take the whole limit for itself."""
+    view = HostView("h1", name_hosts(3), 195)
+    assert compute_part(TARGET, 1.0, view) == 0.0
+
+
+@pytest.mark.parametrize("rate", [0.3, 1.0, 8.0])
+def test_hosts_that_send_all_they_may_stay_within_the_rule(rate):
+    known = name_hosts(9)
+    hosts = {name: make_limits(rate, seed=n) for n, name in enumerate(known)}
+    sent = []
+    for step in range(4_000):
+        now = step * 0.01
+        for name, limits in hosts.items():
+            if limits.may_send(TARGET, HostView(name, known, 9), now):
+                limits.record_send(TARGET)
+                sent.append(now)
+    most = max(sum(at <= s < at + WINDOW for s in sent) for at in sent)
+    assert most <= count_allowed(rate)
+    assert len(sent) > 0.6 * rate * 40.0
+
+
+def test_a_limit_ends_when_the_target_names_none():
+    limits = make_limits(0.1)
+    view = HostView("h0", name_hosts(1), 1)
+    limits.may_send(TARGET, view, 1.0)
+    limits.record_send(TARGET)
+    assert not limits.may_send(TARGET, view, 1.0)
+    assert 0 < limits.compute_wait(TARGET, view, 1.0) <= 20.0
+    assert limits.note_named(TARGET, None, 2.0)
+    assert limits.may_send(TARGET, view, 2.0)
+    assert not len(limits)
+
+
+def test_the_newest_word_counts_in_whatever_order_it_comes():
+    """Words that cross on the way must not bring an ended limit back."""
+    entries = [LimitEntry(TARGET, 1.0, 3.0), LimitEntry(TARGET, None, 1.0)]
+    for told in (entries, entries[::-1]):
+        limits = make_limits(2.0, now=-9.0)
+        for entry in told:
+            limits.take(entry, 0.0)
+        assert not limits.is_limited(TARGET)
+
+
+def test_news_is_told_once():
+    limits = make_limits(1.0)
+    assert not limits.note_named(TARGET, 1.0, 1.0)
+    assert limits.note_named(TARGET, 2.0, 2.0)
+    assert not limits.note_named(8, None, 2.0)
+
+
+def test_what_was_not_sent_is_given_back():
+    limits = make_limits(0.01)
+    view = HostView("h0", name_hosts(1), 1)
+    limits.may_send(TARGET, view, 1_000.0)
+    limits.record_send(TARGET)
+    limits.return_send(TARGET)
+    assert limits.may_send(TARGET, view, 1_000.0)
+
+
+def test_targets_that_are_gone_are_forgotten():
+    limits = make_limits(1.0)
+    limits.keep_only({TARGET}, 999.0)
+    assert limits.is_limited(TARGET)
+    limits.keep_only(set(), 999.0)
+    assert not limits.is_limited(TARGET)
+
+
+def test_an_entry_travels_whole():
+    for entry in (LimitEntry(7, 0.25, 1.5), LimitEntry(7, None, 0.0)):
+        assert LimitEntry.unpack(entry.pack()) == entry
+
+
+@pytest.mark.parametrize("item", [(1, "2", 3), (1, 2), (True, 1, 1), (-2, 1, 1)])
+def test_a_malformed_entry_is_refused(item):
+    with pytest.raises(ValueError):
+        LimitEntry.unpack(item)
