--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -2,8 +2,16 @@
 
 import pytest
 
-from tarragonward_bench.harm import CrashPlan, CrashRun, run_crash_seed
+from tarragonward_bench.harm import (
+    CrashPlan,
+    CrashRun,
+    LimitPlan,
+    LimitRun,
+    run_crash_seed,
+    run_limit_seed,
+)
 from tarragonward_gateway.suspect_gossip import SuspectGossip
+from tarragonward_placement import target_limits
 from tarragonward_requests import const
 
 
@@ -26,3 +34,17 @@
     monkeypatch.setattr(const, "CRASHES_UNTIL_REFUSED", 1)
     with pytest.raises(AssertionError, match="without a culprit"):
         CrashRun(CrashPlan(culprits=0, has_troubles=False), 1).run()
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_targets_that_name_limits_get_no_more(seed):
+    assert run_limit_seed(seed)
+
+
+def test_hosts_that_each_take_the_whole_limit_are_found_out(monkeypatch):
+    """Each host keeps to the limit by itself, and all together exceed it."""
+    monkeypatch.setattr(
+        target_limits, "compute_part", lambda number, rate, view: 0.9 * rate
+    )
+    with pytest.raises(AssertionError, match="a second"):
+        LimitRun(LimitPlan(hosts=40, requests_a_second=400.0), 1).run()
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/limit_gossip.py
@@ -0,0 +1,56 @@
+"""Decide what to tell other hosts of the limits that targets name."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from tarragonward_placement import LimitEntry, TargetLimits
+
+from . import const as c
+
+__all__ = ["LimitGossip"]
+
+
+class LimitGossip:
+    """What one host tells of the limits it knows; times in seconds.
+
+    What a target names first, or changes, is told to all at once; rounds repeat it.
+    """
+
+    def __init__(self, limits: TargetLimits) -> None:
+        self._limits = limits
+        self._news: dict[int, None] = {}
+        self._turn = 0
+
+    def note_changed(self, number: int) -> None:
+        """Note that all should hear of a target's limit."""
+        self._news[number] = None
+
+    def take_news(self) -> list[list[int]]:
+        """Return the targets to tell of now, as many at a time as a message holds."""
+        news, self._news = list(self._news), {}
+        size = c.MAX_LIMITS_TOLD
+        return [news[start : start + size] for start in range(0, len(news), size)]
+
+    def choose_in_turn(self) -> list[int]:
+        """Return a few of all targets that name limits, others at each call."""
+        known = list(self._limits.iterate())
+        if not known:
+            return []
+        start = self._turn % len(known)
+        self._turn = start + c.MAX_LIMITS_IN_ROUNDS
+        return (known[start:] + known[:start])[: c.MAX_LIMITS_IN_ROUNDS]
+
+    def build(self, numbers: Iterable[int], now: float) -> list[Any]:
+        """Return what is known of these targets, as it travels."""
+        entries = (self._limits.build_entry(number, now) for number in numbers)
+        return [entry.pack() for entry in entries if entry is not None]
+
+    def take(self, data: Iterable[Any], age: float, now: float) -> None:
+        """Take what another host told; raise ValueError where it is malformed."""
+        for item in data:
+            entry = LimitEntry.unpack(item)
+            if self._limits.take(entry, now, age):
+                # The other host has told all of it.
+                self._news.pop(entry.number, None)
--- a/libraries/gateway/tarragonward_gateway/limit_task.py
+++ b/libraries/gateway/tarragonward_gateway/limit_task.py
@@ -7,10 +7,10 @@
 
 from tarragonward_core import BackgroundTasks
 from tarragonward_membership import hash_name
-from tarragonward_placement import LimitEntry
 
 from . import const as c
 from .clock import read_clock
+from .limit_gossip import LimitGossip
 from .peers import Peers
 from .state import GatewayState
 from .targets import TargetChooser
@@ -22,10 +22,7 @@
 
 
 class LimitTask:
-    """The part of the hosts' datagrams that is about limits of targets.
-
-    What a target names first, or changes, is told to all at once; rounds repeat it.
-    """
+    """The part of the hosts' datagrams that is about limits of targets."""
 
     def __init__(
         self, state: GatewayState, peers: Peers, chooser: TargetChooser
@@ -34,10 +31,9 @@
         self._peers = peers
         self._limits = chooser.limits
         self._background = BackgroundTasks(state.metrics)
-        self._news: dict[int, None] = {}
+        self._gossip = LimitGossip(chooser.limits)
         self._telling: list[int] = []
         self._timer: asyncio.TimerHandle | None = None
-        self._turn = 0
         chooser.on_limit.append(self._note_changed)
         peers.add_section(SECTION, self._build, self._take)
         state.metrics.add_gauge(
@@ -62,37 +58,21 @@
             self._limits.keep_only(numbers, read_clock())
 
     def _note_changed(self, number: int) -> None:
-        self._news[number] = None
+        self._gossip.note_changed(number)
         if self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(c.LIMIT_NEWS_SECONDS, self._tell)
 
     def _tell(self) -> None:
         self._timer = None
-        news, self._news = list(self._news), {}
-        for start in range(0, len(news), c.MAX_LIMITS_TOLD):
-            self._telling = news[start : start + c.MAX_LIMITS_TOLD]
+        for numbers in self._gossip.take_news():
+            self._telling = numbers
             self._peers.tell_all(SECTION)
         self._telling = []
 
     def _build(self) -> list[Any] | None:
-        now = read_clock()
-        told = self._telling or self._choose_in_turn()
-        entries = (self._limits.build_entry(number, now) for number in told)
-        return [entry.pack() for entry in entries if entry is not None] or None
-
-    def _choose_in_turn(self) -> list[int]:
-        known = list(self._limits.iterate())
-        if not known:
-            return []
-        start = self._turn % len(known)
-        self._turn = start + c.MAX_LIMITS_IN_ROUNDS
-        return (known[start:] + known[:start])[: c.MAX_LIMITS_IN_ROUNDS]
+        told = self._telling or self._gossip.choose_in_turn()
+        return self._gossip.build(told, read_clock()) or None
 
     def _take(self, host: str, data: Any, age: float) -> None:
-        now = read_clock()
-        for item in data:
-            entry = LimitEntry.unpack(item)
-            if self._limits.take(entry, now, age):
-                # Another host has told all of it.
-                self._news.pop(entry.number, None)
+        self._gossip.take(data, age, read_clock())
