Give a request that ended three engines to no fourth, in the completions too

An engine that lost the stream and takes no connection any more has ended under the request; after three without a new token the request ends (4006, no time to come back). The test failed before: a fourth engine was asked. What is not mended there: repeats of the caller, and other hosts, count for themselves.

--- a/libraries/requests/tarragonward_requests/lifecycle.py
+++ b/libraries/requests/tarragonward_requests/lifecycle.py
@@ -50,6 +50,8 @@
         self._budget = budget
         self._attempt = 0
         self._fruitless_attempts = 0
+        # The engines that ended under the request since it last got on.
+        self._ended_engines = 0
         self._is_resumed = False
         self._may_have_run = False
         self._has_stream_run = False
@@ -84,6 +86,10 @@
         delay = self._compute_delay(fault)
         return self._retry(False, self._compute_failover_cost(), delay, now)
 
+    def _has_ended_engine(self, fault: AttemptFault) -> bool:
+        """Return whether an engine that lost the stream takes no connection now."""
+        return self._is_resumed and fault is AttemptFault.NOT_CONNECTED
+
     def _compute_delay(self, fault: AttemptFault) -> float:
         # Faults that come together pass over each other in milliseconds. Symptom of
         # trying again at once: the attempts are used up before any engine could
@@ -171,7 +177,7 @@
     pieces = pieces[: lifecycle.max_tokens - lifecycle.delivered_tokens]
     if not pieces:
         return []
-    lifecycle._fruitless_attempts = 0
+    lifecycle._fruitless_attempts = lifecycle._ended_engines = 0
     lifecycle._is_resumed = False
     lifecycle.delivered_tokens += len(pieces)
     return [DeliverText("".join(pieces), len(pieces))]
@@ -195,6 +201,10 @@
         return []
     if not event.fault.is_before_run:
         lifecycle._note_run()
+    if lifecycle._has_ended_engine(event.fault):
+        lifecycle._ended_engines += 1
+    if lifecycle._ended_engines >= c.CRASHES_UNTIL_REFUSED:
+        return lifecycle._end(ResultCode.FORWARD_CRASHED_TARGETS)
     return lifecycle._recover(event.fault, now)
 
 
--- a/libraries/requests/tests/test_lifecycle.py
+++ b/libraries/requests/tests/test_lifecycle.py
@@ -132,3 +132,17 @@
 
 def test_waking_early_for_the_deadline_changes_nothing(lifecycle):
     assert lifecycle.handle(DeadlinePassed(), 9.99) == []
+
+
+def test_a_request_that_ends_three_engines_is_given_to_no_fourth():
+    """A prompt that crashes what runs it was tried on engine after engine."""
+    lifecycle = RequestLifecycle("r", 10.0, RetryBudget(floor=30), max_tokens=4)
+    lifecycle.start(0.0)
+    for attempt in (1, 3, 5):
+        lost = AttemptFailed(attempt, AttemptFault.CONNECTION_LOST)
+        assert lifecycle.handle(lost, 1) == [StartAttempt(attempt + 1, 0, True)]
+        gone = AttemptFailed(attempt + 1, AttemptFault.NOT_CONNECTED)
+        effects = lifecycle.handle(gone, 1)
+    end = get_end(effects)
+    assert end.code is ResultCode.FORWARD_CRASHED_TARGETS
+    assert end.retry_after_seconds is None
