--- a/libraries/bench/tarragonward_bench/harm/troubles.py
+++ b/libraries/bench/tarragonward_bench/harm/troubles.py
@@ -40,7 +40,7 @@
     def _pick(self) -> list[HarmHost]:
         alive = [host for host in self._fleet.hosts.values() if not host.is_dead]
         count = max(1, int(len(alive) * self._random.choice(SHARES)))
-        return self._random.sample(alive, count)
+        return self._random.sample(alive, min(count, len(alive)))
 
     def _kill(self) -> None:
         for host in self._pick():
