--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -10,6 +10,7 @@
     run_crash_seed,
     run_limit_seed,
 )
+from tarragonward_bench.harm.spread import measure_spread
 from tarragonward_gateway.suspect_gossip import SuspectGossip
 from tarragonward_placement import target_limits
 from tarragonward_requests import const
@@ -48,3 +49,8 @@
     )
     with pytest.raises(AssertionError, match="a second"):
         LimitRun(LimitPlan(hosts=40, requests_a_second=400.0), 1).run()
+
+
+def test_all_hosts_know_of_a_third_crash_within_the_bound():
+    """Three hosts of forty see one crash each; all must refuse within three seconds."""
+    assert measure_spread(40, 1).all_seconds < 3.0
