--- a/libraries/gateway/tests/test_operators.py
+++ b/libraries/gateway/tests/test_operators.py
@@ -3,11 +3,14 @@
 import asyncio
 from dataclasses import replace
 
+import orjson
 import pytest
 from absl import logging
 
 from tarragonward_core import Address, LineBudget, event_log
+from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.operators import OperatorsTask
+from tarragonward_requests import Verdict
 from tarragonward_routes import EngineModel, RequestKind
 from tarragonward_standins import RawCaller, answer_with, async_reset, stream_events
 from tarragonward_wire import async_send_http
@@ -106,6 +109,30 @@
     assert "tarragonward_domains_resting 0.0" in text
 
 
+async def test_operators_see_and_lift_what_is_refused(make_site):
+    """A request stays refused after its targets' software was mended."""
+    site = await make_site(answer_with())
+    free = Address("127.0.0.1", 0)
+    site.state.settings = replace(site.state.settings, metrics=free)
+    suspects = site.forwarder.suspects
+    for target in range(3):
+        suspects.ledger.note_crash(b"12345678", 9, target, read_clock())
+    operators = OperatorsTask(site.state, site.chooser.reach, suspects)
+    await operators.async_setup()
+
+    async def ask(method, path):
+        return await async_send_http(operators.server.address, method, path, timeout=5)
+
+    [shown] = orjson.loads((await ask("GET", "/suspects")).body)
+    assert (shown["targets_ended"], shown["verdict"]) == (3, "refused")
+    path = f"/suspects/{shown['fingerprint']}"
+    assert (await ask("DELETE", "/suspects/none")).status == 404
+    assert (await ask("DELETE", path)).status == 200
+    assert suspects.ledger.judge(b"12345678", read_clock()) is Verdict.CLEAR
+    assert (await ask("DELETE", path)).status == 404
+    await operators.async_unload()
+
+
 async def test_a_metrics_address_in_use_costs_no_caller_its_answer(make_site, lines):
     site = await make_site(answer_with())
     site.state.settings = replace(site.state.settings, metrics=site.server.address)
