--- a/libraries/gateway/tarragonward_gateway/limit_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/limit_gossip.py
@@ -8,6 +8,7 @@
 from tarragonward_placement import LimitEntry, TargetLimits
 
 from . import const as c
+from .turns import Turn
 
 __all__ = ["LimitGossip"]
 
@@ -21,7 +22,7 @@
     def __init__(self, limits: TargetLimits) -> None:
         self._limits = limits
         self._news: dict[int, None] = {}
-        self._turn = 0
+        self._turn = Turn()
 
     def note_changed(self, number: int) -> None:
         """Note that all should hear of a target's limit."""
@@ -35,12 +36,7 @@
 
     def choose_in_turn(self) -> list[int]:
         """Return a few of all targets that name limits, others at each call."""
-        known = list(self._limits.iterate())
-        if not known:
-            return []
-        start = self._turn % len(known)
-        self._turn = start + c.MAX_LIMITS_IN_ROUNDS
-        return (known[start:] + known[:start])[: c.MAX_LIMITS_IN_ROUNDS]
+        return self._turn.take(list(self._limits.iterate()), c.MAX_LIMITS_IN_ROUNDS)
 
     def build(self, numbers: Iterable[int], now: float) -> list[Any]:
         """Return what is known of these targets, as it travels."""
--- a/libraries/gateway/tarragonward_gateway/observer.py
+++ b/libraries/gateway/tarragonward_gateway/observer.py
@@ -9,6 +9,7 @@
 from tarragonward_membership import RegisteredTarget
 from tarragonward_requests import (
     AnswerStarted,
+    Blamed,
     BreakOff,
     EventsGiven,
     ExchangeEffect,
@@ -249,6 +250,8 @@
 def _describe(event: ExchangeEvent) -> str:
     if isinstance(event, SendFailed):
         return event.fault.value
+    if isinstance(event, Blamed):
+        return "targets ended under it"
     if isinstance(event, TargetAnswered):
         return "target failed" if event.is_failure else "whole answer"
     return "time over" if isinstance(event, TimeOver) else type(event).__name__
--- a/libraries/gateway/tarragonward_gateway/suspect_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_gossip.py
@@ -16,6 +16,7 @@
 from tarragonward_requests.const import CRASHES_UNTIL_ALONE
 
 from . import const as c
+from .turns import Turn
 
 __all__ = ["SuspectGossip", "SuspectNews", "choose_keepers"]
 
@@ -46,7 +47,7 @@
         self._members = members
         self._random = rng
         self._due: dict[bytes, float] = {}
-        self._turn = 0
+        self._turn = Turn()
 
     @property
     def due_at(self) -> float | None:
@@ -84,11 +85,7 @@
             for fingerprint, suspect in self._ledger.iterate()
             if len(suspect.crashes) >= CRASHES_UNTIL_ALONE
         ]
-        if not known:
-            return []
-        start = self._turn % len(known)
-        self._turn = start + c.MAX_SUSPECTS_IN_ROUNDS
-        return (known[start:] + known[:start])[: c.MAX_SUSPECTS_IN_ROUNDS]
+        return self._turn.take(known, c.MAX_SUSPECTS_IN_ROUNDS)
 
     def take(self, data: Iterable[Any], age: float, now: float) -> None:
         """Take what another host told; raise ValueError where it is malformed."""
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -4,7 +4,7 @@
 
 import hashlib
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import lru_cache
@@ -354,7 +354,7 @@
         )
         by_id = {target.id: target for target in self._keep_cell(need, ready)}
 
-        def plan_among(names: Iterable[str]) -> ReadingPlan | None:
+        def plan_among(names: Collection[str]) -> ReadingPlan | None:
             return plan_reading(
                 prompt,
                 sorted(names, key=_compute_place),
