Keep what a suspect was acquitted of by target, not by time

Found on reading: ages that hosts tell each other again and again lose the time on their way, so an acquittal's time creeps towards now. After an operator lifts a request, its next three crashes would be taken for older than that (a test fails before: hosts that tell each other for 1,000 rounds let it pass). A crash is known by its target and an acquittal by the targets that it clears.

--- a/libraries/gateway/tarragonward_gateway/suspect_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_gossip.py
@@ -108,8 +108,7 @@
     def _knows_no_more(self, entry: SuspectEntry) -> bool:
         """Return whether all that this host knows of a request was just told."""
         suspect = self._ledger.get(entry.fingerprint)
-        told = {target for target, _ in entry.crashes}
-        return suspect is not None and told.issuperset(suspect.crashes)
+        return suspect is not None and set(entry.crashes).issuperset(suspect.crashes)
 
 
 def choose_keepers(
--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -31,49 +31,42 @@
 
 @dataclass(frozen=True)
 class SuspectEntry:
-    """What one host tells another of a request; times are ages in seconds.
+    """What one host tells another of a request; times are in seconds.
 
-    crashes holds, by a number for each target, how long ago it ended under the request.
-    answered_age is since the request last had a whole answer, None if never.
-    idle_age is since anyone saw a crash under it or refused it.
+    crashes holds a number for each target that ended under the request, acquitted the
+    ones of them that a whole answer has cleared it of. idle_age is since anyone saw a
+    crash under it, answered or refused it.
     """
 
     fingerprint: bytes
     body_size: int
-    crashes: tuple[tuple[int, float], ...]
-    answered_age: float | None
+    crashes: tuple[int, ...]
+    acquitted: tuple[int, ...]
     idle_age: float
     trial_seconds: float = 0.0
 
     def pack(self) -> tuple[Any, ...]:
         """Return the entry as it travels."""
-        answered = -1 if self.answered_age is None else _pack_age(self.answered_age)
-        crashes = [(target, _pack_age(age)) for target, age in self.crashes]
-        idle, trial = _pack_age(self.idle_age), _pack_age(self.trial_seconds)
-        return self.fingerprint, self.body_size, crashes, answered, idle, trial
+        idle, trial = _pack_seconds(self.idle_age), _pack_seconds(self.trial_seconds)
+        targets = list(self.crashes), list(self.acquitted)
+        return self.fingerprint, self.body_size, *targets, idle, trial
 
     @classmethod
     def unpack(cls, item: Any) -> SuspectEntry:
         """Return the entry that pack() gave; raise ValueError if it is not one."""
-        fingerprint, size, crashes, answered, idle, trial = item
+        fingerprint, size, crashes, acquitted, idle, trial = item
         if type(fingerprint) is not bytes or len(fingerprint) != FINGERPRINT_BYTES:
             raise ValueError("not a fingerprint")
-        numbers = [
-            size,
-            answered + 1,
-            idle,
-            trial,
-            *(n for pair in crashes for n in pair),
-        ]
+        numbers = (size, idle, trial, *crashes, *acquitted)
         if not all(type(n) is int and 0 <= n < MAX_NUMBER for n in numbers):
             raise ValueError("a number is not one")
-        if len(crashes) > c.MAX_SUSPECT_TARGETS:
-            raise ValueError("too many targets")
+        if len(crashes) > c.MAX_SUSPECT_TARGETS or not set(acquitted) <= set(crashes):
+            raise ValueError("not the targets that ended")
         return cls(
             fingerprint,
             size,
-            tuple((target, age / MILLISECONDS) for target, age in crashes),
-            None if answered < 0 else answered / MILLISECONDS,
+            tuple(crashes),
+            tuple(acquitted),
             idle / MILLISECONDS,
             min(trial / MILLISECONDS, c.TRIAL_SECONDS),
         )
@@ -81,32 +74,42 @@
 
 @dataclass
 class Suspect:
-    """A request under which targets ended; times are the ledger's, in seconds."""
+    """A request under which targets ended; times are the ledger's, in seconds.
+
+    What it was acquitted of is kept by target, not by time: ages that hosts tell each
+    other again and again drift, and a request would be acquitted of later crashes.
+    """
 
     body_size: int
-    crashes: dict[int, float] = field(default_factory=dict)
-    answered_at: float = NEVER
-    renewed_at: float = NEVER
+    renewed_at: float
+    # In the order in which they became known; the values say which were acquitted.
+    crashes: dict[int, bool] = field(default_factory=dict)
     tried_until: float = NEVER
 
     @property
     def targets(self) -> frozenset[int]:
-        """Return the targets that ended under it since it was last answered."""
-        return frozenset(t for t, at in self.crashes.items() if at > self.answered_at)
+        """Return the targets that ended under it and that no answer cleared it of."""
+        return frozenset(t for t, acquitted in self.crashes.items() if not acquitted)
 
-    def note_crash(self, target: int, now: float) -> None:
+    def note_crash(self, target: int) -> None:
         """Count a target that ended, once."""
-        if len(self.crashes) >= c.MAX_SUSPECT_TARGETS and target not in self.crashes:
-            del self.crashes[min(self.crashes, key=self.crashes.__getitem__)]
-        self.crashes[target] = max(now, self.crashes.get(target, NEVER))
-        self.renewed_at = max(self.renewed_at, now)
+        if target in self.crashes:
+            return
+        if len(self.crashes) >= c.MAX_SUSPECT_TARGETS:
+            oldest = max(self.crashes, key=self.crashes.__getitem__)
+            del self.crashes[oldest]
+        self.crashes[target] = False
+
+    def acquit(self, targets: Iterable[int]) -> None:
+        """Clear it of these targets."""
+        self.crashes.update(dict.fromkeys(set(targets) & self.crashes.keys(), True))
 
     @property
     def expires_at(self) -> float:
         """Return when it is forgotten, unless it is seen again."""
         count = len(self.targets)
         if not count:
-            return self.answered_at + c.ACQUITTAL_MEMORY_SECONDS
+            return self.renewed_at + c.ACQUITTAL_MEMORY_SECONDS
         if count < c.CRASHES_UNTIL_REFUSED:
             return self.renewed_at + c.SUSPECT_MEMORY_SECONDS
         return self.renewed_at + c.REFUSED_MEMORY_SECONDS
@@ -178,7 +181,8 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             suspect = self._add(fingerprint, body_size, now)
-        suspect.note_crash(target, now)
+        suspect.note_crash(target)
+        suspect.renewed_at = max(now, suspect.renewed_at)
         self._sort(fingerprint)
 
     def note_answered(self, fingerprint: bytes, now: float) -> bool:
@@ -186,7 +190,8 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.targets:
             return False
-        suspect.answered_at = now
+        suspect.acquit(suspect.targets)
+        suspect.renewed_at = max(now, suspect.renewed_at)
         suspect.tried_until = NEVER
         self._sort(fingerprint)
         return True
@@ -214,12 +219,11 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return None
-        is_acquitted = suspect.answered_at > NEVER
         return SuspectEntry(
             fingerprint,
             suspect.body_size,
-            tuple((target, now - at) for target, at in suspect.crashes.items()),
-            now - suspect.answered_at if is_acquitted else None,
+            tuple(suspect.crashes),
+            tuple(t for t, acquitted in suspect.crashes.items() if acquitted),
             now - suspect.renewed_at,
             max(0.0, suspect.tried_until - now),
         )
@@ -232,18 +236,16 @@
         suspect = self._suspects.get(entry.fingerprint)
         at = now - age
         if suspect is None:
-            suspect = self._add(entry.fingerprint, entry.body_size, at)
+            suspect = self._add(entry.fingerprint, entry.body_size, at - entry.idle_age)
         before = suspect.targets
-        for target, crash_age in entry.crashes:
-            suspect.note_crash(target, at - crash_age)
-        if entry.answered_age is not None:
-            answered_at = at - entry.answered_age
-            suspect.answered_at = max(suspect.answered_at, answered_at)
+        for target in entry.crashes:
+            suspect.note_crash(target)
+        suspect.acquit(entry.acquitted)
         suspect.renewed_at = max(suspect.renewed_at, at - entry.idle_age)
         if entry.trial_seconds > age:
             suspect.tried_until = max(suspect.tried_until, at + entry.trial_seconds)
         self._sort(entry.fingerprint)
-        told = {target for target, _ in entry.crashes}
+        told = set(entry.crashes)
         return bool(suspect.targets - before) and bool(suspect.targets - told)
 
     def lift(self, fingerprint: bytes, now: float) -> bool:
@@ -267,7 +269,7 @@
     def _add(self, fingerprint: bytes, body_size: int, now: float) -> Suspect:
         if len(self._suspects) >= c.MAX_SUSPECTS:
             self._drop(min(self._suspects, key=self._rank))
-        suspect = self._suspects[fingerprint] = Suspect(body_size, renewed_at=now)
+        suspect = self._suspects[fingerprint] = Suspect(body_size, now)
         self._sizes[body_size] += 1
         return suspect
 
@@ -289,5 +291,5 @@
             del self._sizes[size]
 
 
-def _pack_age(seconds: float) -> int:
+def _pack_seconds(seconds: float) -> int:
     return int(max(0.0, seconds) * MILLISECONDS)
--- a/libraries/requests/tests/test_suspects.py
+++ b/libraries/requests/tests/test_suspects.py
@@ -78,12 +78,12 @@
 @pytest.mark.parametrize(
     "item",
     [
-        (b"short", 1, [], -1, 0, 0),
-        (ONE, -1, [], -1, 0, 0),
-        (ONE, 1, [(1, "2")], -1, 0, 0),
-        (ONE, 1, [(1, 2)] * (c.MAX_SUSPECT_TARGETS + 1), -1, 0, 0),
-        (ONE, 1, [], -2, 0, 0),
-        (ONE, True, [], -1, 0, 0),
+        (b"short", 1, [], [], 0, 0),
+        (ONE, -1, [], [], 0, 0),
+        (ONE, 1, ["2"], [], 0, 0),
+        (ONE, 1, list(range(c.MAX_SUSPECT_TARGETS + 1)), [], 0, 0),
+        (ONE, 1, [2], [3], 0, 0),
+        (ONE, True, [], [], 0, 0),
     ],
 )
 def test_a_malformed_entry_is_refused(item):
@@ -95,7 +95,7 @@
     """Words that are lost, doubled or late must not leave hosts with other verdicts."""
     rng = random.Random(1)
     entries = [make_ledger(target).build_entry(ONE, 0.0) for target in range(4)]
-    acquitted = make_ledger(0, 1, now=-2.0)
+    acquitted = make_ledger(8, 9, now=-2.0)
     acquitted.note_answered(ONE, -1.0)
     entries.append(acquitted.build_entry(ONE, 0.0))
     counts = set()
@@ -107,6 +107,19 @@
     assert counts == {4}
 
 
+def test_an_acquittal_clears_no_later_crash_however_often_it_is_told():
+    """Times that are told to and fro drift: what was lifted would stay lifted."""
+    ledger, peer = make_ledger(1, 2, 3), SuspectLedger()
+    ledger.lift(ONE, 1.0)
+    for target in (4, 5, 6):
+        ledger.note_crash(ONE, 10, target, 2.0)
+    for step in range(1_000):
+        now = 2.0 + step
+        peer.take(ledger.build_entry(ONE, now), now + 0.005)
+        ledger.take(peer.build_entry(ONE, now + 0.1), now + 0.105)
+    assert ledger.judge(ONE, 2.0) is peer.judge(ONE, 2.0) is Verdict.REFUSED
+
+
 def test_hosts_that_know_a_crash_each_know_both_together():
     ledger = make_ledger(1)
     assert not ledger.take(make_ledger(1).build_entry(ONE, 0.0), 0.0)
