--- a/libraries/bench/tarragonward_bench/platform_troubles.py
+++ b/libraries/bench/tarragonward_bench/platform_troubles.py
@@ -14,16 +14,15 @@
 from pathlib import Path
 
 from tarragonward_standins.fault_proxy import FaultProxy
-from tarragonward_standins.platform_clients import RequestPlan
-from tarragonward_standins.platform_day import DayPlan, DayReport, PlatformDay
-from tarragonward_standins.platform_engine import PassSizes
-from tarragonward_standins.platform_runner import (
-    CRASH_MARK,
-    PlatformRunner,
-    RunnerFaults,
+from tarragonward_standins.platform_day import (
+    DayPlan,
+    DayReport,
+    PlatformDay,
+    build_crashing_draft,
 )
+from tarragonward_standins.platform_engine import PassSizes
+from tarragonward_standins.platform_runner import PlatformRunner, RunnerFaults
 from tarragonward_standins.platform_site import (
-    HOST_NAME,
     PLAIN_SERVICE,
     ROUTES,
     PlatformHost,
@@ -254,15 +253,7 @@
         self._random.choice(self._site.models).change_weights()
 
     async def _async_crash_by_request(self) -> None:
-        plan = RequestPlan(
-            "/draft/",
-            "stream",
-            HOST_NAME,
-            "/draft/2f",
-            body=CRASH_MARK + self._random.randbytes(8),
-            headers=(("X-Model", "m"), ("X-Token-Counts", "2000,400")),
-            is_resumable=True,
-        )
+        plan = build_crashing_draft(self._random)
         client = self._site.add_client()
         for _ in range(CRASHING_REPEATS):
             await client.async_request(plan)
--- a/libraries/standins/tarragonward_standins/platform_day.py
+++ b/libraries/standins/tarragonward_standins/platform_day.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass, field
 
 from .platform_clients import ClientRequest, PlatformClient, RequestPlan
+from .platform_runner import CRASH_MARK
 from .platform_site import HOST_NAME, PlatformSite
 
-__all__ = ["DayPlan", "DayReport", "PlatformDay"]
+__all__ = ["DayPlan", "DayReport", "PlatformDay", "build_crashing_draft"]
 
 PIECE_TOKENS = 46
 DRAFT_PROMPTS = ((0.85, (1_000, 8_000)), (1.0, (20_000, 60_000)))
@@ -164,3 +165,16 @@
             is_resumable=True,
             leaves_after=leaves_after,
         )
+
+
+def build_crashing_draft(rng: random.Random) -> RequestPlan:
+    """Return a prompt that ends each runner that begins to run it."""
+    return RequestPlan(
+        "/draft/",
+        "stream",
+        HOST_NAME,
+        "/draft/2f",
+        body=CRASH_MARK + rng.randbytes(8),
+        headers=(("X-Model", "m"), ("X-Token-Counts", "2000,400")),
+        is_resumable=True,
+    )
