--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -54,3 +54,8 @@
 def test_all_hosts_know_of_a_third_crash_within_the_bound():
     """Three hosts of forty see one crash each; all must refuse within three seconds."""
     assert measure_spread(40, 1).all_seconds < 3.0
+
+
+def test_hosts_that_lost_all_and_hear_few_learn_of_a_culprit_anew():
+    """All hosts lose power, most are then cut off alone: each lets two targets end."""
+    CrashRun(CrashPlan(40, 3, 80, 2, 240.0), 300).run()
