Tell on only what brings a verdict that neither host had

It is news now only where a request is to be tried alone, or refused, that neither host knew of. The test fails without it.

--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -231,13 +231,13 @@
     def take(self, entry: SuspectEntry, now: float, age: float = 0.0) -> bool:
         """Take in what another host told, so many seconds ago.
 
-        Return whether both together know of more targets than either did.
+        Return whether both together know enough for a verdict that neither had.
         """
         suspect = self._suspects.get(entry.fingerprint)
         at = now - age
         if suspect is None:
             suspect = self._add(entry.fingerprint, entry.body_size, at - entry.idle_age)
-        before = suspect.targets
+        before = len(suspect.targets)
         for target in entry.crashes:
             suspect.note_crash(target)
         suspect.acquit(entry.acquitted)
@@ -245,8 +245,10 @@
         if entry.trial_seconds > age:
             suspect.tried_until = max(suspect.tried_until, at + entry.trial_seconds)
         self._sort(entry.fingerprint)
-        told = set(entry.crashes)
-        return bool(suspect.targets - before) and bool(suspect.targets - told)
+        # Only a new verdict: two hosts that keep different ones of many targets would
+        # tell each other, and all others, for good.
+        told = len(entry.crashes) - len(entry.acquitted)
+        return _grade(len(suspect.targets)) > max(_grade(before), _grade(told))
 
     def lift(self, fingerprint: bytes, now: float) -> bool:
         """Forget, at an operator's word, all crashes so far; return whether it did."""
@@ -293,3 +295,8 @@
 
 def _pack_seconds(seconds: float) -> int:
     return int(max(0.0, seconds) * MILLISECONDS)
+
+
+def _grade(targets: int) -> int:
+    """Return 1 where a request is tried alone, 2 where it is refused, else 0."""
+    return (targets >= c.CRASHES_UNTIL_ALONE) + (targets >= c.CRASHES_UNTIL_REFUSED)
--- a/libraries/requests/tests/test_suspects.py
+++ b/libraries/requests/tests/test_suspects.py
@@ -127,6 +127,16 @@
     assert ledger.judge(ONE, 0.0) is Verdict.ALONE
 
 
+def test_hosts_that_keep_other_targets_of_many_do_not_tell_for_good():
+    """Each word would be news to the other, and go to all hosts: a storm."""
+    many = c.MAX_SUSPECT_TARGETS
+    one, other = make_ledger(*range(many)), make_ledger(*range(many, many + 5))
+    for _ in range(5):
+        assert not one.take(other.build_entry(ONE, 0.0), 0.0)
+        assert not other.take(one.build_entry(ONE, 0.0), 0.0)
+    assert one.judge(ONE, 0.0) is other.judge(ONE, 0.0) is Verdict.REFUSED
+
+
 def test_memory_is_bounded_and_keeps_the_worst():
     """A flood of new identities must not make hosts forget what is refused."""
     ledger = make_ledger(1, 2, 3)
