Let an isolated host rest a request after one crash under it

Cause: a host that knows none of the others counts to three like a whole fleet. What nobody remembers can't be known, but such a host does know that it is alone (SeedMembership.is_isolated: seeds are named, no peer is known). There one crash is enough: the request is told to come back (2010, not run, with the rest of 8 s as Retry-After; 4006 where this attempt has run). An innocent beside one crash is tried again there after 8 s, at any host that hears others at once. Peers' word of a crash counts as before.

Ruled out: remembering in what is published (nothing of the system writes there), counting less where few peers are known (innocents in every start of a fleet).

--- a/libraries/bench/tarragonward_bench/harm/crashes.py
+++ b/libraries/bench/tarragonward_bench/harm/crashes.py
@@ -197,7 +197,8 @@
         if not attempt.host.wake_at(self._begin, attempt):
             return
         request, host = attempt.request, attempt.host
-        verdict = host.ledger.judge(request.fingerprint, self.world.now)
+        is_isolated = host.members.is_isolated
+        verdict = host.ledger.judge(request.fingerprint, self.world.now, is_isolated)
         if verdict is Verdict.REFUSED:
             host.ledger.note_refused(request.fingerprint, self.world.now)
             self.innocent_refused += not request.is_culprit
--- a/libraries/core/tarragonward_core/codes.py
+++ b/libraries/core/tarragonward_core/codes.py
@@ -113,7 +113,7 @@
     ON_TRIAL = _not_run(
         2010,
         503,
-        "Targets ended under this request; another host tries it now.",
+        "A target ended under this request; another host may try it.",
         Repeat.AFTER_DELAY,
     )
 
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -191,7 +191,7 @@
             self._suspects.note_refused(self._identity)
             return self._hear(Blamed())
         if verdict is Verdict.LATER:
-            return self._hear(Blamed(self._suspects.get_trial_seconds(self._identity)))
+            return self._hear(Blamed(self._suspects.get_wait_seconds(self._identity)))
         return None
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
--- a/libraries/gateway/tarragonward_gateway/suspect_task.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_task.py
@@ -34,6 +34,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._telling: Iterable[bytes] = ()
         suspects.on_news.append(self._note_changed)
+        suspects.is_isolated = lambda: peers.members.is_isolated
         peers.add_section(SECTION, self._build, self._take)
 
     async def async_setup(self) -> None:
--- a/libraries/gateway/tarragonward_gateway/suspects.py
+++ b/libraries/gateway/tarragonward_gateway/suspects.py
@@ -48,6 +48,8 @@
 
     def __init__(self, state: GatewayState, probes: TargetProbes) -> None:
         self.ledger = SuspectLedger()
+        # Whether this host hears none of the others.
+        self.is_isolated: Callable[[], bool] = lambda: False
         self.on_news: list[Callable[[bytes], None]] = []
         self._state = state
         self._probes = probes
@@ -56,11 +58,13 @@
         """Return what may be done with a request."""
         if not self.ledger.may_know(identity.body_size):
             return Verdict.CLEAR
-        return self.ledger.judge(identity.fingerprint, read_clock())
+        fingerprint = identity.fingerprint
+        return self.ledger.judge(fingerprint, read_clock(), self.is_isolated())
 
-    def get_trial_seconds(self, identity: RequestIdentity) -> float:
-        """Return for how long another host may still try a request."""
-        return self.ledger.get_trial_seconds(identity.fingerprint, read_clock())
+    def get_wait_seconds(self, identity: RequestIdentity) -> float:
+        """Return for how long a request that is judged LATER has to wait."""
+        fingerprint, is_isolated = identity.fingerprint, self.is_isolated()
+        return self.ledger.get_wait_seconds(fingerprint, read_clock(), is_isolated)
 
     async def async_note_lost(
         self, identity: RequestIdentity, target: RegisteredTarget
--- a/libraries/gateway/tests/test_suspect_task.py
+++ b/libraries/gateway/tests/test_suspect_task.py
@@ -63,6 +63,14 @@
     await wait_for(lambda: {h.verdict for h in hosts} == {Verdict.REFUSED})
 
 
+async def test_a_host_that_hears_none_of_the_others_is_isolated(hosts):
+    """Alone after the loss of all hosts, it lets a request rest after one crash."""
+    assert not any(host.watch.is_isolated() for host in hosts)
+    members = hosts[1].peers.members
+    members.drop_silent(read_clock() + 2 * members.silent_seconds)
+    assert hosts[1].watch.is_isolated()
+
+
 async def test_a_host_that_starts_hears_what_is_refused(
     hosts, wait_for, build_peer_state
 ):
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -180,6 +180,11 @@
         """Return the peer at an address, None where none is known there."""
         return self._peers.get(address)
 
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether there should be other hosts and none is known."""
+        return bool(self._seeds) and not self._peers
+
     def list_known(self, now: float) -> frozenset[Address]:
         """Return the hosts known lately, this one and those lost since then too."""
         long_ago = now - c.HOST_COUNT_MEMORY_SECONDS
--- a/libraries/membership/tests/test_seeds.py
+++ b/libraries/membership/tests/test_seeds.py
@@ -117,6 +117,15 @@
     assert net.has_whole_view()
 
 
+def test_only_a_host_that_should_have_peers_is_isolated():
+    """The one host of a small site must not be taken for one that is cut off."""
+    alone, fleet = Net(1, 1, seeds=(0,)), Net(1, 3)
+    assert not alone.hosts[build_address(0)].is_isolated
+    assert all(host.is_isolated for host in fleet.hosts.values())
+    fleet.run(2.0)
+    assert not any(host.is_isolated for host in fleet.hosts.values())
+
+
 def test_a_host_whose_seeds_are_all_dead_is_found_by_those_it_knew():
     """After a cut both sides are alone; no seed of the one side is alive.
 
--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -57,3 +57,5 @@
 REFUSED_MEMORY_SECONDS = 3_600.0
 ACQUITTAL_MEMORY_SECONDS = 60.0
 TRIAL_SECONDS = 2.0
+# An isolated host tries a request again so long after a target ended under it.
+ISOLATED_REST_SECONDS = 8.0
--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -24,7 +24,7 @@
     CLEAR = "clear"
     # Sent to one target at a time, where nothing else is in progress.
     ALONE = "alone"
-    # Another host tries it just now.
+    # Another host tries it just now, or may know more of it.
     LATER = "later"
     REFUSED = "refused"
 
@@ -85,6 +85,8 @@
     # In the order in which they became known; the values say which were acquitted.
     crashes: dict[int, bool] = field(default_factory=dict)
     tried_until: float = NEVER
+    # When this host itself last saw a target end under it.
+    seen_at: float = NEVER
 
     @property
     def targets(self) -> frozenset[int]:
@@ -140,14 +142,23 @@
         """Return whether a request with a body of so many bytes may be known."""
         return self._sizes[body_size] > 0
 
-    def judge(self, fingerprint: bytes, now: float) -> Verdict:
-        """Return what may be done with a request."""
+    def judge(
+        self, fingerprint: bytes, now: float, is_isolated: bool = False
+    ) -> Verdict:
+        """Return what may be done with a request.
+
+        A host that is isolated counts for itself alone. Where several of a fleet are,
+        each of them would let a request end three more targets, so one crash is enough
+        to make it rest there.
+        """
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return Verdict.CLEAR
         count = self.count(fingerprint)
         if count >= c.CRASHES_UNTIL_REFUSED:
             return Verdict.REFUSED
+        if count and is_isolated and now < suspect.seen_at + c.ISOLATED_REST_SECONDS:
+            return Verdict.LATER
         if count < c.CRASHES_UNTIL_ALONE:
             return Verdict.CLEAR
         return Verdict.LATER if now < suspect.tried_until else Verdict.ALONE
@@ -169,10 +180,17 @@
                 explained |= others
         return len(targets - explained)
 
-    def get_trial_seconds(self, fingerprint: bytes, now: float) -> float:
-        """Return for how long the trial of a request may still last."""
+    def get_wait_seconds(
+        self, fingerprint: bytes, now: float, is_isolated: bool = False
+    ) -> float:
+        """Return for how long a request that is judged LATER has to wait."""
         suspect = self._suspects.get(fingerprint)
-        return max(0.0, suspect.tried_until - now) if suspect is not None else 0.0
+        if suspect is None:
+            return 0.0
+        until = suspect.tried_until
+        if is_isolated:
+            until = max(until, suspect.seen_at + c.ISOLATED_REST_SECONDS)
+        return max(0.0, until - now)
 
     def note_crash(
         self, fingerprint: bytes, body_size: int, target: int, now: float
@@ -182,6 +200,7 @@
         if suspect is None:
             suspect = self._add(fingerprint, body_size, now)
         suspect.note_crash(target)
+        suspect.seen_at = now
         suspect.renewed_at = max(now, suspect.renewed_at)
         self._sort(fingerprint)
 
--- a/libraries/requests/tests/test_suspects.py
+++ b/libraries/requests/tests/test_suspects.py
@@ -31,6 +31,24 @@
     assert make_ledger(*crashes).judge(ONE, 1.0) is verdict
 
 
+def test_an_isolated_host_lets_a_request_rest_after_one_crash():
+    """Hosts that hear nobody each counted to three, together beyond what is allowed."""
+    ledger = make_ledger(1, now=5.0)
+    ends = 5.0 + c.ISOLATED_REST_SECONDS
+    assert ledger.judge(ONE, 5.1, is_isolated=True) is Verdict.LATER
+    assert ledger.get_wait_seconds(ONE, 5.5, is_isolated=True) == ends - 5.5
+    assert ledger.judge(ONE, ends, is_isolated=True) is Verdict.CLEAR
+    assert ledger.judge(ONE, 5.1) is Verdict.CLEAR
+    assert ledger.judge(OTHER, 5.1, is_isolated=True) is Verdict.CLEAR
+
+
+def test_an_isolated_host_takes_its_peers_word_of_a_crash_for_no_reason_to_wait():
+    """What peers told before they fell silent is as old as their silence."""
+    ledger = make_ledger()
+    assert not ledger.take(make_ledger(1).build_entry(ONE, 0.0), 0.0)
+    assert ledger.judge(ONE, 0.1, is_isolated=True) is Verdict.CLEAR
+
+
 def test_a_whole_answer_acquits():
     """A request that was beside crashes three times must not be refused for good."""
     ledger = make_ledger(1, 2, 3)
@@ -65,7 +83,7 @@
     peer = SuspectLedger()
     peer.take(ledger.build_entry(ONE, 1.1), 1.1)
     assert peer.judge(ONE, 1.2) is Verdict.LATER
-    assert 0 < peer.get_trial_seconds(ONE, 1.2) <= c.TRIAL_SECONDS
+    assert 0 < peer.get_wait_seconds(ONE, 1.2) <= c.TRIAL_SECONDS
     assert peer.judge(ONE, 1.1 + c.TRIAL_SECONDS) is Verdict.ALONE
 
 
