Let a prompt that its cell can't serve in time look at the whole fleet

Cause: above 16 hosts a host uses its cell's engines only, here the 20 of its domain, and a long prompt wants 6 to 17 at once; long ones come at 2.8 times their rate, unevenly over domains.

The cell first; where its plan costs over 0.3 of what is at stake the whole fleet, if it is better by 0.1 (widening.py). Long readings are told to all hosts at once and again while they last; four times a second a host tells one of another cell all it knows of its own cell's engines.

--- a/libraries/bench/tarragonward_bench/experiment/fleet.py
+++ b/libraries/bench/tarragonward_bench/experiment/fleet.py
@@ -74,6 +74,10 @@
         self._round_seconds = membership_const.HELLO_INTERVAL_SECONDS
         if plan.has_cells and plan.kind == PRODUCT:
             self._divide()
+        for host in self.hosts:
+            host.policy.widens = plan.widens
+            host.policy.own_zone = host.zone
+            host.policy.zones = {n.name: n.zone for n in self.engines.values()}
         self._calls = CallService(site, self._at, random.Random(f"calls {seed}"))
         self._decisions, self._decision_seconds = 0, 0.0
         self._outcomes: list[Outcome] = []
@@ -139,6 +143,8 @@
         for number, host in enumerate(self.hosts):
             begin = self._rng.uniform(0, self._round_seconds)
             self._at(begin, self._make_tell(number, host))
+            if self._is_divided and self._plan.widens and self._plan.tells_summaries:
+                self._at(begin, self._make_summarize(host))
             book = host.policy.book
             if self._plan.tells_at_once and self._is_mesh and book is not None:
                 book.on_change.append(self._make_tell_at_once(number, host))
@@ -156,12 +162,41 @@
 
         return tell
 
-    def _make_tell_at_once(self, number: int, host: Host) -> Callable[[], None]:
-        return lambda: self._tell(number, host)
+    def _make_tell_at_once(self, number: int, host: Host) -> Callable[[bool], None]:
+        def tell(is_reading: bool) -> None:
+            self._tell(number, host, to_all=is_reading and self._plan.widens)
 
-    def _tell(self, number: int, host: Host) -> None:
+        return tell
+
+    def _make_summarize(self, host: Host) -> Callable[[], None]:
+        book, cell = host.policy.book, host.policy.cell
+        far = [other for other in self.hosts if other.zone != host.zone]
+        delay = self.site.cross_zone_seconds + HANDLING_SECONDS / 2
+        assert book is not None and cell is not None
+
+        def summarize() -> None:
+            for _ in range(membership_const.HELLO_FANOUT):
+                if self._rng.random() < membership_const.FAR_HELLO_SHARE:
+                    summary = book.build_summary(cell, self.now)
+                    other = self._rng.choice(far)
+                    hear = self._make_hear_summary(other, summary, delay)
+                    self._at(self.now + delay, hear)
+            self._at(self.now + membership_const.HELLO_INTERVAL_SECONDS, summarize)
+
+        return summarize
+
+    def _make_hear_summary(
+        self, other: Host, summary: dict, age: float
+    ) -> Callable[[], None]:
+        book = other.policy.book
+        assert book is not None
+        return lambda: book.take_summary(summary, age, self.now)
+
+    def _tell(self, number: int, host: Host, to_all: bool = False) -> None:
         others = self._mates[number]
-        if not self._is_mesh:
+        if to_all:
+            others = [other for other in self.hosts if other is not host]
+        elif not self._is_mesh:
             others = self._rng.sample(others, membership_const.HELLO_FANOUT)
         assert host.policy.book is not None
         digest = host.policy.book.build_digest(self.now)
--- a/libraries/bench/tarragonward_bench/experiment/policies.py
+++ b/libraries/bench/tarragonward_bench/experiment/policies.py
@@ -16,6 +16,7 @@
     ReadingPlan,
     const,
     plan_reading,
+    widen_plan,
 )
 from tarragonward_routes import EngineModel
 
@@ -39,6 +40,10 @@
     tells_all: bool = False
     has_cells: bool = True
     hears_counts: bool = True
+    # Prompts that their cell can't serve in time look at the whole fleet.
+    widens: bool = True
+    # Hosts tell some of other cells what lies on the engines of theirs.
+    tells_summaries: bool = True
 
 
 @dataclass(frozen=True)
@@ -122,6 +127,9 @@
     """A policy on the product's book of work in flight and peers' hints."""
 
     cell: Collection[str] | None = None
+    widens = False
+    zones: Mapping[str, str] = {}
+    own_zone = ""
 
     def __init__(self, engines: Sequence[str], model: EngineModel, rng: Random) -> None:
         self._engines, self._model, self._rng = engines, model, rng
@@ -175,16 +183,28 @@
         self, need: PromptNeed, tried: Collection[str], now: float
     ) -> Sending | None:
         names = [name for name in self._engines if name not in tried]
-        if self.cell is not None and not tried:
-            names = [name for name in names if name in self.cell]
-        plan = plan_reading(
-            need,
-            names,
-            self.book.get_all(now),
-            self._model,
-            self._rng,
-            self.book.hears_peers(now),
-        )
+        known = self.book.get_all(now)
+        hears_peers = self.book.hears_peers(now)
+
+        def plan_among(among: Sequence[str]) -> ReadingPlan | None:
+            return plan_reading(
+                need,
+                among,
+                known,
+                self._model,
+                self._rng,
+                hears_peers,
+                self.zones,
+                self.own_zone,
+            )
+
+        if self.cell is None or tried:
+            plan = plan_among(names)
+        else:
+            near = [name for name in names if name in self.cell]
+            plan = plan_among(near)
+            if self.widens:
+                plan = widen_plan(plan, need, lambda: plan_among(names))
         if plan is None:
             return Sending(self._rng.choice(names)) if names else None
         return Sending(
@@ -225,6 +245,8 @@
         PolicyPlan("hints_from_all", tells_all=True, has_cells=False),
         PolicyPlan("no_paces", numbers={"SLOW_PACE": 1e9}),
         PolicyPlan("no_cells", has_cells=False),
+        PolicyPlan("no_widening", widens=False),
+        PolicyPlan("no_summaries", tells_summaries=False),
         PolicyPlan("no_counts", hears_counts=False),
         PolicyPlan("no_hints_no_counts", tells_peers=False, hears_counts=False),
     )
--- a/libraries/bench/tests/test_experiment.py
+++ b/libraries/bench/tests/test_experiment.py
@@ -21,6 +21,7 @@
 SECONDS = 6.0
 # Prompts are packed, so that less would not need a half of the engines.
 LARGE_LOAD = 1.5
+SHIFTED = Path(__file__).parents[3] / "examples/sites/shelfwise-shifted.toml"
 
 
 @pytest.fixture
@@ -216,7 +217,7 @@
 def test_hosts_of_a_large_fleet_keep_to_their_cells(site):
     """A prompt is read by the engines of its host's cell, which few hosts use."""
     large = scale_site(site, 36, 24, load=LARGE_LOAD)
-    played = play_seed(large, POLICIES["product"], 1, SECONDS)
+    played = play_seed(large, POLICIES["no_widening"], 1, SECONDS)
     used = {}
     for outcome in played.outcomes:
         if outcome.readers and outcome.sends == 1:
@@ -225,3 +226,35 @@
     whole = play_seed(large, POLICIES["no_cells"], 1, SECONDS)
     everywhere = set().union(*(o.readers for o in whole.outcomes if o.readers))
     assert len(everywhere) > len(played.engines) / 2
+
+
+def test_few_prompts_go_beyond_their_cell_where_load_is_even(site):
+    """Less is known of the engines there, so hosts would meet on the same ones."""
+    large = scale_site(site, 36, 24, load=LARGE_LOAD)
+    played = play_seed(large, POLICIES["product"], 1, SECONDS)
+    zones = {engine.name: engine.zone for engine in played.engines}
+    read = [o for o in played.outcomes if o.readers and o.sends == 1]
+    beyond = [o for o in read if len({zones[name] for name in o.readers}) > 1]
+    assert len(beyond) <= len(read) / 20
+
+
+def test_a_burst_of_long_prompts_in_one_domain_finds_engines_in_the_others():
+    """Most callers come to one failure domain; the engines of the others idle."""
+    site = scale_site(read_site(SHIFTED), 27, 30)
+    first, *others = site.zones
+    zones = (replace(first, weight=8.0), *(replace(z, weight=1.0) for z in others))
+    short, middle, long = site.prompts
+    short, long = (replace(k, per_s=f * k.per_s) for k, f in ((short, 0.5), (long, 3)))
+    prompts = (short, middle, long)
+    site = replace(site, zones=zones, prompts=prompts, turns=())
+
+    def count_in_aim(policy):
+        outcomes = [
+            outcome
+            for seed in (1, 2)
+            for outcome in play_seed(site, POLICIES[policy], seed, 8.0).outcomes
+            if outcome.arrival.kind.name == long.name
+        ]
+        return sum(o.first is not None and o.first <= 4.0 for o in outcomes)
+
+    assert count_in_aim("product") >= 2 * count_in_aim("no_widening") > 0
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -16,6 +16,7 @@
 from tarragonward_wire import HttpLimits, HttpServer
 
 from . import const as c
+from .cell_gossip import CellGossip
 from .cells import CellKeeper
 from .forwarder import Forwarder
 from .health import HealthRoutes
@@ -59,9 +60,9 @@
         self.peers.add_section(
             SECTION, self.targets.build_digest, self.targets.take_digest
         )
-        self.targets.book.on_change.append(self.peers.tell_now)
         self.reservations = ReservationTask(self.state, calls)
         self.targets.get_cell = self.cells.get
+        self.cell_gossip = CellGossip(self.state, self.peers, self.targets)
         self.forwarder = Forwarder(self.state, self.targets, self.reservations)
         self.callers = HttpServer(
             settings.callers,
@@ -98,6 +99,7 @@
             self.targets.probes,
             self.suspect_task,
             self.limit_task,
+            self.cell_gossip,
             self.callers,
             self.health,
             self.settings,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -115,6 +115,10 @@
 # A packet that is lost on the way to a new connection is sent again after a second or
 # more, so waiting on towards that brings nothing; a target's answer takes far less.
 CELL_SECONDS = 0.5
+# How often a host of another cell is told of this cell's engines, and all of them of a
+# long reading that goes on.
+CELL_GOSSIP_SECONDS = 0.25
+READING_REPEAT_SECONDS = 1.5
 PLACE_SECONDS = 1.0
 
 CONNECT_SECONDS = 0.2
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -23,6 +23,7 @@
     TargetLimits,
     TargetReach,
     plan_reading,
+    widen_plan,
 )
 from tarragonward_placement.const import MAX_LIMIT_WAIT_SECONDS
 from tarragonward_routes import Route, Service
@@ -340,6 +341,24 @@
             return ready
         return [target for target in ready if target.id in cell.engines] or ready
 
+    def build_summary(self) -> dict[str, list[Any]] | None:
+        """Return what is known of the engines of this host's cell, None for none."""
+        table = self._state.table
+        if self.get_cell is None or table is None:
+            return None
+        summary: dict[str, list[Any]] = {}
+        for service in table.services.values():
+            if service.engine is None:
+                continue
+            cell = self.get_cell(service.name)
+            if not cell.is_whole:
+                summary |= self.book.build_summary(cell.engines, self._clock())
+        return summary or None
+
+    def take_summary(self, host: str, data: Any, age_seconds: float) -> None:
+        """Take what a host of another cell told of the engines of its cell."""
+        self.book.take_summary(data, age_seconds, self._clock())
+
     def _plan(
         self, need: TargetNeed, ready: Sequence[RegisteredTarget], service: Service
     ) -> SendChoice | None:
@@ -352,13 +371,15 @@
             pause_aim_seconds=need.route.pause_aim_seconds,
             leader=need.leader,
         )
-        by_id = {target.id: target for target in self._keep_cell(need, ready)}
+        by_id = {target.id: target for target in ready}
+        near = [target.id for target in self._keep_cell(need, ready)]
+        known = self.book.get_all(now)
 
         def plan_among(names: Collection[str]) -> ReadingPlan | None:
             return plan_reading(
                 prompt,
                 sorted(names, key=_compute_place),
-                self.book.get_all(now),
+                known,
                 service.engine,
                 self._state.random,
                 self.book.hears_peers(now),
@@ -366,10 +387,12 @@
                 self._state.settings.failure_domain,
             )
 
-        plan = plan_among(by_id)
+        plan = plan_among(near)
+        if len(near) < len(by_id):
+            plan = widen_plan(plan, prompt, lambda: plan_among(by_id))
         if plan is not None and any(map(self._is_limited, plan.readers[1:])):
             # A part that is read for another target is work that its limit leaves out.
-            free = [name for name in by_id if not self._is_limited(name)]
+            free = [name for name in near if not self._is_limited(name)]
             plan = plan_among(free) or plan
         if plan is None:
             return None
--- /dev/null
+++ b/libraries/gateway/tests/test_cell_gossip.py
@@ -0,0 +1,81 @@
+"""Hosts tell those of other cells what lies on their engines."""
+
+import asyncio
+
+import pytest
+
+from tarragonward_core import Address, HostIdentity
+from tarragonward_gateway import cell_gossip
+from tarragonward_gateway.cell_gossip import SECTION, CellGossip
+from tarragonward_gateway.peers import Peers
+from tarragonward_gateway.targets import SECTION as PROMPTS_SECTION
+from tarragonward_gateway.targets import TargetChooser
+from tarragonward_membership import Hello, HelloHeard
+from tarragonward_placement import PromptNeed, ReadingPlan
+from tarragonward_placement import const as placement_const
+
+MATE, FAR = Address("10.0.0.1", 1), Address("10.0.0.2", 1)
+LONG = PromptNeed(260_000, 700, 4.0, 1.0)
+
+
+@pytest.fixture
+def told(build_peer_state, monkeypatch):
+    """Return a chooser, its gossip, and what it told to whom."""
+    monkeypatch.setattr(cell_gossip, "MAX_MESH_PEERS", 1)
+    state = build_peer_state(0)
+    peers, chooser = Peers(state), TargetChooser(state, lambda: 5.0)
+    told = []
+    monkeypatch.setattr(
+        peers, "tell_some", lambda section, to: told.append((section, list(to)))
+    )
+    for number, address in enumerate((MATE, FAR)):
+        identity = HostIdentity(address, number)
+        hello = Hello(identity, f"h{number}", "d", 1, 3, False, ())
+        peers.members.hear(HelloHeard(hello), 0.0)
+    peers.set_mates([MATE])
+    return chooser, CellGossip(state, peers, chooser), told
+
+
+def begin(chooser, seconds):
+    plan = ReadingPlan(("e1",), seconds, {"e1": seconds}, seconds, 0.0)
+    work = plan.build_work(LONG, 5.0)
+    chooser.book.begin(work)
+    return work
+
+
+def test_a_long_reading_is_told_at_once_to_hosts_of_other_cells(told):
+    """Until they hear of it they place long prompts on the same engines."""
+    chooser, _, messages = told
+    begin(chooser, placement_const.TOLD_PART_SECONDS)
+    assert not messages
+    begin(chooser, placement_const.HOLDING_SECONDS)
+    assert messages == [(PROMPTS_SECTION, [FAR])]
+
+
+def test_a_reading_that_goes_on_is_told_again(told, monkeypatch):
+    """A hint is forgotten after three seconds; some prompts are read for longer."""
+    chooser, gossip, messages = told
+    work = begin(chooser, 6.0)
+    now = 5.0 + cell_gossip.c.READING_REPEAT_SECONDS
+    monkeypatch.setattr(cell_gossip, "read_clock", lambda: now)
+    gossip._told_at = 5.0
+    gossip._repeat_reading([FAR])
+    assert messages[-1] == (PROMPTS_SECTION, [FAR]) and len(messages) == 2
+    gossip._repeat_reading([FAR])
+    assert len(messages) == 2
+    chooser.book.end(work)
+    gossip._told_at = float("-inf")
+    gossip._repeat_reading([FAR])
+    assert len(messages) == 2
+
+
+async def test_hosts_of_other_cells_hear_of_the_engines_in_turn(told, monkeypatch):
+    monkeypatch.setattr(cell_gossip.c, "CELL_GOSSIP_SECONDS", 0.01)
+    _, gossip, messages = told
+    await gossip.async_setup()
+    try:
+        while not messages:
+            await asyncio.sleep(0.01)
+    finally:
+        await gossip.async_unload()
+    assert messages[0] == (SECTION, [FAR])
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -42,6 +42,7 @@
 from .readings import ReadingPlan, plan_reading
 from .relocation import gains_by_moving, predict_wait
 from .target_limits import HostView, LimitEntry, TargetLimits, compute_part
+from .widening import widen_plan
 
 __all__ = [
     "HostView",
@@ -93,4 +94,5 @@
     "plan_reading",
     "predict_wait",
     "share_by_weight",
+    "widen_plan",
 ]
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -123,6 +123,10 @@
 CELL_HOSTS = 40
 CELL_ENGINES = 40
 MIN_CELL_ENGINES = 4
+# A prompt looks beyond its cell where the plan within it costs more than so much of
+# what is at stake with it, and takes a plan that costs less by so much.
+WIDEN_HARM_SHARE = 0.3
+WIDEN_GAIN_SHARE = 0.1
 MAX_HASHED_NAMES = 8_192
 
 # How long a target or a failure domain in doubt rests before it is connected to again;
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from . import const as c
@@ -92,6 +92,14 @@
     engines: Mapping[str, EngineWork]
 
 
+@dataclass(frozen=True)
+class _Summary:
+    """What another cell told of an engine; made_at is by this host's clock."""
+
+    made_at: float
+    work: EngineWork
+
+
 @dataclass
 class _Paces:
     """The paces of an engine's last passes that this host saw."""
@@ -132,12 +140,15 @@
         self._paces: dict[str, _Paces] = {}
         self._own: dict[str, dict[PromptWork, None]] = {}
         # Called when peers should hear at once of a prompt, and not at their turn.
-        self.on_change: list[Callable[[], None]] = []
+        # With whether it is read for so long that hosts of other cells should hear.
+        self.on_change: list[Callable[[bool], None]] = []
         # Set where rounds are too rare for short prompts: they have ended by the next.
         self.tells_each = False
         # Called with engines on which this host has prompts and that read for long.
         self.on_reading: list[Callable[[Collection[str]], None]] = []
         self._hints: dict[str, _Hint] = {}
+        # What hosts of other cells told of all work on an engine of theirs.
+        self._summaries: dict[str, _Summary] = {}
 
     def begin(self, work: PromptWork) -> None:
         """Count a prompt on all its engines until it ends."""
@@ -145,7 +156,7 @@
             self._own.setdefault(engine, {})[work] = None
         if self.tells_each or work.part_seconds >= c.TOLD_PART_SECONDS:
             for tell in self.on_change:
-                tell()
+                tell(work.part_seconds >= c.HOLDING_SECONDS)
         if work.part_seconds >= c.HOLDING_SECONDS:
             self._tell_reading(work.reads_until)
 
@@ -162,6 +173,15 @@
             if not works:
                 self._own.pop(engine, None)
 
+    def has_long_reading(self, now: float) -> bool:
+        """Return whether a prompt of this host is read for long yet."""
+        return any(
+            work.compute_reading_left(engine, now) >= c.HOLDING_SECONDS
+            for engine, works in self._own.items()
+            for work in works
+            if engine in work.reads_until
+        )
+
     def note_count(self, engine: str, requests: int, now: float) -> None:
         """Take an engine's own count of the requests that it has."""
         own = sum(work.leader == engine for work in self._own.get(engine, ()))
@@ -200,6 +220,7 @@
                 del self._full[engine]
                 continue
             known.setdefault(engine, EngineWork()).held_tokens += c.FULL_TOKENS
+        self._add_summaries(known, now)
         self._forget_counts(now)
         if not self._hints:
             self._add_counts(known, now)
@@ -212,25 +233,46 @@
         for engine in self._own:
             work = EngineWork()
             self._add_own(engine, work, now)
-            digest[engine] = [
-                work.writers,
-                work.readers,
-                work.parts,
-                work.context_tokens // THOUSAND,
-                work.held_tokens // THOUSAND,
-                int(work.reading_seconds * MILLISECONDS),
-                [[aim, _pack_stake(stake)] for aim, stake in work.stakes.items()],
-                [
-                    [
-                        int(unread.ends_seconds * MILLISECONDS),
-                        int(unread.aim_seconds * MILLISECONDS),
-                        _pack_stake(unread.stake),
-                    ]
-                    for unread in work.unread
-                ],
-            ]
+            digest[engine] = _pack_entry(work)
         return digest
 
+    def build_summary(self, engines: Collection[str], now: float) -> dict[str, Any]:
+        """Return all that is known of the work on some engines, for other cells.
+
+        Who reads until when is left out: it is most of the bytes.
+        """
+        known = self.get_all(now)
+        return {
+            engine: _pack_entry(replace(known[engine], unread=[]))
+            if engine in known
+            else []
+            for engine in engines
+        }
+
+    def take_summary(self, data: Any, age: float, now: float) -> None:
+        """Take what a host of another cell told of its engines, unless it is older.
+
+        Raise ValueError, TypeError or AttributeError where it is malformed.
+        """
+        told = {
+            str(engine): _Summary(now - age, _parse_entry(entry) if entry else NO_WORK)
+            for engine, entry in data.items()
+        }
+        for engine, summary in told.items():
+            before = self._summaries.get(engine)
+            if before is None or before.made_at <= summary.made_at:
+                self._summaries[engine] = summary
+
+    def _add_summaries(self, known: dict[str, EngineWork], now: float) -> None:
+        for engine, summary in list(self._summaries.items()):
+            age = now - summary.made_at
+            if age > c.MAX_HINT_SECONDS:
+                del self._summaries[engine]
+                continue
+            told = EngineWork()
+            _add_hint(told, summary.work, age)
+            known[engine] = _unite(known.get(engine, NO_WORK), told)
+
     def take_digest(self, host: str, data: Any, age: float, now: float) -> None:
         """Take a peer's digest in the place of its last one."""
         try:
@@ -302,6 +344,42 @@
     return int(item) / STAKE_PARTS
 
 
+def _pack_entry(work: EngineWork) -> list[Any]:
+    return [
+        work.writers,
+        work.readers,
+        work.parts,
+        work.context_tokens // THOUSAND,
+        work.held_tokens // THOUSAND,
+        int(work.reading_seconds * MILLISECONDS),
+        [[aim, _pack_stake(stake)] for aim, stake in work.stakes.items()],
+        [
+            [
+                int(unread.ends_seconds * MILLISECONDS),
+                int(unread.aim_seconds * MILLISECONDS),
+                _pack_stake(unread.stake),
+            ]
+            for unread in work.unread
+        ],
+    ]
+
+
+def _unite(one: EngineWork, other: EngineWork) -> EngineWork:
+    """Return the greater of two accounts of the work on an engine."""
+    aims = one.stakes.keys() | other.stakes.keys()
+    return EngineWork(
+        max(one.writers, other.writers),
+        max(one.readers, other.readers),
+        max(one.parts, other.parts),
+        max(one.context_tokens, other.context_tokens),
+        max(one.held_tokens, other.held_tokens),
+        max(one.reading_seconds, other.reading_seconds),
+        {a: max(one.stakes.get(a, 0.0), other.stakes.get(a, 0.0)) for a in aims},
+        one.unread or other.unread,
+        max(one.pace, other.pace),
+    )
+
+
 def _parse_entry(entry: Sequence[Any]) -> EngineWork:
     writers, readers, parts, context, held, reading, stakes, unread = entry
     return EngineWork(
--- a/libraries/placement/tests/test_readings.py
+++ b/libraries/placement/tests/test_readings.py
@@ -199,7 +199,7 @@
     """Until they hear of it, they send short prompts to its engines."""
     book = FleetBook()
     told: list[int] = []
-    book.on_change.append(lambda: told.append(1))
+    book.on_change.append(lambda is_long: told.append(1))
     book.begin(plan(SHORT).build_work(SHORT, now=1.0))
     assert not told
     book.begin(plan(LONG).build_work(LONG, now=1.0))
@@ -211,7 +211,7 @@
     book = FleetBook()
     book.tells_each = True
     told: list[int] = []
-    book.on_change.append(lambda: told.append(1))
+    book.on_change.append(lambda is_long: told.append(1))
     book.begin(plan(SHORT).build_work(SHORT, now=1.0))
     assert told
 
--- /dev/null
+++ b/libraries/placement/tests/test_widening.py
@@ -0,0 +1,62 @@
+"""Prompts that their cell can't serve in time find engines of other cells."""
+
+from random import Random
+
+import pytest
+
+from tarragonward_placement import EngineWork, PromptNeed, plan_reading, widen_plan
+from tarragonward_routes import EngineModel
+
+MODEL = EngineModel(
+    slots=6,
+    memory_tokens=344_250,
+    stride_steps=38,
+    chunk_tokens=2_048,
+    step_seconds=0.00131,
+    writer_seconds=9e-7,
+    context_seconds=2.13e-9,
+    read_tokens_per_second=154_000.0,
+    pair_seconds=1.62e-10,
+)
+LONG = PromptNeed(260_000, 700, 4.0, 1.0)
+SHORT = PromptNeed(5_000, 500, 0.3, 0.25)
+NEAR = [f"near{number}" for number in range(20)]
+FAR = [f"far{number}" for number in range(20)]
+READING = EngineWork(readers=1, parts=1, reading_seconds=4.0)
+DOMAINS = dict.fromkeys(NEAR, "near") | dict.fromkeys(FAR, "far")
+
+
+def plan(need, known):
+    """Return the plan of a host whose cell has the near engines."""
+
+    def plan_among(names):
+        return plan_reading(need, names, known, MODEL, Random(1), True, DOMAINS, "near")
+
+    return widen_plan(plan_among(NEAR), need, lambda: plan_among([*NEAR, *FAR]))
+
+
+def test_a_prompt_that_its_cell_serves_in_time_stays_there():
+    assert set(plan(LONG, {}).readers) <= set(NEAR)
+    assert set(plan(SHORT, {}).readers) <= set(NEAR)
+
+
+@pytest.mark.parametrize("need", [LONG, SHORT])
+def test_a_prompt_goes_to_another_cell_where_its_own_is_read_full(need):
+    """Long prompts come in a burst; the next one waits while other cells idle."""
+    known = dict.fromkeys(NEAR, READING)
+    chosen = plan(need, known)
+    assert set(chosen.readers) <= set(FAR)
+    assert chosen.first_event_seconds < need.aim_seconds
+
+
+def test_a_prompt_stays_where_all_cells_are_as_full():
+    """What is known of other cells is older: a small gain there may be none."""
+    known = dict.fromkeys([*NEAR, *FAR], READING)
+    known["far3"] = EngineWork(readers=1, parts=1, reading_seconds=3.9)
+    assert set(plan(SHORT, known).readers) <= set(NEAR)
+
+
+def test_no_engine_near_is_no_reason_to_refuse():
+    wide = plan_reading(LONG, FAR, {}, MODEL, Random(1))
+    assert widen_plan(None, LONG, lambda: wide) is wide
+    assert widen_plan(wide, LONG, lambda: None) is wide
