--- a/libraries/bench/tarragonward_bench/days/losses.py
+++ b/libraries/bench/tarragonward_bench/days/losses.py
@@ -24,6 +24,8 @@
 
 from tarragonward_cli.log_lines import LogLine, parse_line  # noqa: E402
 
+from .bounds import bound_day, print_bound  # noqa: E402
+
 __all__ = ["LostRequest", "find_cause", "main", "read_losses"]
 
 EVENT_ENDED = "request_ended"
@@ -55,11 +57,26 @@
     faults: tuple[str, ...]
     target: str
     readers: int
+    seconds: float = 0.0
+
+    @property
+    def asked_at(self) -> float:
+        """Return when the host took the request; at is when it ended."""
+        return self.at - self.seconds
+
+    @property
+    def was_in_time(self) -> bool:
+        """Return whether its caller got a whole answer in time after all."""
+        is_whole = self.outcome == ANSWERED and self.status < SERVER_FAILURES
+        return is_whole and not self.is_late and not self.has_long_pause
 
     @property
     def is_late(self) -> bool:
-        """Return whether the first event missed its aim."""
-        return self.first is None or self.first > self.aim
+        """Return whether the first event, or a call's answer, missed its aim."""
+        taken = self.first
+        if taken is None and not self.prompt_tokens and self.outcome == ANSWERED:
+            taken = self.seconds
+        return taken is None or taken > self.aim
 
     @property
     def has_long_pause(self) -> bool:
@@ -95,6 +112,8 @@
 
 def find_cause(request: LostRequest) -> str | None:
     """Return why a request was lost, None where it was in aim."""
+    if request.was_in_time:
+        return None
     return next((name for name, fits in CAUSES.items() if fits(request)), None)
 
 
@@ -129,6 +148,7 @@
         faults=tuple(filter(None, fields.get("faults", "").split(","))),
         target=fields.get("target", ""),
         readers=int(fields.get("readers", 0)),
+        seconds=read("seconds"),
     )
 
 
@@ -161,6 +181,9 @@
     parser = argparse.ArgumentParser(prog="script/losses", description=__doc__)
     parser.add_argument("report", type=Path)
     parser.add_argument("log", type=Path, nargs="+")
+    parser.add_argument(
+        "--pass-over", action="append", default=[], help="a kind the report leaves out"
+    )
     parser.add_argument("--plot", type=Path, help="a file to draw the causes into")
     options = parser.parse_args()
     lines = (
@@ -169,7 +192,11 @@
         for line in path.read_text("utf-8", errors="replace").splitlines()
     )
     pairs = ((request, find_cause(request)) for request in read_losses(lines))
-    found = [(request, cause) for request, cause in pairs if cause is not None]
+    found = [
+        (request, cause)
+        for request, cause in pairs
+        if cause is not None and request.kind not in options.pass_over
+    ]
     _print_table("kind", Counter((r.kind, cause) for r, cause in found))
     seconds = [int(r.at // WINDOW_SECONDS) * WINDOW_SECONDS for r, _ in found]
     by_window = Counter(
@@ -178,9 +205,11 @@
     )
     _print_table("from second", by_window)
     _print_table("host", Counter((r.host, cause) for r, cause in found))
-    told = json.loads(options.report.read_text("utf-8"))["all"]
+    report = json.loads(options.report.read_text("utf-8"))
+    told = report["all"]
     counted = told["late"] + told["refused"] + told["failed"]
     print(f"\ncauses={len(found)} bench={counted} differ={len(found) - counted}")
+    print_bound(bound_day(report, found))
     if options.plot:
         _draw(found, options.plot)
     return 0
