Hold requests while a host that has just started reads its first table

Their one repeat was used up by the outage already, so that for many it was the end.

Ways: refuse with 0.3 s to come back (as it stands); hold the request until the table is there, 0.5 s at most, no longer than a quarter of the caller's time, and only in the first second of the host. Kept: the second. A host that is up for longer and has no table refuses at once, as others may serve.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -127,6 +127,11 @@
 PROBE_ROUND_SECONDS = 0.1
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
+# A host that starts holds a request for so long until it has a table, as long as it
+# started no longer ago than that, and for this share of the caller's time at most.
+START_HOLD_SECONDS = 0.5
+START_SECONDS = 1.0
+START_HOLD_SHARE = 0.25
 # Other hosts serve already: the caller loses its aim by waiting.
 DRAINING_RETRY_SECONDS = 0.02
 ROUTE_UNSURE_RETRY_SECONDS = 0.3
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
+from dataclasses import replace
 
 from tarragonward_core import RequestRefusedError, ResultCode, log_event
 from tarragonward_routes import Account, Route, RoutingTable
@@ -23,6 +25,8 @@
 
 MILLISECONDS = 1_000
 
+AnyHead = HttpHead | HttpRequest
+
 
 class Forwarder:
     """Handle the callers' requests of one host."""
@@ -44,14 +48,18 @@
 
         Answering before the body is read would cost the caller its connection.
         """
-        now = asyncio.get_running_loop().time()
+        return self._check(head, asyncio.get_running_loop().time())
+
+    def _check(self, head: AnyHead, received_at: float) -> ForwardContext:
         try:
-            return self._admit(head, now)
+            return self._admit(head, received_at)
         except RequestRefusedError as err:
-            return ForwardContext(received_at=now, refusal=err)
+            return ForwardContext(received_at=received_at, refusal=err)
 
     async def async_handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
+        if self._state.table is None and self._state.is_admitting:
+            request = await self._async_hold(request)
         context: ForwardContext = request.context
         responder.request_id = request.headers.get(
             self._state.headers.request_id, request.request_id
@@ -76,6 +84,23 @@
         finally:
             self.in_flight -= 1
 
+    async def _async_hold(self, request: HttpRequest) -> HttpRequest:
+        """Wait for the first table, and check the request by it.
+
+        Where all hosts lose power at once, callers come to hosts that are starting. A
+        refusal takes the last attempt of many of them, and the table is there within
+        tenths of a second.
+        """
+        state, received_at = self._state, request.context.received_at
+        left = state.started_at + c.START_SECONDS - read_clock()
+        limit = parse_count(request.headers.get(state.headers.deadline_ms, ""))
+        if limit is not None:
+            left = min(left, c.START_HOLD_SHARE * limit / MILLISECONDS)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(min(left, c.START_HOLD_SECONDS)):
+                await state.has_table.wait()
+        return replace(request, context=self._check(request, received_at))
+
     def _note_refused(
         self, request_id: str, request: HttpRequest, refusal: RequestRefusedError
     ) -> None:
@@ -94,7 +119,7 @@
             table_age=age if age < float("inf") else None,
         )
 
-    def _admit(self, head: HttpHead, now: float) -> ForwardContext:
+    def _admit(self, head: AnyHead, now: float) -> ForwardContext:
         if not self._state.is_admitting:
             raise RequestRefusedError(
                 ResultCode.DRAINING, retry_after_seconds=c.DRAINING_RETRY_SECONDS
@@ -113,7 +138,7 @@
         return ForwardContext(now, None, route, account, service, limit, table)
 
     def _authenticate(
-        self, table: RoutingTable, route: Route, head: HttpHead
+        self, table: RoutingTable, route: Route, head: AnyHead
     ) -> Account | None:
         key = head.headers.get(self._state.headers.caller_key, "")
         account = table.find_account(key)
@@ -122,7 +147,7 @@
             raise self._build_denial(code)
         return account
 
-    def _get_time_limit(self, route: Route, head: HttpHead) -> float:
+    def _get_time_limit(self, route: Route, head: AnyHead) -> float:
         limit = parse_count(head.headers.get(self._state.headers.deadline_ms, ""))
         if limit is None:
             return route.timeout_seconds
--- a/libraries/gateway/tarragonward_gateway/state.py
+++ b/libraries/gateway/tarragonward_gateway/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -28,6 +29,8 @@
     metrics: Metrics = field(default_factory=Metrics)
     registry: TargetRegistry = field(default_factory=TargetRegistry)
     table: RoutingTable | None = None
+    has_table: asyncio.Event = field(default_factory=asyncio.Event)
+    started_at: float = field(default_factory=read_clock)
     table_confirmed_at: float = float("-inf")
     random: random.Random = field(default_factory=random.Random)
     is_draining: bool = False
@@ -79,5 +82,6 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self.has_table.set()
         self.registry.set_services(table.services)
         return True
