Read at the start where no seed answers, and do not wait for it

Hosts that are no seeds waited 0.2 s for the seeds' word before they read by themselves.

Now a host waits for the seeds only once a peer has answered its first hello within 0.05 s, which a seed that is up does.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -72,7 +72,9 @@
 # A peer that is ahead for longer shows that this host's watch is dead.
 BEHIND_SECONDS = 0.7
 # A host that starts and is no seed leaves the first readings to those that are, for so
-# long; while peers give it what they hold, it waits on, up to so long in all.
+# long; while peers give it what they hold, it waits on, up to so long in all. A seed
+# that is up answers its first hello well within the first time.
+SEED_ANSWER_SECONDS = 0.05
 START_WAIT_SECONDS = 0.2
 START_PULL_SECONDS = 0.5
 START_LONGEST_SECONDS = 2.0
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -160,7 +160,8 @@
         # that wait, at first and after a page of many, are fed by the first; alone,
         # they read after the wait.
         self._leaves_reading = start_wait > 0.0
-        self._pause_until = now + start_wait
+        self._start_wait = start_wait
+        self._pause_until = now + min(start_wait, c.SEED_ANSWER_SECONDS)
         self._changed_at = float("-inf")
         self._behind_since: float | None = None
         self._ahead = 0
@@ -318,6 +319,11 @@
     ) -> list[FollowEffect]:
         """Compare with what a peer holds."""
         effects: list[FollowEffect] = []
+        if self._leaves_reading and not complete:
+            # Only where a peer answers is anyone there to wait for. Symptom, after a
+            # loss of power: hosts wait for seeds that start later than they do.
+            start_until = self._started_at + self._start_wait
+            self._pause_until = max(self._pause_until, start_until)
         if self._ahead <= complete:
             # Only what this host holds ends its being behind: peers that hold less
             # tell nothing about it.
