--- a/libraries/bench/tarragonward_bench/experiment/policies.py
+++ b/libraries/bench/tarragonward_bench/experiment/policies.py
@@ -170,7 +170,7 @@
             part_seconds=reads,
             reads_until={best[2]: best[0]},
             first_event_seconds=best[0],
-            harm=0.0,
+            cost=0.0,
         )
         work = plan.build_work(need, now)
         return Sending(best[2], (), work, best[0])
--- a/libraries/gateway/tests/test_reservations.py
+++ b/libraries/gateway/tests/test_reservations.py
@@ -91,7 +91,7 @@
         part_seconds=1.0,
         reads_until={},
         first_event_seconds=1.0,
-        harm=0.0,
+        cost=0.0,
         tickets={"t1": 300_000, "t2": 200_000},
     )
     return SendChoice(leader, tuple(helpers), plan)
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -125,7 +125,7 @@
 MIN_CELL_ENGINES = 4
 # A prompt looks beyond its cell where the plan within it costs more than so much of
 # what is at stake with it, and takes a plan that costs less by so much.
-WIDEN_HARM_SHARE = 0.3
+WIDEN_COST_SHARE = 0.3
 WIDEN_GAIN_SHARE = 0.1
 MAX_HASHED_NAMES = 8_192
 
--- a/libraries/placement/tarragonward_placement/outlook.py
+++ b/libraries/placement/tarragonward_placement/outlook.py
@@ -53,10 +53,10 @@
     model: EngineModel,
     reading_seconds: float,
 ) -> Outlook:
-    """Return the outlook for those whom a pause of a reading's length harms."""
+    """Return the outlook for those whose aim a pause as long as a reading breaks."""
     works = {name: known.get(name, NO_WORK) for name in engines}
     pause = int(reading_seconds * MILLISECONDS)
-    harmed = [
+    paused = [
         (work.requests, sum(stake for aim, stake in work.stakes.items() if aim < pause))
         for work in works.values()
         if any(aim < pause for aim in work.stakes)
@@ -65,8 +65,8 @@
         (min(work.stakes) for work in works.values() if work.stakes), default=0
     )
     return Outlook(
-        places=float(sum(requests for requests, _ in harmed)),
-        stake_per_second=sum(stake for _, stake in harmed) / _compute_hold(model),
+        places=float(sum(requests for requests, _ in paused)),
+        stake_per_second=sum(stake for _, stake in paused) / _compute_hold(model),
         free=frozenset(
             name
             for name, work in works.items()
--- a/libraries/placement/tarragonward_placement/readings.py
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -1,4 +1,4 @@
-"""Decide which engines read a prompt, by the harm predicted for all on them."""
+"""Decide which engines read a prompt, by the cost predicted for all on them."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
     part_seconds: float
     reads_until: Mapping[str, float]
     first_event_seconds: float
-    harm: float
+    cost: float
     tickets: Mapping[str, int] = field(default_factory=dict)
     # The published time of a pass of the leader, with the answer among its writers.
     pass_seconds: float = 0.0
@@ -62,12 +62,12 @@
 
 @dataclass(frozen=True)
 class _Candidate:
-    """One engine as a reader of a part: when it ends, whom it harms."""
+    """One engine as a reader of a part: when it ends, what it costs the others."""
 
     name: str
     work: EngineWork
     ends_seconds: float
-    harm: float
+    cost: float
     order: float
     # What it counts, as the engine that answers, that it is in another failure domain.
     distance: float
@@ -99,7 +99,7 @@
     domains: Mapping[str, str] | None = None,
     own_domain: str = "",
 ) -> ReadingPlan | None:
-    """Return the readers with the least predicted harm, None where none has memory.
+    """Return the readers with the least predicted cost, None where none has memory.
 
     The order of the engines is the same on all hosts: prompts that one engine reads
     at once are packed at its front, and long ones take its end, so that engines with
@@ -137,8 +137,8 @@
         if is_long:
             outlook = observe_outlook(engines, known, model, plan.part_seconds)
             loss = outlook.compute_loss(plan.readers, plan.part_seconds)
-            plan = replace(plan, harm=plan.harm + loss)
-        if best is None or plan.harm < best.harm:
+            plan = replace(plan, cost=plan.cost + loss)
+        if best is None or plan.cost < best.cost:
             best = plan
     return best
 
@@ -165,8 +165,8 @@
     reading = work.reading_seconds * work.pace
     steps = model.compute_write_seconds(work.writers, work.context_tokens) * work.pace
     pause = steps + reading + part
-    # What is already harmed by the reading that waits there is not harmed again.
-    harm = sum(
+    # What already misses its bound by the reading that waits there costs no more.
+    cost = sum(
         stake * _compute_change(pause - part, part, aim / MILLISECONDS)
         for aim, stake in work.stakes.items()
     ) + sum(
@@ -177,7 +177,7 @@
     if work.writers:
         ends += 1.5 * steps
     order = place.weigh(is_long)
-    return _Candidate(place.name, work, ends, harm, order, place.weigh_distance())
+    return _Candidate(place.name, work, ends, cost, order, place.weigh_distance())
 
 
 def _plan_for(
@@ -188,10 +188,10 @@
     model: EngineModel,
     random: Random,
 ) -> ReadingPlan | None:
-    lead_harm, _, _, leader = min(
+    lead_cost, _, _, leader = min(
         (
             (
-                _compute_lead_harm(each, need, model, need.memory_tokens),
+                _compute_lead_cost(each, need, model, need.memory_tokens),
                 each.work.requests,
                 random.random(),
                 each,
@@ -205,7 +205,7 @@
     helpers = _choose_helpers(count - 1, others, need, model, random)
     if len(helpers) < count - 1:
         return None
-    plan = _build_plan([leader, *helpers], part, lead_harm, need)
+    plan = _build_plan([leader, *helpers], part, lead_cost, need)
     return replace(plan, pass_seconds=_compute_pass(leader, need, model, count))
 
 
@@ -220,7 +220,7 @@
     """Return a plan whose readers hold the prompt together.
 
     The roomiest readers hold, so that few reservations are needed; the leader is the
-    one of them that is harmed least.
+    one of them where that costs least.
     """
     settled = [each for each in candidates if each.name == need.leader]
     others = [each for each in candidates if each.name != need.leader]
@@ -234,7 +234,7 @@
         return None
     leader = min(
         (each for each in holders if need.may_lead(each.name)),
-        key=lambda each: (_count_room(each, model) <= 0, each.harm),
+        key=lambda each: (_count_room(each, model) <= 0, each.cost),
     )
     left = need.memory_tokens - max(_count_room(leader, model), 0)
     tickets: dict[str, int] = {}
@@ -249,13 +249,13 @@
     if left > 0:
         return None
     rest = need.memory_tokens - sum(tickets.values())
-    lead_harm = _compute_lead_harm(leader, need, model, rest)
+    lead_cost = _compute_lead_cost(leader, need, model, rest)
     # Tickets are filled in the order in which they are listed.
     held = [each for each in holders if each.name in tickets]
     only_read = [
         each for each in readers if each is not leader and each.name not in tickets
     ]
-    plan = _build_plan([leader, *held, *only_read], part, lead_harm, need, tickets)
+    plan = _build_plan([leader, *held, *only_read], part, lead_cost, need, tickets)
     return replace(plan, pass_seconds=_compute_pass(leader, need, model, count))
 
 
@@ -266,12 +266,12 @@
     model: EngineModel,
     random: Random,
 ) -> list[_Candidate]:
-    """Return the engines that are harmed least by a part and end it soonest."""
+    """Return the engines where a part costs least and ends soonest."""
     able = [each for each in candidates if each.work.parts < model.slots - 1]
     return sorted(
         able,
         key=lambda each: (
-            each.harm
+            each.cost
             + each.order
             + need.stake * compute_overrun(each.ends_seconds, need.aim_seconds),
             random.random(),
@@ -282,14 +282,14 @@
 def _build_plan(
     readers: list[_Candidate],
     part: float,
-    lead_harm: float,
+    lead_cost: float,
     need: PromptNeed,
     tickets: Mapping[str, int] | None = None,
 ) -> ReadingPlan:
     first = max(each.ends_seconds for each in readers)
-    harm = (
-        lead_harm
-        + sum(each.harm + each.order for each in readers[1:])
+    cost = (
+        lead_cost
+        + sum(each.cost + each.order for each in readers[1:])
         + need.stake * compute_overrun(first, need.aim_seconds)
         + c.READER_WEIGHT * len(readers)
     )
@@ -298,7 +298,7 @@
         part_seconds=part,
         reads_until={each.name: each.ends_seconds for each in readers},
         first_event_seconds=first,
-        harm=harm,
+        cost=cost,
         tickets=tickets or {},
     )
 
@@ -315,20 +315,20 @@
     return int(model.memory_tokens * c.TICKET_MEMORY_SHARE) - each.work.held_tokens
 
 
-def _compute_lead_harm(
+def _compute_lead_cost(
     each: _Candidate, need: PromptNeed, model: EngineModel, tokens: int
 ) -> float:
     """Return what it costs that this engine holds and writes the answer."""
     work = each.work
     pause = model.compute_write_seconds(work.writers + 1, work.context_tokens)
     pause = (pause + work.reading_seconds) * work.pace
-    harm = each.harm + each.order + each.distance
-    harm += need.stake * compute_overrun(pause, need.pause_aim_seconds)
+    cost = each.cost + each.order + each.distance
+    cost += need.stake * compute_overrun(pause, need.pause_aim_seconds)
     over = work.requests + 1 - model.slots
     first = each.ends_seconds + max(over, 0) * c.SLOT_WAIT_SECONDS
-    harm += need.stake * compute_overrun(first, need.aim_seconds)
+    cost += need.stake * compute_overrun(first, need.aim_seconds)
     # Without memory the newest request loses its place and is read again.
     room = model.memory_tokens * c.MEMORY_SHARE - work.held_tokens
     if tokens > room:
-        harm += need.stake + sum(work.stakes.values())
-    return harm
+        cost += need.stake + sum(work.stakes.values())
+    return cost
