--- a/libraries/bench/tarragonward_bench/experiment/policies.py
+++ b/libraries/bench/tarragonward_bench/experiment/policies.py
@@ -239,7 +239,7 @@
             "no_lane_no_margin",
             numbers={"LANE_WEIGHT": 0.0, "SAFE_SHARE": 0.999, "MISSED_SHARE": 1.0},
         ),
-        PolicyPlan("no_stakes", numbers={"STAKE_TOKENS": 1e12}),
+        PolicyPlan("no_weights", numbers={"WEIGHT_TOKENS": 1e12}),
         PolicyPlan("no_hints", tells_peers=False),
         PolicyPlan("hints_in_turn", tells_at_once=False),
         PolicyPlan("hints_from_all", tells_all=True, has_cells=False),
--- a/libraries/gateway/tests/test_moving.py
+++ b/libraries/gateway/tests/test_moving.py
@@ -22,7 +22,7 @@
 
 def read_for_long(site, target, seconds):
     """Let a peer tell that an engine reads a part of its long prompt for so long."""
-    stake, aim = 200, 3_000
+    weight, aim = 200, 3_000
     entry = [
         0,
         0,
@@ -31,7 +31,7 @@
         0,
         int(seconds * 1_000),
         [],
-        [[int(seconds * 1_000), aim, stake]],
+        [[int(seconds * 1_000), aim, weight]],
     ]
     site.chooser.take_digest("peer", {target: entry}, 0.0)
 
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -74,8 +74,8 @@
 MAX_PACE_SECONDS = 30.0
 # What an overdue reading is still taken to need, of its whole time.
 OVERDUE_SHARE = 0.3
-# What is at stake with a prompt grows with its tokens, from one for the smallest.
-STAKE_TOKENS = 10_000
+# The weight of a prompt grows with its tokens, from one for the smallest.
+WEIGHT_TOKENS = 10_000
 # Where a time over its bound begins to count, and where the bound is surely missed.
 SAFE_SHARE = 0.65
 MISSED_SHARE = 1.05
@@ -93,7 +93,7 @@
 MIN_PART_SECONDS = 0.012
 MAX_HELPERS = 16
 READER_COUNTS = (1, 2, 3, 4, 6, 8, 11, 14, 17)
-# What each further reader and a place out of the lane count, in the stake's unit.
+# What each further reader and a place out of the lane count, in the weight's unit.
 READER_WEIGHT = 0.004
 LANE_WEIGHT = 0.15
 # A short prompt pays for a place beyond the lane as a share of all engines, so one
@@ -124,7 +124,7 @@
 CELL_ENGINES = 40
 MIN_CELL_ENGINES = 4
 # A prompt looks beyond its cell where the plan within it costs more than so much of
-# what is at stake with it, and takes a plan that costs less by so much.
+# its weight, and takes a plan that costs less by so much.
 WIDEN_COST_SHARE = 0.3
 WIDEN_GAIN_SHARE = 0.1
 MAX_HASHED_NAMES = 8_192
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -13,7 +13,7 @@
 
 MILLISECONDS = 1_000
 THOUSAND = 1_000
-STAKE_PARTS = 10
+WEIGHT_PARTS = 10
 
 
 @dataclass(eq=False)
@@ -26,7 +26,7 @@
     context_tokens: int
     held_tokens: Mapping[str, int]
     pause_aim_seconds: float
-    stake: float
+    weight: float
     placed_at: float
     aim_at: float
     first_event_at: float | None = None
@@ -45,20 +45,20 @@
 
     ends_seconds: float
     aim_seconds: float
-    stake: float
+    weight: float
 
     def age(self, seconds: float) -> Unread:
         """Return it so many seconds later."""
         return Unread(
             max(0.0, self.ends_seconds - seconds),
             self.aim_seconds - seconds,
-            self.stake,
+            self.weight,
         )
 
 
 @dataclass
 class EngineWork:
-    """What is known to lie on one engine; stakes are by pause aim in milliseconds."""
+    """What is known to lie on one engine; weights are by pause aim in milliseconds."""
 
     writers: int = 0
     readers: int = 0
@@ -66,7 +66,7 @@
     context_tokens: int = 0
     held_tokens: int = 0
     reading_seconds: float = 0.0
-    stakes: dict[int, float] = field(default_factory=dict)
+    weights: dict[int, float] = field(default_factory=dict)
     unread: list[Unread] = field(default_factory=list)
     # How many times as long as published the engine's passes take.
     pace: float = 1.0
@@ -76,9 +76,9 @@
         """Return how many places are taken."""
         return self.writers + self.readers
 
-    def add_stake(self, pause_aim: int, stake: float) -> None:
+    def add_weight(self, pause_aim: int, weight: float) -> None:
         """Count what is lost where a pause is over the aim."""
-        self.stakes[pause_aim] = self.stakes.get(pause_aim, 0.0) + stake
+        self.weights[pause_aim] = self.weights.get(pause_aim, 0.0) + weight
 
 
 NO_WORK = EngineWork()
@@ -311,7 +311,7 @@
             left = work.compute_reading_left(engine, now)
             known.reading_seconds += left
             if left:
-                known.unread.append(Unread(left, work.aim_at - now, work.stake))
+                known.unread.append(Unread(left, work.aim_at - now, work.weight))
             known.held_tokens += work.held_tokens.get(engine, 0)
             if engine != work.leader:
                 known.parts += work.first_event_at is None
@@ -319,7 +319,7 @@
             known.writers += work.first_event_at is not None
             known.readers += work.first_event_at is None
             known.context_tokens += work.context_tokens
-            known.add_stake(int(work.pause_aim_seconds * MILLISECONDS), work.stake)
+            known.add_weight(int(work.pause_aim_seconds * MILLISECONDS), work.weight)
 
 
 def _list_new_readings(
@@ -335,13 +335,13 @@
     ]
 
 
-def _pack_stake(stake: float) -> int:
-    """Return a stake in tenths: a whole number takes a third of a float's bytes."""
-    return round(stake * STAKE_PARTS)
+def _pack_weight(weight: float) -> int:
+    """Return a weight in tenths: a whole number takes a third of a float's bytes."""
+    return round(weight * WEIGHT_PARTS)
 
 
-def _unpack_stake(item: Any) -> float:
-    return int(item) / STAKE_PARTS
+def _unpack_weight(item: Any) -> float:
+    return int(item) / WEIGHT_PARTS
 
 
 def _pack_entry(work: EngineWork) -> list[Any]:
@@ -352,12 +352,12 @@
         work.context_tokens // THOUSAND,
         work.held_tokens // THOUSAND,
         int(work.reading_seconds * MILLISECONDS),
-        [[aim, _pack_stake(stake)] for aim, stake in work.stakes.items()],
+        [[aim, _pack_weight(weight)] for aim, weight in work.weights.items()],
         [
             [
                 int(unread.ends_seconds * MILLISECONDS),
                 int(unread.aim_seconds * MILLISECONDS),
-                _pack_stake(unread.stake),
+                _pack_weight(unread.weight),
             ]
             for unread in work.unread
         ],
@@ -366,7 +366,7 @@
 
 def _unite(one: EngineWork, other: EngineWork) -> EngineWork:
     """Return the greater of two accounts of the work on an engine."""
-    aims = one.stakes.keys() | other.stakes.keys()
+    aims = one.weights.keys() | other.weights.keys()
     return EngineWork(
         max(one.writers, other.writers),
         max(one.readers, other.readers),
@@ -374,14 +374,14 @@
         max(one.context_tokens, other.context_tokens),
         max(one.held_tokens, other.held_tokens),
         max(one.reading_seconds, other.reading_seconds),
-        {a: max(one.stakes.get(a, 0.0), other.stakes.get(a, 0.0)) for a in aims},
+        {a: max(one.weights.get(a, 0.0), other.weights.get(a, 0.0)) for a in aims},
         one.unread or other.unread,
         max(one.pace, other.pace),
     )
 
 
 def _parse_entry(entry: Sequence[Any]) -> EngineWork:
-    writers, readers, parts, context, held, reading, stakes, unread = entry
+    writers, readers, parts, context, held, reading, weights, unread = entry
     return EngineWork(
         int(writers),
         int(readers),
@@ -389,12 +389,14 @@
         int(context) * THOUSAND,
         int(held) * THOUSAND,
         int(reading) / MILLISECONDS,
-        {int(aim): _unpack_stake(stake) for aim, stake in stakes},
+        {int(aim): _unpack_weight(weight) for aim, weight in weights},
         [
             Unread(
-                int(ends) / MILLISECONDS, int(aim) / MILLISECONDS, _unpack_stake(stake)
+                int(ends) / MILLISECONDS,
+                int(aim) / MILLISECONDS,
+                _unpack_weight(weight),
             )
-            for ends, aim, stake in unread
+            for ends, aim, weight in unread
         ],
     )
 
@@ -406,6 +408,6 @@
     known.context_tokens += hint.context_tokens
     known.held_tokens += hint.held_tokens
     known.reading_seconds += max(0.0, hint.reading_seconds - age)
-    for aim, stake in hint.stakes.items():
-        known.add_stake(aim, stake)
+    for aim, weight in hint.weights.items():
+        known.add_weight(aim, weight)
     known.unread += [unread.age(age) for unread in hint.unread]
--- a/libraries/placement/tarragonward_placement/outlook.py
+++ b/libraries/placement/tarragonward_placement/outlook.py
@@ -19,17 +19,17 @@
 class Outlook:
     """What short prompts are expected to need in the next seconds.
 
-    places are those that they take now, stake_per_second what comes with new ones;
+    places are those that they take now, weight_per_second what comes with new ones;
     free are the engines that read nothing long, each with so many places for them.
     """
 
     places: float = 0.0
-    stake_per_second: float = 0.0
+    weight_per_second: float = 0.0
     free: frozenset[str] = frozenset()
     places_an_engine: float = 1.0
 
     def compute_loss(self, readers: Sequence[str], seconds: float) -> float:
-        """Return the stake expected to be late as readers read for so many seconds.
+        """Return the weight expected to be late as readers read for so many seconds.
 
         It is the load of a burst: a prompt of 600,000 tokens that is read on 17 of 18
         engines is in time, and for two seconds all short prompts meet on the last one.
@@ -41,7 +41,7 @@
             return 0.0
         left = len(self.free.difference(readers))
         lost = self._compute_lost_share(left) - self._compute_lost_share(len(self.free))
-        return self.stake_per_second * seconds * lost
+        return self.weight_per_second * seconds * lost
 
     def _compute_lost_share(self, engines: int) -> float:
         return max(0.0, 1 - engines * self.places_an_engine / self.places)
@@ -57,16 +57,19 @@
     works = {name: known.get(name, NO_WORK) for name in engines}
     pause = int(reading_seconds * MILLISECONDS)
     paused = [
-        (work.requests, sum(stake for aim, stake in work.stakes.items() if aim < pause))
+        (
+            work.requests,
+            sum(weight for aim, weight in work.weights.items() if aim < pause),
+        )
         for work in works.values()
-        if any(aim < pause for aim in work.stakes)
+        if any(aim < pause for aim in work.weights)
     ]
     strictest = min(
-        (min(work.stakes) for work in works.values() if work.stakes), default=0
+        (min(work.weights) for work in works.values() if work.weights), default=0
     )
     return Outlook(
         places=float(sum(requests for requests, _ in paused)),
-        stake_per_second=sum(stake for _, stake in paused) / _compute_hold(model),
+        weight_per_second=sum(weight for _, weight in paused) / _compute_hold(model),
         free=frozenset(
             name
             for name, work in works.items()
--- a/libraries/placement/tarragonward_placement/places.py
+++ b/libraries/placement/tarragonward_placement/places.py
@@ -39,9 +39,9 @@
         return self.prompt_tokens + self.output_tokens
 
     @property
-    def stake(self) -> float:
-        """Return what is at stake, in that of the smallest prompt."""
-        return 1 + self.prompt_tokens / c.STAKE_TOKENS
+    def weight(self) -> float:
+        """Return how much being late counts, in that of the smallest prompt."""
+        return 1 + self.prompt_tokens / c.WEIGHT_TOKENS
 
 
 @dataclass(frozen=True)
@@ -59,7 +59,7 @@
     is_near: bool
 
     def weigh(self, is_long: bool) -> float:
-        """Return what the place counts against the engine, in the stake's unit."""
+        """Return what the place counts against the engine, in the weight's unit."""
         if is_long:
             return c.LANE_WEIGHT * self.before_end
         return c.PACKING_WEIGHT * self.behind_lane
@@ -112,6 +112,6 @@
     """Return how many engines the strictest writers and one more need."""
     aim = int(need.pause_aim_seconds * MILLISECONDS)
     works = (known[name] for name in names if name in known)
-    requests = sum(work.requests for work in works if aim in work.stakes)
+    requests = sum(work.requests for work in works if aim in work.weights)
     fill = max(model.slots * c.LANE_FILL_SHARE, 1.0)
     return math.ceil((requests + 1) / fill)
--- a/libraries/placement/tarragonward_placement/readings.py
+++ b/libraries/placement/tarragonward_placement/readings.py
@@ -54,7 +54,7 @@
                 self.leader: need.memory_tokens - sum(self.tickets.values()),
             },
             pause_aim_seconds=need.pause_aim_seconds,
-            stake=need.stake,
+            weight=need.weight,
             placed_at=now,
             aim_at=now + need.aim_seconds,
         )
@@ -167,10 +167,10 @@
     pause = steps + reading + part
     # What already misses its bound by the reading that waits there costs no more.
     cost = sum(
-        stake * _compute_change(pause - part, part, aim / MILLISECONDS)
-        for aim, stake in work.stakes.items()
+        weight * _compute_change(pause - part, part, aim / MILLISECONDS)
+        for aim, weight in work.weights.items()
     ) + sum(
-        unread.stake * _compute_change(unread.ends_seconds, part, unread.aim_seconds)
+        unread.weight * _compute_change(unread.ends_seconds, part, unread.aim_seconds)
         for unread in work.unread
     )
     ends = reading + part
@@ -273,7 +273,7 @@
         key=lambda each: (
             each.cost
             + each.order
-            + need.stake * compute_overrun(each.ends_seconds, need.aim_seconds),
+            + need.weight * compute_overrun(each.ends_seconds, need.aim_seconds),
             random.random(),
         ),
     )[:count]
@@ -290,7 +290,7 @@
     cost = (
         lead_cost
         + sum(each.cost + each.order for each in readers[1:])
-        + need.stake * compute_overrun(first, need.aim_seconds)
+        + need.weight * compute_overrun(first, need.aim_seconds)
         + c.READER_WEIGHT * len(readers)
     )
     return ReadingPlan(
@@ -323,12 +323,12 @@
     pause = model.compute_write_seconds(work.writers + 1, work.context_tokens)
     pause = (pause + work.reading_seconds) * work.pace
     cost = each.cost + each.order + each.distance
-    cost += need.stake * compute_overrun(pause, need.pause_aim_seconds)
+    cost += need.weight * compute_overrun(pause, need.pause_aim_seconds)
     over = work.requests + 1 - model.slots
     first = each.ends_seconds + max(over, 0) * c.SLOT_WAIT_SECONDS
-    cost += need.stake * compute_overrun(first, need.aim_seconds)
+    cost += need.weight * compute_overrun(first, need.aim_seconds)
     # Without memory the newest request loses its place and is read again.
     room = model.memory_tokens * c.MEMORY_SHARE - work.held_tokens
     if tokens > room:
-        cost += need.stake + sum(work.stakes.values())
+        cost += need.weight + sum(work.weights.values())
     return cost
--- a/libraries/placement/tests/test_outlook.py
+++ b/libraries/placement/tests/test_outlook.py
@@ -21,7 +21,7 @@
     usual_answer_tokens=46 * 30,
 )
 ENGINES = [f"e{number}" for number in range(10)]
-WRITING = EngineWork(writers=6, stakes={200: 9.0})
+WRITING = EngineWork(writers=6, weights={200: 9.0})
 READING = EngineWork(reading_seconds=2.0)
 
 
@@ -43,7 +43,7 @@
     """
     outlook = observe(busy=ENGINES[:3])
     loss = outlook.compute_loss(ENGINES[1:], 2.0)
-    coming = outlook.stake_per_second * 2.0
+    coming = outlook.weight_per_second * 2.0
     assert coming / 2 < loss < coming
 
 
@@ -68,4 +68,4 @@
 def test_a_usual_answer_that_is_not_published_is_no_fault():
     known = {"e0": WRITING}
     outlook = observe_outlook(ENGINES, known, replace(MODEL, usual_answer_tokens=0), 2)
-    assert outlook.stake_per_second > 0
+    assert outlook.weight_per_second > 0
--- a/libraries/placement/tests/test_places.py
+++ b/libraries/placement/tests/test_places.py
@@ -20,7 +20,9 @@
 
     The engines beyond the lanes stay free of writers that bear no pause.
     """
-    busy = {f"b{number}": EngineWork(writers=6, stakes={200: 9.0}) for number in (0, 1)}
+    busy = {
+        f"b{number}": EngineWork(writers=6, weights={200: 9.0}) for number in (0, 1)
+    }
     places = place(busy)
     in_lane = [name for name, each in places.items() if not each.behind_lane]
     assert in_lane == ["a0", "b0", "b1", "c0"]
--- a/libraries/placement/tests/test_readings.py
+++ b/libraries/placement/tests/test_readings.py
@@ -59,7 +59,7 @@
         writers=count,
         context_tokens=count * 5_000,
         held_tokens=count * 5_500,
-        stakes={200: count * 1.5},
+        weights={200: count * 1.5},
     )
 
 
@@ -91,14 +91,14 @@
 
 def test_short_prompt_avoids_an_engine_that_reads_a_long_one() -> None:
     """The short prompt would be read after the long one."""
-    known = {"e00": EngineWork(readers=1, reading_seconds=2.5, stakes={800: 22.0})}
+    known = {"e00": EngineWork(readers=1, reading_seconds=2.5, weights={800: 22.0})}
     assert plan(SHORT, known).leader != "e00"
 
 
 def test_prompt_goes_where_its_memory_is_free() -> None:
     """Where memory runs out, the newest request loses its place."""
     known = {
-        name: EngineWork(writers=2, held_tokens=400_000, stakes={800: 40.0})
+        name: EngineWork(writers=2, held_tokens=400_000, weights={800: 40.0})
         for name in ENGINES[1:]
     }
     assert plan(LONG, known).leader == "e00"
@@ -107,7 +107,7 @@
 def test_prompt_beyond_one_engine_is_held_by_several() -> None:
     """The tickets and the leader's own memory hold all of it, with room left."""
     huge = PromptNeed(900_000, 800, 3.0, 0.8)
-    known = {"e03": EngineWork(writers=1, held_tokens=200_000, stakes={800: 20.0})}
+    known = {"e03": EngineWork(writers=1, held_tokens=200_000, weights={800: 20.0})}
     chosen = plan(huge, known)
     held = chosen.build_work(huge, now=0.0).held_tokens
     assert sum(held.values()) == huge.memory_tokens
@@ -162,7 +162,7 @@
     seen = book.get_all(50.0)[chosen.leader]
     assert seen.readers == 1
     assert seen.reading_seconds == pytest.approx(chosen.part_seconds - 0.1, abs=0.002)
-    assert seen.stakes == {800: 22.0}
+    assert seen.weights == {800: 22.0}
     assert book.hears_peers(50.0)
     assert book.get_all(60.0) == {}
     assert not book.hears_peers(60.0)
