Leave an engine whose first event is overdue for one that is in time

What callers saw on the shifted deployment: prompts waited unread at an engine far beyond their prediction while others could have read them in time: 491,378 tokens for 11.6 s in a queue, short prompts of a wave 0.8 s and more. Cause: a target was left only as silent, after three times the prediction and the aim (at least 0.8 s for a short prompt, which is in aim within 0.3 s), and was then held to be out of order, though it was busy: 221 of such silences in one wave, each of which sends the next prompts to the other engines.

Ways: wait until it is silent (as it stands); leave it once the first event is overdue (1.5 times the prediction and 0.05 s) where another engine is predicted to be in time, without blaming it. What was left is connected to, so that a dead one is found out. Within the route's targets and the shared budget of repeats; only before the first event, only what may run again, so "not run" and at most once stand as before.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -188,4 +188,9 @@
 SILENCE_MIN_FIRST_SECONDS = 0.5
 SILENCE_MIN_PAUSE_SECONDS = 0.8
 SILENCE_AGAIN_SECONDS = 0.2
+# A first event is overdue after so many times the predicted time and so long. Its
+# target is left for one that needs at most this share of what is left until the aim.
+OVERDUE_FACTOR = 1.5
+OVERDUE_SECONDS = 0.05
+OVERDUE_ELSEWHERE_SHARE = 0.8
 SILENCE_MIN_LEFT_SECONDS = 0.3
--- a/libraries/gateway/tarragonward_gateway/moving.py
+++ b/libraries/gateway/tarragonward_gateway/moving.py
@@ -8,6 +8,7 @@
 from tarragonward_placement import EngineWork, gains_by_moving, predict_wait
 from tarragonward_requests import Exchange
 
+from . import const as c
 from .silence import SilenceWatch
 from .state import GatewayState
 from .targets import SendChoice, TargetChooser, TargetNeed
@@ -46,9 +47,31 @@
         need = self._build_need()
         if not self._may_move(need) or not self._gains(choice, need, work):
             return
+        self._begin(need)
+        watch.leave()
+
+    def leaves_overdue(self) -> bool:
+        """Return whether to leave a target whose first event is overdue, and note it.
+
+        A prompt waits unread behind work that nobody told of, at an engine that has
+        turned slow, or at a dead one. Symptom: it is late, or ends with its caller's
+        patience, though another engine would have read it in time.
+        """
+        need = self._build_need()
+        if self._exchange.is_started or not self._may_move(need):
+            return False
+        other = self._chooser.find_instead(need)
+        if other is None or other.plan is None:
+            return False
+        left = need.aim_at - self._loop.time()
+        if other.plan.first_event_seconds > left * c.OVERDUE_ELSEWHERE_SHARE:
+            return False
+        self._begin(need)
+        return True
+
+    def _begin(self, need: TargetNeed) -> None:
         self.is_moving = True
         self.repeat_at = self._state.record_repeat(need.service)
-        watch.leave()
 
     def give_up(self) -> None:
         """Give the repeat back where the answer ended before the target was left."""
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -104,6 +104,12 @@
                 self.note(target, Evidence.NOT_CONNECTED)
         return all(reached)
 
+    def check_later(self, target: RegisteredTarget) -> None:
+        """Connect to a target that may be out of reach, while others are served."""
+        task = asyncio.create_task(self.async_check([target]))
+        self._probing.add(task)
+        task.add_done_callback(self._probing.discard)
+
     async def async_has_ended(self, target: RegisteredTarget) -> bool:
         """Return whether a target that closed a connection takes no other.
 
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -224,6 +224,8 @@
             self._log_failed(target, event, err)
         except StreamMovedError as err:
             self._placer.left = target.id
+            if not self._exchange.is_started:
+                self._chooser.probes.check_later(target)
             event = SendFailed(SendFault.MOVED)
             self._log_failed(target, event, err)
         except TargetSilentError as err:
@@ -327,6 +329,8 @@
             c.SILENCE_FACTOR * plan.first_event_seconds + aim,
             max(pause, c.SILENCE_MIN_PAUSE_SECONDS),
             may_leave,
+            c.OVERDUE_FACTOR * plan.first_event_seconds + c.OVERDUE_SECONDS,
+            self._mover.leaves_overdue,
         )
 
     def _note_reading(
--- a/libraries/gateway/tarragonward_gateway/silence.py
+++ b/libraries/gateway/tarragonward_gateway/silence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from types import TracebackType
 
@@ -26,12 +27,22 @@
     waits until it gives up, though others are free. Silence alone ends no answer: it
     is left only while may_leave() says that another target may go on; else it is
     asked again later. Time in which the caller does not read is not the target's.
+    Before it counts as silent its first event is overdue: then it is left where
+    gains_elsewhere() says that another target would be in time, and is not to blame.
     """
 
     def __init__(
-        self, first_seconds: float, pause_seconds: float, may_leave: Callable[[], bool]
+        self,
+        first_seconds: float,
+        pause_seconds: float,
+        may_leave: Callable[[], bool],
+        overdue_seconds: float = math.inf,
+        gains_elsewhere: Callable[[], bool] = lambda: False,
     ) -> None:
         self._first_seconds = first_seconds
+        self._overdue_seconds = overdue_seconds
+        self._gains_elsewhere = gains_elsewhere
+        self._silent_at = math.inf
         self._pause_seconds = pause_seconds
         self._may_leave = may_leave
         self._loop = asyncio.get_running_loop()
@@ -49,7 +60,8 @@
     async def __aenter__(self) -> SilenceWatch:
         """Begin to wait for the first event."""
         await self._scope.__aenter__()
-        self._arm(self._first_seconds)
+        self._silent_at = self._loop.time() + self._first_seconds
+        self._arm(min(self._first_seconds, self._overdue_seconds))
         return self
 
     async def __aexit__(
@@ -75,6 +87,7 @@
 
     def resume(self) -> None:
         """Wait for the next event."""
+        self._silent_at = self._loop.time() + self._pause_seconds
         self._arm(0.0 if self._is_leaving else self._pause_seconds)
 
     def _arm(self, seconds: float) -> None:
@@ -82,7 +95,11 @@
         self._timer = self._loop.call_later(seconds, self._decide)
 
     def _decide(self) -> None:
-        if self._is_leaving or self._may_leave():
-            self._scope.reschedule(self._loop.time())
+        now = self._loop.time()
+        is_silent = now >= self._silent_at and self._may_leave()
+        if not is_silent and not self._is_leaving:
+            self._is_leaving = self._gains_elsewhere()
+        if is_silent or self._is_leaving:
+            self._scope.reschedule(now)
         else:
             self._arm(c.SILENCE_AGAIN_SECONDS)
--- /dev/null
+++ b/libraries/gateway/tests/test_overdue.py
@@ -0,0 +1,58 @@
+"""Prompts whose first event is overdue, and where they go."""
+
+import asyncio
+
+import pytest
+
+from tarragonward_gateway import const as c
+from tarragonward_requests import BudgetBounds
+from tarragonward_standins import stream_events
+
+PROMPT = "5000,100"
+
+
+@pytest.fixture
+async def make_pair(make_engines):
+    """Return a function that makes two engines; the first one asked runs nothing."""
+
+    async def async_make(**route):
+        asked = []
+
+        async def script(request, writer):
+            asked.append(request.get("x-expected-target")[0])
+            if len(asked) == 1:
+                await asyncio.sleep(10)
+            await stream_events([1, 2, 3])(request, writer)
+
+        return await make_engines(script, script, **route), asked
+
+    return async_make
+
+
+async def test_a_prompt_that_waits_unread_is_read_in_time_elsewhere(make_pair):
+    """It waited behind work that nobody told of, for eight seconds."""
+    site, asked = await make_pair()
+    async with asyncio.timeout(site.state.table.routes[0].aim_seconds):
+        answer = await site.async_ask_prompt(PROMPT)
+    assert answer.status == 200
+    assert len(set(asked)) == len(asked) == 2
+    assert site.chooser.reach.resting == 0
+
+
+async def test_a_prompt_stays_where_no_other_would_be_in_time(make_pair):
+    """Its aim is over: a second read would only take another engine's time."""
+    site, asked = await make_pair(aim_seconds=0.1)
+    asking = asyncio.create_task(site.async_ask_prompt(PROMPT))
+    await asyncio.sleep(c.OVERDUE_SECONDS + 0.4)
+    assert len(asked) == 1
+    asking.cancel()
+
+
+async def test_no_prompt_is_left_beyond_the_budget_of_repeats(make_pair):
+    """A fleet that is slow as a whole must not read each prompt twice."""
+    site, asked = await make_pair()
+    site.state.budget.bounds = BudgetBounds(0.0, 0.0, 10.0)
+    asking = asyncio.create_task(site.async_ask_prompt(PROMPT))
+    await asyncio.sleep(c.OVERDUE_SECONDS + 0.4)
+    assert len(asked) == 1
+    asking.cancel()
--- a/libraries/gateway/tests/test_silence.py
+++ b/libraries/gateway/tests/test_silence.py
@@ -5,7 +5,11 @@
 import pytest
 
 from tarragonward_gateway import const as c
-from tarragonward_gateway.silence import SilenceWatch, TargetSilentError
+from tarragonward_gateway.silence import (
+    SilenceWatch,
+    StreamMovedError,
+    TargetSilentError,
+)
 
 
 async def test_silent_target_is_left():
@@ -37,6 +41,21 @@
                 await asyncio.sleep(0.005)
 
 
+async def test_an_overdue_target_is_left_for_one_that_would_be_in_time():
+    """It is not silent yet, so it is not to blame; the prompt waits there unread."""
+    with pytest.raises(StreamMovedError):
+        async with SilenceWatch(5.0, 5.0, lambda: True, 0.01, lambda: True):
+            await asyncio.Event().wait()
+
+
+async def test_an_overdue_target_is_kept_while_no_other_is_in_time(monkeypatch):
+    """A second read of the prompt elsewhere would only come later still."""
+    monkeypatch.setattr(c, "SILENCE_AGAIN_SECONDS", 0.01)
+    with pytest.raises(TargetSilentError):
+        async with SilenceWatch(0.05, 5.0, lambda: True, 0.01, lambda: False):
+            await asyncio.Event().wait()
+
+
 async def test_time_in_which_the_caller_does_not_read_is_not_counted():
     """The target is not at fault while the caller's connection takes nothing."""
     async with SilenceWatch(0.02, 0.02, lambda: True) as watch:
