Tell peers of engines that are slow

Each host learnt by its own streams that an engine is slow: with 22 hosts in a cell, each sent prompts there that were late before it knew, and parts of joint readings, which tell nothing of their pace, for as long as it had no stream there. Digests and summaries now carry the pace of engines that a host itself has seen to be slow; a host believes it once two peers tell so, at the word of the second (one of them may be slow itself, or its link), and takes the greater of that and its own. A fleet that is slow as a whole is told alike, so no engine is an outlier; what is told lapses with the teller's memory (30 s) or its digests (3 s).

--- a/libraries/bench/tarragonward_bench/experiment/policies.py
+++ b/libraries/bench/tarragonward_bench/experiment/policies.py
@@ -243,6 +243,7 @@
         PolicyPlan("no_hints", tells_peers=False),
         PolicyPlan("hints_in_turn", tells_at_once=False),
         PolicyPlan("hints_from_all", tells_all=True, has_cells=False),
+        PolicyPlan("no_told_paces", numbers={"MIN_PACE_TELLERS": 1 << 30}),
         PolicyPlan("no_paces", numbers={"SLOW_PACE": 1e9}),
         PolicyPlan("no_cells", has_cells=False),
         PolicyPlan("no_widening", widens=False),
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -72,6 +72,9 @@
 PACE_VALUES = 8
 PACE_MIN_VALUES = 3
 MAX_PACE_SECONDS = 30.0
+# So many peers have to tell that an engine is slow: one of them may be slow itself.
+MIN_PACE_TELLERS = 2
+MAX_PACE = 20.0
 # What an overdue reading is still taken to need, of its whole time.
 OVERDUE_SHARE = 0.3
 # The weight of a prompt grows with its tokens, from one for the smallest.
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -14,6 +14,7 @@
 MILLISECONDS = 1_000
 THOUSAND = 1_000
 WEIGHT_PARTS = 10
+PACE_PARTS = 10
 
 
 @dataclass(eq=False)
@@ -206,6 +207,7 @@
     def get_all(self, now: float) -> dict[str, EngineWork]:
         """Return what is known of each engine that has any work."""
         known: dict[str, EngineWork] = {}
+        told: dict[str, list[float]] = {}
         for engine in self._own:
             self._add_own(engine, known.setdefault(engine, EngineWork()), now)
         for host, hint in list(self._hints.items()):
@@ -215,6 +217,8 @@
                 continue
             for engine, entry in hint.engines.items():
                 _add_hint(known.setdefault(engine, EngineWork()), entry, age)
+                if entry.pace > 1:
+                    told.setdefault(engine, []).append(entry.pace)
         for engine, until in list(self._full.items()):
             if now > until:
                 del self._full[engine]
@@ -224,15 +228,20 @@
         self._forget_counts(now)
         if not self._hints:
             self._add_counts(known, now)
-        self._add_paces(known, now)
+        _add_told_paces(known, told)
+        for engine, pace in self._list_slow(now).items():
+            work = known.setdefault(engine, EngineWork())
+            work.pace = max(work.pace, pace)
         return known
 
     def build_digest(self, now: float) -> dict[str, list[Any]]:
         """Return this host's own work for the peers, by engine."""
         digest = {}
-        for engine in self._own:
-            work = EngineWork()
-            self._add_own(engine, work, now)
+        slow = self._list_slow(now)
+        for engine in {**self._own, **slow}:
+            work = EngineWork(pace=slow.get(engine, 1.0))
+            if engine in self._own:
+                self._add_own(engine, work, now)
             digest[engine] = _pack_entry(work)
         return digest
 
@@ -269,7 +278,7 @@
             if age > c.MAX_HINT_SECONDS:
                 del self._summaries[engine]
                 continue
-            told = EngineWork()
+            told = EngineWork(pace=summary.work.pace)
             _add_hint(told, summary.work, age)
             known[engine] = _unite(known.get(engine, NO_WORK), told)
 
@@ -298,13 +307,16 @@
             if left:
                 known.setdefault(engine, EngineWork()).writers += left
 
-    def _add_paces(self, known: dict[str, EngineWork], now: float) -> None:
+    def _list_slow(self, now: float) -> dict[str, float]:
+        """Return the paces of the engines that this host itself has seen to be slow."""
+        slow = {}
         for engine, paces in list(self._paces.items()):
             # A slow engine is hardly used, so it is tried again when this is old.
             if now - paces.seen_at > c.MAX_PACE_SECONDS:
                 del self._paces[engine]
             elif (pace := paces.estimate()) > 1:
-                known.setdefault(engine, EngineWork()).pace = pace
+                slow[engine] = pace
+        return slow
 
     def _add_own(self, engine: str, known: EngineWork, now: float) -> None:
         for work in self._own[engine]:
@@ -344,7 +356,22 @@
     return int(item) / WEIGHT_PARTS
 
 
+def _add_told_paces(
+    known: dict[str, EngineWork], told: Mapping[str, Sequence[float]]
+) -> None:
+    """Take what several peers tell of slow engines, at the word of the last of them.
+
+    Each host would find out by prompts of its own, which are late there. One peer alone
+    may be slow itself, or its link.
+    """
+    for engine, paces in told.items():
+        if len(paces) >= c.MIN_PACE_TELLERS:
+            pace = sorted(paces, reverse=True)[c.MIN_PACE_TELLERS - 1]
+            known[engine].pace = max(known[engine].pace, pace)
+
+
 def _pack_entry(work: EngineWork) -> list[Any]:
+    slow = [round(work.pace * PACE_PARTS)] if work.pace > 1 else []
     return [
         work.writers,
         work.readers,
@@ -361,6 +388,7 @@
             ]
             for unread in work.unread
         ],
+        *slow,
     ]
 
 
@@ -381,7 +409,8 @@
 
 
 def _parse_entry(entry: Sequence[Any]) -> EngineWork:
-    writers, readers, parts, context, held, reading, weights, unread = entry
+    writers, readers, parts, context, held, reading, weights, unread, *slow = entry
+    pace = int(slow[0]) / PACE_PARTS if slow else 1.0
     return EngineWork(
         int(writers),
         int(readers),
@@ -398,6 +427,7 @@
             )
             for ends, aim, weight in unread
         ],
+        min(max(pace, 1.0), c.MAX_PACE),
     )
 
 
--- /dev/null
+++ b/libraries/placement/tests/test_paces.py
@@ -0,0 +1,73 @@
+"""Slow engines: what hosts see themselves, and what they tell each other."""
+
+import msgpack
+import pytest
+
+from tarragonward_placement import FleetBook
+from tarragonward_placement import const as c
+
+
+def make_book(*paces, engine="e1"):
+    """Return the book of a host that saw these passes of an engine."""
+    book = FleetBook()
+    for pace in paces:
+        book.note_pass(engine, pace, now=1.0)
+    return book
+
+
+def hear(*peers):
+    """Return the pace of the engine as a host knows it that heard these peers."""
+    book = FleetBook()
+    for number, peer in enumerate(peers):
+        digest = msgpack.unpackb(msgpack.packb(peer.build_digest(1.0)))
+        book.take_digest(f"peer{number}", digest, 0.0, 1.0)
+    work = book.get_all(1.1).get("e1")
+    return work.pace if work is not None else 1.0
+
+
+SLOW, FAST = (4.0, 4.0, 4.0, 4.0), (1.0, 1.0, 1.0, 1.0)
+
+
+def test_a_host_hears_that_an_engine_is_slow_before_it_sends_there():
+    """Each of 22 hosts found out by prompts of its own, which were late there."""
+    assert hear(make_book(*SLOW), make_book(*SLOW)) == pytest.approx(4.0)
+
+
+def test_the_word_of_one_peer_is_not_enough():
+    """A host whose own processor or link is slow sees all engines as slow."""
+    assert hear(make_book(*SLOW), make_book(*FAST)) == 1.0
+    assert hear(make_book(9.0, 9.0, 9.0), *[make_book(*SLOW)] * 2) == pytest.approx(4.0)
+
+
+def test_what_a_host_sees_itself_counts_without_peers():
+    assert make_book(*SLOW).get_all(1.1)["e1"].pace == pytest.approx(4.0)
+
+
+def test_peers_tell_only_while_they_know():
+    """An engine that is well again must not be told to be slow for good."""
+    book = make_book(*SLOW)
+    assert book.build_digest(1.0)
+    assert not book.build_digest(1.1 + c.MAX_PACE_SECONDS)
+    assert not make_book(*FAST).build_digest(1.0)
+
+
+def test_a_fleet_that_is_slow_as_a_whole_is_told_alike():
+    """Then nothing is an outlier: all engines keep their order."""
+    peers = [FleetBook(), FleetBook()]
+    for peer in peers:
+        for engine in ("e1", "e2", "e3"):
+            for _ in range(4):
+                peer.note_pass(engine, 3.0, now=1.0)
+    book = FleetBook()
+    for number, peer in enumerate(peers):
+        book.take_digest(str(number), peer.build_digest(1.0), 0.0, 1.0)
+    assert {work.pace for work in book.get_all(1.1).values()} == {3.0}
+
+
+@pytest.mark.parametrize("told", [-5, 0, 10**9])
+def test_a_pace_that_cannot_be_is_bounded(told):
+    book = FleetBook()
+    entry = [0, 0, 0, 0, 0, 0, [], [], told]
+    for peer in ("one", "other"):
+        book.take_digest(peer, {"e1": entry}, 0.0, 1.0)
+    assert 1.0 <= book.get_all(1.0)["e1"].pace <= c.MAX_PACE
