--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -195,11 +195,6 @@
         """Return how many hosts are there, this one with them."""
         return len(self._peers) + 1
 
-    def compute_rank(self) -> int:
-        """Return this host's place among those that are there, by address."""
-        own = self.own.address
-        return sum(address < own for address in self._peers)
-
     def count_most_hosts(self, now: float) -> int:
         """Return the most hosts that anyone heard of knew in the last minutes.
 
