Do not tell a summary of engines on

Two hosts of different cells that both count an engine as theirs, as their views of the fleet differ for a while, would tell each other work that has long ended, each time as new, and no prompt would go there until the views agree. A summary holds what the host itself and its mates do, and nothing of other summaries. test_summaries.py fails without it.

--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -206,6 +206,12 @@
 
     def get_all(self, now: float) -> dict[str, EngineWork]:
         """Return what is known of each engine that has any work."""
+        known = self._get_heard(now)
+        self._add_summaries(known, now)
+        return known
+
+    def _get_heard(self, now: float) -> dict[str, EngineWork]:
+        """Return what this host knows by itself and by those who send prompts."""
         known: dict[str, EngineWork] = {}
         told: dict[str, list[float]] = {}
         for engine in self._own:
@@ -224,7 +230,6 @@
                 del self._full[engine]
                 continue
             known.setdefault(engine, EngineWork()).held_tokens += c.FULL_TOKENS
-        self._add_summaries(known, now)
         self._forget_counts(now)
         if not self._hints:
             self._add_counts(known, now)
@@ -248,9 +253,11 @@
     def build_summary(self, engines: Collection[str], now: float) -> dict[str, Any]:
         """Return all that is known of the work on some engines, for other cells.
 
-        Who reads until when is left out: it is most of the bytes.
+        Who reads until when is left out: it is most of the bytes. So is what other
+        summaries told: hosts that both count an engine as theirs would tell each other
+        the same work as new for good.
         """
-        known = self.get_all(now)
+        known = self._get_heard(now)
         return {
             engine: _pack_entry(replace(known[engine], unread=[]))
             if engine in known
--- a/libraries/placement/tests/test_summaries.py
+++ b/libraries/placement/tests/test_summaries.py
@@ -55,6 +55,14 @@
     assert not far.get_all(1.1)["e1"].requests
 
 
+def test_a_summary_is_not_told_on():
+    """Two hosts count an engine as theirs, and tell each other of work long ended."""
+    one, other = make_book("e1"), make_book()
+    other.take_summary(tell(one), 0.0, 0.0)
+    assert other.get_all(0.1)["e1"].requests == 1
+    assert tell(other, 0.1) == {engine: [] for engine in CELL}
+
+
 def test_summaries_are_forgotten_once_they_are_old():
     """Hosts of a cell that is cut off tell nothing: its engines count as unknown."""
     far = make_book()
