--- a/libraries/bench/tarragonward_bench/experiment/fleet.py
+++ b/libraries/bench/tarragonward_bench/experiment/fleet.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from tarragonward_membership import const as membership_const
@@ -25,6 +25,8 @@
 PRODUCT = "product"
 # Mates are told of each prompt at once, and all again as their bytes allow.
 CELL_ROUND_SECONDS = 2.0
+# Hosts of a cell know the same, so one of them builds the summary for all meanwhile.
+SHARED_SUMMARY_SECONDS = 0.02
 
 
 @dataclass
@@ -71,6 +73,7 @@
             [other for other in self.hosts if other is not host] for host in self.hosts
         ]
         self._is_divided = False
+        self._summaries: dict[Collection[str], tuple[float, dict]] = {}
         self._round_seconds = membership_const.HELLO_INTERVAL_SECONDS
         if plan.has_cells and plan.kind == PRODUCT:
             self._divide()
@@ -174,10 +177,17 @@
         delay = self.site.cross_zone_seconds + HANDLING_SECONDS / 2
         assert book is not None and cell is not None
 
+        def build() -> dict:
+            made_at, summary = self._summaries.get(cell, (float("-inf"), {}))
+            if self.now - made_at > SHARED_SUMMARY_SECONDS:
+                summary = book.build_summary(cell, self.now)
+                self._summaries[cell] = self.now, summary
+            return summary
+
         def summarize() -> None:
             for _ in range(membership_const.HELLO_FANOUT):
                 if self._rng.random() < membership_const.FAR_HELLO_SHARE:
-                    summary = book.build_summary(cell, self.now)
+                    summary = build()
                     other = self._rng.choice(far)
                     hear = self._make_hear_summary(other, summary, delay)
                     self._at(self.now + delay, hear)
