Bound what hosts tell other cells of their readings

Cause: each long reading is told to all hosts of other cells at once.

Now a host tells of its readings 4 KB/s at most, a whole message at a time (a debt is worked off), and only its mates beyond that. A test plays 100 long prompts a second; it fails without the bound.

--- a/libraries/gateway/tarragonward_gateway/cell_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/cell_gossip.py
@@ -26,7 +26,8 @@
 
     A host of each other cell, by chance, hears in each round what all of this cell know
     of its engines. All hosts hear at once of a long reading of this host, and again
-    while it lasts.
+    while it lasts, as long as its bytes allow: with hundreds of hosts and tens of long
+    prompts a second, each host would tell and read thousands of messages.
     """
 
     def __init__(
@@ -38,6 +39,9 @@
         self._background = BackgroundTasks(state.metrics)
         self._is_telling = False
         self._told_at = float("-inf")
+        # Bytes that may be told of readings; below zero after a message to many.
+        self._credit = float(c.MAX_READING_BYTES_PER_SECOND)
+        self._credit_at = read_clock()
         chooser.book.on_change.append(self._note_prompt)
         peers.add_section(SECTION, self._build, chooser.take_summary)
 
@@ -73,8 +77,13 @@
             self._tell_reading(self._list_far(), read_clock())
 
     def _tell_reading(self, far: list[Address], now: float) -> None:
+        rate = c.MAX_READING_BYTES_PER_SECOND
+        earned = max(0.0, now - self._credit_at) * rate
+        self._credit, self._credit_at = min(rate, self._credit + earned), now
+        if self._credit <= 0:
+            return
         self._told_at = now
-        self._peers.tell_some(PROMPTS_SECTION, far)
+        self._credit -= len(far) * self._peers.tell_some(PROMPTS_SECTION, far)
 
     def _list_far(self) -> list[Address]:
         """Return the hosts that are told nothing else of prompts."""
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -121,6 +121,8 @@
 # long reading that goes on.
 CELL_GOSSIP_SECONDS = 0.25
 READING_REPEAT_SECONDS = 1.5
+# What a host may tell other cells of its readings.
+MAX_READING_BYTES_PER_SECOND = 4_000
 PLACE_SECONDS = 1.0
 
 CONNECT_SECONDS = 0.2
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -147,10 +147,14 @@
         data = self._pack(self._build_sections(section), is_brief=True)
         self._send_data(data, self.members.choose_all())
 
-    def tell_some(self, section: str, addresses: Iterable[Address]) -> None:
-        """Tell the hosts at these addresses what one section holds."""
+    def tell_some(self, section: str, addresses: Iterable[Address]) -> int:
+        """Tell the hosts at these addresses what one section holds.
+
+        Return how many bytes that takes for each of them.
+        """
         data = self._pack(self._build_sections(section), is_brief=True)
         self._send_data(data, addresses)
+        return len(data)
 
     def is_mate(self, name: str) -> bool:
         """Return whether a peer is among the mates."""
--- a/libraries/gateway/tests/test_cell_gossip.py
+++ b/libraries/gateway/tests/test_cell_gossip.py
@@ -7,6 +7,7 @@
 from tarragonward_core import Address, HostIdentity
 from tarragonward_gateway import cell_gossip
 from tarragonward_gateway.cell_gossip import SECTION, CellGossip
+from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.peers import Peers
 from tarragonward_gateway.targets import SECTION as PROMPTS_SECTION
 from tarragonward_gateway.targets import TargetChooser
@@ -16,6 +17,7 @@
 
 MATE, FAR = Address("10.0.0.1", 1), Address("10.0.0.2", 1)
 LONG = PromptNeed(260_000, 700, 4.0, 1.0)
+SIZE = 400
 
 
 @pytest.fixture
@@ -25,9 +27,12 @@
     state = build_peer_state(0)
     peers, chooser = Peers(state), TargetChooser(state, lambda: 5.0)
     told = []
-    monkeypatch.setattr(
-        peers, "tell_some", lambda section, to: told.append((section, list(to)))
-    )
+
+    def tell_some(section, to):
+        told.append((section, list(to)))
+        return SIZE
+
+    monkeypatch.setattr(peers, "tell_some", tell_some)
     for number, address in enumerate((MATE, FAR)):
         identity = HostIdentity(address, number)
         hello = Hello(identity, f"h{number}", "d", 1, 3, False, ())
@@ -79,3 +84,17 @@
     finally:
         await gossip.async_unload()
     assert messages[0] == (SECTION, [FAR])
+
+
+def test_what_other_cells_are_told_of_readings_is_bounded(told, monkeypatch):
+    """Of 300 hosts with 86 long prompts a second each told and read 86 messages."""
+    chooser, _, messages = told
+    rate = cell_gossip.c.MAX_READING_BYTES_PER_SECOND
+    clock = [read_clock()]
+    monkeypatch.setattr(cell_gossip, "read_clock", lambda: clock[0])
+    seconds = 10
+    for _ in range(seconds * 100):
+        clock[0] += 0.01
+        begin(chooser, placement_const.HOLDING_SECONDS)
+    sent = sum(SIZE * len(addresses) for _, addresses in messages)
+    assert rate * seconds / 2 < sent <= rate * (seconds + 1) + SIZE
