Look beyond the cell, and past an overdue engine, only among up to 256 engines

Suspected, not shown: a plan among all engines goes through 3,000 of them, for each prompt that its cell can't serve and for each overdue one, where cells have 40.

--- a/libraries/gateway/tarragonward_gateway/moving.py
+++ b/libraries/gateway/tarragonward_gateway/moving.py
@@ -58,7 +58,10 @@
         patience, though another engine would have read it in time.
         """
         need = self._build_need()
-        if self._exchange.is_started or not self._may_move(need):
+        ready = len(self._state.registry.get_ready(need.service))
+        if self._exchange.is_started or ready > c.MAX_WIDE_ENGINES:
+            return False
+        if not self._may_move(need):
             return False
         other = self._chooser.find_instead(need)
         if other is None or other.plan is None:
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -28,6 +28,7 @@
 from tarragonward_placement.const import MAX_LIMIT_WAIT_SECONDS
 from tarragonward_routes import Route, Service
 
+from . import const as c
 from .clock import read_clock
 from .headers import parse_count, parse_rate
 from .probes import TargetProbes
@@ -388,7 +389,7 @@
             )
 
         plan = plan_among(near)
-        if len(near) < len(by_id):
+        if len(near) < len(by_id) <= c.MAX_WIDE_ENGINES:
             plan = widen_plan(plan, prompt, lambda: plan_among(by_id))
         if plan is not None and any(map(self._is_limited, plan.readers[1:])):
             # A part that is read for another target is work that its limit leaves out.
