--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -195,6 +195,6 @@
 OVERDUE_FACTOR = 1.5
 OVERDUE_SECONDS = 0.05
 OVERDUE_ELSEWHERE_SHARE = 0.8
-# A plan among more engines than this takes tens of milliseconds of a core.
+# A plan goes through all engines given: among more than this it holds the host up.
 MAX_WIDE_ENGINES = 256
 SILENCE_MIN_LEFT_SECONDS = 0.3
--- a/libraries/gateway/tests/test_cell_gossip.py
+++ b/libraries/gateway/tests/test_cell_gossip.py
@@ -58,7 +58,7 @@
 
 
 def test_a_reading_that_goes_on_is_told_again(told, monkeypatch):
-    """A hint is forgotten after three seconds; some prompts are read for longer."""
+    """A hint is forgotten while some prompts are still read."""
     chooser, gossip, messages = told
     work = begin(chooser, 6.0)
     now = 5.0 + cell_gossip.c.READING_REPEAT_SECONDS
@@ -87,7 +87,7 @@
 
 
 def test_what_other_cells_are_told_of_readings_is_bounded(told, monkeypatch):
-    """Of 300 hosts with 86 long prompts a second each told and read 86 messages."""
+    """In a fleet of hundreds each host told, and read, of each long prompt."""
     chooser, _, messages = told
     rate = cell_gossip.c.MAX_READING_BYTES_PER_SECOND
     clock = [read_clock()]
--- a/libraries/gateway/tests/test_overdue.py
+++ b/libraries/gateway/tests/test_overdue.py
@@ -30,7 +30,7 @@
 
 
 async def test_a_prompt_that_waits_unread_is_read_in_time_elsewhere(make_pair):
-    """It waited behind work that nobody told of, for eight seconds."""
+    """It waited behind work that nobody told of, until its caller left."""
     site, asked = await make_pair()
     async with asyncio.timeout(site.state.table.routes[0].aim_seconds):
         answer = await site.async_ask_prompt(PROMPT)
--- a/libraries/placement/tests/test_paces.py
+++ b/libraries/placement/tests/test_paces.py
@@ -29,7 +29,7 @@
 
 
 def test_a_host_hears_that_an_engine_is_slow_before_it_sends_there():
-    """Each of 22 hosts found out by prompts of its own, which were late there."""
+    """Each host found out by prompts of its own, which were late there."""
     assert hear(make_book(*SLOW), make_book(*SLOW)) == pytest.approx(4.0)
 
 
