Tell nothing beyond the cells of a fleet whose prompts stay in theirs

Now neither summaries nor long readings are told there, and one question (looks_beyond_cell) decides for plans, overdue prompts and what is told.

--- a/libraries/gateway/tarragonward_gateway/cell_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/cell_gossip.py
@@ -80,7 +80,7 @@
         rate = c.MAX_READING_BYTES_PER_SECOND
         earned = max(0.0, now - self._credit_at) * rate
         self._credit, self._credit_at = min(rate, self._credit + earned), now
-        if self._credit <= 0:
+        if self._credit <= 0 or not far:
             return
         self._told_at = now
         self._credit -= len(far) * self._peers.tell_some(PROMPTS_SECTION, far)
@@ -88,7 +88,7 @@
     def _list_far(self) -> list[Address]:
         """Return the hosts that are told nothing else of prompts."""
         members = self._peers.members
-        if len(members.get_peers()) <= MAX_MESH_PEERS:
+        if len(members.get_peers()) <= MAX_MESH_PEERS or not self._is_heeded():
             return []
         mates = set(members.get_mates())
         return [
@@ -97,5 +97,12 @@
             if not peer.is_leaving and peer.identity.address not in mates
         ]
 
+    def _is_heeded(self) -> bool:
+        """Return whether any prompt may go to engines of other cells."""
+        table = self._state.table
+        services = table.services.values() if table is not None else ()
+        looks_beyond = self._chooser.looks_beyond_cell
+        return any(s.engine is not None and looks_beyond(s.name) for s in services)
+
     def _build(self) -> dict[str, Any] | None:
         return self._chooser.build_summary() if self._is_telling else None
--- a/libraries/gateway/tarragonward_gateway/moving.py
+++ b/libraries/gateway/tarragonward_gateway/moving.py
@@ -58,10 +58,9 @@
         patience, though another engine would have read it in time.
         """
         need = self._build_need()
-        ready = len(self._state.registry.get_ready(need.service))
-        if self._exchange.is_started or ready > c.MAX_WIDE_ENGINES:
+        if self._exchange.is_started or not self._may_move(need):
             return False
-        if not self._may_move(need):
+        if not self._chooser.looks_beyond_cell(need.service):
             return False
         other = self._chooser.find_instead(need)
         if other is None or other.plan is None:
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -342,6 +342,14 @@
             return ready
         return [target for target in ready if target.id in cell.engines] or ready
 
+    def looks_beyond_cell(self, service: str) -> bool:
+        """Return whether prompts of a service may go to engines of other cells.
+
+        In a very large fleet cells have enough of them, and a plan among all, and word
+        of all, would take more of each host than it saves.
+        """
+        return len(self._state.registry.get_ready(service)) <= c.MAX_WIDE_ENGINES
+
     def build_summary(self) -> dict[str, list[Any]] | None:
         """Return what is known of the engines of this host's cell, None for none."""
         table = self._state.table
@@ -349,7 +357,7 @@
             return None
         summary: dict[str, list[Any]] = {}
         for service in table.services.values():
-            if service.engine is None:
+            if service.engine is None or not self.looks_beyond_cell(service.name):
                 continue
             cell = self.get_cell(service.name)
             if not cell.is_whole:
@@ -389,7 +397,7 @@
             )
 
         plan = plan_among(near)
-        if len(near) < len(by_id) <= c.MAX_WIDE_ENGINES:
+        if len(near) < len(by_id) and self.looks_beyond_cell(need.service):
             plan = widen_plan(plan, prompt, lambda: plan_among(by_id))
         if plan is not None and any(map(self._is_limited, plan.readers[1:])):
             # A part that is read for another target is work that its limit leaves out.
--- a/libraries/gateway/tests/test_cell_gossip.py
+++ b/libraries/gateway/tests/test_cell_gossip.py
@@ -14,10 +14,12 @@
 from tarragonward_membership import Hello, HelloHeard
 from tarragonward_placement import PromptNeed, ReadingPlan
 from tarragonward_placement import const as placement_const
+from tarragonward_routes import CallerLimits, EngineModel, RoutingTable, Service
 
 MATE, FAR = Address("10.0.0.1", 1), Address("10.0.0.2", 1)
 LONG = PromptNeed(260_000, 700, 4.0, 1.0)
 SIZE = 400
+ENGINE = EngineModel(8, 450_000, 46, 2_048, 0.001, 0.00001, 3e-9, 256_000.0, 9e-11)
 
 
 @pytest.fixture
@@ -25,6 +27,11 @@
     """Return a chooser, its gossip, and what it told to whom."""
     monkeypatch.setattr(cell_gossip, "MAX_MESH_PEERS", 1)
     state = build_peer_state(0)
+    state.put_in_force(
+        RoutingTable(
+            1, (), {"s": Service("s", 9, engine=ENGINE)}, CallerLimits(), {}, False
+        )
+    )
     peers, chooser = Peers(state), TargetChooser(state, lambda: 5.0)
     told = []
 
@@ -98,3 +105,13 @@
         begin(chooser, placement_const.HOLDING_SECONDS)
     sent = sum(SIZE * len(addresses) for _, addresses in messages)
     assert rate * seconds / 2 < sent <= rate * (seconds + 1) + SIZE
+
+
+def test_a_very_large_fleet_tells_nothing_beyond_its_cells(told, monkeypatch):
+    """Nobody plans among thousands of engines, so word of them is work for nothing."""
+    chooser, gossip, messages = told
+    assert gossip._list_far() == [FAR]
+    monkeypatch.setattr(cell_gossip.c, "MAX_WIDE_ENGINES", -1)
+    assert gossip._list_far() == []
+    begin(chooser, placement_const.HOLDING_SECONDS)
+    assert not messages
--- a/libraries/gateway/tests/test_overdue.py
+++ b/libraries/gateway/tests/test_overdue.py
@@ -56,3 +56,13 @@
     await asyncio.sleep(c.OVERDUE_SECONDS + 0.4)
     assert len(asked) == 1
     asking.cancel()
+
+
+async def test_no_other_engine_is_looked_for_among_thousands(make_pair, monkeypatch):
+    """A plan among all engines of a very large fleet holds its host up."""
+    monkeypatch.setattr(c, "MAX_WIDE_ENGINES", 1)
+    site, asked = await make_pair()
+    asking = asyncio.create_task(site.async_ask_prompt(PROMPT))
+    await asyncio.sleep(c.OVERDUE_SECONDS + 0.4)
+    assert len(asked) == 1
+    asking.cancel()
