Report headers of targets' answers that no code reads

Each name is logged once (target_header_unread, with its value and the target), and counted (target_headers_unread).

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -195,6 +195,22 @@
 LIMIT_EXPIRY_INTERVAL_SECONDS = 5.0
 HOST_VIEW_REFRESH_SECONDS = 0.25
 
+# Headers of answers that every HTTP server may send, and that state nothing about it.
+STANDARD_ANSWER_HEADERS = (
+    "cache-control",
+    "connection",
+    "content-encoding",
+    "content-length",
+    "content-type",
+    "date",
+    "keep-alive",
+    "server",
+    "transfer-encoding",
+    "vary",
+)
+MAX_REPORTED_HEADERS = 64
+MAX_LOGGED_HEADER_CHARACTERS = 80
+
 LOG_BURST_LINES = 200
 MAX_EVENTS_PER_REQUEST = 24
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -42,6 +42,8 @@
     token_counts: str = "x-tokens"
     helpers: str = "x-helper-engines"
     failed_target: str = "x-failed-target"
+    target_name: str = "x-target"
+    weight_versions: str = "x-weight-versions"
 
 
 @dataclass(frozen=True)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -374,6 +374,7 @@
     ) -> ExchangeEvent | None:
         names = self._state.headers
         self._record_head_evidence(choice.target, stream)
+        self._chooser.statements.report_unread(choice.target, stream.raw_headers)
         self._chooser.record_load(choice.target, stream.headers.get(names.load))
         limit = stream.headers.get(names.limit)
         is_refusal = self._head_check.is_refusal(stream)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -33,6 +33,7 @@
 from .headers import parse_count, parse_rate
 from .probes import TargetProber
 from .state import GatewayState
+from .statements import StatementReader
 
 __all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetRequirements"]
 
@@ -137,6 +138,7 @@
         self.limits = TargetLimits(state.random)
         self.on_limit: list[Callable[[int], None]] = []
         self.get_host_view: Callable[[], HostView] = lambda: SINGLE_HOST_VIEW
+        self.statements = StatementReader(state.headers, state.metrics)
         self.target_health = TargetHealthTracker()
         self.probes = TargetProber(state, self.target_health)
 
