--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -195,6 +195,7 @@
 LIMIT_EXPIRY_INTERVAL_SECONDS = 5.0
 HOST_VIEW_REFRESH_SECONDS = 0.25
 
+HEADER_RETRY_AFTER = "retry-after"
 # Headers of answers that every HTTP server may send, and that state nothing about it.
 STANDARD_ANSWER_HEADERS = (
     "cache-control",
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -392,6 +392,7 @@
                 "send_refused",
                 status=stream.status,
                 at_target=failed_address,
+                retry_after=stream.headers.get(c.HEADER_RETRY_AFTER),
             )
             return SendFailed(SendFault.NOT_RUN, is_helper_fault=is_helper_fault)
         self._head_check.check(stream)
