Add failing tests of targets that state that they leave

Each sends requests, prompts or parts of long prompts to a target whose answers say that it leaves, while the registry still says ready.

The stand-in's runners state it in all answers once they drain, and the checker has the rule: a request that a caller sent more than 2 s after a host had passed such an answer on must not reach that runner from that host, unless the host was started since.

--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -12,6 +12,7 @@
 from .platform_model_runner import build_stream_event
 from .platform_reservations import ReservationRecord, check_reservations
 from .platform_runner import Arrival, RateLimitPeriod
+from .platform_statements import HostStarts, find_sends_after_leaving
 
 __all__ = [
     "Checker",
@@ -60,6 +61,7 @@
     reservations: Iterable[ReservationRecord] = ()
     limits: Iterable[RateLimitPeriod] = ()
     now: float = 0.0
+    host_starts: HostStarts = field(default_factory=dict)
     violations: list[tuple[Rule, str]] = field(default_factory=list)
 
     def check(self) -> list[tuple[Rule, str]]:
@@ -80,6 +82,11 @@
         self._check_crashes()
         for period in self.limits:
             self._check_limit(period)
+        attempts = [each for request in self.requests for each in request.attempts]
+        for request_id in find_sends_after_leaving(
+            attempts, self.arrivals, self.host_starts
+        ):
+            self._add_violation("DRAIN", request_id)
         self.violations += check_reservations(self.reservations, self.now)
         return self.violations
 
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -42,6 +42,7 @@
 WORK_TIME_FACTORS = (0.5, 1.5)
 MISSED_HEARTBEATS_UNTIL_REMOVAL = 3
 JSON_TYPE = ("Content-Type", "application/json")
+LEAVING = ("Server-Leaving", "1")
 ArrivalLog = list["Arrival"]
 
 
@@ -107,6 +108,8 @@
     runner_crashed_at: float | None = None
     # When an answer that announces a rate limit was sent.
     limit_announced_at: float | None = None
+    # Whether the answer stated that the runner is leaving.
+    states_leaving: bool = False
 
 
 @dataclass
@@ -172,9 +175,16 @@
         if self.proxy is not None:
             await self.proxy.async_unload()
 
-    async def async_drain(self, serve_seconds: float) -> None:
-        """Register as draining, serve for serve_seconds, then stop and deregister."""
+    async def async_drain(
+        self, serve_seconds: float, report_after_seconds: float = 0.0
+    ) -> None:
+        """Leave: state it in all answers, register it, serve on, then stop.
+
+        report_after_seconds: the store accepts the report of draining this much later;
+        serve_seconds: how long the runner serves after that, before it deregisters.
+        """
         self.is_draining = True
+        await asyncio.sleep(report_after_seconds)
         self.withdrawn_at = asyncio.get_running_loop().time()
         self._register()
         await asyncio.sleep(serve_seconds)
@@ -198,6 +208,14 @@
         if rate is not None:
             self.limits.append(RateLimitPeriod(self.id, rate, now))
 
+    def _build_statements(self, arrival: Arrival) -> tuple[tuple[str, str], ...]:
+        """Return the headers that state something about this runner."""
+        headers = self._build_limit_header(arrival)
+        if self.is_draining:
+            arrival.states_leaving = True
+            headers += (LEAVING,)
+        return headers
+
     def _build_limit_header(self, arrival: Arrival) -> tuple[tuple[str, str], ...]:
         now = asyncio.get_running_loop().time()
         period = self.limits[-1] if self.limits else None
@@ -330,7 +348,7 @@
             ("X-Request-Id", arrival.request_id),
             ("X-Response-Seal", f"{arrival.runner_id}.{arrival.request_id}"),
             ("X-Server-Load", load),
-            *self._build_limit_header(arrival),
+            *self._build_statements(arrival),
             *framing,
         ]
         if self.is_draining:
@@ -373,7 +391,7 @@
         if arrival is not None:
             arrival.status = status
             headers.append(("X-Request-Id", arrival.request_id))
-            headers += self._build_limit_header(arrival)
+            headers += self._build_statements(arrival)
         writer.write(build_head(status, [*headers, ("Content-Length", "0")]))
         return True
 
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+from collections import defaultdict
 from collections.abc import Mapping
 from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
@@ -132,6 +133,7 @@
         self._runners: list[PlatformRunner] = []
         self._replacement_tasks: set[asyncio.Task[None]] = set()
         self._ports: list[int] = []
+        self._host_starts: dict[Address, list[float]] = defaultdict(list)
 
     async def async_setup(self) -> None:
         """Start everything and wait until every host is ready."""
@@ -205,6 +207,7 @@
             reservations,
             limits,
             now,
+            self._host_starts,
         ).check()
 
     @property
@@ -267,6 +270,7 @@
             encoding="utf-8",
         )
         environment = {**os.environ, SETTINGS_VARIABLE: str(host.settings)}
+        self._host_starts[host.front].append(asyncio.get_running_loop().time())
         with (self._folder / f"{host.name}.log").open("ab") as log:
             host.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", HOST_MODULE, env=environment, stderr=log
--- a/libraries/standins/tarragonward_standins/scripted.py
+++ b/libraries/standins/tarragonward_standins/scripted.py
@@ -188,7 +188,10 @@
 
 
 def stream_events(
-    numbers: Iterable[int], cut: bytes = b"", is_ended: bool = True
+    numbers: Iterable[int],
+    cut: bytes = b"",
+    is_ended: bool = True,
+    lines: Iterable[str] = (),
 ) -> Script:
     """Return a script that streams events, then the partial event cut.
 
@@ -197,7 +200,8 @@
     chunks = [build_chunk(build_event(number)) for number in numbers]
 
     async def script(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-        writer.write(build_answer(request, b"", "200 OK", STREAM_LINES, [CHUNKED]))
+        head_lines = (*STREAM_LINES, *lines)
+        writer.write(build_answer(request, b"", "200 OK", head_lines, [CHUNKED]))
         for chunk in chunks:
             writer.write(chunk)
             await writer.drain()
--- a/libraries/standins/tests/test_platform_checker.py
+++ b/libraries/standins/tests/test_platform_checker.py
@@ -212,3 +212,30 @@
     period = RateLimitPeriod("i", 1.0, 10.0)
     checker = Checker([request], arrivals, [VERSION], limits=[period])
     assert ("LIMIT" in {rule for rule, _ in checker.check()}) == is_violation
+
+
+def build_leaving_day():
+    """Return a passed-on answer that states leaving, and a request 2.5 s later."""
+    request, first, told = build_day()
+    told.states_leaving = True
+    second = replace(first, request_id="q", sent_at=13.5, ended_at=14.0)
+    second.answer = {"x-request-id": "q", "x-response-seal": "i.q"}
+    request.attempts.append(second)
+    late = replace(told, request_id="q", at=13.6, states_leaving=False)
+    return request, told, late
+
+
+def test_send_after_an_answer_stated_leaving_is_a_violation():
+    request, told, late = build_leaving_day()
+    assert check(request, [told, late]) == {"DRAIN"}
+    request.attempts[1].sent_at = 12.9
+    assert check(request, [told, late]) == set()
+
+
+def test_leaving_binds_only_the_host_that_passed_it_on():
+    request, told, late = build_leaving_day()
+    request.attempts[1].node = Address("127.0.0.1", 2)
+    assert check(request, [told, late]) == set()
+    request, told, late = build_leaving_day()
+    checker = Checker([request], [told, late], [VERSION], host_starts={HOST: [12.0]})
+    assert checker.check() == []
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -133,6 +133,22 @@
     )
 
 
+async def test_a_runner_whose_answers_state_leaving_gets_no_more_requests(make_site):
+    """Two runners leave, and the store accepts their reports only seconds later."""
+    site = await make_site()
+    day = PlatformDay(site, DayPlan(seconds=7.0, calls_per_second=40, seed=9))
+    day_task = asyncio.ensure_future(day.async_play())
+    await asyncio.sleep(0.5)
+    leaving = [
+        asyncio.ensure_future(runner.async_drain(1.0, report_after_seconds=5.5))
+        for runner in (site.plain[0], site.models[0])
+    ]
+    report = await day_task
+    await asyncio.gather(*leaving)
+    assert not report.violations, format_failure(site, report)
+    assert report.score["whole"] == report.score["sent"], format_failure(site, report)
+
+
 async def test_memory_of_prompts_on_several_engines_is_released_in_time(make_site):
     """Prompts are spread over several engines by reservations, and one engine crashes.
 
