Send nothing new to a target whose answers say that it leaves

The store was silent for 12 s, so the target's report was not in the registry, and the registry was all that hosts asked.

Cause: the header was read by nobody. Its class: what a target states about itself counts only where some code looks for that one header (a limit before it). Now one place, TargetStatements, reads all of them from the answers to requests and to orders alike, and reports the headers that it does not know.

A boot that said so gets nothing new from this host: the registry keeps it, so an older record that says ready, or a withdrawal and a record after it, take nothing back; a new boot of the id is ready. The word of another target at the address (421) is not taken for it. A send that waited for memory or for its connection is withheld right before its first byte, and goes elsewhere without harm to the target's health. 4,096 boots are remembered.

Ruled out: that the header was read and overridden (no code named it), and that late sends were placed before (the requests were sent 10.0 and 3.2 s after).

--- a/libraries/gateway/tarragonward_gateway/__init__.py
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -3,6 +3,7 @@
 from .app import Gateway
 from .operators import build_log_budget
 from .ports import (
+    AnswerHandler,
     HeaderNames,
     HistoryLostError,
     Page,
@@ -23,6 +24,7 @@
 )
 
 __all__ = [
+    "AnswerHandler",
     "Gateway",
     "GatewaySettings",
     "HeaderNames",
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -61,6 +61,7 @@
             SECTION, self.targets.build_digest, self.targets.apply_digest
         )
         self.reservations = ReservationTask(self.state, reservation_client)
+        reservation_client.on_answer = self.targets.statements.record
         self.targets.get_cell = self.cells.get
         self.cell_gossip = CellGossip(self.state, self.peers, self.targets)
         self.forwarder = Forwarder(self.state, self.targets, self.reservations)
--- a/libraries/gateway/tarragonward_gateway/heads.py
+++ b/libraries/gateway/tarragonward_gateway/heads.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from tarragonward_core import ConnectionLostError
 from tarragonward_membership import RegisteredTarget
 from tarragonward_wire import HttpStream
 
 from .ports import HeaderNames
 
-__all__ = ["AnswerHeadCheck", "SpoiledAnswerError"]
+__all__ = [
+    "AnswerHeadCheck",
+    "SpoiledAnswerError",
+    "is_from_other_boot",
+    "is_not_run",
+]
 
 STATUS_CLIENT_ERROR = 400
 STATUS_MISDIRECTED = 421
@@ -16,6 +23,28 @@
 CONTENT_ENCODING = "content-encoding"
 
 
+def is_from_other_boot(
+    names: HeaderNames,
+    target: RegisteredTarget,
+    status: int,
+    headers: Mapping[str, str],
+) -> bool:
+    """Return whether another boot than the expected one uses the target's address."""
+    # A crashed target stays registered until its record expires, and a new one may
+    # already use its address. An idle target is chosen first, so it would refuse every
+    # request and use up their attempts. It is ejected like a target that accepts no
+    # connection. If a helper is at fault instead, the answer names it.
+    failed_address = headers.get(names.failed_target)
+    is_own_fault = failed_address is None or failed_address == str(target.address)
+    return status == STATUS_MISDIRECTED and is_own_fault
+
+
+def is_not_run(names: HeaderNames, status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether an answer states that the target has not run the request."""
+    is_failure = status >= STATUS_CLIENT_ERROR
+    return status == STATUS_MISDIRECTED or (is_failure and names.not_run in headers)
+
+
 class SpoiledAnswerError(ConnectionLostError):
     """Report an answer that is incomplete or does not belong to this request."""
 
@@ -27,26 +56,13 @@
         self._names = names
         self._request_id = request_id
 
-    def is_misdirected(self, target: RegisteredTarget, stream: HttpStream) -> bool:
-        """Return whether another target than the expected one uses the address."""
-        # A crashed target stays registered until its record expires, and a new one may
-        # already use its address. An idle target is chosen first, so it would refuse
-        # every request and use up their attempts. It is ejected like a target that
-        # accepts no connection. If a helper is at fault instead, the answer names it.
-        failed_address = stream.headers.get(self._names.failed_target)
-        is_own_fault = failed_address is None or failed_address == str(target.address)
-        return stream.status == STATUS_MISDIRECTED and is_own_fault
-
     def is_refusal(self, stream: HttpStream) -> bool:
         """Return whether the target states that it has not run the request."""
         names = self._names
         answered_id = stream.headers.get(names.request_id, self._request_id)
         if answered_id != self._request_id:
             raise SpoiledAnswerError("answer has the id of another request")
-        is_failure = stream.status >= STATUS_CLIENT_ERROR
-        return stream.status == STATUS_MISDIRECTED or (
-            is_failure and names.not_run in stream.headers
-        )
+        return is_not_run(names, stream.status, stream.headers)
 
     def check(self, stream: HttpStream) -> None:
         """Raise SpoiledAnswerError if the answer cannot be forwarded."""
--- a/libraries/gateway/tarragonward_gateway/limit_task.py
+++ b/libraries/gateway/tarragonward_gateway/limit_task.py
@@ -34,7 +34,7 @@
         self._gossip = LimitGossip(chooser.limits)
         self._outgoing: list[int] = []
         self._timer: asyncio.TimerHandle | None = None
-        chooser.on_limit.append(self._handle_change)
+        chooser.statements.on_limit.append(self._handle_change)
         peers.add_section(SECTION, self._build, self._merge)
         state.metrics.add_gauge(
             "targets_limited", "name a limit", lambda: len(self._limits)
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -9,7 +10,10 @@
 from tarragonward_membership import RegisteredTarget
 from tarragonward_routes import RoutingTable
 
+AnswerHandler = Callable[[RegisteredTarget, int, Mapping[str, str]], None]
+
 __all__ = [
+    "AnswerHandler",
     "HeaderNames",
     "HistoryLostError",
     "Page",
@@ -44,6 +48,7 @@
     failed_target: str = "x-failed-target"
     target_name: str = "x-target"
     weight_versions: str = "x-weight-versions"
+    leaving: str = "x-target-leaving"
 
 
 @dataclass(frozen=True)
@@ -156,7 +161,13 @@
 
 
 class ReservationClient(Protocol):
-    """Reserves and releases memory of targets; raises TargetError without an answer."""
+    """Reserves and releases memory of targets; raises TargetError without an answer.
+
+    on_answer is called with the target, status and headers of each answer; the names of
+    headers are in lower case.
+    """
+
+    on_answer: AnswerHandler
 
     async def async_reserve(
         self, reservation: Reservation, timeout: float
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -367,7 +367,8 @@
         )
         for target, revision in removed:
             withdrawn = WithdrawnTarget(target.name, revision)
-            share = shares[target.service] if target.is_ready else 0.0
+            is_usable = self._state.registry.is_usable(target)
+            share = shares[target.service] if is_usable else 0.0
             if not share:
                 self._remove_target(withdrawn)
                 continue
@@ -386,7 +387,8 @@
             now - self._state.table_confirmed_at > c.OUTAGE_CONFIRMED_AGE_SECONDS
         )
         is_outage = is_silent or self._follower.is_after_outage(now)
-        counts = Counter(target.service for target in removed if target.is_ready)
+        usable = filter(self._state.registry.is_usable, removed)
+        counts = Counter(target.service for target in usable)
         shares = dict.fromkeys((target.service for target in removed), 0.0)
         for service, count in counts.items():
             ready = len(self._state.registry.get_ready(service))
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -3,15 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 from contextlib import AsyncExitStack, ExitStack
 from functools import partial
 
-from tarragonward_core import (
-    ConnectionLostError,
-    NotConnectedError,
-    TargetError,
-)
+from tarragonward_core import ConnectionLostError, TargetError
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
     EngineUsage,
@@ -45,19 +40,24 @@
 from .answers import async_send_refusal
 from .context import ForwardContext
 from .headers import build_answer_headers, build_target_headers, parse_count
-from .heads import AnswerHeadCheck, SpoiledAnswerError
-from .idle_timeout import IdleTimeout, StreamMovedError, TargetSilentError
+from .heads import AnswerHeadCheck, SpoiledAnswerError, is_from_other_boot
+from .idle_timeout import IdleTimeout
 from .moving import RequestMover
 from .observer import RequestObserver
 from .placing import SendPlacer
 from .reservations import ReservationTask
+from .send_errors import (
+    SEND_ERRORS,
+    SendWithheldError,
+    get_send_fault,
+    is_link_timeout,
+)
 from .state import GatewayState
 from .suspects import RequestIdentity, SuspectMonitor
 from .targets import SendChoice, TargetChooser
 
 __all__ = ["ForwardedRequest"]
 
-LINK_TIMEOUT_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 MILLISECONDS_PER_SECOND = 1_000
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
@@ -219,29 +219,9 @@
                     stack.callback(lease.release)
                 stack.enter_context(self._chooser.track_in_flight(choice))
                 event = await self._async_attempt(choice, effect)
-        except NotConnectedError as err:
-            event = SendFailed(SendFault.NOT_CONNECTED)
-            self._refund_retry()
-            self._chooser.cancel_send(target)
-            self._log_send_failure(target, event, err)
-        except StreamMovedError as err:
-            self._placer.abandoned = target.id
-            if not self._exchange.is_streaming:
-                self._chooser.probes.check_in_background(target)
-            event = SendFailed(SendFault.MOVED)
-            self._log_send_failure(target, event, err)
-        except TargetSilentError as err:
-            self._placer.abandoned = target.id
-            event = SendFailed(SendFault.SILENT)
-            self._log_send_failure(target, event, err)
-        except SpoiledAnswerError as err:
-            event = SendFailed(SendFault.SPOILED)
-            self._log_send_failure(target, event, err)
-        except ConnectionLostError as err:
-            event = SendFailed(SendFault.LOST)
-            self._log_send_failure(target, event, err)
-            if not _is_link_timeout(err):
-                await self._suspects.async_record_lost(self._identity, target)
+        except SEND_ERRORS as err:
+            event = SendFailed(get_send_fault(err))
+            await self._async_handle_error(target, event, err)
         if isinstance(event, SendFailed):
             self._chooser.probes.record_failure(target, event.fault)
             is_lost = event.fault is SendFault.LOST
@@ -250,6 +230,26 @@
             )
         return self._handle_event(event) if event is not None else None
 
+    async def _async_handle_error(
+        self, target: RegisteredTarget, event: SendFailed, err: Exception
+    ) -> None:
+        is_lost = event.fault is SendFault.LOST
+        if event.fault in (SendFault.NOT_CONNECTED, SendFault.WITHHELD):
+            self._refund_retry()
+            self._chooser.cancel_send(target)
+        elif event.fault in (SendFault.MOVED, SendFault.SILENT):
+            self._placer.abandoned = target.id
+        if event.fault is SendFault.MOVED and not self._exchange.is_streaming:
+            self._chooser.probes.check_in_background(target)
+        self._observer.record_failure(
+            "send_failed",
+            fault=event.fault.value,
+            error=str(err),
+            fingerprint=self._identity.fingerprint.hex() if is_lost else None,
+        )
+        if is_lost and not is_link_timeout(err):
+            await self._suspects.async_record_lost(self._identity, target)
+
     def _refund_retry(self) -> None:
         """Return a retry that was never sent to the retry budget."""
         if self._retry_counted_at is not None:
@@ -264,7 +264,8 @@
         # A head does not count as an answer: a faulty target may send a good head and
         # a bad body, and its failures would then never be consecutive.
         evidence = Evidence.CONNECTED
-        if self._head_check.is_misdirected(target, stream):
+        names = self._state.headers
+        if is_from_other_boot(names, target, stream.status, stream.headers):
             evidence = Evidence.REPLACED
         elif self._head_check.is_refusal(stream):
             evidence = Evidence.ANSWERED
@@ -272,17 +273,6 @@
             evidence = Evidence.FAILED
         self._chooser.probes.record(target, evidence)
 
-    def _log_send_failure(
-        self, target: RegisteredTarget, event: SendFailed, err: Exception
-    ) -> None:
-        is_lost = event.fault is SendFault.LOST
-        self._observer.record_failure(
-            "send_failed",
-            fault=event.fault.value,
-            error=str(err),
-            fingerprint=self._identity.fingerprint.hex() if is_lost else None,
-        )
-
     async def _async_attempt(
         self, choice: SendChoice, effect: SendTo
     ) -> ExchangeEvent | None:
@@ -306,12 +296,19 @@
                     headers=self._build_headers(choice, effect, seconds_left),
                     body=self._request.body,
                     connect_timeout=min(c.CONNECT_TIMEOUT_SECONDS, seconds_left),
-                    before_write=self._exchange.record_sent,
+                    before_write=partial(self._begin_write, target),
                     unreachable_timeout=c.TARGET_UNREACHABLE_SECONDS,
                 )
             )
             return await self._async_receive_answer(choice, stream)
 
+    def _begin_write(self, target: RegisteredTarget) -> None:
+        # Reserving memory and connecting take time, in which the target may have asked
+        # for no more requests.
+        if not self._chooser.accepts_requests(target):
+            raise SendWithheldError("the target asked for no more requests")
+        self._exchange.record_sent()
+
     def _build_idle_timeout(self, plan: PrefillPlan) -> IdleTimeout:
         aim = max(self._route.aim_seconds, c.SILENCE_MIN_FIRST_SECONDS)
         pause = c.SILENCE_PAUSE_FACTOR * self._route.pause_aim_seconds
@@ -374,13 +371,10 @@
     ) -> ExchangeEvent | None:
         names = self._state.headers
         self._record_head_evidence(choice.target, stream)
-        self._chooser.statements.report_unread(choice.target, stream.raw_headers)
-        self._chooser.record_load(choice.target, stream.headers.get(names.load))
-        limit = stream.headers.get(names.limit)
         is_refusal = self._head_check.is_refusal(stream)
-        # A refusal may omit the limit, or come from another boot at the same address.
-        if limit is not None or not is_refusal:
-            self._chooser.record_limit(choice.target, limit)
+        self._chooser.statements.record_answer(
+            choice.target, stream.status, stream.headers
+        )
         if is_refusal:
             failed_address = stream.headers.get(names.failed_target)
             is_helper_fault = failed_address is not None and (
@@ -480,12 +474,6 @@
         self._responder.start(stream.status, build_answer_headers(stream.raw_headers))
 
 
-def _is_link_timeout(error: ConnectionLostError) -> bool:
-    """Return whether the connection was lost because its link went silent."""
-    cause = error.__cause__
-    return isinstance(cause, OSError) and cause.errno in LINK_TIMEOUT_ERRORS
-
-
 def _parse_token_counts(text: str) -> tuple[int, int] | None:
     """Return the prompt tokens and the output limit, None if the header lacks them."""
     first, _, second = text.partition(",")
--- a/libraries/gateway/tarragonward_gateway/statements.py
+++ b/libraries/gateway/tarragonward_gateway/statements.py
@@ -1,46 +1,109 @@
-"""Read what a target states about itself in the head of an answer."""
+"""Act on what targets state about themselves in the heads of their answers."""
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
 from dataclasses import fields
 
-from tarragonward_core import Metrics, log_event
-from tarragonward_membership import RegisteredTarget
-from tarragonward_wire import RawHeaders
+from tarragonward_core import log_event
+from tarragonward_membership import RegisteredTarget, hash_name
+from tarragonward_placement import FleetUsageTracker, TargetLimits
 
 from . import const as c
-from .ports import HeaderNames
+from .clock import read_clock
+from .headers import parse_count, parse_rate
+from .heads import is_from_other_boot, is_not_run
+from .state import GatewayState
 
-__all__ = ["StatementReader"]
+__all__ = ["TargetStatements"]
 
+LOAD_SEPARATOR = ","
+LOAD_FIELDS = 3
+LEAVING = "1"
 
-class StatementReader:
-    """Reads the heads of targets' answers, and reports headers that no code reads.
 
-    A platform may add a header by which targets ask something of the hosts. A host that
-    does not know it would ignore the request without a trace in logs or metrics.
+class TargetStatements:
+    """Reads each header by which targets state their load, limits or departure.
+
+    All answers are read here, to requests and to orders, so that a statement counts
+    whatever the host had asked for. Headers that no code reads are reported: a platform
+    may add one, and hosts would ignore it without a trace in logs or metrics.
     """
 
-    def __init__(self, names: HeaderNames, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        state: GatewayState,
+        usage: FleetUsageTracker,
+        limits: TargetLimits,
+        clock: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._usage = usage
+        self._limits = limits
+        self._clock = clock
+        names = state.headers
         self._known = {getattr(names, field.name) for field in fields(names)}
         self._known.update(c.STANDARD_ANSWER_HEADERS)
-        self._metrics = metrics
         self._reported: set[str] = set()
+        self.on_limit: list[Callable[[int], None]] = []
+
+    def record_answer(
+        self, target: RegisteredTarget, status: int, headers: Mapping[str, str]
+    ) -> None:
+        """Record what the answer to a request states; header names in lower case."""
+        self.record(target, status, headers)
+        names = self._state.headers
+        # A refusal may omit the limit, or come from another boot at the same address.
+        if names.limit not in headers and not is_not_run(names, status, headers):
+            self.record_limit(target, None)
+
+    def record(
+        self, target: RegisteredTarget, status: int, headers: Mapping[str, str]
+    ) -> None:
+        """Record what any answer states, also one to an order."""
+        names = self._state.headers
+        if is_from_other_boot(names, target, status, headers):
+            return
+        self._report_unread(target, headers)
+        if names.load in headers:
+            self._record_load(target, headers[names.load])
+        if names.limit in headers:
+            self.record_limit(target, headers[names.limit])
+        if headers.get(names.leaving, "").strip() == LEAVING:
+            self._record_leaving(target)
+
+    def record_limit(self, target: RegisteredTarget, text: str | None) -> None:
+        """Record the requests per second that a target's answer allows, if it does."""
+        number, rate = hash_name(target.id), parse_rate(text)
+        if self._limits.record_advertised(number, rate, read_clock()):
+            log_event("target_limit", target=target.id, requests_per_second=rate)
+            for notify in self.on_limit:
+                notify(number)
 
-    def report_unread(self, target: RegisteredTarget, headers: RawHeaders) -> None:
+    def _record_load(self, target: RegisteredTarget, text: str) -> None:
+        counts = [parse_count(part) for part in text.split(LOAD_SEPARATOR)]
+        if len(counts) != LOAD_FIELDS or counts[0] is None or counts[1] is None:
+            return
+        running_and_waiting = counts[0] + counts[1]
+        self._usage.record_request_count(target.id, running_and_waiting, self._clock())
+
+    def _record_leaving(self, target: RegisteredTarget) -> None:
+        if self._state.registry.mark_leaving(target):
+            self._state.metrics.count("targets_stated_leaving")
+            log_event("target_leaving", target=target.id, address=target.address)
+
+    def _report_unread(
+        self, target: RegisteredTarget, headers: Mapping[str, str]
+    ) -> None:
         """Count the headers that no code reads, and log each name once."""
-        for raw_name, value in headers:
-            name = raw_name.decode("latin-1").lower()
-            if name in self._known:
-                continue
-            self._metrics.count("target_headers_unread")
-            if name in self._reported:
+        for name in headers.keys() - self._known:
+            self._state.metrics.count("target_headers_unread")
+            if name in self._reported or len(self._reported) >= c.MAX_REPORTED_HEADERS:
                 continue
-            if len(self._reported) < c.MAX_REPORTED_HEADERS:
-                self._reported.add(name)
-                log_event(
-                    "target_header_unread",
-                    header=name,
-                    value=value.decode("latin-1")[: c.MAX_LOGGED_HEADER_CHARACTERS],
-                    target=target.id,
-                )
+            self._reported.add(name)
+            log_event(
+                "target_header_unread",
+                header=name,
+                value=headers[name][: c.MAX_LOGGED_HEADER_CHARACTERS],
+                target=target.id,
+            )
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -10,7 +10,6 @@
 from functools import lru_cache
 from typing import Any
 
-from tarragonward_core import log_event
 from tarragonward_membership import RegisteredTarget, hash_name
 from tarragonward_placement import (
     Cell,
@@ -30,17 +29,14 @@
 
 from . import const as c
 from .clock import read_clock
-from .headers import parse_count, parse_rate
 from .probes import TargetProber
 from .state import GatewayState
-from .statements import StatementReader
+from .statements import TargetStatements
 
 __all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetRequirements"]
 
 SECTION = "prompts"
 MAX_CACHED_ORDER_KEYS = 4_096
-LOAD_SEPARATOR = ","
-LOAD_FIELDS = 3
 SINGLE_HOST_VIEW = HostView("", frozenset({""}), 1)
 
 
@@ -136,9 +132,8 @@
         self.usage.on_long_prefill.append(self._notify_prefill)
         # The request rates to which targets have limited all hosts together.
         self.limits = TargetLimits(state.random)
-        self.on_limit: list[Callable[[int], None]] = []
         self.get_host_view: Callable[[], HostView] = lambda: SINGLE_HOST_VIEW
-        self.statements = StatementReader(state.headers, state.metrics)
+        self.statements = TargetStatements(state, self.usage, self.limits, clock)
         self.target_health = TargetHealthTracker()
         self.probes = TargetProber(state, self.target_health)
 
@@ -158,6 +153,10 @@
             self.limits.record_send(hash_name(choice.target.id))
         return choice
 
+    def accepts_requests(self, target: RegisteredTarget) -> bool:
+        """Return whether a target has not asked this host for no more requests."""
+        return self._state.registry.is_usable(target)
+
     def cancel_send(self, target: RegisteredTarget) -> None:
         """Undo the record of a send to a target that was chosen and sent nothing."""
         self.limits.refund_send(hash_name(target.id))
@@ -320,21 +319,6 @@
         """Record that a target had no memory for a reservation."""
         self.usage.mark_full(target_id, self._clock())
 
-    def record_load(self, target: RegisteredTarget, text: str | None) -> None:
-        """Record the load that a target reports in the header of its answer."""
-        counts = [parse_count(part) for part in (text or "").split(LOAD_SEPARATOR)]
-        if len(counts) != LOAD_FIELDS or counts[0] is None or counts[1] is None:
-            return
-        self.usage.record_request_count(target.id, counts[0] + counts[1], self._clock())
-
-    def record_limit(self, target: RegisteredTarget, text: str | None) -> None:
-        """Record the requests per second that a target's answer allows, if it does."""
-        number, rate = hash_name(target.id), parse_rate(text)
-        if self.limits.record_advertised(number, rate, read_clock()):
-            log_event("target_limit", target=target.id, requests_per_second=rate)
-            for notify in self.on_limit:
-                notify(number)
-
     def _choose_least_busy(self, ready: Sequence[RegisteredTarget]) -> RegisteredTarget:
         random = self._state.random.random
         return min(ready, key=lambda t: (self._in_flight[t.id], random()))
--- a/libraries/gateway/tests/test_app.py
+++ b/libraries/gateway/tests/test_app.py
@@ -55,6 +55,10 @@
         await asyncio.Event().wait()
 
 
+class NoOrders:
+    """A reservation client that is never used."""
+
+
 def find_ports(count):
     with ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
@@ -76,7 +80,7 @@
             addresses[4],
             Bounds(grace_seconds=grace_seconds),
         )
-        self.gateway = Gateway(settings, SilentSource(), None, None)
+        self.gateway = Gateway(settings, SilentSource(), None, NoOrders())
         self.running = None
 
     async def async_start(self, script):
--- a/libraries/gateway/tests/test_leaving.py
+++ b/libraries/gateway/tests/test_leaving.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from tarragonward_gateway.run import ForwardedRequest
+from tarragonward_routes import RequestKind
 from tarragonward_standins import answer_with, refuse_with, stream_events
 
 LEAVING = "X-Target-Leaving: 1"
@@ -56,3 +58,47 @@
     assert [answer.status for answer in answers] == [200, 200, 503]
     assert answers[-1].get("x-result-code") == ["2001"]
     assert float(answers[-1].get("retry-after")[0]) > 0
+
+
+async def test_request_whose_connection_opens_too_late_is_not_sent(make_site):
+    """Another answer stated leaving while this request waited for its connection."""
+    site = await make_site(answer_with(), answer_with())
+    leaving = site.state.registry.get("t0")
+    begin_write = ForwardedRequest._begin_write
+
+    def state_leaving_first(request, target):
+        site.chooser.statements.record(leaving, 200, {"x-target-leaving": "1"})
+        begin_write(request, target)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(ForwardedRequest, "_begin_write", state_leaving_first)
+        assert (await site.async_ask()).status == 200
+    assert [len(target.requests) for target in site.targets] == [0, 1]
+    assert not site.chooser.target_health.ejected_count
+
+
+async def test_non_idempotent_request_goes_elsewhere_after_a_refusal(make_site):
+    """The refusal proves that the leaving target did not run the request."""
+    site = await make_site(
+        refuse_with(lines=[LEAVING]),
+        answer_with(),
+        kind=RequestKind.NON_IDEMPOTENT,
+    )
+    assert (await site.async_ask("POST")).status == 200
+    assert site.runs == 2
+
+
+async def test_another_boot_at_the_address_states_nothing_of_the_target(make_site):
+    """A target's address may have gone to a target of another service."""
+    misdirected = refuse_with("421 Misdirected", [LEAVING])
+    site = await make_site(misdirected, answer_with())
+    assert (await site.async_ask()).status == 200
+    target = site.state.registry.get("t0")
+    assert site.state.registry.is_usable(target)
+
+
+@pytest.mark.parametrize("value", ["0", "", "no", "11"])
+async def test_other_values_state_no_leaving(make_site, value):
+    site = await make_site(answer_with(lines=[f"X-Target-Leaving: {value}"]))
+    for _ in range(2):
+        assert (await site.async_ask()).status == 200
--- a/libraries/gateway/tests/test_limits.py
+++ b/libraries/gateway/tests/test_limits.py
@@ -48,7 +48,7 @@
     answer = stream_events(range(1, 3))
     site = await make_engines(*[answer] * 4)
     limited = site.state.registry.get_ready("s")[3]
-    site.chooser.record_limit(limited, "50")
+    site.chooser.statements.record_limit(limited, "50")
     assert (await site.async_ask_prompt("200000,46")).status == 200
     helpers = [
         seen.get("x-helper-engines")
--- a/libraries/membership/tarragonward_membership/registry.py
+++ b/libraries/membership/tarragonward_membership/registry.py
@@ -15,6 +15,8 @@
 MAX_WITHDRAWN_NAMES = 4_096
 # Boots to remember that were superseded by a later boot of the same name.
 MAX_SUPERSEDED_BOOTS = 4_096
+# Boots to remember that stated themselves that they are leaving.
+MAX_LEAVING_BOOTS = 4_096
 # Four base-36 digits tell the boots of a name apart in the messages of all hosts. Boots
 # whose start times differ by a multiple of 28 minutes share a tag, but by then all that
 # hosts knew of the earlier one has expired, which takes at most 30 s.
@@ -89,6 +91,7 @@
         self._superseded_boots: OrderedDict[tuple[str, int | None], None] = (
             OrderedDict()
         )
+        self._leaving_boots: OrderedDict[tuple[str, int | None], None] = OrderedDict()
         # Caches, cleared by each change and rebuilt on demand.
         self._by_service: dict[str, tuple[RegisteredTarget, ...]] = {}
         self._address_holders: dict[Address, RegisteredTarget] = {}
@@ -134,6 +137,24 @@
                 self.apply(WithdrawnTarget(target.name, revision))
         self.revision = max(self.revision, revision)
 
+    def mark_leaving(self, target: RegisteredTarget) -> bool:
+        """Stop new work for a boot that said that it leaves; return whether it is new.
+
+        A boot that leaves ends, so this holds for good. Its record may be older and say
+        ready for as long as the store does not accept the target's report.
+        """
+        boot = target.name, target.incarnation
+        is_new = boot not in self._leaving_boots
+        _remember(self._leaving_boots, boot, None, MAX_LEAVING_BOOTS)
+        if is_new:
+            self._clear_caches()
+        return is_new
+
+    def is_usable(self, target: RegisteredTarget) -> bool:
+        """Return whether a boot may get work: ready by its record, and not leaving."""
+        boot = target.name, target.incarnation
+        return target.is_ready and boot not in self._leaving_boots
+
     def get(self, name: str) -> RegisteredTarget | None:
         """Return the boot registered under a name, or None where there is none."""
         return self._targets.get(name)
@@ -152,7 +173,7 @@
             usable = (
                 target
                 for target in self._targets.values()
-                if target.service == service and target.is_ready
+                if target.service == service and self.is_usable(target)
             )
             self._by_service[service] = tuple(
                 sorted(filter(self._holds_address, usable), key=lambda each: each.id)
--- a/libraries/membership/tests/test_registry.py
+++ b/libraries/membership/tests/test_registry.py
@@ -12,6 +12,7 @@
     WithdrawnTarget,
     build_boot_id,
 )
+from tarragonward_membership.registry import MAX_LEAVING_BOOTS
 
 
 def build(target_id, revision, is_ready=True, service="s", port=None):
@@ -164,3 +165,32 @@
     registry.apply(build("i-2", 2, service="nowhere", port=80))
     assert get_ready_ids(registry) == ["i-1"]
     assert get_ready_ids(registry, "nowhere") == []
+
+
+def test_record_that_says_ready_does_not_take_back_a_stated_leaving(registry):
+    """The store accepts the report of a leaving target late, and repeats old ones."""
+    boot = start("i-1", 7, 1)
+    registry.apply(boot)
+    assert registry.mark_leaving(boot)
+    assert get_ready_ids(registry) == []
+    registry.apply(start("i-1", 7, 2))
+    registry.apply(WithdrawnTarget("i-1", 3))
+    registry.apply(start("i-1", 7, 4))
+    assert get_ready_ids(registry) == []
+    assert not registry.mark_leaving(boot)
+
+
+def test_new_boot_of_a_leaving_target_is_ready(registry):
+    """A target may start again under its id; what the earlier boot said is over."""
+    boot = start("i-1", 7, 1)
+    registry.apply(boot)
+    registry.mark_leaving(boot)
+    registry.apply(start("i-1", 8, 2))
+    assert len(registry.get_ready("s")) == 1
+
+
+def test_memory_of_leaving_boots_is_bounded(registry):
+    """Thousands of boots leave in a day, and hosts run for weeks."""
+    for number in range(10_000):
+        registry.mark_leaving(start("i-1", number, 1))
+    assert len(registry._leaving_boots) == MAX_LEAVING_BOOTS
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -33,11 +33,13 @@
     """Why a send produced no answer that can be forwarded.
 
     SPOILED: the answer was invalid or incomplete. SILENT: the target sent nothing for
-    too long. MOVED: the host abandoned a working target for a faster one.
+    too long. MOVED: the host abandoned a working target for a faster one. WITHHELD: the
+    target asked for no more requests before this one was written.
     """
 
     NO_TARGET = "no target"
     NOT_CONNECTED = "not connected"
+    WITHHELD = "withheld"
     NOT_RUN = "not run"
     LOST = "lost"
     SPOILED = "spoiled"
@@ -50,6 +52,7 @@
         return self in (
             SendFault.NO_TARGET,
             SendFault.NOT_CONNECTED,
+            SendFault.WITHHELD,
             SendFault.NOT_RUN,
         )
 
--- /dev/null
+++ b/tests/test_platform_orders.py
@@ -0,0 +1,34 @@
+"""Tests of the orders that the adapter sends to runners."""
+
+from pathlib import Path
+
+from tarragonward_core import Address
+from tarragonward_gateway import Gateway, GatewaySettings, Reservation
+from tarragonward_gateway.settings import Bounds
+from tarragonward_membership import RegisteredTarget
+from tarragonward_platform.const import HEADERS, PATHS
+from tarragonward_platform.documents import DocumentParser
+from tarragonward_platform.orders import RunnerOrders
+from tarragonward_platform.store import StoreReader
+from tarragonward_standins import ScriptedTarget, refuse_with
+
+LOCAL = Address("127.0.0.1", 0)
+
+
+async def test_refused_order_that_states_leaving_ends_work_for_the_runner():
+    """Long prompts must not try a leaving runner until the store reports it."""
+    settings = GatewaySettings(
+        "h1", "d1", LOCAL, LOCAL, LOCAL, LOCAL, (), LOCAL, Bounds()
+    )
+    orders = RunnerOrders()
+    gateway = Gateway(
+        settings, StoreReader(LOCAL), DocumentParser(), orders, HEADERS, PATHS, Path()
+    )
+    runner = ScriptedTarget(refuse_with("409 Full", ["Server-Leaving: 1"]), "i-1")
+    await runner.async_setup()
+    target = RegisteredTarget("i-1", "llm", runner.address, "d1", 8, True, 1)
+    gateway.state.registry.apply(target)
+    reservation = Reservation("h1.1.1", target, 1_000, 2.0)
+    assert not (await orders.async_reserve(reservation, 2.0)).is_held
+    assert gateway.state.registry.get_ready("llm") == ()
+    await runner.async_unload()
