--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -12,7 +12,11 @@
 from .platform_model_runner import build_stream_event
 from .platform_reservations import ReservationRecord, check_reservations
 from .platform_runner import Arrival, RateLimitPeriod
-from .platform_statements import HostStarts, find_sends_after_leaving
+from .platform_statements import (
+    HostStarts,
+    find_sends_after_leaving,
+    find_sends_during_rest,
+)
 
 __all__ = [
     "Checker",
@@ -87,6 +91,10 @@
             attempts, self.arrivals, self.host_starts
         ):
             self._add_violation("DRAIN", request_id)
+        for request_id in find_sends_during_rest(
+            attempts, self.arrivals, self.host_starts
+        ):
+            self._add_violation("BUDGET", f"{request_id} during a rest")
         self.violations += check_reservations(self.reservations, self.now)
         return self.violations
 
--- a/libraries/standins/tarragonward_standins/platform_statements.py
+++ b/libraries/standins/tarragonward_standins/platform_statements.py
@@ -10,9 +10,11 @@
 from .platform_clients import Attempt
 from .platform_runner import Arrival
 
-__all__ = ["HostStarts", "find_sends_after_leaving"]
+__all__ = ["HostStarts", "find_sends_after_leaving", "find_sends_during_rest"]
 
 LEAVING_SECONDS = 2.0
+REST_NOTICE_SECONDS = 0.5
+MAX_SENDS_DURING_REST = 2
 
 # By the address of a host: when its processes were started.
 HostStarts = Mapping[Address, Sequence[float]]
@@ -27,12 +29,7 @@
     callers send more than LEAVING_SECONDS later must not reach that runner from that
     host, unless the host was started anew since.
     """
-    by_id = {attempt.request_id: attempt for attempt in attempts}
-    sends = [
-        (by_id[arrival.request_id], arrival)
-        for arrival in arrivals
-        if arrival.request_id in by_id
-    ]
+    sends = _pair_sends(attempts, arrivals)
     passed_on: dict[tuple[Address, str], list[float]] = defaultdict(list)
     for attempt, arrival in sends:
         passed_at = attempt.first_event_at or attempt.ended_at
@@ -53,3 +50,43 @@
         for attempt, arrival in sends
         if arrival.status != 421 and is_known(attempt, arrival)
     ]
+
+
+def find_sends_during_rest(
+    attempts: Iterable[Attempt], arrivals: Iterable[Arrival], host_starts: HostStarts
+) -> list[str]:
+    """Return the requests beyond the allowed ones during rests asked of a host.
+
+    A runner that refuses a request may ask its host to send nothing for some seconds.
+    Between REST_NOTICE_SECONDS after that and the end of the rest at most
+    MAX_SENDS_DURING_REST requests may reach it from the host, unless the host was
+    started anew since.
+    """
+    by_pair: dict[tuple[Address, str], list[Arrival]] = defaultdict(list)
+    for attempt, arrival in _pair_sends(attempts, arrivals):
+        by_pair[attempt.node, arrival.runner_id].append(arrival)
+    excess: dict[str, None] = {}
+    for (node, _), sent in by_pair.items():
+        starts = host_starts.get(node, ())
+        for refused in sent:
+            if refused.rest_seconds is None or refused.ended_at is None:
+                continue
+            begin = refused.ended_at + REST_NOTICE_SECONDS
+            end = refused.ended_at + refused.rest_seconds
+            if any(refused.ended_at < at <= end for at in starts):
+                continue
+            during = [each for each in sent if begin <= each.at < end]
+            for each in during[MAX_SENDS_DURING_REST:]:
+                excess[each.request_id] = None
+    return list(excess)
+
+
+def _pair_sends(
+    attempts: Iterable[Attempt], arrivals: Iterable[Arrival]
+) -> list[tuple[Attempt, Arrival]]:
+    by_id = {attempt.request_id: attempt for attempt in attempts}
+    return [
+        (by_id[arrival.request_id], arrival)
+        for arrival in arrivals
+        if arrival.request_id in by_id
+    ]
--- a/libraries/standins/tests/test_platform_checker.py
+++ b/libraries/standins/tests/test_platform_checker.py
@@ -239,3 +239,49 @@
     request, told, late = build_leaving_day()
     checker = Checker([request], [told, late], [VERSION], host_starts={HOST: [12.0]})
     assert checker.check() == []
+
+
+def build_rest_day(count):
+    """Return a refusal that asks for 3 s of rest, and sends in its second second."""
+    request, attempt, refused = build_day()
+    refused.status, refused.has_run, refused.rest_seconds = 503, False, 3.0
+    arrivals = [refused]
+    request.attempts.clear()
+    for number in range(count):
+        sent_at = refused.ended_at + 1.0 + number / 10
+        again = replace(attempt, request_id=f"q{number}", sent_at=sent_at)
+        again.answer = {"x-request-id": f"q{number}", "x-response-seal": f"i.q{number}"}
+        request.attempts.append(again)
+        arrivals.append(
+            replace(
+                refused,
+                request_id=f"q{number}",
+                at=sent_at,
+                rest_seconds=None,
+                status=200,
+                has_run=True,
+            )
+        )
+    attempt.status, attempt.answer = 503, {}
+    request.attempts.append(attempt)
+    return request, arrivals
+
+
+def test_sends_during_a_rest_beyond_two_are_a_violation():
+    request, arrivals = build_rest_day(3)
+    assert check(request, arrivals) == {"BUDGET"}
+    request, arrivals = build_rest_day(2)
+    assert check(request, arrivals) == set()
+    request, arrivals = build_rest_day(3)
+    arrivals[0].rest_seconds = 0.9
+    assert check(request, arrivals) == set()
+
+
+def test_rest_binds_only_the_host_that_was_asked():
+    request, arrivals = build_rest_day(3)
+    for attempt in request.attempts[:-1]:
+        attempt.node = Address("127.0.0.1", 2)
+    assert check(request, arrivals) == set()
+    request, arrivals = build_rest_day(3)
+    starts = {HOST: [11.0]}
+    assert Checker([request], arrivals, [VERSION], host_starts=starts).check() == []
