Give a target that refuses with Retry-After the rest that it asks for

Cause: the header was read by nobody; a refusal ended one send and said nothing about the next. Its class is that of the leaving told in answers, and it is mended in the same place, for answers to requests and to orders.

A target's rest is kept by the host that was asked, until the latest end of all that were named: seconds only, 86,400 s at most, other values are ignored with a log line. Where all targets of a service rest, requests are refused at once with the time of the first end, spread by a fifth. Two headers of one name are joined, as the last one alone might name less.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -154,6 +154,10 @@
 # latency target.
 DRAINING_RETRY_SECONDS = 0.02
 ROUTE_UNSURE_RETRY_SECONDS = 0.3
+# Callers that are refused because all targets rest are told to return at a random time
+# up to this share after the first rest ends, and within the maximum.
+REST_RETURN_SPREAD = 0.2
+MAX_REST_RETRY_SECONDS = 30.0
 # A drain ends this long before the grace period does.
 DRAIN_MARGIN_SECONDS = 0.4
 # A balancer sends new connections to a draining host until it has checked it twice.
--- a/libraries/gateway/tarragonward_gateway/headers.py
+++ b/libraries/gateway/tarragonward_gateway/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 
 from tarragonward_wire import RawHeaders
@@ -11,12 +12,14 @@
     "build_target_headers",
     "parse_count",
     "parse_rate",
+    "parse_rest_seconds",
 ]
 
 CONNECTION = b"connection"
 CONTENT_LENGTH = b"content-length"
 MAX_DIGITS = 18
 MAX_RATE_PER_SECOND = 1e9
+SECONDS = re.compile(r"[0-9]{1,20}(\.[0-9]{1,20})?([eE][+-]?[0-9]{1,3})?")
 # Headers that apply to one connection only (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
     {
@@ -78,6 +81,15 @@
     return rate if 0.0 <= rate <= MAX_RATE_PER_SECOND else None
 
 
+def parse_rest_seconds(text: str) -> float | None:
+    """Return the longest of a Retry-After header's values, None if none is in seconds.
+
+    An HTTP date is not accepted: the clocks of targets and hosts may differ.
+    """
+    parts = [part.strip() for part in text.split(",")]
+    return max((float(p) for p in parts if SECONDS.fullmatch(p)), default=None)
+
+
 def _remove_hop_by_hop(
     headers: RawHeaders, names: set[bytes]
 ) -> list[tuple[bytes, bytes]]:
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 
 from tarragonward_core import Address, BackgroundTasks, log_event
@@ -43,6 +43,8 @@
         # By target: the connection attempt that shows whether it has ended.
         self._end_checks: dict[str, asyncio.Task[bool]] = {}
         self._background = BackgroundTasks(state.metrics)
+        # Targets that want no requests are not probed either.
+        self.accepts_requests: Callable[[RegisteredTarget], bool] = lambda target: True
 
     async def async_setup(self) -> None:
         """Start probing ejected targets."""
@@ -137,7 +139,8 @@
             await asyncio.sleep(c.TARGET_PROBE_INTERVAL_SECONDS)
             registered = self._state.registry.get_all()
             self._target_health.retain_only(registered)
-            for target in self._target_health.take_due_probes(registered, read_clock()):
+            waiting = [target for target in registered if self.accepts_requests(target)]
+            for target in self._target_health.take_due_probes(waiting, read_clock()):
                 task = asyncio.create_task(self._async_probe(target))
                 self._probe_tasks.add(task)
                 task.add_done_callback(self._probe_tasks.discard)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -201,7 +201,7 @@
         if placed is None:
             self._observer.record_choice(None, tried=len(self._placer.tried))
             self._refund_retry()
-            wait = self._chooser.compute_wait(self._placer.build_requirements())
+            wait = self._chooser.compute_wait(self._context.service)
             return self._handle_event(SendFailed(SendFault.NO_TARGET, wait))
         choice, lease = placed
         target = choice.target
@@ -388,7 +388,8 @@
                 at_target=failed_address,
                 retry_after=stream.headers.get(c.HEADER_RETRY_AFTER),
             )
-            return SendFailed(SendFault.NOT_RUN, is_helper_fault=is_helper_fault)
+            wait = self._chooser.compute_wait(self._context.service)
+            return SendFailed(SendFault.NOT_RUN, wait, is_helper_fault)
         self._head_check.check(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
--- a/libraries/gateway/tarragonward_gateway/statements.py
+++ b/libraries/gateway/tarragonward_gateway/statements.py
@@ -7,11 +7,11 @@
 
 from tarragonward_core import log_event
 from tarragonward_membership import RegisteredTarget, hash_name
-from tarragonward_placement import FleetUsageTracker, TargetLimits
+from tarragonward_placement import FleetUsageTracker, TargetLimits, TargetRests
 
 from . import const as c
 from .clock import read_clock
-from .headers import parse_count, parse_rate
+from .headers import parse_count, parse_rate, parse_rest_seconds
 from .heads import is_from_other_boot, is_not_run
 from .state import GatewayState
 
@@ -20,10 +20,11 @@
 LOAD_SEPARATOR = ","
 LOAD_FIELDS = 3
 LEAVING = "1"
+STATUS_UNAVAILABLE = 503
 
 
 class TargetStatements:
-    """Reads each header by which targets state their load, limits or departure.
+    """Reads each header by which targets state their load or ask for fewer requests.
 
     All answers are read here, to requests and to orders, so that a statement counts
     whatever the host had asked for. Headers that no code reads are reported: a platform
@@ -35,15 +36,17 @@
         state: GatewayState,
         usage: FleetUsageTracker,
         limits: TargetLimits,
+        rests: TargetRests,
         clock: Callable[[], float],
     ) -> None:
         self._state = state
         self._usage = usage
         self._limits = limits
+        self._rests = rests
         self._clock = clock
         names = state.headers
         self._known = {getattr(names, field.name) for field in fields(names)}
-        self._known.update(c.STANDARD_ANSWER_HEADERS)
+        self._known.update((c.HEADER_RETRY_AFTER, *c.STANDARD_ANSWER_HEADERS))
         self._reported: set[str] = set()
         self.on_limit: list[Callable[[int], None]] = []
 
@@ -71,6 +74,8 @@
             self.record_limit(target, headers[names.limit])
         if headers.get(names.leaving, "").strip() == LEAVING:
             self._record_leaving(target)
+        if status == STATUS_UNAVAILABLE and c.HEADER_RETRY_AFTER in headers:
+            self._record_rest(target, headers[c.HEADER_RETRY_AFTER])
 
     def record_limit(self, target: RegisteredTarget, text: str | None) -> None:
         """Record the requests per second that a target's answer allows, if it does."""
@@ -92,6 +97,15 @@
             self._state.metrics.count("targets_stated_leaving")
             log_event("target_leaving", target=target.id, address=target.address)
 
+    def _record_rest(self, target: RegisteredTarget, text: str) -> None:
+        seconds = parse_rest_seconds(text)
+        if seconds is None:
+            self._state.metrics.count("target_rests_refused")
+            log_event("target_rest_refused", target=target.id, retry_after=text)
+        elif self._rests.begin(target.id, seconds, read_clock()):
+            self._state.metrics.count("target_rests")
+            log_event("target_rest", target=target.id, seconds=seconds)
+
     def _report_unread(
         self, target: RegisteredTarget, headers: Mapping[str, str]
     ) -> None:
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -21,6 +21,7 @@
     PromptRequirements,
     TargetHealthTracker,
     TargetLimits,
+    TargetRests,
     plan_prefill,
     widen_plan,
 )
@@ -133,9 +134,13 @@
         # The request rates to which targets have limited all hosts together.
         self.limits = TargetLimits(state.random)
         self.get_host_view: Callable[[], HostView] = lambda: SINGLE_HOST_VIEW
-        self.statements = TargetStatements(state, self.usage, self.limits, clock)
+        self.rests = TargetRests()
+        self.statements = TargetStatements(
+            state, self.usage, self.limits, self.rests, clock
+        )
         self.target_health = TargetHealthTracker()
         self.probes = TargetProber(state, self.target_health)
+        self.probes.accepts_requests = self.accepts_requests
 
     def build_digest(self) -> dict[str, list[Any]]:
         """Return this host's prompts in flight for the gossip to other hosts."""
@@ -155,24 +160,34 @@
 
     def accepts_requests(self, target: RegisteredTarget) -> bool:
         """Return whether a target has not asked this host for no more requests."""
-        return self._state.registry.is_usable(target)
+        is_resting = self.rests.is_resting(target.id, read_clock())
+        return self._state.registry.is_usable(target) and not is_resting
 
     def cancel_send(self, target: RegisteredTarget) -> None:
         """Undo the record of a send to a target that was chosen and sent nothing."""
         self.limits.refund_send(hash_name(target.id))
 
-    def compute_wait(self, requirements: TargetRequirements) -> float | None:
-        """Return the seconds until a rate-limited target accepts a request.
+    def compute_wait(self, service: str) -> float | None:
+        """Return the seconds until a target of a service accepts a request.
 
-        None if no ready target of the service has a rate limit.
+        None if no target is ready, or one of them neither rests nor has a rate limit.
         """
         now, view = read_clock(), self.get_host_view()
-        waits = [
-            self.limits.compute_wait(number, view, now)
-            for target in self._state.registry.get_ready(requirements.service)
-            if self.limits.is_limited(number := hash_name(target.id))
-        ]
-        return min(*waits, MAX_LIMIT_WAIT_SECONDS) if waits else None
+        waits = []
+        for target in self._state.registry.get_ready(service):
+            number = hash_name(target.id)
+            wait = self.rests.compute_wait(target.id, now)
+            if self.limits.is_limited(number):
+                limit_wait = self.limits.compute_wait(number, view, now)
+                wait = max(wait, min(limit_wait, MAX_LIMIT_WAIT_SECONDS))
+            elif not wait:
+                return None
+            waits.append(wait)
+        if not waits:
+            return None
+        # Callers that return together would meet the same rest or overload again.
+        spread = 1.0 + c.REST_RETURN_SPREAD * self._state.random.random()
+        return min(min(waits) * spread, c.MAX_REST_RETRY_SECONDS)
 
     def find_alternative(self, requirements: TargetRequirements) -> SendChoice | None:
         """Return a target to which a request that is already at one could move.
@@ -194,7 +209,7 @@
             for target in self._state.registry.get_ready(requirements.service)
             if requirements.allows(target) and self._has_connection(target)
         ]
-        ready = self._filter_limited(ready)
+        ready = self._filter_resting(self._filter_limited(ready))
         if not ready:
             return None
         now = read_clock()
@@ -235,6 +250,13 @@
         may_send = self.limits.may_send
         return [t for t in ready if may_send(hash_name(t.id), view, now)]
 
+    def _filter_resting(self, ready: list[RegisteredTarget]) -> list[RegisteredTarget]:
+        """Return the targets that have not asked for a time without requests."""
+        if not len(self.rests):
+            return ready
+        now = read_clock()
+        return [t for t in ready if not self.rests.is_resting(t.id, now)]
+
     def _choose_for_isolation(
         self, ready: Sequence[RegisteredTarget]
     ) -> Sequence[RegisteredTarget]:
--- a/libraries/gateway/tests/test_rests.py
+++ b/libraries/gateway/tests/test_rests.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tarragonward_gateway.run import ForwardedRequest
 from tarragonward_standins import answer_with, refuse_with, stream_events
 
 REST = "Retry-After: 0.4"
@@ -15,6 +16,7 @@
     for _ in range(5):
         assert (await site.async_ask()).status == 200
     assert len(site.targets[0].requests) == 1
+    assert site.state.metrics.get_count("request_repeated") == 1
     await asyncio.sleep(0.45)
     assert (await site.async_ask()).status == 200
     assert len(site.targets[0].requests) == 2
@@ -49,11 +51,11 @@
     site = await make_site(
         refuse_with(lines=["Retry-After: 7"]), refuse_with(lines=["Retry-After: 3"])
     )
-    assert (await site.async_ask()).status == 503
-    answer = await site.async_ask()
-    assert answer.status == 503
-    assert answer.get("x-result-code") == ["2001"]
-    assert 2.5 < float(answer.get("retry-after")[0]) < 4.0
+    for _ in range(2):
+        answer = await site.async_ask()
+        assert answer.status == 503
+        assert answer.get("x-result-code") == ["2001"]
+        assert 2.5 < float(answer.get("retry-after")[0]) < 4.0
     assert site.runs == 2
 
 
@@ -77,3 +79,54 @@
     for _ in range(2):
         assert (await site.async_ask()).status == 200
     assert len(site.targets[0].requests) == (1 if is_rest else 2)
+
+
+async def test_request_whose_connection_opens_too_late_is_not_sent(make_site):
+    """Another request was refused while this one waited for its connection."""
+    site = await make_site(answer_with(), answer_with())
+    resting = site.state.registry.get("t0")
+    begin_write = ForwardedRequest._begin_write
+
+    def ask_for_rest_first(request, target):
+        site.chooser.statements.record(resting, 503, {"retry-after": "5"})
+        begin_write(request, target)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(ForwardedRequest, "_begin_write", ask_for_rest_first)
+        assert (await site.async_ask()).status == 200
+    assert [len(target.requests) for target in site.targets] == [0, 1]
+
+
+async def test_answer_to_an_earlier_request_does_not_end_a_rest(make_site):
+    """A request in progress is answered well while its target refuses new ones."""
+    site = await make_site(answer_with(), answer_with())
+    resting = site.state.registry.get("t0")
+    site.chooser.statements.record(resting, 503, {"retry-after": "5"})
+    site.chooser.statements.record_answer(resting, 200, {"x-target-load": "1,0,8"})
+    for _ in range(3):
+        assert (await site.async_ask()).status == 200
+    assert not site.targets[0].requests
+
+
+async def test_resting_target_is_not_probed(make_site):
+    """A probe takes one of the connections that an overloaded target has left."""
+    site = await make_site(answer_with(), answer_with())
+    resting, other = (site.state.registry.get(name) for name in ("t0", "t1"))
+    site.chooser.statements.record(resting, 503, {"retry-after": "5"})
+    probes = site.chooser.probes
+    assert not probes.accepts_requests(resting)
+    assert probes.accepts_requests(other)
+
+
+async def test_rest_holds_beside_a_limit_that_has_ended(make_site):
+    """Both states of a target end by themselves, each at its own time."""
+    site = await make_site(answer_with(), answer_with())
+    target = site.state.registry.get("t0")
+    statements = site.chooser.statements
+    statements.record(target, 503, {"retry-after": "0.3", "x-target-limit": "0"})
+    assert not site.chooser.accepts_requests(target)
+    statements.record_answer(target, 200, {})
+    assert not site.chooser.accepts_requests(target)
+    await asyncio.sleep(0.35)
+    assert site.chooser.accepts_requests(target)
+    assert not len(site.chooser.limits)
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -169,3 +169,7 @@
 # How long a limit that has ended is kept.
 LIMIT_RETENTION_SECONDS = 60.0
 MAX_LIMIT_WAIT_SECONDS = 1.0
+
+# Rests that targets ask for with a refusal.
+MAX_REST_SECONDS = 86_400.0
+MAX_TARGET_RESTS = 4_096
