Tell other hosts which targets asked for a rest, and spare retries a second one

A target that has accepted no request since it asked for a rest gets no retries while others are left. A new rest is told at once: to all in fleets of up to 17 hosts, to the cell in larger ones.

--- a/libraries/bench/tarragonward_bench/harm/__init__.py
+++ b/libraries/bench/tarragonward_bench/harm/__init__.py
@@ -3,6 +3,7 @@
 from .crashes import CrashPlan, CrashRun, run_crash_seed
 from .host import GossipFleet, GossipHost
 from .limits import LimitPlan, LimitRun, run_limit_seed
+from .rests import RestPlan, RestRun, run_rest_seed
 
 __all__ = [
     "CrashPlan",
@@ -12,5 +13,8 @@
     "LimitPlan",
     "LimitRun",
     "run_crash_seed",
+    "RestPlan",
+    "RestRun",
     "run_limit_seed",
+    "run_rest_seed",
 ]
--- a/libraries/bench/tarragonward_bench/harm/runs.py
+++ b/libraries/bench/tarragonward_bench/harm/runs.py
@@ -1,4 +1,4 @@
-"""Run crash and limit simulations: `script/measure harm.runs --hosts 195 --seeds 3`."""
+"""Run simulations of harm to targets: `script/measure harm.runs --hosts 195`."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 from .crashes import CrashPlan, CrashRun
 from .limits import LimitPlan, LimitRun
+from .rests import RestPlan, RestRun
 
 __all__ = ["main"]
 
@@ -26,7 +27,10 @@
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--culprits", type=int, default=2)
     parser.add_argument(
-        "--share", type=float, default=0.3, help="share of targets with limits"
+        "--share",
+        type=float,
+        default=0.3,
+        help="share of targets with limits or rests",
     )
     parser.add_argument("--calm", action="store_true", help="no faults of hosts")
     options = parser.parse_args()
@@ -48,8 +52,9 @@
     }
     crash = CrashRun(CrashPlan(crashing_requests=options.culprits, **settings), seed)
     limit = LimitRun(LimitPlan(share=options.share, **settings), seed)
+    rest = RestRun(RestPlan(share=options.share, **settings), seed)
     violated = 0
-    for run in (crash, limit):
+    for run in (crash, limit, rest):
         began = time.monotonic()
         try:
             run.run()
--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -1,4 +1,4 @@
-"""Tests of the randomised runs of crashing requests and rate limits."""
+"""Tests of the randomised runs of crashing requests, rate limits and rests."""
 
 import pytest
 
@@ -7,12 +7,15 @@
     CrashRun,
     LimitPlan,
     LimitRun,
+    RestPlan,
+    RestRun,
     run_crash_seed,
     run_limit_seed,
+    run_rest_seed,
 )
 from tarragonward_bench.harm.spread import measure_crash_propagation
 from tarragonward_gateway.suspect_gossip import SuspectGossip
-from tarragonward_placement import target_limits
+from tarragonward_placement import TargetRests, target_limits
 from tarragonward_requests import const
 
 
@@ -59,3 +62,25 @@
 def test_hosts_without_state_learn_of_a_crashing_request_again():
     """All hosts lose their state, then most are isolated: each crashes two targets."""
     CrashRun(CrashPlan(40, 3, 80, 2, 240.0), 300).run()
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_targets_get_the_rests_that_they_ask_for(seed):
+    assert run_rest_seed(seed)
+
+
+def test_runs_detect_hosts_that_disregard_rests(monkeypatch):
+    """A target that refuses requests has no work, so it is chosen first each time."""
+    monkeypatch.setattr(TargetRests, "begin", lambda self, target, seconds, now: False)
+    with pytest.raises(AssertionError, match="in a rest of"):
+        RestRun(RestPlan(), 1).run()
+
+
+def test_hosts_that_share_rests_refuse_fewer_requests():
+    """A quarter of the targets refuse requests for some seconds, in turn."""
+    shared, alone = (
+        RestRun(RestPlan(has_troubles=False, shares_rests=shares), 1).run()
+        for shares in (True, False)
+    )
+    assert shared.refused_sends < alone.refused_sends
+    assert shared.refused_count < alone.refused_count
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -27,6 +27,7 @@
 from .publications import PublicationTask
 from .reload import SettingsTask
 from .reservations import ReservationTask
+from .rest_task import RestTask
 from .settings import GatewaySettings
 from .state import GatewayState
 from .suspect_task import SuspectTask
@@ -74,6 +75,7 @@
         self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
         self.suspect_task = SuspectTask(self.state, self.peers, self.forwarder.suspects)
         self.limit_task = LimitTask(self.state, self.peers, self.targets)
+        self.rest_task = RestTask(self.state, self.peers, self.targets)
         self.targets.get_host_view = self.peers.get_host_view
         self.operators = OperatorsTask(
             self.state, self.targets.target_health, self.forwarder.suspects
@@ -100,6 +102,7 @@
             self.targets.probes,
             self.suspect_task,
             self.limit_task,
+            self.rest_task,
             self.cell_gossip,
             self.callers,
             self.health,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -216,6 +216,13 @@
 MAX_REPORTED_HEADERS = 64
 MAX_LOGGED_HEADER_CHARACTERS = 80
 
+REST_BATCH_SECONDS = 0.005
+# In a larger fleet a new rest is sent to the hosts of the cell only.
+MAX_REST_RECEIVERS = 16
+MAX_RESTS_PER_MESSAGE = 64
+# A rest that another host reports is a hint, which must not last if it is wrong.
+MAX_REPORTED_REST_SECONDS = 10.0
+
 LOG_BURST_LINES = 200
 MAX_EVENTS_PER_REQUEST = 24
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/rest_task.py
@@ -0,0 +1,69 @@
+"""Exchange the rests that targets ask for with the other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from tarragonward_core import Address
+
+from . import const as c
+from .clock import read_clock
+from .peers import Peers
+from .rest_gossip import RestGossip
+from .state import GatewayState
+from .targets import TargetChooser
+
+__all__ = ["SECTION", "RestTask"]
+
+SECTION = "rests"
+
+
+class RestTask:
+    """Builds and applies the section of rests of the hosts' datagrams."""
+
+    def __init__(
+        self, state: GatewayState, peers: Peers, chooser: TargetChooser
+    ) -> None:
+        self._peers = peers
+        self._gossip = RestGossip(chooser.rests, state.random)
+        self._timer: asyncio.TimerHandle | None = None
+        # The rests that are being sent; gossip rounds contain none.
+        self._outgoing: list[Any] | None = None
+        chooser.statements.on_rest.append(self._handle_rest)
+        peers.add_section(SECTION, self._build, self._merge)
+
+    async def async_setup(self) -> None:
+        """Do nothing, as rests are sent on demand."""
+
+    async def async_unload(self) -> None:
+        """Stop sending rests."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _handle_rest(self, target_id: str, end: float) -> None:
+        self._gossip.record_own(target_id, end)
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(c.REST_BATCH_SECONDS, self._send)
+
+    def _send(self) -> None:
+        self._timer = None
+        self._outgoing = self._gossip.take_pending(read_clock())
+        if self._outgoing is not None:
+            self._peers.send_section_to(SECTION, self._choose_receivers())
+        self._outgoing = None
+
+    def _choose_receivers(self) -> Iterable[Address]:
+        # In a large fleet the hosts of the same cell choose among the same targets.
+        members = self._peers.members
+        everyone = members.get_addresses()
+        is_small = len(everyone) <= c.MAX_REST_RECEIVERS
+        return everyone if is_small else members.get_cell_peers()
+
+    def _build(self) -> list[Any] | None:
+        return self._outgoing
+
+    def _merge(self, host: str, data: Any, age: float) -> None:
+        self._gossip.merge(data, age, read_clock())
--- a/libraries/gateway/tarragonward_gateway/statements.py
+++ b/libraries/gateway/tarragonward_gateway/statements.py
@@ -49,6 +49,8 @@
         self._known.update((c.HEADER_RETRY_AFTER, *c.STANDARD_ANSWER_HEADERS))
         self._reported: set[str] = set()
         self.on_limit: list[Callable[[int], None]] = []
+        # Called with the target's id and the end of the rest on read_clock().
+        self.on_rest: list[Callable[[str, float], None]] = []
 
     def record_answer(
         self, target: RegisteredTarget, status: int, headers: Mapping[str, str]
@@ -57,7 +59,10 @@
         self.record(target, status, headers)
         names = self._state.headers
         # A refusal may omit the limit, or come from another boot at the same address.
-        if names.limit not in headers and not is_not_run(names, status, headers):
+        if is_not_run(names, status, headers):
+            return
+        self._rests.record_accepted(target.id, read_clock())
+        if names.limit not in headers:
             self.record_limit(target, None)
 
     def record(
@@ -102,9 +107,13 @@
         if seconds is None:
             self._state.metrics.count("target_rests_refused")
             log_event("target_rest_refused", target=target.id, retry_after=text)
-        elif self._rests.begin(target.id, seconds, read_clock()):
+            return
+        now = read_clock()
+        if self._rests.begin(target.id, seconds, now):
             self._state.metrics.count("target_rests")
             log_event("target_rest", target=target.id, seconds=seconds)
+            for notify in self.on_rest:
+                notify(target.id, now + self._rests.compute_wait(target.id, now))
 
     def _report_unread(
         self, target: RegisteredTarget, headers: Mapping[str, str]
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -209,11 +209,12 @@
             for target in self._state.registry.get_ready(requirements.service)
             if requirements.allows(target) and self._has_connection(target)
         ]
-        ready = self._filter_resting(self._filter_limited(ready))
+        now = read_clock()
+        ready = self.rests.get_awake(self._filter_limited(ready), now)
         if not ready:
             return None
-        now = read_clock()
-        healthy = self.target_health.select(ready, now)
+        preferred = self.rests.prefer(ready, now, is_retry=bool(requirements.tried))
+        healthy = self.target_health.select(preferred, now)
         if requirements.leader:
             # The leader is fixed even if it is ejected; its helpers must be healthy.
             leaders = [target for target in ready if target.id == requirements.leader]
@@ -250,13 +251,6 @@
         may_send = self.limits.may_send
         return [t for t in ready if may_send(hash_name(t.id), view, now)]
 
-    def _filter_resting(self, ready: list[RegisteredTarget]) -> list[RegisteredTarget]:
-        """Return the targets that have not asked for a time without requests."""
-        if not len(self.rests):
-            return ready
-        now = read_clock()
-        return [t for t in ready if not self.rests.is_resting(t.id, now)]
-
     def _choose_for_isolation(
         self, ready: Sequence[RegisteredTarget]
     ) -> Sequence[RegisteredTarget]:
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -173,3 +173,5 @@
 # Rests that targets ask for with a refusal.
 MAX_REST_SECONDS = 86_400.0
 MAX_TARGET_RESTS = 4_096
+# How long after its rest a target that has accepted no request since gets no retries.
+REST_TRIAL_SECONDS = 30.0
