--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -206,6 +206,14 @@
         if read is None:
             return PageRead()
         log_event("records_read", count=len(read.records), revision=read.revision)
+        if read.revision < self.record_store.complete_revision:
+            # Without this line a read that changes nothing looks like a good one.
+            self._state.metrics.count("source_reads_behind")
+            log_event(
+                "source_behind",
+                revision=read.revision,
+                known=self.record_store.complete_revision,
+            )
         new = self.apply(
             RecordBatch(read.records, read.revision, True),
             self.record_store.complete_revision,
