Add failing tests of a store that comes back from a copy

The store gives revisions of lost changes out again.

A fourth test passes and stays as a guard: the copy says ready of a runner that has reported that it leaves.

The stand-in's store goes back to a copy of a given age and counts its eras in each answer; what its operator and runners wrote is written again, entries of ended runners expire, and a check-in that changes only its sequence number is no change, as on the users' platform. The checker also has the other half of CONFIG: a success that no version in force allows.

--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -158,10 +158,12 @@
                 self._add_violation("DRAIN", attempt.request_id)
 
     def _check_config(self, request: ClientRequest, attempt: Attempt) -> None:
-        if not (attempt.is_complete and attempt.status in DENIED_STATUSES):
+        is_denied = attempt.status in DENIED_STATUSES
+        is_success = attempt.status // 100 == 2
+        if not attempt.is_complete or not (is_denied or is_success):
             return
-        # The versions that may have been in force during the request. The denial is a
-        # violation only if all of them allow the request.
+        # The versions that may have been in force during the request. A denial is a
+        # violation if all of them allow the request, a success if none does.
         ends = [
             version.acknowledged_at + CONFIG_APPLY_SECONDS
             for version in self.config_versions[1:]
@@ -173,10 +175,14 @@
             and version.acknowledged_at <= (attempt.ended_at or NEVER)
         ]
         key = attempt.headers["x-key"]
-        if all(
-            request.plan.route in version.services_by_prefix
-            and key in version.tenants_by_key
+        allowing = [
+            version
             for version in possible_versions
+            if request.plan.route in version.services_by_prefix
+            and key in version.tenants_by_key
+        ]
+        if (is_denied and len(allowing) == len(possible_versions)) or (
+            is_success and not allowing
         ):
             self._add_violation("CONFIG", attempt.request_id)
 
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -134,6 +134,9 @@
         self.faults = RunnerFaults()
         self.arrivals = arrivals
         self.is_draining = False
+        self.states_leaving = True
+        # Whether its entry in the store is its own to keep.
+        self.is_registered = False
         self.withdrawn_at: float | None = None
         self.active = 0
         self.waiting = 0
@@ -163,6 +166,10 @@
         """Return the published address, that of its fault proxy."""
         return self._address
 
+    def write_again(self) -> None:
+        """Register as before, after the store has lost what was written last."""
+        self._register()
+
     async def async_setup(self) -> None:
         """Start listening and send heartbeats."""
         await self._server.async_setup()
@@ -189,15 +196,17 @@
         """
         self.is_draining = True
         await asyncio.sleep(report_after_seconds)
-        self.withdrawn_at = asyncio.get_running_loop().time()
+        self.withdrawn_at = self.withdrawn_at or asyncio.get_running_loop().time()
         self._register()
         await asyncio.sleep(serve_seconds)
         await self.async_unload()
+        self.is_registered = False
         self._store.delete(f"servers/{self.id}")
 
     async def async_crash(self) -> None:
         """Stop without notice; the registration expires after missed heartbeats."""
         await self.async_unload()
+        self.is_registered = False
         await asyncio.sleep(
             self.plan.heartbeat_seconds * MISSED_HEARTBEATS_UNTIL_REMOVAL
         )
@@ -215,7 +224,7 @@
     def _build_statements(self, arrival: Arrival) -> tuple[tuple[str, str], ...]:
         """Return the headers that state something about this runner."""
         headers = self._build_limit_header(arrival)
-        if self.is_draining:
+        if self.is_draining and self.states_leaving:
             arrival.states_leaving = True
             headers += (LEAVING,)
         return headers
@@ -254,7 +263,8 @@
 
     def _register(self) -> None:
         self._seq += 1
-        self._store.put(
+        self.is_registered = True
+        self._store.check_in(
             f"servers/{self.id}",
             {
                 "service": self.plan.service,
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -25,7 +25,7 @@
 from .platform_model_runner import ModelRunner, RunnersByAddress
 from .platform_runner import Arrival, PlatformRunner, RunnerPlan
 from .platform_settings import render_settings
-from .platform_store import PlatformStore, StoreEndpoint
+from .platform_store import PlatformStore, StoreEndpoint, StoreFault
 
 __all__ = [
     "HOST_NAME",
@@ -45,6 +45,7 @@
 READY_TIMEOUT_SECONDS = 0.4
 FAILED_CHECKS_UNTIL_REMOVAL = 2
 SETUP_SECONDS = 30.0
+EXPIRY_SECONDS = 3.6
 STOP_SECONDS = 12.0
 # A crashed runner is replaced by a new incarnation after a delay in this range.
 CRASH_RESTART_SECONDS = (1.5, 3.0)
@@ -125,6 +126,7 @@
         self.clients: list[PlatformClient] = []
         self.tenants = {f"town{n}": f"key{n}" for n in range(plan.accounts)}
         self.version = 0
+        self._document: dict[str, Any] = {}
         self._folder = folder
         self._template = template.read_text(encoding="utf-8")
         self._runners_by_address: RunnersByAddress = {}
@@ -182,6 +184,7 @@
             "limits": LIMITS,
             "tenants": tenants,
         }
+        self._document = document
         self.store.put(CONFIG_KEY, document)
         by_prefix = {
             route["prefix"]: frozenset(
@@ -193,6 +196,31 @@
         now = asyncio.get_running_loop().time()
         self.config_versions.append(ConfigVersion(now, by_prefix, by_key))
 
+    async def async_restore_store(
+        self, away_seconds: float, age_seconds: float, rewrite_seconds: float
+    ) -> None:
+        """Take the store away, and bring it back from a copy of an earlier time.
+
+        The operator and the runners write again what is lost, within rewrite_seconds.
+        Entries of runners that have ended expire.
+        """
+        document = self._document
+        self.store.fault = StoreFault.RESETS
+        await asyncio.sleep(away_seconds)
+        self.store.restore_copy(age_seconds + away_seconds)
+        self.store.fault = StoreFault.NONE
+        await asyncio.sleep(rewrite_seconds / 2)
+        self.store.put(CONFIG_KEY, document)
+        await asyncio.sleep(rewrite_seconds / 2)
+        alive = {f"servers/{runner.id}": runner for runner in self._runners}
+        for runner in self._runners:
+            if runner.is_registered:
+                runner.write_again()
+        await asyncio.sleep(EXPIRY_SECONDS)
+        for key in self.store.list_keys():
+            if key in alive and not alive[key].is_registered:
+                self.store.delete(key)
+
     def check(self) -> list[tuple[str, str]]:
         """Return the violations found in all requests so far."""
         reservations = [
--- a/libraries/standins/tarragonward_standins/platform_store.py
+++ b/libraries/standins/tarragonward_standins/platform_store.py
@@ -7,7 +7,7 @@
 import random
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any
 
@@ -95,24 +95,24 @@
     ) -> bool:
         store = self.store
         for fault in (store.fault, self.fault):
-            if not await _async_apply_fault(fault, store.random, writer):
+            if not await _async_apply_fault(fault, store, writer):
                 return False
         status, payload = await store.async_call(request)
         loses = StoreFault.LOSES_ANSWERS in (store.fault, self.fault)
         if loses and store.random.random() < store.answer_loss_rate:
             await asyncio.Event().wait()
-        _write_json(writer, status, payload)
+        _write_json(writer, status, payload, store.era)
         return True
 
 
 async def _async_apply_fault(
-    fault: StoreFault, rng: random.Random, writer: asyncio.StreamWriter
+    fault: StoreFault, store: PlatformStore, writer: asyncio.StreamWriter
 ) -> bool:
     if fault is StoreFault.REFUSES:
-        _write_json(writer, 503, {})
+        _write_json(writer, 503, {}, store.era)
         return False
     if fault is StoreFault.BUSY:
-        _write_json(writer, 429, {})
+        _write_json(writer, 429, {}, store.era)
         return False
     if fault is StoreFault.RESETS:
         reset_connection(writer)
@@ -120,13 +120,19 @@
     if fault is StoreFault.SILENT:
         await asyncio.Event().wait()
     if fault is StoreFault.SLOW:
-        await asyncio.sleep(rng.uniform(0.3, 1.2))
+        await asyncio.sleep(store.random.uniform(0.3, 1.2))
     return True
 
 
-def _write_json(writer: asyncio.StreamWriter, status: int, payload: Any) -> None:
+def _write_json(
+    writer: asyncio.StreamWriter, status: int, payload: Any, era: int
+) -> None:
     body = orjson.dumps(payload)
-    head = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    head = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        ("Store-Era", str(era)),
+    ]
     writer.write(build_head(status, head) + body)
 
 
@@ -140,6 +146,10 @@
         self.reads_per_second = reads_per_second
         self.calls = 0.0
         self.revision = 100
+        # Rises each time the store comes back from a copy.
+        self.era = 1
+        self.on_restored: list[Callable[[], None]] = []
+        self._log: list[tuple[float, _Item]] = []
         self._items: dict[str, _Item] = {}
         self._history: list[_Item] = []
         self._history_from = self.revision
@@ -180,6 +190,39 @@
             self.revision += 1
             self._record(_Item(key, self.revision, 0, None))
 
+    def check_in(self, key: str, value: dict[str, Any]) -> None:
+        """Write a runner's entry; a change of seq alone is no change to watch."""
+        known = self._items.get(key)
+        if known is not None and known.value is not None:
+            written = orjson.loads(known.value)
+            if {**written, "seq": 0} == {**value, "seq": 0}:
+                self._items[key] = replace(known, value=orjson.dumps(value))
+                return
+        self.put(key, value)
+
+    def restore_copy(self, age_seconds: float) -> None:
+        """Go back to a copy of this age: later changes and their revisions are lost."""
+        copied_at = asyncio.get_running_loop().time() - age_seconds
+        self._log = [(at, item) for at, item in self._log if at <= copied_at]
+        self._items.clear()
+        for _, item in self._log:
+            if item.value is None:
+                self._items.pop(item.key, None)
+            else:
+                self._items[item.key] = item
+        self.revision = max(item.revision for _, item in self._log)
+        self._history = [i for i in self._history if i.revision <= self.revision]
+        self._history_from = min(self._history_from, self.revision)
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+        for notify in self.on_restored:
+            notify()
+
+    def list_keys(self) -> list[str]:
+        """Return the keys of all items."""
+        return list(self._items)
+
     def drop_history(self) -> None:
         """Drop the change history; watches from an earlier revision get 410."""
         self._history.clear()
@@ -191,6 +234,7 @@
         else:
             self._items[item.key] = item
         self._history.append(item)
+        self._log.append((asyncio.get_running_loop().time(), item))
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -230,9 +274,11 @@
         after = int(query.get("after", "0"))
         wait = min(int(query.get("waitMs", "0")), MAX_WAIT_MS) / MILLISECONDS
         loop = asyncio.get_running_loop()
-        give_up_at = loop.time() + wait
+        give_up_at, era = loop.time() + wait, self.era
         while True:
-            if after < self._history_from:
+            if self.era != era:
+                return 503, {}
+            if after < self._history_from or after > self.revision:
                 return 410, {}
             events = self._list_changes(after, query.get("prefix", ""))
             if events or loop.time() >= give_up_at:
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -247,6 +247,76 @@
     assert set(rules) <= {"CONFIG"}
 
 
+async def async_lose_changes(site):
+    """Make changes that are lost when the store comes back from a copy.
+
+    Return a runner that was started among them.
+    """
+    await asyncio.sleep(1.0)
+    for _ in range(6):
+        site.publish(list(ROUTES))
+        await asyncio.sleep(0.1)
+    runner = await site.async_add_plain("a")
+    await asyncio.sleep(0.8)
+    await site.async_restore_store(1.5, 2.0, 1.0)
+    return runner
+
+
+async def test_changes_after_a_restoration_of_the_store_are_in_force(make_site):
+    """The store gives the revisions of lost changes out again to new ones."""
+    site = await make_site()
+    day = PlatformDay(site, DayPlan(seconds=12.0, calls_per_second=20, seed=11))
+    day_task = asyncio.ensure_future(day.async_play())
+    await async_lose_changes(site)
+    revoked = site.add_client()
+    revoked._key = site.tenants.pop("town0")
+    for client in site.clients[:-1]:
+        client._key = site.tenants["town1"]
+    site.publish([*ROUTES, describe_route("new", "idempotent", PLAIN_SERVICE)])
+    await asyncio.sleep(2.3)
+    new = [
+        await site.add_client(zone).async_request(
+            build_request_plan("/new/x", "idempotent")
+        )
+        for zone in site.plan.zones
+    ]
+    refused = await revoked.async_request(build_request_plan("/look/x", "idempotent"))
+    report = await day_task
+    assert all(request.is_success for request in new), format_failure(site, report)
+    assert refused.attempts[-1].status == 401
+    assert not report.violations, format_failure(site, report)
+
+
+async def test_a_runner_that_leaves_after_a_restoration_gets_no_more_requests(
+    make_site,
+):
+    """Its report has a revision that hosts have seen before."""
+    site = await make_site()
+    day = PlatformDay(site, DayPlan(seconds=13.0, calls_per_second=40, seed=12))
+    day_task = asyncio.ensure_future(day.async_play())
+    runner = await async_lose_changes(site)
+    runner.states_leaving = False
+    leaving = asyncio.ensure_future(runner.async_drain(4.0))
+    report = await day_task
+    await leaving
+    assert not report.violations, format_failure(site, report)
+
+
+async def test_a_restoration_of_the_store_does_not_undo_a_leaving(make_site):
+    """The copy says ready of a runner that had reported that it leaves."""
+    site = await make_site()
+    day = PlatformDay(site, DayPlan(seconds=9.0, calls_per_second=40, seed=13))
+    day_task = asyncio.ensure_future(day.async_play())
+    await asyncio.sleep(0.5)
+    site.plain[0].states_leaving = False
+    leaving = asyncio.ensure_future(site.plain[0].async_drain(8.0))
+    await asyncio.sleep(0.5)
+    await site.async_restore_store(1.0, 1.0, 4.0)
+    report = await day_task
+    await leaving
+    assert not report.violations, format_failure(site, report)
+
+
 async def test_a_killed_host_loses_only_its_requests_in_progress(make_site):
     site = await make_site()
     day = PlatformDay(site, DayPlan(seconds=2.5, seed=6))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -34,8 +34,9 @@
 
         async def async_answer(request, responder):
             requests.append((request.path, request.query))
-            status, payload = remaining.pop(0)
-            await responder.async_send_json(status, payload)
+            status, payload, *era = remaining.pop(0)
+            headers = {"store-era": era[0]} if era else None
+            await responder.async_send_json(status, payload, headers)
 
         server = HttpServer(Address("127.0.0.1", 0), async_answer)
         await server.async_setup()
@@ -210,3 +211,13 @@
 
 def test_a_route_of_unknown_kind_is_rejected():
     assert parse_table({**TABLE, "routes": [{**ROUTE, "kind": "other"}]}) is None
+
+
+async def test_a_watch_that_spans_a_restoration_of_the_store_is_no_change(make_reader):
+    """The new history may happen to have the revision, and lacks the lost changes."""
+    events = {"events": [build_item("op/config", 9)], "asOf": 9}
+    page = {"items": [build_item("a", 3)], "asOf": 8}
+    reader, _ = await make_reader((200, page, "1"), (200, events, "2"))
+    before = (await reader.async_read_page("", 1.0)).revision
+    with pytest.raises(HistoryLostError):
+        await reader.async_watch(before, 0.1, 1.0)
