Order the records of a store that comes back from a copy by its eras

The store had come back from a copy: its revisions had gone back and were given out again.

Cause: hosts ordered records by revision alone, so what was written after the return was dropped as old wherever its revision was at most the one that a host held. Its class: a number is taken for an order beyond the life of what counts it. Beside it each host asked for the lost history and read all records in turn, 80 to 100 times a second, as nothing but a failure made it wait.

- A revision holds the era in its upper bits (gateway/revisions.py), so all that compares revisions orders by (era, revision): records, peers' reports, pulls, withdrawals, the registry.
A watch that was answered in another era is no change but lost history; an answer of an earlier era confirms nothing; pages of two eras make no read; without a valid header the latest era counts.
- What has an order of its own keeps it over the eras: the table with the highest version stays in the record store and in force, is not withdrawn by a copy without one, and is pulled from a peer that has a later one though all revisions are known.
A boot that was registered as leaving stays so.
- A copy may bring back targets that were withdrawn: they get no work for 6 s, within which the entry of one that has ended expires, or until their entry is written again.
Targets that the copy lacks are used for nine tenths of the drain time, within which they write again.
- Lost history after a full read is followed by a back-off of up to 0.8 s.
- Hosts exchange revisions in a section of a new name and a new format of records: builds before it neither read them nor are read, and each hears the store itself.

Ruled out: refused or delayed calls (all calls were answered while changes were lost), and an older table from a peer (none went back).

--- a/libraries/bench/tarragonward_bench/hearing/runs.py
+++ b/libraries/bench/tarragonward_bench/hearing/runs.py
@@ -38,6 +38,9 @@
 # A confirmed age omits the minimum delay of each hop and is sent in milliseconds.
 CONFIRMED_AGE_TOLERANCE_SECONDS = 0.1
 CHECK_INTERVAL_SECONDS = 0.1
+# Within this time lost changes are written again, and entries of ended targets expire.
+REWRITE_SECONDS = 1.5
+EXPIRY_SECONDS = 3.6
 START_SPREAD_SECONDS = 0.3
 # 100 Mbit/s.
 LINK_BYTES_PER_SECOND = 12_500_000
@@ -66,6 +69,7 @@
     link_bytes_per_second: the capacity of a host's link in each direction.
     sizes: the sizes of records.
     max_delay_seconds: the bound on the delay of a change at a connected host.
+    restores_source: the source also comes back from older copies.
     """
 
     hosts: int
@@ -81,6 +85,7 @@
     link_bytes_per_second: float = LINK_BYTES_PER_SECOND
     sizes: RecordSizes = RecordSizes()
     max_delay_seconds: float = MAX_DELAY_SECONDS
+    restores_source: bool = False
 
 
 @dataclass(frozen=True)
@@ -258,8 +263,41 @@
             self._compact_history,
             self._lose_datagrams,
         )
+        if self._plan.restores_source:
+            faults += (self._restore_source,) * (len(faults) // 2)
         self.random.choice(faults)()
 
+    def _restore_source(self) -> None:
+        """Take the source away, and bring it back from a copy some seconds old."""
+        if self.source.is_down:
+            return
+        self.source.is_down = True
+        away = self.random.uniform(0.1, 2.0)
+        copied_at = self.world.now - self.random.uniform(0.2, 5.0)
+        self._disturb(self._disturbed_until, self.world.now + away)
+
+        def restore() -> None:
+            self.source.is_down = False
+            lost = self.source.restore_copy(copied_at)
+            for key, value in lost.items():
+                self._write_again(key, value)
+
+        self.world.schedule_after(away, restore)
+
+    def _write_again(self, key: str, value: bytes | None) -> None:
+        """Let the writer of a lost change write it again; lost withdrawals expire."""
+        delay = self.random.uniform(0.0, REWRITE_SECONDS)
+        if value is None:
+            delay = EXPIRY_SECONDS
+
+        def write() -> None:
+            if key == TABLE_KEY:
+                self.source.put(key, str(self._version).encode())
+            elif value is not None or self.source.has(key):
+                self.source.put(key, value)
+
+        self.world.schedule_after(delay, write)
+
     def _select_hosts(self) -> list[int]:
         """Return some hosts: a few, peers of one cell, or a large share."""
         count = self._plan.hosts
@@ -383,6 +421,13 @@
                 host, log, now - self._plan.max_delay_seconds
             )
             assert missed is None, f"{self._describe(host)}: lacks {missed} at {now}"
+            due_version = _find_version(log, now - self._plan.max_delay_seconds)
+            assert host.version >= due_version, (
+                f"{self._describe(host)}: lacks table {due_version} at {now}"
+            )
+            if self._plan.restores_source:
+                key = _find_wrong_key(host, log, now - self._plan.max_delay_seconds)
+                assert key is None, f"{self._describe(host)}: {key} differs at {now}"
             unapplied = self._find_missed_change(host, log, now)
             if unapplied is not None:
                 self._max_delay = max(self._max_delay, now - unapplied[0])
@@ -411,6 +456,25 @@
         return f"host {host.number} of {self._plan.hosts}"
 
 
+def _find_wrong_key(host: Host, log: Log, until: float) -> str | None:
+    """Return a key that did not change since a time, and has another value here."""
+    held = {r.key: r.value for r in host.record_store.get_since(0).records}
+    changed = {record.key for at, record in log if at > until}
+    published = {record.key: record.value for at, record in log if at <= until}
+    for key, value in published.items():
+        if key not in changed and key != TABLE_KEY and held.get(key) != value:
+            return key
+    return None
+
+
+def _find_version(log: Log, until: float) -> int:
+    """Return the version of the last table that was published up to a time."""
+    for at, record in reversed(log):
+        if record.key == TABLE_KEY and record.value is not None and at <= until:
+            return int(record.value)
+    return 0
+
+
 def main() -> None:
     """Print a row for each fleet size and seed."""
     parser = argparse.ArgumentParser(
--- a/libraries/bench/tests/test_hearing_runs.py
+++ b/libraries/bench/tests/test_hearing_runs.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tarragonward_bench.hearing import world
 from tarragonward_bench.hearing.runs import (
     LARGE_TABLE,
     LARGE_TABLE_MAX_DELAY_SECONDS,
@@ -16,6 +17,9 @@
 
 SMALL = PropagationPlan(9, 12.0)
 MEDIUM = PropagationPlan(75, 3.0)
+RESTORED = PropagationPlan(
+    9, 12.0, start_seconds=3.0, changes_per_second=2.0, restores_source=True
+)
 LARGE = PropagationPlan(320, 1.0, start_seconds=2.5, is_settled=True)
 SLOW_LINKS = PropagationPlan(
     75,
@@ -42,6 +46,20 @@
     assert run_propagation(seed, plan).calls < plan.hosts * plan.seconds
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_changes_arrive_in_time_after_the_source_came_back_from_a_copy(seed):
+    """Its revisions go back and are given out again, amid all other faults."""
+    run_propagation(seed, RESTORED)
+
+
+def test_runs_detect_hosts_that_order_changes_by_number_alone(monkeypatch):
+    """A new change has the number of a lost one, and would be taken for old."""
+    monkeypatch.setattr(world, "combine_revision", lambda era, number: number)
+    with pytest.raises(AssertionError, match="differs"):
+        for seed in range(1, 5):
+            run_propagation(seed, RESTORED)
+
+
 def test_large_fleet_starts_with_few_calls_to_the_source():
     """320 hosts start at once with 640 targets: 14 pages per read, 4,480 in all.
 
--- a/libraries/gateway/tarragonward_gateway/__init__.py
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -17,6 +17,7 @@
     ReservationClient,
     SourceError,
 )
+from .revisions import combine_revision, format_revision, get_era, get_number
 from .settings import (
     GatewaySettings,
     load_gateway_settings,
@@ -40,6 +41,10 @@
     "SourceError",
     "ReservationClient",
     "build_log_budget",
+    "combine_revision",
+    "format_revision",
+    "get_era",
+    "get_number",
     "load_gateway_settings",
     "parse_gateway_settings",
 ]
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -113,13 +113,15 @@
 # withdrawal arrived as a change, which can take a second, or the outage is inferred.
 LINGER_SHARE = 0.9
 GUESSED_LINGER_SHARE = 0.6
+# Longer than the entry of a target that has ended takes to expire.
+RESTORED_TARGET_HOLD_SECONDS = 6.0
 # When this share of a service's ready targets vanishes at once, their records are taken
 # to have expired, not to have been withdrawn.
 LAPSE_MIN_SHARE = 0.3
 LAPSE_MIN_TARGETS = 3
 MAX_WITHDRAWN_RECORDS = 4_096
 RECORDS_PATH = "/records"
-RECORDS_FORMAT = 2
+RECORDS_FORMAT = 3
 # zlib's fastest level reduces a table of 1,570 routes (332,829 bytes) to a seventh in
 # 2.6 ms of processor time.
 RECORDS_COMPRESSION = 1
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -84,12 +84,14 @@
     """A peer reported which revision it holds.
 
     confirmed_age is the time since the source last confirmed the peer's data, to the
-    peer itself or to a host that it heard from.
+    peer itself or to a host that it heard from. has_later_table: the peer uses a later
+    version of the table than this host.
     """
 
     name: str
     latest_revision: int
     confirmed_age: float
+    has_later_table: bool = False
 
 
 @dataclass(frozen=True)
@@ -113,9 +115,10 @@
 
 @dataclass(frozen=True)
 class PullFromPeer:
-    """Ask a peer for the changes after this host's revision."""
+    """Ask a peer for the changes after this host's revision, or for all records."""
 
     name: str
+    is_full: bool = False
 
 
 @dataclass(frozen=True)
@@ -185,6 +188,7 @@
         self._relies_on_pollers = False
         self._is_watching = False
         self._is_reading = False
+        self._history_losses = 0
         self.failures = 0
 
     def choose_step(
@@ -266,6 +270,8 @@
         self._failing_since = None
         self._has_tried_recovery = False
         self._must_read = is_gap
+        if self._is_watching:
+            self._history_losses = 0
         self._has_source_answered = True
         self._has_peer_data = False
         self._behind_since = None
@@ -320,9 +326,18 @@
         self._must_read = True
         return [QuerySource()]
 
-    def handle_history_lost(self) -> None:
-        """Request a full read."""
+    def handle_history_lost(self, now: float) -> None:
+        """Request a full read; after the first one, with a back-off.
+
+        If the records of the full read are still not those that the source has history
+        for, the host would otherwise read and watch in turn without a pause.
+        """
         self._must_read = True
+        if self._history_losses:
+            wait = c.SOURCE_RETRY_FIRST_SECONDS * 2 ** (self._history_losses - 1)
+            wait = min(wait, c.SOURCE_RETRY_MAX_SECONDS)
+            self._pause_until = now + wait * self._random.uniform(0.5, 1.0)
+        self._history_losses = min(self._history_losses + 1, 16)
 
     def handle_peer_data(self, complete_revision: int) -> None:
         """Process records from a peer, which may replace the first full read.
@@ -352,7 +367,9 @@
             # peers with older data do not.
             self._behind_since = None
         self._peers_ahead.pop(report.name, None)
-        if report.latest_revision <= complete_revision:
+        if report.latest_revision <= complete_revision and report.has_later_table:
+            effects += self._pull_table(report.name, now)
+        elif report.latest_revision <= complete_revision:
             effects.append(MarkConfirmed(report.confirmed_age))
         else:
             self._add_peer_ahead(report.name)
@@ -390,6 +407,13 @@
             effects += self._query_source()
         return effects
 
+    def _pull_table(self, name: str, now: float) -> list[FollowEffect]:
+        """Pull a table that the source itself has lost, and no change contains."""
+        if now - self._pulled_at < c.PEER_PULL_INTERVAL_SECONDS:
+            return []
+        self._pulled_at = now
+        return [PullFromPeer(name, is_full=True)]
+
     def _add_peer_ahead(self, name: str) -> None:
         self._peers_ahead[name] = None
         while len(self._peers_ahead) > c.MAX_AHEAD_PEERS:
@@ -502,7 +526,7 @@
     hosts: int,
     now: float,
 ) -> list[FollowEffect]:
-    follower.handle_history_lost()
+    follower.handle_history_lost(now)
     return []
 
 
--- a/libraries/gateway/tarragonward_gateway/observer.py
+++ b/libraries/gateway/tarragonward_gateway/observer.py
@@ -25,6 +25,7 @@
 from .clock import read_clock
 from .context import ForwardContext
 from .headers import parse_count
+from .revisions import format_revision
 from .state import GatewayState
 
 __all__ = ["RequestObserver"]
@@ -94,7 +95,7 @@
             service=self._context.service,
             **inputs,
             ready=len(registry.get_ready(self._context.service)),
-            registry_revision=registry.revision,
+            registry_revision=format_revision(registry.revision),
             registry_age=self._get_confirmed_age(),
         )
 
--- a/libraries/gateway/tarragonward_gateway/paged_read.py
+++ b/libraries/gateway/tarragonward_gateway/paged_read.py
@@ -4,6 +4,7 @@
 
 from . import const as c
 from .ports import Page, Record, Records
+from .revisions import get_era
 
 __all__ = ["PagedRead"]
 
@@ -35,6 +36,10 @@
         """Add the requested page; return all items if it was the last one."""
         if not self._next_after:
             self._revision, self._begun_at = page.revision, asked_at
+        elif get_era(page.revision) != get_era(self._revision):
+            # Pages from before and after a restoration of the source do not match.
+            self.clear()
+            return None
         self._records += page.records
         if page.next_after is not None:
             self._next_after = page.next_after
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -11,6 +11,7 @@
 
 from tarragonward_core import BackgroundTasks, FrameError, TargetError, log_event
 from tarragonward_membership import RegisteredTarget, WithdrawnTarget
+from tarragonward_routes import RoutingTable
 from tarragonward_wire import HttpServer
 
 from . import const as c
@@ -40,13 +41,15 @@
 from .readers import PollingOrder
 from .record_exchange import RecordHandler, async_pull_records, pack_age, unpack_age
 from .record_store import RecordBatch, RecordStore
+from .revisions import format_revision, get_era
 from .state import GatewayState
 
 __all__ = ["PublicationTask"]
 
 TASK_NAME = "publications"
 AGE_CHECK_TASK_NAME = "publications_doubt"
-SECTION = "publications"
+# Builds without eras don't read this section, and report in another one.
+SECTION = "records"
 
 
 class PublicationTask:
@@ -72,7 +75,8 @@
         self._pull_limit = PullLimit()
         self._wake = asyncio.Event()
         self._has_announced = False
-        self.record_store = RecordStore()
+        self.record_store = RecordStore(self._get_version)
+        self._parsed_table: tuple[bytes | None, RoutingTable | None] = (None, None)
         self.on_table: list[Callable[[], None]] = []
         self._control = HttpServer(
             state.settings.control, RecordHandler(state, self.record_store).async_handle
@@ -155,9 +159,8 @@
         try:
             answered = await self._async_read(step)
         except HistoryLostError:
-            log_event(
-                "source_history_lost", revision=self.record_store.complete_revision
-            )
+            known = format_revision(self.record_store.complete_revision)
+            log_event("source_history_lost", revision=known)
             self._paged_read.clear()
             self._handle_event(HistoryLost())
         except SourceError as err:
@@ -205,14 +208,18 @@
         read = self._paged_read.add_page(page, requested_at)
         if read is None:
             return PageRead()
-        log_event("records_read", count=len(read.records), revision=read.revision)
+        log_event(
+            "records_read",
+            count=len(read.records),
+            revision=format_revision(read.revision),
+        )
         if read.revision < self.record_store.complete_revision:
             # Without this line a read that changes nothing looks like a good one.
             self._state.metrics.count("source_reads_behind")
             log_event(
                 "source_behind",
-                revision=read.revision,
-                known=self.record_store.complete_revision,
+                revision=format_revision(read.revision),
+                known=format_revision(self.record_store.complete_revision),
             )
         new = self.apply(
             RecordBatch(read.records, read.revision, True),
@@ -230,45 +237,52 @@
             if isinstance(effect, MarkConfirmed):
                 self._confirm(now - effect.age_seconds)
             elif isinstance(effect, PullFromPeer):
-                self._pull(effect.name, now)
+                self._pull(effect, now)
             elif isinstance(effect, QuerySource):
                 self._wake.set()
 
-    def _pull(self, name: str, now: float) -> None:
+    def _pull(self, effect: PullFromPeer, now: float) -> None:
         if not self._pull_limit.begin(now):
             return
-        pull = asyncio.create_task(self._async_pull(name, now))
+        pull = asyncio.create_task(self._async_pull(effect, now))
         self._pulls.add(pull)
         pull.add_done_callback(self._pulls.discard)
 
     def _confirm(self, at: float) -> None:
         self._state.table_confirmed_at = max(self._state.table_confirmed_at, at)
 
-    async def _async_pull(self, name: str, begun_at: float) -> None:
+    async def _async_pull(self, effect: PullFromPeer, begun_at: float) -> None:
         """Pull missing records from a peer, and report a failed pull after a delay."""
         try:
-            is_applied = await self._async_pull_from(name)
+            is_applied = await self._async_pull_from(effect)
             if not is_applied:
                 wait = self._state.random.random() * c.MAX_NEXT_PEER_DELAY_SECONDS
                 await asyncio.sleep(wait)
         finally:
             self._pull_limit.end(begun_at)
         if not is_applied:
-            self._handle_event(PeerPullFailed(name))
+            self._handle_event(PeerPullFailed(effect.name))
 
-    async def _async_pull_from(self, name: str) -> bool:
+    async def _async_pull_from(self, effect: PullFromPeer) -> bool:
         """Pull and apply the records of one peer; return whether it sent them."""
+        name = effect.name
         address = self._peers.get_control_address(name)
         if address is None:
             return False
-        requested_at, after = read_clock(), self.record_store.complete_revision
+        after = 0 if effect.is_full else self.record_store.complete_revision
+        requested_at = read_clock()
         try:
             answer = await async_pull_records(address, after)
         except (TargetError, FrameError) as err:
             log_event("peer_gave_no_records", peer=name, error=str(err))
             return False
         new = self.apply(answer.batch, after)
-        log_event("records_from_peer", peer=name, count=len(new), after=after)
+        log_event(
+            "records_from_peer",
+            peer=name,
+            count=len(new),
+            after=format_revision(after),
+        )
         self._handle_event(PeerDataApplied())
         if not self._has_announced:
             self._has_announced = True
@@ -287,12 +301,15 @@
         )
 
     def _apply_section(self, name: str, data: Any, age: float) -> None:
-        latest_revision, confirmed_age, _version = data
-        if type(latest_revision) is not int or latest_revision < 0:
-            raise ValueError("revision is not a non-negative integer")
+        latest_revision, confirmed_age, version = data
+        if not all(type(n) is int and n >= 0 for n in (latest_revision, version)):
+            raise ValueError("revision or version is not a non-negative integer")
         before = self._state.table_confirmed_at
+        table = self._state.table
+        has_later_table = table is not None and version > table.version
+        peer_age = unpack_age(confirmed_age) + age
         self._handle_event(
-            PeerReported(name, latest_revision, unpack_age(confirmed_age) + age)
+            PeerReported(name, latest_revision, peer_age, has_later_table)
         )
         is_newer = self._state.table_confirmed_at - before > c.RELAY_MIN_GAIN_SECONDS
         # Messages of another group reach one host of this one. If it did not relay
@@ -307,15 +324,20 @@
 
     def apply(self, batch: RecordBatch, after: int) -> list[Record]:
         """Apply records, in any order; return those that were new."""
+        known = self.record_store.complete_revision
+        is_restored = 0 < known and get_era(known) < get_era(batch.complete_revision)
+        if is_restored:
+            self._state.metrics.count("source_restorations")
+            log_event("source_restored", era=get_era(batch.complete_revision))
         new = self.record_store.apply(batch, after)
         removed = [record for record in new if record.value is None]
         for record in new:
             if record.value is not None:
-                self._apply_record(record)
-        self._withdraw(removed, batch.is_snapshot)
+                self._apply_record(record, is_restored)
+        self._withdraw(removed, batch.is_snapshot, is_restored)
         return new
 
-    def _apply_record(self, record: Record) -> None:
+    def _apply_record(self, record: Record, is_restored: bool) -> None:
         name = self._parser.get_target_name(record.key)
         if name is None:
             self._apply_table(record)
@@ -327,7 +349,12 @@
             self._state.metrics.count("target_records_refused")
             log_event("target_record_refused", key=record.key)
             self._remove_target(WithdrawnTarget(name, record.revision))
-        elif self._state.registry.apply(target):
+            return
+        if is_restored and self._state.registry.is_withdrawn(target):
+            self._suspend(target)
+        else:
+            self._state.registry.resume(target)
+        if self._state.registry.apply(target):
             log_event(
                 "target_registered",
                 target=target.id,
@@ -335,8 +362,21 @@
                 ready=target.is_ready,
             )
 
+    def _suspend(self, target: RegisteredTarget) -> None:
+        """Send nothing to a withdrawn target until its entry is known to be current.
+
+        The copy that the source came back from is older than the withdrawal. The entry
+        of a target that has ended expires; that of a live one is there after the hold.
+        """
+        registry = self._state.registry
+        registry.suspend(target)
+        log_event("target_suspended", target=target.id)
+        asyncio.get_running_loop().call_later(
+            c.RESTORED_TARGET_HOLD_SECONDS, registry.resume, target
+        )
+
     def _apply_table(self, record: Record) -> None:
-        table = self._parser.parse_table(record)
+        table = self._parse_table(record)
         if table is None:
             self._record_refused_table(record)
         elif self._state.install_table(table):
@@ -344,6 +384,19 @@
             for notify in self.on_table:
                 notify()
 
+    def _get_version(self, record: Record) -> int | None:
+        """Return the version of a record of the table, None for other records."""
+        if record.value is None or not self._parser.is_table(record.key):
+            return None
+        table = self._parse_table(record)
+        return table.version if table is not None else None
+
+    def _parse_table(self, record: Record) -> RoutingTable | None:
+        # A table is compared, stored and applied, and takes long to parse.
+        if self._parsed_table[0] is not record.value:
+            self._parsed_table = record.value, self._parser.parse_table(record)
+        return self._parsed_table[1]
+
     def _record_refused_table(self, record: Record) -> None:
         if self._parser.is_table(record.key):
             # The host keeps the previous table, so nothing else would show the refusal.
@@ -352,14 +405,17 @@
                 "table_refused",
                 level=logging.ERROR,
                 key=record.key,
-                revision=record.revision,
+                revision=format_revision(record.revision),
             )
 
-    def _withdraw(self, records: Iterable[Record], is_full_read: bool) -> None:
+    def _withdraw(
+        self, records: Iterable[Record], is_full_read: bool, is_restored: bool
+    ) -> None:
         """Remove the targets whose records are gone, at once or after a delay.
 
         While the source is in an outage the records of healthy targets expire, and
-        they return moments after it recovers. If these targets were removed at once, a
+        they return moments after it recovers. A source that comes back from a copy has
+        lost the newest of them. If these targets were removed at once, a
         service could have none and all its requests would be refused. A target that
         leaves keeps serving during its drain time, so one that was ready is used for a
         part of that time, and a newer record keeps it registered.
@@ -371,7 +427,7 @@
             if known:
                 removed.append((known, record.revision))
         shares = self._choose_linger_shares(
-            [target for target, _ in removed], is_full_read
+            [target for target, _ in removed], is_full_read, is_restored
         )
         for target, revision in removed:
             withdrawn = WithdrawnTarget(target.name, revision)
@@ -387,14 +443,14 @@
             )
 
     def _choose_linger_shares(
-        self, removed: list[RegisteredTarget], is_full_read: bool
+        self, removed: list[RegisteredTarget], is_full_read: bool, is_restored: bool
     ) -> dict[str, float]:
         """Return for how much of the drain time each service uses removed targets."""
         now = read_clock()
         is_silent = (
             now - self._state.table_confirmed_at > c.OUTAGE_CONFIRMED_AGE_SECONDS
         )
-        is_outage = is_silent or self._follower.is_after_outage(now)
+        is_outage = is_restored or is_silent or self._follower.is_after_outage(now)
         usable = filter(self._state.registry.is_usable, removed)
         counts = Counter(target.service for target in usable)
         shares = dict.fromkeys((target.service for target in removed), 0.0)
--- a/libraries/gateway/tarragonward_gateway/record_store.py
+++ b/libraries/gateway/tarragonward_gateway/record_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from tarragonward_core import invariants
@@ -31,9 +32,16 @@
     complete_revision: no change up to this revision is missing. latest_revision: the
     greatest revision of any record applied, or of a snapshot; a peer whose
     complete_revision is lower lacks something.
+
+    get_version returns the version of a record that is numbered by its writer, None for
+    others. After the source came back from a copy, an older version may have a newer
+    revision; it does not replace the newer version, and its absence withdraws nothing.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, get_version: Callable[[Record], int | None] = lambda record: None
+    ) -> None:
+        self._get_version = get_version
         self._records: dict[str, Record] = {}
         self._withdrawn: dict[str, int] = {}
         self._forgotten_revision = 0
@@ -82,7 +90,12 @@
             # item back. All changes up to complete_revision are applied, so an older
             # record of an item that is missing here precedes its withdrawal.
             revision = max(self.complete_revision, self._withdrawn.get(record.key, 0))
-        if record.revision <= revision:
+        if known is not None and self._has_earlier_version(record, known):
+            return False
+        is_later_version = known is not None and self._has_earlier_version(
+            known, record
+        )
+        if record.revision <= revision and not is_later_version:
             return False
         if record.value is None:
             self._records.pop(record.key, None)
@@ -93,12 +106,18 @@
         self.latest_revision = max(self.latest_revision, record.revision)
         return True
 
+    def _has_earlier_version(self, record: Record, other: Record) -> bool:
+        version, other_version = self._get_version(record), self._get_version(other)
+        return None not in (version, other_version) and version < other_version
+
     def _withdraw_absent(self, batch: RecordBatch) -> list[Record]:
         present = {record.key for record in batch.records}
         absent = [
             Record(known.key, batch.complete_revision, None)
             for known in self._records.values()
-            if known.key not in present and known.revision < batch.complete_revision
+            if known.key not in present
+            and known.revision < batch.complete_revision
+            and self._get_version(known) is None
         ]
         return [record for record in absent if self._store(record)]
 
--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -406,3 +406,26 @@
     watching.handle(SourceFailed(), 10, HOSTS, 2.0)
     assert isinstance(watching.choose_step(PollingOrder(HOSTS, 0), 9.0, 2.0), Pause)
     assert watching.handle(ConfirmationAged(9.0), 10, HOSTS, 2.0) == []
+
+
+def test_lost_history_is_not_read_again_without_a_pause(watching):
+    """A read may not bring the host to a revision that the source has history for."""
+    now, reads = 1.0, 0
+    while now < 3.0:
+        step = watching.choose_step(PollingOrder(HOSTS, 0), NO_AGE, now)
+        if isinstance(step, ReadAll):
+            reads += 1
+            watching.handle(SourceAnswered(False), 10, HOSTS, now)
+        elif isinstance(step, Watch):
+            watching.handle(HistoryLost(), 10, HOSTS, now)
+        now += step.seconds if isinstance(step, Pause) else 0.005
+    assert reads < 12
+
+
+def test_later_table_of_a_peer_is_pulled_though_its_changes_are_known(watching):
+    """The source lost the table, so neither a watch nor a pull of changes has it."""
+    report = PeerReported("host-2", 10, 0.5, has_later_table=True)
+    assert watching.handle(report, 10, HOSTS, 2.0) == [
+        PullFromPeer("host-2", is_full=True)
+    ]
+    assert watching.handle(report, 10, HOSTS, 2.1) == []
--- a/libraries/gateway/tests/test_paged_read.py
+++ b/libraries/gateway/tests/test_paged_read.py
@@ -1,6 +1,6 @@
 """Tests that a paged read resumes after failures and restarts when it is old."""
 
-from tarragonward_gateway import Page, Record
+from tarragonward_gateway import Page, Record, combine_revision
 from tarragonward_gateway import const as c
 from tarragonward_gateway.paged_read import PagedRead
 
@@ -45,3 +45,11 @@
     reading.add_page(make_page("a", 8, "a"), 21.0)
     reading.clear()
     assert reading.get_after_key(21.0) == ""
+
+
+def test_pages_of_two_eras_make_no_read():
+    """The source came back from a copy between two pages; nothing orders the two."""
+    reading = PagedRead()
+    reading.add_page(make_page("a", combine_revision(1, 9), "a"), 1.0)
+    assert reading.add_page(make_page("b", combine_revision(2, 7)), 1.1) is None
+    assert reading.get_after_key(1.2) == ""
--- a/libraries/gateway/tests/test_record_store.py
+++ b/libraries/gateway/tests/test_record_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tarragonward_core import invariants
-from tarragonward_gateway import Record, const
+from tarragonward_gateway import Record, combine_revision, const
 from tarragonward_gateway.record_store import RecordBatch, RecordStore
 
 
@@ -148,3 +148,53 @@
     held.apply(RecordBatch((Record("t/a", 1, b""), Record("t/b", 2, b"")), 2, True), 0)
     started.apply(RecordBatch((Record("t/b", 2, b""),), 3, True), 0)
     assert started.latest_revision > held.complete_revision
+
+
+def get_version(record):
+    is_table = record.key == "table" and record.value is not None
+    return int(record.value) if is_table else None
+
+
+def build_restored_store():
+    """Return a store that holds table 27, and the copy that holds table 25."""
+    record_store = RecordStore(get_version)
+    table = Record("table", combine_revision(1, 30), b"27")
+    before = RecordBatch((table,), combine_revision(1, 30), True)
+    record_store.apply(before, 0)
+    older = Record("table", combine_revision(2, 28), b"25")
+    return record_store, RecordBatch((older,), combine_revision(2, 28), True)
+
+
+def test_copy_of_the_source_does_not_bring_an_older_table_back():
+    """A host that starts now would get the older one from its peers."""
+    record_store, copy = build_restored_store()
+    assert record_store.apply(copy, 0) == []
+    assert [r.value for r in record_store.get_since(0).records] == [b"27"]
+    written = Record("table", combine_revision(2, 29), b"29")
+    batch = RecordBatch((written,), combine_revision(2, 29), False)
+    assert record_store.apply(batch, combine_revision(2, 28)) == [written]
+
+
+def test_copy_without_a_table_withdraws_none():
+    record_store, copy = build_restored_store()
+    record_store.apply(RecordBatch((), copy.complete_revision, True), 0)
+    assert [r.value for r in record_store.get_since(0).records] == [b"27"]
+
+
+def test_later_table_of_a_peer_replaces_that_of_the_copy():
+    """This host started after the restoration, and its table has a newer revision."""
+    record_store, copy = build_restored_store()
+    started = RecordStore(get_version)
+    started.apply(copy, 0)
+    batch = record_store.get_since(0)
+    assert [record.value for record in started.apply(batch, 0)] == [b"27"]
+
+
+def test_changes_of_a_new_era_are_new_whatever_their_numbers():
+    record_store = RecordStore()
+    old = Record("a", combine_revision(1, 30), b"x")
+    record_store.apply(RecordBatch((old,), combine_revision(1, 30), True), 0)
+    new = Record("a", combine_revision(2, 12), b"y")
+    batch = RecordBatch((new,), combine_revision(2, 12), True)
+    assert record_store.apply(batch, 0) == [new]
+    assert record_store.apply(RecordBatch((old,), old.revision, False), 0) == []
--- a/libraries/membership/tarragonward_membership/registry.py
+++ b/libraries/membership/tarragonward_membership/registry.py
@@ -92,6 +92,7 @@
             OrderedDict()
         )
         self._leaving_boots: OrderedDict[tuple[str, int | None], None] = OrderedDict()
+        self._suspended_boots: set[tuple[str, int | None]] = set()
         # Caches, cleared by each change and rebuilt on demand.
         self._by_service: dict[str, tuple[RegisteredTarget, ...]] = {}
         self._address_holders: dict[Address, RegisteredTarget] = {}
@@ -107,7 +108,13 @@
         self._clear_caches()
 
     def apply(self, record: RegisteredTarget | WithdrawnTarget) -> bool:
-        """Apply a record; return whether it changed the known targets."""
+        """Apply a record; return whether it changed the known targets.
+
+        A boot that was registered as leaving once stays so, as a boot that leaves ends.
+        The store may come back from a copy that is older than the target's report.
+        """
+        if isinstance(record, RegisteredTarget) and not record.is_ready:
+            self.mark_leaving(record)
         if record.revision <= self._get_revision(record.name):
             return False
         self.revision = max(self.revision, record.revision)
@@ -151,9 +158,30 @@
         return is_new
 
     def is_usable(self, target: RegisteredTarget) -> bool:
-        """Return whether a boot may get work: ready by its record, and not leaving."""
+        """Return whether a boot may get work.
+
+        It is ready by its record, and neither leaving nor suspended.
+        """
+        boot = target.name, target.incarnation
+        is_out = boot in self._leaving_boots or boot in self._suspended_boots
+        return target.is_ready and not is_out
+
+    def is_withdrawn(self, target: RegisteredTarget) -> bool:
+        """Return whether the last record of a boot was its withdrawal."""
+        last_boot = self._last_boots.get(target.name, target.incarnation)
+        return target.name in self._withdrawn and last_boot == target.incarnation
+
+    def suspend(self, target: RegisteredTarget) -> None:
+        """Give a boot no work until resume() is called for it."""
+        self._suspended_boots.add((target.name, target.incarnation))
+        self._clear_caches()
+
+    def resume(self, target: RegisteredTarget) -> None:
+        """End the suspension of a boot, if there is one."""
         boot = target.name, target.incarnation
-        return target.is_ready and boot not in self._leaving_boots
+        if boot in self._suspended_boots:
+            self._suspended_boots.discard(boot)
+            self._clear_caches()
 
     def get(self, name: str) -> RegisteredTarget | None:
         """Return the boot registered under a name, or None where there is none."""
--- a/libraries/membership/tests/test_registry.py
+++ b/libraries/membership/tests/test_registry.py
@@ -194,3 +194,25 @@
     for number in range(10_000):
         registry.mark_leaving(start("i-1", number, 1))
     assert len(registry._leaving_boots) == MAX_LEAVING_BOOTS
+
+
+def test_record_that_says_ready_does_not_take_back_a_reported_leaving(registry):
+    """The store came back from a copy that is older than the target's report."""
+    registry.apply(start("i-1", 7, 1))
+    registry.apply(start("i-1", 7, 2, is_ready=False))
+    registry.apply(start("i-1", 7, 3))
+    assert get_ready_ids(registry) == []
+
+
+def test_suspended_boot_gets_no_work_until_it_is_resumed(registry):
+    """A copy of the store brought back the entry of a target that had left."""
+    boot = start("i-1", 7, 1)
+    registry.apply(boot)
+    registry.apply(WithdrawnTarget("i-1", 2))
+    assert registry.is_withdrawn(boot)
+    registry.suspend(boot)
+    registry.apply(start("i-1", 7, 3))
+    assert get_ready_ids(registry) == []
+    registry.resume(boot)
+    assert len(registry.get_ready("s")) == 1
+    assert not registry.is_withdrawn(boot)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,7 +8,12 @@
 import pytest
 
 from tarragonward_core import Address
-from tarragonward_gateway import HistoryLostError, Record, SourceError
+from tarragonward_gateway import (
+    HistoryLostError,
+    Record,
+    SourceError,
+    combine_revision,
+)
 from tarragonward_gateway.paged_read import PagedRead
 from tarragonward_platform.documents import DocumentParser
 from tarragonward_platform.store import StoreReader
@@ -221,3 +226,38 @@
     before = (await reader.async_read_page("", 1.0)).revision
     with pytest.raises(HistoryLostError):
         await reader.async_watch(before, 0.1, 1.0)
+
+
+async def test_revisions_of_a_later_era_are_newer(make_reader):
+    old = {"items": [build_item("a", 30)], "asOf": 30}
+    new = {"items": [build_item("a", 12)], "asOf": 14}
+    reader, requests = await make_reader((200, old, "1"), (200, new, "2"), (410, {}))
+    before, after = [await reader.async_read_page("", 1.0) for _ in range(2)]
+    assert before.revision < after.revision
+    assert before.records[0].revision < after.records[0].revision
+    with pytest.raises(HistoryLostError):
+        await reader.async_watch(after.revision, 0.1, 1.0)
+    assert requests[-1][1]["after"] == "14"
+
+
+async def test_an_answer_of_an_earlier_era_is_not_used(make_reader):
+    """It was on its way while the store came back, or this host heard of it first."""
+    page = {"items": [build_item("a", 30)], "asOf": 30}
+    events = {"events": [], "asOf": 30}
+    reader, _ = await make_reader(
+        (200, page, "2"), (200, page, "1"), (200, events, "2")
+    )
+    await reader.async_read_page("", 1.0)
+    with pytest.raises(SourceError):
+        await reader.async_read_page("", 1.0)
+    with pytest.raises(SourceError):
+        await reader.async_watch(combine_revision(3, 30), 0.1, 1.0)
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "1.5", "9" * 30])
+async def test_an_answer_without_a_valid_era_counts_as_of_the_latest(make_reader, era):
+    """One malformed header must not make a host discard all that it knows."""
+    page = {"items": [build_item("a", 30)], "asOf": 30}
+    reader, _ = await make_reader((200, page, "2"), (200, page, era))
+    pages = [await reader.async_read_page("", 1.0) for _ in range(2)]
+    assert pages[0].revision == pages[1].revision == combine_revision(2, 30)
