--- a/libraries/bench/tarragonward_bench/hearing/host.py
+++ b/libraries/bench/tarragonward_bench/hearing/host.py
@@ -12,9 +12,8 @@
 
 from tarragonward_core import Address, HostIdentity
 from tarragonward_gateway import const as gateway_const
-from tarragonward_gateway.following import (
+from tarragonward_gateway.follow_events import (
     ConfirmationAged,
-    Follower,
     FollowEvent,
     HistoryLost,
     MarkConfirmed,
@@ -30,6 +29,7 @@
     SourceFailed,
     Step,
 )
+from tarragonward_gateway.following import Follower
 from tarragonward_gateway.paged_read import PagedRead
 from tarragonward_gateway.ports import Page, Record, Records
 from tarragonward_gateway.pulls import PullLimit
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -16,9 +16,8 @@
 
 from . import const as c
 from .clock import read_clock, read_suspended_seconds
-from .following import (
+from .follow_events import (
     ConfirmationAged,
-    Follower,
     FollowEvent,
     HistoryLost,
     MarkConfirmed,
@@ -34,6 +33,7 @@
     SourceFailed,
     Watch,
 )
+from .following import Follower
 from .paged_read import PagedRead
 from .peers import Peers
 from .ports import HistoryLostError, Record, RecordParser, RecordReader, SourceError
--- a/libraries/gateway/tests/test_following.py
+++ b/libraries/gateway/tests/test_following.py
@@ -5,9 +5,8 @@
 import pytest
 
 from tarragonward_gateway import const as c
-from tarragonward_gateway.following import (
+from tarragonward_gateway.follow_events import (
     ConfirmationAged,
-    Follower,
     HistoryLost,
     MarkConfirmed,
     PageRead,
@@ -22,6 +21,7 @@
     SourceFailed,
     Watch,
 )
+from tarragonward_gateway.following import Follower
 from tarragonward_gateway.readers import PollingOrder
 from tarragonward_gateway.record_exchange import pack_age, unpack_age
 
--- a/libraries/gateway/tests/test_readers.py
+++ b/libraries/gateway/tests/test_readers.py
@@ -5,8 +5,7 @@
 import pytest
 
 from tarragonward_gateway import const as c
-from tarragonward_gateway.following import (
-    Follower,
+from tarragonward_gateway.follow_events import (
     MarkConfirmed,
     Pause,
     PeerReported,
@@ -16,6 +15,7 @@
     SourceFailed,
     Watch,
 )
+from tarragonward_gateway.following import Follower
 from tarragonward_gateway.readers import KnownHost, PollingOrder, choose_polling_order
 from tarragonward_placement import LocatedMember
 from tarragonward_placement.const import MAX_SINGLE_CELL_HOSTS
