Parse each table once, and let the rests have their own expiry

Found on reading the diff of: the record store asks for the versions of a new table and of the known one, and a cache of one entry parsed each of them up to four times for every new version (a table of a megabyte takes long, and the event loop waits meanwhile). It keeps two. Ended rests were dropped by the task of limits.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -120,6 +120,8 @@
 LAPSE_MIN_SHARE = 0.3
 LAPSE_MIN_TARGETS = 3
 MAX_WITHDRAWN_RECORDS = 4_096
+# The table in force and one that is being compared with it.
+MAX_PARSED_TABLES = 2
 RECORDS_PATH = "/records"
 RECORDS_FORMAT = 3
 # zlib's fastest level reduces a table of 1,570 routes (332,829 bytes) to a seventh in
@@ -219,6 +221,7 @@
 MAX_LOGGED_HEADER_CHARACTERS = 80
 
 REST_BATCH_SECONDS = 0.005
+REST_EXPIRY_INTERVAL_SECONDS = 5.0
 # In a larger fleet a new rest is sent to the hosts of the cell only.
 MAX_REST_RECEIVERS = 16
 MAX_RESTS_PER_MESSAGE = 64
--- a/libraries/gateway/tarragonward_gateway/limit_task.py
+++ b/libraries/gateway/tarragonward_gateway/limit_task.py
@@ -30,16 +30,12 @@
         self._state = state
         self._peers = peers
         self._limits = chooser.limits
-        self._rests = chooser.rests
         self._background = BackgroundTasks(state.metrics)
         self._gossip = LimitGossip(chooser.limits)
         self._outgoing: list[int] = []
         self._timer: asyncio.TimerHandle | None = None
         chooser.statements.on_limit.append(self._handle_change)
         peers.add_section(SECTION, self._build, self._merge)
-        state.metrics.add_gauge(
-            "targets_resting", "asked for no requests", lambda: len(self._rests)
-        )
         state.metrics.add_gauge(
             "targets_limited", "name a limit", lambda: len(self._limits)
         )
@@ -60,7 +56,6 @@
             registered = self._state.registry.get_all()
             numbers = {hash_name(target.id) for target in registered}
             self._limits.keep_only(numbers, read_clock())
-            self._rests.drop_ended(read_clock())
 
     def _handle_change(self, number: int) -> None:
         self._gossip.record_change(number)
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -76,7 +76,7 @@
         self._wake = asyncio.Event()
         self._has_announced = False
         self.record_store = RecordStore(self._get_version)
-        self._parsed_table: tuple[bytes | None, RoutingTable | None] = (None, None)
+        self._parsed_tables: OrderedDict[bytes, RoutingTable | None] = OrderedDict()
         self.on_table: list[Callable[[], None]] = []
         self._control = HttpServer(
             state.settings.control, RecordHandler(state, self.record_store).async_handle
@@ -392,10 +392,15 @@
         return table.version if table is not None else None
 
     def _parse_table(self, record: Record) -> RoutingTable | None:
-        # A table is compared, stored and applied, and takes long to parse.
-        if self._parsed_table[0] is not record.value:
-            self._parsed_table = record.value, self._parser.parse_table(record)
-        return self._parsed_table[1]
+        # A table is compared with the known one, stored and applied, and a large one
+        # takes long to parse.
+        tables, value = self._parsed_tables, record.value or b""
+        if value not in tables:
+            tables[value] = self._parser.parse_table(record)
+        tables.move_to_end(value)
+        while len(tables) > c.MAX_PARSED_TABLES:
+            tables.popitem(last=False)
+        return tables[value]
 
     def _record_refused_table(self, record: Record) -> None:
         if self._parser.is_table(record.key):
--- a/libraries/gateway/tarragonward_gateway/record_store.py
+++ b/libraries/gateway/tarragonward_gateway/record_store.py
@@ -90,12 +90,8 @@
             # item back. All changes up to complete_revision are applied, so an older
             # record of an item that is missing here precedes its withdrawal.
             revision = max(self.complete_revision, self._withdrawn.get(record.key, 0))
-        if known is not None and self._has_earlier_version(record, known):
-            return False
-        is_later_version = known is not None and self._has_earlier_version(
-            known, record
-        )
-        if record.revision <= revision and not is_later_version:
+        order = self._compare_versions(record, known) if known is not None else 0
+        if order < 0 or (record.revision <= revision and order == 0):
             return False
         if record.value is None:
             self._records.pop(record.key, None)
@@ -106,9 +102,13 @@
         self.latest_revision = max(self.latest_revision, record.revision)
         return True
 
-    def _has_earlier_version(self, record: Record, other: Record) -> bool:
-        version, other_version = self._get_version(record), self._get_version(other)
-        return None not in (version, other_version) and version < other_version
+    def _compare_versions(self, record: Record, known: Record) -> int:
+        """Return 1 for a later version, -1 for an earlier one, and 0 otherwise."""
+        version = self._get_version(record)
+        known_version = self._get_version(known) if version is not None else None
+        if version is None or known_version is None:
+            return 0
+        return (version > known_version) - (version < known_version)
 
     def _withdraw_absent(self, batch: RecordBatch) -> list[Record]:
         present = {record.key for record in batch.records}
--- a/libraries/gateway/tarragonward_gateway/rest_task.py
+++ b/libraries/gateway/tarragonward_gateway/rest_task.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from tarragonward_core import Address
+from tarragonward_core import Address, BackgroundTasks
 
 from . import const as c
 from .clock import read_clock
@@ -18,6 +18,7 @@
 __all__ = ["SECTION", "RestTask"]
 
 SECTION = "rests"
+TASK_NAME = "rests"
 
 
 class RestTask:
@@ -27,20 +28,32 @@
         self, state: GatewayState, peers: Peers, chooser: TargetChooser
     ) -> None:
         self._peers = peers
+        self._rests = chooser.rests
+        self._background = BackgroundTasks(state.metrics)
         self._gossip = RestGossip(chooser.rests, state.random)
         self._timer: asyncio.TimerHandle | None = None
         # The rests that are being sent; gossip rounds contain none.
         self._outgoing: list[Any] | None = None
         chooser.statements.on_rest.append(self._handle_rest)
         peers.add_section(SECTION, self._build, self._merge)
+        state.metrics.add_gauge(
+            "targets_resting", "asked for no requests", lambda: len(self._rests)
+        )
 
     async def async_setup(self) -> None:
-        """Do nothing, as rests are sent on demand."""
+        """Start dropping the rests that have ended."""
+        self._background.start(TASK_NAME, self._async_drop_ended)
 
     async def async_unload(self) -> None:
-        """Stop sending rests."""
+        """Stop dropping and sending rests."""
         if self._timer is not None:
             self._timer.cancel()
+        await self._background.async_unload()
+
+    async def _async_drop_ended(self) -> None:
+        while True:
+            await asyncio.sleep(c.REST_EXPIRY_INTERVAL_SECONDS)
+            self._rests.drop_ended(read_clock())
 
     def _handle_rest(self, target_id: str, end: float) -> None:
         self._gossip.record_own(target_id, end)
