--- a/libraries/gateway/tarragonward_gateway/operators.py
+++ b/libraries/gateway/tarragonward_gateway/operators.py
@@ -19,6 +19,7 @@
 
 from . import const as c
 from .clock import read_clock
+from .revisions import get_era, get_number
 from .state import GatewayState
 from .suspects import SuspectMonitor
 
@@ -126,7 +127,9 @@
 def _add_gauges(state: GatewayState) -> None:
     add = state.metrics.add_gauge
     add("targets", "targets registered", lambda: len(state.registry))
-    add("targets_revision", "newest revision heard", lambda: state.registry.revision)
+    registry = state.registry
+    add("targets_revision", "newest revision", lambda: get_number(registry.revision))
+    add("source_era", "restorations of it", lambda: get_era(registry.revision))
     add(
         "table_version",
         "routing table in force; -1 before the first",
