--- a/libraries/standins/tarragonward_standins/platform_store.py
+++ b/libraries/standins/tarragonward_standins/platform_store.py
@@ -29,6 +29,7 @@
 MAX_WAIT_MS = 30_000
 MILLISECONDS = 1_000
 STALE_READ_COST = 0.1
+FIRST_REVISION = 100
 
 
 class StoreFault(Enum):
@@ -145,7 +146,7 @@
         self.answer_loss_rate = 0.35
         self.reads_per_second = reads_per_second
         self.calls = 0.0
-        self.revision = 100
+        self.revision = FIRST_REVISION
         # Rises each time the store comes back from a copy.
         self.era = 1
         self.on_restored: list[Callable[[], None]] = []
@@ -210,7 +211,8 @@
                 self._items.pop(item.key, None)
             else:
                 self._items[item.key] = item
-        self.revision = max(item.revision for _, item in self._log)
+        revisions = (item.revision for _, item in self._log)
+        self.revision = max(revisions, default=FIRST_REVISION)
         self._history = [i for i in self._history if i.revision <= self.revision]
         self._history_from = min(self._history_from, self.revision)
         self.era += 1
