Let a test wait for the platform's stand-in before it publishes there

The hosts' own wait for the platform is what the test is about, and goes on as before: they are healthy only once the patch is published again.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -159,6 +159,7 @@
         await site.async_kill(name)
     for name in ["platform", *site.hosts]:
         await site.async_start(name)
+    await site.async_wait_listening(site.platform)
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(5):
             await site.async_wait_healthy("entry-north-1")
