--- a/libraries/bench/tarragonward_bench/harm/limits.py
+++ b/libraries/bench/tarragonward_bench/harm/limits.py
@@ -9,9 +9,8 @@
 from tarragonward_placement import HostView, TargetLimits
 from tarragonward_standins.platform_checker import count_max_in_window
 
-from ..hearing.world import Links, World
-from .host import GossipFleet, GossipHost, Section
-from .troubles import FaultInjector
+from .host import GossipHost, Section
+from .target_run import TargetRun
 
 __all__ = ["LimitPlan", "LimitRun", "run_limit_seed"]
 
@@ -24,11 +23,9 @@
 ALLOWED_RATE_FACTOR = 1.5
 ALLOWED_EXTRA_REQUESTS = 5
 ANSWER_SECONDS = (0.005, 0.3)
-WARM_UP_SECONDS = 4.0
 RATES = (0.1, 0.5, 1.0, 1.0, 3.0, 20.0)
 UNLIMITED_SECONDS = (0.2, 3.0)
 LIMITED_SECONDS = (4.0, 20.0)
-DATAGRAM_LOSS_RATE = 0.02
 FLEET_SIZES = (5, 9)
 
 
@@ -110,39 +107,29 @@
             self.send_section(self.members.get_addresses(), SECTION, content)
 
 
-class LimitRun:
+class LimitRun(TargetRun):
     """One run: callers, hosts, and targets that advertise limits and count requests."""
 
     def __init__(self, plan: LimitPlan, seed: int) -> None:
         self.plan = plan
-        self.world = World(seed)
-        self.random = self.world.random
-        self.fleet = GossipFleet(self.world, Links(DATAGRAM_LOSS_RATE), plan.domains)
         self.targets = [_Target(number) for number in range(plan.targets)]
-        self.request_count = self.refused_count = self.limited_sends = 0
+        self.limited_sends = 0
         self.allowed = 0.0
-        self.violations: list[str] = []
-        for number in range(plan.hosts):
-            self.start_host(number)
-        for host in self.fleet.hosts.values():
-            host.learn_all_hosts()
+        super().__init__(seed, plan.hosts, plan.domains, plan.requests_a_second)
 
     def run(self) -> LimitRun:
         """Run the simulation; raise AssertionError if the requirement is violated."""
-        begin = self.world.now + WARM_UP_SECONDS
-        self._until = begin + self.plan.seconds
-        if self.plan.has_troubles:
-            FaultInjector(self.fleet, self.start_host, self._until).begin()
-        count = max(1, int(self.plan.share * len(self.targets)))
-        for target in self.random.sample(self.targets, count):
+        begin = self.begin(self.plan.seconds, self.plan.has_troubles)
+        for target in self.pick_targets(self.targets, self.plan.share):
             at = begin + self.random.uniform(*UNLIMITED_SECONDS)
             self.world.schedule_at(at, lambda each=target: self._begin_limit(each))
-        self.world.schedule_at(begin, self._send_next_request)
-        self.world.run(self._until)
+        self.finish()
+        return self
+
+    def check_end(self) -> None:
+        """Check the limits that are still in force."""
         for target in self.targets:
             self._check(target)
-        assert not self.violations, "; ".join(self.violations)
-        return self
 
     def describe(self) -> str:
         """Return the run's figures."""
@@ -151,11 +138,9 @@
             f"limited_sends={self.limited_sends} allowed={self.allowed:.0f}"
         )
 
-    def start_host(self, number: int) -> GossipHost:
-        """Start a host, or a new incarnation of it."""
-        host = _Host(self, number)
-        self.fleet.hosts[host.address] = host
-        return host
+    def build_host(self, number: int) -> GossipHost:
+        """Return a new incarnation of a host."""
+        return _Host(self, number)
 
     def _begin_limit(self, target: _Target) -> None:
         target.rate = self.random.choice(RATES)
@@ -184,15 +169,9 @@
             )
         self.allowed += target.rate * (self.world.now - target.limited_from)
 
-    def _send_next_request(self) -> None:
-        if self.world.now >= self._until:
-            return
-        self._send_request(self.random.choice(list(self.fleet.hosts.values())))
-        delay = self.random.expovariate(self.plan.requests_a_second)
-        self.world.schedule_after(delay, self._send_next_request)
-
-    def _send_request(self, host: _Host) -> None:
-        if not host.run_or_defer(self._send_request, host):
+    def send_request(self, host: GossipHost) -> None:
+        """Let a host send a request to a target that allows it one."""
+        if not host.run_or_defer(self.send_request, host):
             return
         self.request_count += 1
         now = self.world.now
--- a/libraries/bench/tarragonward_bench/harm/rests.py
+++ b/libraries/bench/tarragonward_bench/harm/rests.py
@@ -10,9 +10,8 @@
 from tarragonward_placement import TargetRests
 
 from ..hearing.host import build_address
-from ..hearing.world import Links, World
-from .host import GossipFleet, GossipHost, Section
-from .troubles import FaultInjector
+from .host import GossipHost, Section
+from .target_run import TargetRun
 
 __all__ = ["RestPlan", "RestRun", "run_rest_seed"]
 
@@ -24,11 +23,9 @@
 MAX_SENDS_PER_REQUEST = 2
 WORK_SECONDS = (0.05, 1.0)
 ANSWER_SECONDS = 0.003
-WARM_UP_SECONDS = 4.0
 REST_SECONDS = (0.2, 1.0, 3.0, 3.0, 5.0)
 SERVING_SECONDS = (1.0, 8.0)
 REFUSING_SECONDS = (2.0, 10.0)
-DATAGRAM_LOSS_RATE = 0.02
 FLEET_SIZES = (5, 9)
 CELL_HOSTS = 9
 
@@ -117,35 +114,22 @@
                 self.send_section(self.cell_peers, SECTION, content)
 
 
-class RestRun:
+class RestRun(TargetRun):
     """One run: callers, hosts, and targets that refuse for a while."""
 
     def __init__(self, plan: RestPlan, seed: int) -> None:
         self.plan = plan
-        self.world = World(seed)
-        self.random = self.world.random
-        self.fleet = GossipFleet(self.world, Links(DATAGRAM_LOSS_RATE), plan.domains)
         self.targets = [_Target(f"t{number}") for number in range(plan.targets)]
-        self.request_count = self.refused_count = self.refused_sends = 0
-        self.violations: list[str] = []
-        for number in range(plan.hosts):
-            self.start_host(number)
-        for host in self.fleet.hosts.values():
-            host.learn_all_hosts()
+        self.refused_sends = 0
+        super().__init__(seed, plan.hosts, plan.domains, plan.requests_a_second)
 
     def run(self) -> RestRun:
         """Run the simulation; raise AssertionError if the requirement is violated."""
-        begin = self.world.now + WARM_UP_SECONDS
-        self._until = begin + self.plan.seconds
-        if self.plan.has_troubles:
-            FaultInjector(self.fleet, self.start_host, self._until).begin()
-        count = max(1, int(self.plan.share * len(self.targets)))
-        for target in self.random.sample(self.targets, count):
+        begin = self.begin(self.plan.seconds, self.plan.has_troubles)
+        for target in self.pick_targets(self.targets, self.plan.share):
             at = begin + self.random.uniform(0.0, 1.0)
             self.world.schedule_at(at, lambda each=target: self._begin_refusing(each))
-        self.world.schedule_at(begin, self._send_next_request)
-        self.world.run(self._until)
-        assert not self.violations, "; ".join(self.violations)
+        self.finish()
         return self
 
     def describe(self) -> str:
@@ -155,11 +139,13 @@
             f"refused_sends={self.refused_sends}"
         )
 
-    def start_host(self, number: int) -> GossipHost:
-        """Start a host, or a new incarnation of it."""
-        host = _Host(self, number)
-        self.fleet.hosts[host.address] = host
-        return host
+    def build_host(self, number: int) -> GossipHost:
+        """Return a new incarnation of a host."""
+        return _Host(self, number)
+
+    def send_request(self, host: GossipHost) -> None:
+        """Let a host send a request to one target, and once more if it is refused."""
+        self._send(host, ())
 
     def _begin_refusing(self, target: _Target) -> None:
         target.rest_seconds = self.random.choice(REST_SECONDS)
@@ -171,16 +157,8 @@
         delay = self.random.uniform(*SERVING_SECONDS)
         self.world.schedule_after(delay, lambda: self._begin_refusing(target))
 
-    def _send_next_request(self) -> None:
-        if self.world.now >= self._until:
-            return
-        host = self.random.choice(list(self.fleet.hosts.values()))
-        self._send_request(host, ())
-        delay = self.random.expovariate(self.plan.requests_a_second)
-        self.world.schedule_after(delay, self._send_next_request)
-
-    def _send_request(self, host: _Host, tried: tuple[_Target, ...]) -> None:
-        if not host.run_or_defer(self._send_request, host, tried):
+    def _send(self, host: _Host, tried: tuple[_Target, ...]) -> None:
+        if not host.run_or_defer(self._send, host, tried):
             return
         self.request_count += not tried
         target = None
@@ -236,7 +214,7 @@
         if host.run_or_defer(self._refuse, target, host, seconds, tried):
             host.in_flight[target.id] -= 1
             host.record_rest(target, seconds)
-            self._send_request(host, (*tried, target))
+            self._send(host, (*tried, target))
 
 
 def choose_plan(seed: int) -> RestPlan:
--- a/libraries/bench/tarragonward_bench/hearing/runs.py
+++ b/libraries/bench/tarragonward_bench/hearing/runs.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from tarragonward_gateway.ports import Record
 from tarragonward_placement.const import MAX_SINGLE_CELL_HOSTS
 
+from .checks import Log, find_missed_change, find_version, find_wrong_key
 from .host import Fleet, Host, build_address
 from .transfers import TARGET_RECORD_BYTES, RecordSizes, Transfers
 from .world import TABLE_KEY, FakeSource, Links, World
@@ -26,9 +26,6 @@
     "run_propagation_seed",
 ]
 
-Log = list[tuple[float, Record]]
-MissedChange = tuple[float, str, int]
-
 # The bounds hold for hosts that have been connected for at least this long.
 MIN_CONNECTED_SECONDS = 3.0
 MAX_DELAY_SECONDS = 2.0
@@ -417,64 +414,31 @@
                 or self._plan.hosts <= MAX_SINGLE_CELL_HOSTS
             )
             assert is_confirmed, f"{self._describe(host)}: confirmed {age} ago at {now}"
-            missed = self._find_missed_change(
-                host, log, now - self._plan.max_delay_seconds
-            )
+            missed = find_missed_change(host, log, now - self._plan.max_delay_seconds)
             assert missed is None, f"{self._describe(host)}: lacks {missed} at {now}"
-            due_version = _find_version(log, now - self._plan.max_delay_seconds)
+            due_version = find_version(log, now - self._plan.max_delay_seconds)
             assert host.version >= due_version, (
                 f"{self._describe(host)}: lacks table {due_version} at {now}"
             )
             if self._plan.restores_source:
-                key = _find_wrong_key(host, log, now - self._plan.max_delay_seconds)
+                key = find_wrong_key(host, log, now - self._plan.max_delay_seconds)
                 assert key is None, f"{self._describe(host)}: {key} differs at {now}"
-            unapplied = self._find_missed_change(host, log, now)
+            unapplied = find_missed_change(host, log, now)
             if unapplied is not None:
                 self._max_delay = max(self._max_delay, now - unapplied[0])
 
     def _check_confirmed(self, host: Host, log: Log, now: float) -> None:
-        missed = self._find_missed_change(
+        missed = find_missed_change(
             host, log, host.confirmed_at - CONFIRMED_AGE_TOLERANCE_SECONDS
         )
         assert missed is None, (
             f"{self._describe(host)}: confirmed without {missed} at {now}"
         )
 
-    def _find_missed_change(
-        self, host: Host, log: Log, until: float
-    ) -> MissedChange | None:
-        """Return the earliest change up to a time that the host has not applied."""
-        missed = None
-        for at, record in reversed(log):
-            if record.revision <= host.record_store.complete_revision:
-                break
-            if at <= until and record.revision > host.record_store.latest_revision:
-                missed = at, record.key, record.revision
-        return missed
-
     def _describe(self, host: Host) -> str:
         return f"host {host.number} of {self._plan.hosts}"
 
 
-def _find_wrong_key(host: Host, log: Log, until: float) -> str | None:
-    """Return a key that did not change since a time, and has another value here."""
-    held = {r.key: r.value for r in host.record_store.get_since(0).records}
-    changed = {record.key for at, record in log if at > until}
-    published = {record.key: record.value for at, record in log if at <= until}
-    for key, value in published.items():
-        if key not in changed and key != TABLE_KEY and held.get(key) != value:
-            return key
-    return None
-
-
-def _find_version(log: Log, until: float) -> int:
-    """Return the version of the last table that was published up to a time."""
-    for at, record in reversed(log):
-        if record.key == TABLE_KEY and record.value is not None and at <= until:
-            return int(record.value)
-    return 0
-
-
 def main() -> None:
     """Print a row for each fleet size and seed."""
     parser = argparse.ArgumentParser(
