--- a/libraries/bench/tarragonward_bench/harm/__init__.py
+++ b/libraries/bench/tarragonward_bench/harm/__init__.py
@@ -1,9 +1,9 @@
 """Randomised runs on a simulated network: the load that all hosts put on targets."""
 
+from .cooldowns import CooldownPlan, CooldownRun, run_cooldown_seed
 from .crashes import CrashPlan, CrashRun, run_crash_seed
 from .host import GossipFleet, GossipHost
 from .limits import LimitPlan, LimitRun, run_limit_seed
-from .rests import RestPlan, RestRun, run_rest_seed
 
 __all__ = [
     "CrashPlan",
@@ -13,8 +13,8 @@
     "LimitPlan",
     "LimitRun",
     "run_crash_seed",
-    "RestPlan",
-    "RestRun",
+    "CooldownPlan",
+    "CooldownRun",
     "run_limit_seed",
-    "run_rest_seed",
+    "run_cooldown_seed",
 ]
--- a/libraries/bench/tarragonward_bench/harm/runs.py
+++ b/libraries/bench/tarragonward_bench/harm/runs.py
@@ -6,9 +6,9 @@
 import sys
 import time
 
+from .cooldowns import CooldownPlan, CooldownRun
 from .crashes import CrashPlan, CrashRun
 from .limits import LimitPlan, LimitRun
-from .rests import RestPlan, RestRun
 
 __all__ = ["main"]
 
@@ -30,7 +30,7 @@
         "--share",
         type=float,
         default=0.3,
-        help="share of targets with limits or rests",
+        help="share of targets with limits or cooldowns",
     )
     parser.add_argument("--calm", action="store_true", help="no faults of hosts")
     options = parser.parse_args()
@@ -52,9 +52,9 @@
     }
     crash = CrashRun(CrashPlan(crashing_requests=options.culprits, **settings), seed)
     limit = LimitRun(LimitPlan(share=options.share, **settings), seed)
-    rest = RestRun(RestPlan(share=options.share, **settings), seed)
+    cooldown = CooldownRun(CooldownPlan(share=options.share, **settings), seed)
     violated = 0
-    for run in (crash, limit, rest):
+    for run in (crash, limit, cooldown):
         began = time.monotonic()
         try:
             run.run()
--- a/libraries/bench/tarragonward_bench/hearing/world.py
+++ b/libraries/bench/tarragonward_bench/hearing/world.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from tarragonward_gateway import combine_revision, get_era, get_number
+from tarragonward_gateway import combine_revision, get_epoch, get_number
 from tarragonward_gateway.ports import Page, Record, Records
 
 __all__ = ["Answer", "FakeSource", "Links", "NoResponse", "World"]
@@ -151,20 +151,20 @@
         self._compacted_revision = self.revision
 
     def restore_copy(self, copied_at: float) -> dict[str, bytes | None]:
-        """Come back from a copy of an earlier time, in a new era.
+        """Come back from a copy of an earlier time, in a new epoch.
 
         Return the keys whose changes are lost, with their lost values.
         """
-        era = get_era(self.revision) + 1
+        epoch = get_epoch(self.revision) + 1
         lost = {r.key: r.value for at, r in self._log if at > copied_at}
         self._log = [(at, r) for at, r in self._log if at <= copied_at]
         number = max((get_number(r.revision) for _, r in self._log), default=1)
-        self.revision = combine_revision(era, number)
+        self.revision = combine_revision(epoch, number)
         self._records = {}
         for _, record in self._log:
             self._records.pop(record.key, None)
             if record.value is not None:
-                revision = combine_revision(era, get_number(record.revision))
+                revision = combine_revision(epoch, get_number(record.revision))
                 self._records[record.key] = replace(record, revision=revision)
         self._compacted_revision = self.revision
         watches, self._open_watches = self._open_watches, []
@@ -192,8 +192,8 @@
         """Answer with the changes after a revision, or with none after a timeout."""
         if not self._is_served(host, reply):
             return
-        is_other_era = get_era(after) != get_era(self.revision)
-        if is_other_era or after < self._compacted_revision:
+        is_other_epoch = get_epoch(after) != get_epoch(self.revision)
+        if is_other_epoch or after < self._compacted_revision:
             self._world.schedule_after(
                 ANSWER_SECONDS, lambda: reply(NoResponse(is_history_lost=True))
             )
--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -1,21 +1,21 @@
-"""Tests of the randomised runs of crashing requests, rate limits and rests."""
+"""Tests of the randomised runs of crashing requests, rate limits and cooldowns."""
 
 import pytest
 
 from tarragonward_bench.harm import (
+    CooldownPlan,
+    CooldownRun,
     CrashPlan,
     CrashRun,
     LimitPlan,
     LimitRun,
-    RestPlan,
-    RestRun,
+    run_cooldown_seed,
     run_crash_seed,
     run_limit_seed,
-    run_rest_seed,
 )
 from tarragonward_bench.harm.spread import measure_crash_propagation
 from tarragonward_gateway.suspect_gossip import SuspectGossip
-from tarragonward_placement import TargetRests, target_limits
+from tarragonward_placement import TargetCooldowns, target_limits
 from tarragonward_requests import const
 
 
@@ -65,21 +65,23 @@
 
 
 @pytest.mark.parametrize("seed", range(1, 5))
-def test_targets_get_the_rests_that_they_ask_for(seed):
-    assert run_rest_seed(seed)
+def test_targets_get_the_cooldowns_that_they_ask_for(seed):
+    assert run_cooldown_seed(seed)
 
 
-def test_runs_detect_hosts_that_disregard_rests(monkeypatch):
+def test_runs_detect_hosts_that_disregard_cooldowns(monkeypatch):
     """A target that refuses requests has no work, so it is chosen first each time."""
-    monkeypatch.setattr(TargetRests, "begin", lambda self, target, seconds, now: False)
-    with pytest.raises(AssertionError, match="in a rest of"):
-        RestRun(RestPlan(), 1).run()
+    monkeypatch.setattr(
+        TargetCooldowns, "begin", lambda self, target, seconds, now: False
+    )
+    with pytest.raises(AssertionError, match="during a cooldown"):
+        CooldownRun(CooldownPlan(), 1).run()
 
 
-def test_hosts_that_share_rests_refuse_fewer_requests():
+def test_hosts_that_share_cooldowns_refuse_fewer_requests():
     """A quarter of the targets refuse requests for some seconds, in turn."""
     shared, alone = (
-        RestRun(RestPlan(has_troubles=False, shares_rests=shares), 1).run()
+        CooldownRun(CooldownPlan(has_troubles=False, shares_cooldowns=shares), 1).run()
         for shares in (True, False)
     )
     assert shared.refused_sends < alone.refused_sends
--- a/libraries/bench/tests/test_hearing_runs.py
+++ b/libraries/bench/tests/test_hearing_runs.py
@@ -54,7 +54,7 @@
 
 def test_runs_detect_hosts_that_order_changes_by_number_alone(monkeypatch):
     """A new change has the number of a lost one, and would be taken for old."""
-    monkeypatch.setattr(world, "combine_revision", lambda era, number: number)
+    monkeypatch.setattr(world, "combine_revision", lambda epoch, number: number)
     with pytest.raises(AssertionError, match="differs"):
         for seed in range(1, 5):
             run_propagation(seed, RESTORED)
--- a/libraries/gateway/tarragonward_gateway/__init__.py
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -17,7 +17,7 @@
     ReservationClient,
     SourceError,
 )
-from .revisions import combine_revision, format_revision, get_era, get_number
+from .revisions import combine_revision, format_revision, get_epoch, get_number
 from .settings import (
     GatewaySettings,
     load_gateway_settings,
@@ -43,7 +43,7 @@
     "build_log_budget",
     "combine_revision",
     "format_revision",
-    "get_era",
+    "get_epoch",
     "get_number",
     "load_gateway_settings",
     "parse_gateway_settings",
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -18,6 +18,7 @@
 from . import const as c
 from .cell_gossip import CellGossip
 from .cells import CellTracker
+from .cooldown_task import CooldownTask
 from .forwarder import Forwarder
 from .health import HealthRoutes
 from .limit_task import LimitTask
@@ -27,7 +28,6 @@
 from .publications import PublicationTask
 from .reload import SettingsTask
 from .reservations import ReservationTask
-from .rest_task import RestTask
 from .settings import GatewaySettings
 from .state import GatewayState
 from .suspect_task import SuspectTask
@@ -75,7 +75,7 @@
         self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
         self.suspect_task = SuspectTask(self.state, self.peers, self.forwarder.suspects)
         self.limit_task = LimitTask(self.state, self.peers, self.targets)
-        self.rest_task = RestTask(self.state, self.peers, self.targets)
+        self.cooldown_task = CooldownTask(self.state, self.peers, self.targets)
         self.targets.get_host_view = self.peers.get_host_view
         self.operators = OperatorsTask(
             self.state, self.targets.target_health, self.forwarder.suspects
@@ -102,7 +102,7 @@
             self.targets.probes,
             self.suspect_task,
             self.limit_task,
-            self.rest_task,
+            self.cooldown_task,
             self.cell_gossip,
             self.callers,
             self.health,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -158,10 +158,10 @@
 # latency target.
 DRAINING_RETRY_SECONDS = 0.02
 ROUTE_UNSURE_RETRY_SECONDS = 0.3
-# Callers that are refused because all targets rest are told to return at a random time
-# up to this share after the first rest ends, and within the maximum.
-REST_RETURN_SPREAD = 0.2
-MAX_REST_RETRY_SECONDS = 30.0
+# Callers that are refused because all targets are cooling down are told to return at a
+# random time, up to this share after the first cooldown ends and within the maximum.
+COOLDOWN_RETURN_SPREAD = 0.2
+MAX_COOLDOWN_RETRY_SECONDS = 30.0
 # A drain ends this long before the grace period does.
 DRAIN_MARGIN_SECONDS = 0.4
 # A balancer sends new connections to a draining host until it has checked it twice.
@@ -220,13 +220,13 @@
 MAX_REPORTED_HEADERS = 64
 MAX_LOGGED_HEADER_CHARACTERS = 80
 
-REST_BATCH_SECONDS = 0.005
-REST_EXPIRY_INTERVAL_SECONDS = 5.0
-# In a larger fleet a new rest is sent to the hosts of the cell only.
-MAX_REST_RECEIVERS = 16
-MAX_RESTS_PER_MESSAGE = 64
-# A rest that another host reports is a hint, which must not last if it is wrong.
-MAX_REPORTED_REST_SECONDS = 10.0
+COOLDOWN_BATCH_SECONDS = 0.005
+COOLDOWN_EXPIRY_INTERVAL_SECONDS = 5.0
+# In a larger fleet a new cooldown is sent to the hosts of the cell only.
+MAX_COOLDOWN_RECEIVERS = 16
+MAX_COOLDOWNS_PER_MESSAGE = 64
+# A cooldown that another host reports is a hint, which must not last if it is wrong.
+MAX_REPORTED_COOLDOWN_SECONDS = 10.0
 
 LOG_BURST_LINES = 200
 MAX_EVENTS_PER_REQUEST = 24
--- a/libraries/gateway/tarragonward_gateway/headers.py
+++ b/libraries/gateway/tarragonward_gateway/headers.py
@@ -12,7 +12,7 @@
     "build_target_headers",
     "parse_count",
     "parse_rate",
-    "parse_rest_seconds",
+    "parse_cooldown_seconds",
 ]
 
 CONNECTION = b"connection"
@@ -81,7 +81,7 @@
     return rate if 0.0 <= rate <= MAX_RATE_PER_SECOND else None
 
 
-def parse_rest_seconds(text: str) -> float | None:
+def parse_cooldown_seconds(text: str) -> float | None:
     """Return the longest of a Retry-After header's values, None if none is in seconds.
 
     An HTTP date is not accepted: the clocks of targets and hosts may differ.
--- a/libraries/gateway/tarragonward_gateway/operators.py
+++ b/libraries/gateway/tarragonward_gateway/operators.py
@@ -19,7 +19,7 @@
 
 from . import const as c
 from .clock import read_clock
-from .revisions import get_era, get_number
+from .revisions import get_epoch, get_number
 from .state import GatewayState
 from .suspects import SuspectMonitor
 
@@ -129,7 +129,7 @@
     add("targets", "targets registered", lambda: len(state.registry))
     registry = state.registry
     add("targets_revision", "newest revision", lambda: get_number(registry.revision))
-    add("source_era", "restorations of it", lambda: get_era(registry.revision))
+    add("source_epoch", "restorations of it", lambda: get_epoch(registry.revision))
     add(
         "table_version",
         "routing table in force; -1 before the first",
--- a/libraries/gateway/tarragonward_gateway/paged_read.py
+++ b/libraries/gateway/tarragonward_gateway/paged_read.py
@@ -4,7 +4,7 @@
 
 from . import const as c
 from .ports import Page, Record, Records
-from .revisions import get_era
+from .revisions import get_epoch
 
 __all__ = ["PagedRead"]
 
@@ -36,7 +36,7 @@
         """Add the requested page; return all items if it was the last one."""
         if not self._next_after:
             self._revision, self._begun_at = page.revision, asked_at
-        elif get_era(page.revision) != get_era(self._revision):
+        elif get_epoch(page.revision) != get_epoch(self._revision):
             # Pages from before and after a restoration of the source do not match.
             self.clear()
             return None
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -105,7 +105,7 @@
     """Reads published items; raises SourceError if the source does not answer.
 
     Revisions order all changes. Those of a source that came back from a copy are built
-    by combine_revision; a watch from an earlier era raises HistoryLostError.
+    by combine_revision; a watch from an earlier epoch raises HistoryLostError.
 
     inactivity_timeout is for how many seconds the source may send nothing, before its
     answer or within it; an answer that keeps arriving is not cut off.
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -41,14 +41,14 @@
 from .readers import PollingOrder
 from .record_exchange import RecordHandler, async_pull_records, pack_age, unpack_age
 from .record_store import RecordBatch, RecordStore
-from .revisions import format_revision, get_era
+from .revisions import format_revision, get_epoch
 from .state import GatewayState
 
 __all__ = ["PublicationTask"]
 
 TASK_NAME = "publications"
 AGE_CHECK_TASK_NAME = "publications_doubt"
-# Builds without eras don't read this section, and report in another one.
+# Builds without epochs don't read this section, and report in another one.
 SECTION = "records"
 
 
@@ -325,10 +325,12 @@
     def apply(self, batch: RecordBatch, after: int) -> list[Record]:
         """Apply records, in any order; return those that were new."""
         known = self.record_store.complete_revision
-        is_restored = 0 < known and get_era(known) < get_era(batch.complete_revision)
+        is_restored = 0 < known and get_epoch(known) < get_epoch(
+            batch.complete_revision
+        )
         if is_restored:
             self._state.metrics.count("source_restorations")
-            log_event("source_restored", era=get_era(batch.complete_revision))
+            log_event("source_restored", epoch=get_epoch(batch.complete_revision))
         new = self.record_store.apply(batch, after)
         removed = [record for record in new if record.value is None]
         for record in new:
--- a/libraries/gateway/tarragonward_gateway/statements.py
+++ b/libraries/gateway/tarragonward_gateway/statements.py
@@ -7,11 +7,11 @@
 
 from tarragonward_core import log_event
 from tarragonward_membership import RegisteredTarget, hash_name
-from tarragonward_placement import FleetUsageTracker, TargetLimits, TargetRests
+from tarragonward_placement import FleetUsageTracker, TargetCooldowns, TargetLimits
 
 from . import const as c
 from .clock import read_clock
-from .headers import parse_count, parse_rate, parse_rest_seconds
+from .headers import parse_cooldown_seconds, parse_count, parse_rate
 from .heads import is_from_other_boot, is_not_run
 from .state import GatewayState
 
@@ -36,21 +36,21 @@
         state: GatewayState,
         usage: FleetUsageTracker,
         limits: TargetLimits,
-        rests: TargetRests,
+        cooldowns: TargetCooldowns,
         clock: Callable[[], float],
     ) -> None:
         self._state = state
         self._usage = usage
         self._limits = limits
-        self._rests = rests
+        self._cooldowns = cooldowns
         self._clock = clock
         names = state.headers
         self._known = {getattr(names, field.name) for field in fields(names)}
         self._known.update((c.HEADER_RETRY_AFTER, *c.STANDARD_ANSWER_HEADERS))
         self._reported: set[str] = set()
         self.on_limit: list[Callable[[int], None]] = []
-        # Called with the target's id and the end of the rest on read_clock().
-        self.on_rest: list[Callable[[str, float], None]] = []
+        # Called with the target's id and the end of the cooldown on read_clock().
+        self.on_cooldown: list[Callable[[str, float], None]] = []
 
     def record_answer(
         self, target: RegisteredTarget, status: int, headers: Mapping[str, str]
@@ -61,7 +61,7 @@
         # A refusal may omit the limit, or come from another boot at the same address.
         if is_not_run(names, status, headers):
             return
-        self._rests.record_accepted(target.id, read_clock())
+        self._cooldowns.record_accepted(target.id, read_clock())
         if names.limit not in headers:
             self.record_limit(target, None)
 
@@ -80,7 +80,7 @@
         if headers.get(names.leaving, "").strip() == LEAVING:
             self._record_leaving(target)
         if status == STATUS_UNAVAILABLE and c.HEADER_RETRY_AFTER in headers:
-            self._record_rest(target, headers[c.HEADER_RETRY_AFTER])
+            self._record_cooldown(target, headers[c.HEADER_RETRY_AFTER])
 
     def record_limit(self, target: RegisteredTarget, text: str | None) -> None:
         """Record the requests per second that a target's answer allows, if it does."""
@@ -102,18 +102,18 @@
             self._state.metrics.count("targets_stated_leaving")
             log_event("target_leaving", target=target.id, address=target.address)
 
-    def _record_rest(self, target: RegisteredTarget, text: str) -> None:
-        seconds = parse_rest_seconds(text)
+    def _record_cooldown(self, target: RegisteredTarget, text: str) -> None:
+        seconds = parse_cooldown_seconds(text)
         if seconds is None:
-            self._state.metrics.count("target_rests_refused")
-            log_event("target_rest_refused", target=target.id, retry_after=text)
+            self._state.metrics.count("target_cooldowns_refused")
+            log_event("target_cooldown_refused", target=target.id, retry_after=text)
             return
         now = read_clock()
-        if self._rests.begin(target.id, seconds, now):
-            self._state.metrics.count("target_rests")
-            log_event("target_rest", target=target.id, seconds=seconds)
-            for notify in self.on_rest:
-                notify(target.id, now + self._rests.compute_wait(target.id, now))
+        if self._cooldowns.begin(target.id, seconds, now):
+            self._state.metrics.count("target_cooldowns")
+            log_event("target_cooldown", target=target.id, seconds=seconds)
+            for notify in self.on_cooldown:
+                notify(target.id, now + self._cooldowns.compute_wait(target.id, now))
 
     def _report_unread(
         self, target: RegisteredTarget, headers: Mapping[str, str]
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -19,9 +19,9 @@
     InFlightPrompt,
     PrefillPlan,
     PromptRequirements,
+    TargetCooldowns,
     TargetHealthTracker,
     TargetLimits,
-    TargetRests,
     plan_prefill,
     widen_plan,
 )
@@ -134,9 +134,9 @@
         # The request rates to which targets have limited all hosts together.
         self.limits = TargetLimits(state.random)
         self.get_host_view: Callable[[], HostView] = lambda: SINGLE_HOST_VIEW
-        self.rests = TargetRests()
+        self.cooldowns = TargetCooldowns()
         self.statements = TargetStatements(
-            state, self.usage, self.limits, self.rests, clock
+            state, self.usage, self.limits, self.cooldowns, clock
         )
         self.target_health = TargetHealthTracker()
         self.probes = TargetProber(state, self.target_health)
@@ -160,8 +160,8 @@
 
     def accepts_requests(self, target: RegisteredTarget) -> bool:
         """Return whether a target has not asked this host for no more requests."""
-        is_resting = self.rests.is_resting(target.id, read_clock())
-        return self._state.registry.is_usable(target) and not is_resting
+        is_cooling_down = self.cooldowns.is_cooling_down(target.id, read_clock())
+        return self._state.registry.is_usable(target) and not is_cooling_down
 
     def cancel_send(self, target: RegisteredTarget) -> None:
         """Undo the record of a send to a target that was chosen and sent nothing."""
@@ -170,13 +170,13 @@
     def compute_wait(self, service: str) -> float | None:
         """Return the seconds until a target of a service accepts a request.
 
-        None if no target is ready, or one of them neither rests nor has a rate limit.
+        None if no target is ready, or one neither cools down nor has a rate limit.
         """
         now, view = read_clock(), self.get_host_view()
         waits = []
         for target in self._state.registry.get_ready(service):
             number = hash_name(target.id)
-            wait = self.rests.compute_wait(target.id, now)
+            wait = self.cooldowns.compute_wait(target.id, now)
             if self.limits.is_limited(number):
                 limit_wait = self.limits.compute_wait(number, view, now)
                 wait = max(wait, min(limit_wait, MAX_LIMIT_WAIT_SECONDS))
@@ -185,9 +185,9 @@
             waits.append(wait)
         if not waits:
             return None
-        # Callers that return together would meet the same rest or overload again.
-        spread = 1.0 + c.REST_RETURN_SPREAD * self._state.random.random()
-        return min(min(waits) * spread, c.MAX_REST_RETRY_SECONDS)
+        # Callers that return together would meet the same overload again.
+        spread = 1.0 + c.COOLDOWN_RETURN_SPREAD * self._state.random.random()
+        return min(min(waits) * spread, c.MAX_COOLDOWN_RETRY_SECONDS)
 
     def find_alternative(self, requirements: TargetRequirements) -> SendChoice | None:
         """Return a target to which a request that is already at one could move.
@@ -210,10 +210,10 @@
             if requirements.allows(target) and self._has_connection(target)
         ]
         now = read_clock()
-        ready = self.rests.get_awake(self._filter_limited(ready), now)
+        ready = self.cooldowns.get_available(self._filter_limited(ready), now)
         if not ready:
             return None
-        preferred = self.rests.prefer(ready, now, is_retry=bool(requirements.tried))
+        preferred = self.cooldowns.prefer(ready, now, is_retry=bool(requirements.tried))
         healthy = self.target_health.select(preferred, now)
         if requirements.leader:
             # The leader is fixed even if it is ejected; its helpers must be healthy.
--- a/libraries/gateway/tests/test_rest_task.py
+++ b/libraries/gateway/tests/test_cooldown_task.py
@@ -1,4 +1,4 @@
-"""Tests of the exchange of targets' rests between hosts."""
+"""Tests of the exchange of targets' cooldowns between hosts."""
 
 import random
 import time
@@ -8,13 +8,13 @@
 
 from tarragonward_core import Address
 from tarragonward_gateway.clock import read_clock
-from tarragonward_gateway.const import MAX_REPORTED_REST_SECONDS
+from tarragonward_gateway.const import MAX_REPORTED_COOLDOWN_SECONDS
+from tarragonward_gateway.cooldown_gossip import CooldownGossip
+from tarragonward_gateway.cooldown_task import CooldownTask
 from tarragonward_gateway.peers import Peers
-from tarragonward_gateway.rest_gossip import RestGossip
-from tarragonward_gateway.rest_task import RestTask
 from tarragonward_gateway.targets import TargetChooser
 from tarragonward_membership import RegisteredTarget
-from tarragonward_placement import TargetRests
+from tarragonward_placement import TargetCooldowns
 
 TARGETS = [
     RegisteredTarget(name, "s", Address("127.0.0.1", 9), "d", 8, True, 1)
@@ -26,13 +26,15 @@
     def __init__(self, state):
         self.peers = Peers(state)
         self.chooser = TargetChooser(state, time.monotonic)
-        self.task = RestTask(state, self.peers, self.chooser)
+        self.task = CooldownTask(state, self.peers, self.chooser)
 
     @property
     def usable(self):
-        rests, now = self.chooser.rests, read_clock()
-        awake = rests.get_awake(TARGETS, now)
-        return [target.id for target in rests.prefer(awake, now, is_retry=False)]
+        cooldowns, now = self.chooser.cooldowns, read_clock()
+        available = cooldowns.get_available(TARGETS, now)
+        return [
+            target.id for target in cooldowns.prefer(available, now, is_retry=False)
+        ]
 
 
 @pytest.fixture
@@ -47,7 +49,9 @@
         yield made
 
 
-async def test_hosts_avoid_targets_that_asked_another_host_for_a_rest(hosts, wait_for):
+async def test_hosts_avoid_targets_that_asked_another_host_for_a_cooldown(
+    hosts, wait_for
+):
     """Otherwise each host would lose a request to each overloaded target."""
     first, *others = hosts
     first.chooser.statements.record(TARGETS[0], 503, {"retry-after": "5"})
@@ -56,17 +60,20 @@
         assert other.chooser.accepts_requests(TARGETS[0])
 
 
-def test_reported_rest_ends_soon_whatever_a_host_says():
+def test_reported_cooldown_ends_soon_whatever_a_host_says():
     """A hint that is wrong must not leave a target idle for long."""
-    rests = TargetRests()
-    gossip = RestGossip(rests, random.Random(1))
+    cooldowns = TargetCooldowns()
+    gossip = CooldownGossip(cooldowns, random.Random(1))
     gossip.merge([["a", 86_400_000]], 0.0, 100.0)
-    longest = 2 * MAX_REPORTED_REST_SECONDS
-    assert [t.id for t in rests.prefer(TARGETS, 100.0 + longest, False)] == ["a", "b"]
+    longest = 2 * MAX_REPORTED_COOLDOWN_SECONDS
+    assert [t.id for t in cooldowns.prefer(TARGETS, 100.0 + longest, False)] == [
+        "a",
+        "b",
+    ]
 
 
 @pytest.mark.parametrize("data", [[["a"]], [[1, 2]], [["a", "b"]], [["a", True]], 7])
-def test_malformed_rests_are_refused(data):
-    gossip = RestGossip(TargetRests(), random.Random(1))
+def test_malformed_cooldowns_are_refused(data):
+    gossip = CooldownGossip(TargetCooldowns(), random.Random(1))
     with pytest.raises((TypeError, ValueError)):
         gossip.merge(data, 0.0, 100.0)
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -337,12 +337,12 @@
     assert await async_wait_for_table(state, 5) <= APPLY_SECONDS
 
 
-def build_copy(era, number, *records):
-    """Return a snapshot of the source in an era."""
+def build_copy(epoch, number, *records):
+    """Return a snapshot of the source in an epoch."""
     items = tuple(
-        Record(key, combine_revision(era, at), value) for key, at, value in records
+        Record(key, combine_revision(epoch, at), value) for key, at, value in records
     )
-    return RecordBatch(items, combine_revision(era, number), True)
+    return RecordBatch(items, combine_revision(epoch, number), True)
 
 
 async def test_withdrawn_target_that_a_copy_brings_back_gets_no_work(
--- a/libraries/gateway/tests/test_revisions.py
+++ b/libraries/gateway/tests/test_revisions.py
@@ -5,7 +5,7 @@
 from tarragonward_gateway import (
     combine_revision,
     format_revision,
-    get_era,
+    get_epoch,
     get_number,
 )
 
@@ -20,11 +20,11 @@
 
 def test_era_and_number_are_found_again():
     revision = combine_revision(3, 41)
-    assert (get_era(revision), get_number(revision)) == (3, 41)
+    assert (get_epoch(revision), get_number(revision)) == (3, 41)
     assert format_revision(revision) == "3:41"
 
 
-@pytest.mark.parametrize(("era", "number"), [(-1, 1), (1, -1), (1, 1 << 40)])
-def test_values_out_of_range_are_refused(era, number):
+@pytest.mark.parametrize(("epoch", "number"), [(-1, 1), (1, -1), (1, 1 << 40)])
+def test_values_out_of_range_are_refused(epoch, number):
     with pytest.raises(ValueError):
-        combine_revision(era, number)
+        combine_revision(epoch, number)
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -41,15 +41,15 @@
 )
 from .readings import PrefillPlan, plan_prefill
 from .relocation import predict_event_wait, should_migrate
+from .target_cooldowns import TargetCooldowns
 from .target_limits import HostView, LimitEntry, TargetLimits, compute_host_share
-from .target_rests import TargetRests
 from .widening import widen_plan
 
 __all__ = [
     "HostView",
     "LimitEntry",
     "TargetLimits",
-    "TargetRests",
+    "TargetCooldowns",
     "compute_host_share",
     "TargetRestored",
     "TargetEjected",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -170,8 +170,8 @@
 LIMIT_RETENTION_SECONDS = 60.0
 MAX_LIMIT_WAIT_SECONDS = 1.0
 
-# Rests that targets ask for with a refusal.
-MAX_REST_SECONDS = 86_400.0
-MAX_TARGET_RESTS = 4_096
-# How long after its rest a target that has accepted no request since gets no retries.
-REST_TRIAL_SECONDS = 30.0
+# Cooldowns that targets ask for with a refusal.
+MAX_COOLDOWN_SECONDS = 86_400.0
+MAX_TARGET_COOLDOWNS = 4_096
+# A target that has accepted no request since its cooldown gets no retries for so long.
+COOLDOWN_TRIAL_SECONDS = 30.0
--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -15,7 +15,7 @@
 from .platform_statements import (
     HostStarts,
     find_sends_after_leaving,
-    find_sends_during_rest,
+    find_sends_during_cooldown,
 )
 
 __all__ = [
@@ -91,10 +91,10 @@
             attempts, self.arrivals, self.host_starts
         ):
             self._add_violation("DRAIN", request_id)
-        for request_id in find_sends_during_rest(
+        for request_id in find_sends_during_cooldown(
             attempts, self.arrivals, self.host_starts
         ):
-            self._add_violation("BUDGET", f"{request_id} during a rest")
+            self._add_violation("BUDGET", f"{request_id} during a cooldown")
         self.violations += check_reservations(self.reservations, self.now)
         return self.violations
 
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -111,7 +111,7 @@
     # Whether the answer stated that the runner is leaving.
     states_leaving: bool = False
     # For how many seconds the runner asked to get nothing when it refused the request.
-    rest_seconds: float | None = None
+    cooldown_seconds: float | None = None
 
 
 @dataclass
@@ -153,8 +153,8 @@
         self.on_crash: list[Callable[[PlatformRunner], None]] = []
         self._crash_task: asyncio.Task[None] | None = None
         self.limits: list[RateLimitPeriod] = []
-        # While set, all requests are refused, and this many seconds of rest asked for.
-        self.rest_seconds: float | None = None
+        # While set, all requests are refused with this many seconds of Retry-After.
+        self.cooldown_seconds: float | None = None
         self._address = Address(plan.host, 0)
         self._handlers: dict[
             tuple[str, str],
@@ -290,8 +290,8 @@
         if request.headers.get("x-expect-instance", self.id) != self.id:
             return self._refuse(writer, arrival, 421)
         fault = self.faults.draw(self.random)
-        if self.rest_seconds is not None:
-            return self._ask_for_rest(writer, arrival, self.rest_seconds)
+        if self.cooldown_seconds is not None:
+            return self._ask_for_cooldown(writer, arrival, self.cooldown_seconds)
         if fault == "shed" or self.is_full():
             return self._refuse(writer, arrival, OVERLOAD_STATUS)
         try:
@@ -411,10 +411,10 @@
         writer.write(build_head(status, [*headers, ("Content-Length", "0")]))
         return True
 
-    def _ask_for_rest(
+    def _ask_for_cooldown(
         self, writer: asyncio.StreamWriter, arrival: Arrival, seconds: float
     ) -> bool:
-        arrival.rest_seconds = seconds
+        arrival.cooldown_seconds = seconds
         arrival.ended_at = asyncio.get_running_loop().time()
         header = ("Retry-After", f"{seconds:g}")
         return self._refuse(writer, arrival, OVERLOAD_STATUS, (header,))
--- a/libraries/standins/tarragonward_standins/platform_statements.py
+++ b/libraries/standins/tarragonward_standins/platform_statements.py
@@ -10,11 +10,11 @@
 from .platform_clients import Attempt
 from .platform_runner import Arrival
 
-__all__ = ["HostStarts", "find_sends_after_leaving", "find_sends_during_rest"]
+__all__ = ["HostStarts", "find_sends_after_leaving", "find_sends_during_cooldown"]
 
 LEAVING_SECONDS = 2.0
-REST_NOTICE_SECONDS = 0.5
-MAX_SENDS_DURING_REST = 2
+COOLDOWN_NOTICE_SECONDS = 0.5
+MAX_SENDS_DURING_COOLDOWN = 2
 
 # By the address of a host: when its processes were started.
 HostStarts = Mapping[Address, Sequence[float]]
@@ -52,14 +52,14 @@
     ]
 
 
-def find_sends_during_rest(
+def find_sends_during_cooldown(
     attempts: Iterable[Attempt], arrivals: Iterable[Arrival], host_starts: HostStarts
 ) -> list[str]:
-    """Return the requests beyond the allowed ones during rests asked of a host.
+    """Return the requests beyond the allowed ones during cooldowns asked of a host.
 
     A runner that refuses a request may ask its host to send nothing for some seconds.
-    Between REST_NOTICE_SECONDS after that and the end of the rest at most
-    MAX_SENDS_DURING_REST requests may reach it from the host, unless the host was
+    Between COOLDOWN_NOTICE_SECONDS after that and the end of the cooldown at most
+    MAX_SENDS_DURING_COOLDOWN requests may reach it from the host, unless the host was
     started anew since.
     """
     by_pair: dict[tuple[Address, str], list[Arrival]] = defaultdict(list)
@@ -69,14 +69,14 @@
     for (node, _), sent in by_pair.items():
         starts = host_starts.get(node, ())
         for refused in sent:
-            if refused.rest_seconds is None or refused.ended_at is None:
+            if refused.cooldown_seconds is None or refused.ended_at is None:
                 continue
-            begin = refused.ended_at + REST_NOTICE_SECONDS
-            end = refused.ended_at + refused.rest_seconds
+            begin = refused.ended_at + COOLDOWN_NOTICE_SECONDS
+            end = refused.ended_at + refused.cooldown_seconds
             if any(refused.ended_at < at <= end for at in starts):
                 continue
             during = [each for each in sent if begin <= each.at < end]
-            for each in during[MAX_SENDS_DURING_REST:]:
+            for each in during[MAX_SENDS_DURING_COOLDOWN:]:
                 excess[each.request_id] = None
     return list(excess)
 
--- a/libraries/standins/tarragonward_standins/platform_store.py
+++ b/libraries/standins/tarragonward_standins/platform_store.py
@@ -102,7 +102,7 @@
         loses = StoreFault.LOSES_ANSWERS in (store.fault, self.fault)
         if loses and store.random.random() < store.answer_loss_rate:
             await asyncio.Event().wait()
-        _write_json(writer, status, payload, store.era)
+        _write_json(writer, status, payload, store.epoch)
         return True
 
 
@@ -110,10 +110,10 @@
     fault: StoreFault, store: PlatformStore, writer: asyncio.StreamWriter
 ) -> bool:
     if fault is StoreFault.REFUSES:
-        _write_json(writer, 503, {}, store.era)
+        _write_json(writer, 503, {}, store.epoch)
         return False
     if fault is StoreFault.BUSY:
-        _write_json(writer, 429, {}, store.era)
+        _write_json(writer, 429, {}, store.epoch)
         return False
     if fault is StoreFault.RESETS:
         reset_connection(writer)
@@ -126,13 +126,13 @@
 
 
 def _write_json(
-    writer: asyncio.StreamWriter, status: int, payload: Any, era: int
+    writer: asyncio.StreamWriter, status: int, payload: Any, epoch: int
 ) -> None:
     body = orjson.dumps(payload)
     head = [
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(body))),
-        ("Store-Era", str(era)),
+        ("Store-Era", str(epoch)),
     ]
     writer.write(build_head(status, head) + body)
 
@@ -148,7 +148,7 @@
         self.calls = 0.0
         self.revision = FIRST_REVISION
         # Rises each time the store comes back from a copy.
-        self.era = 1
+        self.epoch = 1
         self.on_restored: list[Callable[[], None]] = []
         self._log: list[tuple[float, _Item]] = []
         self._items: dict[str, _Item] = {}
@@ -215,7 +215,7 @@
         self.revision = max(revisions, default=FIRST_REVISION)
         self._history = [i for i in self._history if i.revision <= self.revision]
         self._history_from = min(self._history_from, self.revision)
-        self.era += 1
+        self.epoch += 1
         self._changed.set()
         self._changed = asyncio.Event()
         for notify in self.on_restored:
@@ -276,9 +276,9 @@
         after = int(query.get("after", "0"))
         wait = min(int(query.get("waitMs", "0")), MAX_WAIT_MS) / MILLISECONDS
         loop = asyncio.get_running_loop()
-        give_up_at, era = loop.time() + wait, self.era
+        give_up_at, epoch = loop.time() + wait, self.epoch
         while True:
-            if self.era != era:
+            if self.epoch != epoch:
                 return 503, {}
             if after < self._history_from or after > self.revision:
                 return 410, {}
--- a/libraries/standins/tests/test_platform_checker.py
+++ b/libraries/standins/tests/test_platform_checker.py
@@ -241,10 +241,10 @@
     assert checker.check() == []
 
 
-def build_rest_day(count):
-    """Return a refusal that asks for 3 s of rest, and sends in its second second."""
+def build_cooldown_day(count):
+    """Return a refusal with Retry-After 3, and sends in the second second of it."""
     request, attempt, refused = build_day()
-    refused.status, refused.has_run, refused.rest_seconds = 503, False, 3.0
+    refused.status, refused.has_run, refused.cooldown_seconds = 503, False, 3.0
     arrivals = [refused]
     request.attempts.clear()
     for number in range(count):
@@ -257,7 +257,7 @@
                 refused,
                 request_id=f"q{number}",
                 at=sent_at,
-                rest_seconds=None,
+                cooldown_seconds=None,
                 status=200,
                 has_run=True,
             )
@@ -267,21 +267,21 @@
     return request, arrivals
 
 
-def test_sends_during_a_rest_beyond_two_are_a_violation():
-    request, arrivals = build_rest_day(3)
+def test_sends_during_a_cooldown_beyond_two_are_a_violation():
+    request, arrivals = build_cooldown_day(3)
     assert check(request, arrivals) == {"BUDGET"}
-    request, arrivals = build_rest_day(2)
+    request, arrivals = build_cooldown_day(2)
     assert check(request, arrivals) == set()
-    request, arrivals = build_rest_day(3)
-    arrivals[0].rest_seconds = 0.9
+    request, arrivals = build_cooldown_day(3)
+    arrivals[0].cooldown_seconds = 0.9
     assert check(request, arrivals) == set()
 
 
-def test_rest_binds_only_the_host_that_was_asked():
-    request, arrivals = build_rest_day(3)
+def test_cooldown_binds_only_the_host_that_was_asked():
+    request, arrivals = build_cooldown_day(3)
     for attempt in request.attempts[:-1]:
         attempt.node = Address("127.0.0.1", 2)
     assert check(request, arrivals) == set()
-    request, arrivals = build_rest_day(3)
+    request, arrivals = build_cooldown_day(3)
     starts = {HOST: [11.0]}
     assert Checker([request], arrivals, [VERSION], host_starts=starts).check() == []
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -149,18 +149,18 @@
     assert report.score["whole"] == report.score["sent"], format_failure(site, report)
 
 
-async def test_runners_that_ask_for_a_rest_get_it(make_site):
-    """Some runners refuse all requests for 3 s and ask for 2 s of rest each time."""
+async def test_runners_that_ask_for_a_cooldown_get_it(make_site):
+    """Some runners refuse all requests for 3 s, each time with Retry-After 2."""
     site = await make_site(PlatformPlan(models_per_zone=2))
     day = PlatformDay(site, DayPlan(seconds=7.0, calls_per_second=40, seed=10))
     day_task = asyncio.ensure_future(day.async_play())
     await asyncio.sleep(1.0)
-    resting = [site.plain[0], *site.models[:2]]
-    for runner in resting:
-        runner.rest_seconds = 2.0
+    cooling = [site.plain[0], *site.models[:2]]
+    for runner in cooling:
+        runner.cooldown_seconds = 2.0
     await asyncio.sleep(3.0)
-    for runner in resting:
-        runner.rest_seconds = None
+    for runner in cooling:
+        runner.cooldown_seconds = None
     report = await day_task
     assert not report.violations, format_failure(site, report)
     assert report.score["whole"] == report.score["sent"], format_failure(site, report)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -39,8 +39,8 @@
 
         async def async_answer(request, responder):
             requests.append((request.path, request.query))
-            status, payload, *era = remaining.pop(0)
-            headers = {"store-era": era[0]} if era else None
+            status, payload, *epoch = remaining.pop(0)
+            headers = {"store-era": epoch[0]} if epoch else None
             await responder.async_send_json(status, payload, headers)
 
         server = HttpServer(Address("127.0.0.1", 0), async_answer)
@@ -254,10 +254,12 @@
         await reader.async_watch(combine_revision(3, 30), 0.1, 1.0)
 
 
-@pytest.mark.parametrize("era", ["", "x", "-1", "1.5", "9" * 30])
-async def test_an_answer_without_a_valid_era_counts_as_of_the_latest(make_reader, era):
+@pytest.mark.parametrize("epoch", ["", "x", "-1", "1.5", "9" * 30])
+async def test_an_answer_without_a_valid_era_counts_as_of_the_latest(
+    make_reader, epoch
+):
     """One malformed header must not make a host discard all that it knows."""
     page = {"items": [build_item("a", 30)], "asOf": 30}
-    reader, _ = await make_reader((200, page, "2"), (200, page, era))
+    reader, _ = await make_reader((200, page, "2"), (200, page, epoch))
     pages = [await reader.async_read_page("", 1.0) for _ in range(2)]
     assert pages[0].revision == pages[1].revision == combine_revision(2, 30)
