--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -84,9 +84,9 @@
         self.headers = {}
         for raw_name, raw_value in event.headers:
             name, value = raw_name.decode("ascii"), raw_value.decode("latin-1")
-            # Fields of one name are combined as in RFC 9110, section 5.3.
-            known = self.headers.get(name)
-            self.headers[name] = value if known is None else f"{known}, {value}"
+            # Different values of one name are combined as in RFC 9110, section 5.3.
+            known = self.headers.get(name, value)
+            self.headers[name] = value if known == value else f"{known}, {value}"
         self.raw_headers = tuple(event.headers.raw_items())
 
     async def async_iterate_chunks(self) -> AsyncIterator[bytes]:
--- a/libraries/wire/tests/test_http_client.py
+++ b/libraries/wire/tests/test_http_client.py
@@ -53,6 +53,21 @@
     server.close()
 
 
+async def test_values_of_one_header_are_combined_unless_they_repeat():
+    """The last of two values alone might ask for less than the first."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        lines = b"Retry-After: 9\r\nRetry-After: 3\r\nX-A: b\r\nX-A: b\r\n"
+        writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n" + lines + b"\r\n")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    answer = await async_send_http(address, "GET", "/", timeout=2.0)
+    assert (answer.headers["retry-after"], answer.headers["x-a"]) == ("9, 3", "b")
+    server.close()
+
+
 async def test_a_timeout_error_names_the_bytes_received():
     """An answer arrives in part before the timeout.
 
