--- a/libraries/wire/tarragonward_wire/answer_limit.py
+++ b/libraries/wire/tarragonward_wire/answer_limit.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from .const import MAX_TRANSFER_SECONDS
+from .pause_timeout import PauseTimeout
 
 __all__ = ["AnswerDeadline"]
 
@@ -30,7 +31,7 @@
         self._min_deadline = self._started_at + timeout
         self._inactivity_timeout = inactivity_timeout
         self._head_at: float | None = None
-        self.timer = asyncio.timeout_at(self._min_deadline)
+        self.timer = PauseTimeout(self._min_deadline)
 
     @property
     def waited_seconds(self) -> float:
--- a/libraries/wire/tests/test_answer_limit.py
+++ b/libraries/wire/tests/test_answer_limit.py
@@ -1,6 +1,9 @@
 """Tests for the deadline of an answer that is being received."""
 
 import asyncio
+import socket
+import threading
+import time
 
 import pytest
 
@@ -8,6 +11,19 @@
 from tarragonward_wire.answer_limit import AnswerDeadline
 
 
+def _make_connected_socket():
+    """Return a socket whose peer echoes what it receives, on a thread."""
+    near, far = socket.socketpair()
+
+    def echo():
+        with far:
+            while data := far.recv(64):
+                far.sendall(data)
+
+    threading.Thread(target=echo, daemon=True).start()
+    return near
+
+
 async def async_wait(deadline, pieces, pause):
     """Record the arrival of pieces of an answer, each after a pause."""
     async with deadline.timer:
@@ -57,3 +73,25 @@
             loop.call_soon(deadline.record_progress)
             await asyncio.sleep(1.0)
     assert errors == []
+
+
+async def test_answer_that_waits_in_the_socket_is_read_after_a_pause():
+    """A process that wakes after its deadline must not drop an answer it has got."""
+    reader, writer = await asyncio.open_connection(sock=_make_connected_socket())
+    deadline = AnswerDeadline(0.1, inactivity_timeout=None)
+    async with deadline.timer:
+        writer.write(b"answer")
+        await writer.drain()
+        time.sleep(0.2)
+        answer = await reader.readexactly(6)
+    writer.close()
+    assert answer == b"answer"
+
+
+async def test_wait_ends_after_a_pause_without_an_answer():
+    deadline = AnswerDeadline(0.1, inactivity_timeout=None)
+    with pytest.raises(TimeoutError):
+        async with deadline.timer:
+            time.sleep(0.2)
+            await asyncio.sleep(1.0)
+    assert deadline.waited_seconds < 0.4
