--- a/libraries/daemon/tarragonward_daemon/calls.py
+++ b/libraries/daemon/tarragonward_daemon/calls.py
@@ -198,16 +198,34 @@
         return _reply_unknown()
 
     async def _async_request_owner(self, call: ServiceCall, key: CallKey) -> Reply:
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
         deadline = call.deadline - c.FORWARD_MARGIN_SECONDS
-        remaining = deadline - asyncio.get_running_loop().time()
+        remaining = deadline - sent_at
         if remaining <= 0:
             return _reply_unknown()
-        answer = await self._links.async_request_with_clock(
-            key.owner.address,
-            lambda offset: _build_forward(call, key, deadline + offset),
-            remaining,
-            key.owner.incarnation,
-        )
+        receipt = _Receipt()
+        try:
+            answer = await self._links.async_request_with_clock(
+                key.owner.address,
+                lambda offset: _build_forward(call, key, deadline + offset),
+                remaining,
+                key.owner.incarnation,
+                on_receipt=receipt.confirm,
+            )
+        except ConnectionLostError:
+            is_in_progress = loop.time() >= deadline and receipt.is_recent
+            log_event(
+                "owner_gave_no_answer",
+                key=key.text,
+                owner=key.owner,
+                limit=remaining,
+                seconds=loop.time() - sent_at,
+                confirmed_age=receipt.age,
+            )
+            if is_in_progress:
+                return _reply_in_progress()
+            raise
         return _read_answer(answer)
 
     def get_targets(self, service: str) -> list[Target]:
@@ -226,6 +244,30 @@
         self._owned.close()
 
 
+class _Receipt:
+    """When the owner of a key last confirmed that a call is in progress there."""
+
+    def __init__(self) -> None:
+        self._clock = asyncio.get_running_loop().time
+        self._confirmed_at: float | None = None
+
+    def confirm(self) -> None:
+        """Record that the owner has just confirmed it."""
+        self._confirmed_at = self._clock()
+
+    @property
+    def age(self) -> float | None:
+        """Return the seconds since the last confirmation, None if there was none."""
+        if self._confirmed_at is None:
+            return None
+        return self._clock() - self._confirmed_at
+
+    @property
+    def is_recent(self) -> bool:
+        """Return whether the owner confirmed it within MAX_RECEIPT_AGE_SECONDS."""
+        return self.age is not None and self.age <= c.MAX_RECEIPT_AGE_SECONDS
+
+
 def translate_refusal(err: RequestRefusedError, has_key: bool) -> RequestRefusedError:
     """Return the refusal to send for a copy of a call that was not read.
 
@@ -246,6 +288,10 @@
     return Reply(ResultCode.OUTCOME_UNKNOWN, retry_after_seconds=c.RETRY_AFTER_SECONDS)
 
 
+def _reply_in_progress() -> Reply:
+    return Reply(ResultCode.IN_PROGRESS, retry_after_seconds=c.RETRY_AFTER_SECONDS)
+
+
 def _build_forward(call: ServiceCall, key: CallKey, deadline: float) -> ForwardCall:
     return ForwardCall(
         key.text,
--- a/libraries/wire/tarragonward_wire/links.py
+++ b/libraries/wire/tarragonward_wire/links.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -93,17 +93,37 @@
         finally:
             self._deadlines.discard(deadline)
 
-    async def async_request(self, body: bytes) -> Any:
+    async def async_request(
+        self, body: bytes, on_receipt: Callable[[], None] | None = None
+    ) -> Any:
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._pending[number] = future
+        confirming = None
         try:
             await self._async_send(number, body)
             if not self.is_open:
                 raise ConnectionLostError("the link to the peer was closed")
+            if on_receipt is not None:
+                confirming = asyncio.create_task(self._async_confirm(on_receipt))
             return await future
         finally:
             self._pending.pop(number, None)
+            if confirming is not None:
+                confirming.cancel()
+
+    async def _async_confirm(self, on_receipt: Callable[[], None]) -> None:
+        """Notify whenever the peer proves that it has the messages sent so far.
+
+        A peer reads a link in order and starts each handler before it reads on. An
+        answer to a probe therefore shows that it handles the messages before the probe,
+        and that those it has not answered were in progress when it answered this one.
+        """
+        with suppress(ConnectionLostError, OSError, FrameError):
+            while True:
+                await self.async_request(encode_message(ClockProbe()))
+                on_receipt()
+                await asyncio.sleep(c.RECEIPT_PROBE_INTERVAL_SECONDS)
 
     async def async_notify(self, body: bytes) -> None:
         await self._async_send(0, body)
@@ -204,11 +224,15 @@
         timeout: float,
         incarnation: int | None = None,
         inactivity_timeout: float | None = None,
+        on_receipt: Callable[[], None] | None = None,
     ) -> Any:
         """Like async_request, but build creates the message from the clock offset.
 
         The peer's monotonic clock is at least this host's plus the offset, in seconds,
         so a deadline converted to the peer's clock is never later than the original.
+
+        on_receipt is called each time that the peer has confirmed that it handles the
+        message, until the answer or the end of the timeout.
         """
         link = None
         deadline = AnswerDeadline(timeout, inactivity_timeout)
@@ -217,7 +241,8 @@
                 link = await self._async_get_link(address, incarnation)
                 offset = link.compute_clock_offset()
                 with link.extend_on_progress(deadline):
-                    answer = await link.async_request(encode_message(build(offset)))
+                    body = encode_message(build(offset))
+                    answer = await link.async_request(body, on_receipt)
         except (OSError, TimeoutError, FrameError) as err:
             if link is not None:
                 link.close_if_inactive()
--- a/libraries/wire/tests/test_peers.py
+++ b/libraries/wire/tests/test_peers.py
@@ -36,6 +36,12 @@
     text: str
 
 
+@register_message
+@dataclass(frozen=True)
+class Wait:
+    seconds: float
+
+
 @pytest.fixture
 async def server():
     """Yield the address of a server, its metrics and the messages it handled."""
@@ -43,6 +49,8 @@
 
     async def async_handle(peer, message):
         handled.append(message)
+        if isinstance(message, Wait):
+            await asyncio.sleep(message.seconds)
         return message
 
     identity = HostIdentity(Address("127.0.0.1", 0), 7)
@@ -334,3 +342,36 @@
     links, address = replaced_host
     monkeypatch.setattr(c, "CLOCK_MAX_AGE_SECONDS", 0.0)
     assert await links.async_request(address, Echo("a"), 5) == Echo("a")
+
+
+async def test_a_peer_that_pauses_has_confirmed_what_it_received(server):
+    """A request without an answer may have arrived; the sender must know if it has."""
+    address, _, _ = server
+    links = PeerLinks(CLIENT, KEY)
+    confirmed = []
+    with pytest.raises(ConnectionLostError):
+        await links.async_request_with_clock(
+            address, lambda _: Wait(5.0), 0.3, on_receipt=lambda: confirmed.append(1)
+        )
+    assert len(confirmed) == 1
+    await links.async_unload()
+
+
+async def test_a_peer_out_of_reach_confirms_nothing(server):
+    address, _, handled = server
+    proxy = FaultProxy(Address("127.0.0.1", 0), address)
+    await proxy.async_setup()
+    links = PeerLinks(CLIENT, KEY)
+    await links.async_request(proxy.address, Echo("first"), 1.0)
+    proxy.faults.blackhole_to_caller = True
+    confirmed = []
+    with pytest.raises(ConnectionLostError):
+        await links.async_request_with_clock(
+            proxy.address,
+            lambda _: Echo("second"),
+            0.3,
+            on_receipt=lambda: confirmed.append(1),
+        )
+    assert (confirmed, len(handled)) == ([], 2)
+    await links.async_unload()
+    await proxy.async_unload()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -212,6 +212,22 @@
     assert (long.code, long.body) == (OK, (await first).body)
 
 
+async def test_a_repeat_in_flight_is_told_so_though_its_owner_pauses(make_site):
+    """The owner answers late: what it has confirmed before must not be withheld."""
+    site = await make_site(make_plan(service_delay_seconds=2.5))
+    client = await KeyedClient.async_make(site)
+    first = asyncio.create_task(client.async_call(NORTH))
+    await client.async_wait_for_run()
+    repeat = asyncio.create_task(client.async_call(SOUTH, limit=1.0))
+    await asyncio.sleep(0.4)
+    site.send_signal(NORTH, signal.SIGSTOP)
+    short = await repeat
+    site.send_signal(NORTH, signal.SIGCONT)
+    assert short.code == ResultCode.IN_PROGRESS.number
+    long = await client.async_call(SOUTH)
+    assert (long.code, long.body) == (OK, (await first).body)
+
+
 async def async_get_health(site, name):
     """Return the status of a host's health check, as the load balancer reads it."""
     operators = site.hosts[name].operators
