--- a/libraries/gateway/tarragonward_gateway/observer.py
+++ b/libraries/gateway/tarragonward_gateway/observer.py
@@ -113,9 +113,16 @@
         self._status = status
 
     def record_decision(
-        self, event: ExchangeEvent, effect: ExchangeEffect | None, now: float
+        self,
+        event: ExchangeEvent,
+        effect: ExchangeEffect | None,
+        now: float,
+        has_budget: bool,
     ) -> None:
-        """Record the effect that an event of the exchange had."""
+        """Record the effect that an event of the exchange had.
+
+        has_budget: whether the retry budget allowed one more send.
+        """
         if isinstance(event, SendFailed):
             self._faults.append(event.fault.value)
         if isinstance(event, EventsGiven):
@@ -133,8 +140,12 @@
             self._record(name, reason=reason, after_event=effect.last_event_id)
         elif effect is not None:
             self._outcome = _describe_outcome(effect)
+            is_failed_send = isinstance(event, SendFailed)
             self._record(
-                "end_decided", outcome=self._outcome, reason=_describe_event(event)
+                "end_decided",
+                outcome=self._outcome,
+                reason=_describe_event(event),
+                has_budget=has_budget if is_failed_send else None,
             )
 
     def finish(self, error: BaseException | None = None) -> None:
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -166,7 +166,7 @@
             )
         if is_attempt_end:
             self._mover.is_moving = False
-        self._observer.record_decision(event, effect, now)
+        self._observer.record_decision(event, effect, now, can_retry)
         return effect
 
     async def _async_end(self, effect: ExchangeEffect | None) -> None:
