--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -174,6 +174,14 @@
 MAX_RESERVATION_ATTEMPTS = 4
 RESERVATION_RETRY_SECONDS = 0.04
 
+# A short prompt whose engines are all full is held for this share of the time that is
+# left to it, unless the places become free too slowly for that.
+PLACE_HOLD_SHARE = 0.5
+PLACE_CHECK_INTERVAL_SECONDS = 0.1
+MAX_HELD_REQUESTS = 256
+MIN_RELEASE_TIMES = 4
+MAX_RELEASE_TIMES = 16
+
 MAX_FRESH_TABLE_AGE_SECONDS = 4.0
 
 PEER_FORMAT = 1
--- a/libraries/gateway/tarragonward_gateway/headers.py
+++ b/libraries/gateway/tarragonward_gateway/headers.py
@@ -11,12 +11,15 @@
     "build_answer_headers",
     "build_target_headers",
     "parse_count",
+    "parse_load",
     "parse_rate",
     "parse_cooldown_seconds",
 ]
 
 CONNECTION = b"connection"
 CONTENT_LENGTH = b"content-length"
+LOAD_SEPARATOR = ","
+LOAD_FIELDS = 3
 MAX_DIGITS = 18
 MAX_RATE_PER_SECOND = 1e9
 SECONDS = re.compile(r"[0-9]{1,20}(\.[0-9]{1,20})?([eE][+-]?[0-9]{1,3})?")
@@ -72,6 +75,14 @@
     return int(text) if is_count else None
 
 
+def parse_load(text: str) -> tuple[int, int] | None:
+    """Return a target's running and waiting requests, None if the text is malformed."""
+    counts = [parse_count(part) for part in text.split(LOAD_SEPARATOR)]
+    if len(counts) != LOAD_FIELDS or counts[0] is None or counts[1] is None:
+        return None
+    return counts[0], counts[1]
+
+
 def parse_rate(text: str | None) -> float | None:
     """Return a header's value as a rate per second, None if it is not one."""
     try:
--- a/libraries/gateway/tarragonward_gateway/heads.py
+++ b/libraries/gateway/tarragonward_gateway/heads.py
@@ -8,11 +8,13 @@
 from tarragonward_membership import RegisteredTarget
 from tarragonward_wire import HttpStream
 
+from .headers import parse_load
 from .ports import HeaderNames
 
 __all__ = [
     "AnswerHeadCheck",
     "SpoiledAnswerError",
+    "has_waiting_requests",
     "is_from_other_boot",
     "is_not_run",
 ]
@@ -45,6 +47,12 @@
     return status == STATUS_MISDIRECTED or (is_failure and names.not_run in headers)
 
 
+def has_waiting_requests(names: HeaderNames, headers: Mapping[str, str]) -> bool:
+    """Return whether requests wait at a target, or its answer does not tell."""
+    load = parse_load(headers.get(names.load, ""))
+    return load is None or load[1] > 0
+
+
 class SpoiledAnswerError(ConnectionLostError):
     """Report an answer that is incomplete or does not belong to this request."""
 
--- a/libraries/gateway/tarragonward_gateway/placing.py
+++ b/libraries/gateway/tarragonward_gateway/placing.py
@@ -48,6 +48,8 @@
         self.tried: set[str] = set()
         self.abandoned = ""
         self.is_suspect = False
+        # For how long the request has been held while its targets were full.
+        self.held_seconds = 0.0
 
     def record_chosen(self, target: RegisteredTarget) -> None:
         """Record the target that the request is sent to."""
@@ -60,6 +62,8 @@
         to_previous_target: resend to the target that the stream came from, or else to
         the last one.
         """
+        if not to_previous_target and not await self._async_wait_for_place():
+            return None
         leader = (self._exchange.is_streaming and self.abandoned) or self._leader
         placement = await self._async_place(leader if to_previous_target else "")
         if placement is None and to_previous_target:
@@ -70,6 +74,28 @@
             placement = await self._async_place_at_abandoned()
         return placement
 
+    async def _async_wait_for_place(self) -> bool:
+        """Hold the request while its targets are full; return whether to place it.
+
+        A caller that is refused comes back, meets the same full targets, and has then
+        used up its attempts, although a place becomes free within its time limit.
+        """
+        if not self._chooser.must_wait(self.build_requirements()):
+            return True
+        queue = self._chooser.get_place_queue(self._context.service)
+        begun_at = self._loop.time()
+        seconds = (self._context.deadline - begun_at) * c.PLACE_HOLD_SHARE
+        is_hopeless = queue.predict_wait(begun_at) > seconds
+        if is_hopeless or len(queue) >= c.MAX_HELD_REQUESTS or self._state.is_draining:
+            return False
+        self._state.metrics.count("requests_held")
+        is_free = await queue.async_wait(self._has_place, begun_at + seconds)
+        self.held_seconds += self._loop.time() - begun_at
+        return is_free
+
+    def _has_place(self) -> bool:
+        return self._chooser.find(self.build_requirements()) is not None
+
     async def _async_place_at_abandoned(self) -> PlacedSend | None:
         """Return the abandoned target, if the request may be sent again.
 
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -40,7 +40,12 @@
 from .answers import async_send_refusal
 from .context import ForwardContext
 from .headers import build_answer_headers, build_target_headers, parse_count
-from .heads import AnswerHeadCheck, SpoiledAnswerError, is_from_other_boot
+from .heads import (
+    AnswerHeadCheck,
+    SpoiledAnswerError,
+    has_waiting_requests,
+    is_from_other_boot,
+)
 from .idle_timeout import IdleTimeout
 from .moving import RequestMover
 from .observer import RequestObserver
@@ -61,6 +66,7 @@
 MILLISECONDS_PER_SECOND = 1_000
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
+STATUS_UNAVAILABLE = 503
 BODILESS_STATUSES = (204, 304)
 METHOD_HEAD = "HEAD"
 CONTENT_TYPE = "content-type"
@@ -199,15 +205,23 @@
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
         placed = await self._placer.async_place(effect.to_previous_target)
         if placed is None:
-            self._observer.record_choice(None, tried=len(self._placer.tried))
+            self._observer.record_choice(
+                None,
+                tried=len(self._placer.tried),
+                held=self._placer.held_seconds or None,
+            )
             self._refund_retry()
-            wait = self._chooser.compute_wait(self._context.service)
+            wait = self._compute_wait()
             return self._handle_event(SendFailed(SendFault.NO_TARGET, wait))
         choice, lease = placed
         target = choice.target
         prefill_engines = len(choice.helpers) + 1 if choice.plan is not None else 0
         self._observer.record_choice(
-            target, choice.predicted_at, prefill_engines, tried=len(self._placer.tried)
+            target,
+            choice.predicted_at,
+            prefill_engines,
+            tried=len(self._placer.tried),
+            held=self._placer.held_seconds or None,
         )
         self._placer.record_chosen(target)
         try:
@@ -250,6 +264,25 @@
         if is_lost and not is_link_timeout(err):
             await self._suspects.async_record_lost(self._identity, target)
 
+    def _compute_wait(self) -> float | None:
+        """Return when the caller should come back, None if that is not known."""
+        service = self._context.service
+        return self._chooser.compute_wait(service) or self._chooser.compute_place_wait(
+            service
+        )
+
+    def _is_full(self, refusal: HttpStream) -> bool:
+        """Return whether a target refused a short prompt for want of a free place."""
+        names = self._state.headers
+        if not self._chooser.may_hold(self._placer.build_requirements()):
+            return False
+        if refusal.status != STATUS_UNAVAILABLE or names.failed_target in (
+            refusal.headers
+        ):
+            return False
+        is_cooldown = c.HEADER_RETRY_AFTER in refusal.headers
+        return not is_cooldown and has_waiting_requests(names, refusal.headers)
+
     def _refund_retry(self) -> None:
         """Return a retry that was never sent to the retry budget."""
         if self._retry_counted_at is not None:
@@ -388,7 +421,10 @@
                 at_target=failed_address,
                 retry_after=stream.headers.get(c.HEADER_RETRY_AFTER),
             )
-            wait = self._chooser.compute_wait(self._context.service)
+            if self._is_full(stream):
+                self._chooser.record_full(choice)
+                self._placer.tried.discard(choice.target.id)
+            wait = self._compute_wait()
             return SendFailed(SendFault.NOT_RUN, wait, is_helper_fault)
         self._head_check.check(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
--- a/libraries/gateway/tarragonward_gateway/statements.py
+++ b/libraries/gateway/tarragonward_gateway/statements.py
@@ -11,14 +11,12 @@
 
 from . import const as c
 from .clock import read_clock
-from .headers import parse_cooldown_seconds, parse_count, parse_rate
+from .headers import parse_cooldown_seconds, parse_load, parse_rate
 from .heads import is_from_other_boot, is_not_run
 from .state import GatewayState
 
 __all__ = ["TargetStatements"]
 
-LOAD_SEPARATOR = ","
-LOAD_FIELDS = 3
 LEAVING = "1"
 STATUS_UNAVAILABLE = 503
 
@@ -91,11 +89,9 @@
                 notify(number)
 
     def _record_load(self, target: RegisteredTarget, text: str) -> None:
-        counts = [parse_count(part) for part in text.split(LOAD_SEPARATOR)]
-        if len(counts) != LOAD_FIELDS or counts[0] is None or counts[1] is None:
-            return
-        running_and_waiting = counts[0] + counts[1]
-        self._usage.record_request_count(target.id, running_and_waiting, self._clock())
+        load = parse_load(text)
+        if load is not None:
+            self._usage.record_request_count(target.id, sum(load), self._clock())
 
     def _record_leaving(self, target: RegisteredTarget) -> None:
         if self._state.registry.mark_leaving(target):
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -13,6 +13,7 @@
 from tarragonward_membership import RegisteredTarget, hash_name
 from tarragonward_placement import (
     Cell,
+    ConcurrencyLimits,
     EngineUsage,
     FleetUsageTracker,
     HostView,
@@ -25,11 +26,15 @@
     plan_prefill,
     widen_plan,
 )
-from tarragonward_placement.const import MAX_LIMIT_WAIT_SECONDS
+from tarragonward_placement.const import (
+    MAX_LIMIT_WAIT_SECONDS,
+    MIN_PARALLEL_PREFILL_SECONDS,
+)
 from tarragonward_routes import Route, Service
 
 from . import const as c
 from .clock import read_clock
+from .place_queue import PlaceQueue
 from .probes import TargetProber
 from .state import GatewayState
 from .statements import TargetStatements
@@ -73,6 +78,8 @@
     work: InFlightPrompt | None = None
     ticket: str = ""
     has_events: bool = False
+    # Whether the target refused the request, which then took no place there.
+    is_refused: bool = False
     waiting_since: float | None = None
 
     def record_first_event(self, now: float) -> None:
@@ -135,6 +142,8 @@
         self.limits = TargetLimits(state.random)
         self.get_host_view: Callable[[], HostView] = lambda: SINGLE_HOST_VIEW
         self.cooldowns = TargetCooldowns()
+        self.concurrency = ConcurrencyLimits()
+        self._place_queues: dict[str, PlaceQueue] = {}
         self.statements = TargetStatements(
             state, self.usage, self.limits, self.cooldowns, clock
         )
@@ -226,6 +235,10 @@
             healthy = self._choose_for_isolation(healthy)
         elif self._isolated and not requirements.leader:
             healthy = [t for t in healthy if t.id not in self._isolated] or healthy
+        if self._waits_for_place(requirements):
+            healthy = self._filter_full(healthy)
+            if not healthy:
+                return None
         choice = self._choose_among(healthy, requirements)
         if choice is None and len(healthy) < len(ready) and not requirements.leader:
             # A long prompt may need more engines than the healthy ones.
@@ -251,6 +264,59 @@
         may_send = self.limits.may_send
         return [t for t in ready if may_send(hash_name(t.id), view, now)]
 
+    def may_hold(self, requirements: TargetRequirements) -> bool:
+        """Return whether a request is held rather than sent to a full target.
+
+        A long prompt is not: it needs memory on several engines at once.
+        """
+        table = self._state.table
+        service = table.services.get(requirements.service) if table else None
+        if requirements.tokens is None or service is None or service.engine is None:
+            return False
+        prefill_seconds = service.engine.compute_prefill_seconds(requirements.tokens[0])
+        return (
+            not requirements.leader and prefill_seconds < MIN_PARALLEL_PREFILL_SECONDS
+        )
+
+    def _waits_for_place(self, requirements: TargetRequirements) -> bool:
+        return len(self.concurrency) > 0 and self.may_hold(requirements)
+
+    def _filter_full(
+        self, targets: Sequence[RegisteredTarget]
+    ) -> list[RegisteredTarget]:
+        """Return the targets that may get one more request of this host."""
+        now, may_send = self._clock(), self.concurrency.may_send
+        return [t for t in targets if may_send(t.id, self._in_flight[t.id], now)]
+
+    def record_full(self, choice: SendChoice) -> None:
+        """Record that a full target refused a request that is still in flight."""
+        choice.is_refused = True
+        target = choice.target.id
+        others = self._in_flight[target] - 1
+        self.concurrency.record_refused(target, others, self._clock())
+        self.get_place_queue(choice.target.service)
+
+    def compute_place_wait(self, service: str) -> float | None:
+        """Return the predicted seconds until a place is free, None if not known."""
+        queue = self._place_queues.get(service)
+        if queue is None or not len(self.concurrency):
+            return None
+        wait = queue.predict_wait(self._clock())
+        spread = 1.0 + c.COOLDOWN_RETURN_SPREAD * self._state.random.random()
+        return min(wait * spread, c.MAX_COOLDOWN_RETRY_SECONDS) or None
+
+    def get_place_queue(self, service: str) -> PlaceQueue:
+        """Return the queue of the requests to a service that wait for a place."""
+        return self._place_queues.setdefault(service, PlaceQueue())
+
+    def must_wait(self, requirements: TargetRequirements) -> bool:
+        """Return whether a request waits for a place, as none is free for it now."""
+        if not self._waits_for_place(requirements):
+            return False
+        if len(self.get_place_queue(requirements.service)):
+            return True
+        return self.find(requirements) is None
+
     def _choose_for_isolation(
         self, ready: Sequence[RegisteredTarget]
     ) -> Sequence[RegisteredTarget]:
@@ -299,9 +365,18 @@
             if choice.work is not None:
                 self.usage.end(choice.work)
             self._in_flight[target.id] -= 1
+            if not choice.is_refused:
+                self._release_place(target)
             if not self._in_flight[target.id]:
                 del self._in_flight[target.id]
 
+    def _release_place(self, target: RegisteredTarget) -> None:
+        if len(self.concurrency):
+            self.concurrency.record_ended(target.id)
+        queue = self._place_queues.get(target.service)
+        if queue is not None:
+            queue.record_release(self._clock())
+
     @contextmanager
     def watch_prefills(
         self, choice: SendChoice, on_prefill: Callable[[EngineUsage], None]
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -2,6 +2,7 @@
 
 from .affinity import CacheUpdate, PrefixIndex, hash_blocks
 from .cells import Cell, LocatedMember, choose_cell, partition_hosts
+from .concurrency import ConcurrencyLimits
 from .const import (
     BLOCK_TOKENS,
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
@@ -46,6 +47,7 @@
 from .widening import widen_plan
 
 __all__ = [
+    "ConcurrencyLimits",
     "HostView",
     "LimitEntry",
     "TargetLimits",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -120,6 +120,10 @@
 # reservations of one prompt.
 RESERVABLE_MEMORY_SHARE = 0.9
 MAX_RESERVATIONS = 8
+# After a refusal by a full target that has no other request of the host.
+FULL_TARGET_RETRY_SECONDS = 0.2
+# A limit on the requests at a full target that keeps none back is then forgotten.
+UNUSED_LIMIT_SECONDS = 1.0
 # How long an engine that refused a reservation counts as full, and by how many tokens.
 FULL_ENGINE_SECONDS = 0.5
 FULL_ENGINE_TOKENS = 1 << 40
