--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -92,6 +92,8 @@
 MAX_NEXT_PEER_DELAY_SECONDS = 0.1
 MAX_AHEAD_PEERS = 16
 MAX_PULLS = 2
+# A pull of which nothing has arrived for this long counts as stalled.
+PULL_STALL_SECONDS = 0.3
 PEER_PULL_TIMEOUT_SECONDS = 1.0
 # A peer's confirmation shows that the source is back only if it is later than this
 # host's last failure by more than this.
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -241,7 +241,7 @@
                 self._wake.set()
 
     def _pull(self, effect: PullFromPeer, now: float) -> None:
-        if not self._pull_limit.begin(now):
+        if not self._pull_limit.begin(now, effect.name):
             return
         pull = asyncio.create_task(self._async_pull(effect, now))
         self._pulls.add(pull)
@@ -253,7 +253,7 @@
     async def _async_pull(self, effect: PullFromPeer, begun_at: float) -> None:
         """Pull missing records from a peer, and report a failed pull after a delay."""
         try:
-            is_applied = await self._async_pull_from(effect)
+            is_applied = await self._async_pull_from(effect, begun_at)
             if not is_applied:
                 wait = self._state.random.random() * c.MAX_NEXT_PEER_DELAY_SECONDS
                 await asyncio.sleep(wait)
@@ -262,7 +262,7 @@
         if not is_applied:
             self._handle_event(PeerPullFailed(effect.name))
 
-    async def _async_pull_from(self, effect: PullFromPeer) -> bool:
+    async def _async_pull_from(self, effect: PullFromPeer, begun_at: float) -> bool:
         """Pull and apply the records of one peer; return whether it sent them."""
         name = effect.name
         address = self._peers.get_control_address(name)
@@ -270,8 +270,12 @@
             return False
         after = 0 if effect.is_full else self.record_store.complete_revision
         requested_at = read_clock()
+
+        def record_progress() -> None:
+            self._pull_limit.record_progress(begun_at, read_clock())
+
         try:
-            answer = await async_pull_records(address, after)
+            answer = await async_pull_records(address, after, record_progress)
         except (TargetError, FrameError) as err:
             log_event("peer_gave_no_records", peer=name, error=str(err))
             return False
@@ -281,6 +285,8 @@
             peer=name,
             count=len(new),
             after=format_revision(after),
+            bytes=answer.size,
+            seconds=read_clock() - requested_at,
         )
         self._handle_event(PeerDataApplied())
         if not self._has_announced:
--- a/libraries/gateway/tarragonward_gateway/record_exchange.py
+++ b/libraries/gateway/tarragonward_gateway/record_exchange.py
@@ -5,6 +5,7 @@
 import math
 import zlib
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -36,10 +37,14 @@
 
 @dataclass(frozen=True)
 class PeerRecords:
-    """Records from a peer, and the time since the source confirmed them to any host."""
+    """Records from a peer, and the time since the source confirmed them to any host.
+
+    size is that of the answer, in bytes.
+    """
 
     batch: RecordBatch
     confirmed_age: float
+    size: int
 
 
 def pack_age(seconds: float) -> int | None:
@@ -117,14 +122,20 @@
         return self._cached_bodies[key]
 
 
-async def async_pull_records(address: Address, after: int) -> PeerRecords:
-    """Request a peer's records after a revision; raise TargetError or FrameError."""
+async def async_pull_records(
+    address: Address, after: int, on_progress: Callable[[], None] | None = None
+) -> PeerRecords:
+    """Request a peer's records after a revision; raise TargetError or FrameError.
+
+    on_progress is called whenever a part of the answer arrives.
+    """
     answer = await async_send_http(
         address,
         METHOD_GET,
         f"{c.RECORDS_PATH}?{PARAMETER_AFTER}={after}",
         timeout=c.PEER_PULL_TIMEOUT_SECONDS,
         inactivity_timeout=c.PEER_PULL_TIMEOUT_SECONDS,
+        on_progress=on_progress,
     )
     if answer.status != STATUS_OK or len(answer.body) > c.MAX_RECORDS_BYTES:
         raise TargetError(f"no usable records, status {answer.status}")
@@ -138,9 +149,8 @@
         records = tuple(_unpack_record(item) for item in items)
     except (ValueError, TypeError, zlib.error, msgpack.UnpackException) as err:
         raise FrameError(f"malformed records from a peer: {err}") from None
-    return PeerRecords(
-        RecordBatch(records, complete_revision, is_snapshot is True), unpack_age(age)
-    )
+    batch = RecordBatch(records, complete_revision, is_snapshot is True)
+    return PeerRecords(batch, unpack_age(age), len(answer.body))
 
 
 def _decompress(packed: bytes) -> bytes:
--- a/libraries/gateway/tests/test_pulls.py
+++ b/libraries/gateway/tests/test_pulls.py
@@ -22,3 +22,21 @@
     limit.end(1.0)
     assert limit.begin(1.6)
     assert not limit.begin(1.9)
+
+
+def test_answer_that_arrives_does_not_share_the_link_with_another_from_its_peer():
+    """A peer that is ahead says so each 0.2 s, while its large table arrives."""
+    limit = PullLimit()
+    assert limit.begin(1.0, "a")
+    for step in range(1, 8):
+        now = 1.0 + step * c.PEER_PULL_INTERVAL_SECONDS
+        limit.record_progress(1.0, now - 0.01)
+        assert not limit.begin(now, "a")
+    assert limit.begin(3.0, "b")
+
+
+def test_stalled_pull_allows_another_from_its_peer():
+    """A connection can go silent for good while new ones to the same peer work."""
+    limit = PullLimit()
+    assert limit.begin(1.0, "a")
+    assert limit.begin(1.1 + c.PULL_STALL_SECONDS, "a")
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -250,18 +250,25 @@
     inactivity_timeout: float | None = None,
     connect_timeout: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
     before_write: Callable[[], None] | None = None,
+    on_progress: Callable[[], None] | None = None,
 ) -> HttpAnswer:
     """Send a request and return the complete answer within timeout seconds.
 
     With an inactivity_timeout an answer that began in time may take longer: it is
     aborted when nothing arrives for that many seconds, or MAX_TRANSFER_SECONDS after
-    its head.
+    its head. on_progress is called for the head and for each part of the body.
 
     Raise NotConnectedError or ConnectionLostError like async_open_http; a timeout
     raises ConnectionLostError.
     """
     deadline = AnswerDeadline(timeout, inactivity_timeout)
     body_read = bytearray()
+
+    def record_progress() -> None:
+        deadline.record_progress()
+        if on_progress is not None:
+            on_progress()
+
     try:
         async with (
             deadline.timer,
@@ -275,9 +282,7 @@
                 before_write=before_write,
             ) as stream,
         ):
-            await stream.async_read_into(
-                body_read, on_progress=deadline.record_progress
-            )
+            await stream.async_read_into(body_read, on_progress=record_progress)
             return HttpAnswer(
                 stream.status,
                 stream.headers,
