--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -17,6 +17,7 @@
     TargetRestored,
 )
 from tarragonward_requests import SendFault
+from tarragonward_wire import PauseTimeout
 
 from . import const as c
 from .clock import read_clock
@@ -158,7 +159,8 @@
 async def _async_connect(address: Address) -> bool:
     """Return whether the address accepts a connection; no request is sent."""
     try:
-        async with asyncio.timeout(c.CONNECT_TIMEOUT_SECONDS):
+        connect_by = asyncio.get_running_loop().time() + c.CONNECT_TIMEOUT_SECONDS
+        async with PauseTimeout(connect_by):
             _, writer = await asyncio.open_connection(address.host, address.port)
     except (OSError, TimeoutError):
         return False
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -34,7 +34,13 @@
     Verdict,
 )
 from tarragonward_routes import RequestKind
-from tarragonward_wire import HttpRequest, HttpStream, Responder, async_open_http
+from tarragonward_wire import (
+    HttpRequest,
+    HttpStream,
+    PauseTimeout,
+    Responder,
+    async_open_http,
+)
 
 from . import const as c
 from .answers import async_send_refusal
@@ -141,7 +147,7 @@
     async def _async_run(self) -> None:
         effect = self._check_suspect() or self._exchange.start()
         try:
-            async with asyncio.timeout_at(self._context.deadline):
+            async with PauseTimeout(self._context.deadline):
                 while isinstance(effect, SendTo):
                     effect = await self._async_send(effect)
         except TimeoutError:
--- a/libraries/gateway/tests/test_run.py
+++ b/libraries/gateway/tests/test_run.py
@@ -1,6 +1,7 @@
 """Tests of the attempts of one request: resumed streams, and a single answer."""
 
 import asyncio
+import time
 from contextlib import asynccontextmanager
 
 from tarragonward_core import invariants
@@ -85,3 +86,18 @@
     assert answer.body == join_events(1)
     assert await caller.reader.read() == b""
     assert invariants.count == before
+
+
+async def test_answer_that_arrives_while_the_host_is_paused_is_delivered(make_site):
+    """The host wakes after the request's deadline, with the answer in its socket."""
+
+    async def script(request, writer):
+        await asyncio.sleep(0.3)
+        await answer_with()(request, writer)
+
+    site = await make_site(script, timeout_seconds=0.4)
+    asking = asyncio.ensure_future(site.async_ask())
+    await asyncio.sleep(0.2)
+    time.sleep(0.4)
+    answer = await asking
+    assert (answer.status, answer.body) == (200, b"whole")
--- a/libraries/wire/tarragonward_wire/__init__.py
+++ b/libraries/wire/tarragonward_wire/__init__.py
@@ -8,6 +8,7 @@
 from .http_responder import Responder, build_error_body
 from .http_server import HttpServer
 from .links import PeerLinks
+from .pause_timeout import PauseTimeout
 from .peers import PeerServer
 
 __all__ = [
@@ -21,6 +22,7 @@
     "HttpServer",
     "HttpStream",
     "PeerLinks",
+    "PauseTimeout",
     "PeerServer",
     "RawHeaders",
     "RefusedFrameError",
--- a/libraries/wire/tarragonward_wire/const.py
+++ b/libraries/wire/tarragonward_wire/const.py
@@ -9,8 +9,8 @@
 MAX_TRANSFER_SECONDS = 8.0
 # A timer that fires this much late shows that the process was paused.
 MIN_TIMER_LATENESS_SECONDS = 0.02
-# For how long a process that was paused reads what waits in its sockets.
-LATE_READ_SECONDS = 0.01
+# For how long a process that was paused handles what waits in its sockets.
+LATE_READ_SECONDS = 0.05
 DEFAULT_MAX_BODIES_BYTES = 128 * 1024 * 1024
 DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
 DEFAULT_MAX_CONNECTIONS = 2_000
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -26,6 +26,7 @@
     SHORT_KEEPALIVE_SECONDS,
 )
 from .http_messages import RawHeaders, encode_headers
+from .pause_timeout import PauseTimeout
 from .receiver import Receiver
 
 __all__ = ["HttpAnswer", "HttpStream", "async_open_http", "async_send_http"]
@@ -178,7 +179,7 @@
     )
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(connect_timeout):
+        async with PauseTimeout(loop.time() + connect_timeout):
             transport, receiver = await loop.create_connection(
                 Receiver, address.host, address.port
             )
--- a/libraries/wire/tarragonward_wire/links.py
+++ b/libraries/wire/tarragonward_wire/links.py
@@ -25,6 +25,7 @@
 from .codec import decode_message, encode_message
 from .envelopes import ClockProbe, Envelope, NoAnswer
 from .frames import FrameStream, async_handshake, count_bad_frame
+from .pause_timeout import PauseTimeout
 
 __all__ = ["PeerLinks"]
 
@@ -68,7 +69,7 @@
         if _now() - self._clock_received_at <= c.CLOCK_MAX_AGE_SECONDS:
             return True
         try:
-            async with asyncio.timeout(c.LINK_PROBE_TIMEOUT_SECONDS):
+            async with PauseTimeout(_now() + c.LINK_PROBE_TIMEOUT_SECONDS):
                 await self.async_request(encode_message(ClockProbe()))
         except (TimeoutError, ConnectionLostError):
             self.stream.close()
@@ -337,7 +338,7 @@
     async def _async_connect(self, address: Address, wait: float) -> _Link:
         await asyncio.sleep(wait)
         try:
-            async with asyncio.timeout(c.DEFAULT_CONNECT_TIMEOUT_SECONDS):
+            async with PauseTimeout(_now() + c.DEFAULT_CONNECT_TIMEOUT_SECONDS):
                 reader, writer = await asyncio.open_connection(
                     address.host, address.port
                 )
--- a/libraries/wire/tests/test_http_client.py
+++ b/libraries/wire/tests/test_http_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 import socket
+import time
 
 import pytest
 
@@ -91,3 +92,21 @@
     assert message is not None
     # The timer of a busy process may fire late; the message names the time it took.
     assert 0.2 <= float(message[1]) <= round(waited, 1)
+
+
+async def test_process_that_was_paused_does_not_take_a_target_for_unreachable():
+    """The connection is there, but the timer of the attempt is overdue as well."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    asyncio.get_running_loop().call_soon(time.sleep, 0.3)
+    answer = await async_send_http(
+        address, "GET", "/", timeout=1.0, connect_timeout=0.1
+    )
+    assert answer.body == b"whole"
+    server.close()
