--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -153,14 +153,18 @@
     async def _async_wait_idle(self) -> None:
         # The balancer keeps sending requests until it has seen the health check fail;
         # refusing them earlier gives callers errors at each replacement of a host. New
-        # work is therefore admitted until a failed check was answered, and a short
-        # time longer for the balancer to react. The wait for a check has a timeout.
+        # work is therefore admitted until a failed check was answered, and on while
+        # callers still come. The wait for a check has a timeout.
         self.host.is_draining = True
         with suppress(TimeoutError):
             async with asyncio.timeout(c.MAX_HEALTH_CHECK_WAIT_SECONDS):
                 await self.host.unhealthy_reported.wait()
-        await asyncio.sleep(c.BALANCER_NOTICE_SECONDS)
+        log_event(
+            "failed_check_answered", is_answered=self.host.unhealthy_reported.is_set()
+        )
+        await self._async_wait_for_last_caller()
         self.host.is_admitting = False
+        log_event("admission_ended", in_flight=self.host.requests_in_flight)
         self.calls.start_drain()
         self.callers.disable_keep_alive()
         # A request counts from its head on: one whose body is still being received
@@ -169,6 +173,24 @@
         while self.host.requests_in_flight:
             await self.host.idle.wait()
 
+    async def _async_wait_for_last_caller(self) -> None:
+        """Wait until no caller has connected for a while, at most a fixed time.
+
+        A balancer may act on the failed check later than expected. As long as it still
+        sends callers, a host that refused them would cost each of them an error.
+        """
+        loop = asyncio.get_running_loop()
+        begun_at = loop.time()
+        while True:
+            last_at = max(begun_at, self.callers.last_accepted_at)
+            wait_until = min(
+                last_at + c.BALANCER_NOTICE_SECONDS,
+                begun_at + c.MAX_BALANCER_NOTICE_SECONDS,
+            )
+            if loop.time() >= wait_until:
+                return
+            await asyncio.sleep(wait_until - loop.time())
+
     async def _async_stop_requests(self) -> None:
         """Answer the requests still in progress before their connections are closed."""
         self.host.is_draining, self.host.is_admitting = True, False
--- a/libraries/wire/tarragonward_wire/http_server.py
+++ b/libraries/wire/tarragonward_wire/http_server.py
@@ -59,6 +59,8 @@
         self.on_refused = on_refused or _log_refused
         self.bodies = bodies or BodyBudget()
         self.active_requests = 0
+        # When the last connection was accepted, in event loop time.
+        self.last_accepted_at = float("-inf")
         self.is_closing = False
 
     @property
@@ -147,6 +149,7 @@
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.last_accepted_at = asyncio.get_running_loop().time()
         task = asyncio.current_task()
         assert task is not None
         is_full = len(self._connections) >= self.limits.max_connections
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -85,6 +85,22 @@
     assert await stop_task == 0
 
 
+async def test_a_balancer_that_acts_late_on_a_failed_check_loses_no_request(make_site):
+    """It has read the failed check, and sends callers for 1.5 s longer."""
+    site = await make_site(ONE_DOMAIN)
+    stop_task = asyncio.ensure_future(site.async_terminate(HOST, 20.0))
+    await asyncio.sleep(0.1)
+    assert await async_get_health(site) == 503
+    completions = []
+    for number in range(6):
+        callers = site.hosts[HOST].callers
+        completions.append(start_completion(site, f"late {number}", callers, 5))
+        await asyncio.sleep(0.25)
+    results = await asyncio.gather(*completions)
+    assert [r for r in results if r.outcome is not Outcome.WHOLE] == []
+    assert await stop_task == 0
+
+
 @pytest.mark.parametrize("plan", [ONE_DOMAIN, SHORT_DRAIN_TIMEOUT])
 async def test_an_interrupted_drain_answers_each_caller(make_site, plan):
     """A second SIGTERM, or the time limit of the drain, interrupts a long answer.
