--- a/libraries/standins/tarragonward_standins/observe.py
+++ b/libraries/standins/tarragonward_standins/observe.py
@@ -92,6 +92,9 @@
 class Balancer:
     """Chooses healthy hosts round-robin.
 
+    If no host is healthy, it chooses among all but those that refused the connection of
+    their last check: a check that times out may only show that this process was late.
+
     failure_domains limits the choice to the hosts of these domains; empty means all.
     """
 
@@ -99,6 +102,7 @@
         self.failure_domains: frozenset[str] = frozenset()
         self._site = site
         self._healthy: dict[str, SiteHost] = dict(site.hosts)
+        self._listening: dict[str, SiteHost] = dict(site.hosts)
         self._next_index = itertools.count()
         self._task: asyncio.Task[None] | None = None
 
@@ -113,10 +117,11 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     def choose(self) -> SiteHost:
-        """Return the next healthy host, or any host if none is healthy."""
+        """Return the next healthy host, or one that may be."""
+        candidates = self._healthy or self._listening or self._site.hosts
         hosts = [
             host
-            for host in (self._healthy or self._site.hosts).values()
+            for host in candidates.values()
             if not self.failure_domains or host.failure_domain in self.failure_domains
         ]
         return hosts[next(self._next_index) % len(hosts)]
@@ -131,21 +136,28 @@
 
     async def _async_check(self, host: SiteHost) -> None:
         while True:
-            if await _async_is_healthy(host):
-                self._healthy[host.name] = host
-            else:
-                self._healthy.pop(host.name, None)
+            is_healthy, is_listening = await _async_check_health(host)
+            for hosts, is_member in (
+                (self._healthy, is_healthy),
+                (self._listening, is_listening),
+            ):
+                if is_member:
+                    hosts[host.name] = host
+                else:
+                    hosts.pop(host.name, None)
             await asyncio.sleep(HEALTH_INTERVAL_SECONDS)
 
 
-async def _async_is_healthy(host: SiteHost) -> bool:
+async def _async_check_health(host: SiteHost) -> tuple[bool, bool]:
+    """Return whether a host is healthy, and whether it may be listening."""
     try:
         answer = await async_send_http(
             host.operators, "GET", "/health", timeout=HEALTH_TIMEOUT_SECONDS
         )
-    except TargetError:
-        return False
-    return answer.status == 200
+    except TargetError as err:
+        is_refused = isinstance(err.__cause__, ConnectionRefusedError)
+        return False, not is_refused
+    return answer.status == 200, True
 
 
 def build_completion_body(site: Site, prompt: str, max_tokens: int) -> bytes:
