--- a/libraries/bench/tarragonward_bench/experiment/fleet.py
+++ b/libraries/bench/tarragonward_bench/experiment/fleet.py
@@ -10,7 +10,14 @@
 from dataclasses import dataclass
 
 from tarragonward_membership import const as membership_const
-from tarragonward_placement import LocatedMember, PromptRequirements, choose_cell
+from tarragonward_placement import (
+    EngineUsage,
+    LocatedMember,
+    PromptRequirements,
+    choose_cell,
+    parse_digest,
+    parse_summary,
+)
 
 from .arrivals import Arrival, Outcome
 from .calls import CallService
@@ -73,7 +80,9 @@
             [other for other in self.hosts if other is not host] for host in self.hosts
         ]
         self._has_cells = False
-        self._summaries: dict[Collection[str], tuple[float, dict]] = {}
+        self._summaries: dict[
+            Collection[str], tuple[float, dict[str, EngineUsage]]
+        ] = {}
         self._gossip_interval_seconds = membership_const.HELLO_INTERVAL_SECONDS
         if plan.has_cells and plan.kind == PRODUCT:
             self._divide_into_cells()
@@ -188,10 +197,10 @@
         delay = self.site.cross_zone_seconds + PROCESSING_SECONDS / 2
         assert usage is not None and cell is not None
 
-        def build() -> dict:
+        def build() -> dict[str, EngineUsage]:
             made_at, summary = self._summaries.get(cell, (float("-inf"), {}))
             if self.now - made_at > SUMMARY_REUSE_SECONDS:
-                summary = usage.build_summary(cell, self.now)
+                summary = parse_summary(usage.build_summary(cell, self.now))
                 self._summaries[cell] = self.now, summary
             return summary
 
@@ -209,11 +218,11 @@
         return summarize
 
     def _make_receive_summary(
-        self, other: Host, summary: dict, age: float
+        self, other: Host, summary: dict[str, EngineUsage], age: float
     ) -> Callable[[], None]:
         usage = other.policy.usage
         assert usage is not None
-        return lambda: usage.apply_summary(summary, age, self.now)
+        return lambda: usage.record_summary(summary, age, self.now)
 
     def _send_digest(self, index: int, host: Host, to_all: bool = False) -> None:
         others = self._cell_peers[index]
@@ -222,7 +231,8 @@
         elif not self._is_mesh:
             others = self._rng.sample(others, membership_const.HELLO_FANOUT)
         assert host.policy.usage is not None
-        digest = host.policy.usage.build_digest(self.now)
+        # Hosts only read what they receive, so they can share the parsed digest.
+        digest = parse_digest(host.policy.usage.build_digest(self.now))
         for other in others:
             delay = self.site.get_delay(host.zone, other.zone) + PROCESSING_SECONDS / 2
             self._schedule(
@@ -230,11 +240,11 @@
             )
 
     def _make_receive_digest(
-        self, index: int, other: Host, digest: dict, age: float
+        self, index: int, other: Host, digest: dict[str, EngineUsage], age: float
     ) -> Callable[[], None]:
         usage = other.policy.usage
         assert usage is not None
-        return lambda: usage.apply_digest(str(index), digest, age, self.now)
+        return lambda: usage.record_digest(str(index), digest, age, self.now)
 
     def choose(
         self, host: Host, requirements: PromptRequirements, tried: set[str]
--- a/libraries/bench/tarragonward_bench/experiment/main.py
+++ b/libraries/bench/tarragonward_bench/experiment/main.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
+from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
 
@@ -20,15 +22,28 @@
 __all__ = ["main", "run_seed"]
 
 FIRST_SEED = 1
+# Allocations between collections of the youngest generation.
+GC_ALLOCATIONS = 100_000
 
 
 def run_seed(site: Site, plan: PolicyPlan, seed: int, seconds: float) -> PolicyRun:
     """Run one policy with one seed."""
     arrivals = sample_arrivals(site, seed, seconds)
-    with override_constants(plan.constants):
+    with override_constants(plan.constants), _collect_garbage_rarely():
         return replace(simulate(site, plan, arrivals, seed, seconds), seed=seed)
 
 
+@contextmanager
+def _collect_garbage_rarely() -> Iterator[None]:
+    """Let the collector look at the many objects of a large fleet less often."""
+    thresholds = gc.get_threshold()
+    gc.set_threshold(GC_ALLOCATIONS, *thresholds[1:])
+    try:
+        yield
+    finally:
+        gc.set_threshold(*thresholds)
+
+
 def _run_without_engines(
     site: Site, plan: PolicyPlan, seed: int, seconds: float, with_engines: bool
 ) -> PolicyRun:
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -8,7 +8,13 @@
     DEFAULT_PREFILL_TOKENS_PER_SECOND,
     FIRST_LONG_PRIORITY,
 )
-from .fleet import EngineUsage, FleetUsageTracker, InFlightPrompt
+from .fleet import (
+    EngineUsage,
+    FleetUsageTracker,
+    InFlightPrompt,
+    parse_digest,
+    parse_summary,
+)
 from .groups import (
     GroupEffect,
     GroupMember,
@@ -47,6 +53,8 @@
 from .widening import widen_plan
 
 __all__ = [
+    "parse_digest",
+    "parse_summary",
     "ConcurrencyLimits",
     "HostView",
     "LimitEntry",
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -9,7 +9,14 @@
 
 from . import const as c
 
-__all__ = ["EngineUsage", "FleetUsageTracker", "InFlightPrompt", "PendingPrefill"]
+__all__ = [
+    "EngineUsage",
+    "FleetUsageTracker",
+    "InFlightPrompt",
+    "PendingPrefill",
+    "parse_digest",
+    "parse_summary",
+]
 
 MILLISECONDS = 1_000
 THOUSAND = 1_000
@@ -285,16 +292,17 @@
 
         Raise ValueError, TypeError or AttributeError if it is malformed.
         """
-        reported = {
-            str(engine): _CellSummary(
-                now - age, _parse_entry(entry) if entry else IDLE_ENGINE
-            )
-            for engine, entry in data.items()
-        }
-        for engine, summary in reported.items():
-            before = self._summaries.get(engine)
-            if before is None or before.reported_at <= summary.reported_at:
-                self._summaries[engine] = summary
+        self.record_summary(parse_summary(data), age, now)
+
+    def record_summary(
+        self, engines: Mapping[str, EngineUsage], age: float, now: float
+    ) -> None:
+        """Store a parsed report of a host of another cell, unless older."""
+        summaries = self._summaries
+        for engine, usage in engines.items():
+            before = summaries.get(engine)
+            if before is None or before.reported_at <= now - age:
+                summaries[engine] = _CellSummary(now - age, usage)
 
     def _add_summaries(self, known: dict[str, EngineUsage], now: float) -> None:
         for engine, summary in list(self._summaries.items()):
@@ -309,11 +317,17 @@
     def apply_digest(self, host: str, data: Any, age: float, now: float) -> None:
         """Replace a peer's last digest."""
         try:
-            engines = {str(name): _parse_entry(entry) for name, entry in data.items()}
+            engines = parse_digest(data)
         except (AttributeError, TypeError, ValueError):
             # A malformed digest, possibly of another version, is treated as if not
             # received.
             return
+        self.record_digest(host, engines, age, now)
+
+    def record_digest(
+        self, host: str, engines: Mapping[str, EngineUsage], age: float, now: float
+    ) -> None:
+        """Replace a peer's last digest by a parsed one."""
         before = self._hints.get(host)
         self._hints[host] = _PeerDigest(now - age, engines)
         self._notify_long_prefill(_find_new_long_prefills(engines, before))
@@ -437,6 +451,25 @@
     )
 
 
+def parse_digest(data: Any) -> dict[str, EngineUsage]:
+    """Return the usage of each engine in a host's digest, to be read only.
+
+    Raise ValueError, TypeError or AttributeError if it is malformed.
+    """
+    return {str(engine): _parse_entry(entry) for engine, entry in data.items()}
+
+
+def parse_summary(data: Any) -> dict[str, EngineUsage]:
+    """Return the usage of each engine in a cell's summary, to be read only.
+
+    Raise ValueError, TypeError or AttributeError if it is malformed.
+    """
+    return {
+        str(engine): _parse_entry(entry) if entry else IDLE_ENGINE
+        for engine, entry in data.items()
+    }
+
+
 def _parse_entry(entry: Sequence[Any]) -> EngineUsage:
     (
         decoding_requests,
