--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -18,6 +18,7 @@
 from .hearing.runs import run_propagation_seed
 from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
+from .pause_runs import run_pauses_seed
 from .reach_runs import run_reach_seed
 from .soak_calls import run_calls_seed
 from .soak_configuration import run_configuration_seed
@@ -41,6 +42,9 @@
     "models": run_model_requests,
 }
 
+# Machines of real processes, which run only when they are asked for.
+PROCESS_MACHINES: dict[str, Machine] = {"pauses": run_pauses_seed}
+
 
 @dataclass(frozen=True)
 class SeedResult:
@@ -56,7 +60,8 @@
     """Run one machine with one seed; a violated invariant ends the run."""
     was_strict, invariants.strict = invariants.strict, True
     try:
-        return SeedResult(machine, seed, MACHINES[machine](seed))
+        run = {**MACHINES, **PROCESS_MACHINES}[machine]
+        return SeedResult(machine, seed, run(seed))
     except (AssertionError, TarragonwardError):
         return SeedResult(machine, seed, 0, traceback.format_exc())
     finally:
@@ -71,7 +76,8 @@
         "--seeds", type=int, default=0, help="number of seeds; 0: no limit"
     )
     parser.add_argument("--minutes", type=float, default=1.0)
-    parser.add_argument("--machine", choices=sorted(MACHINES), action="append")
+    names = sorted([*MACHINES, *PROCESS_MACHINES])
+    parser.add_argument("--machine", choices=names, action="append")
     options = parser.parse_args()
     logging.set_verbosity(logging.FATAL)
     return _run_until_end(
