--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/choices.py
@@ -0,0 +1,88 @@
+"""Describe what a send needs of its target, and the target that was chosen for it."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from tarragonward_membership import RegisteredTarget
+from tarragonward_placement import InFlightPrompt, PrefillPlan
+from tarragonward_routes import Route
+
+__all__ = ["SendChoice", "TargetRequirements"]
+
+
+@dataclass(frozen=True)
+class TargetRequirements:
+    """Requirements of a send on its target.
+
+    tokens are those of the prompt and of the answer, None if the request is no prompt.
+    """
+
+    service: str
+    route: Route
+    aim_at: float
+    tokens: tuple[int, int] | None = None
+    tried: Collection[str] = ()
+    # The engine that has to answer, if that is fixed.
+    leader: str = ""
+    # Whether the verdict on the request is ALONE.
+    is_suspect: bool = False
+
+    def allows(self, target: RegisteredTarget) -> bool:
+        """Return whether the request may be sent to a target."""
+        return target.id not in self.tried or target.id == self.leader
+
+
+@dataclass
+class SendChoice:
+    """The target of a send, and the helper engines that share its prefill."""
+
+    target: RegisteredTarget
+    helpers: tuple[RegisteredTarget, ...] = ()
+    plan: PrefillPlan | None = None
+    work: InFlightPrompt | None = None
+    ticket: str = ""
+    has_events: bool = False
+    # Whether the target refused the request, which then took no place there.
+    is_refused: bool = False
+    waiting_since: float | None = None
+
+    def record_first_event(self, now: float) -> None:
+        """Record that the first event arrived, so the prefill is complete."""
+        if self.work is not None and self.work.first_event_at is None:
+            self.work.first_event_at = now
+
+    def compute_pace(self, events: int, now: float) -> float | None:
+        """Return the ratio of observed to published time per decode pass.
+
+        Each event takes one pass. None for the first event, which includes the prefill.
+        """
+        waiting_since = self.waiting_since
+        if waiting_since is None or self.plan is None or not self.plan.pass_seconds:
+            return None
+        return (now - waiting_since) / events / self.plan.pass_seconds
+
+    @property
+    def predicted_at(self) -> float | None:
+        """Return the predicted time of the first event, None without a plan."""
+        if self.plan is None or self.work is None:
+            return None
+        return self.work.placed_at + self.plan.first_event_seconds
+
+    @property
+    def helpers_header(self) -> str:
+        """Return the value of the header that names the helpers to the target."""
+        assert self.plan is not None
+        tickets = self.plan.reserved_tokens
+        return ",".join(
+            f"{helper.address}/{self.ticket}"
+            if helper.id in tickets
+            else str(helper.address)
+            for helper in self.helpers
+        )
+
+    @property
+    def needs_reservation(self) -> bool:
+        """Return whether memory has to be reserved on other engines."""
+        return self.plan is not None and bool(self.plan.reserved_tokens)
--- a/libraries/gateway/tarragonward_gateway/headers.py
+++ b/libraries/gateway/tarragonward_gateway/headers.py
@@ -12,6 +12,7 @@
     "build_target_headers",
     "parse_count",
     "parse_load",
+    "parse_token_counts",
     "parse_rate",
     "parse_cooldown_seconds",
 ]
@@ -75,6 +76,13 @@
     return int(text) if is_count else None
 
 
+def parse_token_counts(text: str) -> tuple[int, int] | None:
+    """Return the prompt tokens and the output limit, None if the header lacks them."""
+    first, _, second = text.partition(",")
+    prompt, output = parse_count(first), parse_count(second)
+    return None if prompt is None or output is None else (prompt, output)
+
+
 def parse_load(text: str) -> tuple[int, int] | None:
     """Return a target's running and waiting requests, None if the text is malformed."""
     counts = [parse_count(part) for part in text.split(LOAD_SEPARATOR)]
--- a/libraries/gateway/tarragonward_gateway/heads.py
+++ b/libraries/gateway/tarragonward_gateway/heads.py
@@ -8,19 +8,21 @@
 from tarragonward_membership import RegisteredTarget
 from tarragonward_wire import HttpStream
 
+from .const import HEADER_RETRY_AFTER
 from .headers import parse_load
 from .ports import HeaderNames
 
 __all__ = [
     "AnswerHeadCheck",
     "SpoiledAnswerError",
-    "has_waiting_requests",
     "is_from_other_boot",
     "is_not_run",
+    "is_out_of_places",
 ]
 
 STATUS_CLIENT_ERROR = 400
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 NOT_RUN_STATUSES = (408, 429, 503)
 CONTENT_ENCODING = "content-encoding"
 
@@ -47,10 +49,19 @@
     return status == STATUS_MISDIRECTED or (is_failure and names.not_run in headers)
 
 
-def has_waiting_requests(names: HeaderNames, headers: Mapping[str, str]) -> bool:
-    """Return whether requests wait at a target, or its answer does not tell."""
+def is_out_of_places(
+    names: HeaderNames, status: int, headers: Mapping[str, str]
+) -> bool:
+    """Return whether a refusal shows that the target itself has no free place.
+
+    A target that asks for a cooldown has its own reasons, and one at which nothing
+    waits is not full.
+    """
+    if status != STATUS_UNAVAILABLE or names.failed_target in headers:
+        return False
     load = parse_load(headers.get(names.load, ""))
-    return load is None or load[1] > 0
+    is_waiting = load is None or load[1] > 0
+    return is_waiting and HEADER_RETRY_AFTER not in headers
 
 
 class SpoiledAnswerError(ConnectionLostError):
--- a/libraries/gateway/tarragonward_gateway/moving.py
+++ b/libraries/gateway/tarragonward_gateway/moving.py
@@ -9,9 +9,10 @@
 from tarragonward_requests import Exchange
 
 from . import const as c
+from .choices import SendChoice, TargetRequirements
 from .idle_timeout import IdleTimeout
 from .state import GatewayState
-from .targets import SendChoice, TargetChooser, TargetRequirements
+from .targets import TargetChooser
 
 __all__ = ["RequestMover"]
 
--- a/libraries/gateway/tarragonward_gateway/placing.py
+++ b/libraries/gateway/tarragonward_gateway/placing.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from tarragonward_membership import RegisteredTarget
 from tarragonward_requests import Exchange
 
 from . import const as c
+from .choices import SendChoice, TargetRequirements
 from .context import ForwardContext
 from .reservations import Lease, ReservationTask
 from .state import GatewayState
-from .targets import SendChoice, TargetChooser, TargetRequirements
+from .targets import TargetChooser
 
 __all__ = ["PlacedSend", "SendPlacer"]
 
@@ -56,6 +58,19 @@
         self.tried.add(target.id)
         self._leader = target.id
 
+    def describe(self) -> dict[str, Any]:
+        """Return what the log says of a choice: targets tried, and seconds held."""
+        return {"tried": len(self.tried), "held": self.held_seconds or None}
+
+    def record_full(self, choice: SendChoice) -> None:
+        """Record that a target has refused the request for want of a free place.
+
+        A short prompt may go back to it: it is held until a place is free.
+        """
+        if self._chooser.may_hold(self.build_requirements()):
+            self._chooser.record_full(choice)
+            self.tried.discard(choice.target.id)
+
     async def async_place(self, to_previous_target: bool) -> PlacedSend | None:
         """Return the next send, or None if no target remains.
 
--- a/libraries/gateway/tarragonward_gateway/reservations.py
+++ b/libraries/gateway/tarragonward_gateway/reservations.py
@@ -18,9 +18,9 @@
 )
 
 from . import const as c
+from .choices import SendChoice
 from .ports import Reservation, ReservationClient
 from .state import GatewayState
-from .targets import SendChoice
 
 __all__ = ["Lease", "ReservationTask"]
 
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -44,13 +44,19 @@
 
 from . import const as c
 from .answers import async_send_refusal
+from .choices import SendChoice
 from .context import ForwardContext
-from .headers import build_answer_headers, build_target_headers, parse_count
+from .headers import (
+    build_answer_headers,
+    build_target_headers,
+    parse_count,
+    parse_token_counts,
+)
 from .heads import (
     AnswerHeadCheck,
     SpoiledAnswerError,
-    has_waiting_requests,
     is_from_other_boot,
+    is_out_of_places,
 )
 from .idle_timeout import IdleTimeout
 from .moving import RequestMover
@@ -65,14 +71,13 @@
 )
 from .state import GatewayState
 from .suspects import RequestIdentity, SuspectMonitor
-from .targets import SendChoice, TargetChooser
+from .targets import TargetChooser
 
 __all__ = ["ForwardedRequest"]
 
 MILLISECONDS_PER_SECOND = 1_000
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
-STATUS_UNAVAILABLE = 503
 BODILESS_STATUSES = (204, 304)
 METHOD_HEAD = "HEAD"
 CONTENT_TYPE = "content-type"
@@ -124,7 +129,7 @@
             reservations,
             self._exchange,
             context,
-            _parse_token_counts(request.headers.get(state.headers.token_counts, "")),
+            parse_token_counts(request.headers.get(state.headers.token_counts, "")),
         )
         self._head_check = AnswerHeadCheck(state.headers, self._request_id)
         self._mover = RequestMover(
@@ -211,23 +216,15 @@
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
         placed = await self._placer.async_place(effect.to_previous_target)
         if placed is None:
-            self._observer.record_choice(
-                None,
-                tried=len(self._placer.tried),
-                held=self._placer.held_seconds or None,
-            )
+            self._observer.record_choice(None, **self._placer.describe())
             self._refund_retry()
-            wait = self._compute_wait()
+            wait = self._chooser.compute_return_wait(self._context.service)
             return self._handle_event(SendFailed(SendFault.NO_TARGET, wait))
         choice, lease = placed
         target = choice.target
         prefill_engines = len(choice.helpers) + 1 if choice.plan is not None else 0
         self._observer.record_choice(
-            target,
-            choice.predicted_at,
-            prefill_engines,
-            tried=len(self._placer.tried),
-            held=self._placer.held_seconds or None,
+            target, choice.predicted_at, prefill_engines, **self._placer.describe()
         )
         self._placer.record_chosen(target)
         try:
@@ -270,25 +267,6 @@
         if is_lost and not is_link_timeout(err):
             await self._suspects.async_record_lost(self._identity, target)
 
-    def _compute_wait(self) -> float | None:
-        """Return when the caller should come back, None if that is not known."""
-        service = self._context.service
-        return self._chooser.compute_wait(service) or self._chooser.compute_place_wait(
-            service
-        )
-
-    def _is_full(self, refusal: HttpStream) -> bool:
-        """Return whether a target refused a short prompt for want of a free place."""
-        names = self._state.headers
-        if not self._chooser.may_hold(self._placer.build_requirements()):
-            return False
-        if refusal.status != STATUS_UNAVAILABLE or names.failed_target in (
-            refusal.headers
-        ):
-            return False
-        is_cooldown = c.HEADER_RETRY_AFTER in refusal.headers
-        return not is_cooldown and has_waiting_requests(names, refusal.headers)
-
     def _refund_retry(self) -> None:
         """Return a retry that was never sent to the retry budget."""
         if self._retry_counted_at is not None:
@@ -427,10 +405,9 @@
                 at_target=failed_address,
                 retry_after=stream.headers.get(c.HEADER_RETRY_AFTER),
             )
-            if self._is_full(stream):
-                self._chooser.record_full(choice)
-                self._placer.tried.discard(choice.target.id)
-            wait = self._compute_wait()
+            if is_out_of_places(names, stream.status, stream.headers):
+                self._placer.record_full(choice)
+            wait = self._chooser.compute_return_wait(self._context.service)
             return SendFailed(SendFault.NOT_RUN, wait, is_helper_fault)
         self._head_check.check(stream)
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
@@ -515,10 +492,3 @@
     def _start_answer(self, stream: HttpStream) -> None:
         self._handle_event(AnswerStarted())
         self._responder.start(stream.status, build_answer_headers(stream.raw_headers))
-
-
-def _parse_token_counts(text: str) -> tuple[int, int] | None:
-    """Return the prompt tokens and the output limit, None if the header lacks them."""
-    first, _, second = text.partition(",")
-    prompt, output = parse_count(first), parse_count(second)
-    return None if prompt is None or output is None else (prompt, output)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -6,7 +6,6 @@
 from collections import Counter
 from collections.abc import Callable, Collection, Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any
 
@@ -17,7 +16,6 @@
     EngineUsage,
     FleetUsageTracker,
     HostView,
-    InFlightPrompt,
     PrefillPlan,
     PromptRequirements,
     TargetCooldowns,
@@ -30,98 +28,23 @@
     MAX_LIMIT_WAIT_SECONDS,
     MIN_PARALLEL_PREFILL_SECONDS,
 )
-from tarragonward_routes import Route, Service
+from tarragonward_routes import Service
 
 from . import const as c
+from .choices import SendChoice, TargetRequirements
 from .clock import read_clock
 from .place_queue import PlaceQueue
 from .probes import TargetProber
 from .state import GatewayState
 from .statements import TargetStatements
 
-__all__ = ["SECTION", "SendChoice", "TargetChooser", "TargetRequirements"]
+__all__ = ["SECTION", "TargetChooser"]
 
 SECTION = "prompts"
 MAX_CACHED_ORDER_KEYS = 4_096
 SINGLE_HOST_VIEW = HostView("", frozenset({""}), 1)
 
 
-@dataclass(frozen=True)
-class TargetRequirements:
-    """Requirements of a send on its target.
-
-    tokens are those of the prompt and of the answer, None if the request is no prompt.
-    """
-
-    service: str
-    route: Route
-    aim_at: float
-    tokens: tuple[int, int] | None = None
-    tried: Collection[str] = ()
-    # The engine that has to answer, if that is fixed.
-    leader: str = ""
-    # Whether the verdict on the request is ALONE.
-    is_suspect: bool = False
-
-    def allows(self, target: RegisteredTarget) -> bool:
-        """Return whether the request may be sent to a target."""
-        return target.id not in self.tried or target.id == self.leader
-
-
-@dataclass
-class SendChoice:
-    """The target of a send, and the helper engines that share its prefill."""
-
-    target: RegisteredTarget
-    helpers: tuple[RegisteredTarget, ...] = ()
-    plan: PrefillPlan | None = None
-    work: InFlightPrompt | None = None
-    ticket: str = ""
-    has_events: bool = False
-    # Whether the target refused the request, which then took no place there.
-    is_refused: bool = False
-    waiting_since: float | None = None
-
-    def record_first_event(self, now: float) -> None:
-        """Record that the first event arrived, so the prefill is complete."""
-        if self.work is not None and self.work.first_event_at is None:
-            self.work.first_event_at = now
-
-    def compute_pace(self, events: int, now: float) -> float | None:
-        """Return the ratio of observed to published time per decode pass.
-
-        Each event takes one pass. None for the first event, which includes the prefill.
-        """
-        waiting_since = self.waiting_since
-        if waiting_since is None or self.plan is None or not self.plan.pass_seconds:
-            return None
-        return (now - waiting_since) / events / self.plan.pass_seconds
-
-    @property
-    def predicted_at(self) -> float | None:
-        """Return the predicted time of the first event, None without a plan."""
-        if self.plan is None or self.work is None:
-            return None
-        return self.work.placed_at + self.plan.first_event_seconds
-
-    @property
-    def helpers_header(self) -> str:
-        """Return the value of the header that names the helpers to the target."""
-        assert self.plan is not None
-        tickets = self.plan.reserved_tokens
-        return ",".join(
-            f"{helper.address}/{self.ticket}"
-            if helper.id in tickets
-            else str(helper.address)
-            for helper in self.helpers
-        )
-
-    @property
-    def needs_reservation(self) -> bool:
-        """Return whether memory has to be reserved on other engines."""
-        return self.plan is not None and bool(self.plan.reserved_tokens)
-
-
 class TargetChooser:
     """Chooses targets by the load of all hosts and tracks this host's own load."""
 
@@ -296,6 +219,10 @@
         self.concurrency.record_refused(target, others, self._clock())
         self.get_place_queue(choice.target.service)
 
+    def compute_return_wait(self, service: str) -> float | None:
+        """Return when a refused caller should come back, None if that is not known."""
+        return self.compute_wait(service) or self.compute_place_wait(service)
+
     def compute_place_wait(self, service: str) -> float | None:
         """Return the predicted seconds until a place is free, None if not known."""
         queue = self._place_queues.get(service)
--- a/libraries/gateway/tests/test_crashes.py
+++ b/libraries/gateway/tests/test_crashes.py
@@ -3,8 +3,8 @@
 from contextlib import ExitStack
 from dataclasses import replace
 
+from tarragonward_gateway.choices import TargetRequirements
 from tarragonward_gateway.clock import read_clock
-from tarragonward_gateway.targets import TargetRequirements
 from tarragonward_requests import Verdict, fingerprint_request
 from tarragonward_standins import answer_with, async_reset
 
--- a/libraries/gateway/tests/test_reservations.py
+++ b/libraries/gateway/tests/test_reservations.py
@@ -14,10 +14,10 @@
     Reservation,
     ReservationAnswer,
 )
+from tarragonward_gateway.choices import SendChoice
 from tarragonward_gateway.reservations import Lease, ReservationTask
 from tarragonward_gateway.settings import Bounds
 from tarragonward_gateway.state import GatewayState
-from tarragonward_gateway.targets import SendChoice
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import PrefillPlan
 
--- a/libraries/placement/tarragonward_placement/fleet.py
+++ b/libraries/placement/tarragonward_placement/fleet.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from . import const as c
+from .slowdowns import SlowdownSamples
 
 __all__ = [
     "EngineUsage",
@@ -114,27 +114,6 @@
     usage: EngineUsage
 
 
-@dataclass
-class _SlowdownSamples:
-    """The slowdowns of an engine's last passes, as seen by this host."""
-
-    observed_at: float = 0.0
-    values: deque[float] = field(
-        default_factory=lambda: deque(maxlen=c.SLOWDOWN_SAMPLES)
-    )
-
-    def estimate(self) -> float:
-        """Return the engine's slowdown; 1 unless it is certainly slow.
-
-        A prefill makes a pass longer, so short passes show the engine's own speed. The
-        very shortest is ignored: events that were delayed on the way arrive together.
-        """
-        if len(self.values) < c.MIN_SLOWDOWN_SAMPLES:
-            return 1.0
-        slowdown = sorted(self.values)[1]
-        return slowdown if slowdown >= c.MIN_SLOWDOWN else 1.0
-
-
 @dataclass(frozen=True)
 class _ReportedCount:
     """The requests of other hosts, from an engine's own count."""
@@ -153,7 +132,7 @@
     def __init__(self) -> None:
         self._counts: dict[str, _ReportedCount] = {}
         self._full_until: dict[str, float] = {}
-        self._slowdowns: dict[str, _SlowdownSamples] = {}
+        self._slowdowns: dict[str, SlowdownSamples] = {}
         self._own: dict[str, dict[InFlightPrompt, None]] = {}
         # Called when peers should be notified of a prompt at once instead of in the
         # next round; the argument is whether its prefill is long enough to notify other
@@ -211,7 +190,7 @@
 
     def record_pass(self, engine: str, slowdown: float, now: float) -> None:
         """Record the duration of a pass, as a multiple of the published one."""
-        slowdowns = self._slowdowns.setdefault(engine, _SlowdownSamples())
+        slowdowns = self._slowdowns.setdefault(engine, SlowdownSamples())
         slowdowns.observed_at = now
         slowdowns.values.append(slowdown)
 
