--- a/libraries/gateway/tarragonward_gateway/placing.py
+++ b/libraries/gateway/tarragonward_gateway/placing.py
@@ -109,7 +109,8 @@
         return is_free
 
     def _has_place(self) -> bool:
-        return self._chooser.find(self.build_requirements()) is not None
+        # A request whose targets have gone stops waiting too, and is refused.
+        return not self._chooser.are_all_full(self.build_requirements())
 
     async def _async_place_at_abandoned(self) -> PlacedSend | None:
         """Return the abandoned target, if the request may be sent again.
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -136,6 +136,21 @@
 
     def find(self, requirements: TargetRequirements) -> SendChoice | None:
         """Return the target that a send would go to now, without recording a send."""
+        ready, healthy = self._list_candidates(requirements)
+        if self._waits_for_place(requirements):
+            healthy = self._filter_full(healthy)
+        if not healthy:
+            return None
+        choice = self._choose_among(healthy, requirements)
+        if choice is None and len(healthy) < len(ready) and not requirements.leader:
+            # A long prompt may need more engines than the healthy ones.
+            choice = self._choose_among(ready, requirements)
+        return choice
+
+    def _list_candidates(
+        self, requirements: TargetRequirements
+    ) -> tuple[Sequence[RegisteredTarget], Sequence[RegisteredTarget]]:
+        """Return the targets that may get the request, and the best of them."""
         ready = [
             target
             for target in self._state.registry.get_ready(requirements.service)
@@ -144,29 +159,21 @@
         now = read_clock()
         ready = self.cooldowns.get_available(self._filter_limited(ready), now)
         if not ready:
-            return None
+            return (), ()
         preferred = self.cooldowns.prefer(ready, now, is_retry=bool(requirements.tried))
         healthy = self.target_health.select(preferred, now)
         if requirements.leader:
             # The leader is fixed even if it is ejected; its helpers must be healthy.
             leaders = [target for target in ready if target.id == requirements.leader]
             if not leaders:
-                return None
+                return (), ()
             others = (target for target in healthy if target.id != requirements.leader)
             healthy = [*leaders, *others]
         if requirements.is_suspect and not requirements.leader:
             healthy = self._choose_for_isolation(healthy)
         elif self._isolated and not requirements.leader:
             healthy = [t for t in healthy if t.id not in self._isolated] or healthy
-        if self._waits_for_place(requirements):
-            healthy = self._filter_full(healthy)
-            if not healthy:
-                return None
-        choice = self._choose_among(healthy, requirements)
-        if choice is None and len(healthy) < len(ready) and not requirements.leader:
-            # A long prompt may need more engines than the healthy ones.
-            choice = self._choose_among(ready, requirements)
-        return choice
+        return ready, healthy
 
     def _choose_among(
         self, ready: Sequence[RegisteredTarget], requirements: TargetRequirements
@@ -237,12 +244,20 @@
         return self._place_queues.setdefault(service, PlaceQueue())
 
     def must_wait(self, requirements: TargetRequirements) -> bool:
-        """Return whether a request waits for a place, as none is free for it now."""
+        """Return whether a request waits for a place, behind those that wait already.
+
+        Without any target it does not: it is refused at once.
+        """
         if not self._waits_for_place(requirements):
             return False
-        if len(self.get_place_queue(requirements.service)):
-            return True
-        return self.find(requirements) is None
+        _, healthy = self._list_candidates(requirements)
+        is_queue = len(self.get_place_queue(requirements.service)) > 0
+        return bool(healthy) and (is_queue or not self._filter_full(healthy))
+
+    def are_all_full(self, requirements: TargetRequirements) -> bool:
+        """Return whether there are targets for a short prompt, but all are full."""
+        _, healthy = self._list_candidates(requirements)
+        return bool(healthy) and not self._filter_full(healthy)
 
     def _choose_for_isolation(
         self, ready: Sequence[RegisteredTarget]
--- a/libraries/gateway/tests/test_place_queue.py
+++ b/libraries/gateway/tests/test_place_queue.py
@@ -4,6 +4,7 @@
 
 from tarragonward_gateway import const as c
 from tarragonward_gateway.place_queue import PlaceQueue
+from tarragonward_membership import WithdrawnTarget
 from tarragonward_standins import RawCaller, refuse_with, stream_events
 
 PLACES = 2
@@ -81,6 +82,22 @@
     assert site.runs == sends + 1
 
 
+async def test_prompt_without_any_target_is_refused_at_once(make_engines):
+    """A limit that is still known must not make it wait for what has gone."""
+    engine = FullEngine(1.0)
+    site = await make_engines(engine)
+    ask = site.async_ask_prompt
+    running = [asyncio.ensure_future(ask(PROMPT)) for _ in range(PLACES + 1)]
+    await asyncio.sleep(0.1)
+    assert len(site.chooser.get_place_queue("s")) == 1
+    site.state.registry.apply(WithdrawnTarget("t0", 9))
+    async with asyncio.timeout(0.5):
+        assert (await ask(PROMPT)).status == 503
+    async with asyncio.timeout(0.5):
+        assert (await running[PLACES]).status == 503
+    await asyncio.gather(*running)
+
+
 async def test_prompts_are_not_held_while_the_host_drains(make_engines):
     engine = FullEngine(1.0)
     site = await make_engines(engine)
