Report services of which a host can connect to no target

A host that had lost its links to all targets left no line that says so: each target it ejected has one, as when targets end, probes leave none, and no_target has the registered targets only. service_unreachable and service_reachable say when the last target of a service is out of reach, with the peers that are heard meanwhile, and after how long one is back; no_target has how many targets can't be connected to (disconnected); a gauge and a counter show the same.

No decision reads any of it.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -77,6 +77,13 @@
         self.limit_task = LimitTask(self.state, self.peers, self.targets)
         self.cooldown_task = CooldownTask(self.state, self.peers, self.targets)
         self.targets.get_host_view = self.peers.get_host_view
+        reachability = self.targets.probes.reachability
+        reachability.count_peers = lambda: len(self.peers.get_names())
+        self.state.metrics.add_gauge(
+            "services_unreachable",
+            "services without a target that this host can connect to",
+            lambda: reachability.unreachable_count,
+        )
         self.operators = OperatorsTask(
             self.state, self.targets.target_health, self.forwarder.suspects
         )
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -21,6 +21,7 @@
 
 from . import const as c
 from .clock import read_clock
+from .reachability import ReachabilityMonitor
 from .state import GatewayState
 
 __all__ = ["TargetProber"]
@@ -40,6 +41,7 @@
     def __init__(self, state: GatewayState, target_health: TargetHealthTracker) -> None:
         self._state = state
         self._target_health = target_health
+        self.reachability = ReachabilityMonitor(state, target_health)
         self._probe_tasks: set[asyncio.Task[bool]] = set()
         # By target: the connection attempt that shows whether it has ended.
         self._end_checks: dict[str, asyncio.Task[bool]] = {}
@@ -62,7 +64,8 @@
 
     def record(self, target: RegisteredTarget, evidence: Evidence) -> None:
         """Record evidence on a target's health and log the changes that follow."""
-        for effect in self._target_health.observe(target, evidence, read_clock()):
+        effects = self._target_health.observe(target, evidence, read_clock())
+        for effect in effects:
             if isinstance(effect, TargetEjected):
                 log_event(
                     "target_doubted",
@@ -76,6 +79,8 @@
                 log_event("domain_doubted", domain=effect.domain)
             elif isinstance(effect, DomainRestored):
                 log_event("domain_regained", domain=effect.domain)
+        if effects:
+            self.reachability.update(target.service)
 
     def record_failure(self, target: RegisteredTarget, fault: SendFault) -> None:
         """Record a failed send as evidence."""
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -216,7 +216,11 @@
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
         placed = await self._placer.async_place(effect.to_previous_target)
         if placed is None:
-            self._observer.record_choice(None, **self._placer.describe())
+            self._observer.record_choice(
+                None,
+                disconnected=self._chooser.count_disconnected(self._context.service),
+                **self._placer.describe(),
+            )
             self._refund_retry()
             wait = self._chooser.compute_return_wait(self._context.service)
             return self._handle_event(SendFailed(SendFault.NO_TARGET, wait))
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -90,6 +90,10 @@
             self.limits.record_send(hash_name(choice.target.id))
         return choice
 
+    def count_disconnected(self, service: str) -> int:
+        """Return how many ready targets of a service this host can't connect to."""
+        return self.probes.reachability.count_disconnected(service)
+
     def accepts_requests(self, target: RegisteredTarget) -> bool:
         """Return whether a target has not asked this host for no more requests."""
         is_cooling_down = self.cooldowns.is_cooling_down(target.id, read_clock())
--- a/libraries/gateway/tests/test_probes.py
+++ b/libraries/gateway/tests/test_probes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tarragonward_core import Address, background
-from tarragonward_gateway import GatewaySettings, HeaderNames, Paths
+from tarragonward_gateway import GatewaySettings, HeaderNames, Paths, reachability
 from tarragonward_gateway import const as c
 from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.probes import TargetProber
@@ -231,3 +231,22 @@
 
     first_event_seconds = 0.1
     reserved_tokens = ()
+
+
+def test_host_reports_a_service_whose_targets_it_cannot_connect_to(monkeypatch):
+    """A host's lost links must show in its log apart from targets that have failed."""
+    host = ProberFixture([("a", CLOSED), ("b", Address("127.0.0.1", 10))])
+    logged = []
+    monkeypatch.setattr(
+        reachability, "log_event", lambda event, **fields: logged.append(event)
+    )
+    host.probes.record_failure(host.targets[0], SendFault.NOT_CONNECTED)
+    assert logged == []
+    host.probes.record_failure(host.targets[1], SendFault.NOT_CONNECTED)
+    assert host.probes.reachability.unreachable_count == 1
+    host.probes.record(host.targets[0], Evidence.CONNECTED)
+    assert logged == ["service_unreachable", "service_reachable"]
+    for _ in range(3):
+        host.probes.record(host.targets[0], Evidence.FAILED)
+    assert host.probes.reachability.count_disconnected("s") == 1
+    assert host.probes.reachability.unreachable_count == 0
--- a/libraries/placement/tarragonward_placement/reach.py
+++ b/libraries/placement/tarragonward_placement/reach.py
@@ -46,6 +46,8 @@
 NEEDS_REQUEST_TRIAL = frozenset(
     {Evidence.REPLACED, Evidence.FAILED, Evidence.REPORTED_AT_FAULT}
 )
+# These say that this host gets no connection, be it for the target or for the link.
+DISCONNECTION_EVIDENCE = frozenset({Evidence.NOT_CONNECTED, Evidence.ENDED})
 
 
 class TargetLocation(Protocol):
@@ -103,6 +105,8 @@
     ejections: int = 0
     failures: int = 0
     needs_request_trial: bool = False
+    # Whether the target was ejected because this host gets no connection to it.
+    is_disconnected: bool = False
     # For a domain: when each of its targets was last probed.
     probed_at: dict[str, float] = field(default_factory=dict)
 
@@ -202,6 +206,14 @@
         is_target_ejected = record is not None and record.retry_at is not None
         return is_target_ejected or target.failure_domain in self._domains
 
+    def is_disconnected(self, target: TargetLocation) -> bool:
+        """Return whether a target is ejected because this host can't connect to it."""
+        record = self._targets.get(target.id)
+        is_ejected = record is not None and record.retry_at is not None
+        if is_ejected and record is not None and not record.is_disconnected:
+            return False
+        return is_ejected or target.failure_domain in self._domains
+
     def get_unverified(self, targets: Sequence[Target], now: float) -> list[Target]:
         """Return the targets that were not connected to recently."""
         stale_before = now - c.CONNECTION_FRESH_SECONDS
@@ -277,6 +289,7 @@
         ):
             return ()
         record.needs_request_trial = evidence in NEEDS_REQUEST_TRIAL
+        record.is_disconnected = evidence in DISCONNECTION_EVIDENCE
         record.back_off(now)
         return () if was_ejected else (TargetEjected(target.id, evidence),)
 
