Show callers refused by hosts that are cut off from all runners, failing

The stand-in's hosts run behind a launcher that gives each its own address for outgoing connections and its own list of cut links: new connections to the listed runners hang or are refused, open ones are reset, silenced or left alone by the fault proxies.

--- a/libraries/standins/tarragonward_standins/fault_proxy.py
+++ b/libraries/standins/tarragonward_standins/fault_proxy.py
@@ -53,6 +53,8 @@
 class _Connection:
     """One connection; a blackholed one relays nothing, not even the target's close."""
 
+    source: str
+    writers: tuple[asyncio.StreamWriter, ...] = ()
     is_blackholed: bool = False
 
 
@@ -93,15 +95,25 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def abort_connections(self) -> None:
-        """Abort the open connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
+    def abort_connections(self, source: str | None = None) -> None:
+        """Abort the open connections, or reset those that come from one address."""
+        if source is None:
+            for writer in list(self._writers):
+                writer.transport.abort()
+        for connection in self._connections:
+            if connection.source == source:
+                for writer in connection.writers:
+                    _reset_on_close(writer)
+                    writer.transport.abort()
+
+    def blackhole_open_connections(self, source: str | None = None) -> None:
+        """Discard all further data of the open connections; new ones work.
 
-    def blackhole_open_connections(self) -> None:
-        """Discard all further data of the open connections; new ones work."""
+        source: only of the connections that come from this address.
+        """
         for connection in self._connections:
-            connection.is_blackholed = True
+            if source in (None, connection.source):
+                connection.is_blackholed = True
 
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -129,7 +141,8 @@
             self._target.host, self._target.port
         )
         self._writers.add(target_writer)
-        connection = _Connection()
+        source = writer.get_extra_info("peername")[0]
+        connection = _Connection(source, (writer, target_writer))
         self._connections.add(connection)
         directions = [
             asyncio.create_task(
--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from .platform_clients import NOT_RUN_STATUSES, Attempt, ClientRequest
+from .platform_links import LinkCut, find_neglected_callers
 from .platform_model_runner import build_stream_event
 from .platform_reservations import ReservationRecord, check_reservations
 from .platform_runner import Arrival, RateLimitPeriod
@@ -66,6 +67,7 @@
     limits: Iterable[RateLimitPeriod] = ()
     now: float = 0.0
     host_starts: HostStarts = field(default_factory=dict)
+    cuts: Sequence[LinkCut] = ()
     violations: list[tuple[Rule, str]] = field(default_factory=list)
 
     def check(self) -> list[tuple[Rule, str]]:
@@ -95,6 +97,9 @@
             attempts, self.arrivals, self.host_starts
         ):
             self._add_violation("BUDGET", f"{request_id} during a cooldown")
+        neglected = find_neglected_callers(self.requests, self.cuts)
+        if neglected is not None:
+            self._add_violation("RECOVER", neglected)
         self.violations += check_reservations(self.reservations, self.now)
         return self.violations
 
--- a/libraries/standins/tarragonward_standins/platform_clients.py
+++ b/libraries/standins/tarragonward_standins/platform_clients.py
@@ -66,6 +66,8 @@
     ended_at: float | None = None
     is_complete: bool = False
     has_disconnected: bool = False
+    # Whether the client's plan is to leave before its deadline.
+    leaves_early: bool = False
     has_sent: bool = False
 
 
@@ -101,13 +103,17 @@
 
 
 class PlatformClient:
-    """A client that keeps one connection alive and retries on new ones."""
+    """A client that keeps one connection alive and retries on new ones.
+
+    keeps_connection: whether its next request uses the connection of the last one.
+    """
 
     def __init__(self, choose_host: Callable[[], Address], key: str, seed: int) -> None:
         self._choose_host = choose_host
         self._key = key
         self._random = random.Random(seed)
         self._idle_connection: _Connection | None = None
+        self.keeps_connection = True
         self.requests: list[ClientRequest] = []
 
     async def async_request(self, plan: RequestPlan) -> ClientRequest:
@@ -159,6 +165,7 @@
         leave_at = deadline
         if plan.disconnect_after_seconds is not None:
             leave_at = min(leave_at, attempt.sent_at + plan.disconnect_after_seconds)
+            attempt.leaves_early = True
         connection = None
         is_reusable = False
         try:
@@ -177,7 +184,7 @@
         return attempt
 
     def _release_connection(self, connection: _Connection, is_reusable: bool) -> None:
-        if is_reusable and self._idle_connection is None:
+        if is_reusable and self.keeps_connection and self._idle_connection is None:
             self._idle_connection = connection
         else:
             connection.writer.transport.abort()
--- a/libraries/standins/tarragonward_standins/platform_day.py
+++ b/libraries/standins/tarragonward_standins/platform_day.py
@@ -30,6 +30,7 @@
     clients: int = 24
     leaving_share: float = 0.0
     huge_per_second: float = 0.0
+    keeps_connections: bool = True
     seed: int = 1
 
 
@@ -62,9 +63,14 @@
         self._site = site
         self._plan = plan
         self._random = random.Random(plan.seed)
-        self._idle_clients = [site.add_client() for _ in range(plan.clients)]
+        self._idle_clients = [self._add_client() for _ in range(plan.clients)]
         self._prompt_count = 0
 
+    def _add_client(self) -> PlatformClient:
+        client = self._site.add_client()
+        client.keeps_connection = self._plan.keeps_connections
+        return client
+
     async def async_play(self) -> DayReport:
         """Send the day's requests, wait until they end, and report."""
         loop = asyncio.get_running_loop()
@@ -104,7 +110,7 @@
         client: PlatformClient = (
             self._idle_clients.pop(self._random.randrange(len(self._idle_clients)))
             if self._idle_clients
-            else self._site.add_client()
+            else self._add_client()
         )
         await client.async_request(plan)
         self._idle_clients.append(client)
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -7,11 +7,10 @@
 import os
 import random
 import signal
-import socket
 import sys
 from collections import defaultdict
 from collections.abc import Mapping
-from contextlib import ExitStack, suppress
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -19,9 +18,12 @@
 from tarragonward_core import Address, TargetError
 from tarragonward_wire import async_send_http
 
+from .host_process import LINKS_VARIABLE
+from .platform_addresses import build_ip, find_ports
 from .platform_checker import Checker, ConfigVersion
 from .platform_clients import ClientRequest, PlatformClient
 from .platform_engine import PassSizes
+from .platform_links import CutKind, HostLinks
 from .platform_model_runner import ModelRunner, RunnersByAddress
 from .platform_runner import Arrival, PlatformRunner, RunnerPlan
 from .platform_settings import render_settings
@@ -39,6 +41,7 @@
 ]
 
 HOST_MODULE = "tarragonward_platform"
+HOST_LAUNCHER = "tarragonward_standins.host_process"
 SETTINGS_VARIABLE = "TARRAGONWARD_BOOT"
 READY_POLL_SECONDS = 0.05
 BALANCER_INTERVAL_SECONDS = 0.5
@@ -102,6 +105,7 @@
     peer_port: int
     store_endpoint: StoreEndpoint
     settings: Path
+    links: HostLinks
     process: asyncio.subprocess.Process | None = None
     failed_checks: int = 0
 
@@ -236,6 +240,7 @@
             limits,
             now,
             self._host_starts,
+            [cut for host in self.hosts for cut in host.links.cuts],
         ).check()
 
     @property
@@ -297,11 +302,17 @@
             render_settings(self._template, self._build_settings_fields(host)),
             encoding="utf-8",
         )
-        environment = {**os.environ, SETTINGS_VARIABLE: str(host.settings)}
+        environment = {
+            **os.environ,
+            SETTINGS_VARIABLE: str(host.settings),
+            LINKS_VARIABLE: str(host.links.path),
+        }
         self._host_starts[host.front].append(asyncio.get_running_loop().time())
         with (self._folder / f"{host.name}.log").open("ab") as log:
             host.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", HOST_MODULE, env=environment, stderr=log
+                *(sys.executable, "-m", HOST_LAUNCHER, HOST_MODULE),
+                env=environment,
+                stderr=log,
             )
 
     async def async_stop_host(self, host: PlatformHost) -> int:
@@ -317,6 +328,11 @@
         host.process.kill()
         await host.process.wait()
 
+    def cut_from_runners(self, host: PlatformHost, kind: CutKind) -> None:
+        """Cut a host off from all runners; callers, peers and the store reach it."""
+        proxies = [runner.proxy for runner in self._runners if runner.proxy]
+        host.links.cut(proxies, kind)
+
     def read_log(self, host: PlatformHost) -> str:
         """Return a host's log."""
         return (self._folder / f"{host.name}.log").read_text(encoding="utf-8")
@@ -345,11 +361,11 @@
 
     async def _async_allocate_host(self, zone: str, number: int) -> PlatformHost:
         name = f"front-{zone}-{number + 1}"
-        ip = _build_ip(len(self.hosts))
+        ip = build_ip(len(self.hosts))
         if not self._ports:
             # All hosts must use the same ports.
             count = len(self.plan.zones) * self.plan.hosts_per_zone
-            self._ports = _find_ports([_build_ip(n) for n in range(count)], 4)
+            self._ports = find_ports([build_ip(n) for n in range(count)], 4)
         front, ready, control, peer = self._ports
         return PlatformHost(
             name,
@@ -360,6 +376,7 @@
             peer,
             await self.store.async_add_endpoint(),
             self._folder / f"{name}.toml",
+            HostLinks(Address(ip, front), self._folder / f"{name}.links"),
         )
 
     def _build_settings_fields(self, host: PlatformHost) -> dict[str, Any]:
@@ -430,33 +447,6 @@
         }
 
 
-def _build_ip(index: int) -> str:
-    # Each process uses its own loopback addresses: on shared ones, another site could
-    # take a free port before a host listens on it.
-    high, low = divmod(os.getpid(), 1 << 8)
-    return f"127.{high % 127 + 1}.{low}.{index + 1}"
-
-
-def _find_ports(ips: list[str], count: int) -> list[int]:
-    """Return ports that are free on all of these addresses."""
-    found: list[int] = []
-    with ExitStack() as stack:
-        while len(found) < count:
-            port = _bind(stack, ips[0], 0)
-            with suppress(OSError):
-                for ip in ips[1:]:
-                    _bind(stack, ip, port)
-                found.append(port)
-    return found
-
-
-def _bind(stack: ExitStack, ip: str, port: int) -> int:
-    sock = stack.enter_context(socket.socket())
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((ip, port))
-    return sock.getsockname()[1]
-
-
 def describe_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
     """Return a route's document; fields override the defaults."""
     return {
--- a/libraries/standins/tests/test_platform_checker.py
+++ b/libraries/standins/tests/test_platform_checker.py
@@ -8,6 +8,7 @@
 from tarragonward_core import Address
 from tarragonward_standins.platform_checker import Checker, ConfigVersion
 from tarragonward_standins.platform_clients import Attempt, ClientRequest, RequestPlan
+from tarragonward_standins.platform_links import LinkCut, find_neglected_callers
 from tarragonward_standins.platform_model_runner import build_stream_event
 from tarragonward_standins.platform_runner import Arrival, RateLimitPeriod
 
@@ -285,3 +286,36 @@
     request, arrivals = build_cooldown_day(3)
     starts = {HOST: [11.0]}
     assert Checker([request], arrivals, [VERSION], host_starts=starts).check() == []
+
+
+def build_first_attempts(failed, served, failed_elsewhere=0, at=14.0):
+    """Return requests whose first attempts failed or were served, by host."""
+    other = Address("127.0.0.2", 1)
+    outcomes = [(HOST, 503)] * failed + [(HOST, 200)] * served
+    outcomes += [(other, 503)] * failed_elsewhere + [(other, 200)] * 30
+    plan = RequestPlan("/a/", "idempotent", "h", "/a/x")
+    requests = []
+    for number, (host, status) in enumerate(outcomes):
+        attempt = Attempt(f"r{number}", host, at, {}, status=status, is_complete=True)
+        attempt.ended_at = at + 0.1
+        requests.append(ClientRequest(plan, at, [attempt]))
+    return requests
+
+
+@pytest.mark.parametrize(
+    ("requests", "is_violation"),
+    [
+        (build_first_attempts(30, 0), True),
+        (build_first_attempts(12, 20), True),
+        (build_first_attempts(12, 30), False),
+        (build_first_attempts(10, 0), False),
+        (build_first_attempts(30, 30, failed_elsewhere=30), False),
+        (build_first_attempts(30, 0, at=12.9), False),
+        (build_first_attempts(30, 0, at=20.0), False),
+    ],
+)
+def test_poor_service_at_hosts_cut_off_from_runners_is_a_violation(
+    requests, is_violation
+):
+    cut = LinkCut(HOST, began_at=10.0, ended_at=20.0)
+    assert (find_neglected_callers(requests, [cut]) is not None) is is_violation
--- /dev/null
+++ b/tests/test_platform_links.py
@@ -0,0 +1,56 @@
+"""Tests of real hosts that lose their links to the runners."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from tarragonward_standins.platform_day import DayPlan, PlatformDay
+from tarragonward_standins.platform_links import CutKind
+from tarragonward_standins.platform_site import PlatformPlan, PlatformSite
+
+TEMPLATE = Path(__file__).parents[1] / "deploy" / "settings.toml"
+CUT_AFTER_SECONDS = 0.5
+CUT_SECONDS = 5.5
+
+
+@pytest.fixture
+async def make_site(tmp_path):
+    sites = []
+
+    async def async_make(plan):
+        site = PlatformSite(tmp_path, plan, TEMPLATE)
+        sites.append(site)
+        await site.async_setup()
+        return site
+
+    yield async_make
+    for site in sites:
+        await site.async_unload()
+
+
+async def async_play(site, hosts, kind, seed):
+    seconds = CUT_AFTER_SECONDS + CUT_SECONDS + 1.0
+    day = DayPlan(seconds=seconds, keeps_connections=False, seed=seed)
+    playing = asyncio.ensure_future(PlatformDay(site, day).async_play())
+    await asyncio.sleep(CUT_AFTER_SECONDS)
+    for host in hosts:
+        site.cut_from_runners(host, kind)
+    await asyncio.sleep(CUT_SECONDS)
+    for host in hosts:
+        host.links.restore()
+    return await playing
+
+
+def format_failure(site, report):
+    """Return the report and the ends of the hosts' logs for a failed assertion."""
+    logs = "\n".join(site.read_log(host)[-2_000:] for host in site.hosts)
+    return f"{report.format_line()} {report.score} {report.violations[:9]}\n{logs}"
+
+
+@pytest.mark.parametrize("kind", list(CutKind))
+async def test_callers_of_hosts_cut_off_from_all_runners_are_served(make_site, kind):
+    """Hosts that lose their links to all runners must not refuse what others serve."""
+    site = await make_site(PlatformPlan())
+    report = await async_play(site, site.hosts[:2], kind, seed=45)
+    assert not report.violations, format_failure(site, report)
