Connect to targets through a peer once a host has lost its own links

Callers of hosts that had lost their links to all targets were refused: 0 of 29 first attempts served, 88 of 88 at the other hosts, which reached the same targets.

Cause: there is one path only. Class: what concerns one host's own link is taken for the state of the fleet.

Now such a host opens its connection through a peer: the peer connects to the target, named by its id and known to the peer too, and passes bytes on. The request stays where its caller is, so deadlines, attempts, the retry budget, the limits of targets, suspects and at most once are counted and kept at one host as before; nothing is sent before the peer has said that it is connected. The target's bytes come framed with their end, as a closed connection does not tell a whole answer without length from a dead relay. Direct connections come first; a peer that has lost the same links says so and is asked again after a back-off; a relay never relays further, holds 128 connections at most, serves known hosts only, and refuses targets that asked it for rest. Orders that reserve and release memory go the same way.

A failed connection has others of the same service or domain checked at once.

--- a/libraries/bench/tarragonward_bench/reach_runs.py
+++ b/libraries/bench/tarragonward_bench/reach_runs.py
@@ -44,6 +44,7 @@
 class _Target:
     id: str
     failure_domain: str
+    service: str = "s"
     health: Health = Health.WELL
     since: float = 0.0
     last_selectable_at: float = 0.0
--- a/libraries/bench/tests/test_reach_runs.py
+++ b/libraries/bench/tests/test_reach_runs.py
@@ -17,8 +17,8 @@
     return targets
 
 
-def probe_first_targets(tracker, domain, ejection, registered, now):
-    return [each for each in registered if each.failure_domain == domain][:2]
+def probe_first_targets(tracker, group, ejection, registered, now):
+    return [each for each in registered if each.failure_domain == group[0]][:2]
 
 
 @pytest.mark.parametrize("seed", [*SEEDS, 10, 14, 19, 28])
@@ -31,7 +31,7 @@
     [
         (TargetHealthTracker, "take_due_probes", probe_nothing),
         (TargetHealthTracker, "select", select_all),
-        (TargetHealthTracker, "_pick_domain_probes", probe_first_targets),
+        (TargetHealthTracker, "_pick_group_probes", probe_first_targets),
         (c, "EJECTION_MAX_SECONDS", 30.0),
         (c, "REQUEST_TRIAL_MAX_EJECTION_SECONDS", 30.0),
         (c, "REQUEST_TRIAL_MAX_EJECTION_SECONDS", 0.05),
--- a/libraries/gateway/tarragonward_gateway/__init__.py
+++ b/libraries/gateway/tarragonward_gateway/__init__.py
@@ -4,6 +4,7 @@
 from .operators import build_log_budget
 from .ports import (
     AnswerHandler,
+    ConnectorSource,
     HeaderNames,
     HistoryLostError,
     Page,
@@ -26,6 +27,7 @@
 
 __all__ = [
     "AnswerHandler",
+    "ConnectorSource",
     "Gateway",
     "GatewaySettings",
     "HeaderNames",
--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -26,6 +26,7 @@
 from .peers import Peers
 from .ports import HeaderNames, Paths, RecordParser, RecordReader, ReservationClient
 from .publications import PublicationTask
+from .relays import RelayTask
 from .reload import SettingsTask
 from .reservations import ReservationTask
 from .settings import GatewaySettings
@@ -63,6 +64,10 @@
         )
         self.reservations = ReservationTask(self.state, reservation_client)
         reservation_client.on_answer = self.targets.statements.record
+        reservation_client.get_connector = self.targets.paths.get_order_connector
+        self.relays = RelayTask(self.state, self.targets)
+        self.relays.get_peers = self.peers.get_active_addresses
+        self.relays.get_hosts = self.peers.get_known_ips
         self.targets.get_cell = self.cells.get
         self.cell_gossip = CellGossip(self.state, self.peers, self.targets)
         self.forwarder = Forwarder(self.state, self.targets, self.reservations)
@@ -104,6 +109,7 @@
         components = (
             self.operators,
             self.peers,
+            self.relays,
             self.publications,
             self.reservations,
             self.targets.probes,
@@ -150,6 +156,7 @@
                 state.is_admitting = False
                 self.callers.close_idle_connections()
                 await self.callers.async_wait_idle()
+                await self.relays.async_wait_idle()
         log_event("drain_ended", in_flight=self.forwarder.in_flight)
 
 
--- a/libraries/gateway/tarragonward_gateway/choices.py
+++ b/libraries/gateway/tarragonward_gateway/choices.py
@@ -43,6 +43,8 @@
     plan: PrefillPlan | None = None
     work: InFlightPrompt | None = None
     ticket: str = ""
+    # Whether the send goes through a peer, as this host can't connect to the target.
+    is_relayed: bool = False
     has_events: bool = False
     # Whether the target refused the request, which then took no place there.
     is_refused: bool = False
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -149,6 +149,13 @@
 TARGET_UNREACHABLE_SECONDS = 2.5
 # How often the ejected targets are checked for a probe that is due.
 TARGET_PROBE_INTERVAL_SECONDS = 0.1
+# Peers that are asked for one connection, and how long one may take to answer: the hop
+# and the peer's own connection to the target.
+MAX_RELAYS_ASKED = 4
+RELAY_ANSWER_TIMEOUT_SECONDS = 0.3
+RELAYED_CONNECT_TIMEOUT_SECONDS = 0.8
+# A request that has lost its connection waits for this check.
+RELAY_CHECK_TIMEOUT_SECONDS = 0.1
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
 # A host without a routing table holds a request for up to START_HOLD_SECONDS, during
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -95,6 +95,16 @@
         peers = self.members.get_peers()
         return tuple(peer.name for peer in peers if peer.name and not peer.is_leaving)
 
+    def get_active_addresses(self) -> tuple[Address, ...]:
+        """Return the addresses of the peers that were heard, without leaving ones."""
+        peers = self.members.get_peers()
+        return tuple(peer.identity.address for peer in peers if not peer.is_leaving)
+
+    def get_known_ips(self) -> frozenset[str]:
+        """Return the IP addresses of the hosts that this one knows, lost ones too."""
+        known = self.members.get_known_addresses(read_clock())
+        return frozenset(address.host for address in known)
+
     def count_sharing_hosts(self) -> int:
         """Return by how many hosts shared limits are divided, never too few."""
         return self.members.get_max_host_count(read_clock())
--- a/libraries/gateway/tarragonward_gateway/placing.py
+++ b/libraries/gateway/tarragonward_gateway/placing.py
@@ -138,7 +138,8 @@
             if choice is None:
                 return None
             is_last = attempt + 1 == c.MAX_RESERVATION_ATTEMPTS
-            if choice.helpers and not is_last:
+            # A host that has lost its links can't check; the leader has its own.
+            if choice.helpers and not is_last and not choice.is_relayed:
                 with self._chooser.track_in_flight(choice):
                     are_reached = await self._chooser.probes.async_check(choice.helpers)
                 if not are_reached:
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -9,11 +9,14 @@
 from tarragonward_core import TarragonwardError
 from tarragonward_membership import RegisteredTarget
 from tarragonward_routes import RoutingTable
+from tarragonward_wire import Connector
 
 AnswerHandler = Callable[[RegisteredTarget, int, Mapping[str, str]], None]
+ConnectorSource = Callable[[RegisteredTarget], Connector | None]
 
 __all__ = [
     "AnswerHandler",
+    "ConnectorSource",
     "HeaderNames",
     "HistoryLostError",
     "Page",
@@ -167,10 +170,12 @@
     """Reserves and releases memory of targets; raises TargetError without an answer.
 
     on_answer is called with the target, status and headers of each answer; the names of
-    headers are in lower case.
+    headers are in lower case. get_connector returns what replaces the connection to a
+    target's address, None if nothing does.
     """
 
     on_answer: AnswerHandler
+    get_connector: ConnectorSource
 
     async def async_reserve(
         self, reservation: Reservation, timeout: float
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -24,7 +24,7 @@
 from .reachability import ReachabilityMonitor
 from .state import GatewayState
 
-__all__ = ["TargetProber"]
+__all__ = ["EVIDENCE_BY_FAULT", "TargetProber"]
 
 TASK_NAME = "probes"
 EVIDENCE_BY_FAULT = {
@@ -46,6 +46,9 @@
         # By target: the connection attempt that shows whether it has ended.
         self._end_checks: dict[str, asyncio.Task[bool]] = {}
         self._background = BackgroundTasks(state.metrics)
+        self._is_running = False
+        # Called in each round with all registered targets.
+        self.on_registered: list[Callable[[Sequence[RegisteredTarget]], None]] = []
         # Targets that want no requests are not probed either.
         self.accepts_requests: Callable[[RegisteredTarget], bool] = lambda target: True
 
@@ -53,9 +56,11 @@
         """Start probing ejected targets."""
         # Restarted after an error, as ejected targets would otherwise never return.
         self._background.start(TASK_NAME, self._async_probe_due)
+        self._is_running = True
 
     async def async_unload(self) -> None:
         """Stop probing."""
+        self._is_running = False
         await self._background.async_unload()
         tasks = [*self._probe_tasks, *self._end_checks.values()]
         for task in tasks:
@@ -76,11 +81,17 @@
             elif isinstance(effect, TargetRestored):
                 log_event("target_regained", target=target.id)
             elif isinstance(effect, DomainEjected):
-                log_event("domain_doubted", domain=effect.domain)
+                log_event(
+                    "domain_doubted", domain=effect.domain, service=effect.service
+                )
             elif isinstance(effect, DomainRestored):
-                log_event("domain_regained", domain=effect.domain)
+                log_event(
+                    "domain_regained", domain=effect.domain, service=effect.service
+                )
         if effects:
             self.reachability.update(target.service)
+        if evidence is Evidence.NOT_CONNECTED and self._is_running:
+            self._check_neighbours(target)
 
     def record_failure(self, target: RegisteredTarget, fault: SendFault) -> None:
         """Record a failed send as evidence."""
@@ -122,6 +133,14 @@
         self._probe_tasks.add(task)
         task.add_done_callback(self._probe_tasks.discard)
 
+    def _check_neighbours(self, target: RegisteredTarget) -> None:
+        registered = self._state.registry.get_all()
+        neighbours = self._target_health.choose_neighbours(
+            target, registered, read_clock()
+        )
+        for neighbour in filter(self.accepts_requests, neighbours):
+            self.check_in_background(neighbour)
+
     async def async_has_ended(self, target: RegisteredTarget) -> bool:
         """Return whether a target that lost a connection refuses a new one.
 
@@ -145,6 +164,8 @@
             await asyncio.sleep(c.TARGET_PROBE_INTERVAL_SECONDS)
             registered = self._state.registry.get_all()
             self._target_health.retain_only(registered)
+            for notify in self.on_registered:
+                notify(registered)
             waiting = [target for target in registered if self.accepts_requests(target)]
             for target in self._target_health.take_due_probes(waiting, read_clock()):
                 task = asyncio.create_task(self._async_probe(target))
--- a/libraries/gateway/tarragonward_gateway/reachability.py
+++ b/libraries/gateway/tarragonward_gateway/reachability.py
@@ -26,6 +26,8 @@
         self._unreachable_since: dict[str, float] = {}
         # Returns the number of other hosts that were heard recently.
         self.count_peers: Callable[[], int] = lambda: 0
+        # Called with the name of a service when its last target is out of reach.
+        self.on_lost: list[Callable[[str], None]] = []
 
     @property
     def unreachable_count(self) -> int:
@@ -53,6 +55,8 @@
                 targets=ready,
                 peers=self.count_peers(),
             )
+            for notify in self.on_lost:
+                notify(service)
         else:
             seconds = now - self._unreachable_since.pop(service)
             log_event("service_reachable", service=service, seconds=seconds)
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/relays.py
@@ -0,0 +1,177 @@
+"""Connect to targets through peers, and connect peers to targets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Collection
+from functools import partial
+
+from tarragonward_core import Address, NotConnectedError, log_event
+from tarragonward_membership import RegisteredTarget
+from tarragonward_placement import Evidence, RelayDirectory
+from tarragonward_wire import (
+    Connector,
+    Receiver,
+    RelayRefusedError,
+    RelayRequest,
+    RelayResult,
+    RelayServer,
+    async_connect_by_relay,
+)
+
+from . import const as c
+from .clock import read_clock
+from .state import GatewayState
+from .targets import TargetChooser
+
+__all__ = ["RelayTask"]
+
+Connection = tuple[asyncio.Transport, Receiver]
+
+
+class RelayTask:
+    """Opens and serves the connections that pass through another host.
+
+    A request stays with the host that took it from its caller, which alone decides on
+    targets, deadlines, retries and what the caller is told. Its peer only passes bytes
+    on: it opens one connection to one target, and knows nothing of requests. So every
+    promise to callers rests where it does without a peer.
+    """
+
+    def __init__(self, state: GatewayState, chooser: TargetChooser) -> None:
+        self._state = state
+        self._chooser = chooser
+        self._directory = RelayDirectory(random.Random(state.random.random()))
+        self._server = RelayServer(state.settings.peers, self._resolve, state.metrics)
+        self._server.on_unreachable = self._record_unreachable
+        # The addresses of peers that may be asked, and IP addresses that may ask.
+        self.get_peers: Callable[[], Collection[Address]] = lambda: ()
+        self.get_hosts: Callable[[], Collection[str]] = lambda: ()
+        self._prove_tasks: set[asyncio.Task[bool | None]] = set()
+        chooser.probes.reachability.on_lost.append(self._prove)
+        chooser.paths.may_relay = self.may_relay
+        chooser.paths.has_proven_relay = self._has_proven
+        chooser.paths.build_connector = self.build_connector
+        state.metrics.add_gauge(
+            "relayed_connections",
+            "connections of peers to targets that pass through this host",
+            lambda: len(self._server.connections),
+        )
+
+    async def async_setup(self) -> None:
+        """Start to serve peers."""
+        await self._server.async_setup()
+
+    async def async_unload(self) -> None:
+        """End the connections of peers."""
+        for task in self._prove_tasks:
+            task.cancel()
+        await self._server.async_unload()
+
+    async def async_wait_idle(self) -> None:
+        """Wait until no peer has a connection through this host."""
+        await self._server.async_wait_idle()
+
+    def may_relay(self, service: str) -> bool:
+        """Return whether a peer may connect this host to a service now."""
+        peers = self.get_peers()
+        return self._directory.choose(service, peers, (), read_clock()) is not None
+
+    async def async_check(self, target: RegisteredTarget) -> bool | None:
+        """Return whether a peer can connect to a target, None if no peer tells."""
+        try:
+            async with asyncio.timeout(c.RELAY_CHECK_TIMEOUT_SECONDS):
+                transport, _ = await self._async_connect(target)
+        except RelayRefusedError:
+            return False
+        except (NotConnectedError, OSError, TimeoutError):
+            return None
+        transport.abort()
+        return True
+
+    def _prove(self, service: str) -> None:
+        """Find a peer that reaches a service, before the next request needs one."""
+        ready = self._state.registry.get_ready(service)
+        if not ready:
+            return
+        target = min(ready, key=lambda _: self._state.random.random())
+        task = asyncio.ensure_future(self.async_check(target))
+        self._prove_tasks.add(task)
+        task.add_done_callback(self._prove_tasks.discard)
+
+    def build_connector(self, target: RegisteredTarget) -> Connector:
+        """Return a connector to a target through peers."""
+        return partial(self._async_connect, target)
+
+    def _has_proven(self, service: str) -> bool:
+        return self._directory.has_proven(service, read_clock())
+
+    async def _async_connect(self, target: RegisteredTarget) -> Connection:
+        """Connect through the first peer that can; raise NotConnectedError if none."""
+        service, asked = target.service, set[Address]()
+        peers = self.get_peers()
+        self._directory.retain_only(peers)
+        while len(asked) < c.MAX_RELAYS_ASKED:
+            peer = self._directory.choose(service, peers, asked, read_clock())
+            if peer is None:
+                break
+            asked.add(peer)
+            connection = await self._async_ask(peer, target)
+            if connection is not None:
+                return connection
+        self._state.metrics.count("relayed_connects", "no_relay")
+        raise NotConnectedError(f"{target.address}: no relay of {len(asked)} asked")
+
+    async def _async_ask(
+        self, peer: Address, target: RegisteredTarget
+    ) -> Connection | None:
+        """Return a connection through a peer, None if the peer is of no use now."""
+        now = read_clock()
+        request = RelayRequest(target.id, c.CONNECT_TIMEOUT_SECONDS)
+        try:
+            async with asyncio.timeout(c.RELAY_ANSWER_TIMEOUT_SECONDS):
+                connection = await async_connect_by_relay(peer, request)
+        except RelayRefusedError as err:
+            self._state.metrics.count("relayed_connects", err.result.name.lower())
+            self._record_refusal(peer, target, err)
+            return None
+        except (OSError, TimeoutError) as err:
+            self._state.metrics.count("relayed_connects", "peer_lost")
+            self._directory.record_lost(peer, now)
+            log_event("relay_lost", relay=peer, error=repr(err))
+            return None
+        self._state.metrics.count("relayed_connects", "connected")
+        self._directory.record_connected(peer, target.service, now)
+        return connection
+
+    def _record_refusal(
+        self, peer: Address, target: RegisteredTarget, refusal: RelayRefusedError
+    ) -> None:
+        now = read_clock()
+        if refusal.result is RelayResult.SERVICE_UNREACHABLE:
+            self._directory.record_unable(peer, target.service, now)
+        elif refusal.result is RelayResult.TARGET_UNREACHABLE:
+            # The peer has other targets of the service; this one is probably dead.
+            self._chooser.paths.record(target, Evidence.NOT_CONNECTED)
+            raise refusal
+        else:
+            self._directory.record_lost(peer, now)
+
+    def _resolve(self, host: str, request: RelayRequest) -> Address | RelayResult:
+        """Return the address of a target that a peer asks to be connected to."""
+        target = self._state.registry.get(request.target)
+        if host not in self.get_hosts() or target is None or self._state.is_draining:
+            return RelayResult.NOT_ACCEPTED
+        if not self._chooser.accepts_requests(target):
+            return RelayResult.NOT_ACCEPTED
+        if not self._chooser.target_health.is_disconnected(target):
+            return target.address
+        if self._chooser.is_service_unreachable(target.service):
+            return RelayResult.SERVICE_UNREACHABLE
+        return RelayResult.TARGET_UNREACHABLE
+
+    def _record_unreachable(self, name: str) -> None:
+        target = self._state.registry.get(name)
+        if target is not None:
+            self._chooser.probes.record(target, Evidence.NOT_CONNECTED)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -67,7 +67,7 @@
     SEND_ERRORS,
     SendWithheldError,
     get_send_fault,
-    is_link_timeout,
+    is_link_fault,
 )
 from .state import GatewayState
 from .suspects import RequestIdentity, SuspectMonitor
@@ -228,7 +228,11 @@
         target = choice.target
         prefill_engines = len(choice.helpers) + 1 if choice.plan is not None else 0
         self._observer.record_choice(
-            target, choice.predicted_at, prefill_engines, **self._placer.describe()
+            target,
+            choice.predicted_at,
+            prefill_engines,
+            relayed=choice.is_relayed or None,
+            **self._placer.describe(),
         )
         self._placer.record_chosen(target)
         try:
@@ -244,7 +248,7 @@
             event = SendFailed(get_send_fault(err))
             await self._async_handle_error(target, event, err)
         if isinstance(event, SendFailed):
-            self._chooser.probes.record_failure(target, event.fault)
+            self._chooser.record_failure(choice, event.fault)
             is_lost = event.fault is SendFault.LOST
             return (self._check_suspect() if is_lost else None) or self._handle_event(
                 event
@@ -268,7 +272,7 @@
             error=str(err),
             fingerprint=self._identity.fingerprint.hex() if is_lost else None,
         )
-        if is_lost and not is_link_timeout(err):
+        if is_lost and not is_link_fault(err):
             await self._suspects.async_record_lost(self._identity, target)
 
     def _refund_retry(self) -> None:
@@ -279,26 +283,28 @@
             )
             self._retry_counted_at = None
 
-    def _record_head_evidence(
-        self, target: RegisteredTarget, stream: HttpStream
-    ) -> None:
+    def _record_head_evidence(self, choice: SendChoice, stream: HttpStream) -> None:
         # A head does not count as an answer: a faulty target may send a good head and
         # a bad body, and its failures would then never be consecutive.
         evidence = Evidence.CONNECTED
-        names = self._state.headers
+        names, target = self._state.headers, choice.target
         if is_from_other_boot(names, target, stream.status, stream.headers):
             evidence = Evidence.REPLACED
         elif self._head_check.is_refusal(stream):
             evidence = Evidence.ANSWERED
         elif stream.status >= STATUS_SERVER_ERROR:
             evidence = Evidence.FAILED
-        self._chooser.probes.record(target, evidence)
+        self._chooser.record_evidence(choice, evidence)
 
     async def _async_attempt(
         self, choice: SendChoice, effect: SendTo
     ) -> ExchangeEvent | None:
         target = choice.target
         seconds_left = self._context.deadline - self._loop.time()
+        connect = self._chooser.paths.get_connector(choice)
+        connect_timeout = (
+            c.RELAYED_CONNECT_TIMEOUT_SECONDS if connect else c.CONNECT_TIMEOUT_SECONDS
+        )
         async with AsyncExitStack() as stack:
             if choice.plan is not None and self._exchange.policy.may_run_again:
                 self._idle_timeout = self._build_idle_timeout(choice.plan)
@@ -314,11 +320,12 @@
                     target.address,
                     self._request.method,
                     self._request.target,
-                    headers=self._build_headers(choice, effect, seconds_left),
+                    headers=partial(self._build_headers, choice, effect),
                     body=self._request.body,
-                    connect_timeout=min(c.CONNECT_TIMEOUT_SECONDS, seconds_left),
+                    connect_timeout=min(connect_timeout, seconds_left),
                     before_write=partial(self._begin_write, target),
                     unreachable_timeout=c.TARGET_UNREACHABLE_SECONDS,
+                    connect=connect,
                 )
             )
             return await self._async_receive_answer(choice, stream)
@@ -371,9 +378,10 @@
         self._mover.consider_move(choice, watch, work)
 
     def _build_headers(
-        self, choice: SendChoice, effect: SendTo, seconds_left: float
+        self, choice: SendChoice, effect: SendTo
     ) -> tuple[tuple[bytes, bytes], ...]:
         names = self._state.headers
+        seconds_left = self._context.deadline - self._loop.time()
         set_by_host = {
             names.deadline_ms: str(max(1, int(seconds_left * MILLISECONDS_PER_SECOND))),
             names.expected_target: choice.target.name,
@@ -391,7 +399,7 @@
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         names = self._state.headers
-        self._record_head_evidence(choice.target, stream)
+        self._record_head_evidence(choice, stream)
         is_refusal = self._head_check.is_refusal(stream)
         self._chooser.statements.record_answer(
             choice.target, stream.status, stream.headers
@@ -429,7 +437,7 @@
         headers = build_answer_headers(stream.raw_headers, has_body)
         self._answer = (stream.status, headers, body)
         if stream.status < STATUS_SERVER_ERROR:
-            self._chooser.probes.record(choice.target, Evidence.ANSWERED)
+            self._chooser.record_evidence(choice, Evidence.ANSWERED)
             self._suspects.record_answered(self._identity)
         return TargetAnswered(is_failure=stream.status >= STATUS_SERVER_ERROR)
 
@@ -466,7 +474,7 @@
     def _record_events(self, choice: SendChoice, events: int) -> None:
         if not choice.has_events:
             choice.has_events = True
-            self._chooser.probes.record(choice.target, Evidence.ANSWERED)
+            self._chooser.record_evidence(choice, Evidence.ANSWERED)
         self._chooser.record_events(choice, events)
 
     async def _async_forward_events(
--- a/libraries/gateway/tarragonward_gateway/send_errors.py
+++ b/libraries/gateway/tarragonward_gateway/send_errors.py
@@ -7,11 +7,12 @@
 
 from tarragonward_core import ConnectionLostError, NotConnectedError, TargetError
 from tarragonward_requests import SendFault
+from tarragonward_wire import RelayLostError
 
 from .heads import SpoiledAnswerError
 from .idle_timeout import StreamMovedError, TargetSilentError
 
-__all__ = ["SEND_ERRORS", "SendWithheldError", "get_send_fault", "is_link_timeout"]
+__all__ = ["SEND_ERRORS", "SendWithheldError", "get_send_fault", "is_link_fault"]
 
 LINK_TIMEOUT_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
@@ -65,7 +66,9 @@
     return SendFault.LOST
 
 
-def is_link_timeout(error: Exception) -> bool:
-    """Return whether the connection was lost because its link went silent."""
+def is_link_fault(error: Exception) -> bool:
+    """Return whether a connection was lost by its link, not by the target."""
     cause = error.__cause__
+    if isinstance(cause, RelayLostError):
+        return True
     return isinstance(cause, OSError) and cause.errno in LINK_TIMEOUT_ERRORS
--- /dev/null
+++ b/libraries/gateway/tarragonward_gateway/target_paths.py
@@ -0,0 +1,85 @@
+"""Decide whether a send goes to its target directly or through a peer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Sequence
+from typing import TypeVar
+
+from tarragonward_membership import RegisteredTarget
+from tarragonward_placement import Evidence, TargetHealthTracker
+from tarragonward_wire import Connector
+
+from .choices import SendChoice
+from .clock import read_clock
+
+__all__ = ["TargetPaths"]
+
+Target = TypeVar("Target", bound=RegisteredTarget)
+
+
+class TargetPaths:
+    """Direct connections where a target takes them, else one through a peer.
+
+    A host that can't connect to any target of a request may have lost its own links
+    only, while its peers have theirs. What requests show through a peer is kept apart
+    from what this host's own connections show: the one says that a target has ended,
+    the other perhaps that a link has.
+    """
+
+    def __init__(self, direct: TargetHealthTracker) -> None:
+        self._direct = direct
+        self._relayed = TargetHealthTracker(has_probes=False)
+        # Whether a peer may relay to a service, and whether one has done so recently.
+        self.may_relay: Callable[[str], bool] = lambda service: False
+        self.has_proven_relay: Callable[[str], bool] = lambda service: False
+        # Returns what connects to a target through a peer.
+        self.build_connector: Callable[[RegisteredTarget], Connector] | None = None
+
+    def select(self, targets: Sequence[Target], now: float) -> Sequence[Target]:
+        """Return the targets with the best health over their paths."""
+        selected = self._direct.select(targets, now)
+        if not selected or not all(map(self._direct.is_disconnected, selected)):
+            return selected
+        lost = [target for target in targets if self._direct.is_disconnected(target)]
+        if not self.may_relay(selected[0].service):
+            return selected
+        return self._relayed.select(lost, now)
+
+    def must_relay(self, target: RegisteredTarget) -> bool:
+        """Return whether a send to a target goes through a peer."""
+        return self._direct.is_disconnected(target) and self.may_relay(target.service)
+
+    def get_connector(self, choice: SendChoice) -> Connector | None:
+        """Return the connector of a send through a peer, None for a direct one."""
+        if not choice.is_relayed or self.build_connector is None:
+            return None
+        return self.build_connector(choice.target)
+
+    def get_order_connector(self, target: RegisteredTarget) -> Connector | None:
+        """Return the connector of an order through a peer, None for a direct one."""
+        if self.build_connector is None or not self.must_relay(target):
+            return None
+        return self.build_connector(target)
+
+    def is_ready(self, target: RegisteredTarget) -> bool:
+        """Return whether a request in progress elsewhere may count on a target."""
+        if not self._direct.is_ejected(target):
+            return True
+        is_proven = self.has_proven_relay(target.service)
+        return is_proven and self.must_relay(target) and not self._is_failing(target)
+
+    def start_trial(self, target: RegisteredTarget, is_relayed: bool) -> None:
+        """Keep other requests off an ejected target while one request tries it."""
+        health = self._relayed if is_relayed else self._direct
+        health.start_trial(target, read_clock())
+
+    def record(self, target: RegisteredTarget, evidence: Evidence) -> None:
+        """Record what a connection through a peer has shown of a target."""
+        self._relayed.observe(target, evidence, read_clock())
+
+    def retain_only(self, registered: Collection[RegisteredTarget]) -> None:
+        """Forget what is no longer registered."""
+        self._relayed.retain_only(registered)
+
+    def _is_failing(self, target: RegisteredTarget) -> bool:
+        return self._relayed.is_ejected(target)
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -14,6 +14,7 @@
     Cell,
     ConcurrencyLimits,
     EngineUsage,
+    Evidence,
     FleetUsageTracker,
     HostView,
     PrefillPlan,
@@ -28,15 +29,17 @@
     MAX_LIMIT_WAIT_SECONDS,
     MIN_PARALLEL_PREFILL_SECONDS,
 )
+from tarragonward_requests import SendFault
 from tarragonward_routes import Service
 
 from . import const as c
 from .choices import SendChoice, TargetRequirements
 from .clock import read_clock
 from .place_queue import PlaceQueue
-from .probes import TargetProber
+from .probes import EVIDENCE_BY_FAULT, TargetProber
 from .state import GatewayState
 from .statements import TargetStatements
+from .target_paths import TargetPaths
 
 __all__ = ["SECTION", "TargetChooser"]
 
@@ -71,7 +74,9 @@
             state, self.usage, self.limits, self.cooldowns, clock
         )
         self.target_health = TargetHealthTracker()
+        self.paths = TargetPaths(self.target_health)
         self.probes = TargetProber(state, self.target_health)
+        self.probes.on_registered.append(self.paths.retain_only)
         self.probes.accepts_requests = self.accepts_requests
 
     def build_digest(self) -> dict[str, list[Any]]:
@@ -86,7 +91,8 @@
         """Choose a target and record the send; return None if no target remains."""
         choice = self.find(requirements)
         if choice is not None:
-            self.target_health.start_trial(choice.target, read_clock())
+            choice.is_relayed = self.paths.must_relay(choice.target)
+            self.paths.start_trial(choice.target, choice.is_relayed)
             self.limits.record_send(hash_name(choice.target.id))
         return choice
 
@@ -94,6 +100,26 @@
         """Return how many ready targets of a service this host can't connect to."""
         return self.probes.reachability.count_disconnected(service)
 
+    def is_service_unreachable(self, service: str) -> bool:
+        """Return whether this host can connect to none of a service's ready targets."""
+        ready = len(self._state.registry.get_ready(service))
+        return ready == self.count_disconnected(service)
+
+    def record_evidence(self, choice: SendChoice, evidence: Evidence) -> None:
+        """Record what a send has shown about its target, by the path that it took."""
+        if choice.is_relayed:
+            self.paths.record(choice.target, evidence)
+        else:
+            self.probes.record(choice.target, evidence)
+
+    def record_failure(self, choice: SendChoice, fault: SendFault) -> None:
+        """Record a failed send as evidence."""
+        evidence = EVIDENCE_BY_FAULT.get(fault)
+        # The relay's own answer is the evidence on a connection that it has not made.
+        is_by_relay = choice.is_relayed and evidence is Evidence.NOT_CONNECTED
+        if evidence is not None and not is_by_relay:
+            self.record_evidence(choice, evidence)
+
     def accepts_requests(self, target: RegisteredTarget) -> bool:
         """Return whether a target has not asked this host for no more requests."""
         is_cooling_down = self.cooldowns.is_cooling_down(target.id, read_clock())
@@ -134,7 +160,7 @@
         without a place in a queue show just as soon whether the target has recovered.
         """
         choice = self.find(requirements)
-        if choice is None or self.target_health.is_ejected(choice.target):
+        if choice is None or not self.paths.is_ready(choice.target):
             return None
         return choice
 
@@ -165,7 +191,7 @@
         if not ready:
             return (), ()
         preferred = self.cooldowns.prefer(ready, now, is_retry=bool(requirements.tried))
-        healthy = self.target_health.select(preferred, now)
+        healthy = self.paths.select(preferred, now)
         if requirements.leader:
             # The leader is fixed even if it is ejected; its helpers must be healthy.
             leaders = [target for target in ready if target.id == requirements.leader]
--- /dev/null
+++ b/libraries/gateway/tests/test_relays.py
@@ -0,0 +1,139 @@
+"""Tests of two hosts, one of which has lost its links to the targets."""
+
+import asyncio
+
+import pytest
+
+from tarragonward_gateway.relays import RelayTask
+from tarragonward_placement import Evidence
+from tarragonward_requests import SendFault
+from tarragonward_routes import RequestKind
+from tarragonward_standins import answer_with, async_reset, refuse_with, stream_events
+
+
+class Pair:
+    """A host that can't connect to its targets, and a peer that can."""
+
+    def __init__(self, cut, peer):
+        self.cut, self.peer = cut, peer
+        self.cut_relays = RelayTask(cut.state, cut.chooser)
+        self.peer_relays = RelayTask(peer.state, peer.chooser)
+        self.peer_relays.get_hosts = lambda: ("127.0.0.1",)
+        self.cut_relays.get_peers = lambda: (self.peer_relays._server.address,)
+
+    def lose_links(self):
+        for target in self.cut.state.registry.get_all():
+            self.cut.chooser.probes.record_failure(target, SendFault.NOT_CONNECTED)
+
+
+@pytest.fixture
+async def make_pair(make_site):
+    pairs = []
+
+    async def async_make(*scripts, **route):
+        cut = await make_site(*scripts, **route)
+        peer = await make_site(**route)
+        for target in cut.state.registry.get_all():
+            peer.state.registry.apply(target)
+        pair = Pair(cut, peer)
+        pairs.append(pair)
+        await pair.peer_relays.async_setup()
+        pair.lose_links()
+        return pair
+
+    yield async_make
+    for pair in pairs:
+        await pair.peer_relays.async_unload()
+        await pair.cut_relays.async_unload()
+
+
+async def test_host_without_links_sends_through_a_peer(make_pair):
+    pair = await make_pair(answer_with(), answer_with())
+    assert (await pair.cut.async_ask()).status == 200
+    assert pair.cut.state.metrics.get_count("relayed_connects") >= 1
+    # What a peer can connect to says nothing of this host's own links.
+    target = pair.cut.state.registry.get_all()[0]
+    assert pair.cut.chooser.target_health.is_disconnected(target)
+
+
+async def test_non_idempotent_request_runs_once_through_a_peer(make_pair):
+    """The target resets after it got the request; the peer must not send it again."""
+    pair = await make_pair(async_reset, answer_with(), kind=RequestKind.NON_IDEMPOTENT)
+    answer = await pair.cut.async_ask("POST")
+    assert answer.status == 502
+    assert pair.cut.runs == 1
+
+
+async def test_request_is_refused_at_once_if_the_peer_has_no_links_either(make_pair):
+    """All hosts have lost their links: nobody asks on, and nothing is held."""
+    pair = await make_pair(answer_with(), answer_with())
+    for target in pair.peer.state.registry.get_all():
+        pair.peer.chooser.probes.record_failure(target, SendFault.NOT_CONNECTED)
+    for target in pair.cut.targets:
+        await target.async_unload()
+    async with asyncio.timeout(1.0):
+        answer = await pair.cut.async_ask()
+    assert answer.status == 503
+    assert answer.get("retry-after")
+    assert 1 <= pair.peer.state.metrics.get_count("relayed_for_others") <= 3
+
+
+async def test_peer_does_not_connect_strangers(make_pair):
+    """A process that is no known host must not reach targets through the peer."""
+    pair = await make_pair(answer_with())
+    pair.peer_relays.get_hosts = lambda: ("10.9.9.9",)
+    target = pair.cut.state.registry.get_all()[0]
+    assert await pair.cut_relays.async_check(target) is None
+
+
+async def test_peer_does_not_connect_to_a_target_that_asked_it_for_rest(make_pair):
+    """The peer was asked for rest; what it passes on counts as its own requests."""
+    pair = await make_pair(answer_with())
+    target = pair.peer.state.registry.get_all()[0]
+    pair.peer.chooser.cooldowns.begin(target.id, 5.0, asyncio.get_running_loop().time())
+    assert await pair.cut_relays.async_check(target) is None
+    assert not pair.cut.runs
+
+
+async def test_draining_peer_takes_no_new_connections(make_pair):
+    pair = await make_pair(answer_with())
+    pair.peer.state.is_draining = True
+    target = pair.peer.state.registry.get_all()[0]
+    assert await pair.cut_relays.async_check(target) is None
+
+
+async def test_target_that_is_dead_for_the_peer_too_is_left_alone(make_pair):
+    """Through a peer a dead target is found as well, and others serve."""
+    pair = await make_pair(answer_with(), answer_with())
+    await pair.cut.targets[0].async_unload()
+    for _ in range(3):
+        assert (await pair.cut.async_ask()).status == 200
+    assert len(pair.cut.targets[1].requests) == 3
+
+
+async def test_stream_through_a_peer_arrives_whole(make_pair):
+    pair = await make_pair(
+        stream_events(range(1, 30)),
+        stream_events(range(1, 30)),
+        kind=RequestKind.STREAM,
+    )
+    answer = await pair.cut.async_ask("POST")
+    assert answer.status == 200
+    assert answer.body.count(b"id:") == 29
+
+
+async def test_refusals_through_a_peer_end_no_health(make_pair):
+    pair = await make_pair(refuse_with(), answer_with())
+    assert (await pair.cut.async_ask()).status == 200
+    target = pair.cut.state.registry.get("t0")
+    assert not pair.cut.chooser.paths._relayed.is_ejected(target)
+
+
+async def test_direct_connections_are_used_again_once_one_succeeds(make_pair):
+    pair = await make_pair(answer_with())
+    assert (await pair.cut.async_ask()).status == 200
+    relayed = pair.cut.state.metrics.get_count("relayed_connects")
+    target = pair.cut.state.registry.get_all()[0]
+    pair.cut.chooser.probes.record(target, Evidence.CONNECTED)
+    assert (await pair.cut.async_ask()).status == 200
+    assert pair.cut.state.metrics.get_count("relayed_connects") == relayed
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -47,6 +47,7 @@
     TargetRestored,
 )
 from .readings import PrefillPlan, plan_prefill
+from .relays import RelayDirectory
 from .relocation import predict_event_wait, should_migrate
 from .target_cooldowns import TargetCooldowns
 from .target_limits import HostView, LimitEntry, TargetLimits, compute_host_share
@@ -56,6 +57,7 @@
     "parse_digest",
     "parse_summary",
     "ConcurrencyLimits",
+    "RelayDirectory",
     "HostView",
     "LimitEntry",
     "TargetLimits",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -158,6 +158,7 @@
 DOMAIN_FAILURE_THRESHOLD = 2
 DOMAIN_FAILURE_WINDOW_SECONDS = 1.0
 PROBES_PER_DOMAIN = 2
+NEIGHBOUR_CHECK_INTERVAL_SECONDS = 0.5
 # A target that was connected to within this time counts as reachable.
 CONNECTION_FRESH_SECONDS = 0.5
 MAX_TRACKED_TARGETS = 4_096
@@ -179,3 +180,11 @@
 MAX_TARGET_COOLDOWNS = 4_096
 # A target that has accepted no request since its cooldown gets no retries for so long.
 COOLDOWN_TRIAL_SECONDS = 30.0
+
+RELAY_BACKOFF_BASE_SECONDS = 0.5
+RELAY_BACKOFF_MAX_SECONDS = 4.0
+# With fewer proven relays another peer is tried, so that the load is spread.
+MIN_PROVEN_RELAYS = 3
+PROVEN_RELAY_SECONDS = 5.0
+# So many different peers that can't reach a service show that its targets have ended.
+MAX_UNABLE_RELAYS = 6
--- a/libraries/placement/tests/test_reach.py
+++ b/libraries/placement/tests/test_reach.py
@@ -16,6 +16,7 @@
 class Target:
     id: str
     failure_domain: str = "a"
+    service: str = "s"
 
 
 LOCAL, REMOTE = Target("near"), Target("far", "b")
@@ -136,7 +137,7 @@
     health = TargetHealthTracker()
     health.observe(REMOTES[0], Evidence.NOT_CONNECTED, now)
     assert health.observe(REMOTES[1], Evidence.NOT_CONNECTED, now)[1:] == (
-        DomainEjected("b"),
+        DomainEjected("b", "s"),
     )
     return health
 
@@ -162,7 +163,7 @@
     assert health.take_due_probes(REMOTES, 10.5) == REMOTES[2:4]
     assert health.select([LOCAL, *REMOTES[2:]], 10.6) == [LOCAL]
     assert health.observe(REMOTES[3], Evidence.CONNECTED, 10.6) == (
-        DomainRestored("b"),
+        DomainRestored("b", "s"),
     )
     assert list(health.select([LOCAL, *REMOTES], 10.7)) == [LOCAL, *REMOTES[2:]]
     assert health.take_due_probes(REMOTES, 10.7) == REMOTES[:2]
--- a/libraries/wire/tarragonward_wire/const.py
+++ b/libraries/wire/tarragonward_wire/const.py
@@ -35,6 +35,10 @@
 # For connections that must end within seconds once the peer is unreachable.
 SHORT_KEEPALIVE_SECONDS = 1
 SHORT_KEEPALIVE_PROBES = 2
+MAX_RELAYED_CONNECTIONS = 128
+# The longest that a relay tries to connect to a target for another host.
+RELAYED_CONNECT_TIMEOUT_SECONDS = 0.2
+RELAY_UNREACHABLE_SECONDS = 2.5
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_HELLO_BYTES = 512
 NONCE_BYTES = 16
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -20,19 +19,28 @@
 )
 
 from .answer_limit import AnswerDeadline
-from .const import (
-    DEFAULT_CONNECT_TIMEOUT_SECONDS,
-    SHORT_KEEPALIVE_PROBES,
-    SHORT_KEEPALIVE_SECONDS,
-)
+from .const import DEFAULT_CONNECT_TIMEOUT_SECONDS
 from .http_messages import RawHeaders, encode_headers
+from .keepalive import set_unreachable_timeout
 from .pause_timeout import PauseTimeout
 from .receiver import Receiver
 
-__all__ = ["HttpAnswer", "HttpStream", "async_open_http", "async_send_http"]
+__all__ = [
+    "Connector",
+    "HttpAnswer",
+    "HttpStream",
+    "async_open_http",
+    "async_send_http",
+]
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
-MILLISECONDS_PER_SECOND = 1_000
+
+# Connects to the target of a request in place of a connection to its address. Raises
+# OSError or NotConnectedError if there is none, and nothing has been sent then.
+Connector = Callable[[], Awaitable[tuple[asyncio.Transport, Receiver]]]
+
+# A function is called once there is a connection, as connecting takes time.
+HeaderSource = dict[str, str] | RawHeaders | Callable[[], RawHeaders] | None
 
 
 @dataclass(frozen=True)
@@ -153,11 +161,12 @@
     method: str,
     path: str | bytes,
     *,
-    headers: dict[str, str] | RawHeaders | None = None,
+    headers: HeaderSource = None,
     body: bytes = b"",
     connect_timeout: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
     before_write: Callable[[], None] | None = None,
     unreachable_timeout: float | None = None,
+    connect: Connector | None = None,
 ) -> AsyncIterator[HttpStream]:
     """Send a request and yield its answer as a stream; always closes the connection.
 
@@ -168,29 +177,32 @@
     unreachable_timeout seconds, however long the answer may take; None leaves this to
     the kernel's defaults.
 
+    connect replaces the connection to the address, for example by one through another
+    host.
+
     before_write is called immediately before the first byte is written, without an
     await in between; if it raises, nothing was sent and the exception propagates.
     Raise NotConnectedError only if nothing can have been sent, and ConnectionLostError
     if something may have been.
     """
     connection = h11.Connection(h11.CLIENT)
-    request = h11.Request(
-        method=method, target=path, headers=_build_headers(address, headers, body)
-    )
     loop = asyncio.get_running_loop()
     try:
         async with PauseTimeout(loop.time() + connect_timeout):
-            transport, receiver = await loop.create_connection(
-                Receiver, address.host, address.port
+            transport, receiver = await (
+                connect() if connect is not None else _async_connect(address)
             )
     except (OSError, TimeoutError) as err:
         reason = str(err) or f"no connection in {connect_timeout:.3g} s"
         raise NotConnectedError(f"{address}: {reason}") from err
     try:
         if unreachable_timeout is not None:
-            _set_unreachable_timeout(transport, unreachable_timeout)
+            set_unreachable_timeout(transport, unreachable_timeout)
         if before_write is not None:
             before_write()
+        request = h11.Request(
+            method=method, target=path, headers=_build_headers(address, headers, body)
+        )
         # One write for head and body: a single system call for a short body.
         parts = [connection.send(request)]
         if body:
@@ -206,24 +218,17 @@
         transport.abort()
 
 
-def _set_unreachable_timeout(transport: asyncio.Transport, timeout: float) -> None:
-    # A peer that lost power or network sends no reset, and the wait for its answer
-    # would end only with the request's time limit. The kernel of a live peer
-    # acknowledges keepalive probes, so a peer that is merely busy is not disconnected.
-    connection = transport.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, SHORT_KEEPALIVE_SECONDS),
-        (socket.TCP_KEEPINTVL, SHORT_KEEPALIVE_SECONDS),
-        (socket.TCP_KEEPCNT, SHORT_KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, int(timeout * MILLISECONDS_PER_SECOND)),
-    ):
-        connection.setsockopt(socket.IPPROTO_TCP, option, value)
+async def _async_connect(address: Address) -> tuple[asyncio.Transport, Receiver]:
+    return await asyncio.get_running_loop().create_connection(
+        Receiver, address.host, address.port
+    )
 
 
 def _build_headers(
-    address: Address, headers: dict[str, str] | RawHeaders | None, body: bytes
+    address: Address, headers: HeaderSource, body: bytes
 ) -> list[tuple[bytes, bytes]]:
+    if callable(headers):
+        headers = headers()
     length = str(len(body))
     if headers is None or isinstance(headers, dict):
         completed = {
@@ -252,6 +257,7 @@
     connect_timeout: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
     before_write: Callable[[], None] | None = None,
     on_progress: Callable[[], None] | None = None,
+    connect: Connector | None = None,
 ) -> HttpAnswer:
     """Send a request and return the complete answer within timeout seconds.
 
@@ -259,6 +265,8 @@
     aborted when nothing arrives for that many seconds, or MAX_TRANSFER_SECONDS after
     its head. on_progress is called for the head and for each part of the body.
 
+    connect is that of async_open_http.
+
     Raise NotConnectedError or ConnectionLostError like async_open_http; a timeout
     raises ConnectionLostError.
     """
@@ -281,6 +289,7 @@
                 body=body,
                 connect_timeout=min(connect_timeout, timeout),
                 before_write=before_write,
+                connect=connect,
             ) as stream,
         ):
             await stream.async_read_into(body_read, on_progress=record_progress)
--- a/libraries/wire/tarragonward_wire/receiver.py
+++ b/libraries/wire/tarragonward_wire/receiver.py
@@ -25,6 +25,11 @@
         self._waiter: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport | None = None
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether no more data will arrive."""
+        return self._has_ended
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, to pause reading when the buffer is full."""
         assert isinstance(transport, asyncio.Transport)
--- a/libraries/wire/tests/test_http_client.py
+++ b/libraries/wire/tests/test_http_client.py
@@ -9,7 +9,7 @@
 
 from tarragonward_core import Address, ConnectionLostError
 from tarragonward_wire import async_open_http, async_send_http
-from tarragonward_wire.http_client import _set_unreachable_timeout
+from tarragonward_wire.keepalive import set_unreachable_timeout
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 
@@ -28,7 +28,7 @@
             return connection
 
     with socket.socket() as connection:
-        _set_unreachable_timeout(Transport(), 2.5)
+        set_unreachable_timeout(Transport(), 2.5)
         assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
         for option, value in (
             (socket.TCP_KEEPIDLE, 1),
