Count no crash against a request whose link to the target was lost

A cut that resets connections looked like a crash: the connection was lost and a new one refused.

A peer is asked to connect before a target counts as ended. If it can, the target is only out of reach from here.

--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 
 from tarragonward_core import Address, BackgroundTasks, log_event
@@ -27,6 +27,7 @@
 __all__ = ["EVIDENCE_BY_FAULT", "TargetProber"]
 
 TASK_NAME = "probes"
+RelayCheck = Callable[[RegisteredTarget], Awaitable[bool | None]]
 EVIDENCE_BY_FAULT = {
     SendFault.NOT_CONNECTED: Evidence.NOT_CONNECTED,
     SendFault.LOST: Evidence.LOST,
@@ -47,6 +48,8 @@
         self._end_checks: dict[str, asyncio.Task[bool]] = {}
         self._background = BackgroundTasks(state.metrics)
         self._is_running = False
+        # Returns whether a peer can connect to a target, None if no peer tells.
+        self.async_check_by_relay: RelayCheck = _async_check_by_no_relay
         # Called in each round with all registered targets.
         self.on_registered: list[Callable[[Sequence[RegisteredTarget]], None]] = []
         # Targets that want no requests are not probed either.
@@ -142,7 +145,7 @@
             self.check_in_background(neighbour)
 
     async def async_has_ended(self, target: RegisteredTarget) -> bool:
-        """Return whether a target that lost a connection refuses a new one.
+        """Return whether a target that lost a connection refuses new ones of all.
 
         Requests that lost their connections at the same time share one attempt.
         """
@@ -156,6 +159,11 @@
     async def _async_check_ended(self, target: RegisteredTarget) -> bool:
         if await self._async_probe(target):
             return False
+        if await self.async_check_by_relay(target):
+            # The target goes on, and only this host has lost its link to it. Taken for
+            # a crash, the loss would count against all requests in progress there.
+            self.record(target, Evidence.NOT_CONNECTED)
+            return False
         self.record(target, Evidence.ENDED)
         return True
 
@@ -182,6 +190,10 @@
         return is_reached
 
 
+async def _async_check_by_no_relay(target: RegisteredTarget) -> bool | None:
+    return None
+
+
 async def _async_connect(address: Address) -> bool:
     """Return whether the address accepts a connection; no request is sent."""
     try:
--- a/libraries/gateway/tarragonward_gateway/relays.py
+++ b/libraries/gateway/tarragonward_gateway/relays.py
@@ -49,6 +49,7 @@
         self.get_peers: Callable[[], Collection[Address]] = lambda: ()
         self.get_hosts: Callable[[], Collection[str]] = lambda: ()
         self._prove_tasks: set[asyncio.Task[bool | None]] = set()
+        chooser.probes.async_check_by_relay = self.async_check
         chooser.probes.reachability.on_lost.append(self._prove)
         chooser.paths.may_relay = self.may_relay
         chooser.paths.has_proven_relay = self._has_proven
--- a/libraries/gateway/tests/test_relays.py
+++ b/libraries/gateway/tests/test_relays.py
@@ -4,12 +4,15 @@
 
 import pytest
 
+from tarragonward_core import Address
 from tarragonward_gateway.relays import RelayTask
 from tarragonward_placement import Evidence
 from tarragonward_requests import SendFault
 from tarragonward_routes import RequestKind
 from tarragonward_standins import answer_with, async_reset, refuse_with, stream_events
 
+CLOSED_PORTS = range(2, 9)
+
 
 class Pair:
     """A host that can't connect to its targets, and a peer that can."""
@@ -111,6 +114,20 @@
     assert len(pair.cut.targets[1].requests) == 3
 
 
+async def test_lost_link_is_no_crash_of_its_target(make_pair):
+    """A reset by the network must not make a suspect of the request it hit."""
+    pair = await make_pair(answer_with())
+    target = pair.peer.state.registry.get_all()[0]
+    ended = Address("127.0.0.1", CLOSED_PORTS[0])
+    pair.cut.state.registry.apply(
+        type(target)(target.id, "s", ended, "d1", 8, True, target.revision + 1)
+    )
+    lost = pair.cut.state.registry.get(target.id)
+    assert not await pair.cut.chooser.probes.async_has_ended(lost)
+    await pair.cut.targets[0].async_unload()
+    assert await pair.cut.chooser.probes.async_has_ended(lost)
+
+
 async def test_stream_through_a_peer_arrives_whole(make_pair):
     pair = await make_pair(
         stream_events(range(1, 30)),
