Leave sends on a lost link soon, each with a retry that is its own

A stream that had begun was never left for silence, as a silent engine may still be at work.

Once the links to a service's targets of a domain appear lost, direct sends there wait 0.3 s more and go on through a peer that has been proven.

Sends that leave at one moment each looked at the retry budget before any had charged it: one of them was told 502, may have run. The retry is now charged when leaving is decided. Of four prompts with one retry left three got 502 without it.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -260,6 +260,8 @@
 SILENCE_MIN_FIRST_SECONDS = 0.5
 SILENCE_MIN_PAUSE_SECONDS = 0.8
 SILENCE_RECHECK_SECONDS = 0.2
+# For how long a direct send waits on once the link to its target appears to be lost.
+LOST_LINK_IDLE_SECONDS = 0.3
 # A first event is overdue after this many times the predicted time plus the margin. The
 # request then moves only to a target predicted to need at most OVERDUE_MAX_MOVE_SHARE
 # of the time that is left until the aim.
--- a/libraries/gateway/tarragonward_gateway/idle_timeout.py
+++ b/libraries/gateway/tarragonward_gateway/idle_timeout.py
@@ -58,6 +58,13 @@
         if self._timer is not None:
             self._start_timer(0.0)
 
+    def expect_silence(self) -> None:
+        """Shorten the current wait, as no event may be able to arrive any more."""
+        if self._timer is not None:
+            seconds = c.LOST_LINK_IDLE_SECONDS
+            self._silent_at = min(self._silent_at, self._loop.time() + seconds)
+            self._start_timer(seconds)
+
     async def __aenter__(self) -> IdleTimeout:
         """Start waiting for the first event."""
         await self._scope.__aenter__()
--- a/libraries/gateway/tarragonward_gateway/moving.py
+++ b/libraries/gateway/tarragonward_gateway/moving.py
@@ -74,6 +74,15 @@
         self._begin_move(requirements)
         return True
 
+    def reserve_retry(self, requirements: TargetRequirements) -> None:
+        """Charge the retry of a send that is being abandoned.
+
+        Requests that leave at the same moment, as those on a lost link do, could
+        otherwise all count on the last retry of the budget.
+        """
+        if not self.is_moving:
+            self._begin_move(requirements)
+
     def _begin_move(self, requirements: TargetRequirements) -> None:
         self.is_moving = True
         self.retry_at = self._state.record_retry(requirements.service)
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -48,6 +48,8 @@
         self._end_checks: dict[str, asyncio.Task[bool]] = {}
         self._background = BackgroundTasks(state.metrics)
         self._is_running = False
+        # Called with the domain and service whose link is lost.
+        self.on_link_lost: list[Callable[[str, str], None]] = []
         # Returns whether a peer can connect to a target, None if no peer tells.
         self.async_check_by_relay: RelayCheck = _async_check_by_no_relay
         # Called in each round with all registered targets.
@@ -87,6 +89,8 @@
                 log_event(
                     "domain_doubted", domain=effect.domain, service=effect.service
                 )
+                for notify in self.on_link_lost:
+                    notify(effect.domain, effect.service)
             elif isinstance(effect, DomainRestored):
                 log_event(
                     "domain_regained", domain=effect.domain, service=effect.service
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -11,7 +11,6 @@
 from tarragonward_placement import (
     EngineUsage,
     Evidence,
-    PrefillPlan,
 )
 from tarragonward_requests import (
     AbortConnection,
@@ -58,6 +57,7 @@
     is_from_other_boot,
     is_out_of_places,
 )
+from .idle_policy import IdlePolicy
 from .idle_timeout import IdleTimeout
 from .moving import RequestMover
 from .observer import RequestObserver
@@ -135,6 +135,9 @@
         self._mover = RequestMover(
             state, chooser, self._exchange, self._placer.build_requirements
         )
+        self._idle_policy = IdlePolicy(
+            state, chooser, self._exchange, self._placer, self._mover, context
+        )
         self._retry_counted_at: float | None = None
         self._idle_timeout: IdleTimeout | None = None
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
@@ -307,8 +310,15 @@
         )
         async with AsyncExitStack() as stack:
             if choice.plan is not None and self._exchange.policy.may_run_again:
-                self._idle_timeout = self._build_idle_timeout(choice.plan)
+                self._idle_timeout = self._idle_policy.build_timeout(
+                    choice, choice.plan
+                )
                 await stack.enter_async_context(self._idle_timeout)
+                stack.enter_context(
+                    self._chooser.paths.watch_link(
+                        choice, self._idle_timeout.expect_silence
+                    )
+                )
                 handle_prefill = partial(
                     self._handle_prefill, choice, self._idle_timeout
                 )
@@ -337,40 +347,6 @@
             raise SendWithheldError("the target asked for no more requests")
         self._exchange.record_sent()
 
-    def _build_idle_timeout(self, plan: PrefillPlan) -> IdleTimeout:
-        aim = max(self._route.aim_seconds, c.SILENCE_MIN_FIRST_SECONDS)
-        pause = c.SILENCE_PAUSE_FACTOR * self._route.pause_aim_seconds
-
-        def may_leave() -> bool:
-            # After the first event only the end of the connection shows that an engine
-            # is gone. A silent engine may still be working and another one may refuse,
-            # which would abort a stream that would have completed. Before the first
-            # event the caller has nothing to lose.
-            if self._exchange.is_streaming:
-                return False
-            now = self._loop.time()
-            seconds_left = self._context.deadline - now
-            may_send = (
-                self._exchange.can_send_again(now)
-                and seconds_left
-                > plan.first_event_seconds + c.SILENCE_MIN_REMAINING_SECONDS
-                and self._state.can_retry(
-                    self._context.service, is_urgent=self._exchange.is_streaming
-                )
-            )
-            # Without an alternative, a request that waits at a busy engine would be
-            # abandoned with nowhere to go, and its caller told that it may have run.
-            need = self._placer.build_requirements()
-            return may_send and self._chooser.find_alternative(need) is not None
-
-        return IdleTimeout(
-            c.SILENCE_FIRST_EVENT_FACTOR * plan.first_event_seconds + aim,
-            max(pause, c.SILENCE_MIN_PAUSE_SECONDS),
-            may_leave,
-            c.OVERDUE_FACTOR * plan.first_event_seconds + c.OVERDUE_MARGIN_SECONDS,
-            self._mover.try_move_overdue,
-        )
-
     def _handle_prefill(
         self, choice: SendChoice, watch: IdleTimeout, work: EngineUsage
     ) -> None:
--- a/libraries/gateway/tarragonward_gateway/target_paths.py
+++ b/libraries/gateway/tarragonward_gateway/target_paths.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
+from contextlib import contextmanager
 from typing import TypeVar
 
 from tarragonward_membership import RegisteredTarget
@@ -29,6 +30,8 @@
     def __init__(self, direct: TargetHealthTracker) -> None:
         self._direct = direct
         self._relayed = TargetHealthTracker(has_probes=False)
+        # What to call for each direct send in progress when its link is lost.
+        self._link_callbacks: dict[tuple[str, str], set[Callable[[], None]]] = {}
         # Whether a peer may relay to a service, and whether one has done so recently.
         self.may_relay: Callable[[str], bool] = lambda service: False
         self.has_proven_relay: Callable[[str], bool] = lambda service: False
@@ -61,6 +64,29 @@
             return None
         return self.build_connector(target)
 
+    def has_lost_link(self, choice: SendChoice) -> bool:
+        """Return whether a direct send may hang on a link that is lost by now."""
+        return not choice.is_relayed and self._direct.is_group_ejected(choice.target)
+
+    @contextmanager
+    def watch_link(
+        self, choice: SendChoice, on_lost: Callable[[], None]
+    ) -> Iterator[None]:
+        """Call on_lost if the link of a direct send appears to be lost."""
+        group = choice.target.failure_domain, choice.target.service
+        callbacks = self._link_callbacks.setdefault(group, set())
+        if not choice.is_relayed:
+            callbacks.add(on_lost)
+        try:
+            yield
+        finally:
+            callbacks.discard(on_lost)
+
+    def notify_lost(self, domain: str, service: str) -> None:
+        """Notify the direct sends to a domain's targets that their link is lost."""
+        for on_lost in list(self._link_callbacks.get((domain, service), ())):
+            on_lost()
+
     def is_ready(self, target: RegisteredTarget) -> bool:
         """Return whether a request in progress elsewhere may count on a target."""
         if not self._direct.is_ejected(target):
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -77,6 +77,7 @@
         self.paths = TargetPaths(self.target_health)
         self.probes = TargetProber(state, self.target_health)
         self.probes.on_registered.append(self.paths.retain_only)
+        self.probes.on_link_lost.append(self.paths.notify_lost)
         self.probes.accepts_requests = self.accepts_requests
 
     def build_digest(self) -> dict[str, list[Any]]:
--- a/libraries/gateway/tests/test_relays.py
+++ b/libraries/gateway/tests/test_relays.py
@@ -1,6 +1,7 @@
 """Tests of two hosts, one of which has lost its links to the targets."""
 
 import asyncio
+from contextlib import suppress
 
 import pytest
 
@@ -30,18 +31,20 @@
 
 
 @pytest.fixture
-async def make_pair(make_site):
+async def make_pair(make_site, make_engines):
     pairs = []
 
-    async def async_make(*scripts, **route):
-        cut = await make_site(*scripts, **route)
-        peer = await make_site(**route)
+    async def async_make(*scripts, has_engines=False, has_links=False, **route):
+        make = make_engines if has_engines else make_site
+        cut = await make(*scripts, **route)
+        peer = await make(**route)
         for target in cut.state.registry.get_all():
             peer.state.registry.apply(target)
         pair = Pair(cut, peer)
         pairs.append(pair)
         await pair.peer_relays.async_setup()
-        pair.lose_links()
+        if not has_links:
+            pair.lose_links()
         return pair
 
     yield async_make
@@ -154,3 +157,68 @@
     pair.cut.chooser.probes.record(target, Evidence.CONNECTED)
     assert (await pair.cut.async_ask()).status == 200
     assert pair.cut.state.metrics.get_count("relayed_connects") == relayed
+
+
+class Gate:
+    """A script that falls silent after the first events until it is opened."""
+
+    def __init__(self, before, after):
+        self._before, self._after = before, after
+        self.is_open = False
+
+    async def __call__(self, request, writer):
+        if self.is_open:
+            await stream_events(self._after)(request, writer)
+            return
+        if self._before:
+            await stream_events(self._before, is_ended=False)(request, writer)
+            await writer.drain()
+        with suppress(asyncio.CancelledError):
+            await asyncio.Event().wait()
+
+
+async def async_wait_for_runs(site, runs):
+    async with asyncio.timeout(5):
+        while site.runs < runs:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("before", [range(0), range(1, 4)])
+async def test_prompt_on_a_lost_link_goes_on_through_a_peer(make_pair, before):
+    """A silent cut leaves a prompt's connection open; its caller must not wait on."""
+    gate = Gate(before, range(1 + len(before), 7))
+    # An overdue prompt moves once before it is found that the link is lost.
+    gates = (gate, gate, gate)
+    pair = await make_pair(*gates, has_engines=True, has_links=True, attempts=3)
+    asking = asyncio.ensure_future(pair.cut.async_ask_prompt("900,300"))
+    await async_wait_for_runs(pair.cut, 1)
+    await asyncio.sleep(0.1)
+    gate.is_open = True
+    pair.lose_links()
+    async with asyncio.timeout(1.5):
+        answer = await asking
+    assert answer.status == 200
+    assert answer.body.count(b"id:") == 6
+
+
+async def test_prompts_on_a_lost_link_share_what_is_left_of_the_retry_budget(make_pair):
+    """Prompts that leave at one moment must not all count on the last retry."""
+    prompts = 4
+    gate = Gate(range(0), range(1, 4))
+    pair = await make_pair(gate, gate, has_engines=True, has_links=True)
+    asking = [
+        asyncio.ensure_future(pair.cut.async_ask_prompt("900,300"))
+        for _ in range(prompts)
+    ]
+    await async_wait_for_runs(pair.cut, prompts)
+    left = [1]
+    pair.cut.state.can_retry = lambda service, is_urgent: left[0] > 0
+    pair.cut.state.record_retry = lambda service: left.append(left.pop() - 1) or 1.0
+    gate.is_open = True
+    pair.lose_links()
+    done, waiting = await asyncio.wait(asking, timeout=1.5)
+    assert [task.result().status for task in done] == [200]
+    assert len(waiting) == prompts - 1
+    for task in waiting:
+        task.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
--- a/libraries/placement/tarragonward_placement/reach.py
+++ b/libraries/placement/tarragonward_placement/reach.py
@@ -221,6 +221,10 @@
         is_target_ejected = record is not None and record.retry_at is not None
         return is_target_ejected or _get_group(target) in self._groups
 
+    def is_group_ejected(self, target: TargetLocation) -> bool:
+        """Return whether the link to a target's group appears to be lost."""
+        return _get_group(target) in self._groups
+
     def is_disconnected(self, target: TargetLocation) -> bool:
         """Return whether a target is ejected because this host can't connect to it."""
         record = self._targets.get(target.id)
