Leave streams whose relaying peer has stopped answering

A peer that freezes keeps its connections open; streams through it would stand still for the kernel's 2.5 s, and their callers leave after 2. Once the peer does not answer a request for a connection within 0.3 s, sends through it are left as those on a lost link are. The test fails without the notice. A host whose port for relays is taken logs that and serves its own callers.

--- a/libraries/gateway/tarragonward_gateway/choices.py
+++ b/libraries/gateway/tarragonward_gateway/choices.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+from tarragonward_core import Address
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import InFlightPrompt, PrefillPlan
 from tarragonward_routes import Route
@@ -45,11 +46,17 @@
     ticket: str = ""
     # Whether the send goes through a peer, as this host can't connect to the target.
     is_relayed: bool = False
+    # The peer that it goes through.
+    relay: Address | None = None
     has_events: bool = False
     # Whether the target refused the request, which then took no place there.
     is_refused: bool = False
     waiting_since: float | None = None
 
+    def record_relay(self, peer: Address) -> None:
+        """Record the peer that has connected to the target."""
+        self.relay = peer
+
     def record_first_event(self, now: float) -> None:
         """Record that the first event arrived, so the prefill is complete."""
         if self.work is not None and self.work.first_event_at is None:
--- a/libraries/gateway/tarragonward_gateway/relays.py
+++ b/libraries/gateway/tarragonward_gateway/relays.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Collection
 from functools import partial
 
+from absl import logging
+
 from tarragonward_core import Address, NotConnectedError, log_event
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import Evidence, RelayDirectory
@@ -54,6 +56,7 @@
         chooser.paths.may_relay = self.may_relay
         chooser.paths.has_proven_relay = self._has_proven
         chooser.paths.build_connector = self.build_connector
+        chooser.paths.is_lost_relay = self._is_lost
         state.metrics.add_gauge(
             "relayed_connections",
             "connections of peers to targets that pass through this host",
@@ -61,8 +64,11 @@
         )
 
     async def async_setup(self) -> None:
-        """Start to serve peers."""
-        await self._server.async_setup()
+        """Start to serve peers; without the port the host serves its own callers."""
+        try:
+            await self._server.async_setup()
+        except OSError as err:
+            log_event("relays_unserved", level=logging.ERROR, error=str(err))
 
     async def async_unload(self) -> None:
         """End the connections of peers."""
@@ -101,14 +107,26 @@
         self._prove_tasks.add(task)
         task.add_done_callback(self._prove_tasks.discard)
 
-    def build_connector(self, target: RegisteredTarget) -> Connector:
-        """Return a connector to a target through peers."""
-        return partial(self._async_connect, target)
+    def build_connector(
+        self, target: RegisteredTarget, on_relay: Callable[[Address], None] | None
+    ) -> Connector:
+        """Return a connector to a target through peers.
+
+        on_relay is called with the address of the peer that has connected.
+        """
+        return partial(self._async_connect, target, on_relay)
+
+    def _is_lost(self, peer: Address) -> bool:
+        return self._directory.is_lost(peer, read_clock())
 
     def _has_proven(self, service: str) -> bool:
         return self._directory.has_proven(service, read_clock())
 
-    async def _async_connect(self, target: RegisteredTarget) -> Connection:
+    async def _async_connect(
+        self,
+        target: RegisteredTarget,
+        on_relay: Callable[[Address], None] | None = None,
+    ) -> Connection:
         """Connect through the first peer that can; raise NotConnectedError if none."""
         service, asked = target.service, set[Address]()
         peers = self.get_peers()
@@ -120,6 +138,8 @@
             asked.add(peer)
             connection = await self._async_ask(peer, target)
             if connection is not None:
+                if on_relay is not None:
+                    on_relay(peer)
                 return connection
         self._state.metrics.count("relayed_connects", "no_relay")
         raise NotConnectedError(f"{target.address}: no relay of {len(asked)} asked")
@@ -141,6 +161,7 @@
             self._state.metrics.count("relayed_connects", "peer_lost")
             self._directory.record_lost(peer, now)
             log_event("relay_lost", relay=peer, error=repr(err))
+            self._chooser.paths.notify_relay_lost(peer)
             return None
         self._state.metrics.count("relayed_connects", "connected")
         self._directory.record_connected(peer, target.service, now)
--- a/libraries/gateway/tarragonward_gateway/target_paths.py
+++ b/libraries/gateway/tarragonward_gateway/target_paths.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 from typing import TypeVar
 
+from tarragonward_core import Address
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import Evidence, TargetHealthTracker
 from tarragonward_wire import Connector
@@ -16,6 +17,10 @@
 __all__ = ["TargetPaths"]
 
 Target = TypeVar("Target", bound=RegisteredTarget)
+# Returns what connects to a target through a peer, and tells which peer it was.
+ConnectorBuilder = Callable[
+    [RegisteredTarget, Callable[[Address], None] | None], Connector
+]
 
 
 class TargetPaths:
@@ -30,13 +35,14 @@
     def __init__(self, direct: TargetHealthTracker) -> None:
         self._direct = direct
         self._relayed = TargetHealthTracker(has_probes=False)
-        # What to call for each direct send in progress when its link is lost.
-        self._link_callbacks: dict[tuple[str, str], set[Callable[[], None]]] = {}
+        # Sends in progress, and what to call when their path is lost.
+        self._watched: list[tuple[SendChoice, Callable[[], None]]] = []
         # Whether a peer may relay to a service, and whether one has done so recently.
         self.may_relay: Callable[[str], bool] = lambda service: False
         self.has_proven_relay: Callable[[str], bool] = lambda service: False
-        # Returns what connects to a target through a peer.
-        self.build_connector: Callable[[RegisteredTarget], Connector] | None = None
+        # Whether a peer has not answered lately.
+        self.is_lost_relay: Callable[[Address], bool] = lambda peer: False
+        self.build_connector: ConnectorBuilder | None = None
 
     def select(self, targets: Sequence[Target], now: float) -> Sequence[Target]:
         """Return the targets with the best health over their paths."""
@@ -56,36 +62,44 @@
         """Return the connector of a send through a peer, None for a direct one."""
         if not choice.is_relayed or self.build_connector is None:
             return None
-        return self.build_connector(choice.target)
+        return self.build_connector(choice.target, choice.record_relay)
 
     def get_order_connector(self, target: RegisteredTarget) -> Connector | None:
         """Return the connector of an order through a peer, None for a direct one."""
         if self.build_connector is None or not self.must_relay(target):
             return None
-        return self.build_connector(target)
+        return self.build_connector(target, None)
 
     def has_lost_link(self, choice: SendChoice) -> bool:
-        """Return whether a direct send may hang on a link that is lost by now."""
-        return not choice.is_relayed and self._direct.is_group_ejected(choice.target)
+        """Return whether a send may hang on a link, or a peer, that is lost by now."""
+        if choice.is_relayed:
+            return choice.relay is not None and self.is_lost_relay(choice.relay)
+        return self._direct.is_group_ejected(choice.target)
 
     @contextmanager
     def watch_link(
         self, choice: SendChoice, on_lost: Callable[[], None]
     ) -> Iterator[None]:
-        """Call on_lost if the link of a direct send appears to be lost."""
-        group = choice.target.failure_domain, choice.target.service
-        callbacks = self._link_callbacks.setdefault(group, set())
-        if not choice.is_relayed:
-            callbacks.add(on_lost)
+        """Call on_lost if the link of a send, or the peer it goes through, is lost."""
+        watched = (choice, on_lost)
+        self._watched.append(watched)
         try:
             yield
         finally:
-            callbacks.discard(on_lost)
+            self._watched.remove(watched)
 
     def notify_lost(self, domain: str, service: str) -> None:
         """Notify the direct sends to a domain's targets that their link is lost."""
-        for on_lost in list(self._link_callbacks.get((domain, service), ())):
-            on_lost()
+        for choice, on_lost in list(self._watched):
+            group = choice.target.failure_domain, choice.target.service
+            if not choice.is_relayed and group == (domain, service):
+                on_lost()
+
+    def notify_relay_lost(self, peer: Address) -> None:
+        """Notify the sends through a peer that it does not answer."""
+        for choice, on_lost in list(self._watched):
+            if choice.relay == peer:
+                on_lost()
 
     def is_ready(self, target: RegisteredTarget) -> bool:
         """Return whether a request in progress elsewhere may count on a target."""
--- a/libraries/gateway/tests/test_relays.py
+++ b/libraries/gateway/tests/test_relays.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tarragonward_core import Address
+from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.relays import RelayTask
 from tarragonward_placement import Evidence
 from tarragonward_requests import SendFault
@@ -222,3 +223,27 @@
     for task in waiting:
         task.cancel()
     await asyncio.gather(*waiting, return_exceptions=True)
+
+
+async def test_prompt_leaves_a_peer_that_stopped_answering(make_pair):
+    """The relaying peer freezes; its open connections look alive for seconds."""
+    gate = Gate(range(1, 4), range(4, 7))
+    gates = (gate, gate, gate)
+    pair = await make_pair(*gates, has_engines=True, attempts=3)
+    asking = asyncio.ensure_future(pair.cut.async_ask_prompt("900,300"))
+    await async_wait_for_runs(pair.cut, 1)
+    await asyncio.sleep(0.1)
+    frozen = pair.peer_relays._server.address
+    third = RelayTask(pair.peer.state, pair.peer.chooser)
+    third.get_hosts = pair.peer_relays.get_hosts
+    await third.async_setup()
+    pair.cut_relays.get_peers = lambda: (frozen, third._server.address)
+    gate.is_open = True
+    pair.cut_relays._directory.record_lost(frozen, read_clock())
+    pair.cut.chooser.paths.notify_relay_lost(frozen)
+    target = pair.cut.state.registry.get_all()[0]
+    assert await pair.cut_relays.async_check(target)
+    async with asyncio.timeout(1.5):
+        answer = await asking
+    assert answer.body.count(b"id:") == 6
+    await third.async_unload()
--- a/libraries/placement/tarragonward_placement/relays.py
+++ b/libraries/placement/tarragonward_placement/relays.py
@@ -81,6 +81,10 @@
         proven = self._proven.get(service, {})
         return any(self._is_proven(peer, service, now) for peer in proven)
 
+    def is_lost(self, peer: Address, now: float) -> bool:
+        """Return whether a peer did not answer lately."""
+        return not self._may_ask(self._backoffs.get((peer, ANY_SERVICE)), now)
+
     def record_connected(self, peer: Address, service: str, now: float) -> None:
         """Record that a peer has connected to a target for this host."""
         self._proven.setdefault(service, {})[peer] = now
