Let an authenticated link become a relayed connection

For the daemon, whose hosts prove a shared key to each other: a link whose first message is OpenRelay is taken over by the relay server, on the port that links use.

--- a/libraries/wire/tarragonward_wire/__init__.py
+++ b/libraries/wire/tarragonward_wire/__init__.py
@@ -17,7 +17,12 @@
 from .pause_timeout import PauseTimeout
 from .peers import PeerServer
 from .receiver import Receiver
-from .relay_client import RelayLostError, RelayRefusedError, async_connect_by_relay
+from .relay_client import (
+    RelayLostError,
+    RelayRefusedError,
+    async_connect_by_link,
+    async_connect_by_relay,
+)
 from .relay_messages import RelayRequest, RelayResult
 from .relay_server import RelayServer
 
@@ -46,6 +51,7 @@
     "Responder",
     "async_open_http",
     "async_send_http",
+    "async_connect_by_link",
     "async_connect_by_relay",
     "async_handshake",
     "build_error_body",
--- a/libraries/wire/tarragonward_wire/envelopes.py
+++ b/libraries/wire/tarragonward_wire/envelopes.py
@@ -6,7 +6,7 @@
 
 from .codec import register_message
 
-__all__ = ["ClockProbe", "Envelope", "NoAnswer"]
+__all__ = ["ClockProbe", "Envelope", "NoAnswer", "OpenRelay"]
 
 
 @register_message
@@ -36,3 +36,15 @@
 @dataclass(frozen=True)
 class ClockProbe:
     """A request for the clock value in the answer's envelope only."""
+
+
+@register_message
+@dataclass(frozen=True)
+class OpenRelay:
+    """A request to turn the link into a connection to a target, as its first message.
+
+    target is the target's id; the relay has timeout_seconds to connect to it.
+    """
+
+    target: str
+    timeout_seconds: float
--- a/libraries/wire/tarragonward_wire/frames.py
+++ b/libraries/wire/tarragonward_wire/frames.py
@@ -144,6 +144,13 @@
         self.bytes_received += len(head) + length
         return payload
 
+    @property
+    def transport(self) -> asyncio.Transport:
+        """Return the connection that carries the frames."""
+        transport = self._writer.transport
+        assert isinstance(transport, asyncio.Transport)
+        return transport
+
     @property
     def is_closing(self) -> bool:
         """Return whether the connection was closed by this host or has ended."""
--- a/libraries/wire/tarragonward_wire/peers.py
+++ b/libraries/wire/tarragonward_wire/peers.py
@@ -18,8 +18,10 @@
 
 from . import const as c
 from .codec import decode_message, encode_message
-from .envelopes import ClockProbe, Envelope, NoAnswer
+from .envelopes import ClockProbe, Envelope, NoAnswer, OpenRelay
 from .frames import FrameStream, async_handshake, count_bad_frame
+from .relay_messages import RelayRequest
+from .relay_server import RelayServer
 
 __all__ = ["PeerServer"]
 
@@ -29,7 +31,8 @@
 class PeerServer:
     """Listen for other hosts and pass their messages to a handler.
 
-    listen is the address to listen on, by default that of the identity.
+    listen is the address to listen on, by default that of the identity. relays takes
+    over the links that become connections to targets.
     """
 
     def __init__(
@@ -39,12 +42,14 @@
         handler: PeerHandler,
         metrics: Metrics,
         listen: Address | None = None,
+        relays: RelayServer | None = None,
     ) -> None:
         self._identity = identity
         self._key = key
         self._handler = handler
         self._metrics = metrics
         self._listen = listen or identity.address
+        self._relays = relays
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._link_count = 0
@@ -74,11 +79,12 @@
         self._tasks.add(task)
         self._link_count += 1
         enable_keepalive(writer)
+        is_adopted = False
         try:
             stream = await async_handshake(
                 reader, writer, self._identity, self._key, is_client=False
             )
-            await self._async_serve(stream)
+            is_adopted = await self._async_serve(stream)
         except FrameError as err:
             count_bad_frame(err, writer.get_extra_info("peername"), self._metrics)
         except (OSError, EOFError, asyncio.CancelledError):
@@ -87,9 +93,11 @@
         finally:
             self._link_count -= 1
             self._tasks.discard(task)
-            writer.transport.abort()
+            if not is_adopted:
+                writer.transport.abort()
 
-    async def _async_serve(self, stream: FrameStream) -> None:
+    async def _async_serve(self, stream: FrameStream) -> bool:
+        """Answer messages until the link ends; return whether relays has taken it."""
         answering: set[asyncio.Task[None]] = set()
         try:
             while True:
@@ -97,6 +105,8 @@
                 if not isinstance(envelope, Envelope):
                     raise FrameError("message without an envelope")
                 message = decode_message(envelope.body)
+                if isinstance(message, OpenRelay):
+                    return self._hand_over(stream, message)
                 is_busy = len(answering) >= c.MAX_HANDLERS_PER_LINK
                 task = asyncio.create_task(
                     self._async_answer(stream, envelope, message, is_busy)
@@ -112,6 +122,13 @@
                 task.cancel()
             await asyncio.gather(*answering, return_exceptions=True)
 
+    def _hand_over(self, stream: FrameStream, message: OpenRelay) -> bool:
+        if self._relays is None:
+            return False
+        request = RelayRequest(message.target, message.timeout_seconds)
+        self._relays.adopt(stream, request)
+        return True
+
     async def _async_answer(
         self, stream: FrameStream, envelope: Envelope, message: Any, is_busy: bool
     ) -> None:
--- a/libraries/wire/tarragonward_wire/relay_client.py
+++ b/libraries/wire/tarragonward_wire/relay_client.py
@@ -7,13 +7,21 @@
 
 import msgpack
 
-from tarragonward_core import Address, NotConnectedError
+from tarragonward_core import Address, HostIdentity, NotConnectedError
 
+from .codec import encode_message
 from .const import MAX_FRAME_BYTES
+from .envelopes import Envelope, OpenRelay
+from .frames import FrameStream, async_handshake
 from .receiver import Receiver
-from .relay_messages import NONCE_BYTES, RelayEnd, RelayRequest, RelayResult
+from .relay_messages import RelayEnd, RelayRequest, RelayResult
 
-__all__ = ["RelayLostError", "RelayRefusedError", "async_connect_by_relay"]
+__all__ = [
+    "RelayLostError",
+    "RelayRefusedError",
+    "async_connect_by_link",
+    "async_connect_by_relay",
+]
 
 
 class RelayRefusedError(NotConnectedError):
@@ -31,18 +39,15 @@
 class _RelayReceiver(Receiver):
     """Unpacks the target's bytes; the end of the connection alone is an error."""
 
-    def __init__(self) -> None:
+    def __init__(self, stream: FrameStream | None = None) -> None:
         super().__init__()
+        # Kept, as a stream that is no longer referenced closes its connection.
+        self._stream = stream
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         self.result: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self.nonce: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        self.expects_nonce = False
 
     def data_received(self, data: bytes) -> None:
         """Handle the answer to the request, then the target's bytes and their end."""
-        if self.expects_nonce and not self.nonce.done():
-            self.nonce.set_result(data[:NONCE_BYTES])
-            data = data[NONCE_BYTES:]
         self._unpacker.feed(data)
         for item in self._unpacker:
             if not self.result.done():
@@ -61,11 +66,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail unless the target's end was reported before."""
-        for future in (self.result, self.nonce):
-            if not future.done():
-                future.set_exception(RelayLostError("the relay closed the connection"))
-                # Mark it as retrieved: only one of the two is ever awaited.
-                future.exception()
+        if not self.result.done():
+            self.result.set_exception(RelayLostError("the relay closed the connection"))
         if not self.has_ended:
             super().connection_lost(RelayLostError("the link to the relay was lost"))
 
@@ -77,7 +79,7 @@
 
 
 async def async_connect_by_relay(
-    relay: Address, request: RelayRequest, key: bytes = b""
+    relay: Address, request: RelayRequest
 ) -> tuple[asyncio.Transport, Receiver]:
     """Return a connection to the target of a request, joined by the host at relay.
 
@@ -87,12 +89,43 @@
     transport, receiver = await asyncio.get_running_loop().create_connection(
         _RelayReceiver, relay.host, relay.port
     )
+    transport.write(request.pack())
+    return await _async_wait_connected(transport, receiver)
+
+
+async def async_connect_by_link(
+    relay: Address, request: RelayRequest, identity: HostIdentity, key: bytes
+) -> tuple[asyncio.Transport, Receiver]:
+    """Like async_connect_by_relay, over a link that proves the shared key first.
+
+    Raise FrameError if the host has another key or protocol version.
+    """
+    reader, writer = await asyncio.open_connection(relay.host, relay.port)
+    transport = writer.transport
+    assert isinstance(transport, asyncio.Transport)
+    try:
+        stream = await async_handshake(reader, writer, identity, key, is_client=True)
+        message = encode_message(OpenRelay(request.target, request.timeout_seconds))
+        envelope = Envelope(0, False, asyncio.get_running_loop().time(), message)
+        # The host answers only once it has the request, so nothing is left unread in
+        # the reader when the receiver takes the connection over.
+        receiver = _RelayReceiver(stream)
+        transport.set_protocol(receiver)
+        receiver.connection_made(transport)
+        await stream.async_send(encode_message(envelope))
+    except EOFError as err:
+        transport.abort()
+        raise RelayLostError("the relay closed the connection") from err
+    except BaseException:
+        transport.abort()
+        raise
+    return await _async_wait_connected(transport, receiver)
+
+
+async def _async_wait_connected(
+    transport: asyncio.Transport, receiver: _RelayReceiver
+) -> tuple[asyncio.Transport, Receiver]:
     try:
-        nonce = b""
-        if key:
-            receiver.expects_nonce = True
-            nonce = await receiver.nonce
-        transport.write(request.pack(key, nonce))
         result = RelayResult(await receiver.result)
         if result is not RelayResult.CONNECTED:
             raise RelayRefusedError(result)
--- a/libraries/wire/tarragonward_wire/relay_messages.py
+++ b/libraries/wire/tarragonward_wire/relay_messages.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import hmac
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
@@ -20,7 +19,6 @@
 
 __all__ = [
     "MAX_REQUEST_BYTES",
-    "NONCE_BYTES",
     "RelayEnd",
     "RelayRequest",
     "RelayResult",
@@ -29,7 +27,6 @@
 
 RELAY_FORMAT = 1
 MAX_REQUEST_BYTES = 1_024
-NONCE_BYTES = 16
 MILLISECONDS = 1_000
 
 
@@ -54,24 +51,21 @@
     target: str
     timeout_seconds: float
 
-    def pack(self, key: bytes, nonce: bytes) -> bytes:
-        """Return the request in wire form, with a MAC over it and the nonce."""
-        body = msgpack.packb([self.target, int(self.timeout_seconds * MILLISECONDS)])
-        return msgpack.packb([RELAY_FORMAT, body, _compute_mac(key, nonce, body)])
+    def pack(self) -> bytes:
+        """Return the request in wire form."""
+        milliseconds = int(self.timeout_seconds * MILLISECONDS)
+        return msgpack.packb([RELAY_FORMAT, self.target, milliseconds])
 
     @classmethod
-    def unpack(cls, message: Any, key: bytes, nonce: bytes) -> RelayRequest:
+    def unpack(cls, message: Any) -> RelayRequest:
         """Return the request in a decoded message; raise FrameError if refused."""
         try:
-            format_number, body, mac = message
+            format_number, target, milliseconds = message
             if format_number != RELAY_FORMAT:
                 raise ValueError("unknown format")
-            if not hmac.compare_digest(mac, _compute_mac(key, nonce, body)):
-                raise ValueError("wrong key")
-            target, milliseconds = msgpack.unpackb(body)
             if not isinstance(target, str) or not isinstance(milliseconds, int):
                 raise TypeError("unexpected types")
-        except (ValueError, TypeError, msgpack.UnpackException) as err:
+        except (ValueError, TypeError) as err:
             raise FrameError(f"malformed relay request: {err}") from None
         return cls(target, max(0, milliseconds) / MILLISECONDS)
 
@@ -90,7 +84,3 @@
 def pack_frame(data: bytes) -> bytes:
     """Return bytes of the target in wire form."""
     return msgpack.packb(data)
-
-
-def _compute_mac(key: bytes, nonce: bytes, body: bytes) -> bytes:
-    return hmac.new(key, nonce + body, "sha256").digest()
--- a/libraries/wire/tarragonward_wire/relay_server.py
+++ b/libraries/wire/tarragonward_wire/relay_server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import errno
-import secrets
 from collections.abc import Callable
 
 import msgpack
@@ -12,11 +11,11 @@
 from tarragonward_core import Address, FrameError, Metrics
 
 from . import const as c
+from .frames import FrameStream
 from .keepalive import set_unreachable_timeout
 from .pause_timeout import PauseTimeout
 from .relay_messages import (
     MAX_REQUEST_BYTES,
-    NONCE_BYTES,
     RelayEnd,
     RelayRequest,
     RelayResult,
@@ -35,17 +34,16 @@
 class RelayServer:
     """Listens for other hosts and joins each connection with one to a target.
 
-    With a key, hosts prove that they have it before anything else happens. The number
-    of connections is bounded, so that a host whose peers have all lost their links
-    keeps serving its own callers.
+    Without an address to listen on, connections come by adopt() only. Their number is
+    bounded, so that a host whose peers have all lost their links keeps serving its own
+    callers.
     """
 
     def __init__(
         self,
-        listen: Address,
+        listen: Address | None,
         resolve: RelayResolver,
         metrics: Metrics,
-        key: bytes = b"",
         max_connections: int = c.MAX_RELAYED_CONNECTIONS,
     ) -> None:
         self._listen = listen
@@ -55,19 +53,19 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self.resolve = resolve
-        self.key = key
         self.on_unreachable: UnreachableHandler = lambda target: None
         self.connections: set[_HostConnection] = set()
 
     @property
     def address(self) -> Address:
         """Return the address in use."""
-        if self._server is None:
-            return self._listen
+        assert self._server is not None
         return Address(*self._server.sockets[0].getsockname()[:2])
 
     async def async_setup(self) -> None:
         """Start listening."""
+        if self._listen is None:
+            return
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _HostConnection(self), self._listen.host, self._listen.port
         )
@@ -83,6 +81,15 @@
         """Wait until no connection is left."""
         await self._idle.wait()
 
+    def adopt(self, stream: FrameStream, request: RelayRequest) -> None:
+        """Take over a link on which a host has sent its request already."""
+        transport = stream.transport
+        connection = _HostConnection(self, stream)
+        transport.set_protocol(connection)
+        connection.connection_made(transport)
+        if not transport.is_closing():
+            connection.open(request)
+
     def add(self, connection: _HostConnection) -> bool:
         """Count a connection; return whether there is room for it."""
         if len(self.connections) >= self._max_connections:
@@ -109,21 +116,20 @@
     target holds up only its own request.
     """
 
-    def __init__(self, server: RelayServer) -> None:
+    def __init__(self, server: RelayServer, stream: FrameStream | None = None) -> None:
         self._server = server
-        self._nonce = secrets.token_bytes(NONCE_BYTES) if server.key else b""
+        # Kept, as a stream that is no longer referenced closes its connection.
+        self._stream = stream
         self._opening = bytearray()
         self._transport: asyncio.Transport | None = None
         self._target: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send the nonce, if a key is required."""
+        """Count the connection, or refuse it."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         set_unreachable_timeout(transport, c.RELAY_UNREACHABLE_SECONDS)
-        if self._nonce:
-            transport.write(self._nonce)
         if not self._server.add(self):
             self._refuse(RelayResult.BUSY)
 
@@ -141,7 +147,14 @@
             message = msgpack.unpackb(bytes(self._opening))
         except ValueError:
             return
-        self._task = asyncio.create_task(self._async_open(message))
+        try:
+            self.open(RelayRequest.unpack(message))
+        except FrameError:
+            self._refuse(RelayResult.NOT_ACCEPTED)
+
+    def open(self, request: RelayRequest) -> None:
+        """Start to connect to the target of the host's request."""
+        self._task = asyncio.create_task(self._async_open(request))
 
     def eof_received(self) -> bool:
         """End both connections: the host has no more use for the target's answer."""
@@ -191,12 +204,7 @@
         else:
             self._transport.pause_reading()
 
-    async def _async_open(self, message: object) -> None:
-        try:
-            request = RelayRequest.unpack(message, self._server.key, self._nonce)
-        except FrameError:
-            self._refuse(RelayResult.NOT_ACCEPTED)
-            return
+    async def _async_open(self, request: RelayRequest) -> None:
         assert self._transport is not None
         asking = self._transport.get_extra_info("peername")[0]
         found = self._server.resolve(asking, request)
