Check the link of a stalled stream by a new connection

A stream whose next event takes 1.5 times the pause aim now has its target connected to, if that has not happened within 0.5 s; a failure has the neighbours checked, and the stream is left as on any lost link. The test fails without the check. Timeouts of relays read what waits first after a process pause, as others do.

--- a/libraries/gateway/tarragonward_gateway/idle_policy.py
+++ b/libraries/gateway/tarragonward_gateway/idle_policy.py
@@ -51,8 +51,18 @@
             lambda: self._may_leave(choice, plan),
             c.OVERDUE_FACTOR * plan.first_event_seconds + c.OVERDUE_MARGIN_SECONDS,
             self._mover.try_move_overdue,
+            c.STALLED_PAUSE_FACTOR * self._route.pause_aim_seconds,
+            lambda: self._check_link(choice),
         )
 
+    def _check_link(self, choice: SendChoice) -> None:
+        """Connect to the target of a stalled stream, in case its link is lost.
+
+        On a host with few requests no other one may show it in time.
+        """
+        if not choice.is_relayed:
+            self._chooser.probes.check_in_background(choice.target)
+
     def _may_leave(self, choice: SendChoice, plan: PrefillPlan) -> bool:
         # After the first event only the end of the connection shows that an engine is
         # gone. A silent engine may still be working and another one may refuse, which
--- a/libraries/gateway/tarragonward_gateway/idle_timeout.py
+++ b/libraries/gateway/tarragonward_gateway/idle_timeout.py
@@ -30,6 +30,9 @@
     not read is not counted. Before that limit the first event can be overdue: the
     target is then abandoned, without a fault being recorded, if is_faster_elsewhere()
     returns that another target would be in time.
+
+    on_stalled() is called from time to time while a later event takes longer than
+    stalled_seconds.
     """
 
     def __init__(
@@ -39,10 +42,15 @@
         may_abandon: Callable[[], bool],
         overdue_seconds: float = math.inf,
         is_faster_elsewhere: Callable[[], bool] = lambda: False,
+        stalled_seconds: float = math.inf,
+        on_stalled: Callable[[], None] = lambda: None,
     ) -> None:
         self._first_seconds = first_seconds
         self._overdue_seconds = overdue_seconds
         self._is_faster_elsewhere = is_faster_elsewhere
+        self._stalled_seconds = stalled_seconds
+        self._on_stalled = on_stalled
+        self._stalled_at = math.inf
         self._silent_at = math.inf
         self._pause_seconds = pause_seconds
         self._may_abandon = may_abandon
@@ -95,8 +103,11 @@
 
     def resume(self) -> None:
         """Start waiting for the next event."""
-        self._silent_at = self._loop.time() + self._pause_seconds
-        self._start_timer(0.0 if self._is_abandoning else self._pause_seconds)
+        now = self._loop.time()
+        self._silent_at = now + self._pause_seconds
+        self._stalled_at = now + self._stalled_seconds
+        seconds = min(self._pause_seconds, self._stalled_seconds)
+        self._start_timer(0.0 if self._is_abandoning else seconds)
 
     def _start_timer(self, seconds: float) -> None:
         self.pause()
@@ -104,6 +115,8 @@
 
     def _check(self) -> None:
         now = self._loop.time()
+        if now >= self._stalled_at:
+            self._on_stalled()
         is_silent = now >= self._silent_at and self._may_abandon()
         if not is_silent and not self._is_abandoning:
             self._is_abandoning = self._is_faster_elsewhere()
--- a/libraries/gateway/tarragonward_gateway/relays.py
+++ b/libraries/gateway/tarragonward_gateway/relays.py
@@ -14,6 +14,7 @@
 from tarragonward_placement import Evidence, RelayDirectory
 from tarragonward_wire import (
     Connector,
+    PauseTimeout,
     Receiver,
     RelayRefusedError,
     RelayRequest,
@@ -88,7 +89,7 @@
     async def async_check(self, target: RegisteredTarget) -> bool | None:
         """Return whether a peer can connect to a target, None if no peer tells."""
         try:
-            async with asyncio.timeout(c.RELAY_CHECK_TIMEOUT_SECONDS):
+            async with PauseTimeout(_now() + c.RELAY_CHECK_TIMEOUT_SECONDS):
                 transport, _ = await self._async_connect(target)
         except RelayRefusedError:
             return False
@@ -151,7 +152,7 @@
         now = read_clock()
         request = RelayRequest(target.id, c.CONNECT_TIMEOUT_SECONDS)
         try:
-            async with asyncio.timeout(c.RELAY_ANSWER_TIMEOUT_SECONDS):
+            async with PauseTimeout(_now() + c.RELAY_ANSWER_TIMEOUT_SECONDS):
                 connection = await async_connect_by_relay(peer, request)
         except RelayRefusedError as err:
             self._state.metrics.count("relayed_connects", err.result.name.lower())
@@ -197,3 +198,7 @@
         target = self._state.registry.get(name)
         if target is not None:
             self._chooser.probes.record(target, Evidence.NOT_CONNECTED)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/libraries/gateway/tests/test_relays.py
+++ b/libraries/gateway/tests/test_relays.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tarragonward_core import Address
+from tarragonward_gateway import probes
 from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.relays import RelayTask
 from tarragonward_placement import Evidence
@@ -247,3 +248,23 @@
         answer = await asking
     assert answer.body.count(b"id:") == 6
     await third.async_unload()
+
+
+async def test_stalled_stream_has_its_link_checked(make_pair, monkeypatch):
+    """A host with one stream has no other request that shows its link to be lost."""
+    gate = Gate(range(1, 4), range(4, 7))
+    options = {"has_engines": True, "has_links": True, "pause_aim_seconds": 0.1}
+    pair = await make_pair(gate, gate, gate, **options)
+    await pair.cut.chooser.probes.async_setup()
+    asking = asyncio.ensure_future(pair.cut.async_ask_prompt("900,300"))
+    await async_wait_for_runs(pair.cut, 1)
+    monkeypatch.setattr(probes, "_async_connect", async_connect_in_vain)
+    gate.is_open = True
+    async with asyncio.timeout(2.0):
+        answer = await asking
+    assert answer.body.count(b"id:") == 6
+    await pair.cut.chooser.probes.async_unload()
+
+
+async def async_connect_in_vain(address):
+    return False
