--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -23,6 +23,7 @@
 from .peers import PeerMessages
 from .reports import ReportTask
 from .sweep import SweepTask
+from .target_connections import TargetConnections
 
 __all__ = ["Daemon"]
 
@@ -47,7 +48,8 @@
         self.membership.add_peer_ahead_listener(peers.handle_peer_ahead)
         self.orders = OrderTask(host, self.membership, self.configuration)
         self.reports = ReportTask(host, self.membership)
-        self.releases = Releases()
+        self.connections = TargetConnections(host, self.membership)
+        self.releases = Releases(host)
         self.calls = ServiceCalls(host, self.links, self.membership)
         self.models = ModelRequests(host, self.reports, self.releases, self.membership)
         self.sweep = SweepTask(host, self.models, self.releases, self.membership)
@@ -58,6 +60,7 @@
             messages.async_handle,
             host.metrics,
             settings.peers_listen,
+            self.connections.relays,
         )
         callers = CallerRoutes(host, self.models, self.calls)
         self.callers = HttpServer(
@@ -119,6 +122,7 @@
         return [
             self.configuration,
             self.membership,
+            self.connections,
             self.orders,
             self.reports,
             self.releases,
@@ -172,6 +176,7 @@
         await self.callers.async_wait_idle()
         while self.host.requests_in_flight:
             await self.host.idle.wait()
+        await self.connections.relays.async_wait_idle()
 
     async def _async_wait_for_last_caller(self) -> None:
         """Wait until no caller has connected for a while, at most a fixed time.
--- a/libraries/daemon/tarragonward_daemon/calls.py
+++ b/libraries/daemon/tarragonward_daemon/calls.py
@@ -23,7 +23,7 @@
     mint_key_prefix,
     parse_key,
 )
-from tarragonward_wire import PeerLinks, async_send_http, register_message
+from tarragonward_wire import Connector, PeerLinks, async_send_http, register_message
 
 from . import const as c
 from .core import HostState
@@ -173,7 +173,8 @@
             if remaining <= 0:
                 return Reply(ResultCode.DEADLINE_EXCEEDED)
             try:
-                answer = await _async_send(call, target, remaining)
+                connect = self._host.get_connector(target)
+                answer = await _async_send(call, target, remaining, connect)
             except TargetError:
                 continue
             if answer.status not in operation.not_run_statuses:
@@ -326,7 +327,7 @@
 
 
 async def _async_send(
-    call: ServiceCall, target: Target, remaining: float
+    call: ServiceCall, target: Target, remaining: float, connect: Connector | None
 ) -> RecordedAnswer:
     answer = await async_send_http(
         target.address,
@@ -336,6 +337,7 @@
         body=call.body,
         timeout=remaining,
         connect_timeout=c.SERVICE_CONNECT_TIMEOUT_SECONDS,
+        connect=connect,
     )
     content_type = answer.headers.get("content-type", c.DEFAULT_CONTENT_TYPE)
     return RecordedAnswer(answer.status, content_type, answer.body)
--- a/libraries/daemon/tarragonward_daemon/core.py
+++ b/libraries/daemon/tarragonward_daemon/core.py
@@ -13,6 +13,7 @@
     Configuration,
     ConfigurationState,
     Settings,
+    Target,
 )
 from tarragonward_core import (
     HostIdentity,
@@ -21,6 +22,7 @@
     ResultCode,
     invariants,
 )
+from tarragonward_wire import Connector
 
 __all__ = ["HostState"]
 
@@ -46,6 +48,8 @@
     requests_in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
     unhealthy_reported: asyncio.Event = field(default_factory=asyncio.Event)
+    # Returns what connects to a target, None for a connection to its address.
+    get_connector: Callable[[Target], Connector | None] = lambda target: None
     status_sections: dict[str, Callable[[], Any]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/libraries/daemon/tarragonward_daemon/engine_probes.py
+++ b/libraries/daemon/tarragonward_daemon/engine_probes.py
@@ -96,7 +96,11 @@
         started_at = loop.time()
         try:
             answer = await async_send_http(
-                target.address, "GET", "/v1/load", timeout=c.PROBE_TIMEOUT_SECONDS
+                target.address,
+                "GET",
+                "/v1/load",
+                timeout=c.PROBE_TIMEOUT_SECONDS,
+                connect=self._host.get_connector(target),
             )
             report, error = answer.parse_json(), ""
         except TargetError as err:
--- a/libraries/daemon/tarragonward_daemon/engines.py
+++ b/libraries/daemon/tarragonward_daemon/engines.py
@@ -21,9 +21,10 @@
     log_event,
 )
 from tarragonward_requests import AttemptFault
-from tarragonward_wire import HttpStream, async_open_http, async_send_http
+from tarragonward_wire import Connector, HttpStream, async_open_http, async_send_http
 
 from . import const as c
+from .core import HostState
 
 __all__ = [
     "EngineRefusedError",
@@ -107,13 +108,18 @@
     target: Target
     stream_id: str
     owner: HostIdentity
+    connect: Connector | None = None
 
     @asynccontextmanager
     async def async_open(self, body: dict[str, Any]) -> AsyncIterator[HttpStream]:
         """Start the stream; raise TargetError if the engine refuses it."""
         payload = {**body, "stream_id": self.stream_id, "owner": str(self.owner)}
         async with async_open_http(
-            self.target.address, "POST", "/v1/streams", body=orjson.dumps(payload)
+            self.target.address,
+            "POST",
+            "/v1/streams",
+            body=orjson.dumps(payload),
+            connect=self.connect,
         ) as stream:
             self._check_status(stream.status)
             yield stream
@@ -122,7 +128,9 @@
     async def async_resume(self, offset: int) -> AsyncIterator[HttpStream]:
         """Resume reading after offset tokens; raise StreamGoneError if it is gone."""
         path = f"/v1/streams/{self.stream_id}?offset={offset}"
-        async with async_open_http(self.target.address, "GET", path) as stream:
+        async with async_open_http(
+            self.target.address, "GET", path, connect=self.connect
+        ) as stream:
             self._check_status(stream.status)
             yield stream
 
@@ -179,7 +187,8 @@
 class Releases:
     """Cancel streams and reservations in tasks that outlive their requests."""
 
-    def __init__(self) -> None:
+    def __init__(self, host: HostState) -> None:
+        self._host = host
         self._tasks: dict[asyncio.Task[None], str] = {}
 
     @property
@@ -224,7 +233,11 @@
         while loop.time() < retry_until:
             try:
                 await async_send_http(
-                    target.address, "DELETE", path, timeout=c.CANCEL_TIMEOUT_SECONDS
+                    target.address,
+                    "DELETE",
+                    path,
+                    timeout=c.CANCEL_TIMEOUT_SECONDS,
+                    connect=self._host.get_connector(target),
                 )
                 return
             except TargetError:
--- a/libraries/daemon/tarragonward_daemon/groups.py
+++ b/libraries/daemon/tarragonward_daemon/groups.py
@@ -120,6 +120,7 @@
                 "/v1/reservations",
                 body=orjson.dumps(body),
                 timeout=c.RESERVE_TIMEOUT_SECONDS,
+                connect=self._host.get_connector(target),
             )
         except TargetError as err:
             log_event("reserve_failed", target=target.name, reason=repr(err))
--- a/libraries/daemon/tarragonward_daemon/model_run.py
+++ b/libraries/daemon/tarragonward_daemon/model_run.py
@@ -284,7 +284,9 @@
         self._sink.set_target(engine.name)
         stream_id = f"{self._request_id}-{number}"
         self._shared.prefixes.mark_used(engine)
-        return EngineStream(engine, stream_id, self._shared.host.identity)
+        host = self._shared.host
+        connect = host.get_connector(engine)
+        return EngineStream(engine, stream_id, host.identity, connect)
 
     def _record_failure(self, attempt: _Attempt, error: TargetError) -> Event:
         fault = get_fault(error)
--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -39,7 +39,7 @@
         self.releases = releases
         self.membership = membership
         self.placement = Placement(random.Random())
-        self.prefixes = PrefixTask(self.placement.prefixes, host.metrics)
+        self.prefixes = PrefixTask(self.placement.prefixes, host)
         self.budget = RetryBudget()
         self.outliers = OutlierDetector()
         self.probes = EngineProbes(host, self.outliers)
--- a/libraries/daemon/tarragonward_daemon/orders.py
+++ b/libraries/daemon/tarragonward_daemon/orders.py
@@ -131,7 +131,11 @@
 
     async def _async_read_state(self, engine: Target) -> EngineOrderState | None:
         answer = await async_send_http(
-            engine.address, "GET", c.ROUTE_LOAD, timeout=c.REPORT_TIMEOUT_SECONDS
+            engine.address,
+            "GET",
+            c.ROUTE_LOAD,
+            timeout=c.REPORT_TIMEOUT_SECONDS,
+            connect=self._host.get_connector(engine),
         )
         return EngineOrderState.parse(answer.parse_json())
 
@@ -165,6 +169,7 @@
                 body=orjson.dumps(order.build_body()),
                 timeout=c.ORDER_TIMEOUT_SECONDS,
                 before_write=check_age,
+                connect=self._host.get_connector(engine),
             )
         except (TargetError, _OrderTooOldError) as err:
             self._report_result(engine, order, "failed", error=repr(err))
--- a/libraries/daemon/tarragonward_daemon/owned_calls.py
+++ b/libraries/daemon/tarragonward_daemon/owned_calls.py
@@ -162,6 +162,7 @@
                 timeout=remaining + c.SENT_CALL_GRACE_SECONDS,
                 connect_timeout=min(c.SERVICE_CONNECT_TIMEOUT_SECONDS, remaining),
                 before_write=mark_sent,
+                connect=self._host.get_connector(target),
             )
         except ConnectionLostError as err:
             if self.ledger.is_sent(key):
--- a/libraries/daemon/tarragonward_daemon/prefixes.py
+++ b/libraries/daemon/tarragonward_daemon/prefixes.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from tarragonward_config import Target
-from tarragonward_core import BackgroundTasks, Metrics, TargetError, log_event
+from tarragonward_core import BackgroundTasks, TargetError, log_event
 from tarragonward_placement import (
     BLOCK_TOKENS,
     CacheUpdate,
@@ -17,6 +17,7 @@
 from tarragonward_wire import async_send_http
 
 from . import const as c
+from .core import HostState
 
 __all__ = ["PrefixTask", "hash_prompt"]
 
@@ -33,10 +34,11 @@
     not on the number of engines.
     """
 
-    def __init__(self, index: PrefixIndex, metrics: Metrics) -> None:
+    def __init__(self, index: PrefixIndex, host: HostState) -> None:
         self._index = index
+        self._host = host
         self._recently_used: dict[str, tuple[Target, float]] = {}
-        self._background = BackgroundTasks(metrics)
+        self._background = BackgroundTasks(host.metrics)
 
     async def async_setup(self) -> None:
         """Start to read cache events."""
@@ -72,7 +74,11 @@
         path = f"/v1/cache-events?after={after}"
         try:
             answer = await async_send_http(
-                target.address, "GET", path, timeout=c.REPORT_TIMEOUT_SECONDS
+                target.address,
+                "GET",
+                path,
+                timeout=c.REPORT_TIMEOUT_SECONDS,
+                connect=self._host.get_connector(target),
             )
             report = answer.parse_json()
             if int(report["sequence"]) < after:
--- a/libraries/daemon/tarragonward_daemon/reports.py
+++ b/libraries/daemon/tarragonward_daemon/reports.py
@@ -97,7 +97,11 @@
     async def _async_read_one(self, engine: Target) -> None:
         try:
             answer = await async_send_http(
-                engine.address, "GET", c.ROUTE_LOAD, timeout=c.REPORT_TIMEOUT_SECONDS
+                engine.address,
+                "GET",
+                c.ROUTE_LOAD,
+                timeout=c.REPORT_TIMEOUT_SECONDS,
+                connect=self._host.get_connector(engine),
             )
             report = answer.parse_json()
         except TargetError:
--- a/libraries/daemon/tarragonward_daemon/sweep.py
+++ b/libraries/daemon/tarragonward_daemon/sweep.py
@@ -61,7 +61,8 @@
             self._sweep.lag_seconds = c.SWEEP_LAG_SECONDS + 2 * interval
             await asyncio.sleep(interval * random.uniform(0.8, 1.2))
             targets = self._get_watched()
-            reports = await asyncio.gather(*map(_async_read_held, targets.values()))
+            reads = map(self._async_read_held, targets.values())
+            reports = await asyncio.gather(*reads)
             reported = dict(zip(targets, reports, strict=True))
             reported = {name: r for name, r in reported.items() if r is not None}
             held = [item for report in reported.values() for item in report]
@@ -141,23 +142,26 @@
             writer.transport.abort()
         return OwnerStatus.ALIVE if stream.peer == owner else OwnerStatus.REPLACED
 
-
-async def _async_read_held(target: Target) -> list[HeldResource] | None:
-    """Return the resources held on an engine, None if it does not answer."""
-    try:
-        answer = await async_send_http(
-            target.address, "GET", "/v1/load", timeout=c.REPORT_TIMEOUT_SECONDS
-        )
-        report = answer.parse_json()
-        streams = [
-            HeldResource(target.name, held_id, owner)
-            for held_id, owner in report.get("streams", {}).items()
-        ]
-        reservations = [
-            HeldResource(target.name, held_id, owner, is_reservation=True)
-            for held_id, owner in report.get("reservations", {}).items()
-        ]
-    except (TargetError, AttributeError) as err:
-        log_event("sweep_read_failed", target=target.name, reason=repr(err))
-        return None
-    return streams + reservations
+    async def _async_read_held(self, target: Target) -> list[HeldResource] | None:
+        """Return the resources held on an engine, None if it does not answer."""
+        try:
+            answer = await async_send_http(
+                target.address,
+                "GET",
+                "/v1/load",
+                timeout=c.REPORT_TIMEOUT_SECONDS,
+                connect=self._host.get_connector(target),
+            )
+            report = answer.parse_json()
+            streams = [
+                HeldResource(target.name, held_id, owner)
+                for held_id, owner in report.get("streams", {}).items()
+            ]
+            reservations = [
+                HeldResource(target.name, held_id, owner, is_reservation=True)
+                for held_id, owner in report.get("reservations", {}).items()
+            ]
+        except (TargetError, AttributeError) as err:
+            log_event("sweep_read_failed", target=target.name, reason=repr(err))
+            return None
+        return streams + reservations
--- a/libraries/daemon/tests/test_order_task.py
+++ b/libraries/daemon/tests/test_order_task.py
@@ -33,7 +33,11 @@
     async def async_verify_newest():
         return True
 
-    host = SimpleNamespace(configuration_number=number, metrics=Metrics())
+    host = SimpleNamespace(
+        configuration_number=number,
+        metrics=Metrics(),
+        get_connector=lambda target: None,
+    )
     return OrderTask(
         host, None, SimpleNamespace(async_verify_newest=async_verify_newest)
     )
--- a/libraries/daemon/tests/test_owned_calls.py
+++ b/libraries/daemon/tests/test_owned_calls.py
@@ -53,6 +53,7 @@
         self.configuration = build_configuration(addresses)
         limits = SimpleNamespace(key_retention_seconds=60.0)
         host = SimpleNamespace(
+            get_connector=lambda target: None,
             settings=SimpleNamespace(limits=limits),
             configuration=self.configuration,
             metrics=Metrics(),
--- a/libraries/standins/tarragonward_standins/host_process.py
+++ b/libraries/standins/tarragonward_standins/host_process.py
@@ -13,15 +13,29 @@
 import os
 import runpy
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
-__all__ = ["LINKS_VARIABLE", "CuttableEventLoop"]
+from tarragonward_core import Address
 
+__all__ = ["HOST_LAUNCHER", "LINKS_VARIABLE", "CuttableEventLoop", "write_links"]
+
+HOST_LAUNCHER = "tarragonward_standins.host_process"
 LINKS_VARIABLE = "TARRAGONWARD_STANDIN_LINKS"
 LOOPBACK_PREFIX = "127."
 
 
+def write_links(
+    path: Path, ip: str, cut: Iterable[Address] = (), is_silent: bool = False
+) -> None:
+    """Write the state of a host's links: its own IP, and the addresses cut off."""
+    document = {"ip": ip, "cut": [str(each) for each in cut], "is_silent": is_silent}
+    draft = path.with_suffix(".new")
+    draft.write_text(json.dumps(document), encoding="utf-8")
+    draft.replace(path)
+
+
 def _read_links() -> dict[str, Any]:
     return json.loads(Path(os.environ[LINKS_VARIABLE]).read_text(encoding="utf-8"))
 
--- a/libraries/standins/tarragonward_standins/platform_links.py
+++ b/libraries/standins/tarragonward_standins/platform_links.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
-from typing import Any
 
 from tarragonward_core import Address
 
 from .fault_proxy import FaultProxy
+from .host_process import write_links
 from .platform_clients import Attempt, ClientRequest
 
 __all__ = ["CutKind", "HostLinks", "LinkCut", "find_neglected_callers"]
@@ -52,13 +51,13 @@
         self._host = host
         self.path = path
         self.cuts: list[LinkCut] = []
-        self._write((), False)
+        self._write()
 
     def cut(
         self, proxies: Sequence[FaultProxy], kind: CutKind, is_total: bool = True
     ) -> None:
         """Cut the host off from the runners behind these proxies."""
-        self._write([str(each.address) for each in proxies], kind is CutKind.SILENT)
+        self._write([each.address for each in proxies], kind is CutKind.SILENT)
         for proxy in proxies:
             if kind is CutKind.RESET:
                 proxy.abort_connections(self._host.host)
@@ -70,20 +69,13 @@
 
     def restore(self) -> None:
         """End the cut; connections that it silenced stay silent."""
-        self._write((), False)
+        self._write()
         if self.cuts:
             now = asyncio.get_running_loop().time()
             self.cuts[-1].ended_at = min(self.cuts[-1].ended_at, now)
 
-    def _write(self, cut: Iterable[str], is_silent: bool) -> None:
-        document: dict[str, Any] = {
-            "ip": self._host.host,
-            "cut": list(cut),
-            "is_silent": is_silent,
-        }
-        draft = self.path.with_suffix(".new")
-        draft.write_text(json.dumps(document), encoding="utf-8")
-        draft.replace(self.path)
+    def _write(self, cut: Iterable[Address] = (), is_silent: bool = False) -> None:
+        write_links(self.path, self._host.host, cut, is_silent)
 
 
 @dataclass
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -18,7 +18,7 @@
 from tarragonward_core import Address, TargetError
 from tarragonward_wire import async_send_http
 
-from .host_process import LINKS_VARIABLE
+from .host_process import HOST_LAUNCHER, LINKS_VARIABLE
 from .platform_addresses import build_ip, find_ports
 from .platform_checker import Checker, ConfigVersion
 from .platform_clients import ClientRequest, PlatformClient
@@ -41,7 +41,6 @@
 ]
 
 HOST_MODULE = "tarragonward_platform"
-HOST_LAUNCHER = "tarragonward_standins.host_process"
 SETTINGS_VARIABLE = "TARRAGONWARD_BOOT"
 READY_POLL_SECONDS = 0.05
 BALANCER_INTERVAL_SECONDS = 0.5
--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -21,6 +21,7 @@
 
 from . import const as c
 from .fault_proxy import FaultProxy
+from .host_process import HOST_LAUNCHER, LINKS_VARIABLE, write_links
 
 __all__ = ["Site", "SiteHost", "SitePlan"]
 
@@ -51,6 +52,8 @@
     limits: dict[str, Any] = field(default_factory=dict)
     host_module: str = "tarragonward_daemon.main"
     has_proxies: bool = False
+    # Whether hosts run so that cut_from_targets() can be used.
+    has_cuttable_links: bool = False
     engines_check_fencing: bool = True
     parallel_loads: int | None = None
     store_bytes_per_second: float = 0.0
@@ -200,6 +203,11 @@
         """Write the files, start all processes and wait until they serve."""
         self._write_files()
         self._build_commands()
+        if self.plan.has_cuttable_links:
+            for name in self.hosts:
+                self.restore_links(name)
+                python, option, *module = self._commands[name]
+                self._commands[name] = [python, option, HOST_LAUNCHER, *module]
         await asyncio.gather(*(proxy.async_setup() for proxy in self.proxies.values()))
         # A task group, unlike gather, starts no more processes once one has failed.
         async with asyncio.TaskGroup() as group:
@@ -222,11 +230,24 @@
     async def async_start(self, name: str) -> None:
         """Start or restart a process of the site."""
         log = (self.folder / f"{name}.log").open("ab")
+        links = {LINKS_VARIABLE: str(self._get_links_path(name))}
         with log:
             self._processes[name] = await asyncio.create_subprocess_exec(
-                *self._commands[name], stdout=log, stderr=log
+                *self._commands[name], stdout=log, stderr=log, env=os.environ | links
             )
 
+    def cut_from_targets(self, name: str, is_silent: bool) -> None:
+        """Cut a host's new connections to all targets: they hang, or are refused."""
+        targets = [*self.engines.values(), *self.services.values()]
+        write_links(self._get_links_path(name), self._ip, targets, is_silent)
+
+    def restore_links(self, name: str) -> None:
+        """End the cut of a host's connections."""
+        write_links(self._get_links_path(name), self._ip)
+
+    def _get_links_path(self, name: str) -> Path:
+        return self.folder / f"{name}.links"
+
     async def async_kill(self, name: str) -> None:
         """Kill a process, also if it is stopped by SIGSTOP."""
         process = self._processes.pop(name, None)
