Soak hosts whose links to the runners are cut at random

Real hosts of two zones; a part of a zone, all of it or all hosts but one lose their links for 3.6 to 5.5 s, silently, by resets or by refusals, beside crashes of runners and pauses of the hosts left.

--- /dev/null
+++ b/libraries/bench/tarragonward_bench/link_runs.py
@@ -0,0 +1,111 @@
+"""Cut real hosts off from runners at random, and check the platform's rules."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+
+from tarragonward_standins.platform_day import DayPlan, PlatformDay
+from tarragonward_standins.platform_links import CutKind
+from tarragonward_standins.platform_site import (
+    PlatformHost,
+    PlatformPlan,
+    PlatformSite,
+)
+
+__all__ = ["run_links_seed"]
+
+TEMPLATE = Path("deploy/settings.toml")
+PLAN = PlatformPlan(zones=("a", "b"), hosts_per_zone=2)
+RUN_SECONDS = 9.0
+CUT_SECONDS = (3.6, 5.5)
+GAP_SECONDS = (0.3, 1.2)
+FREEZE_SECONDS = (0.1, 0.6)
+FREEZE_CHANCE = 0.5
+CRASH_CHANCE = 0.4
+DRAFTS_PER_SECOND = 14.0
+CALLS_PER_SECOND = 14.0
+
+
+class _Run:
+    """One site, its day, and the cuts and pauses that meet it."""
+
+    def __init__(self, site: PlatformSite, seed: int) -> None:
+        self._site = site
+        self._random = random.Random(seed)
+        self._day = PlatformDay(
+            site,
+            DayPlan(
+                seconds=RUN_SECONDS,
+                drafts_per_second=DRAFTS_PER_SECOND,
+                calls_per_second=CALLS_PER_SECOND,
+                leaving_share=0.03,
+                keeps_connections=False,
+                seed=seed,
+            ),
+        )
+
+    async def async_run(self) -> int:
+        """Play the day; return its requests, or raise AssertionError."""
+        playing = asyncio.ensure_future(self._day.async_play())
+        while not playing.done():
+            await asyncio.sleep(self._random.uniform(*GAP_SECONDS))
+            await self._async_cut()
+        report = await playing
+        assert not report.violations, f"{report.format_line()} {report.violations[:9]}"
+        return report.score["sent"]
+
+    async def _async_cut(self) -> None:
+        hosts = self._choose_hosts()
+        kind = self._random.choice(list(CutKind))
+        for host in hosts:
+            self._site.cut_from_runners(host, kind)
+        end = asyncio.get_running_loop().time() + self._random.uniform(*CUT_SECONDS)
+        if self._random.random() < CRASH_CHANCE:
+            crash = asyncio.ensure_future(self._site.models[0].async_crash())
+            crash.add_done_callback(lambda task: task.cancelled() or task.exception())
+        others = [host for host in self._site.hosts if host not in hosts]
+        if self._random.random() < FREEZE_CHANCE:
+            await self._async_freeze(self._random.choice(others))
+        await asyncio.sleep(max(0.0, end - asyncio.get_running_loop().time()))
+        for host in hosts:
+            host.links.restore()
+
+    def _choose_hosts(self) -> Sequence[PlatformHost]:
+        """Return a part of a zone, all of it, both parts, or all hosts but one."""
+        hosts = self._site.hosts
+        zone = [host for host in hosts if host.zone == self._random.choice(PLAN.zones)]
+        if self._random.random() < 0.3:
+            return zone or hosts[:1]
+        return self._random.sample(hosts, self._random.randint(1, len(hosts) - 1))
+
+    async def _async_freeze(self, host: PlatformHost) -> None:
+        """Freeze a host through which others may connect."""
+        assert host.process is not None
+        host.process.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(self._random.uniform(*FREEZE_SECONDS))
+        finally:
+            host.process.send_signal(signal.SIGCONT)
+
+
+async def _async_run_seed(seed: int) -> int:
+    with tempfile.TemporaryDirectory() as folder:
+        site = PlatformSite(Path(folder), PLAN, TEMPLATE)
+        try:
+            await site.async_setup()
+            return await _Run(site, seed).async_run()
+        finally:
+            await site.async_unload()
+
+
+def run_links_seed(seed: int) -> int:
+    """Run one seed on real processes and return the number of requests.
+
+    Raise AssertionError if a rule was broken.
+    """
+    return asyncio.run(_async_run_seed(seed))
--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -16,6 +16,7 @@
 from .budget_runs import run_budget_seed
 from .harm import run_crash_seed, run_limit_seed
 from .hearing.runs import run_propagation_seed
+from .link_runs import run_links_seed
 from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
 from .pause_runs import run_pauses_seed
@@ -43,7 +44,10 @@
 }
 
 # Machines of real processes, which run only when they are asked for.
-PROCESS_MACHINES: dict[str, Machine] = {"pauses": run_pauses_seed}
+PROCESS_MACHINES: dict[str, Machine] = {
+    "links": run_links_seed,
+    "pauses": run_pauses_seed,
+}
 
 
 @dataclass(frozen=True)
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tarragonward_bench.link_runs import run_links_seed
 from tarragonward_standins.platform_day import DayPlan, PlatformDay
 from tarragonward_standins.platform_links import CutKind
 from tarragonward_standins.platform_site import PlatformPlan, PlatformSite
@@ -54,3 +55,9 @@
     site = await make_site(PlatformPlan())
     report = await async_play(site, site.hosts[:2], kind, seed=45)
     assert not report.violations, format_failure(site, report)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_hosts_cut_off_from_runners_at_random_break_no_rule(seed):
+    """Cuts of parts and of whole zones meet crashes of runners and paused peers."""
+    assert run_links_seed(seed) > 100
