--- a/libraries/bench/tarragonward_bench/link_runs.py
+++ b/libraries/bench/tarragonward_bench/link_runs.py
@@ -27,6 +27,7 @@
 FREEZE_SECONDS = (0.1, 0.6)
 FREEZE_CHANCE = 0.5
 CRASH_CHANCE = 0.4
+WHOLE_ZONE_CHANCE = 0.3
 DRAFTS_PER_SECOND = 14.0
 CALLS_PER_SECOND = 14.0
 
@@ -78,9 +79,9 @@
     def _choose_hosts(self) -> Sequence[PlatformHost]:
         """Return a part of a zone, all of it, both parts, or all hosts but one."""
         hosts = self._site.hosts
-        zone = [host for host in hosts if host.zone == self._random.choice(PLAN.zones)]
-        if self._random.random() < 0.3:
-            return zone or hosts[:1]
+        zone = self._random.choice(PLAN.zones)
+        if self._random.random() < WHOLE_ZONE_CHANCE:
+            return [host for host in hosts if host.zone == zone]
         return self._random.sample(hosts, self._random.randint(1, len(hosts) - 1))
 
     async def _async_freeze(self, host: PlatformHost) -> None:
--- a/libraries/standins/tarragonward_standins/platform_links.py
+++ b/libraries/standins/tarragonward_standins/platform_links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
@@ -51,31 +51,39 @@
         self._host = host
         self.path = path
         self.cuts: list[LinkCut] = []
+        self._kind: CutKind | None = None
+        self._cut_off: list[Address] = []
         self._write()
 
-    def cut(
-        self, proxies: Sequence[FaultProxy], kind: CutKind, is_total: bool = True
-    ) -> None:
-        """Cut the host off from the runners behind these proxies."""
-        self._write([each.address for each in proxies], kind is CutKind.SILENT)
-        for proxy in proxies:
+    def cut(self, proxies: Mapping[Address, FaultProxy], kind: CutKind) -> None:
+        """Cut the host off from all runners, given by address with their proxies."""
+        self._kind, self._cut_off = kind, list(proxies)
+        self._write()
+        for proxy in proxies.values():
             if kind is CutKind.RESET:
                 proxy.abort_connections(self._host.host)
             elif kind is CutKind.SILENT:
                 proxy.blackhole_open_connections(self._host.host)
-        if is_total:
-            now = asyncio.get_running_loop().time()
-            self.cuts.append(LinkCut(self._host, now))
+        now = asyncio.get_running_loop().time()
+        self.cuts.append(LinkCut(self._host, now))
+
+    def add_runner(self, address: Address) -> None:
+        """Cut the host off from a runner that starts during a cut, too."""
+        if self._kind is not None:
+            self._cut_off.append(address)
+            self._write()
 
     def restore(self) -> None:
         """End the cut; connections that it silenced stay silent."""
+        self._kind, self._cut_off = None, []
         self._write()
         if self.cuts:
             now = asyncio.get_running_loop().time()
             self.cuts[-1].ended_at = min(self.cuts[-1].ended_at, now)
 
-    def _write(self, cut: Iterable[Address] = (), is_silent: bool = False) -> None:
-        write_links(self.path, self._host.host, cut, is_silent)
+    def _write(self) -> None:
+        is_silent = self._kind is CutKind.SILENT
+        write_links(self.path, self._host.host, self._cut_off, is_silent)
 
 
 @dataclass
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -282,6 +282,8 @@
         runner.on_crash.append(self._replace)
         await runner.async_setup()
         self._runners.append(runner)
+        for host in self.hosts:
+            host.links.add_runner(runner.address)
 
     def _replace(self, crashed: PlatformRunner) -> None:
         task = asyncio.create_task(self._async_replace(crashed))
@@ -329,7 +331,7 @@
 
     def cut_from_runners(self, host: PlatformHost, kind: CutKind) -> None:
         """Cut a host off from all runners; callers, peers and the store reach it."""
-        proxies = [runner.proxy for runner in self._runners if runner.proxy]
+        proxies = {each.address: each.proxy for each in self._runners if each.proxy}
         host.links.cut(proxies, kind)
 
     def read_log(self, host: PlatformHost) -> str:
