--- a/libraries/bench/tarragonward_bench/link_runs.py
+++ b/libraries/bench/tarragonward_bench/link_runs.py
@@ -27,13 +27,15 @@
 FREEZE_SECONDS = (0.1, 0.6)
 FREEZE_CHANCE = 0.5
 CRASH_CHANCE = 0.4
+SILENCE_CHANCE = 0.5
+SILENCE_SECONDS = (0.8, 1.5)
 WHOLE_ZONE_CHANCE = 0.3
 DRAFTS_PER_SECOND = 14.0
 CALLS_PER_SECOND = 14.0
 
 
 class _Run:
-    """One site, its day, and the cuts and pauses that meet it."""
+    """One site, its day, and the cuts, pauses and silences that meet it."""
 
     def __init__(self, site: PlatformSite, seed: int) -> None:
         self._site = site
@@ -70,6 +72,8 @@
             crash = asyncio.ensure_future(self._site.models[0].async_crash())
             crash.add_done_callback(lambda task: task.cancelled() or task.exception())
         others = [host for host in self._site.hosts if host not in hosts]
+        if self._random.random() < SILENCE_CHANCE:
+            await self._async_silence()
         if self._random.random() < FREEZE_CHANCE:
             await self._async_freeze(self._random.choice(others))
         await asyncio.sleep(max(0.0, end - asyncio.get_running_loop().time()))
@@ -84,6 +88,14 @@
             return [host for host in hosts if host.zone == zone]
         return self._random.sample(hosts, self._random.randint(1, len(hosts) - 1))
 
+    async def _async_silence(self) -> None:
+        """Let a sound runner fall silent for a moment, and go on."""
+        proxy = self._random.choice(self._site.models).proxy
+        assert proxy is not None
+        proxy.faults.frozen = True
+        await asyncio.sleep(self._random.uniform(*SILENCE_SECONDS))
+        proxy.faults.frozen = False
+
     async def _async_freeze(self, host: PlatformHost) -> None:
         """Freeze a host through which others may connect."""
         assert host.process is not None
--- a/libraries/wire/tests/test_relays.py
+++ b/libraries/wire/tests/test_relays.py
@@ -183,6 +183,21 @@
     await async_wait(lambda: not site.server.connections)
 
 
+async def test_sound_target_that_is_silent_for_a_second_goes_on(make_site):
+    """The time-outs of an unreachable peer must not end a connection that is idle."""
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(NO_LENGTH + b"part")
+        await asyncio.sleep(1.5)
+        writer.write(b"rest")
+        writer.close()
+
+    site = await make_site(script)
+    async with site.open(unreachable_timeout=2.5) as stream:
+        assert await stream.async_read_body() == b"partrest"
+
+
 async def test_slow_reader_stops_the_target_and_not_the_relay(make_site):
     """A caller that does not read must not fill the relay's memory."""
     sent = 0
