--- a/libraries/standins/tarragonward_standins/fault_proxy.py
+++ b/libraries/standins/tarragonward_standins/fault_proxy.py
@@ -103,8 +103,9 @@
         for connection in self._connections:
             if connection.source == source:
                 for writer in connection.writers:
-                    _reset_on_close(writer)
-                    writer.transport.abort()
+                    if not writer.transport.is_closing():
+                        _reset_on_close(writer)
+                        writer.transport.abort()
 
     def blackhole_open_connections(self, source: str | None = None) -> None:
         """Discard all further data of the open connections; new ones work.
