Leave a stream for a lost link only if its own target can't be connected to

Two engines that end in one domain eject its group, and streams at the others there were left after 0.3 s of silence, though their engines worked. A lost group now has the targets of its direct sends checked first.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -261,7 +261,7 @@
 SILENCE_MIN_PAUSE_SECONDS = 0.8
 SILENCE_RECHECK_SECONDS = 0.2
 # A stream is stalled after this many times the pause aim.
-STALLED_PAUSE_FACTOR = 1.5
+STALLED_PAUSE_FACTOR = 3.0
 # For how long a direct send waits on once the link to its target appears to be lost.
 LOST_LINK_IDLE_SECONDS = 0.3
 # A first event is overdue after this many times the predicted time plus the margin. The
--- a/libraries/gateway/tarragonward_gateway/idle_timeout.py
+++ b/libraries/gateway/tarragonward_gateway/idle_timeout.py
@@ -31,7 +31,7 @@
     target is then abandoned, without a fault being recorded, if is_faster_elsewhere()
     returns that another target would be in time.
 
-    on_stalled() is called from time to time while a later event takes longer than
+    on_stalled() is called once in each wait for a later event that takes longer than
     stalled_seconds.
     """
 
@@ -116,6 +116,7 @@
     def _check(self) -> None:
         now = self._loop.time()
         if now >= self._stalled_at:
+            self._stalled_at = math.inf
             self._on_stalled()
         is_silent = now >= self._silent_at and self._may_abandon()
         if not is_silent and not self._is_abandoning:
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -46,8 +46,12 @@
         self._probe_tasks: set[asyncio.Task[bool]] = set()
         # By target: the connection attempt that shows whether it has ended.
         self._end_checks: dict[str, asyncio.Task[bool]] = {}
+        # Targets that are being checked in the background.
+        self._checked: set[str] = set()
         self._background = BackgroundTasks(state.metrics)
         self._is_running = False
+        # Called with a target that this host can't connect to.
+        self.on_target_lost: list[Callable[[RegisteredTarget], None]] = []
         # Called with the domain and service whose link is lost.
         self.on_link_lost: list[Callable[[str, str], None]] = []
         # Returns whether a peer can connect to a target, None if no peer tells.
@@ -97,6 +101,9 @@
                 )
         if effects:
             self.reachability.update(target.service)
+        if evidence is Evidence.NOT_CONNECTED:
+            for notify_target in self.on_target_lost:
+                notify_target(target)
         if evidence is Evidence.NOT_CONNECTED and self._is_running:
             self._check_neighbours(target)
 
@@ -136,9 +143,13 @@
 
     def check_in_background(self, target: RegisteredTarget) -> None:
         """Check a target that may be unreachable without waiting for the result."""
+        if target.id in self._checked:
+            return
+        self._checked.add(target.id)
         task = asyncio.create_task(self.async_check([target]))
         self._probe_tasks.add(task)
         task.add_done_callback(self._probe_tasks.discard)
+        task.add_done_callback(lambda _: self._checked.discard(target.id))
 
     def _check_neighbours(self, target: RegisteredTarget) -> None:
         registered = self._state.registry.get_all()
--- a/libraries/gateway/tarragonward_gateway/target_paths.py
+++ b/libraries/gateway/tarragonward_gateway/target_paths.py
@@ -40,6 +40,8 @@
         # Whether a peer may relay to a service, and whether one has done so recently.
         self.may_relay: Callable[[str], bool] = lambda service: False
         self.has_proven_relay: Callable[[str], bool] = lambda service: False
+        # Connects to a target in the background, to see whether its link is lost.
+        self.check: Callable[[RegisteredTarget], None] = lambda target: None
         # Whether a peer has not answered lately.
         self.is_lost_relay: Callable[[Address], bool] = lambda peer: False
         self.build_connector: ConnectorBuilder | None = None
@@ -74,7 +76,7 @@
         """Return whether a send may hang on a link, or a peer, that is lost by now."""
         if choice.is_relayed:
             return choice.relay is not None and self.is_lost_relay(choice.relay)
-        return self._direct.is_group_ejected(choice.target)
+        return self._direct.has_lost_link(choice.target)
 
     @contextmanager
     def watch_link(
@@ -89,10 +91,25 @@
             self._watched.remove(watched)
 
     def notify_lost(self, domain: str, service: str) -> None:
-        """Notify the direct sends to a domain's targets that their link is lost."""
+        """Notify the direct sends to a domain whose link appears to be lost.
+
+        The targets that this host has not tried to connect to lately are checked first.
+        """
         for choice, on_lost in list(self._watched):
             group = choice.target.failure_domain, choice.target.service
-            if not choice.is_relayed and group == (domain, service):
+            if choice.is_relayed or group != (domain, service):
+                continue
+            if self._direct.has_lost_link(choice.target):
+                on_lost()
+            else:
+                self.check(choice.target)
+
+    def notify_target_lost(self, target: RegisteredTarget) -> None:
+        """Notify the direct sends to a target that its link is lost."""
+        if not self._direct.has_lost_link(target):
+            return
+        for choice, on_lost in list(self._watched):
+            if not choice.is_relayed and choice.target.id == target.id:
                 on_lost()
 
     def notify_relay_lost(self, peer: Address) -> None:
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -78,6 +78,8 @@
         self.probes = TargetProber(state, self.target_health)
         self.probes.on_registered.append(self.paths.retain_only)
         self.probes.on_link_lost.append(self.paths.notify_lost)
+        self.probes.on_target_lost.append(self.paths.notify_target_lost)
+        self.paths.check = self.probes.check_in_background
         self.probes.accepts_requests = self.accepts_requests
 
     def build_digest(self) -> dict[str, list[Any]]:
--- a/libraries/placement/tarragonward_placement/reach.py
+++ b/libraries/placement/tarragonward_placement/reach.py
@@ -221,9 +221,16 @@
         is_target_ejected = record is not None and record.retry_at is not None
         return is_target_ejected or _get_group(target) in self._groups
 
-    def is_group_ejected(self, target: TargetLocation) -> bool:
-        """Return whether the link to a target's group appears to be lost."""
-        return _get_group(target) in self._groups
+    def has_lost_link(self, target: TargetLocation) -> bool:
+        """Return whether neither a target nor its group can be connected to.
+
+        An ejected group alone does not show it: two targets that have ended eject their
+        group, and others of it go on.
+        """
+        record = self._targets.get(target.id)
+        is_ejected = record is not None and record.retry_at is not None
+        is_alone = not is_ejected or record is None or not record.is_disconnected
+        return not is_alone and _get_group(target) in self._groups
 
     def is_disconnected(self, target: TargetLocation) -> bool:
         """Return whether a target is ejected because this host can't connect to it."""
