Look for a relay again while a send on a lost link waits for one

A stream on a lost link goes on through a peer that has been proven, and the only search for one was made as the service was lost, within 0.1 s. The search may take 0.8 s now, and is made again by each look of a waiting send. The new test fails without that.

--- a/libraries/gateway/tarragonward_gateway/relays.py
+++ b/libraries/gateway/tarragonward_gateway/relays.py
@@ -51,11 +51,13 @@
         # The addresses of peers that may be asked, and IP addresses that may ask.
         self.get_peers: Callable[[], Collection[Address]] = lambda: ()
         self.get_hosts: Callable[[], Collection[str]] = lambda: ()
-        self._prove_tasks: set[asyncio.Task[bool | None]] = set()
+        # By service: the search for a peer that reaches it.
+        self._prove_tasks: dict[str, asyncio.Task[bool | None]] = {}
         chooser.probes.async_check_by_relay = self.async_check
         chooser.probes.reachability.on_lost.append(self._prove)
         chooser.paths.may_relay = self.may_relay
         chooser.paths.has_proven_relay = self._has_proven
+        chooser.paths.prove_relay = self._prove
         chooser.paths.build_connector = self.build_connector
         chooser.paths.is_lost_relay = self._is_lost
         state.metrics.add_gauge(
@@ -73,7 +75,7 @@
 
     async def async_unload(self) -> None:
         """End the connections of peers."""
-        for task in self._prove_tasks:
+        for task in list(self._prove_tasks.values()):
             task.cancel()
         await self._server.async_unload()
 
@@ -86,10 +88,14 @@
         peers = self.get_peers()
         return self._directory.choose(service, peers, (), read_clock()) is not None
 
-    async def async_check(self, target: RegisteredTarget) -> bool | None:
+    async def async_check(
+        self,
+        target: RegisteredTarget,
+        timeout: float = c.RELAY_CHECK_TIMEOUT_SECONDS,
+    ) -> bool | None:
         """Return whether a peer can connect to a target, None if no peer tells."""
         try:
-            async with PauseTimeout(_now() + c.RELAY_CHECK_TIMEOUT_SECONDS):
+            async with PauseTimeout(_now() + timeout):
                 transport, _ = await self._async_connect(target)
         except RelayRefusedError:
             return False
@@ -101,12 +107,13 @@
     def _prove(self, service: str) -> None:
         """Find a peer that reaches a service, before the next request needs one."""
         ready = self._state.registry.get_ready(service)
-        if not ready:
+        if not ready or service in self._prove_tasks:
             return
         target = min(ready, key=lambda _: self._state.random.random())
-        task = asyncio.ensure_future(self.async_check(target))
-        self._prove_tasks.add(task)
-        task.add_done_callback(self._prove_tasks.discard)
+        check = self.async_check(target, c.RELAYED_CONNECT_TIMEOUT_SECONDS)
+        task = asyncio.ensure_future(check)
+        self._prove_tasks[service] = task
+        task.add_done_callback(lambda _: self._prove_tasks.pop(service, None))
 
     def build_connector(
         self, target: RegisteredTarget, on_relay: Callable[[Address], None] | None
--- a/libraries/gateway/tarragonward_gateway/target_paths.py
+++ b/libraries/gateway/tarragonward_gateway/target_paths.py
@@ -40,6 +40,8 @@
         # Whether a peer may relay to a service, and whether one has done so recently.
         self.may_relay: Callable[[str], bool] = lambda service: False
         self.has_proven_relay: Callable[[str], bool] = lambda service: False
+        # Starts to look for a peer that can relay to a service.
+        self.prove_relay: Callable[[str], None] = lambda service: None
         # Connects to a target in the background, to see whether its link is lost.
         self.check: Callable[[RegisteredTarget], None] = lambda target: None
         # Whether a peer has not answered lately.
@@ -122,8 +124,12 @@
         """Return whether a request in progress elsewhere may count on a target."""
         if not self._direct.is_ejected(target):
             return True
-        is_proven = self.has_proven_relay(target.service)
-        return is_proven and self.must_relay(target) and not self._is_failing(target)
+        if not self.must_relay(target) or self._relayed.is_ejected(target):
+            return False
+        if self.has_proven_relay(target.service):
+            return True
+        self.prove_relay(target.service)
+        return False
 
     def start_trial(self, target: RegisteredTarget, is_relayed: bool) -> None:
         """Keep other requests off an ejected target while one request tries it."""
@@ -137,6 +143,3 @@
     def retain_only(self, registered: Collection[RegisteredTarget]) -> None:
         """Forget what is no longer registered."""
         self._relayed.retain_only(registered)
-
-    def _is_failing(self, target: RegisteredTarget) -> bool:
-        return self._relayed.is_ejected(target)
--- a/libraries/gateway/tests/test_relays.py
+++ b/libraries/gateway/tests/test_relays.py
@@ -288,3 +288,20 @@
     assert pair.cut.runs == 1
     asking.cancel()
     await asyncio.gather(asking, return_exceptions=True)
+
+
+async def test_peer_is_looked_for_again_after_the_first_search_failed(make_pair):
+    """The peer pauses as the links are lost; a waiting stream must not wait in vain."""
+    gate = Gate(range(1, 4), range(4, 7))
+    pair = await make_pair(gate, gate, gate, has_engines=True, has_links=True)
+    get_hosts, pair.peer_relays.get_hosts = pair.peer_relays.get_hosts, lambda: ()
+    asking = asyncio.ensure_future(pair.cut.async_ask_prompt("900,300"))
+    await async_wait_for_runs(pair.cut, 1)
+    await asyncio.sleep(0.1)
+    gate.is_open = True
+    pair.lose_links()
+    await asyncio.sleep(0.1)
+    pair.peer_relays.get_hosts = get_hosts
+    async with asyncio.timeout(2.5):
+        answer = await asking
+    assert answer.body.count(b"id:") == 6
