Log which segments a lost prompt shares, and when each was last answered

The incident's logs can't tell its hypotheses apart: crash_noted has the fingerprint of a whole request and nothing of the prompt's parts. It now names the shared segments with the seconds since a prompt with each was last answered completely at this host, and whether the answer had begun. No decision reads it.

--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -47,6 +47,7 @@
     last_event_id: str = "last-event-id"
     priority: str = "x-priority"
     token_counts: str = "x-tokens"
+    prompt_segments: str = "x-prompt-segments"
     helpers: str = "x-helper-engines"
     failed_target: str = "x-failed-target"
     target_name: str = "x-target"
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -122,7 +122,12 @@
             self._request_id,
             request.headers.get(state.headers.token_counts, ""),
         )
-        self._identity = RequestIdentity(request, context.account)
+        self._identity = RequestIdentity(
+            request,
+            context.account,
+            context.service,
+            request.headers.get(state.headers.prompt_segments, ""),
+        )
         self._placer = SendPlacer(
             state,
             chooser,
@@ -249,7 +254,7 @@
                 event = await self._async_attempt(choice, effect)
         except SEND_ERRORS as err:
             event = SendFailed(get_send_fault(err))
-            await self._async_handle_error(target, event, err)
+            await self._async_handle_error(choice, event, err)
         if isinstance(event, SendFailed):
             self._chooser.record_failure(choice, event.fault)
             is_lost = event.fault is SendFault.LOST
@@ -259,8 +264,9 @@
         return self._handle_event(event) if event is not None else None
 
     async def _async_handle_error(
-        self, target: RegisteredTarget, event: SendFailed, err: Exception
+        self, choice: SendChoice, event: SendFailed, err: Exception
     ) -> None:
+        target = choice.target
         is_lost = event.fault is SendFault.LOST
         if event.fault in (SendFault.NOT_CONNECTED, SendFault.WITHHELD):
             self._refund_retry()
@@ -276,7 +282,9 @@
             fingerprint=self._identity.fingerprint.hex() if is_lost else None,
         )
         if is_lost and not is_link_fault(err):
-            await self._suspects.async_record_lost(self._identity, target)
+            await self._suspects.async_record_lost(
+                self._identity, target, choice.has_events
+            )
 
     def _refund_retry(self) -> None:
         """Return a retry that was never sent to the retry budget."""
--- a/libraries/gateway/tarragonward_gateway/suspects.py
+++ b/libraries/gateway/tarragonward_gateway/suspects.py
@@ -9,7 +9,14 @@
 
 from tarragonward_core import log_event
 from tarragonward_membership import RegisteredTarget, hash_name
-from tarragonward_requests import SuspectTracker, Verdict, fingerprint_request
+from tarragonward_requests import (
+    AnsweredSegments,
+    SuspectTracker,
+    Verdict,
+    fingerprint_request,
+    fingerprint_segments,
+    parse_segments,
+)
 from tarragonward_routes import Account
 from tarragonward_wire import HttpRequest
 
@@ -20,14 +27,25 @@
 __all__ = ["RequestIdentity", "SuspectMonitor"]
 
 HOST = "host"
+MAX_LOGGED_SEGMENTS = 8
+NEVER = "never"
+SEPARATOR = ","
 
 
 class RequestIdentity:
     """Identifies a request and its repeats; hashed only when the hash is needed."""
 
-    def __init__(self, request: HttpRequest, account: Account | None) -> None:
+    def __init__(
+        self,
+        request: HttpRequest,
+        account: Account | None,
+        service: str = "",
+        segment_ids: str = "",
+    ) -> None:
         self._request = request
         self._account = account.name if account is not None else ""
+        self._service = service
+        self._segment_ids = segment_ids
         self.body_size = len(request.body)
 
     @cached_property
@@ -42,6 +60,12 @@
             request.body,
         )
 
+    @cached_property
+    def segments(self) -> tuple[bytes, ...]:
+        """The fingerprints of the prompt segments that other requests share."""
+        ids = parse_segments(self._segment_ids)
+        return fingerprint_segments(self._service, ids)
+
 
 class SuspectMonitor:
     """Records crashes in this host's tracker.
@@ -52,6 +76,7 @@
 
     def __init__(self, state: GatewayState, probes: TargetProber) -> None:
         self.tracker = SuspectTracker()
+        self.answered_segments = AnsweredSegments()
         # Whether this host receives nothing from any other host.
         self.is_isolated: Callable[[], bool] = lambda: False
         self.on_change: list[Callable[[bytes], None]] = []
@@ -71,9 +96,12 @@
         return self.tracker.get_wait_seconds(fingerprint, read_clock(), is_isolated)
 
     async def async_record_lost(
-        self, identity: RequestIdentity, target: RegisteredTarget
+        self, identity: RequestIdentity, target: RegisteredTarget, has_events: bool
     ) -> None:
-        """Record a crash if the target that lost the connection has ended."""
+        """Record a crash if the target that lost the connection has ended.
+
+        has_events: whether any event of its answer has arrived.
+        """
         # A target that accepts a new connection has not crashed. Counting it would turn
         # all requests on an unreliable link into suspects.
         if not await self._probes.async_has_ended(target):
@@ -87,11 +115,23 @@
             target=target.id,
             fingerprint=fingerprint.hex(),
             targets=self.tracker.count(fingerprint),
+            has_events=has_events,
+            segments=self._describe_segments(identity.segments, now),
         )
         self._notify(fingerprint)
 
+    def _describe_segments(self, segments: tuple[bytes, ...], now: float) -> str:
+        """Return the segments with the seconds since each was last answered."""
+        described = []
+        for segment in segments[:MAX_LOGGED_SEGMENTS]:
+            answered_at = self.answered_segments.get(segment)
+            age = NEVER if answered_at is None else f"{now - answered_at:.1f}"
+            described.append(f"{segment.hex()}:{age}")
+        return SEPARATOR.join(described)
+
     def record_answered(self, identity: RequestIdentity) -> None:
         """Record that a target answered a request completely."""
+        self.answered_segments.record(identity.segments, read_clock())
         if not self.tracker.may_contain(identity.body_size):
             return
         fingerprint = identity.fingerprint
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -45,6 +45,7 @@
     ProbedExponentialBackoff,
 )
 from .retries import RetryBudget
+from .segments import AnsweredSegments, fingerprint_segments, parse_segments
 from .shared_budget import RetryBudgetBounds, SharedRetryBudget
 from .suspects import Suspect, SuspectEntry, SuspectTracker, Verdict
 from .sweep import HeldResource, OrphanSweep, OwnerStatus
@@ -53,6 +54,7 @@
     "FINGERPRINT_BYTES",
     "AbortConnection",
     "AnswerStarted",
+    "AnsweredSegments",
     "AttemptFailed",
     "AttemptFault",
     "AttemptFinished",
@@ -105,6 +107,8 @@
     "Verdict",
     "Wait",
     "fingerprint_request",
+    "fingerprint_segments",
     "mint_key_prefix",
     "parse_key",
+    "parse_segments",
 ]
--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -69,3 +69,6 @@
 # A host without contact to its peers waits this long after a crash before it sends the
 # request again.
 ISOLATED_HOST_RETRY_DELAY_SECONDS = 8.0
+
+# Prompt segments whose last answers a host remembers.
+MAX_ANSWERED_SEGMENTS = 8_192
