--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -13,6 +13,10 @@
 from .platform_model_runner import build_stream_event
 from .platform_reservations import ReservationRecord, check_reservations
 from .platform_runner import Arrival, RateLimitPeriod
+from .platform_segments import (
+    find_neglected_prompts,
+    find_sends_of_crashing_segments,
+)
 from .platform_statements import (
     HostStarts,
     find_sends_after_leaving,
@@ -60,8 +64,8 @@
 class Checker:
     """Finds violations of the platform's rules, as pairs of rule and request."""
 
-    requests: Iterable[ClientRequest]
-    arrivals: Iterable[Arrival]
+    requests: Sequence[ClientRequest]
+    arrivals: Sequence[Arrival]
     config_versions: list[ConfigVersion]
     reservations: Iterable[ReservationRecord] = ()
     limits: Iterable[RateLimitPeriod] = ()
@@ -86,6 +90,12 @@
                 self._add_violation("UNASKED", arrival.request_id)
         self._check_tolerated(by_id)
         self._check_crashes()
+        for found in find_sends_of_crashing_segments(
+            self.requests, self.arrivals, self.host_starts
+        ):
+            self._add_violation("BUDGET", found)
+        for found in find_neglected_prompts(self.requests, self.arrivals):
+            self._add_violation("LOST", found)
         for period in self.limits:
             self._check_limit(period)
         attempts = [each for request in self.requests for each in request.attempts]
--- a/libraries/standins/tarragonward_standins/platform_day.py
+++ b/libraries/standins/tarragonward_standins/platform_day.py
@@ -9,6 +9,7 @@
 
 from .platform_clients import ClientRequest, PlatformClient, RequestPlan
 from .platform_runner import CRASH_PREFIX
+from .platform_segments import CrashingSegments
 from .platform_site import HOST_NAME, PlatformSite
 
 __all__ = ["DayPlan", "DayReport", "PlatformDay", "build_crashing_draft"]
@@ -31,6 +32,7 @@
     leaving_share: float = 0.0
     huge_per_second: float = 0.0
     keeps_connections: bool = True
+    crashing: CrashingSegments | None = None
     seed: int = 1
 
 
@@ -77,11 +79,25 @@
         end_at = loop.time() + self._plan.seconds
         rate = self._plan.drafts_per_second + self._plan.calls_per_second
         async with asyncio.TaskGroup() as group:
+            if self._plan.crashing is not None:
+                group.create_task(self._async_crash(self._plan.crashing, end_at))
             while loop.time() < end_at:
                 group.create_task(self._async_request(self._draw_plan()))
                 await asyncio.sleep(self._random.expovariate(rate))
         return self.build_report()
 
+    async def _async_crash(self, crashing: CrashingSegments, end_at: float) -> None:
+        """Send prompts, no two alike, with segments that crash runners."""
+        rng = random.Random(self._plan.seed)
+        loop = asyncio.get_running_loop()
+        self._site.crashing_segments.update(crashing.ids)
+        await asyncio.sleep(crashing.begin_seconds)
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < end_at:
+                plan = crashing.change_plan(self._draw_draft(None), rng)
+                group.create_task(self._async_request(plan))
+                await asyncio.sleep(rng.expovariate(crashing.per_second))
+
     def build_report(self) -> DayReport:
         """Return the results of all requests so far."""
         report = DayReport(violations=self._site.check())
--- a/libraries/standins/tarragonward_standins/platform_model_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_model_runner.py
@@ -311,7 +311,8 @@
                 weights = (WEIGHTS_HEADER, str(sent_version))
                 framing = (EVENT_STREAM, CHUNKED, weights)
                 writer.write(self.build_answer_head(arrival, framing))
-                if request.body.startswith(CRASH_PREFIX):
+                arrival.crashing_segment = self.find_crashing_segment(request)
+                if arrival.crashing_segment or request.body.startswith(CRASH_PREFIX):
                     await asyncio.sleep(CRASH_SECONDS)
                     self.crash_during(arrival)
                     return False
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -8,7 +8,7 @@
 import asyncio
 import hashlib
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -32,6 +32,7 @@
     "PlatformRunner",
     "RunnerFaults",
     "RunnerPlan",
+    "list_shared_segments",
 ]
 
 # A request whose body starts with this crashes each runner that runs it.
@@ -106,6 +107,8 @@
     is_aborted: bool = False
     # When the runner crashed during the request.
     runner_crashed_at: float | None = None
+    # The segment of the prompt that crashed the runner.
+    crashing_segment: str = ""
     # When an answer that announces a rate limit was sent.
     limit_announced_at: float | None = None
     # Whether the answer stated that the runner is leaving.
@@ -151,6 +154,8 @@
         )
         self.proxy: FaultProxy | None = None
         self.on_crash: list[Callable[[PlatformRunner], None]] = []
+        # Segments of prompts that crash this runner as it begins to answer.
+        self.crashing_segments: Collection[str] = ()
         self._crash_task: asyncio.Task[None] | None = None
         self.limits: list[RateLimitPeriod] = []
         # While set, all requests are refused with this many seconds of Retry-After.
@@ -246,6 +251,11 @@
             for notify in self.on_crash:
                 notify(self)
 
+    def find_crashing_segment(self, request: PlainRequest) -> str:
+        """Return the segment of a prompt that crashes this runner, empty if none."""
+        shared = list_shared_segments(request.headers)
+        return next((each for each in shared if each in self.crashing_segments), "")
+
     def route(
         self,
         method: str,
@@ -435,3 +445,9 @@
         length = ("Content-Length", str(len(body)))
         writer.write(build_head(status, [JSON_TYPE, length]) + body)
         return True
+
+
+def list_shared_segments(headers: Mapping[str, str]) -> tuple[str, ...]:
+    """Return the ids of a prompt's segments but for the last, which is its own."""
+    entries = headers.get("x-prompt-prefix", "").split(",")
+    return tuple(entry.partition(":")[0] for entry in entries[:-1])
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -127,6 +127,8 @@
         self.models: list[ModelRunner] = []
         self.plain: list[PlatformRunner] = []
         self.clients: list[PlatformClient] = []
+        # Segments of prompts that crash model runners.
+        self.crashing_segments: set[str] = set()
         self.tenants = {f"town{n}": f"key{n}" for n in range(plan.accounts)}
         self.version = 0
         self._document: dict[str, Any] = {}
@@ -279,6 +281,7 @@
         return runner
 
     async def _async_start_runner(self, runner: PlatformRunner) -> None:
+        runner.crashing_segments = self.crashing_segments
         runner.on_crash.append(self._replace)
         await runner.async_setup()
         self._runners.append(runner)
