--- a/libraries/bench/tarragonward_bench/harm/__init__.py
+++ b/libraries/bench/tarragonward_bench/harm/__init__.py
@@ -4,17 +4,21 @@
 from .crashes import CrashPlan, CrashRun, run_crash_seed
 from .host import GossipFleet, GossipHost
 from .limits import LimitPlan, LimitRun, run_limit_seed
+from .segments import SegmentPlan, SegmentRun, run_segment_seed
 
 __all__ = [
+    "CooldownPlan",
+    "CooldownRun",
     "CrashPlan",
     "CrashRun",
     "GossipFleet",
     "GossipHost",
     "LimitPlan",
     "LimitRun",
+    "SegmentPlan",
+    "SegmentRun",
+    "run_cooldown_seed",
     "run_crash_seed",
-    "CooldownPlan",
-    "CooldownRun",
     "run_limit_seed",
-    "run_cooldown_seed",
+    "run_segment_seed",
 ]
--- a/libraries/bench/tarragonward_bench/harm/crashes.py
+++ b/libraries/bench/tarragonward_bench/harm/crashes.py
@@ -4,16 +4,24 @@
 
 from dataclasses import dataclass, field
 
+from tarragonward_gateway.const import STEADY_STREAM_SECONDS
 from tarragonward_gateway.suspect_gossip import SuspectGossip
-from tarragonward_requests import SuspectTracker, Verdict
+from tarragonward_requests import (
+    CrashSuspects,
+    SegmentTracker,
+    SendVerdict,
+    SuspectTracker,
+    Verdict,
+)
 
 from ..hearing.world import Links, World
 from .host import GossipFleet, GossipHost, Section
 from .troubles import FaultInjector
 
-__all__ = ["CrashPlan", "CrashRun", "run_crash_seed"]
+__all__ = ["CrashPlan", "CrashRequest", "CrashRun", "run_crash_seed"]
 
 SECTION = "suspects"
+SEGMENT_SECTION = "segments"
 MAX_ATTEMPTS = 2
 # The requirement of the users: connected hosts refuse a request after three crashes;
 # more than MAX_LATE_SENDS sends after that violate it.
@@ -48,19 +56,31 @@
 
 
 @dataclass(eq=False)
-class _Request:
+class CrashRequest:
+    """A request of a run, and what it did to targets; times in simulated seconds.
+
+    sends tells when it was sent and whether its host had been connected by then.
+    """
+
     fingerprint: bytes
-    size: int
+    body_size: int
     crashes_targets: bool = False
+    segments: tuple[bytes, ...] = ()
+    account: int = 0
     sends: list[tuple[float, bool]] = field(default_factory=list)
     crashed_boots: dict[int, float] = field(default_factory=dict)
+    is_answered: bool = False
+    is_refused: bool = False
 
 
 @dataclass(eq=False)
 class _Attempt:
-    request: _Request
+    request: CrashRequest
     host: GossipHost
     tried_boots: set[int] = field(default_factory=set)
+    sent_at: float = 0.0
+    answer_began_at: float = 0.0
+    verdict: SendVerdict = field(default_factory=SendVerdict)
 
 
 @dataclass(eq=False)
@@ -74,32 +94,51 @@
 class _Host(GossipHost):
     def __init__(self, run: CrashRun, number: int) -> None:
         super().__init__(run.fleet, number)
-        self.tracker = SuspectTracker()
-        self.gossip = SuspectGossip(self.tracker, self.members, self.random)
-        self.sections[SECTION] = Section(self._build, self._apply)
+        self.suspects = CrashSuspects()
+        self.requests = _SuspectExchange(self, SECTION, self.suspects.requests)
+        self.segments = _SuspectExchange(self, SEGMENT_SECTION, self.suspects.segments)
+
+    @property
+    def tracker(self) -> SuspectTracker:
+        return self.suspects.requests
+
+    def record_change(self, fingerprint: bytes) -> None:
+        self.requests.record_change(fingerprint)
+
+
+class _SuspectExchange:
+    """One section of a host, sent and applied as the product does."""
+
+    def __init__(
+        self, host: _Host, section: str, tracker: SuspectTracker | SegmentTracker
+    ) -> None:
+        self._host, self._section = host, section
+        self._world = host.world
+        self.gossip = SuspectGossip(tracker, host.members, host.random)
+        host.sections[section] = Section(self._build, self._apply)
+
+    def record_change(self, fingerprint: bytes, is_urgent: bool = True) -> None:
+        self.gossip.record_change(fingerprint, self._world.now, is_urgent)
+        self._schedule_send()
 
     def _build(self) -> list[object] | None:
         fingerprints = self.gossip.choose_next()
-        return self.gossip.build(fingerprints, self.world.now) or None
+        return self.gossip.build(fingerprints, self._world.now) or None
 
     def _apply(self, data: list[object], age: float) -> None:
-        self.gossip.merge(data, age, self.world.now)
-        self._schedule_send()
-
-    def record_change(self, fingerprint: bytes) -> None:
-        self.gossip.record_change(fingerprint, self.world.now)
+        self.gossip.merge(data, age, self._world.now)
         self._schedule_send()
 
     def _schedule_send(self) -> None:
         if self.gossip.due_at is not None:
-            self.world.schedule_at(self.gossip.due_at, self._send_due)
+            self._world.schedule_at(self.gossip.due_at, self._send_due)
 
     def _send_due(self) -> None:
-        if not self.run_or_defer(self._send_due):
+        if not self._host.run_or_defer(self._send_due):
             return
-        for due in self.gossip.take_due(self.world.now):
-            content = self.gossip.build(due.fingerprints, self.world.now)
-            self.send_section(due.hosts, SECTION, content)
+        for due in self.gossip.take_due(self._world.now):
+            content = self.gossip.build(due.fingerprints, self._world.now)
+            self._host.send_section(due.hosts, self._section, content)
 
 
 class CrashRun:
@@ -114,7 +153,7 @@
         self._next_boot = plan.targets
         self.harmless_refused = self.request_count = self.answer_count = 0
         self.crashing_requests = [
-            _Request(self._create_fingerprint(), 900 + n, crashes_targets=True)
+            CrashRequest(self._create_fingerprint(), 900 + n, crashes_targets=True)
             for n in range(plan.crashing_requests)
         ]
         for number in range(plan.hosts):
@@ -130,6 +169,7 @@
             FaultInjector(self.fleet, self.start_host, self._until).begin()
         self.world.schedule_at(begin, self._send_next_request)
         self.world.schedule_at(begin, self._crash_many_targets)
+        self.begin_segments(begin)
         for crashing_request in self.crashing_requests:
             self.world.schedule_at(
                 begin, lambda each=crashing_request: self._repeat(each)
@@ -138,6 +178,9 @@
         self.check()
         return self
 
+    def begin_segments(self, begin: float) -> None:
+        """Schedule prompts with segments that crash targets; none in this run."""
+
     def describe(self) -> str:
         """Return the run's figures."""
         crashed_boots = ",".join(
@@ -167,7 +210,7 @@
         if not self.crashing_requests:
             assert not self.harmless_refused, "refused without a crashing request"
 
-    def count_late_sends(self, crashing_request: _Request) -> int:
+    def count_late_sends(self, crashing_request: CrashRequest) -> int:
         """Return the sends by connected hosts after all of them should refuse."""
         crash_times = sorted(crashing_request.crashed_boots.values())
         if len(crash_times) < REFUSAL_CRASHES:
@@ -184,26 +227,34 @@
         self.fleet.hosts[host.address] = host
         return host
 
+    def build_sound_request(self) -> CrashRequest:
+        """Return a new request that crashes no targets."""
+        size = self.random.randrange(2_000)
+        return CrashRequest(self._create_fingerprint(), size)
+
+    def handle_ended(self, request: CrashRequest, at_host: GossipHost) -> None:
+        """Handle a request that ended without an answer."""
+
     def _create_fingerprint(self) -> bytes:
         return self.random.randbytes(8)
 
     def _send_next_request(self) -> None:
         if self.world.now >= self._until:
             return
-        request = _Request(self._create_fingerprint(), self.random.randrange(2_000))
-        self._submit(request)
+        self.submit(self.build_sound_request())
         delay = self.random.expovariate(self.plan.requests_a_second)
         self.world.schedule_after(delay, self._send_next_request)
 
-    def _repeat(self, crashing_request: _Request) -> None:
+    def _repeat(self, crashing_request: CrashRequest) -> None:
         if self.world.now >= self._until:
             return
         for _ in range(self.random.choice(CONCURRENT_REPEATS)):
-            self._submit(crashing_request)
+            self.submit(crashing_request)
         delay = self.random.uniform(*REPEAT_INTERVAL_SECONDS)
         self.world.schedule_after(delay, lambda: self._repeat(crashing_request))
 
-    def _submit(self, request: _Request) -> None:
+    def submit(self, request: CrashRequest) -> None:
+        """Let a random host process a request."""
         host = self.random.choice(list(self.fleet.hosts.values()))
         self.request_count += 1
         self._start_attempt(_Attempt(request, host))
@@ -212,15 +263,23 @@
         if not attempt.host.run_or_defer(self._start_attempt, attempt):
             return
         request, host = attempt.request, attempt.host
-        is_isolated = host.members.is_isolated
-        verdict = host.tracker.evaluate(
-            request.fingerprint, self.world.now, is_isolated
+        attempt.verdict = host.suspects.evaluate(
+            request,
+            self.world.now,
+            host.members.is_isolated,
+            host.segments.gossip.get_trial_delay,
         )
+        verdict = attempt.verdict.verdict
+        request.is_refused |= verdict in (Verdict.REFUSED, Verdict.LATER)
         if verdict is Verdict.REFUSED:
-            host.tracker.record_refused(request.fingerprint, self.world.now)
+            host.suspects.record_refused(request, attempt.verdict, self.world.now)
             self.harmless_refused += not request.crashes_targets
         elif verdict is not Verdict.LATER and len(attempt.tried_boots) < MAX_ATTEMPTS:
+            if not attempt.tried_boots:
+                host.suspects.segments.record_prompt(request.segments)
             self._send(attempt, verdict is Verdict.ALONE)
+        else:
+            self.handle_ended(request, host)
 
     def _send(self, attempt: _Attempt, is_isolated_attempt: bool) -> None:
         request, host = attempt.request, attempt.host
@@ -233,12 +292,12 @@
         target = min(candidates, key=lambda t: len(t.running))
         attempt.tried_boots.add(target.boot)
         target.running[attempt] = None
+        attempt.sent_at = self.world.now
         request.sends.append(
             (self.world.now, host.has_been_connected(CONNECTED_SECONDS))
         )
         if is_isolated_attempt:
-            host.tracker.begin_isolated_attempt(request.fingerprint, self.world.now)
-            host.record_change(request.fingerprint)
+            self._announce_attempt(attempt)
         delay = self.random.uniform(*SEND_DELAY_SECONDS)
         if request.crashes_targets:
             delay += self.random.uniform(*CRASH_DELAY_SECONDS)
@@ -246,9 +305,31 @@
                 delay, lambda: self._crash_target(target, attempt)
             )
         else:
+            attempt.answer_began_at = self.world.now + delay
+            steady = delay + STEADY_STREAM_SECONDS
+            self.world.schedule_after(steady, lambda: self._go_on(target, attempt))
             delay += self.random.uniform(*EXECUTION_SECONDS)
             self.world.schedule_after(delay, lambda: self._complete(target, attempt))
 
+    def _announce_attempt(self, attempt: _Attempt) -> None:
+        host, verdict = attempt.host, attempt.verdict
+        host.suspects.begin_isolated_attempt(attempt.request, verdict, self.world.now)
+        for segment in verdict.segments:
+            host.segments.record_change(segment)
+        if not verdict.segments:
+            host.record_change(attempt.request.fingerprint)
+
+    def _go_on(self, target: _Target, attempt: _Attempt) -> None:
+        host = attempt.host
+        if attempt not in target.running or not host.run_or_defer(
+            self._go_on, target, attempt
+        ):
+            return
+        for segment in host.suspects.record_steady_stream(
+            attempt.request, attempt.answer_began_at, self.world.now
+        ):
+            host.segments.record_change(segment, is_urgent=False)
+
     def _complete(self, target: _Target, attempt: _Attempt) -> None:
         if attempt not in target.running:
             return
@@ -256,12 +337,19 @@
         self._handle_answer(attempt)
 
     def _handle_answer(self, attempt: _Attempt) -> None:
-        host, fingerprint = attempt.host, attempt.request.fingerprint
+        host, request = attempt.host, attempt.request
         if not host.run_or_defer(self._handle_answer, attempt):
             return
         self.answer_count += 1
-        if host.tracker.record_answered(fingerprint, self.world.now):
-            host.record_change(fingerprint)
+        request.is_answered = True
+        host.suspects.end_isolated_attempt(request, attempt.verdict)
+        cleared = host.suspects.record_answered(
+            request, attempt.answer_began_at, self.world.now
+        )
+        if cleared.is_request:
+            host.record_change(request.fingerprint)
+        for segment in cleared.segments:
+            host.segments.record_change(segment, is_urgent=False)
 
     def _crash_target(self, target: _Target, cause: _Attempt | None) -> None:
         if target.is_dead or (cause is not None and cause not in target.running):
@@ -287,8 +375,12 @@
         if not host.run_or_defer(self._handle_lost, attempt, target):
             return
         now = self.world.now
-        host.tracker.record_crash(request.fingerprint, request.size, target.boot, now)
+        host.suspects.end_isolated_attempt(request, attempt.verdict)
+        sent_at = attempt.sent_at
+        segments = host.suspects.record_crash(request, target.boot, sent_at, now)
         host.record_change(request.fingerprint)
+        for segment in segments:
+            host.segments.record_change(segment)
         self._start_attempt(attempt)
 
     def _crash_many_targets(self) -> None:
--- a/libraries/bench/tarragonward_bench/harm/runs.py
+++ b/libraries/bench/tarragonward_bench/harm/runs.py
@@ -9,6 +9,7 @@
 from .cooldowns import CooldownPlan, CooldownRun
 from .crashes import CrashPlan, CrashRun
 from .limits import LimitPlan, LimitRun
+from .segments import SegmentPlan, SegmentRun
 
 __all__ = ["main"]
 
@@ -32,6 +33,9 @@
         default=0.3,
         help="share of targets with limits or cooldowns",
     )
+    parser.add_argument(
+        "--kinds", nargs="+", default=["crashes", "segments", "limits", "cooldowns"]
+    )
     parser.add_argument("--calm", action="store_true", help="no faults of hosts")
     options = parser.parse_args()
     sys.stdout.reconfigure(line_buffering=True)
@@ -54,7 +58,15 @@
     limit = LimitRun(LimitPlan(share=options.share, **settings), seed)
     cooldown = CooldownRun(CooldownPlan(share=options.share, **settings), seed)
     violated = 0
-    for run in (crash, limit, cooldown):
+    segment_plan = SegmentPlan(crashing_segments=options.culprits, **settings)
+    segment = SegmentRun(segment_plan, seed)
+    runs = {
+        "crashes": crash,
+        "segments": segment,
+        "limits": limit,
+        "cooldowns": cooldown,
+    }
+    for run in (run for name, run in runs.items() if name in options.kinds):
         began = time.monotonic()
         try:
             run.run()
--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -9,14 +9,17 @@
     CrashRun,
     LimitPlan,
     LimitRun,
+    SegmentPlan,
+    SegmentRun,
     run_cooldown_seed,
     run_crash_seed,
     run_limit_seed,
+    run_segment_seed,
 )
 from tarragonward_bench.harm.spread import measure_crash_propagation
 from tarragonward_gateway.suspect_gossip import SuspectGossip
 from tarragonward_placement import TargetCooldowns, target_limits
-from tarragonward_requests import const
+from tarragonward_requests import SegmentTracker, const
 
 
 @pytest.mark.parametrize("seed", range(1, 5))
@@ -40,6 +43,27 @@
         CrashRun(CrashPlan(crashing_requests=0, has_troubles=False), 1).run()
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_segments_that_crash_targets_are_soon_refused(seed):
+    """Prompts, no two alike, share a segment; sound ones share all of the others."""
+    assert run_segment_seed(seed)
+
+
+def test_runs_detect_hosts_that_know_no_segments(monkeypatch):
+    """With requests told apart as a whole only, each prompt crashes three targets."""
+    monkeypatch.setattr(SegmentTracker, "record_crash", lambda *args: ())
+    with pytest.raises(AssertionError, match="sends late"):
+        SegmentRun(SegmentPlan(has_troubles=False), 1).run()
+
+
+def test_runs_detect_refusal_of_sound_prompts(monkeypatch):
+    """Refused by what is common to all of them, sound prompts are refused, too."""
+    monkeypatch.setattr(SegmentTracker, "record_answered", lambda *args: ())
+    monkeypatch.setattr(SegmentTracker, "record_prompt", lambda *args: None)
+    with pytest.raises(AssertionError, match="sound prompts refused"):
+        SegmentRun(SegmentPlan(has_troubles=False), 1).run()
+
+
 @pytest.mark.parametrize("seed", range(1, 5))
 def test_advertised_limits_are_kept(seed):
     assert run_limit_seed(seed)
--- a/libraries/gateway/tarragonward_gateway/choices.py
+++ b/libraries/gateway/tarragonward_gateway/choices.py
@@ -48,7 +48,11 @@
     is_relayed: bool = False
     # The peer that it goes through.
     relay: Address | None = None
-    has_events: bool = False
+    # On the clock of read_clock(), in seconds.
+    sent_at: float | None = None
+    answer_began_at: float | None = None
+    # Whether events have arrived for a while since the answer began.
+    is_steady: bool = False
     # Whether the target refused the request, which then took no place there.
     is_refused: bool = False
     waiting_since: float | None = None
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -204,14 +204,20 @@
 # Two clocks that are read one after the other differ by far less.
 MIN_SUSPENDED_SECONDS = 0.02
 
+# A stream whose events have arrived for this long shows that its target goes on.
+STEADY_STREAM_SECONDS = 1.0
 # Changes to suspects within this time are sent together.
 SUSPECT_BATCH_SECONDS = 0.02
 # Hosts that reach the same result by merging reports wait for a random time up to this,
 # so that the first one's message makes the others' unnecessary.
 SUSPECT_RELAY_JITTER_SECONDS = 0.3
 SUSPECT_AGGREGATORS_PER_DOMAIN = 2
+# Hosts try a refused prompt segment one after the other, each this much later.
+TRIAL_DELAY_STEP_SECONDS = 0.3
+MAX_TRIAL_DELAY_STEPS = 60
 MAX_SUSPECTS_PER_MESSAGE = 24
 MAX_SUSPECTS_PER_ROUND = 6
+MESH_ROUNDS_PER_SUSPECT_ROUND = 4
 SUSPECT_EXPIRY_INTERVAL_SECONDS = 10.0
 
 LIMIT_BATCH_SECONDS = 0.02
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -7,7 +7,6 @@
 from functools import partial
 
 from tarragonward_core import ConnectionLostError, TargetError
-from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
     EngineUsage,
     Evidence,
@@ -27,6 +26,7 @@
     SendFailed,
     SendFault,
     SendTo,
+    SendVerdict,
     StreamEvent,
     TargetAnswered,
     TimeOver,
@@ -44,6 +44,7 @@
 from . import const as c
 from .answers import async_send_refusal
 from .choices import SendChoice
+from .clock import read_clock
 from .context import ForwardContext
 from .headers import (
     build_answer_headers,
@@ -77,6 +78,7 @@
 
 MILLISECONDS_PER_SECOND = 1_000
 STATUS_OK = 200
+STATUS_MULTIPLE_CHOICES = 300
 STATUS_SERVER_ERROR = 500
 BODILESS_STATUSES = (204, 304)
 METHOD_HEAD = "HEAD"
@@ -136,6 +138,7 @@
             context,
             parse_token_counts(request.headers.get(state.headers.token_counts, "")),
         )
+        self._suspect_verdict = SendVerdict()
         self._head_check = AnswerHeadCheck(state.headers, self._request_id)
         self._mover = RequestMover(
             state, chooser, self._exchange, self._placer.build_requirements
@@ -158,7 +161,10 @@
         self._observer.finish()
 
     async def _async_run(self) -> None:
-        effect = self._check_suspect() or self._exchange.start()
+        effect = self._check_suspect()
+        if effect is None:
+            self._suspects.record_admitted(self._identity)
+            effect = self._exchange.start()
         try:
             async with PauseTimeout(self._context.deadline):
                 while isinstance(effect, SendTo):
@@ -210,15 +216,13 @@
 
     def _check_suspect(self) -> ExchangeEffect | None:
         """Return how to end a request that may crash another target, else None."""
-        verdict = self._suspects.evaluate(self._identity)
-        self._placer.is_suspect = verdict is Verdict.ALONE
-        if verdict is Verdict.REFUSED:
-            self._suspects.record_refused(self._identity)
+        found = self._suspect_verdict = self._suspects.evaluate(self._identity)
+        self._placer.is_suspect = found.verdict is Verdict.ALONE
+        if found.verdict is Verdict.REFUSED:
+            self._suspects.record_refused(self._identity, found)
             return self._handle_event(Blamed())
-        if verdict is Verdict.LATER:
-            return self._handle_event(
-                Blamed(self._suspects.get_wait_seconds(self._identity))
-            )
+        if found.verdict is Verdict.LATER:
+            return self._handle_event(Blamed(found.wait_seconds))
         return None
 
     async def _async_send(self, effect: SendTo) -> ExchangeEffect | None:
@@ -246,7 +250,11 @@
         try:
             with ExitStack() as stack:
                 if self._placer.is_suspect:
-                    stack.enter_context(self._suspects.isolated_attempt(self._identity))
+                    stack.enter_context(
+                        self._suspects.isolated_attempt(
+                            self._identity, self._suspect_verdict
+                        )
+                    )
                     stack.enter_context(self._chooser.isolate_target(target))
                 if lease is not None:
                     stack.callback(lease.release)
@@ -282,9 +290,7 @@
             fingerprint=self._identity.fingerprint.hex() if is_lost else None,
         )
         if is_lost and not is_link_fault(err):
-            await self._suspects.async_record_lost(
-                self._identity, target, choice.has_events
-            )
+            await self._suspects.async_record_lost(self._identity, choice)
 
     def _refund_retry(self) -> None:
         """Return a retry that was never sent to the retry budget."""
@@ -341,18 +347,19 @@
                     headers=partial(self._build_headers, choice, effect),
                     body=self._request.body,
                     connect_timeout=min(connect_timeout, seconds_left),
-                    before_write=partial(self._begin_write, target),
+                    before_write=partial(self._begin_write, choice),
                     unreachable_timeout=c.TARGET_UNREACHABLE_SECONDS,
                     connect=connect,
                 )
             )
             return await self._async_receive_answer(choice, stream)
 
-    def _begin_write(self, target: RegisteredTarget) -> None:
+    def _begin_write(self, choice: SendChoice) -> None:
         # Reserving memory and connecting take time, in which the target may have asked
         # for no more requests.
-        if not self._chooser.accepts_requests(target):
+        if not self._chooser.accepts_requests(choice.target):
             raise SendWithheldError("the target asked for no more requests")
+        choice.sent_at = read_clock()
         self._exchange.record_sent()
 
     def _handle_prefill(
@@ -422,7 +429,10 @@
         self._answer = (stream.status, headers, body)
         if stream.status < STATUS_SERVER_ERROR:
             self._chooser.record_evidence(choice, Evidence.ANSWERED)
-            self._suspects.record_answered(self._identity)
+            is_success = stream.status < STATUS_MULTIPLE_CHOICES
+            self._suspects.record_answered(
+                self._identity, choice.sent_at if is_success else None
+            )
         return TargetAnswered(is_failure=stream.status >= STATUS_SERVER_ERROR)
 
     async def _async_forward_stream(
@@ -450,15 +460,21 @@
             if self._exchange.last_event_id is None:
                 raise SpoiledAnswerError("event stream ended without an event")
             self._start_answer(stream)
-        self._suspects.record_answered(self._identity)
+        self._suspects.record_answered(self._identity, choice.answer_began_at)
         await self._responder.async_finish()
         self._exchange.has_ended = True
         return None
 
     def _record_events(self, choice: SendChoice, events: int) -> None:
-        if not choice.has_events:
-            choice.has_events = True
+        now = read_clock()
+        if choice.answer_began_at is None:
+            choice.answer_began_at = now
             self._chooser.record_evidence(choice, Evidence.ANSWERED)
+        elif not choice.is_steady and (
+            now >= choice.answer_began_at + c.STEADY_STREAM_SECONDS
+        ):
+            choice.is_steady = True
+            self._suspects.record_steady_stream(self._identity, choice.answer_began_at)
         self._chooser.record_events(choice, events)
 
     async def _async_forward_events(
--- a/libraries/gateway/tarragonward_gateway/suspect_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_gossip.py
@@ -7,22 +7,42 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from tarragonward_core import Address
 from tarragonward_membership import KnownPeer, SeedMembership
 from tarragonward_membership.const import MAX_MESH_PEERS
-from tarragonward_requests import SuspectEntry, SuspectTracker
-from tarragonward_requests.const import RUN_ALONE_AFTER_CRASHES
 
 from . import const as c
 from .turns import Rotation
 
-__all__ = ["SuspectGossip", "SuspectMessage", "choose_aggregators"]
+__all__ = ["CrashTracker", "SuspectGossip", "SuspectMessage", "choose_aggregators"]
 
 RANK_BYTES = 8
 
 
+class CrashTracker(Protocol):
+    """What the exchange of suspects needs of a tracker of requests or segments."""
+
+    def items(self) -> Iterable[tuple[bytes, Any]]:
+        """Iterate over the suspects by fingerprint."""
+
+    def is_for_all_hosts(self, fingerprint: bytes) -> bool:
+        """Return whether all hosts should know of a suspect, not only a few."""
+
+    def build_entry(self, fingerprint: bytes, now: float) -> Any | None:
+        """Return an entry with a fingerprint and pack(), None without a suspect."""
+
+    def unpack_entry(self, item: Any) -> Any:
+        """Parse a peer's entry; raise ValueError if it is malformed."""
+
+    def merge(self, entry: Any, now: float, age: float) -> bool:
+        """Merge a peer's entry; return whether the result should be relayed."""
+
+    def is_covered_by(self, entry: Any) -> bool:
+        """Return whether an entry contains all that this host knows."""
+
+
 @dataclass(frozen=True)
 class SuspectMessage:
     """Suspects to be sent to some hosts now."""
@@ -42,13 +62,14 @@
     """
 
     def __init__(
-        self, tracker: SuspectTracker, members: SeedMembership, rng: random.Random
+        self, tracker: CrashTracker, members: SeedMembership, rng: random.Random
     ) -> None:
         self._tracker = tracker
         self._members = members
         self._random = rng
         self._due: dict[bytes, float] = {}
         self._rotation = Rotation()
+        self._rounds = 0
 
     @property
     def due_at(self) -> float | None:
@@ -56,10 +77,17 @@
         return min(self._due.values(), default=None)
 
     def record_change(
-        self, fingerprint: bytes, now: float, delay: float = c.SUSPECT_BATCH_SECONDS
+        self, fingerprint: bytes, now: float, is_urgent: bool = True
     ) -> None:
-        """Schedule a suspect to be sent, with all that change before the delay ends."""
-        self._due.setdefault(fingerprint, now + delay)
+        """Schedule a suspect to be sent, with all that change until then.
+
+        What is not urgent waits for a random time, as other hosts may send it first.
+        """
+        delay = c.SUSPECT_BATCH_SECONDS
+        if not is_urgent:
+            delay = self._random.random() * c.SUSPECT_RELAY_JITTER_SECONDS
+        due_at = min(now + delay, self._due.get(fingerprint, float("inf")))
+        self._due[fingerprint] = due_at
 
     def take_due(self, now: float) -> list[SuspectMessage]:
         """Return the messages that are due now."""
@@ -80,36 +108,47 @@
         return [entry.pack() for entry in entries if entry is not None]
 
     def choose_next(self) -> list[bytes]:
-        """Return the next few of the suspects that all hosts should know."""
+        """Return the next few of the suspects that all hosts should know.
+
+        In a small fleet a round reaches all peers, so only some rounds have any.
+        """
+        self._rounds += 1
+        is_mesh = len(self._members.get_peers()) <= MAX_MESH_PEERS
+        if is_mesh and self._rounds % c.MESH_ROUNDS_PER_SUSPECT_ROUND:
+            return []
         known = [
             fingerprint
-            for fingerprint, suspect in self._tracker.items()
-            if len(suspect.crashes) >= RUN_ALONE_AFTER_CRASHES
+            for fingerprint, _ in self._tracker.items()
+            if self._tracker.is_for_all_hosts(fingerprint)
         ]
         return self._rotation.take(known, c.MAX_SUSPECTS_PER_ROUND)
 
     def merge(self, data: Iterable[Any], age: float, now: float) -> None:
         """Apply the entries of another host; raise ValueError if one is malformed."""
         for item in data:
-            entry = SuspectEntry.unpack(item)
+            entry = self._tracker.unpack_entry(item)
             if self._tracker.merge(entry, now, age):
-                delay = self._random.random() * c.SUSPECT_RELAY_JITTER_SECONDS
-                self.record_change(entry.fingerprint, now, delay)
-            elif self._is_covered_by(entry):
+                self.record_change(entry.fingerprint, now, is_urgent=False)
+            elif self._tracker.is_covered_by(entry):
                 self._due.pop(entry.fingerprint, None)
 
     def _choose_recipients(self, fingerprint: bytes) -> tuple[Address, ...]:
         peers = self._members.get_peers()
-        suspect = self._tracker.get(fingerprint)
-        is_for_all = suspect is None or len(suspect.crashes) >= RUN_ALONE_AFTER_CRASHES
-        if is_for_all or len(peers) <= MAX_MESH_PEERS:
+        if self._tracker.is_for_all_hosts(fingerprint) or len(peers) <= MAX_MESH_PEERS:
             return tuple(peer.identity.address for peer in peers)
         return choose_aggregators(fingerprint, peers)
 
-    def _is_covered_by(self, entry: SuspectEntry) -> bool:
-        """Return whether an entry contains every crash that this host knows of."""
-        suspect = self._tracker.get(entry.fingerprint)
-        return suspect is not None and set(entry.crashes).issuperset(suspect.crashes)
+    def get_trial_delay(self, fingerprint: bytes) -> float:
+        """Return by how many seconds this host's trials come later than others'.
+
+        Hosts with the same view have a delay each, so that one of them begins and the
+        others hear of it first.
+        """
+        own = _rank(fingerprint, self._members.own.address)
+        peers = self._members.get_peers()
+        earlier = sum(_rank(fingerprint, p.identity.address) < own for p in peers)
+        steps = min(earlier, c.MAX_TRIAL_DELAY_STEPS)
+        return steps * c.TRIAL_DELAY_STEP_SECONDS
 
 
 def choose_aggregators(
--- a/libraries/gateway/tarragonward_gateway/suspect_task.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_task.py
@@ -1,4 +1,4 @@
-"""Exchange the requests that crash targets with the other hosts."""
+"""Exchange what crashes targets with the other hosts."""
 
 from __future__ import annotations
 
@@ -15,27 +15,36 @@
 from .suspect_gossip import SuspectGossip
 from .suspects import SuspectMonitor
 
-__all__ = ["SECTION", "SuspectTask"]
+__all__ = ["SECTION", "SEGMENT_SECTION", "SuspectTask"]
 
 SECTION = "suspects"
+SEGMENT_SECTION = "segments"
 TASK_NAME = "suspects"
 
 
 class SuspectTask:
-    """Builds and applies the suspects section of the hosts' datagrams."""
+    """Exchanges the suspect requests and prompt segments of this host."""
 
     def __init__(
         self, state: GatewayState, peers: Peers, suspects: SuspectMonitor
     ) -> None:
-        self._peers = peers
-        self._tracker = suspects.tracker
-        self._gossip = SuspectGossip(suspects.tracker, peers.members, state.random)
+        self._suspects = suspects.suspects
         self._background = BackgroundTasks(state.metrics)
-        self._timer: asyncio.TimerHandle | None = None
-        self._outgoing: Iterable[bytes] = ()
-        suspects.on_change.append(self._handle_change)
+        requests = _SectionExchange(
+            SECTION,
+            SuspectGossip(suspects.tracker, peers.members, state.random),
+            peers,
+        )
+        segments = _SectionExchange(
+            SEGMENT_SECTION,
+            SuspectGossip(suspects.segments, peers.members, state.random),
+            peers,
+        )
+        self._exchanges = (requests, segments)
+        suspects.on_change.append(requests.handle_change)
+        suspects.on_segment_change.append(segments.handle_change)
         suspects.is_isolated = lambda: peers.members.is_isolated
-        peers.add_section(SECTION, self._build, self._merge)
+        suspects.get_trial_delay = segments.gossip.get_trial_delay
 
     async def async_setup(self) -> None:
         """Start expiring old suspects."""
@@ -43,40 +52,57 @@
 
     async def async_unload(self) -> None:
         """Stop expiring and sending."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for exchange in self._exchanges:
+            exchange.cancel()
         await self._background.async_unload()
 
     async def _async_expire(self) -> None:
         while True:
             await asyncio.sleep(c.SUSPECT_EXPIRY_INTERVAL_SECONDS)
-            self._tracker.expire(read_clock())
+            self._suspects.expire(read_clock())
 
-    def _handle_change(self, fingerprint: bytes) -> None:
-        self._gossip.record_change(fingerprint, read_clock())
-        self._start_timer()
 
-    def _start_timer(self) -> None:
+class _SectionExchange:
+    """Builds, sends and applies one section of the hosts' datagrams."""
+
+    def __init__(self, section: str, gossip: SuspectGossip, peers: Peers) -> None:
+        self.gossip = gossip
+        self._section = section
+        self._peers = peers
+        self._timer: asyncio.TimerHandle | None = None
+        self._outgoing: Iterable[bytes] = ()
+        peers.add_section(section, self._build, self._merge)
+
+    def cancel(self) -> None:
+        """Send nothing more."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        due_at = self._gossip.due_at
+
+    def handle_change(self, fingerprint: bytes, is_urgent: bool = True) -> None:
+        """Send a suspect to other hosts soon."""
+        self.gossip.record_change(fingerprint, read_clock(), is_urgent)
+        self._start_timer()
+
+    def _start_timer(self) -> None:
+        self.cancel()
+        due_at = self.gossip.due_at
         if due_at is not None:
             wait = max(0.0, due_at - read_clock())
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(wait, self._send_due)
 
     def _send_due(self) -> None:
-        for message in self._gossip.take_due(read_clock()):
+        for message in self.gossip.take_due(read_clock()):
             self._outgoing = message.fingerprints
-            self._peers.send_section_to(SECTION, message.hosts)
+            self._peers.send_section_to(self._section, message.hosts)
         self._outgoing = ()
         self._start_timer()
 
     def _build(self) -> list[Any] | None:
-        selected = self._outgoing or self._gossip.choose_next()
-        return self._gossip.build(selected, read_clock()) or None
+        selected = self._outgoing or self.gossip.choose_next()
+        return self.gossip.build(selected, read_clock()) or None
 
     def _merge(self, host: str, data: Any, age: float) -> None:
-        self._gossip.merge(data, age, read_clock())
+        self.gossip.merge(data, age, read_clock())
         self._start_timer()
--- a/libraries/gateway/tarragonward_gateway/suspects.py
+++ b/libraries/gateway/tarragonward_gateway/suspects.py
@@ -1,18 +1,20 @@
-"""Track the requests that crash targets, and decide how such suspects are sent."""
+"""Track what crashes targets, and decide how such requests are sent."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from functools import cached_property
-from typing import Any
+from typing import Any, Protocol
 
 from tarragonward_core import log_event
-from tarragonward_membership import RegisteredTarget, hash_name
+from tarragonward_membership import hash_name
 from tarragonward_requests import (
-    AnsweredSegments,
+    CrashSuspects,
+    PromptContext,
+    SegmentTracker,
+    SendVerdict,
     SuspectTracker,
-    Verdict,
     fingerprint_request,
     fingerprint_segments,
     parse_segments,
@@ -20,6 +22,7 @@
 from tarragonward_routes import Account
 from tarragonward_wire import HttpRequest
 
+from .choices import SendChoice
 from .clock import read_clock
 from .probes import TargetProber
 from .state import GatewayState
@@ -32,8 +35,15 @@
 SEPARATOR = ","
 
 
+class ChangeListener(Protocol):
+    """Called with a suspect that other hosts should learn of, soon if it is urgent."""
+
+    def __call__(self, fingerprint: bytes, is_urgent: bool = True) -> None:
+        """Handle the change."""
+
+
 class RequestIdentity:
-    """Identifies a request and its repeats; hashed only when the hash is needed."""
+    """Identifies a request and what it shares with others, as far as it is needed."""
 
     def __init__(
         self,
@@ -50,7 +60,7 @@
 
     @cached_property
     def fingerprint(self) -> bytes:
-        """The request's fingerprint."""
+        """The fingerprint that the request's repeats have, too."""
         request = self._request
         return fingerprint_request(
             self._account,
@@ -66,108 +76,137 @@
         ids = parse_segments(self._segment_ids)
         return fingerprint_segments(self._service, ids)
 
+    @property
+    def account(self) -> int:
+        """A hash of the client account."""
+        return hash_name(self._account)
+
 
 class SuspectMonitor:
-    """Records crashes in this host's tracker.
+    """Records crashes in this host's trackers of requests and of prompt segments.
 
-    on_change is called with the fingerprint of a suspect that other hosts should learn
-    of.
+    on_change and on_segment_change are called with the suspects that other hosts should
+    learn of.
     """
 
     def __init__(self, state: GatewayState, probes: TargetProber) -> None:
-        self.tracker = SuspectTracker()
-        self.answered_segments = AnsweredSegments()
+        self.suspects = CrashSuspects()
         # Whether this host receives nothing from any other host.
         self.is_isolated: Callable[[], bool] = lambda: False
-        self.on_change: list[Callable[[bytes], None]] = []
+        # By how many seconds this host's trials of a segment follow those of others.
+        self.get_trial_delay: Callable[[bytes], float] = lambda segment: 0.0
+        self.on_change: list[ChangeListener] = []
+        self.on_segment_change: list[ChangeListener] = []
         self._state = state
         self._probes = probes
 
-    def evaluate(self, identity: RequestIdentity) -> Verdict:
-        """Return whether and how a request may be sent."""
-        if not self.tracker.may_contain(identity.body_size):
-            return Verdict.CLEAR
-        fingerprint = identity.fingerprint
-        return self.tracker.evaluate(fingerprint, read_clock(), self.is_isolated())
+    @property
+    def tracker(self) -> SuspectTracker:
+        """Return the requests under which targets crashed."""
+        return self.suspects.requests
 
-    def get_wait_seconds(self, identity: RequestIdentity) -> float:
-        """Return how long a request with the verdict LATER has to wait."""
-        fingerprint, is_isolated = identity.fingerprint, self.is_isolated()
-        return self.tracker.get_wait_seconds(fingerprint, read_clock(), is_isolated)
+    @property
+    def segments(self) -> SegmentTracker:
+        """Return the prompt segments under which targets crashed."""
+        return self.suspects.segments
+
+    def record_admitted(self, identity: RequestIdentity) -> None:
+        """Record a request that is not refused for what it may do to targets."""
+        self.suspects.segments.record_prompt(identity.segments)
+
+    def evaluate(self, identity: RequestIdentity) -> SendVerdict:
+        """Return whether and how a request may be sent."""
+        return self.suspects.evaluate(
+            identity, read_clock(), self.is_isolated(), self.get_trial_delay
+        )
 
     async def async_record_lost(
-        self, identity: RequestIdentity, target: RegisteredTarget, has_events: bool
+        self, identity: RequestIdentity, choice: SendChoice
     ) -> None:
-        """Record a crash if the target that lost the connection has ended.
-
-        has_events: whether any event of its answer has arrived.
-        """
+        """Record a crash if the target that lost the connection has ended."""
+        target = choice.target
         # A target that accepts a new connection has not crashed. Counting it would turn
         # all requests on an unreliable link into suspects.
         if not await self._probes.async_has_ended(target):
             return
         fingerprint, now = identity.fingerprint, read_clock()
+        described = self._describe_segments(identity.segments, now)
+        sent_at = now if choice.sent_at is None else choice.sent_at
         number = hash_name(target.id)
-        self.tracker.record_crash(fingerprint, identity.body_size, number, now)
+        segments = self.suspects.record_crash(identity, number, sent_at, now)
         self._state.metrics.count("requests_lost_in_crashes")
         log_event(
             "crash_noted",
             target=target.id,
             fingerprint=fingerprint.hex(),
             targets=self.tracker.count(fingerprint),
-            has_events=has_events,
-            segments=self._describe_segments(identity.segments, now),
+            has_events=choice.answer_began_at is not None,
+            segments=described,
         )
-        self._notify(fingerprint)
+        _notify(self.on_change, [fingerprint])
+        _notify(self.on_segment_change, segments)
 
-    def _describe_segments(self, segments: tuple[bytes, ...], now: float) -> str:
-        """Return the segments with the seconds since each was last answered."""
-        described = []
-        for segment in segments[:MAX_LOGGED_SEGMENTS]:
-            answered_at = self.answered_segments.get(segment)
-            age = NEVER if answered_at is None else f"{now - answered_at:.1f}"
-            described.append(f"{segment.hex()}:{age}")
-        return SEPARATOR.join(described)
+    def record_answered(
+        self, identity: RequestIdentity, began_at: float | None
+    ) -> None:
+        """Record that a target answered a request completely.
 
-    def record_answered(self, identity: RequestIdentity) -> None:
-        """Record that a target answered a request completely."""
-        self.answered_segments.record(identity.segments, read_clock())
-        if not self.tracker.may_contain(identity.body_size):
-            return
-        fingerprint = identity.fingerprint
-        if self.tracker.record_answered(fingerprint, read_clock()):
-            log_event("suspect_acquitted", fingerprint=fingerprint.hex())
-            self._notify(fingerprint)
+        began_at is when the answer to a prompt began, or when the prompt was sent; None
+        if the target refused it or had nothing left to answer.
+        """
+        cleared = self.suspects.record_answered(identity, began_at, read_clock())
+        self._report_cleared(cleared.segments)
+        if cleared.is_request:
+            log_event("suspect_acquitted", fingerprint=identity.fingerprint.hex())
+            _notify(self.on_change, [identity.fingerprint])
+
+    def record_steady_stream(self, identity: RequestIdentity, began_at: float) -> None:
+        """Record a stream that has gone on for a while since its first event."""
+        self._report_cleared(
+            self.suspects.record_steady_stream(identity, began_at, read_clock())
+        )
 
-    def record_refused(self, identity: RequestIdentity) -> None:
+    def record_refused(self, identity: RequestIdentity, verdict: SendVerdict) -> None:
         """Record that a request was refused because it crashed targets."""
         self._state.metrics.count("requests_blamed")
-        self.tracker.record_refused(identity.fingerprint, read_clock())
+        if verdict.segments:
+            self._state.metrics.count("prompts_refused_by_segment")
+        self.suspects.record_refused(identity, verdict, read_clock())
 
     @contextmanager
-    def isolated_attempt(self, identity: RequestIdentity) -> Iterator[None]:
+    def isolated_attempt(
+        self, identity: RequestIdentity, verdict: SendVerdict
+    ) -> Iterator[None]:
         """Announce to the other hosts that this one is trying a suspect request."""
-        fingerprint = identity.fingerprint
-        self.tracker.begin_isolated_attempt(fingerprint, read_clock())
-        self._notify(fingerprint)
+        self.suspects.begin_isolated_attempt(identity, verdict, read_clock())
+        if verdict.segments:
+            _notify(self.on_segment_change, verdict.segments)
+        else:
+            _notify(self.on_change, [identity.fingerprint])
         try:
             yield
         finally:
-            self.tracker.end_isolated_attempt(fingerprint)
+            self.suspects.end_isolated_attempt(identity, verdict)
 
     def clear(self, fingerprint: bytes) -> bool:
         """Clear a suspect at all hosts, as an operator asks; return if it existed."""
-        has_cleared = self.tracker.clear(fingerprint, read_clock())
-        if has_cleared:
+        now = read_clock()
+        is_request = self.tracker.clear(fingerprint, now)
+        is_segment = self.segments.clear(fingerprint, now)
+        if is_request:
+            _notify(self.on_change, [fingerprint])
+        if is_segment:
+            _notify(self.on_segment_change, [fingerprint])
+        if is_request or is_segment:
             log_event("suspect_lifted", fingerprint=fingerprint.hex())
-            self._notify(fingerprint)
-        return has_cleared
+        return is_request or is_segment
 
     def describe(self) -> list[dict[str, Any]]:
         """Return the suspects for operators, those with the most crashes first."""
         now = read_clock()
         known = [
             {
+                "kind": "request",
                 "fingerprint": fingerprint.hex(),
                 "body_bytes": suspect.body_size,
                 "targets_ended": len(suspect.uncleared_targets),
@@ -176,8 +215,49 @@
             }
             for fingerprint, suspect in self.tracker.items()
         ]
+        known += [self._describe_segment(segment, now) for segment in self.segments]
         return sorted(known, key=lambda one: -one["targets_ended"])
 
-    def _notify(self, fingerprint: bytes) -> None:
-        for notify in self.on_change:
-            notify(fingerprint)
+    def _describe_segment(self, segment: bytes, now: float) -> dict[str, Any]:
+        suspect = self.segments.get(segment)
+        assert suspect is not None
+        accounts = [crash.account for crash in suspect.uncleared.values()]
+        account = accounts[0] if accounts else 0
+        verdict = self.segments.evaluate(PromptContext((segment,), account, now))
+        answered_at = self.segments.get_answered_at(segment)
+        return {
+            "kind": "segment",
+            "fingerprint": segment.hex(),
+            "targets_ended": len(suspect.uncleared),
+            "accounts": len(set(accounts)),
+            "verdict": verdict.verdict.value,
+            "idle_seconds": round(now - suspect.last_activity_at, 1),
+            "answered_seconds": (
+                None if answered_at is None else round(now - answered_at, 1)
+            ),
+        }
+
+    def _describe_segments(self, segments: tuple[bytes, ...], now: float) -> str:
+        """Return the segments with the seconds since each was last answered."""
+        described = []
+        for segment in segments[:MAX_LOGGED_SEGMENTS]:
+            answered_at = self.segments.get_answered_at(segment)
+            age = NEVER if answered_at is None else f"{now - answered_at:.1f}"
+            described.append(f"{segment.hex()}:{age}")
+        return SEPARATOR.join(described)
+
+    def _report_cleared(self, segments: Iterable[bytes]) -> None:
+        for segment in segments:
+            log_event("segment_cleared", segment=segment.hex())
+            # Many hosts have such an answer at about the same time.
+            _notify(self.on_segment_change, [segment], is_urgent=False)
+
+
+def _notify(
+    listeners: Iterable[ChangeListener],
+    fingerprints: Iterable[bytes],
+    is_urgent: bool = True,
+) -> None:
+    for fingerprint in fingerprints:
+        for notify in listeners:
+            notify(fingerprint, is_urgent)
--- a/libraries/gateway/tests/test_crashes.py
+++ b/libraries/gateway/tests/test_crashes.py
@@ -27,9 +27,11 @@
     return script
 
 
-def ask(site, body):
-    length = f"Content-Length: {len(body)}"
-    return site.async_ask("POST", body=body, lines=[length])
+def ask(site, body, segments=""):
+    lines = [f"Content-Length: {len(body)}"]
+    if segments:
+        lines.append(f"X-Prompt-Segments: {segments}")
+    return site.async_ask("POST", body=body, lines=lines)
 
 
 async def make_crashing_site(make_site, count, **route):
@@ -91,3 +93,41 @@
         assert alone is site.state.registry.get_ready("s")[2]
         stack.enter_context(chooser.isolate_target(alone))
         assert chooser.choose(need).target is not alone
+
+
+async def test_unlike_prompts_with_a_segment_crash_few_targets(make_site):
+    """Prompts that share a segment and nothing else: twenty crashed thirty targets."""
+    site = await make_crashing_site(make_site, 30)
+    assert (await ask(site, b"sound", "common:40,own:9")).status == 200
+    runs = site.runs
+    answers = [
+        await ask(site, MARK + bytes([number]), f"common:40,bad:200,own{number}:9")
+        for number in range(20)
+    ]
+    assert site.runs - runs <= 4
+    assert [answer.status for answer in answers[4:]] == [503] * 16
+    assert not answers[-1].get("retry-after")
+    for number in range(20):
+        sound = await ask(site, b"%d" % number, f"common:40,own{number}:9")
+        assert sound.status == 200
+
+
+async def test_prompt_beside_another_ones_segment_is_answered(make_site):
+    """A session's prompts were beside the cause, and share all but one segment."""
+    site = await make_crashing_site(make_site, 30)
+    for number in range(6):
+        await ask(
+            site, MARK + bytes([number]), f"common:40,session:99,bad:200,o:{number}"
+        )
+    assert site.runs <= 4
+    assert (await ask(site, b"sound", "common:40,session:99,own:9")).status == 200
+    for number in range(6):
+        sound = await ask(site, b"%d" % number, f"common:40,session:99,own{number}:9")
+        assert sound.status == 200
+
+
+async def test_malformed_segments_are_forwarded_unchanged(make_site):
+    site = await make_crashing_site(make_site, 1)
+    for text in (",,,", ":::", "a" * 8_000, "a:1,,b", "%zz:1,x:2"):
+        assert (await ask(site, b"sound", text)).status == 200
+        assert site.targets[0].requests[-1].get("x-prompt-segments") == [text]
--- a/libraries/gateway/tests/test_suspect_task.py
+++ b/libraries/gateway/tests/test_suspect_task.py
@@ -14,9 +14,10 @@
 from tarragonward_gateway.suspects import SuspectMonitor
 from tarragonward_membership import KnownPeer
 from tarragonward_placement import TargetHealthTracker
-from tarragonward_requests import Verdict
+from tarragonward_requests import PromptContext, Verdict
 
 FINGERPRINT = b"12345678"
+SEGMENT = b"abcdefgh"
 
 
 class Host:
@@ -41,6 +42,17 @@
     def verdict(self):
         return self.watch.tracker.evaluate(FINGERPRINT, read_clock())
 
+    @property
+    def segment_verdict(self):
+        prompt = PromptContext((SEGMENT,), 1, read_clock())
+        return self.watch.segments.evaluate(prompt).verdict
+
+    def crash_segment(self, target):
+        now = read_clock()
+        self.watch.segments.record_crash((SEGMENT,), 1, target, now, now)
+        for notify in self.watch.on_segment_change:
+            notify(SEGMENT)
+
     def crash(self, target):
         self.watch.tracker.record_crash(FINGERPRINT, 9, target, read_clock())
         for notify in self.watch.on_change:
@@ -100,6 +112,22 @@
     await wait_for(lambda: {h.verdict for h in hosts} == {Verdict.CLEAR})
 
 
+async def test_segment_crashes_seen_by_different_hosts_are_added_up(hosts, wait_for):
+    """Unlike prompts with a segment come at another host each time."""
+    for target, host in enumerate(hosts):
+        host.crash_segment(target)
+    await wait_for(lambda: {h.segment_verdict for h in hosts} == {Verdict.REFUSED})
+    assert hosts[1].watch.clear(SEGMENT)
+    await wait_for(lambda: {h.segment_verdict for h in hosts} == {Verdict.CLEAR})
+
+
+async def test_hosts_have_different_delays_for_trials_of_a_segment(hosts):
+    """Several hosts at once would each crash a target by a trial."""
+    delays = {host.watch.get_trial_delay(SEGMENT) for host in hosts}
+    assert len(delays) == 3
+    assert min(delays) == 0.0
+
+
 def test_aggregators_are_chosen_in_each_failure_domain():
     """Crashes must be counted on each side while failure domains are cut off."""
     peers = tuple(
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -1,5 +1,6 @@
 """Decision logic without I/O for model requests, forwarded requests and calls."""
 
+from .crash_suspects import ClearedSuspects, CrashSuspects, SendVerdict, SuspectIdentity
 from .events import EventStreamSplitter, StreamEvent
 from .exchange import (
     AbortConnection,
@@ -45,7 +46,15 @@
     ProbedExponentialBackoff,
 )
 from .retries import RetryBudget
-from .segments import AnsweredSegments, fingerprint_segments, parse_segments
+from .segment_entries import SegmentCrash, SegmentEntry, SuspectSegment
+from .segment_suspects import SegmentTracker
+from .segment_verdicts import PromptContext, SegmentVerdict
+from .segments import (
+    AnsweredSegments,
+    RecentPrompts,
+    fingerprint_segments,
+    parse_segments,
+)
 from .shared_budget import RetryBudgetBounds, SharedRetryBudget
 from .suspects import Suspect, SuspectEntry, SuspectTracker, Verdict
 from .sweep import HeldResource, OrphanSweep, OwnerStatus
@@ -64,6 +73,8 @@
     "CallState",
     "CallerDisconnected",
     "CancelAttempt",
+    "ClearedSuspects",
+    "CrashSuspects",
     "DeadlineTimerFired",
     "DeliverText",
     "DrainTimeoutExpired",
@@ -85,21 +96,30 @@
     "OwnerStatus",
     "PlacementRefused",
     "ProbedExponentialBackoff",
+    "PromptContext",
+    "RecentPrompts",
     "RecordedAnswer",
     "Refuse",
     "Reply",
     "RequestLifecycle",
     "RetryBudget",
     "RetryBudgetBounds",
+    "SegmentCrash",
+    "SegmentEntry",
+    "SegmentTracker",
+    "SegmentVerdict",
     "Send",
     "SendFailed",
     "SendFault",
     "SendTo",
+    "SendVerdict",
     "SharedRetryBudget",
     "StartAttempt",
     "StreamEvent",
     "Suspect",
     "SuspectEntry",
+    "SuspectIdentity",
+    "SuspectSegment",
     "SuspectTracker",
     "TargetAnswered",
     "TextArrived",
--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -70,5 +70,27 @@
 # request again.
 ISOLATED_HOST_RETRY_DELAY_SECONDS = 8.0
 
+# Prompts by which a host knows which segments are common, for each service.
+RECENT_PROMPTS = 32
+MIN_RECENT_PROMPTS = 4
+MAX_PROMPT_SCOPES = 64
 # Prompt segments whose last answers a host remembers.
 MAX_ANSWERED_SEGMENTS = 8_192
+
+# Prompt segments that are suspected of crashing the targets that run them. One that was
+# answered recently was more likely beside the cause, so it is refused only after more
+# crashes, apart from each other, while no prompt with it begins to be answered.
+ANSWERED_HISTORY_SECONDS = 60.0
+ANSWERED_REFUSE_AFTER_CRASHES = 5
+ANSWERED_REFUSE_AFTER_SECONDS = 2.5
+# Targets that crash within this time may have crashed for one reason.
+MASS_CRASH_SECONDS = 0.25
+# A refused segment is tried again after a time that grows with each crash.
+SEGMENT_TRIAL_SECONDS = 10.0
+ANSWERED_SEGMENT_TRIAL_SECONDS = 2.0
+SEGMENT_TRIAL_GROWTH = 4.0
+MAX_SEGMENT_TRIAL_STEPS = 4
+MAX_SUSPECT_SEGMENTS = 1_024
+MAX_CRASHES_PER_SEGMENT = 16
+# The segments of one prompt that become suspects in a crash.
+MAX_SUSPECT_SEGMENTS_PER_PROMPT = 64
--- /dev/null
+++ b/libraries/requests/tarragonward_requests/crash_suspects.py
@@ -0,0 +1,182 @@
+"""Decide how requests are sent that may crash their targets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from .segment_suspects import SegmentTracker
+from .segment_verdicts import STRICTNESS, PromptContext
+from .suspects import SuspectTracker, Verdict
+
+__all__ = ["ClearedSuspects", "CrashSuspects", "SendVerdict", "SuspectIdentity"]
+
+
+class SuspectIdentity(Protocol):
+    """What tells a request from others, and what it shares with them.
+
+    body_size is in bytes; account is a hash of the client account; segments are the
+    fingerprints of the prompt segments that other requests share.
+    """
+
+    @property
+    def body_size(self) -> int:
+        """The size of the body."""
+
+    @property
+    def fingerprint(self) -> bytes:
+        """The fingerprint that the request's repeats have, too; may take a while."""
+
+    @property
+    def segments(self) -> tuple[bytes, ...]:
+        """The fingerprints of the shared segments."""
+
+    @property
+    def account(self) -> int:
+        """A hash of the client account."""
+
+
+@dataclass(frozen=True)
+class SendVerdict:
+    """How a request may be sent; segments are those of its prompt that are the cause.
+
+    wait_seconds is how long a request with the verdict LATER has to wait.
+    """
+
+    verdict: Verdict = Verdict.CLEAR
+    wait_seconds: float = 0.0
+    segments: tuple[bytes, ...] = ()
+
+
+@dataclass(frozen=True)
+class ClearedSuspects:
+    """What an answer has cleared: the request itself, and segments of its prompt."""
+
+    is_request: bool = False
+    segments: tuple[bytes, ...] = ()
+
+
+CLEAR = SendVerdict()
+
+
+class CrashSuspects:
+    """The requests, and the segments of prompts, under which targets crashed.
+
+    Times are in seconds of one clock.
+    """
+
+    def __init__(self) -> None:
+        self.requests = SuspectTracker()
+        self.segments = SegmentTracker()
+
+    def evaluate(
+        self,
+        identity: SuspectIdentity,
+        now: float,
+        is_host_isolated: bool = False,
+        get_trial_delay: Callable[[bytes], float] = lambda segment: 0.0,
+    ) -> SendVerdict:
+        """Return the stricter verdict on a request and on the segments of its prompt.
+
+        get_trial_delay is as in PromptContext.
+        """
+        by_request = self._evaluate_request(identity, now, is_host_isolated)
+        if not len(self.segments):
+            return by_request
+        is_known = self.requests.may_contain(identity.body_size)
+        own = identity.fingerprint if is_known else None
+        found = self.segments.evaluate(
+            PromptContext(
+                identity.segments,
+                identity.account,
+                now,
+                is_host_isolated,
+                self.requests.get_refused_crashes(own),
+                get_trial_delay,
+            )
+        )
+        if STRICTNESS.index(by_request.verdict) > STRICTNESS.index(found.verdict):
+            return by_request
+        return SendVerdict(found.verdict, found.wait_seconds, found.segments)
+
+    def record_crash(
+        self, identity: SuspectIdentity, target: int, sent_at: float, now: float
+    ) -> tuple[bytes, ...]:
+        """Record that a target crashed during a request; return the segments.
+
+        sent_at is when the request was sent to the target.
+        """
+        self.requests.record_crash(
+            identity.fingerprint, identity.body_size, target, now
+        )
+        return self.segments.record_crash(
+            identity.segments, identity.account, target, sent_at, now
+        )
+
+    def record_answered(
+        self, identity: SuspectIdentity, began_at: float | None, now: float
+    ) -> ClearedSuspects:
+        """Record a complete answer, and return what it has cleared.
+
+        began_at is when the answer to a prompt began, or when the prompt was sent; None
+        if the target refused it or had nothing left to answer.
+        """
+        segments: tuple[bytes, ...] = ()
+        if began_at is not None:
+            segments = self.segments.record_answered(identity.segments, began_at, now)
+        is_request = self.requests.may_contain(identity.body_size) and (
+            self.requests.record_answered(identity.fingerprint, now)
+        )
+        return ClearedSuspects(is_request, segments)
+
+    def record_steady_stream(
+        self, identity: SuspectIdentity, began_at: float, now: float
+    ) -> tuple[bytes, ...]:
+        """Record a stream that goes on long after it began; return what is cleared."""
+        if not len(self.segments):
+            return ()
+        return self.segments.record_steady_stream(identity.segments, began_at, now)
+
+    def record_refused(
+        self, identity: SuspectIdentity, verdict: SendVerdict, now: float
+    ) -> None:
+        """Record that a request was refused, so that its record is kept."""
+        if verdict.segments:
+            self.segments.record_refused(verdict.segments, now)
+        else:
+            self.requests.record_refused(identity.fingerprint, now)
+
+    def begin_isolated_attempt(
+        self, identity: SuspectIdentity, verdict: SendVerdict, now: float
+    ) -> None:
+        """Record that this host is trying a suspect request alone on a target."""
+        for segment in verdict.segments:
+            self.segments.begin_isolated_attempt(segment, now)
+        if not verdict.segments:
+            self.requests.begin_isolated_attempt(identity.fingerprint, now)
+
+    def end_isolated_attempt(
+        self, identity: SuspectIdentity, verdict: SendVerdict
+    ) -> None:
+        """Record that the isolated attempt has ended."""
+        for segment in verdict.segments:
+            self.segments.end_isolated_attempt(segment)
+        if not verdict.segments:
+            self.requests.end_isolated_attempt(identity.fingerprint)
+
+    def expire(self, now: float) -> None:
+        """Remove suspects without recent activity."""
+        self.requests.expire(now)
+        self.segments.expire(now)
+
+    def _evaluate_request(
+        self, identity: SuspectIdentity, now: float, is_host_isolated: bool
+    ) -> SendVerdict:
+        if not self.requests.may_contain(identity.body_size):
+            return CLEAR
+        fingerprint = identity.fingerprint
+        explained = self.segments.get_explained_targets(identity.segments)
+        verdict = self.requests.evaluate(fingerprint, now, is_host_isolated, explained)
+        wait = self.requests.get_wait_seconds(fingerprint, now, is_host_isolated)
+        return SendVerdict(verdict, wait)
--- a/libraries/requests/tarragonward_requests/segments.py
+++ b/libraries/requests/tarragonward_requests/segments.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import hashlib
-from collections import OrderedDict
-from collections.abc import Iterable
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Sequence
 
 from . import const as c
 from .fingerprints import FINGERPRINT_BYTES
 
-__all__ = ["AnsweredSegments", "fingerprint_segments", "parse_segments"]
+__all__ = [
+    "AnsweredSegments",
+    "RecentPrompts",
+    "fingerprint_segments",
+    "have_same_id",
+    "parse_segments",
+]
 
 ENTRY_SEPARATOR = ","
 COUNT_SEPARATOR = ":"
-NAME_SEPARATOR = b"\0"
+# A fingerprint is a hash of the segment's id followed by one of its scope.
+ID_HASH_BYTES = 5
 
 
 def parse_segments(text: str) -> tuple[str, ...]:
@@ -30,14 +37,42 @@
 def fingerprint_segments(scope: str, ids: Iterable[str]) -> tuple[bytes, ...]:
     """Return a hash of each segment id within a scope, the service that runs prompts.
 
-    Services may run different models, so a segment that crashes one's targets says
-    nothing of the other's.
+    Services may run different models, so the targets of one may answer prompts with a
+    segment that crashes the other's.
     """
-    prefix = scope.encode() + NAME_SEPARATOR
-    return tuple(
-        hashlib.blake2b(prefix + each.encode(), digest_size=FINGERPRINT_BYTES).digest()
-        for each in ids
-    )
+    suffix = _hash(scope, FINGERPRINT_BYTES - ID_HASH_BYTES)
+    return tuple(_hash(each, ID_HASH_BYTES) + suffix for each in ids)
+
+
+def have_same_id(first: bytes, second: bytes) -> bool:
+    """Return whether two fingerprints are of the same segment, in whatever scope."""
+    return first[:ID_HASH_BYTES] == second[:ID_HASH_BYTES]
+
+
+class RecentPrompts:
+    """The segments of the prompts that a host has had of late, by scope."""
+
+    def __init__(self) -> None:
+        self._by_scope: dict[bytes, deque[frozenset[bytes]]] = {}
+
+    def record(self, segments: Sequence[bytes]) -> None:
+        """Record a prompt; of a long list only the first segments count."""
+        if not segments:
+            return
+        scope = segments[0][ID_HASH_BYTES:]
+        if scope not in self._by_scope:
+            if len(self._by_scope) >= c.MAX_PROMPT_SCOPES:
+                del self._by_scope[next(iter(self._by_scope))]
+            self._by_scope[scope] = deque(maxlen=c.RECENT_PROMPTS)
+        recorded = frozenset(segments[: c.MAX_SUSPECT_SEGMENTS_PER_PROMPT])
+        self._by_scope[scope].append(recorded)
+
+    def is_common(self, segment: bytes) -> bool:
+        """Return whether at least half of the prompts with segments hold this one."""
+        recent = self._by_scope.get(segment[ID_HASH_BYTES:], ())
+        if len(recent) < c.MIN_RECENT_PROMPTS:
+            return False
+        return 2 * sum(segment in each for each in recent) >= len(recent)
 
 
 class AnsweredSegments:
@@ -60,3 +95,7 @@
     def get(self, segment: bytes) -> float | None:
         """Return when a prompt with a segment was last answered, None if unknown."""
         return self._answered_at.get(segment)
+
+
+def _hash(text: str, size: int) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=size).digest()
--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -150,10 +150,15 @@
         return self._size_counts[body_size] > 0
 
     def evaluate(
-        self, fingerprint: bytes, now: float, is_host_isolated: bool = False
+        self,
+        fingerprint: bytes,
+        now: float,
+        is_host_isolated: bool = False,
+        explained: frozenset[int] = frozenset(),
     ) -> Verdict:
         """Return how a request may be sent.
 
+        explained are targets whose crashes something else is known to have caused.
         An isolated host knows only its own crashes. Several isolated hosts would each
         let the request crash three more targets, so there one crash is enough to delay
         its next attempt.
@@ -161,7 +166,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return Verdict.CLEAR
-        count = self.count(fingerprint)
+        count = self.count(fingerprint, explained)
         if count >= c.REFUSE_AFTER_CRASHES:
             return Verdict.REFUSED
         if (
@@ -174,8 +179,8 @@
             return Verdict.CLEAR
         return Verdict.LATER if now < suspect.attempt_until else Verdict.ALONE
 
-    def count(self, fingerprint: bytes) -> int:
-        """Return how many crashed targets are not explained by a worse suspect.
+    def count(self, fingerprint: bytes, explained: frozenset[int] = frozenset()) -> int:
+        """Return how many crashed targets nothing else explains, as a worse suspect.
 
         Otherwise a request that repeatedly runs beside the one that crashes its targets
         would be refused together with it.
@@ -184,13 +189,20 @@
         if suspect is None:
             return 0
         targets = suspect.uncleared_targets
-        explained: set[int] = set()
         for refused in self._refused:
             others = self._suspects[refused].uncleared_targets
             if len(others) > len(targets):
                 explained |= others
         return len(targets - explained)
 
+    def get_refused_crashes(self, excluded: bytes | None) -> list[frozenset[int]]:
+        """Return the targets that crashed under each refused request but one."""
+        return [
+            self._suspects[each].uncleared_targets
+            for each in self._refused
+            if each != excluded
+        ]
+
     def get_wait_seconds(
         self, fingerprint: bytes, now: float, is_host_isolated: bool = False
     ) -> float:
@@ -246,6 +258,21 @@
         if suspect is not None:
             suspect.attempt_until = NEVER
 
+    def is_for_all_hosts(self, fingerprint: bytes) -> bool:
+        """Return whether all hosts should know of a request's crashes."""
+        suspect = self._suspects.get(fingerprint)
+        count = 0 if suspect is None else len(suspect.crashes)
+        return count >= c.RUN_ALONE_AFTER_CRASHES
+
+    def unpack_entry(self, item: Any) -> SuspectEntry:
+        """Parse a peer's entry; raise ValueError if it is malformed."""
+        return SuspectEntry.unpack(item)
+
+    def is_covered_by(self, entry: SuspectEntry) -> bool:
+        """Return whether an entry contains every crash that this host knows of."""
+        suspect = self._suspects.get(entry.fingerprint)
+        return suspect is not None and set(entry.crashes).issuperset(suspect.crashes)
+
     def build_entry(self, fingerprint: bytes, now: float) -> SuspectEntry | None:
         """Return the gossip entry of a request, None if it is not a suspect."""
         suspect = self._suspects.get(fingerprint)
