Check that a target goes on before an answer that ends with its connection is whole

What callers would see: a stream that its runner's crash cut exactly between two events looked complete, as did the part of a plain answer; a call's part was recorded as its answer and given to all repeats. Such an answer would also have cleared the prompt's segments of the crash it had just caused.

Cause: an answer with neither length nor chunks ends with its connection, and the kernel of a process that dies closes its connections the same way. Now a host connects to the target once more before it takes such an answer for whole; where it refuses, the answer is broken off: resumed, repeated, or 502, as it may be. The daemon's calls end with an unknown outcome.

--- a/libraries/daemon/tarragonward_daemon/calls.py
+++ b/libraries/daemon/tarragonward_daemon/calls.py
@@ -23,7 +23,13 @@
     mint_key_prefix,
     parse_key,
 )
-from tarragonward_wire import Connector, PeerLinks, async_send_http, register_message
+from tarragonward_wire import (
+    Connector,
+    PeerLinks,
+    async_accepts_connections,
+    async_send_http,
+    register_message,
+)
 
 from . import const as c
 from .core import HostState
@@ -339,5 +345,9 @@
         connect_timeout=c.SERVICE_CONNECT_TIMEOUT_SECONDS,
         connect=connect,
     )
+    if answer.has_ended_with_connection and not await async_accepts_connections(
+        target.address, c.SERVICE_CONNECT_TIMEOUT_SECONDS, connect
+    ):
+        raise ConnectionLostError("the target ended with its answer")
     content_type = answer.headers.get("content-type", c.DEFAULT_CONTENT_TYPE)
     return RecordedAnswer(answer.status, content_type, answer.body)
--- a/libraries/gateway/tarragonward_gateway/choices.py
+++ b/libraries/gateway/tarragonward_gateway/choices.py
@@ -10,6 +10,8 @@
 from tarragonward_placement import InFlightPrompt, PrefillPlan
 from tarragonward_routes import Route
 
+from . import const as c
+
 __all__ = ["SendChoice", "TargetRequirements"]
 
 
@@ -66,6 +68,13 @@
         if self.work is not None and self.work.first_event_at is None:
             self.work.first_event_at = now
 
+    def has_become_steady(self, now: float) -> bool:
+        """Return, once, whether events have arrived for a while since the first."""
+        if self.is_steady or self.answer_began_at is None:
+            return False
+        self.is_steady = now >= self.answer_began_at + c.STEADY_STREAM_SECONDS
+        return self.is_steady
+
     def compute_pace(self, events: int, now: float) -> float | None:
         """Return the ratio of observed to published time per decode pass.
 
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -31,12 +31,14 @@
     TargetAnswered,
     TimeOver,
     Verdict,
+    select_next_events,
 )
 from tarragonward_routes import RequestKind
 from tarragonward_wire import (
     HttpRequest,
     HttpStream,
     PauseTimeout,
+    RawHeaders,
     Responder,
     async_open_http,
 )
@@ -48,7 +50,6 @@
 from .context import ForwardContext
 from .headers import (
     build_answer_headers,
-    build_target_headers,
     parse_count,
     parse_token_counts,
 )
@@ -70,13 +71,13 @@
     get_send_fault,
     is_link_fault,
 )
+from .send_headers import build_send_headers
 from .state import GatewayState
 from .suspects import RequestIdentity, SuspectMonitor
 from .targets import TargetChooser
 
 __all__ = ["ForwardedRequest"]
 
-MILLISECONDS_PER_SECOND = 1_000
 STATUS_OK = 200
 STATUS_MULTIPLE_CHOICES = 300
 STATUS_SERVER_ERROR = 500
@@ -368,23 +369,15 @@
         self._observer.record_prefill_ahead(work.prefill_seconds)
         self._mover.consider_move(choice, watch, work)
 
-    def _build_headers(
-        self, choice: SendChoice, effect: SendTo
-    ) -> tuple[tuple[bytes, bytes], ...]:
-        names = self._state.headers
-        seconds_left = self._context.deadline - self._loop.time()
-        set_by_host = {
-            names.deadline_ms: str(max(1, int(seconds_left * MILLISECONDS_PER_SECOND))),
-            names.expected_target: choice.target.name,
-        }
-        if self._context.account is not None:
-            set_by_host[names.account] = self._context.account.name
-        if choice.helpers:
-            set_by_host[names.helpers] = choice.helpers_header
-        if effect.last_event_id is not None:
-            set_by_host[names.last_event_id] = str(effect.last_event_id)
-        stripped = (names.caller_key, names.account, names.priority, names.helpers)
-        return build_target_headers(self._request.raw_headers, set_by_host, stripped)
+    def _build_headers(self, choice: SendChoice, effect: SendTo) -> RawHeaders:
+        return build_send_headers(
+            self._state.headers,
+            self._request.raw_headers,
+            self._context.account,
+            choice,
+            effect.last_event_id,
+            self._context.deadline - self._loop.time(),
+        )
 
     async def _async_receive_answer(
         self, choice: SendChoice, stream: HttpStream
@@ -422,6 +415,7 @@
             raise
         except TargetError as err:
             raise SpoiledAnswerError(str(err)) from None
+        await self._async_check_end(choice, stream)
         has_body = self._request.method != METHOD_HEAD and (
             stream.status not in BODILESS_STATUSES
         )
@@ -435,6 +429,13 @@
             )
         return TargetAnswered(is_failure=stream.status >= STATUS_SERVER_ERROR)
 
+    async def _async_check_end(self, choice: SendChoice, stream: HttpStream) -> None:
+        """Raise ConnectionLostError if the target's crash may have cut the answer."""
+        if stream.has_ended_with_connection and (
+            await self._chooser.probes.async_has_ended(choice.target)
+        ):
+            raise ConnectionLostError("the target ended with its answer")
+
     async def _async_forward_stream(
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
@@ -453,6 +454,7 @@
                 choice.waiting_since = self._loop.time()
                 if self._idle_timeout is not None:
                     self._idle_timeout.resume()
+        await self._async_check_end(choice, stream)
         if splitter.has_partial_event:
             raise SpoiledAnswerError("event stream ended within an event")
         if not self._exchange.is_streaming:
@@ -470,35 +472,25 @@
         if choice.answer_began_at is None:
             choice.answer_began_at = now
             self._chooser.record_evidence(choice, Evidence.ANSWERED)
-        elif not choice.is_steady and (
-            now >= choice.answer_began_at + c.STEADY_STREAM_SECONDS
-        ):
-            choice.is_steady = True
+        elif choice.has_become_steady(now):
             self._suspects.record_steady_stream(self._identity, choice.answer_began_at)
         self._chooser.record_events(choice, events)
 
     async def _async_forward_events(
         self, stream: HttpStream, events: list[StreamEvent]
     ) -> None:
-        forwarded = []
-        has_gap = False
-        for event in events:
-            last_event_id = self._exchange.last_event_id
-            if event.event_id is not None and last_event_id is not None:
-                if event.event_id <= last_event_id:
-                    continue
-                has_gap = event.event_id != last_event_id + 1
-                if has_gap:
-                    break
-            forwarded.append(event.data)
+        forwarded = select_next_events(events, self._exchange.last_event_id)
+        for event in forwarded.events:
             if event.event_id is not None:
                 self._handle_event(EventsGiven(event.event_id))
-        if forwarded and not self._exchange.is_streaming:
+        if forwarded.events and not self._exchange.is_streaming:
             self._start_answer(stream)
         # Events recorded as delivered must be sent before another target resumes the
         # stream after them.
-        await self._responder.async_send_chunk(b"".join(forwarded))
-        if has_gap:
+        await self._responder.async_send_chunk(
+            b"".join(event.data for event in forwarded.events)
+        )
+        if forwarded.has_gap:
             raise SpoiledAnswerError("event ids have a gap: an event is missing")
 
     def _start_answer(self, stream: HttpStream) -> None:
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -1,7 +1,12 @@
 """Decision logic without I/O for model requests, forwarded requests and calls."""
 
 from .crash_suspects import ClearedSuspects, CrashSuspects, SendVerdict, SuspectIdentity
-from .events import EventStreamSplitter, StreamEvent
+from .events import (
+    EventStreamSplitter,
+    NextEvents,
+    StreamEvent,
+    select_next_events,
+)
 from .exchange import (
     AbortConnection,
     AnswerStarted,
@@ -91,6 +96,7 @@
     "FixedEjection",
     "ForwardAnswer",
     "HeldResource",
+    "NextEvents",
     "OrphanSweep",
     "OutlierDetector",
     "OwnerStatus",
@@ -131,4 +137,5 @@
     "mint_key_prefix",
     "parse_key",
     "parse_segments",
+    "select_next_events",
 ]
--- a/libraries/requests/tarragonward_requests/events.py
+++ b/libraries/requests/tarragonward_requests/events.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["EventStreamSplitter", "StreamEvent"]
+__all__ = ["EventStreamSplitter", "NextEvents", "StreamEvent", "select_next_events"]
 
 # A blank line ends an event; lines end with LF or CRLF (HTML standard, 9.2.5).
 EVENT_BOUNDARY = re.compile(rb"\r?\n\r?\n")
@@ -21,6 +22,14 @@
     event_id: int | None
 
 
+@dataclass(frozen=True)
+class NextEvents:
+    """The events to forward next; has_gap: whether an event after them is missing."""
+
+    events: tuple[StreamEvent, ...]
+    has_gap: bool = False
+
+
 class EventStreamSplitter:
     """Buffers an incomplete event until the rest of it has arrived.
 
@@ -53,6 +62,26 @@
         return events
 
 
+def select_next_events(
+    events: Iterable[StreamEvent], last_event_id: int | None
+) -> NextEvents:
+    """Return the events that follow the last one that was forwarded, None if none was.
+
+    A resumed stream may repeat earlier events, which are left out.
+    """
+    selected = []
+    for event in events:
+        if event.event_id is not None and last_event_id is not None:
+            if event.event_id <= last_event_id:
+                continue
+            if event.event_id != last_event_id + 1:
+                return NextEvents(tuple(selected), has_gap=True)
+        selected.append(event)
+        if event.event_id is not None:
+            last_event_id = event.event_id
+    return NextEvents(tuple(selected))
+
+
 def _find_event_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
--- a/libraries/standins/tarragonward_standins/platform_http.py
+++ b/libraries/standins/tarragonward_standins/platform_http.py
@@ -53,7 +53,9 @@
     """Reset a connection."""
     sock = writer.get_extra_info("socket")
     if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        # The connection may just have been closed.
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.transport.abort()
 
 
--- a/libraries/standins/tarragonward_standins/platform_model_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_model_runner.py
@@ -30,6 +30,8 @@
 MAX_HELPERS = 16
 REPORT_STEP_SECONDS = 0.02
 EVENTS_BEFORE_FAULT = 2
+# With these, a stream is complete.
+HARMLESS_FAULTS = ("", "extra", "no_length")
 CRASH_SECONDS = 0.05
 STALL_SECONDS = 1.5
 WEIGHTS_HEADER = "X-Weight-Versions"
@@ -298,6 +300,7 @@
         prompt_id = request.headers.get("x-prompt-prefix", "").rpartition(",")[2]
         number = 0
         is_last = False
+        is_chunked = fault != "no_length"
         sent_version = self.weights_version
         while not is_last:
             event = await stream.events.get()
@@ -309,7 +312,9 @@
                 arrival.has_run = True
                 sent_version = self.weights_version
                 weights = (WEIGHTS_HEADER, str(sent_version))
-                framing = (EVENT_STREAM, CHUNKED, weights)
+                framing = (EVENT_STREAM, weights)
+                if is_chunked:
+                    framing += (CHUNKED,)
                 writer.write(self.build_answer_head(arrival, framing))
                 arrival.crashing_segment = self.find_crashing_segment(request)
                 if arrival.crashing_segment or request.body.startswith(CRASH_PREFIX):
@@ -322,13 +327,15 @@
             if sent_version != self.weights_version:
                 sent_version = self.weights_version
                 data = f"{WEIGHTS_HEADER.lower()}: {sent_version}\n".encode() + data
-            if fault and fault != "extra" and number > skipped + EVENTS_BEFORE_FAULT:
+            if fault not in HARMLESS_FAULTS and number > skipped + EVENTS_BEFORE_FAULT:
                 return self._abort_answer(arrival, fault, data, writer)
             arrival.body += data
-            writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+            if is_chunked:
+                data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
+            writer.write(data)
             await writer.drain()
-        writer.write(LAST_CHUNK)
-        return True
+        writer.write(LAST_CHUNK if is_chunked else b"")
+        return is_chunked
 
     def _abort_answer(
         self, arrival: Arrival, fault: str, data: bytes, writer: asyncio.StreamWriter
--- a/libraries/wire/tarragonward_wire/__init__.py
+++ b/libraries/wire/tarragonward_wire/__init__.py
@@ -7,6 +7,7 @@
     Connector,
     HttpAnswer,
     HttpStream,
+    async_accepts_connections,
     async_open_http,
     async_send_http,
 )
@@ -49,6 +50,7 @@
     "RelayServer",
     "RefusedFrameError",
     "Responder",
+    "async_accepts_connections",
     "async_open_http",
     "async_send_http",
     "async_connect_by_link",
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -29,6 +29,7 @@
     "Connector",
     "HttpAnswer",
     "HttpStream",
+    "async_accepts_connections",
     "async_open_http",
     "async_send_http",
 ]
@@ -47,13 +48,15 @@
 class HttpAnswer:
     """A complete answer; header names are in lower case.
 
-    transfer_seconds is the time from the answer's head to the end of its body.
+    transfer_seconds is the time from the answer's head to the end of its body;
+    has_ended_with_connection is that of HttpStream.
     """
 
     status: int
     headers: dict[str, str]
     body: bytes = field(repr=False)
     transfer_seconds: float = 0.0
+    has_ended_with_connection: bool = False
 
     def parse_json(self) -> Any:
         """Return the body's JSON; raise TargetError if it is not valid."""
@@ -73,6 +76,9 @@
     ) -> None:
         self._h11 = connection
         self._receiver = receiver
+        # Whether only the end of the connection has ended the answer. A target that
+        # crashes closes its connections, too, so the answer may be incomplete.
+        self.has_ended_with_connection = False
         self.status = 0
         self.headers: dict[str, str] = {}
         self.raw_headers: RawHeaders = ()
@@ -150,7 +156,9 @@
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._h11.receive_data(await self._receiver.async_read())
+                data = await self._receiver.async_read()
+                self.has_ended_with_connection = not data
+                self._h11.receive_data(data)
         except (OSError, h11.RemoteProtocolError) as err:
             raise ConnectionLostError(str(err)) from err
 
@@ -218,6 +226,22 @@
         transport.abort()
 
 
+async def async_accepts_connections(
+    address: Address, timeout: float, connect: Connector | None = None
+) -> bool:
+    """Return whether a connection succeeds within timeout seconds; sends nothing.
+
+    connect is that of async_open_http.
+    """
+    try:
+        async with PauseTimeout(asyncio.get_running_loop().time() + timeout):
+            transport, _ = await (connect() if connect else _async_connect(address))
+    except (OSError, TimeoutError, NotConnectedError):
+        return False
+    transport.abort()
+    return True
+
+
 async def _async_connect(address: Address) -> tuple[asyncio.Transport, Receiver]:
     return await asyncio.get_running_loop().create_connection(
         Receiver, address.host, address.port
@@ -298,6 +322,7 @@
                 stream.headers,
                 bytes(body_read),
                 deadline.transfer_seconds,
+                stream.has_ended_with_connection,
             )
     except TimeoutError as err:
         waited = f"no answer in {deadline.waited_seconds:.1f} s"
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -99,6 +99,26 @@
     )
 
 
+async def test_answers_that_end_with_their_connections_are_whole_or_resumed(make_site):
+    """No answer has a length or chunks, and a crash closes connections, too."""
+    site = await make_site(PlatformPlan(models_per_zone=3))
+    for runner in (*site.plain, *site.models):
+        runner.faults = RunnerFaults(no_length=1.0)
+    day = PlatformDay(site, DayPlan(seconds=4.0, drafts_per_second=30, seed=10))
+    day_task = asyncio.ensure_future(day.async_play())
+    crash_tasks = []
+    for runner in (site.models[0], site.models[4], site.plain[1], site.models[7]):
+        await asyncio.sleep(0.7)
+        crash_tasks.append(asyncio.ensure_future(runner.async_crash()))
+    report = await day_task
+    for task in crash_tasks:
+        task.cancel()
+    assert not report.violations, format_failure(site, report)
+    assert report.score["whole"] > report.score["sent"] * 0.9, format_failure(
+        site, report
+    )
+
+
 async def test_a_request_that_crashes_runners_is_sent_to_few_runners(make_site):
     """A request that crashes every runner it reaches is repeated through all hosts."""
     site = await make_site(PlatformPlan(models_per_zone=3))
