Let a host use connections to idle targets beyond its share

What callers see: the balancer hands most new connections to one host; a third to a half of what it reads gets 503, though the targets are idle.

Cause: each host keeps to its share of a target's connections, the limit divided by the most hosts there may be (12 of 110 with three hosts that count nine). A request is in flight for as long as its host takes, too, so a crowded host uses up its share (12, 12, 12 of 12 in its log, while no request waited at the targets) and refused at once what came next: no_target, ready=3, disconnected=0.

Now a host whose share is used up at all targets may use a quarter of the whole limit at those that stated within a second that no request waits there, and holds a request for a free connection as it holds one for a free place. A target with a queue keeps its hosts to their shares. New in the stand-in: most new connections at one host, and the rule on it.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -186,6 +186,11 @@
 # A short prompt whose engines are all full is held for this share of the time that is
 # left to it, unless the places become free too slowly for that.
 PLACE_HOLD_SHARE = 0.5
+# A host that has used up its share of a target's connections may use this part of all
+# of them while the target has stated, at most so long ago, that no request waits there.
+BORROWED_CONNECTIONS_DIVISOR = 4
+IDLE_TARGET_SECONDS = 1.0
+MAX_IDLE_TARGETS = 1_024
 PLACE_CHECK_INTERVAL_SECONDS = 0.1
 MAX_HELD_REQUESTS = 256
 MIN_RELEASE_TIMES = 4
--- a/libraries/gateway/tarragonward_gateway/state.py
+++ b/libraries/gateway/tarragonward_gateway/state.py
@@ -59,6 +59,11 @@
             return None
         return max(1, found.max_connections // self.count_sharing_hosts())
 
+    def get_shared_connection_limit(self, service: str) -> int | None:
+        """Return the connection limit per target that all hosts share, if known."""
+        found = self.table.services.get(service) if self.table is not None else None
+        return found.max_connections if found is not None else None
+
     def record_request(self, service: str) -> None:
         """Credit the retry budget for a request received from a caller."""
         self.budget.record_request(service, read_clock())
--- a/libraries/gateway/tarragonward_gateway/statements.py
+++ b/libraries/gateway/tarragonward_gateway/statements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import fields
 
@@ -46,6 +47,8 @@
         self._known = {getattr(names, field.name) for field in fields(names)}
         self._known.update((c.HEADER_RETRY_AFTER, *c.STANDARD_ANSWER_HEADERS))
         self._reported: set[str] = set()
+        # When a target last stated that no request waits there.
+        self._idle_at: OrderedDict[str, float] = OrderedDict()
         self.on_limit: list[Callable[[int], None]] = []
         # Called with the target's id and the end of the cooldown on read_clock().
         self.on_cooldown: list[Callable[[str, float], None]] = []
@@ -80,6 +83,13 @@
         if status == STATUS_UNAVAILABLE and c.HEADER_RETRY_AFTER in headers:
             self._record_cooldown(target, headers[c.HEADER_RETRY_AFTER])
 
+    def has_no_queue(self, target: RegisteredTarget) -> bool:
+        """Return whether a target has stated just now that no request waits there."""
+        stated_at = self._idle_at.get(target.id)
+        if stated_at is None:
+            return False
+        return self._clock() < stated_at + c.IDLE_TARGET_SECONDS
+
     def record_limit(self, target: RegisteredTarget, text: str | None) -> None:
         """Record the requests per second that a target's answer allows, if it does."""
         number, rate = hash_name(target.id), parse_rate(text)
@@ -92,6 +102,14 @@
         load = parse_load(text)
         if load is not None:
             self._usage.record_request_count(target.id, sum(load), self._clock())
+            _, waiting = load
+            if waiting:
+                self._idle_at.pop(target.id, None)
+            else:
+                self._idle_at[target.id] = self._clock()
+                self._idle_at.move_to_end(target.id)
+            while len(self._idle_at) > c.MAX_IDLE_TARGETS:
+                self._idle_at.popitem(last=False)
 
     def _record_leaving(self, target: RegisteredTarget) -> None:
         if self._state.registry.mark_leaving(target):
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -35,6 +35,7 @@
 from . import const as c
 from .choices import SendChoice, TargetRequirements
 from .clock import read_clock
+from .connection_shares import ConnectionShares
 from .place_queue import PlaceQueue
 from .probes import EVIDENCE_BY_FAULT, TargetProber
 from .state import GatewayState
@@ -73,6 +74,7 @@
         self.statements = TargetStatements(
             state, self.usage, self.limits, self.cooldowns, clock
         )
+        self._connections = ConnectionShares(state, self.statements, self._in_flight)
         self.target_health = TargetHealthTracker()
         self.paths = TargetPaths(self.target_health)
         self.probes = TargetProber(state, self.target_health)
@@ -184,11 +186,12 @@
         self, requirements: TargetRequirements
     ) -> tuple[Sequence[RegisteredTarget], Sequence[RegisteredTarget]]:
         """Return the targets that may get the request, and the best of them."""
-        ready = [
+        allowed = [
             target
             for target in self._state.registry.get_ready(requirements.service)
-            if requirements.allows(target) and self._has_connection(target)
+            if requirements.allows(target)
         ]
+        ready = self._connections.select(allowed)
         now = read_clock()
         ready = self.cooldowns.get_available(self._filter_limited(ready), now)
         if not ready:
@@ -241,6 +244,13 @@
             not requirements.leader and prefill_seconds < MIN_PARALLEL_PREFILL_SECONDS
         )
 
+    def _lacks_connections(self, requirements: TargetRequirements) -> bool:
+        """Return whether only this host's share of connections keeps a request back."""
+        ready = self._state.registry.get_ready(requirements.service)
+        allowed = [target for target in ready if requirements.allows(target)]
+        is_free = bool(self._connections.select(allowed))
+        return bool(allowed) and not is_free and not requirements.leader
+
     def _waits_for_place(self, requirements: TargetRequirements) -> bool:
         return len(self.concurrency) > 0 and self.may_hold(requirements)
 
@@ -281,6 +291,8 @@
 
         Without any target it does not: it is refused at once.
         """
+        if self._lacks_connections(requirements):
+            return True
         if not self._waits_for_place(requirements):
             return False
         _, healthy = self._list_candidates(requirements)
@@ -288,7 +300,11 @@
         return bool(healthy) and (is_queue or not self._filter_full(healthy))
 
     def are_all_full(self, requirements: TargetRequirements) -> bool:
-        """Return whether there are targets for a short prompt, but all are full."""
+        """Return whether there are targets for a request, but all are full."""
+        if self._lacks_connections(requirements):
+            return True
+        if not self._waits_for_place(requirements):
+            return False
         _, healthy = self._list_candidates(requirements)
         return bool(healthy) and not self._filter_full(healthy)
 
@@ -320,13 +336,6 @@
             if not self._isolated[target.id]:
                 del self._isolated[target.id]
 
-    def _has_connection(self, target: RegisteredTarget) -> bool:
-        # A target resets connections beyond its limit for all hosts together, and the
-        # request on such a connection is lost although it may have run. Each send uses
-        # one connection, so a host that stays within its share sees no reset.
-        limit = self._state.get_connection_limit(target.service)
-        return limit is None or self._in_flight[target.id] < limit
-
     @contextmanager
     def track_in_flight(self, choice: SendChoice) -> Iterator[None]:
         """Count a request as in flight on its targets until the context exits."""
--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from .platform_clients import NOT_RUN_STATUSES, Attempt, ClientRequest
+from .platform_concentration import Concentration, find_unserved_at_one_host
 from .platform_links import LinkCut, find_neglected_callers
 from .platform_model_runner import build_stream_event
 from .platform_reservations import ReservationRecord, check_reservations
@@ -72,6 +73,7 @@
     now: float = 0.0
     host_starts: HostStarts = field(default_factory=dict)
     cuts: Sequence[LinkCut] = ()
+    concentrations: Sequence[Concentration] = ()
     violations: list[tuple[Rule, str]] = field(default_factory=list)
 
     def check(self) -> list[tuple[Rule, str]]:
@@ -110,6 +112,10 @@
         neglected = find_neglected_callers(self.requests, self.cuts)
         if neglected is not None:
             self._add_violation("RECOVER", neglected)
+        for found in find_unserved_at_one_host(
+            self.requests, self.arrivals, self.concentrations
+        ):
+            self._add_violation("RECOVER", found)
         self.violations += check_reservations(self.reservations, self.now)
         return self.violations
 
--- a/libraries/standins/tarragonward_standins/platform_clients.py
+++ b/libraries/standins/tarragonward_standins/platform_clients.py
@@ -105,10 +105,13 @@
 class PlatformClient:
     """A client that keeps one connection alive and retries on new ones.
 
+    choose_host returns the host of a new connection, given whether it is for a retry;
     keeps_connection: whether its next request uses the connection of the last one.
     """
 
-    def __init__(self, choose_host: Callable[[], Address], key: str, seed: int) -> None:
+    def __init__(
+        self, choose_host: Callable[[bool], Address], key: str, seed: int
+    ) -> None:
         self._choose_host = choose_host
         self._key = key
         self._random = random.Random(seed)
@@ -159,7 +162,10 @@
         loop = asyncio.get_running_loop()
         plan = request.plan
         attempt = Attempt(
-            f"{self._random.getrandbits(64):016x}", self._choose_host(), loop.time(), {}
+            f"{self._random.getrandbits(64):016x}",
+            self._choose_host(is_new),
+            loop.time(),
+            {},
         )
         request.attempts.append(attempt)
         leave_at = deadline
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -22,6 +22,7 @@
 from .platform_addresses import build_ip, find_ports
 from .platform_checker import Checker, ConfigVersion
 from .platform_clients import ClientRequest, PlatformClient
+from .platform_concentration import Concentration
 from .platform_engine import PassSizes
 from .platform_links import CutKind, HostLinks
 from .platform_model_runner import ModelRunner, RunnersByAddress
@@ -127,6 +128,8 @@
         self.models: list[ModelRunner] = []
         self.plain: list[PlatformRunner] = []
         self.clients: list[PlatformClient] = []
+        self.concentrations: list[Concentration] = []
+        self._concentrated_share = 0.0
         # Segments of prompts that crash model runners.
         self.crashing_segments: set[str] = set()
         self.tenants = {f"town{n}": f"key{n}" for n in range(plan.accounts)}
@@ -242,6 +245,7 @@
             now,
             self._host_starts,
             [cut for host in self.hosts for cut in host.links.cuts],
+            self.concentrations,
         ).check()
 
     @property
@@ -253,7 +257,7 @@
         """Add a client; the balancer chooses a host for each of its connections."""
         key = self.random.choice(list(self.tenants.values()))
         client = PlatformClient(
-            lambda: self._choose_front(zone), key, next(self._seeds)
+            lambda is_retry: self._choose_front(zone, is_retry), key, next(self._seeds)
         )
         self.clients.append(client)
         return client
@@ -341,7 +345,19 @@
         """Return a host's log."""
         return (self._folder / f"{host.name}.log").read_text(encoding="utf-8")
 
-    def _choose_front(self, zone: str | None) -> Address:
+    def concentrate(self, share: float) -> None:
+        """Send this share of new connections to one host in rotation; 0.0 ends it."""
+        now = asyncio.get_running_loop().time()
+        self._concentrated_share = share
+        if share:
+            self.concentrations.append(Concentration(now))
+        elif self.concentrations:
+            self.concentrations[-1].ended_at = now
+
+    def _choose_front(self, zone: str | None, is_retry: bool) -> Address:
+        if not is_retry and self.random.random() < self._concentrated_share:
+            hosts = [host for host in self.hosts if host.is_in_rotation]
+            return (hosts or self.hosts)[0].front
         near = [host for host in self.hosts if zone in (None, host.zone)]
         ready = [host for host in near if host.is_in_rotation]
         if len(ready) * 2 < len(near):
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -4,6 +4,7 @@
 import sys
 from collections import Counter
 from contextlib import suppress
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -119,6 +120,22 @@
     )
 
 
+async def test_callers_of_one_host_that_gets_most_connections_are_served(make_site):
+    """The balancer hands most new connections to one host, and callers open more."""
+    site = await make_site()
+    day = DayPlan(seconds=4.0, calls_per_second=30, keeps_connections=False, seed=11)
+    await PlatformDay(site, day).async_play()
+    site.concentrate(0.95)
+    crowd = replace(day, seconds=6.0, calls_per_second=90, seed=12)
+    report = await PlatformDay(site, crowd).async_play()
+    site.concentrate(0.0)
+    report.violations = site.check()
+    assert not report.violations, format_failure(site, report)
+    assert report.score["whole"] > report.score["sent"] * 0.9, format_failure(
+        site, report
+    )
+
+
 async def test_a_request_that_crashes_runners_is_sent_to_few_runners(make_site):
     """A request that crashes every runner it reaches is repeated through all hosts."""
     site = await make_site(PlatformPlan(models_per_zone=3))
