Close connections unread while a crowd of them makes requests fail

What callers see: with more connections at one host than it can serve, requests that it reads are refused or end late; what a host has read counts against its caller's attempts, while a connection that is closed unread is tried at another host at once.

Now, while far more connections arrive than usual and over a tenth of what was read lately failed, a host closes as large a share of new connections unread as leaves nine in ten of the rest served. Failures without a crowd close none: while a service is down, callers are told when to come back.

Tried and left out: closing connections while the event loop's timers are late.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -20,6 +20,7 @@
 from .cells import CellTracker
 from .cooldown_task import CooldownTask
 from .forwarder import Forwarder
+from .gate_task import GateTask
 from .health import HealthRoutes
 from .limit_task import LimitTask
 from .operators import OperatorsTask
@@ -77,6 +78,8 @@
             _build_limits(CallerLimits()),
             check_head=self.forwarder.check_head,
         )
+        self.gate = GateTask(self.state, self.callers)
+        self.forwarder.on_outcome.append(self.gate.record_outcome)
         self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
         self.suspect_task = SuspectTask(self.state, self.peers, self.forwarder.suspects)
         self.limit_task = LimitTask(self.state, self.peers, self.targets)
@@ -117,6 +120,7 @@
             self.limit_task,
             self.cooldown_task,
             self.cell_gossip,
+            self.gate,
             self.callers,
             self.health,
             self.settings,
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -209,6 +209,18 @@
 # Two clocks that are read one after the other differ by far less.
 MIN_SUSPENDED_SECONDS = 0.02
 
+# Connections are shed while far more of them arrive than usual and requests fail.
+GATE_MIN_IN_FLIGHT = 16
+GATE_REPORT_SECONDS = 1.0
+GATE_RATE_SECONDS = 1.0
+GATE_RATE_WEIGHT = 0.05
+GATE_CROWD_WEIGHT = 0.005
+GATE_CROWD_FACTOR = 2.5
+GATE_MIN_CROWD_RATE = 10.0
+GATE_LEARNING_SECONDS = 5.0
+GATE_OUTCOME_SECONDS = 1.5
+GATE_MIN_OUTCOMES = 10
+GATE_READ_PER_SERVED = 1.15
 # A stream whose events have arrived for this long shows that its target goes on.
 STEADY_STREAM_SECONDS = 1.0
 # Changes to suspects within this time are sent together.
--- a/libraries/gateway/tarragonward_gateway/forwarder.py
+++ b/libraries/gateway/tarragonward_gateway/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
 
@@ -42,6 +43,8 @@
         self._chooser = chooser
         self.suspects = SuspectMonitor(state, chooser.probes)
         self.in_flight = 0
+        # Called with whether a request got the answer of a target.
+        self.on_outcome: list[Callable[[bool], None]] = []
 
     def check_head(self, head: HttpHead) -> ForwardContext:
         """Return the route and account of a request, or the reason for refusing it.
@@ -71,19 +74,22 @@
                 responder, context.refusal.code, context.refusal.retry_after_seconds
             )
             return
+        forwarded = ForwardedRequest(
+            self._state,
+            self._chooser,
+            self._reservations,
+            self.suspects,
+            request,
+            responder,
+        )
         self.in_flight += 1
         try:
-            forwarded = ForwardedRequest(
-                self._state,
-                self._chooser,
-                self._reservations,
-                self.suspects,
-                request,
-                responder,
-            )
             await forwarded.async_run()
         finally:
             self.in_flight -= 1
+            if forwarded.is_served is not None:
+                for notify in self.on_outcome:
+                    notify(forwarded.is_served)
 
     async def _async_wait_for_table(self, request: HttpRequest) -> HttpRequest:
         """Wait for the first routing table, and check the request against it.
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -7,10 +7,7 @@
 from functools import partial
 
 from tarragonward_core import ConnectionLostError, TargetError
-from tarragonward_placement import (
-    EngineUsage,
-    Evidence,
-)
+from tarragonward_placement import EngineUsage, Evidence
 from tarragonward_requests import (
     AbortConnection,
     AnswerStarted,
@@ -88,7 +85,10 @@
 
 
 class ForwardedRequest:
-    """One request, its consecutive attempts, and the single answer to its caller."""
+    """One request, its consecutive attempts, and the single answer to its caller.
+
+    is_served tells at its end whether the caller got a target's answer.
+    """
 
     def __init__(
         self,
@@ -149,6 +149,7 @@
         )
         self._retry_counted_at: float | None = None
         self._idle_timeout: IdleTimeout | None = None
+        self.is_served: bool | None = None
         self._answer: tuple[int, tuple[tuple[bytes, bytes], ...], bytes] | None = None
         state.record_request(context.service)
 
@@ -202,6 +203,7 @@
         return effect
 
     async def _async_end(self, effect: ExchangeEffect | None) -> None:
+        self.is_served = not isinstance(effect, (Refuse, AbortConnection))
         if isinstance(effect, ForwardAnswer):
             assert self._answer is not None
             status, headers, body = self._answer
--- a/libraries/wire/tarragonward_wire/http_server.py
+++ b/libraries/wire/tarragonward_wire/http_server.py
@@ -58,6 +58,9 @@
         self.translate_refusal = translate_refusal
         self.on_refused = on_refused or _log_refused
         self.bodies = bodies or BodyBudget()
+        # Returns whether to serve a connection that has just been accepted; otherwise
+        # it is closed unread, and its caller may try another host at once.
+        self.may_accept: Callable[[], bool] = lambda: True
         self.active_requests = 0
         # When the last connection was accepted, in event loop time.
         self.last_accepted_at = float("-inf")
@@ -150,6 +153,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.last_accepted_at = asyncio.get_running_loop().time()
+        if not self.may_accept():
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         is_full = len(self._connections) >= self.limits.max_connections
