Refuse completions that begin with blocks under which engines crashed

What callers saw: unlike prompts that share their first blocks of tokens ended engine after engine, as each daemon bounded the engines of one request only, and neither repeats nor other hosts' crashes counted.

The same trackers as the gateway's decide now: a lost stream whose engine refuses connections counts against the prompt and against each of the first blocks that it begins with, by model; answers clear them; daemons push what they learn to the others and repeat it every two seconds. A new event of the life cycle ends a prompt that is refused (2009), being tried elsewhere (2010), or has crashed engines itself (4006).

--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -22,6 +22,7 @@
 from .orders import OrderTask
 from .peers import PeerMessages
 from .reports import ReportTask
+from .suspects import SuspectTask
 from .sweep import SweepTask
 from .target_connections import TargetConnections
 
@@ -51,9 +52,14 @@
         self.connections = TargetConnections(host, self.membership)
         self.releases = Releases(host)
         self.calls = ServiceCalls(host, self.links, self.membership)
-        self.models = ModelRequests(host, self.reports, self.releases, self.membership)
+        self.suspects = SuspectTask(host, self.links, self.membership)
+        self.models = ModelRequests(
+            host, self.reports, self.releases, self.membership, self.suspects
+        )
         self.sweep = SweepTask(host, self.models, self.releases, self.membership)
-        messages = PeerMessages(self.calls, self.configuration.peers, self.membership)
+        messages = PeerMessages(
+            self.calls, self.configuration.peers, self.membership, self.suspects
+        )
         self.peers = PeerServer(
             host.identity,
             settings.peer_key,
@@ -127,6 +133,7 @@
             self.reports,
             self.releases,
             self.calls,
+            self.suspects,
             self.models,
             self.sweep,
             self.peers,
--- a/libraries/daemon/tarragonward_daemon/const.py
+++ b/libraries/daemon/tarragonward_daemon/const.py
@@ -104,3 +104,11 @@
     "stale": ResultCode.STALE_PATCH,
     "invalid": ResultCode.INVALID_PATCH,
 }
+
+# Prompts that crash engines. Of a long prompt only the first blocks count.
+MAX_SUSPECT_BLOCKS = 64
+CRASH_TIME_BUCKET_SECONDS = 2.0
+SUSPECT_BATCH_SECONDS = 0.02
+SUSPECT_ROUND_SECONDS = 2.0
+MAX_REPEATED_SUSPECTS = 16
+SUSPECT_PUSH_TIMEOUT_SECONDS = 1.0
--- a/libraries/daemon/tarragonward_daemon/model_run.py
+++ b/libraries/daemon/tarragonward_daemon/model_run.py
@@ -38,10 +38,12 @@
     Event,
     OutlierDetector,
     PlacementRefused,
+    PromptBlamed,
     RequestLifecycle,
     RetryBudget,
     StartAttempt,
     TextArrived,
+    Verdict,
 )
 
 from . import const as c
@@ -60,6 +62,7 @@
 from .membership import MembershipTask
 from .prefixes import PrefixTask, hash_prompt
 from .reports import ReportTask, build_fleet_view
+from .suspects import PromptIdentity, SuspectTask
 
 __all__ = ["ModelRun", "Sink"]
 
@@ -91,6 +94,7 @@
     probes: EngineProbes
     active_streams: set[str]
     groups: GroupReserver
+    suspects: SuspectTask
 
     def is_leaving(self, target: Target) -> bool:
         """Return whether a target must get no new work."""
@@ -162,6 +166,8 @@
         self._failed_engines: set[str] = set()
         self._group = GroupHold(shared.groups)
         self._prefix_hashes = hash_prompt(completion.prompt)
+        self._identity = PromptIdentity(account.name, completion, self._prefix_hashes)
+        self._opened_at = self._loop.time()
         self._started_at = self._loop.time()
         self._end: EndRequest | None = None
 
@@ -222,6 +228,31 @@
         if stream is not None and self._shared.is_leaving(stream.target):
             self._shared.releases.release_stream(stream.target, stream.stream_id)
             stream = None
+        with ExitStack() as stack:
+            if stream is None:
+                blamed = self._check_suspect(effect.attempt, stack)
+                if blamed is not None:
+                    return blamed
+            return await self._async_place_attempt(attempt, effect, stream)
+
+    def _check_suspect(self, attempt: int, stack: ExitStack) -> PromptBlamed | None:
+        """Return how to end a prompt that may crash another engine, else None."""
+        suspects = self._shared.suspects
+        found = suspects.evaluate(self._identity)
+        if found.verdict is Verdict.REFUSED:
+            suspects.record_refused(self._identity, found)
+            return PromptBlamed(attempt)
+        if found.verdict is Verdict.LATER:
+            return PromptBlamed(attempt, found.wait_seconds)
+        if found.verdict is Verdict.ALONE:
+            stack.enter_context(suspects.isolated_attempt(self._identity, found))
+        if attempt == 1:
+            suspects.record_admitted(self._identity)
+        return None
+
+    async def _async_place_attempt(
+        self, attempt: _Attempt, effect: StartAttempt, stream: EngineStream | None
+    ) -> Event:
         is_resumed = stream is not None
         if stream is None:
             name = f"{self._request_id}-{effect.attempt}"
@@ -233,6 +264,7 @@
                     effect.attempt, placed.code, placed.retry_after_seconds
                 )
             stream = self._build_stream(effect.attempt, placed)
+            self._opened_at = self._loop.time()
         assert attempt.task is not None
         attempt.reader = _StreamReader(stream, attempt.task)
         with ExitStack() as stack:
@@ -304,6 +336,10 @@
             # these faults.
             if fault not in TRANSIENT_FAULTS:
                 self._failed_engines.add(target)
+            if attempt.resumed is not None and fault is AttemptFault.NOT_CONNECTED:
+                # The engine lost the stream, and then refuses connections.
+                suspects = self._shared.suspects
+                suspects.record_crash(self._identity, target, self._opened_at)
         log_event(
             "attempt_failed",
             request_id=self._request_id,
@@ -333,6 +369,8 @@
                 if isinstance(item, StreamEnd):
                     await self._async_drain_stream(reader, items)
                     self._shared.outliers.record_success(reader.target.name)
+                    suspects = self._shared.suspects
+                    suspects.record_answered(self._identity, self._opened_at)
                     self._shared.placement.note_finished(
                         self._request_id, item.tokens, self._loop.time()
                     )
--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -20,6 +20,7 @@
 from .model_run import ModelRun, Sink
 from .prefixes import PrefixTask
 from .reports import ReportTask
+from .suspects import SuspectTask
 
 __all__ = ["ModelRequests", "Sink"]
 
@@ -33,8 +34,10 @@
         reports: ReportTask,
         releases: Releases,
         membership: MembershipTask,
+        suspects: SuspectTask,
     ) -> None:
         self.host = host
+        self.suspects = suspects
         self.reports = reports
         self.releases = releases
         self.membership = membership
--- a/libraries/daemon/tarragonward_daemon/peers.py
+++ b/libraries/daemon/tarragonward_daemon/peers.py
@@ -15,6 +15,7 @@
     PullConfiguration,
 )
 from .membership import MembershipTask
+from .suspects import SuspectNews, SuspectTask
 
 __all__ = ["PeerMessages"]
 
@@ -27,7 +28,9 @@
         calls: ServiceCalls,
         configuration: ConfigurationPeers,
         membership: MembershipTask,
+        suspects: SuspectTask,
     ) -> None:
+        self._suspects = suspects
         self._calls = calls
         self._configuration = configuration
         self._membership = membership
@@ -63,6 +66,11 @@
     await tasks._configuration.async_handle_update(message, peer.address)
 
 
+@_async_handle.register
+async def _(message: SuspectNews, tasks: PeerMessages, peer: HostIdentity) -> None:
+    tasks._suspects.handle_news(message)
+
+
 @_async_handle.register
 async def _(message: Gossip, tasks: PeerMessages, peer: HostIdentity) -> Gossip:
     return tasks._membership.handle_gossip(peer, message)
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -41,6 +41,7 @@
     EndRequest,
     Event,
     PlacementRefused,
+    PromptBlamed,
     StartAttempt,
     TextArrived,
 )
@@ -101,6 +102,7 @@
     "OutlierDetector",
     "OwnerStatus",
     "PlacementRefused",
+    "PromptBlamed",
     "ProbedExponentialBackoff",
     "PromptContext",
     "RecentPrompts",
--- a/libraries/requests/tarragonward_requests/lifecycle.py
+++ b/libraries/requests/tarragonward_requests/lifecycle.py
@@ -20,6 +20,7 @@
     EndRequest,
     Event,
     PlacementRefused,
+    PromptBlamed,
     StartAttempt,
     TextArrived,
 )
@@ -219,6 +220,18 @@
     return lifecycle._retry(False, c.RETRY_COST_REFUSED, delay, now)
 
 
+@_handle.register
+def _(event: PromptBlamed, lifecycle: RequestLifecycle, now: float) -> list[Effect]:
+    if event.attempt != lifecycle._attempt:
+        return []
+    if lifecycle._may_have_run:
+        return lifecycle._end(ResultCode.FORWARD_CRASHED_TARGETS)
+    if event.retry_after_seconds is None:
+        return lifecycle._end(ResultCode.CRASHES_TARGETS)
+    wait = event.retry_after_seconds
+    return lifecycle._end(ResultCode.ON_TRIAL, retry_after_seconds=wait)
+
+
 @_handle.register
 def _(
     event: CallerDisconnected, lifecycle: RequestLifecycle, now: float
--- a/libraries/requests/tarragonward_requests/messages.py
+++ b/libraries/requests/tarragonward_requests/messages.py
@@ -20,6 +20,7 @@
     "EndRequest",
     "Event",
     "PlacementRefused",
+    "PromptBlamed",
     "StartAttempt",
     "TextArrived",
 ]
@@ -79,6 +80,17 @@
     retry_after_seconds: float
 
 
+@dataclass(frozen=True)
+class PromptBlamed:
+    """The prompt may crash the next engine; an attempt of it is not started.
+
+    retry_after_seconds is None if it is refused, else when another host has tried it.
+    """
+
+    attempt: int
+    retry_after_seconds: float | None = None
+
+
 @dataclass(frozen=True)
 class CallerDisconnected:
     """The caller closed its connection."""
@@ -99,6 +111,7 @@
     | AttemptFinished
     | AttemptFailed
     | PlacementRefused
+    | PromptBlamed
     | CallerDisconnected
     | DeadlineTimerFired
     | DrainTimeoutExpired
--- a/libraries/standins/tarragonward_standins/engine.py
+++ b/libraries/standins/tarragonward_standins/engine.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import os
 from collections import deque
 from dataclasses import asdict, dataclass, field, replace
 from pathlib import Path
@@ -28,6 +29,8 @@
 CACHE_EVENTS = "/v1/cache-events"
 KV = "/v1/kv"
 HTTP_NO_MEMORY = 507
+CRASH_SECONDS = 0.05
+EXIT_CRASHED = 70
 
 
 @dataclass(frozen=True)
@@ -77,7 +80,9 @@
         faults: ReportFaults | None = None,
         ignores_fencing: bool = False,
         weights: WeightReader | None = None,
+        crash_text: str = "",
     ) -> None:
+        self._crash_text = crash_text
         self._ignores_fencing = ignores_fencing
         self._orders: dict | None = None
         self._weights = weights
@@ -167,6 +172,10 @@
 
     async def _async_open(self, body: dict, responder: Responder) -> None:
         stream_id, prompt = body["stream_id"], body["prompt"]
+        if self._crash_text and self._crash_text in prompt:
+            await responder.async_start(200, {"content-type": "application/x-ndjson"})
+            await asyncio.sleep(CRASH_SECONDS)
+            os._exit(EXIT_CRASHED)
         work = EngineWork(
             stream_id,
             estimate_tokens(len(prompt.encode())),
@@ -348,6 +357,7 @@
     parser.add_argument("--weight-store", type=Address.parse)
     parser.add_argument("--weight-bytes", type=float, default=c.DEFAULT_WEIGHT_BYTES)
     parser.add_argument("--ignores-fencing", action="store_true")
+    parser.add_argument("--crash-text", default="", help="prompts with it crash this")
     arguments = parser.parse_args()
     path = arguments.assumptions
     sizes = EngineSizes() if path is None else EngineSizes.load(path)
@@ -362,7 +372,14 @@
         )
     ignores_fencing = arguments.ignores_fencing
     run_server(
-        EngineStandIn(arguments.address, sizes, faults, ignores_fencing, weights)
+        EngineStandIn(
+            arguments.address,
+            sizes,
+            faults,
+            ignores_fencing,
+            weights,
+            arguments.crash_text,
+        )
     )
 
 
--- a/libraries/standins/tarragonward_standins/site.py
+++ b/libraries/standins/tarragonward_standins/site.py
@@ -58,6 +58,8 @@
     parallel_loads: int | None = None
     store_bytes_per_second: float = 0.0
     engine_bytes_per_second: float = 0.0
+    # Prompts that hold this crash each engine that begins to run them.
+    crash_text: str = ""
 
 
 @dataclass(frozen=True)
@@ -248,6 +250,11 @@
     def _get_links_path(self, name: str) -> Path:
         return self.folder / f"{name}.links"
 
+    def count_crashed(self) -> int:
+        """Return how many processes have ended by themselves."""
+        ends = (process.returncode for process in self._processes.values())
+        return sum(code is not None for code in ends)
+
     async def async_kill(self, name: str) -> None:
         """Kill a process, also if it is stopped by SIGSTOP."""
         process = self._processes.pop(name, None)
@@ -392,6 +399,8 @@
                 kv_tokens=plan.kv_tokens,
                 time_scale=plan.engine_time_scale,
             )
+            if plan.crash_text:
+                self._commands[name] += ["--crash-text", plan.crash_text]
             if not plan.engines_check_fencing:
                 self._commands[name].append("--ignores-fencing")
             if plan.store_bytes_per_second:
