Soak real hosts with prompts that crash runners, amid other troubles

Hosts are killed and frozen, runners crash and leave, and the balancer hands most new connections to one host, while prompts with one or two segments crash runners, some of whose streams end with their connection.

--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -14,13 +14,14 @@
 from tarragonward_core import TarragonwardError, invariants
 
 from .budget_runs import run_budget_seed
-from .harm import run_crash_seed, run_limit_seed
+from .harm import run_crash_seed, run_limit_seed, run_segment_seed
 from .hearing.runs import run_propagation_seed
 from .link_runs import run_links_seed
 from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
 from .pause_runs import run_pauses_seed
 from .reach_runs import run_reach_seed
+from .segment_runs import run_segments_seed
 from .soak_calls import run_calls_seed
 from .soak_configuration import run_configuration_seed
 
@@ -41,12 +42,14 @@
     "limits": run_limit_seed,
     "membership": run_membership_seed,
     "models": run_model_requests,
+    "segments": run_segment_seed,
 }
 
 # Machines of real processes, which run only when they are asked for.
 PROCESS_MACHINES: dict[str, Machine] = {
     "links": run_links_seed,
     "pauses": run_pauses_seed,
+    "prompts": run_segments_seed,
 }
 
 
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -26,6 +26,13 @@
 from .platform_engine import PassSizes
 from .platform_links import CutKind, HostLinks
 from .platform_model_runner import ModelRunner, RunnersByAddress
+from .platform_routes import (
+    HOST_NAME,
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    ROUTES,
+    describe_route,
+)
 from .platform_runner import Arrival, PlatformRunner, RunnerPlan
 from .platform_settings import render_settings
 from .platform_store import PlatformStore, StoreEndpoint, StoreFault
@@ -49,13 +56,11 @@
 FAILED_CHECKS_UNTIL_REMOVAL = 2
 SETUP_SECONDS = 30.0
 EXPIRY_SECONDS = 3.6
+DRAIN_SECONDS = 3.0
 STOP_SECONDS = 12.0
 # A crashed runner is replaced by a new incarnation after a delay in this range.
 CRASH_RESTART_SECONDS = (1.5, 3.0)
-MODEL_SERVICE = "llm"
-PLAIN_SERVICE = "app"
 CONFIG_KEY = "op/config"
-HOST_NAME = "calm.example"
 BOUNDS: Mapping[str, Any] = {
     "addrReuseS": 2,
     "applyMs": 2000,
@@ -292,11 +297,23 @@
         for host in self.hosts:
             host.links.add_runner(runner.address)
 
-    def _replace(self, crashed: PlatformRunner) -> None:
-        task = asyncio.create_task(self._async_replace(crashed))
+    def crash_runner(self, runner: PlatformRunner) -> None:
+        """Crash a runner now; a new one replaces it after a while."""
+        self._start_task(runner.async_crash())
+        self._replace(runner)
+
+    def release_runner(self, runner: PlatformRunner) -> None:
+        """Let a runner leave as planned."""
+        self._start_task(runner.async_drain(DRAIN_SECONDS))
+
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._replacement_tasks.add(task)
         task.add_done_callback(self._replacement_tasks.discard)
 
+    def _replace(self, crashed: PlatformRunner) -> None:
+        self._start_task(self._async_replace(crashed))
+
     async def _async_replace(self, crashed: PlatformRunner) -> None:
         await asyncio.sleep(self.random.uniform(*CRASH_RESTART_SECONDS))
         if isinstance(crashed, ModelRunner):
@@ -465,35 +482,3 @@
             "protocol": "h1",
             "tls": False,
         }
-
-
-def describe_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
-    """Return a route's document; fields override the defaults."""
-    return {
-        "name": name,
-        "host": HOST_NAME,
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "service": service,
-        "timeoutMs": 5_000,
-        "goalMs": 1_000,
-        "priority": 1,
-        "attempts": 2,
-        "public": False,
-        **fields,
-    }
-
-
-ROUTES = (
-    describe_route(
-        "draft",
-        "stream",
-        MODEL_SERVICE,
-        sticky=True,
-        resumable=True,
-        gapTargetMs=800,
-        timeoutMs=10_000,
-    ),
-    describe_route("confirm", "non_idempotent", PLAIN_SERVICE, attempts=1),
-    describe_route("look", "idempotent", PLAIN_SERVICE),
-)
--- a/tests/test_platform_segments.py
+++ b/tests/test_platform_segments.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tarragonward_bench.segment_runs import run_segments_seed
 from tarragonward_standins.platform_checker import find_crashed_runners
 from tarragonward_standins.platform_day import DayPlan, PlatformDay
 from tarragonward_standins.platform_segments import CrashingSegments
@@ -47,3 +48,9 @@
     report, details = await async_play(site, CrashingSegments(position=position))
     assert not report.violations, details
     assert len(find_crashed_runners(site.arrivals)) <= 8, details
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_prompts_that_crash_runners_break_no_rule_amid_other_troubles(seed):
+    """Hosts are killed and frozen, runners crash and leave, one host gets most."""
+    assert run_segments_seed(seed) > 100
