Take a stream that was closed after a silence for broken off

Now an end by the connection later than 0.5 s after the last event is an end in the middle: the stream goes on elsewhere after the event the caller has.

The check for an ended target also wants its connection left open for 15 ms: a proxy in front of a target accepts connections for a moment after it. A stand-in's runner that ends stops listening before its connections are closed, as a process does.

What remains: a stream that a living engine cuts at once, between two events, can't be told from a whole one.

--- a/libraries/gateway/tarragonward_gateway/choices.py
+++ b/libraries/gateway/tarragonward_gateway/choices.py
@@ -68,6 +68,10 @@
         if self.work is not None and self.work.first_event_at is None:
             self.work.first_event_at = now
 
+    def compute_silence(self, now: float) -> float:
+        """Return for how many seconds no event has arrived, 0.0 before the first."""
+        return 0.0 if self.waiting_since is None else now - self.waiting_since
+
     def has_become_steady(self, now: float) -> bool:
         """Return, once, whether events have arrived for a while since the first."""
         if self.is_steady or self.answer_began_at is None:
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -221,6 +221,11 @@
 GATE_OUTCOME_SECONDS = 1.5
 GATE_MIN_OUTCOMES = 10
 GATE_READ_PER_SERVED = 1.15
+# A stream without length or chunks that is closed later than this after its last event
+# counts as broken off.
+MAX_END_SILENCE_SECONDS = 0.5
+# A target that has lost a connection goes on if it leaves a new one open for this long.
+END_CHECK_SECONDS = 0.015
 # A stream whose events have arrived for this long shows that its target goes on.
 STEADY_STREAM_SECONDS = 1.0
 # Changes to suspects within this time are sent together.
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -172,7 +172,9 @@
         return await asyncio.shield(task)
 
     async def _async_check_ended(self, target: RegisteredTarget) -> bool:
-        if await self._async_probe(target):
+        # A proxy in front of a target that has just ended may still accept connections,
+        # and closes them at once.
+        if await self._async_probe(target, c.END_CHECK_SECONDS):
             return False
         if await self.async_check_by_relay(target):
             # The target goes on, and only this host has lost its link to it. Taken for
@@ -195,11 +197,14 @@
                 self._probe_tasks.add(task)
                 task.add_done_callback(self._probe_tasks.discard)
 
-    async def _async_probe(self, target: RegisteredTarget) -> bool:
+    async def _async_probe(
+        self, target: RegisteredTarget, open_seconds: float = 0.0
+    ) -> bool:
+        """Return whether a target accepts a connection and leaves it open so long."""
         # A failed probe is no new evidence on an ejected target. If it counted, two
         # dead targets of a failure domain that are probed once a second would keep the
         # whole domain ejected for good.
-        is_reached = await _async_connect(target.address)
+        is_reached = await _async_connect(target.address, open_seconds)
         if is_reached:
             self.record(target, Evidence.CONNECTED)
         return is_reached
@@ -209,15 +214,30 @@
     return None
 
 
-async def _async_connect(address: Address) -> bool:
-    """Return whether the address accepts a connection; no request is sent."""
+async def _async_connect(address: Address, open_seconds: float) -> bool:
+    """Return whether the address accepts a connection and leaves it open so long.
+
+    No request is sent.
+    """
     try:
         connect_by = asyncio.get_running_loop().time() + c.CONNECT_TIMEOUT_SECONDS
         async with PauseTimeout(connect_by):
-            _, writer = await asyncio.open_connection(address.host, address.port)
+            reader, writer = await asyncio.open_connection(address.host, address.port)
     except (OSError, TimeoutError):
         return False
+    is_open = not open_seconds or await _async_stays_open(reader, open_seconds)
     writer.close()
     with suppress(OSError):
         await writer.wait_closed()
-    return True
+    return is_open
+
+
+async def _async_stays_open(reader: asyncio.StreamReader, seconds: float) -> bool:
+    try:
+        async with asyncio.timeout(seconds):
+            await reader.read(1)
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
+    return not reader.at_eof()
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -41,6 +41,7 @@
 )
 
 from . import const as c
+from .answer_ends import async_check_end
 from .answers import async_send_refusal
 from .choices import SendChoice
 from .clock import read_clock
@@ -417,7 +418,7 @@
             raise
         except TargetError as err:
             raise SpoiledAnswerError(str(err)) from None
-        await self._async_check_end(choice, stream)
+        await async_check_end(stream, choice, self._chooser.probes)
         has_body = self._request.method != METHOD_HEAD and (
             stream.status not in BODILESS_STATUSES
         )
@@ -431,13 +432,6 @@
             )
         return TargetAnswered(is_failure=stream.status >= STATUS_SERVER_ERROR)
 
-    async def _async_check_end(self, choice: SendChoice, stream: HttpStream) -> None:
-        """Raise ConnectionLostError if the target's crash may have cut the answer."""
-        if stream.has_ended_with_connection and (
-            await self._chooser.probes.async_has_ended(choice.target)
-        ):
-            raise ConnectionLostError("the target ended with its answer")
-
     async def _async_forward_stream(
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
@@ -456,7 +450,7 @@
                 choice.waiting_since = self._loop.time()
                 if self._idle_timeout is not None:
                     self._idle_timeout.resume()
-        await self._async_check_end(choice, stream)
+        await async_check_end(stream, choice, self._chooser.probes)
         if splitter.has_partial_event:
             raise SpoiledAnswerError("event stream ended within an event")
         if not self._exchange.is_streaming:
--- a/libraries/gateway/tests/test_failures.py
+++ b/libraries/gateway/tests/test_failures.py
@@ -186,6 +186,22 @@
     assert site.runs == 1
 
 
+async def test_stream_closed_after_a_silence_is_resumed(make_site):
+    """An engine lives on, but a helper that it waits for has crashed."""
+
+    async def script(request, writer):
+        events = b"".join(map(build_event, (1, 2)))
+        writer.write(build_answer(request, events, lines=STREAM_LINES, framing=()))
+        await writer.drain()
+        await asyncio.sleep(0.7)
+
+    stream = RequestKind.STREAM
+    resumed = stream_events((3, 4))
+    site = await make_site(script, resumed, kind=stream, is_resumable=True)
+    answer = await site.async_ask()
+    assert answer.body == b"".join(map(build_event, range(1, 5)))
+
+
 async def test_crash_within_an_answer_without_length_counts_as_a_crash(make_site):
     """Its caller repeats a prompt that ends each target in the middle of an event."""
     sites = []
--- a/libraries/gateway/tests/test_relays.py
+++ b/libraries/gateway/tests/test_relays.py
@@ -268,7 +268,7 @@
     await pair.cut.chooser.probes.async_unload()
 
 
-async def async_connect_in_vain(address):
+async def async_connect_in_vain(address, open_seconds):
     return False
 
 
--- a/libraries/standins/tarragonward_standins/fault_proxy.py
+++ b/libraries/standins/tarragonward_standins/fault_proxy.py
@@ -86,10 +86,14 @@
             self._async_accept, self._address.host, self._address.port
         )
 
-    async def async_unload(self) -> None:
-        """Stop and abort all connections."""
+    def stop_listening(self) -> None:
+        """Accept no more connections; open ones go on."""
         if self._server is not None:
             self._server.close()
+
+    async def async_unload(self) -> None:
+        """Stop and abort all connections."""
+        self.stop_listening()
         self.abort_connections()
         for task in list(self._tasks):
             task.cancel()
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -187,6 +187,9 @@
         """Stop at once, as in a crash; the registration stays."""
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
+        # A process that has ended accepts nothing once its connections are closed.
+        if self.proxy is not None:
+            self.proxy.stop_listening()
         await self._server.async_unload()
         if self.proxy is not None:
             await self.proxy.async_unload()
