Relay a segment's entry for an answer only, not for what is common here

Found on reading the diff: a host that merges a peer's entry relays it if it knows of an answer that the peer does not, and took a segment that is common at this host for answered. No entry says what is common, so two hosts that had seen no answer yet would relay such a segment to each other at every message, until one is answered or its record expires. The new test fails before.

--- a/libraries/requests/tarragonward_requests/segment_suspects.py
+++ b/libraries/requests/tarragonward_requests/segment_suspects.py
@@ -87,9 +87,8 @@
     ) -> tuple[bytes, ...]:
         """Record that a target crashed while it ran a prompt; return the suspects.
 
-        sent_at is when the prompt was sent to the target.
-        Of a prompt with many segments those are recorded that were answered longest
-        ago, or never.
+        sent_at is when the prompt was sent to the target. Of a prompt with many
+        segments those are recorded that were answered longest ago, or never.
         """
         recorded = sorted(segments, key=lambda each: self._answered.get(each) or NEVER)
         del recorded[c.MAX_SUSPECT_SEGMENTS_PER_PROMPT :]
@@ -218,7 +217,7 @@
         reported = self._apply_entry(SuspectSegment(0.0), entry, sent_at)
         self._apply_entry(suspect, entry, sent_at)
         self._update_blamed(segment)
-        if suspect.uncleared and suspect.is_established and not reported.is_established:
+        if suspect.uncleared and suspect.was_answered and not reported.was_answered:
             return True
         # Only a new verdict is worth relaying: two hosts that keep different subsets of
         # many crashes would otherwise relay them to each other forever.
--- a/libraries/requests/tests/test_segment_suspects.py
+++ b/libraries/requests/tests/test_segment_suspects.py
@@ -210,6 +210,17 @@
     assert judge(other, (COMMON,), 11.0) is Verdict.CLEAR
 
 
+def test_hosts_do_not_relay_a_common_segment_to_each_other_for_ever():
+    """What is common is known to each host by itself, and no entry says so."""
+    first, second = SegmentTracker(), SegmentTracker()
+    for tracker in (first, second):
+        for _ in range(c.MIN_RECENT_PROMPTS):
+            tracker.record_prompt((COMMON,))
+    now = crash(first, (COMMON,), range(2))
+    assert not exchange(first, second, COMMON, now)
+    assert not exchange(second, first, COMMON, now)
+
+
 def test_cleared_crashes_stay_cleared_when_entries_arrive_late(tracker):
     other = SegmentTracker()
     now = crash(tracker, PROMPT, range(3))
