--- a/libraries/bench/tarragonward_bench/harm/crashes.py
+++ b/libraries/bench/tarragonward_bench/harm/crashes.py
@@ -71,6 +71,8 @@
     crashed_boots: dict[int, float] = field(default_factory=dict)
     is_answered: bool = False
     is_refused: bool = False
+    # Whether its host had run and been connected for a while when it came.
+    is_in_touch: bool = False
 
 
 @dataclass(eq=False)
@@ -257,6 +259,7 @@
         """Let a random host process a request."""
         host = self.random.choice(list(self.fleet.hosts.values()))
         self.request_count += 1
+        request.is_in_touch = host.has_been_connected(CONNECTED_SECONDS)
         self._start_attempt(_Attempt(request, host))
 
     def _start_attempt(self, attempt: _Attempt) -> None:
--- a/libraries/bench/tarragonward_bench/harm/segments.py
+++ b/libraries/bench/tarragonward_bench/harm/segments.py
@@ -121,13 +121,13 @@
         """Return how many sound prompts were sent, answered and refused.
 
         The late ones came later than twice CONNECTED_SECONDS after the fifth crash, or
-        after the last if there are fewer.
+        after the last if there are fewer, at hosts that had been connected.
         """
         counts: Counter[str] = Counter()
         known = [each.crash_times[:KNOWN_AFTER_CRASHES] for each in self.segments]
         known_at = max((times[-1] for times in known if times), default=0.0)
         for at, request in self._sound:
-            is_late = at > known_at + 2 * CONNECTED_SECONDS
+            is_late = request.is_in_touch and at > known_at + 2 * CONNECTED_SECONDS
             counts["sent"] += 1
             counts["answered"] += request.is_answered
             counts["refused"] += request.is_refused
