Wait for the first refusal in the test of a full engine, not for 50 ms

Traced: it sends ten prompts 50 ms after three, and needs the first refusal to be known by then; without the wait it fails each time with 503 for prompts that were refused twice (run on a copy). A loop that is late by 50 ms does the same. It waits for the host's limit now; its checks are unchanged.

--- a/libraries/gateway/tests/test_place_queue.py
+++ b/libraries/gateway/tests/test_place_queue.py
@@ -39,7 +39,8 @@
     site = await make_engines(engine)
     ask = site.async_ask_prompt
     early = [asyncio.ensure_future(ask(PROMPT)) for _ in range(PLACES + 1)]
-    await asyncio.sleep(0.05)
+    while not len(site.chooser.concurrency):
+        await asyncio.sleep(0.005)
     late = [ask(PROMPT) for _ in range(10)]
     answers = await asyncio.gather(*early, *late)
     assert [answer.status for answer in answers] == [200] * (PLACES + 11)
