End the wait for an isolated attempt once its crash is known

What callers saw: after a host's trial of a doubtful segment had ended with a crash, all other hosts went on refusing prompts with it as "on trial" (503, 2010) for the two seconds that a trial may take, sound ones among them.

Cause: hosts are told when an isolated attempt begins and nothing tells its end. A crash under a prompt that was sent since then is its result, whatever order the messages come in, so a host with that crash in its record waits no longer. A crash under an older send doesn't count, as the attempt may still be in progress.

--- a/libraries/requests/tarragonward_requests/segment_entries.py
+++ b/libraries/requests/tarragonward_requests/segment_entries.py
@@ -131,6 +131,16 @@
         first = min(times, default=self.last_activity_at)
         return self.answered_at > first - c.ANSWERED_HISTORY_SECONDS
 
+    def compute_attempt_end(self) -> float:
+        """Return until when other hosts wait for an isolated attempt, in seconds.
+
+        A crash under a prompt that was sent since the attempt began is its result.
+        """
+        began_at = self.attempt_until - c.ISOLATED_ATTEMPT_SECONDS
+        if any(crash.sent_at >= began_at for crash in self.crashes.values()):
+            return NEVER
+        return self.attempt_until
+
     @property
     def expires_at(self) -> float:
         """Return when the record expires without further activity."""
--- a/libraries/requests/tarragonward_requests/segment_verdicts.py
+++ b/libraries/requests/tarragonward_requests/segment_verdicts.py
@@ -187,7 +187,7 @@
     """
     wait = 0.0
     if verdict is Verdict.ALONE:
-        wait = suspect.attempt_until - prompt.now
+        wait = suspect.compute_attempt_end() - prompt.now
     is_doubtful = bool(suspect.uncleared) and not suspect.is_established
     if prompt.is_host_isolated and is_doubtful and verdict is not Verdict.REFUSED:
         retry_at = suspect.last_local_crash_at + c.ISOLATED_HOST_RETRY_DELAY_SECONDS
@@ -208,6 +208,6 @@
     growth = c.SEGMENT_TRIAL_GROWTH ** min(steps, c.MAX_SEGMENT_TRIAL_STEPS)
     last = max(crash.crashed_at for crash in suspect.uncleared.values())
     overdue_seconds = prompt.now - (last + seconds * growth)
-    if overdue_seconds < 0.0 or suspect.attempt_until > prompt.now:
+    if overdue_seconds < 0.0 or suspect.compute_attempt_end() > prompt.now:
         return False
     return overdue_seconds >= prompt.get_trial_delay(segment)
--- a/libraries/requests/tests/test_segment_suspects.py
+++ b/libraries/requests/tests/test_segment_suspects.py
@@ -283,3 +283,26 @@
     with pytest.raises(ValueError):
         SegmentEntry.unpack(tuple({**fields, **change}.values()))
     assert SegmentEntry.unpack(tuple(fields.values())) == replace(entry)
+
+
+def test_crash_in_an_isolated_attempt_ends_it_at_all_hosts(tracker):
+    """Other hosts have heard of its begin, and would refuse prompts until its time."""
+    now = crash(tracker, PROMPT, range(2))
+    other = SegmentTracker()
+    tracker.begin_isolated_attempt(BAD, now)
+    exchange(tracker, other, BAD, now)
+    assert judge(other, PROMPT, now) is Verdict.LATER
+    tracker.record_crash(PROMPT, ALICE, 8, now + 0.01, now + 0.2)
+    exchange(tracker, other, BAD, now + 0.3)
+    assert judge(other, PROMPT, now + 0.3) is Verdict.REFUSED
+    assert judge(other, PROMPT, now + 0.3, account=BOB) is Verdict.ALONE
+
+
+def test_crash_under_an_older_send_does_not_end_an_isolated_attempt(tracker):
+    """A second attempt beside the first one might crash one more target."""
+    now = crash(tracker, PROMPT, range(2))
+    other = SegmentTracker()
+    tracker.begin_isolated_attempt(BAD, now)
+    exchange(tracker, other, BAD, now)
+    other.record_crash((BAD,), ALICE, 8, now - 0.5, now + 0.2)
+    assert judge(other, PROMPT, now + 0.3, account=BOB) is Verdict.LATER
