Look at an engine that lost a stream before its crash is missed

What callers saw: a prompt that crashes engines ended four of them, not three, and then 3002 (engines failed, repeat later) instead of 4006 (don't repeat); the next hosts counted two crashes fewer.

Cause: the daemon took for a crash only that an engine refuses the connection by which a lost stream is resumed. (a) The kernel still accepts connections for an engine that is ending, and resets them: the resume then fails as a lost connection. (b) No resume is tried once the retry budget or the attempts are used up, so the last crash is in no record. What may be sent again decided what is known.

Now a lost connection is followed by one look, shared by all streams that the engine lost: a new connection has to stay open for 15 ms. A service's answer that ends with its connection is judged by the same look in the daemon's calls, which accepted a connection that is closed at once.

--- a/libraries/daemon/tarragonward_daemon/calls.py
+++ b/libraries/daemon/tarragonward_daemon/calls.py
@@ -346,7 +346,7 @@
         connect=connect,
     )
     if answer.has_ended_with_connection and not await async_accepts_connections(
-        target.address, c.SERVICE_CONNECT_TIMEOUT_SECONDS, connect
+        target.address, c.SERVICE_CONNECT_TIMEOUT_SECONDS, connect, c.END_CHECK_SECONDS
     ):
         raise ConnectionLostError("the target ended with its answer")
     content_type = answer.headers.get("content-type", c.DEFAULT_CONTENT_TYPE)
--- a/libraries/daemon/tarragonward_daemon/const.py
+++ b/libraries/daemon/tarragonward_daemon/const.py
@@ -47,6 +47,8 @@
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 DEFAULT_MAX_TOKENS = 256
 END_ANSWER_TIMEOUT_SECONDS = 2.0
+# How long a target has to keep a new connection open to count as running.
+END_CHECK_SECONDS = 0.015
 ENGINE_SILENCE_SECONDS = 0.5
 MAX_FENCING_READS = 8
 FORWARD_ATTEMPTS = 4
--- a/libraries/daemon/tarragonward_daemon/engine_probes.py
+++ b/libraries/daemon/tarragonward_daemon/engine_probes.py
@@ -13,7 +13,7 @@
     log_event,
 )
 from tarragonward_requests import OutlierDetector
-from tarragonward_wire import async_send_http
+from tarragonward_wire import async_accepts_connections, async_send_http
 
 from . import const as c
 from .core import HostState
@@ -47,6 +47,7 @@
         self._outliers = outliers
         self._streams: set[WatchedStream] = set()
         self._probes: dict[str, asyncio.Task[None]] = {}
+        self._end_checks: dict[str, asyncio.Task[bool]] = {}
         self._background = BackgroundTasks(host.metrics)
 
     async def async_setup(self) -> None:
@@ -56,7 +57,7 @@
     async def async_unload(self) -> None:
         """Stop all probes."""
         await self._background.async_unload()
-        tasks = list(self._probes.values())
+        tasks = [*self._probes.values(), *self._end_checks.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -69,6 +70,26 @@
         """Stop watching a stream."""
         self._streams.discard(stream)
 
+    async def async_has_ended(self, target: Target) -> bool:
+        """Return whether an engine that lost a connection refuses new ones, too.
+
+        Requests that lost their connections at the same time share one check.
+        """
+        check = self._end_checks.get(target.name)
+        if check is None:
+            check = asyncio.create_task(self._async_check_ended(target))
+            self._end_checks[target.name] = check
+            check.add_done_callback(lambda _: self._end_checks.pop(target.name, None))
+        return await asyncio.shield(check)
+
+    async def _async_check_ended(self, target: Target) -> bool:
+        return not await async_accepts_connections(
+            target.address,
+            c.PROBE_TIMEOUT_SECONDS,
+            self._host.get_connector(target),
+            c.END_CHECK_SECONDS,
+        )
+
     async def _async_watch(self) -> None:
         while True:
             now = asyncio.get_running_loop().time()
--- a/libraries/daemon/tarragonward_daemon/model_run.py
+++ b/libraries/daemon/tarragonward_daemon/model_run.py
@@ -208,12 +208,12 @@
             await asyncio.sleep(effect.delay_seconds * random.uniform(0.5, 1.5))
             await self._events.put(await self._async_run_attempt(attempt, effect))
         except TargetError as err:
-            await self._events.put(self._record_failure(attempt, err))
+            await self._events.put(await self._async_record_failure(attempt, err))
         except asyncio.CancelledError:
             reader = attempt.reader
             if attempt.is_abandoned or reader is None or reader.interruption is None:
                 raise
-            failure = self._record_failure(attempt, reader.interruption)
+            failure = await self._async_record_failure(attempt, reader.interruption)
             await self._events.put(failure)
 
     async def _async_run_attempt(
@@ -320,8 +320,10 @@
         connect = host.get_connector(engine)
         return EngineStream(engine, stream_id, host.identity, connect)
 
-    def _record_failure(self, attempt: _Attempt, error: TargetError) -> Event:
-        fault = get_fault(error)
+    async def _async_record_failure(
+        self, attempt: _Attempt, error: TargetError
+    ) -> Event:
+        fault = await self._async_find_fault(attempt, error)
         self._count("attempts_failed", fault.name)
         target = ""
         if attempt.reader is not None:
@@ -336,8 +338,7 @@
             # these faults.
             if fault not in TRANSIENT_FAULTS:
                 self._failed_engines.add(target)
-            if attempt.resumed is not None and fault is AttemptFault.NOT_CONNECTED:
-                # The engine lost the stream, and then refuses connections.
+            if fault is AttemptFault.CRASHED:
                 suspects = self._shared.suspects
                 suspects.record_crash(self._identity, target, self._opened_at)
         log_event(
@@ -349,6 +350,21 @@
         )
         return AttemptFailed(attempt.number, fault)
 
+    async def _async_find_fault(
+        self, attempt: _Attempt, error: TargetError
+    ) -> AttemptFault:
+        """Return why an attempt failed, after a look at an engine that lost it."""
+        fault = get_fault(error)
+        is_refused_resume = (
+            attempt.resumed is not None and fault is AttemptFault.NOT_CONNECTED
+        )
+        is_lost = fault is AttemptFault.CONNECTION_LOST or is_refused_resume
+        if attempt.reader is None or not is_lost:
+            return fault
+        # Whether the request may be sent again must not decide what is known of it.
+        has_ended = await self._shared.probes.async_has_ended(attempt.reader.target)
+        return AttemptFault.CRASHED if has_ended else fault
+
     def _count(self, name: str, label: str) -> None:
         self._shared.host.metrics.count(name, label, self._account.name)
 
--- a/libraries/requests/tarragonward_requests/lifecycle.py
+++ b/libraries/requests/tarragonward_requests/lifecycle.py
@@ -89,7 +89,8 @@
 
     def _is_engine_crash(self, fault: AttemptFault) -> bool:
         """Return whether an engine refuses connections after it lost the stream."""
-        return self._is_resumed and fault is AttemptFault.NOT_CONNECTED
+        is_lost_stream = self._is_resumed and fault is AttemptFault.NOT_CONNECTED
+        return is_lost_stream or fault is AttemptFault.CRASHED
 
     def _compute_delay(self, fault: AttemptFault) -> float:
         # Several faults can occur within milliseconds, and immediate retries would use
--- a/libraries/requests/tarragonward_requests/messages.py
+++ b/libraries/requests/tarragonward_requests/messages.py
@@ -33,6 +33,8 @@
     REFUSED = "refused"
     STREAM_GONE = "stream gone"
     CONNECTION_LOST = "connection lost"
+    # The engine lost the connection and refuses new ones.
+    CRASHED = "crashed"
     SILENT = "silent"
     INVALID = "invalid"
 
--- a/libraries/requests/tarragonward_requests/outliers.py
+++ b/libraries/requests/tarragonward_requests/outliers.py
@@ -20,7 +20,9 @@
     "compute_ejection_seconds",
 ]
 
-IMMEDIATE_EJECTION_FAULTS = frozenset({AttemptFault.NOT_CONNECTED, AttemptFault.SILENT})
+IMMEDIATE_EJECTION_FAULTS = frozenset(
+    {AttemptFault.NOT_CONNECTED, AttemptFault.CRASHED, AttemptFault.SILENT}
+)
 
 
 @dataclass(frozen=True)
--- a/libraries/requests/tests/test_lifecycle.py
+++ b/libraries/requests/tests/test_lifecycle.py
@@ -133,6 +133,22 @@
     assert lifecycle.handle(DeadlineTimerFired(), 9.99) == []
 
 
+def test_engine_that_has_crashed_is_not_asked_for_its_stream(lifecycle):
+    """The crash was seen at once; an attempt to resume the stream is not needed."""
+    crashed = AttemptFailed(1, AttemptFault.CRASHED)
+    start = lifecycle.handle(crashed, 1)[-1]
+    assert start == StartAttempt(2, 0, False)
+
+
+def test_crashes_that_were_seen_at_once_end_a_request_after_the_third():
+    lifecycle = RequestLifecycle("r", 10.0, RetryBudget(floor=30), max_tokens=4)
+    lifecycle.start(0.0)
+    for attempt in (1, 2, 3):
+        crashed = AttemptFailed(attempt, AttemptFault.CRASHED)
+        effects = lifecycle.handle(crashed, 1)
+    assert get_end(effects).code is ResultCode.FORWARD_CRASHED_TARGETS
+
+
 def test_a_request_that_crashes_three_engines_is_sent_to_no_fourth():
     """A prompt that crashes its engines must not be retried on all of them in turn."""
     lifecycle = RequestLifecycle("r", 10.0, RetryBudget(floor=30), max_tokens=4)
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -227,19 +227,36 @@
 
 
 async def async_accepts_connections(
-    address: Address, timeout: float, connect: Connector | None = None
+    address: Address,
+    timeout: float,
+    connect: Connector | None = None,
+    open_seconds: float = 0.0,
 ) -> bool:
     """Return whether a connection succeeds within timeout seconds; sends nothing.
 
-    connect is that of async_open_http.
+    It has to stay open for open_seconds, as the kernel may still accept one for a
+    process that is ending. connect is that of async_open_http.
     """
     try:
         async with PauseTimeout(asyncio.get_running_loop().time() + timeout):
-            transport, _ = await (connect() if connect else _async_connect(address))
+            connecting = connect() if connect else _async_connect(address)
+            transport, receiver = await connecting
     except (OSError, TimeoutError, NotConnectedError):
         return False
-    transport.abort()
-    return True
+    try:
+        return not open_seconds or await _async_stays_open(receiver, open_seconds)
+    finally:
+        transport.abort()
+
+
+async def _async_stays_open(receiver: Receiver, seconds: float) -> bool:
+    try:
+        async with asyncio.timeout(seconds):
+            return bool(await receiver.async_read())
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
 
 
 async def _async_connect(address: Address) -> tuple[asyncio.Transport, Receiver]:
