--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -66,6 +66,7 @@
 CLEARED_RETENTION_SECONDS = 60.0
 # Other hosts wait this long for the result of an isolated attempt.
 ISOLATED_ATTEMPT_SECONDS = 2.0
+MAX_MESSAGE_DELAY_SECONDS = 0.25
 # A host without contact to its peers waits this long after a crash before it sends the
 # request again.
 ISOLATED_HOST_RETRY_DELAY_SECONDS = 8.0
--- a/libraries/requests/tarragonward_requests/segment_entries.py
+++ b/libraries/requests/tarragonward_requests/segment_entries.py
@@ -102,6 +102,8 @@
     # By target, in the order in which they became known.
     crashes: dict[int, SegmentCrash] = field(default_factory=dict)
     attempt_until: float = NEVER
+    # The crashes that were known to the host that tries when its attempt began.
+    known_at_attempt: frozenset[int] = frozenset()
     # When this host itself last saw a target crash under such a prompt.
     last_local_crash_at: float = NEVER
     # When any host last had a complete answer to such a prompt.
@@ -134,12 +136,22 @@
     def compute_attempt_end(self) -> float:
         """Return until when other hosts wait for an isolated attempt, in seconds.
 
-        A crash under a prompt that was sent since the attempt began is its result.
+        A new crash under a prompt that was sent since the attempt began is its result.
         """
         began_at = self.attempt_until - c.ISOLATED_ATTEMPT_SECONDS
-        if any(crash.sent_at >= began_at for crash in self.crashes.values()):
-            return NEVER
-        return self.attempt_until
+        # The message that told of its begin may have taken longer than that of its end.
+        began_at -= c.MAX_MESSAGE_DELAY_SECONDS
+        has_crashed = any(
+            crash.sent_at >= began_at and target not in self.known_at_attempt
+            for target, crash in self.crashes.items()
+        )
+        return NEVER if has_crashed else self.attempt_until
+
+    def record_attempt(self, until: float, known_crashes: Collection[int]) -> None:
+        """Record that a host tries it alone until a time, at which crashes it knew."""
+        if until > self.attempt_until:
+            self.attempt_until = until
+            self.known_at_attempt = frozenset(known_crashes)
 
     @property
     def expires_at(self) -> float:
--- a/libraries/requests/tarragonward_requests/segment_suspects.py
+++ b/libraries/requests/tarragonward_requests/segment_suspects.py
@@ -144,7 +144,8 @@
         """Record that this host is trying a prompt with a segment alone on a target."""
         suspect = self._suspects.get(segment)
         if suspect is not None:
-            suspect.attempt_until = now + c.ISOLATED_ATTEMPT_SECONDS
+            until = now + c.ISOLATED_ATTEMPT_SECONDS
+            suspect.record_attempt(until, suspect.crashes)
 
     def end_isolated_attempt(self, segment: bytes) -> None:
         """Record that the isolated attempt has ended."""
@@ -198,7 +199,7 @@
             segment,
             crashes,
             now - suspect.last_activity_at,
-            max(0.0, suspect.attempt_until - now),
+            max(0.0, suspect.compute_attempt_end() - now),
             None if answered_at == NEVER else now - answered_at,
         )
 
@@ -255,7 +256,7 @@
         )
         if entry.attempt_seconds:
             until = sent_at + entry.attempt_seconds
-            suspect.attempt_until = max(suspect.attempt_until, until)
+            suspect.record_attempt(until, entry.crashes)
         if entry.answered_seconds is not None:
             answered_at = sent_at - entry.answered_seconds
             suspect.answered_at = max(suspect.answered_at, answered_at)
