Give back reserved memory that a hanging leader leaves unused

What callers saw: memory of engines was set aside for 13 s and no request used it (STUCK), so long prompts of others waited or were refused.

Whether the memory was ever used was not asked.

If all that answer say no, it releases the parts and abandons the send: to another leader where it may, else its caller is answered at once. A prompt that is being read has one part in use and goes on; without any report it goes on too, as a used part that expires aborts its prompt.

Tests: a leader that hangs, at the forwarder and at the reservations; a part in use; no report. The first fails without the check.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -33,6 +33,7 @@
 DEFAULT_RESERVATION_SECONDS = 20.0
 DEFAULT_STALL_SECONDS = 1.5
 DEFAULT_FREE_SECONDS = 4.0
+DEFAULT_UNUSED_SECONDS = 9.0
 DEFAULT_LOG_LINES_PER_SECOND = 40.0
 
 MIN_WATCH_SECONDS = 2.5
@@ -179,6 +180,9 @@
 # Of the time within which the memory of a dead host's reservations must be free.
 RESERVATION_TTL_SHARE = 0.7
 RENEWAL_INTERVAL_SHARE = 0.35
+# Part of the time for which memory may be reserved and not used, after which a host
+# looks whether it is; the rest is for the look and the release.
+UNUSED_CHECK_SHARE = 0.7
 RELEASE_RETRY_SECONDS = 0.1
 MAX_RESERVATION_ATTEMPTS = 4
 RESERVATION_RETRY_SECONDS = 0.04
--- a/libraries/gateway/tarragonward_gateway/idle_timeout.py
+++ b/libraries/gateway/tarragonward_gateway/idle_timeout.py
@@ -66,6 +66,11 @@
         if self._timer is not None:
             self._start_timer(0.0)
 
+    def give_up(self) -> None:
+        """Abandon the target now, whether or not another one can take over."""
+        if self._timer is not None:
+            self._scope.reschedule(self._loop.time())
+
     def expect_silence(self) -> None:
         """Shorten the current wait, as no event may be able to arrive any more."""
         if self._timer is not None:
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -185,3 +185,6 @@
 
     async def async_release(self, reservation: Reservation, timeout: float) -> bool:
         """End a reservation; return whether the target confirmed the end."""
+
+    async def async_is_used(self, reservation: Reservation, timeout: float) -> bool:
+        """Return whether the target reports that a request uses a reservation."""
--- a/libraries/gateway/tarragonward_gateway/reservations.py
+++ b/libraries/gateway/tarragonward_gateway/reservations.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+import math
+from collections.abc import Callable, Sequence
 
 from tarragonward_core import TargetError, log_event, new_incarnation
 from tarragonward_placement import (
@@ -26,12 +27,25 @@
 
 
 class Lease:
-    """The reservations of one send, which this host renews until it releases them."""
+    """The reservations of one send, which this host renews until it releases them.
+
+    on_unused() is called after the release if the send has left them unused for too
+    long: its target hangs, or has others to serve first.
+    """
 
     def __init__(self, owner: ReservationTask, parts: Sequence[Reservation]) -> None:
         self._owner = owner
         self._parts = parts
-        self._renew_task = asyncio.create_task(owner.async_renew(parts))
+        self.on_unused: Callable[[], None] = lambda: None
+        self._renew_task = asyncio.create_task(self._async_keep())
+
+    async def _async_keep(self) -> None:
+        if await self._owner.async_renew(self._parts):
+            return
+        log_event("reservation_unused", reservation=self._parts[0].id)
+        for part in self._parts:
+            self._owner.release(part)
+        self.on_unused()
 
     def release(self) -> None:
         """Stop renewing and release the memory, even if the request was cancelled."""
@@ -86,12 +100,20 @@
                     self.release(parts[engine])
         return Lease(self, tuple(parts.values())) if is_complete else requested[-1]
 
-    async def async_renew(self, parts: Sequence[Reservation]) -> None:
-        """Renew reservations until cancelled."""
+    async def async_renew(self, parts: Sequence[Reservation]) -> bool:
+        """Renew reservations while they are used; return False once they are not."""
+        unused_seconds = self._state.settings.bounds.unused_seconds
+        loop = asyncio.get_running_loop()
+        check_at = loop.time() + unused_seconds * c.UNUSED_CHECK_SHARE
         # The request of an expired ticket is aborted. The interval is short enough for
         # the next renewal to arrive in time when one is lost.
         while True:
             await asyncio.sleep(self._hold_seconds * c.RENEWAL_INTERVAL_SHARE)
+            if loop.time() >= check_at:
+                is_used = await self._async_is_used(parts)
+                if is_used is False:
+                    return False
+                check_at = math.inf if is_used else check_at
             for part in parts:
                 # A restarted target would reserve the memory again, for a request that
                 # it does not have.
@@ -102,6 +124,22 @@
                 except TargetError as err:
                     log_event("renewal_failed", reservation=part.id, error=str(err))
 
+    async def _async_is_used(self, parts: Sequence[Reservation]) -> bool | None:
+        """Return whether a request uses any part, None if no target tells."""
+        answers = set()
+        for part in parts:
+            try:
+                is_used = await self._calls.async_is_used(
+                    part, c.RESERVATION_CALL_TIMEOUT_SECONDS
+                )
+            except TargetError as err:
+                log_event("report_failed", reservation=part.id, error=str(err))
+                continue
+            if is_used:
+                return True
+            answers.add(is_used)
+        return False if answers else None
+
     async def _async_reserve_or_renew(self, part: Reservation) -> bool:
         """Reserve or renew a part; return whether the intended incarnation holds it."""
         answer = await self._calls.async_reserve(
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -261,6 +261,7 @@
                     )
                     stack.enter_context(self._chooser.isolate_target(target))
                 if lease is not None:
+                    lease.on_unused = self._give_up_send
                     stack.callback(lease.release)
                 stack.enter_context(self._chooser.track_in_flight(choice))
                 event = await self._async_attempt(choice, effect)
@@ -358,6 +359,10 @@
             )
             return await self._async_receive_answer(choice, stream)
 
+    def _give_up_send(self) -> None:
+        if self._idle_timeout is not None:
+            self._idle_timeout.give_up()
+
     def _begin_write(self, choice: SendChoice) -> None:
         # Reserving memory and connecting take time, in which the target may have asked
         # for no more requests.
--- a/libraries/gateway/tarragonward_gateway/settings.py
+++ b/libraries/gateway/tarragonward_gateway/settings.py
@@ -34,6 +34,7 @@
     reservation_seconds: float = c.DEFAULT_RESERVATION_SECONDS
     stall_seconds: float = c.DEFAULT_STALL_SECONDS
     free_seconds: float = c.DEFAULT_FREE_SECONDS
+    unused_seconds: float = c.DEFAULT_UNUSED_SECONDS
     log_lines_per_second: float = c.DEFAULT_LOG_LINES_PER_SECOND
 
 
--- a/libraries/gateway/tests/test_prompts.py
+++ b/libraries/gateway/tests/test_prompts.py
@@ -1,9 +1,13 @@
 """Tests of how prompts are sent to engines with published pass times."""
 
 import asyncio
+from dataclasses import replace
+
+import pytest
 
 from tarragonward_gateway import ReservationAnswer
 from tarragonward_gateway import const as c
+from tarragonward_gateway.settings import Bounds
 from tarragonward_membership import WithdrawnTarget
 from tarragonward_placement import const as placement_const
 from tarragonward_standins import (
@@ -157,6 +161,7 @@
     def __init__(self):
         self.held = set()
         self.taken = 0
+        self.is_used = True
 
     async def async_reserve(self, reservation, timeout):
         self.held.add((reservation.target.id, reservation.id))
@@ -167,6 +172,9 @@
         self.held.discard((reservation.target.id, reservation.id))
         return True
 
+    async def async_is_used(self, reservation, timeout):
+        return self.is_used
+
 
 async def test_reserved_memory_is_released_when_the_send_ends(make_engines):
     """Memory reserved for a prompt on several engines must not leak."""
@@ -180,6 +188,33 @@
             await asyncio.sleep(0.01)
 
 
+@pytest.mark.parametrize("is_used", [True, False])
+async def test_memory_reserved_for_a_leader_that_hangs_is_given_back(
+    make_engines, is_used
+):
+    """The leader accepts the prompt and never begins; its helpers' memory is unused."""
+    hangs = [True, False, False, False]
+
+    async def answer_unless_hanging(request, writer):
+        if hangs.pop(0):
+            await asyncio.Event().wait()
+        await stream_events([1])(request, writer)
+
+    site = await make_engines(*[answer_unless_hanging] * 4)
+    bounds = Bounds(unused_seconds=0.4, free_seconds=0.3)
+    site.state.settings = replace(site.state.settings, bounds=bounds)
+    orders = site.forwarder._reservations._calls = Orders()
+    orders.is_used = is_used
+    asking = asyncio.create_task(site.async_ask_prompt("700000,500"))
+    await asyncio.sleep(1.0)
+    assert bool(orders.held) == is_used
+    if is_used:
+        asking.cancel()
+        return
+    assert (await asking).status == 200
+    assert len(hangs) == 2
+
+
 async def test_unreachable_helper_is_excluded_before_the_send(
     make_engines, monkeypatch
 ):
--- a/libraries/gateway/tests/test_reservations.py
+++ b/libraries/gateway/tests/test_reservations.py
@@ -36,6 +36,8 @@
         self.lost_releases = 0
         self.hold_seconds: list[float] = []
         self.incarnations: dict[str, int] = {}
+        self.used: set[str] = {"t1"}
+        self.without_report: set[str] = set()
 
     async def async_reserve(
         self, reservation: Reservation, timeout: float
@@ -63,9 +65,19 @@
         self.held.pop((reservation.target.id, reservation.id), None)
         return True
 
+    async def async_is_used(self, reservation: Reservation, timeout: float) -> bool:
+        """Return whether a part is in use."""
+        target = reservation.target.id
+        self.calls.append(("report", target))
+        if target in self.without_report:
+            raise ConnectionLostError("no report")
+        return target in self.used
+
 
-def build_task(targets: FakeTargets, free_seconds: float = 4.0) -> ReservationTask:
-    """Return the task of a host with the given setting of free_seconds."""
+def build_task(
+    targets: FakeTargets, free_seconds: float = 4.0, unused_seconds: float = 9.0
+) -> ReservationTask:
+    """Return the task of a host with these bounds."""
     settings = GatewaySettings(
         name="host-1",
         failure_domain="a",
@@ -75,7 +87,7 @@
         peers=ADDRESS,
         seeds=(),
         source=ADDRESS,
-        bounds=Bounds(free_seconds=free_seconds),
+        bounds=Bounds(free_seconds=free_seconds, unused_seconds=unused_seconds),
     )
     return ReservationTask(GatewayState(settings, HeaderNames(), Paths()), targets)
 
@@ -220,3 +232,39 @@
     lease.release()
     await task.async_unload()
     assert not targets.held
+
+
+async def async_hold(targets: FakeTargets, seconds: float) -> list[str]:
+    """Hold a lease so long; return an entry if it was given up as unused."""
+    given_up: list[str] = []
+    task = build_task(targets, free_seconds=0.02, unused_seconds=0.1)
+    lease = await task.async_reserve(build_choice())
+    assert isinstance(lease, Lease)
+    lease.on_unused = lambda: given_up.append("unused")
+    await asyncio.sleep(seconds)
+    assert bool(targets.held) != bool(given_up)
+    lease.release()
+    await task.async_unload()
+    return given_up
+
+
+async def test_memory_that_no_request_uses_is_released() -> None:
+    """A leader that hangs never uses its helpers' memory, which others wait for."""
+    targets = FakeTargets()
+    targets.used = set()
+    assert await async_hold(targets, 0.05) == []
+    assert await async_hold(targets, 0.3) == ["unused"]
+
+
+async def test_memory_of_which_one_part_is_used_is_kept() -> None:
+    """The parts are used in turn; a prompt whose part expires is aborted."""
+    targets = FakeTargets()
+    assert await async_hold(targets, 0.3) == []
+    assert targets.calls.count(("report", "t1")) == 1
+
+
+async def test_memory_is_kept_while_no_target_reports_its_use() -> None:
+    targets = FakeTargets()
+    targets.used = set()
+    targets.without_report = {"t1", "t2"}
+    assert await async_hold(targets, 0.3) == []
