Tell why a stand-in's host does not get ready

Now the error names the host, its exit code and the end of its log, at once if the process has ended. The checks of readiness move to a module of their own.

--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -10,13 +10,12 @@
 import sys
 from collections import defaultdict
 from collections.abc import Coroutine, Mapping
-from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
-from tarragonward_core import Address, TargetError
-from tarragonward_wire import async_send_http
+from tarragonward_core import Address
 
 from .host_process import HOST_LAUNCHER, LINKS_VARIABLE
 from .platform_addresses import build_ip, find_ports
@@ -26,6 +25,7 @@
 from .platform_engine import PassSizes
 from .platform_links import CutKind, HostLinks
 from .platform_model_runner import ModelRunner, RunnersByAddress
+from .platform_readiness import async_ask_ready, async_wait_ready
 from .platform_routes import (
     HOST_NAME,
     MODEL_SERVICE,
@@ -50,11 +50,8 @@
 
 HOST_MODULE = "tarragonward_platform"
 SETTINGS_VARIABLE = "TARRAGONWARD_BOOT"
-READY_POLL_SECONDS = 0.05
 BALANCER_INTERVAL_SECONDS = 0.5
-READY_TIMEOUT_SECONDS = 0.4
 FAILED_CHECKS_UNTIL_REMOVAL = 2
-SETUP_SECONDS = 30.0
 EXPIRY_SECONDS = 3.6
 DRAIN_SECONDS = 3.0
 STOP_SECONDS = 12.0
@@ -163,10 +160,10 @@
                 self.hosts.append(await self._async_allocate_host(zone, number))
         for host in self.hosts:
             await self.async_start_host(host)
-        async with asyncio.timeout(SETUP_SECONDS):
-            for host in self.hosts:
-                while not await self._async_ask_ready(host):
-                    await asyncio.sleep(READY_POLL_SECONDS)
+        for host in self.hosts:
+            assert host.process is not None
+            read_log = partial(self.read_log, host)
+            await async_wait_ready(host.ready, host.process, read_log)
         self._balancer_task = asyncio.create_task(self._async_balance())
 
     async def async_unload(self) -> None:
@@ -385,17 +382,9 @@
         while True:
             await asyncio.sleep(BALANCER_INTERVAL_SECONDS)
             for host in self.hosts:
-                is_ready = await self._async_ask_ready(host)
+                is_ready = await async_ask_ready(host.ready)
                 host.failed_checks = 0 if is_ready else host.failed_checks + 1
 
-    async def _async_ask_ready(self, host: PlatformHost) -> bool:
-        with suppress(TargetError):
-            answer = await async_send_http(
-                host.ready, "GET", "/ready", timeout=READY_TIMEOUT_SECONDS
-            )
-            return answer.status == 200
-        return False
-
     async def _async_allocate_host(self, zone: str, number: int) -> PlatformHost:
         name = f"front-{zone}-{number + 1}"
         ip = build_ip(len(self.hosts))
