--- a/libraries/bench/tarragonward_bench/segment_runs.py
+++ b/libraries/bench/tarragonward_bench/segment_runs.py
@@ -9,7 +9,10 @@
 
 from tarragonward_standins.platform_day import DayPlan, PlatformDay
 from tarragonward_standins.platform_runner import RunnerFaults
-from tarragonward_standins.platform_segments import CrashingSegments
+from tarragonward_standins.platform_segments import (
+    CrashingSegments,
+    count_sound_prompts,
+)
 from tarragonward_standins.platform_site import PlatformPlan, PlatformSite
 
 from .site_runs import run_on_site
@@ -17,12 +20,14 @@
 __all__ = ["run_segments_seed"]
 
 PLAN = PlatformPlan(zones=("a", "b"), hosts_per_zone=2, models_per_zone=5)
-RUN_SECONDS = 18.0
+RUN_SECONDS = 22.0
+# Enough sound prompts come before the first crash to compare later ones with.
+FIRST_CRASH_SECONDS = 7.0
 SETTLE_SECONDS = 2.0
 GAP_SECONDS = (0.8, 3.0)
 FREEZE_SECONDS = (0.1, 0.8)
 RESTART_SECONDS = (0.1, 0.6)
-CONCENTRATION_SECONDS = (2.0, 5.0)
+CONCENTRATION_SECONDS = (2.0, 6.5)
 DRAFTS_PER_SECOND = 10.0
 CALLS_PER_SECOND = 8.0
 CRASHING_PER_SECOND = (0.8, 2.5)
@@ -37,6 +42,7 @@
         self._random = random.Random(seed)
         crashing = CrashingSegments(
             per_second=self._random.uniform(*CRASHING_PER_SECOND),
+            begin_seconds=FIRST_CRASH_SECONDS,
             position=self._random.randrange(2),
             count=self._random.choice((1, 1, 2)),
         )
@@ -71,6 +77,8 @@
             await self._random.choice(self._troubles)()
         report = await playing
         assert not report.violations, f"{report.format_line()} {report.violations[:9]}"
+        sound = list(count_sound_prompts(self._site.requests, self._site.arrivals))
+        assert any(each.is_comparable for each in sound), f"nothing to compare: {sound}"
         return report.score["sent"]
 
     async def _async_kill_host(self) -> None:
--- a/libraries/standins/tarragonward_standins/platform_segments.py
+++ b/libraries/standins/tarragonward_standins/platform_segments.py
@@ -13,6 +13,8 @@
 
 __all__ = [
     "CrashingSegments",
+    "SoundPrompts",
+    "count_sound_prompts",
     "find_neglected_prompts",
     "find_sends_of_crashing_segments",
 ]
@@ -82,6 +84,33 @@
             yield f"segment {segment}: {len(late)} sends, {len(crashed_at)} crashes"
 
 
+@dataclass(frozen=True)
+class SoundPrompts:
+    """Sound prompts that share something with those of a segment that crashes runners.
+
+    For those before the first crash and for those once the segment must be known, the
+    counts of prompts, and of those that began to run at their first attempt.
+    """
+
+    segment: str
+    shared: str
+    before: int
+    begun_before: int
+    after: int
+    begun_after: int
+
+    @property
+    def is_comparable(self) -> bool:
+        """Return whether there are enough prompts of both kinds."""
+        return min(self.before, self.after) >= MIN_COMPARED_REQUESTS
+
+    @property
+    def are_neglected(self) -> bool:
+        """Return whether too few of them begin once the segment must be known."""
+        least = MIN_BEGUN_RATIO * self.begun_before * self.after
+        return self.is_comparable and self.begun_after * self.before < least
+
+
 def find_neglected_prompts(
     requests: Sequence[ClientRequest], arrivals: Sequence[Arrival]
 ) -> Iterator[str]:
@@ -90,6 +119,19 @@
     Sound prompts of the same route that share the key or the first segment must begin
     at their first attempt at least MIN_BEGUN_RATIO as often as before the first crash.
     """
+    for sound in count_sound_prompts(requests, arrivals):
+        if sound.are_neglected:
+            yield (
+                f"segment {sound.segment}: {sound.begun_after} of {sound.after} sound "
+                f"prompts with the same {sound.shared} begun, "
+                f"{sound.begun_before} of {sound.before} before"
+            )
+
+
+def count_sound_prompts(
+    requests: Sequence[ClientRequest], arrivals: Sequence[Arrival]
+) -> Iterator[SoundPrompts]:
+    """Count, for each segment, the sound prompts with its key or first segment."""
     begun = {arrival.request_id for arrival in arrivals if arrival.has_run}
     crashes = _find_crashes(arrivals)
     firsts = [
@@ -99,7 +141,7 @@
         bad = [each for each in firsts if segment in _list_segments(each[0])]
         known_at = crashed_at[:CRASHES_UNTIL_KNOWN][-1] + 2 * STABLE_SECONDS
         until = max((attempt.sent_at for _, attempt in bad), default=known_at)
-        for name, is_alike in _list_likenesses(bad):
+        for shared, is_alike in _list_likenesses(bad):
             sound = [
                 attempt
                 for plan, attempt in firsts
@@ -109,16 +151,12 @@
             ]
             before = [a for a in sound if a.sent_at < crashed_at[0] - STABLE_SECONDS]
             after = [a for a in sound if known_at < a.sent_at <= until]
-            if min(len(before), len(after)) < MIN_COMPARED_REQUESTS:
-                continue
-            was, now = (
+            begun_before, begun_after = (
                 sum(a.request_id in begun for a in group) for group in (before, after)
             )
-            if now * len(before) < MIN_BEGUN_RATIO * was * len(after):
-                yield (
-                    f"segment {segment}: {now} of {len(after)} sound prompts with the "
-                    f"same {name} begun, {was} of {len(before)} before"
-                )
+            yield SoundPrompts(
+                segment, shared, len(before), begun_before, len(after), begun_after
+            )
 
 
 def _list_likenesses(
