--- a/libraries/standins/tarragonward_standins/platform_segments.py
+++ b/libraries/standins/tarragonward_standins/platform_segments.py
@@ -102,7 +102,12 @@
     @property
     def is_comparable(self) -> bool:
         """Return whether there are enough prompts of both kinds."""
-        return min(self.before, self.after) >= MIN_COMPARED_REQUESTS
+        return self.has_enough_before and self.after >= MIN_COMPARED_REQUESTS
+
+    @property
+    def has_enough_before(self) -> bool:
+        """Return whether there are enough prompts before the first crash."""
+        return self.before >= MIN_COMPARED_REQUESTS
 
     @property
     def are_neglected(self) -> bool:
