Let aggregators spread the crashes of common segments in large fleets

What operators would see: 14 KB/s of control messages a host at 320 hosts amid mass crashes of engines and deadly segments, of 3 that the plan allows.

Cause: a suspect that was once near a verdict is told to all hosts. After a mass crash each host has seen other crashes under the segments that most prompts share, so each told all others of its part, and again of each change. What is common is answered at every host all the time, and refused only after five crashes apart and 2.5 s without an answer, so it needs no such haste. Now the aggregators of such a segment add the crashes up, and only they tell all hosts, while it is near a verdict. All other segments are spread as before; fleets of up to 13 hosts too.

--- a/libraries/gateway/tarragonward_gateway/suspect_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_gossip.py
@@ -30,6 +30,12 @@
     def is_for_all_hosts(self, fingerprint: bytes) -> bool:
         """Return whether all hosts should know of a suspect, not only a few."""
 
+    def is_common(self, fingerprint: bytes) -> bool:
+        """Return whether most prompts have it, so that all hosts see its answers."""
+
+    def is_near_verdict(self, fingerprint: bytes) -> bool:
+        """Return whether it has almost enough crashes to be refused."""
+
     def build_entry(self, fingerprint: bytes, now: float) -> Any | None:
         """Return an entry with a fingerprint and pack(), None without a suspect."""
 
@@ -134,9 +140,23 @@
 
     def _choose_recipients(self, fingerprint: bytes) -> tuple[Address, ...]:
         peers = self._members.get_peers()
-        if self._tracker.is_for_all_hosts(fingerprint) or len(peers) <= MAX_MESH_PEERS:
-            return tuple(peer.identity.address for peer in peers)
-        return choose_aggregators(fingerprint, peers)
+        everyone = tuple(peer.identity.address for peer in peers)
+        if len(peers) <= MAX_MESH_PEERS:
+            return everyone
+        is_public = self._tracker.is_for_all_hosts(fingerprint)
+        if is_public and not self._tracker.is_common(fingerprint):
+            return everyone
+        own = KnownPeer(
+            self._members.own, 0.0, failure_domain=self._members.failure_domain
+        )
+        aggregators = choose_aggregators(fingerprint, (*peers, own))
+        others = tuple(each for each in aggregators if each != own.identity.address)
+        # After a mass crash each host has seen other crashes under what is common, and
+        # all of them would tell all others.
+        is_spreading = is_public and len(others) < len(aggregators)
+        if is_spreading and self._tracker.is_near_verdict(fingerprint):
+            return everyone
+        return others
 
     def get_trial_delay(self, fingerprint: bytes) -> float:
         """Return by how many seconds this host's trials come later than others'.
--- a/libraries/gateway/tests/test_suspect_task.py
+++ b/libraries/gateway/tests/test_suspect_task.py
@@ -1,7 +1,9 @@
 """Tests of the exchange of suspect requests between hosts."""
 
 import asyncio
+import random
 from contextlib import AsyncExitStack
+from types import SimpleNamespace
 
 import pytest
 
@@ -9,12 +11,12 @@
 from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.peers import Peers
 from tarragonward_gateway.probes import TargetProber
-from tarragonward_gateway.suspect_gossip import choose_aggregators
+from tarragonward_gateway.suspect_gossip import SuspectGossip, choose_aggregators
 from tarragonward_gateway.suspect_task import SuspectTask
 from tarragonward_gateway.suspects import SuspectMonitor
 from tarragonward_membership import KnownPeer
 from tarragonward_placement import TargetHealthTracker
-from tarragonward_requests import PromptContext, Verdict
+from tarragonward_requests import PromptContext, SegmentTracker, Verdict
 
 FINGERPRINT = b"12345678"
 SEGMENT = b"abcdefgh"
@@ -128,16 +130,52 @@
     assert min(delays) == 0.0
 
 
-def test_aggregators_are_chosen_in_each_failure_domain():
-    """Crashes must be counted on each side while failure domains are cut off."""
-    peers = tuple(
+def build_peers(count):
+    """Return hosts in five failure domains."""
+    return tuple(
         KnownPeer(
             HostIdentity(Address(f"10.0.{number % 5}.{number}", 1), number),
             0.0,
             failure_domain=f"d{number % 5}",
         )
-        for number in range(200)
+        for number in range(count)
+    )
+
+
+def count_recipients(tracker, peers, own):
+    """Return to how many hosts a change of the segment is sent."""
+    members = SimpleNamespace(
+        get_peers=lambda: tuple(peer for peer in peers if peer is not own),
+        own=own.identity,
+        failure_domain=own.failure_domain,
     )
+    gossip = SuspectGossip(tracker, members, random.Random(1))
+    gossip.record_change(SEGMENT, 30.0)
+    return sum(len(message.hosts) for message in gossip.take_due(31.0))
+
+
+@pytest.mark.parametrize("is_common", [True, False])
+def test_mass_crash_of_a_common_segment_is_spread_by_aggregators_only(is_common):
+    """Each host of a large fleet has seen other crashes, and would tell all of them."""
+    tracker = SegmentTracker()
+    tracker.record_answered((SEGMENT,), 8.0, 9.0)
+    for _ in range(4 * is_common):
+        tracker.record_prompt((SEGMENT,))
+    for target in range(4):
+        tracker.record_crash((SEGMENT,), 1, target, 9.0 + target, 10.0 + target)
+    peers = build_peers(60)
+    aggregators = choose_aggregators(SEGMENT, peers)
+    counts = [count_recipients(tracker, peers, peer) for peer in peers]
+    assert counts.count(59) == (len(aggregators) if is_common else 60)
+    assert max(set(counts) - {59}, default=0) <= len(aggregators)
+    tracker.record_answered((SEGMENT,), 20.0, 21.0)
+    counts = [count_recipients(tracker, peers, peer) for peer in peers]
+    assert (59 in counts) != is_common
+
+
+def test_aggregators_are_chosen_in_each_failure_domain():
+    """Crashes must be counted on each side while failure domains are cut off."""
+    peers = build_peers(200)
     aggregators = choose_aggregators(FINGERPRINT, peers)
     domains = [address.host.split(".")[2] for address in aggregators]
     assert sorted(domains) == sorted("0011223344")
--- a/libraries/membership/tarragonward_membership/seeds.py
+++ b/libraries/membership/tarragonward_membership/seeds.py
@@ -154,6 +154,11 @@
         self._max_counted_hosts = _RecentMaximum()
         self._max_reported_hosts = _RecentMaximum()
 
+    @property
+    def failure_domain(self) -> str:
+        """Return the failure domain of this host."""
+        return self._failure_domain
+
     def handle(self, event: SeedEvent, now: float) -> list[SeedEffect]:
         """Handle an event and return its effects; now is in monotonic seconds."""
         return _handle(event, self, now)
--- a/libraries/requests/tarragonward_requests/segment_suspects.py
+++ b/libraries/requests/tarragonward_requests/segment_suspects.py
@@ -179,6 +179,16 @@
         suspect = self._suspects.get(segment)
         return suspect is not None and suspect.is_public
 
+    def is_common(self, segment: bytes) -> bool:
+        """Return whether most of the prompts of this host hold a suspect segment."""
+        suspect = self._suspects.get(segment)
+        return suspect is not None and suspect.is_common
+
+    def is_near_verdict(self, segment: bytes) -> bool:
+        """Return whether at most one crash more is needed to refuse a segment."""
+        suspect = self._suspects.get(segment)
+        return suspect is not None and compute_severity(suspect) > 0
+
     def unpack_entry(self, item: Any) -> SegmentEntry:
         """Parse a peer's entry; raise ValueError if it is malformed."""
         return SegmentEntry.unpack(item)
--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -264,6 +264,14 @@
         count = 0 if suspect is None else len(suspect.crashes)
         return count >= c.RUN_ALONE_AFTER_CRASHES
 
+    def is_common(self, fingerprint: bytes) -> bool:
+        """Return False: a request has nothing in common with most others."""
+        return False
+
+    def is_near_verdict(self, fingerprint: bytes) -> bool:
+        """Return whether at most one crash more is needed to refuse a request."""
+        return self.is_for_all_hosts(fingerprint)
+
     def unpack_entry(self, item: Any) -> SuspectEntry:
         """Parse a peer's entry; raise ValueError if it is malformed."""
         return SuspectEntry.unpack(item)
