--- a/libraries/membership/tarragonward_membership/__init__.py
+++ b/libraries/membership/tarragonward_membership/__init__.py
@@ -35,16 +35,16 @@
     WithdrawnTarget,
     build_boot_id,
 )
-from .seeds import (
+from .seed_events import (
     HelloReceived,
     KnownPeer,
     PeerFound,
     PeerLost,
     RoundDue,
     SeedEffect,
-    SeedMembership,
     SendHello,
 )
+from .seeds import SeedMembership
 from .targets import ListedTarget, TargetList
 from .watchers import choose_hosts
 
