--- a/libraries/gateway/tarragonward_gateway/reservations.py
+++ b/libraries/gateway/tarragonward_gateway/reservations.py
@@ -35,7 +35,7 @@
 
     def __init__(self, owner: ReservationTask, parts: Sequence[Reservation]) -> None:
         self._owner = owner
-        self._parts = parts
+        self._parts = list(parts)
         self.on_unused: Callable[[], None] = lambda: None
         self._renew_task = asyncio.create_task(self._async_keep())
 
@@ -43,15 +43,17 @@
         if await self._owner.async_renew(self._parts):
             return
         log_event("reservation_unused", reservation=self._parts[0].id)
-        for part in self._parts:
-            self._owner.release(part)
+        self._release_parts()
         self.on_unused()
 
     def release(self) -> None:
         """Stop renewing and release the memory, even if the request was cancelled."""
         self._renew_task.cancel()
-        for part in self._parts:
-            self._owner.release(part)
+        self._release_parts()
+
+    def _release_parts(self) -> None:
+        while self._parts:
+            self._owner.release(self._parts.pop())
 
 
 class ReservationTask:
--- a/libraries/gateway/tests/test_reservations.py
+++ b/libraries/gateway/tests/test_reservations.py
@@ -254,6 +254,7 @@
     targets.used = set()
     assert await async_hold(targets, 0.05) == []
     assert await async_hold(targets, 0.3) == ["unused"]
+    assert targets.calls.count(("release", "t1")) == 2
 
 
 async def test_memory_of_which_one_part_is_used_is_kept() -> None:
