Don't take a look from before a crash for one after it

Cause: hosts look at the target of such an answer, and all who ask at the same time share one look. A stream that had ended well asked first; its look connected 7 ms before the crash and was still open after it, and the streams that the crash cut took its result. Whoever asks while a look is in progress now shares the next one, unless the first finds that the target has ended. The daemon's check is the same code now, as is the gateway's record of crashes, which missed crashes that way.

--- a/libraries/core/tarragonward_core/__init__.py
+++ b/libraries/core/tarragonward_core/__init__.py
@@ -25,6 +25,7 @@
 from .line_budget import LineBudget
 from .logs import EventLog, LogEvent, event_log, format_event, log_event, setup_logging
 from .metrics import LENGTH_CLASSES, Metrics, get_length_class
+from .shared_checks import SharedChecks
 
 __all__ = [
     "LENGTH_CLASSES",
@@ -46,6 +47,7 @@
     "RequestRefusedError",
     "ResultCode",
     "SettingsError",
+    "SharedChecks",
     "TargetError",
     "TarragonwardError",
     "build_code_page",
--- a/libraries/daemon/tarragonward_daemon/engine_probes.py
+++ b/libraries/daemon/tarragonward_daemon/engine_probes.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import Any, Protocol
 
 from tarragonward_config import Target
 from tarragonward_core import (
     BackgroundTasks,
     ConnectionLostError,
+    SharedChecks,
     TargetError,
     log_event,
 )
@@ -47,7 +49,7 @@
         self._outliers = outliers
         self._streams: set[WatchedStream] = set()
         self._probes: dict[str, asyncio.Task[None]] = {}
-        self._end_checks: dict[str, asyncio.Task[bool]] = {}
+        self._end_checks = SharedChecks()
         self._background = BackgroundTasks(host.metrics)
 
     async def async_setup(self) -> None:
@@ -57,7 +59,8 @@
     async def async_unload(self) -> None:
         """Stop all probes."""
         await self._background.async_unload()
-        tasks = [*self._probes.values(), *self._end_checks.values()]
+        await self._end_checks.async_unload()
+        tasks = list(self._probes.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -75,12 +78,8 @@
 
         Requests that lost their connections at the same time share one check.
         """
-        check = self._end_checks.get(target.name)
-        if check is None:
-            check = asyncio.create_task(self._async_check_ended(target))
-            self._end_checks[target.name] = check
-            check.add_done_callback(lambda _: self._end_checks.pop(target.name, None))
-        return await asyncio.shield(check)
+        check = partial(self._async_check_ended, target)
+        return await self._end_checks.async_run(target.name, check)
 
     async def _async_check_ended(self, target: Target) -> bool:
         return not await async_accepts_connections(
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
+from functools import partial
 
-from tarragonward_core import Address, BackgroundTasks, log_event
+from tarragonward_core import Address, BackgroundTasks, SharedChecks, log_event
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
     DomainEjected,
@@ -45,7 +46,7 @@
         self.reachability = ReachabilityMonitor(state, target_health)
         self._probe_tasks: set[asyncio.Task[bool]] = set()
         # By target: the connection attempt that shows whether it has ended.
-        self._end_checks: dict[str, asyncio.Task[bool]] = {}
+        self._end_checks = SharedChecks()
         # Targets that are being checked in the background.
         self._checked: set[str] = set()
         self._background = BackgroundTasks(state.metrics)
@@ -71,7 +72,8 @@
         """Stop probing."""
         self._is_running = False
         await self._background.async_unload()
-        tasks = [*self._probe_tasks, *self._end_checks.values()]
+        await self._end_checks.async_unload()
+        tasks = list(self._probe_tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -164,12 +166,8 @@
 
         Requests that lost their connections at the same time share one attempt.
         """
-        task = self._end_checks.get(target.id)
-        if task is None:
-            task = asyncio.create_task(self._async_check_ended(target))
-            self._end_checks[target.id] = task
-            task.add_done_callback(lambda _: self._end_checks.pop(target.id, None))
-        return await asyncio.shield(task)
+        check = partial(self._async_check_ended, target)
+        return await self._end_checks.async_run(target.id, check)
 
     async def _async_check_ended(self, target: RegisteredTarget) -> bool:
         # A proxy in front of a target that has just ended may still accept connections,
