Keep the crashes that tell most of a segment once its record is full

What callers would see: a segment that a fifth of all prompts hold begins to crash its engines, all of them within a second. It was refused late, or one beside it in its place.

Cause: a record keeps 16 crashes, and the oldest left it first. A segment that crashes sixteen targets in a second then counts four or five crashes that came apart, less than segments that were beside it now and then, and those explained its crashes. Now the crash that adds least to the count leaves the record.

New mode of the fake network's runs, a segment in use that turns deadly (--turning).

--- a/libraries/bench/tarragonward_bench/harm/runs.py
+++ b/libraries/bench/tarragonward_bench/harm/runs.py
@@ -33,6 +33,12 @@
         default=0.3,
         help="share of targets with limits or cooldowns",
     )
+    parser.add_argument(
+        "--turning",
+        type=float,
+        default=0.0,
+        help="share of prompts with a segment that begins to crash targets",
+    )
     parser.add_argument(
         "--kinds", nargs="+", default=["crashes", "segments", "limits", "cooldowns"]
     )
@@ -58,7 +64,9 @@
     limit = LimitRun(LimitPlan(share=options.share, **settings), seed)
     cooldown = CooldownRun(CooldownPlan(share=options.share, **settings), seed)
     violated = 0
-    segment_plan = SegmentPlan(crashing_segments=options.culprits, **settings)
+    segment_plan = SegmentPlan(
+        crashing_segments=options.culprits, turning_share=options.turning, **settings
+    )
     segment = SegmentRun(segment_plan, seed)
     runs = {
         "crashes": crash,
--- a/libraries/bench/tarragonward_bench/harm/segments.py
+++ b/libraries/bench/tarragonward_bench/harm/segments.py
@@ -25,18 +25,25 @@
 NEW_SESSION_CHANCE = 0.02
 SESSION_CHANCE = 0.5
 QUIET_SECONDS = 3.0
+TURN_SECONDS = 8.0
 FLEET_SIZES = (5, 9)
+NEVER = float("inf")
 
 
 @dataclass(frozen=True)
 class SegmentPlan(CrashPlan):
-    """The settings of one run; crashing prompts come for each segment by itself."""
+    """The settings of one run; crashing prompts come for each segment by itself.
+
+    turning_share is the share of the other prompts with a segment that is harmless for
+    TURN_SECONDS and crashes targets from then on.
+    """
 
     crashing_requests: int = 0
     crashing_segments: int = 1
     crashing_per_second: float = 1.4
     accounts: int = 4
     has_mass_crashes: bool = True
+    turning_share: float = 0.0
 
 
 @dataclass(eq=False)
@@ -74,6 +81,8 @@
             _CrashingSegment(b"deadly%02d" % number)
             for number in range(plan.crashing_segments)
         ]
+        self._turning = _CrashingSegment(b"turning.")
+        self._turns_at = NEVER
         self._sessions = [self._create_fingerprint() for _ in range(SESSIONS)]
         self._sound: list[tuple[float, CrashRequest]] = []
         self._retried: set[CrashRequest] = set()
@@ -85,16 +94,29 @@
             self.world.schedule_at(
                 begin + delay, lambda each=segment: self._send_crashing(each)
             )
+        if self.plan.turning_share:
+            self.segments.append(self._turning)
+            self._turns_at = begin + TURN_SECONDS
 
     def build_sound_request(self) -> CrashRequest:
-        """Return a new prompt of a session, or of none, without crashing segments."""
+        """Return a new prompt of a session, or of none.
+
+        Only a segment that was harmless until now may crash targets.
+        """
         segments = (COMMON_SEGMENT,)
         if self.random.random() < SESSION_CHANCE:
             segments += (self._draw_session(),)
-        size = self.random.randrange(2_000)
-        request = CrashRequest(self._create_fingerprint(), size, segments=segments)
+        if self.plan.turning_share and self.random.random() < self.plan.turning_share:
+            segments += (self._turning.fingerprint,)
+        size, fingerprint = self.random.randrange(2_000), self._create_fingerprint()
+        has_turned = self.world.now >= self._turns_at
+        crashes = has_turned and segments[-1] == self._turning.fingerprint
+        request = CrashRequest(fingerprint, size, crashes, segments)
         request.account = self.random.randrange(self.plan.accounts)
-        self._sound.append((self.world.now, request))
+        if crashes:
+            self._turning.prompts.append(request)
+        else:
+            self._sound.append((self.world.now, request))
         return request
 
     def handle_ended(self, request: CrashRequest, at_host: GossipHost) -> None:
--- a/libraries/requests/tarragonward_requests/segment_entries.py
+++ b/libraries/requests/tarragonward_requests/segment_entries.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass, field, replace
+from itertools import pairwise
 from typing import Any
 
 from . import const as c
@@ -175,11 +176,23 @@
             )
             return
         if len(self.crashes) >= c.MAX_CRASHES_PER_SEGMENT:
-            # The oldest cleared crash, or the oldest of all if none is cleared.
-            evicted = max(self.crashes, key=lambda t: self.crashes[t].is_cleared)
-            del self.crashes[evicted]
+            del self.crashes[self._choose_evicted()]
         self.crashes[target] = crash
 
+    def _choose_evicted(self) -> int:
+        """Return the oldest cleared crash, else the one that adds least to the count.
+
+        Of crashes that came together one is enough: if the oldest were evicted, a
+        segment that crashes many targets would count fewer than those beside it.
+        """
+        for target, crash in self.crashes.items():
+            if crash.is_cleared:
+                return target
+        ordered = sorted(self.crashes, key=lambda t: self.crashes[t].crashed_at)
+        times = [self.crashes[target].crashed_at for target in ordered]
+        gaps = [later - earlier for earlier, later in pairwise(times)]
+        return ordered[1 + gaps.index(min(gaps))]
+
     def clear_until(self, time: float) -> bool:
         """Clear the segment of the crashes up to a time; return if there were any."""
         has_cleared = False
--- a/libraries/requests/tests/test_segment_suspects.py
+++ b/libraries/requests/tests/test_segment_suspects.py
@@ -306,3 +306,14 @@
     exchange(tracker, other, BAD, now)
     other.record_crash((BAD,), ALICE, 8, now - 0.5, now + 0.2)
     assert judge(other, PROMPT, now + 0.3, account=BOB) is Verdict.LATER
+
+
+def test_segment_counts_no_fewer_crashes_than_one_that_was_beside_it_in_half(tracker):
+    """Its record is full first; the other one would explain the crashes it caused."""
+    tracker.record_answered((BAD, OTHER), 8.0, 9.0)
+    for number in range(2 * c.MAX_CRASHES_PER_SEGMENT):
+        at = 10.0 + number / 8
+        segments = (BAD, OTHER) if number % 2 else (BAD,)
+        tracker.record_crash(segments, ALICE, number, at - 0.5, at)
+    counts = [tracker.get(each).count_crashes() for each in (BAD, OTHER)]
+    assert counts[0] >= counts[1]
