Let many crashes of an answered segment outweigh few of a new one

Cause: of two segments in the same crashes the one never answered was always the guiltier. While one that was in use until now crashes all targets, no new segment is ever answered, so after three crashes beside the cause it explained them all. A crash under a segment that was never answered counts twice now, whatever else there is.

--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -110,3 +110,16 @@
     )
     assert shared.refused_sends < alone.refused_sends
     assert shared.refused_count < alone.refused_count
+
+
+@pytest.mark.parametrize("seed", [1, 2, 6, 9])
+def test_segment_in_use_that_begins_to_crash_targets_is_refused_in_time(seed):
+    """A fifth of all prompts hold it, so all targets crash within a second."""
+    plan = SegmentPlan(
+        crashing_segments=0,
+        requests_a_second=54.0,
+        targets=18,
+        has_troubles=False,
+        turning_share=0.2,
+    )
+    SegmentRun(plan, seed).run()
--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -84,6 +84,8 @@
 ANSWERED_HISTORY_SECONDS = 60.0
 ANSWERED_REFUSE_AFTER_CRASHES = 5
 ANSWERED_REFUSE_AFTER_SECONDS = 2.5
+# How much a crash under a segment that was never answered counts against it.
+UNANSWERED_CRASH_WEIGHT = 2
 # Targets that crash within this time may have crashed for one reason.
 MASS_CRASH_SECONDS = 0.25
 # A refused segment is tried again after a time that grows with each crash.
--- a/libraries/requests/tarragonward_requests/segment_verdicts.py
+++ b/libraries/requests/tarragonward_requests/segment_verdicts.py
@@ -172,8 +172,14 @@
     return unexplained - tied, unexplained & tied
 
 
-def _rank_guilt(suspect: SuspectSegment) -> tuple[bool, int]:
-    return not suspect.is_established, suspect.count_crashes()
+def _rank_guilt(suspect: SuspectSegment) -> int:
+    """Return a number that is higher the more there is against a suspect.
+
+    While one segment crashes all targets, no prompt is answered, and new ones have
+    crashes, too; so being established does not outweigh any number of crashes.
+    """
+    weight = 1 if suspect.is_established else c.UNANSWERED_CRASH_WEIGHT
+    return weight * suspect.count_crashes()
 
 
 def _compute_wait(
--- a/libraries/requests/tests/test_segment_suspects.py
+++ b/libraries/requests/tests/test_segment_suspects.py
@@ -317,3 +317,12 @@
         tracker.record_crash(segments, ALICE, number, at - 0.5, at)
     counts = [tracker.get(each).count_crashes() for each in (BAD, OTHER)]
     assert counts[0] >= counts[1]
+
+
+def test_many_crashes_of_an_answered_segment_explain_those_of_a_new_one(tracker):
+    """While all targets crash, new segments are never answered, and look guilty."""
+    tracker.record_answered((BAD,), 8.0, 9.0)
+    now = crash(tracker, (BAD, OTHER), range(3))
+    now = crash(tracker, (BAD,), range(3, 12), begin=now + 0.5)
+    assert judge(tracker, (OTHER,), now) is Verdict.CLEAR
+    assert judge(tracker, (BAD,), now) is Verdict.REFUSED
