--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -19,6 +19,7 @@
 from .cell_gossip import CellGossip
 from .cells import CellTracker
 from .cooldown_task import CooldownTask
+from .failure_domains import EvacuationTask
 from .forwarder import Forwarder
 from .gate_task import GateTask
 from .health import HealthRoutes
@@ -30,6 +31,7 @@
 from .relays import RelayTask
 from .reload import SettingsTask
 from .reservations import ReservationTask
+from .sending import ColdTargetTask
 from .settings import GatewaySettings
 from .state import GatewayState
 from .suspect_task import SuspectTask
@@ -69,7 +71,9 @@
         self.relays = RelayTask(self.state, self.targets)
         self.relays.get_peers = self.peers.get_active_addresses
         self.relays.get_hosts = self.peers.get_known_ips
+        self.relays.get_domain = self.peers.get_domain
         self.targets.get_cell = self.cells.get
+        self.cells.is_cold = self.targets.send_limits.is_cold
         self.cell_gossip = CellGossip(self.state, self.peers, self.targets)
         self.forwarder = Forwarder(self.state, self.targets, self.reservations)
         self.callers = HttpServer(
@@ -84,7 +88,14 @@
         self.suspect_task = SuspectTask(self.state, self.peers, self.forwarder.suspects)
         self.limit_task = LimitTask(self.state, self.peers, self.targets)
         self.cooldown_task = CooldownTask(self.state, self.peers, self.targets)
-        self.targets.get_host_view = self.peers.get_host_view
+        self.targets.send_limits.get_host_view = self.peers.get_host_view
+        self.cold_task = ColdTargetTask(self.state, self.targets.send_limits)
+        self.publications.on_target.append(self.cold_task.record_entry)
+        self.evacuations = EvacuationTask(
+            self.state, parser, self.targets.count_in_flight_by_domain
+        )
+        self.publications.on_records.append(self.evacuations.apply_records)
+        self.evacuations.on_ended.append(self.cold_task.record_domain_return)
         reachability = self.targets.probes.reachability
         reachability.count_peers = lambda: len(self.peers.get_names())
         self.state.metrics.add_gauge(
@@ -95,6 +106,7 @@
         self.operators = OperatorsTask(
             self.state, self.targets.target_health, self.forwarder.suspects
         )
+        self.operators.describe_evacuations = self.evacuations.describe
         self.settings = SettingsTask(self.state, settings_path)
         self.settings.on_change.append(self._apply_settings)
         self._stop_requested = asyncio.Event()
@@ -118,6 +130,8 @@
             self.targets.probes,
             self.suspect_task,
             self.limit_task,
+            self.cold_task,
+            self.evacuations,
             self.cooldown_task,
             self.cell_gossip,
             self.gate,
@@ -141,6 +155,7 @@
     def _apply_settings(self) -> None:
         self.state.apply_bounds()
         self.peers.apply_settings()
+        self.cold_task.apply_settings()
         if event_log.budget is not None:
             bounds = self.state.settings.bounds
             event_log.budget.lines_per_second = bounds.log_lines_per_second
--- a/libraries/gateway/tarragonward_gateway/cells.py
+++ b/libraries/gateway/tarragonward_gateway/cells.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
 
 from tarragonward_core import Address, log_event
 from tarragonward_membership import RegisteredTarget
@@ -29,6 +30,7 @@
         self._cells: dict[str, tuple[float, Cell]] = {}
         self._polling_order_at = float("-inf")
         self._polling_order = PollingOrder(1, 0)
+        self.is_cold: Callable[[RegisteredTarget], bool] = lambda target: False
 
     def get(self, service: str) -> Cell:
         """Return this host's cell among the engines of a service."""
@@ -73,7 +75,15 @@
         hosts = [host.located for host in self._list_hosts()]
         ready = self._state.registry.get_ready(service)
         engines = [_locate(target) for target in ready]
-        return choose_cell(self._get_own_location(), hosts, engines)
+        cold = self._find_cold_domains(ready)
+        return choose_cell(self._get_own_location(), hosts, engines, cold)
+
+    def _find_cold_domains(self, ready: Iterable[RegisteredTarget]) -> set[str]:
+        """Return the failure domains in which most of the ready targets are cold."""
+        counts: Counter[str] = Counter()
+        for target in ready:
+            counts[target.failure_domain] += 1 if self.is_cold(target) else -1
+        return {domain for domain, surplus in counts.items() if surplus > 0}
 
     def _get_own_location(self) -> LocatedMember:
         settings = self._state.settings
--- a/libraries/gateway/tarragonward_gateway/choices.py
+++ b/libraries/gateway/tarragonward_gateway/choices.py
@@ -31,6 +31,8 @@
     leader: str = ""
     # Whether the verdict on the request is ALONE.
     is_suspect: bool = False
+    # The regions that the request may be sent to, None if to each.
+    homes: frozenset[str] | None = None
 
     def allows(self, target: RegisteredTarget) -> bool:
         """Return whether the request may be sent to a target."""
@@ -50,6 +52,8 @@
     is_relayed: bool = False
     # The peer that it goes through.
     relay: Address | None = None
+    # The regions whose hosts may relay it, None if all.
+    homes: frozenset[str] | None = None
     # On the clock of read_clock(), in seconds.
     sent_at: float | None = None
     answer_began_at: float | None = None
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -13,6 +13,7 @@
 CONF_SEEDS = "seeds"
 CONF_SOURCE = "source"
 CONF_METRICS = "metrics"
+CONF_REGIONS = "regions"
 CONF_BOUNDS = "bounds"
 CONF_DRAIN_SECONDS = "drain_seconds"
 CONF_GRACE_SECONDS = "grace_seconds"
@@ -34,6 +35,8 @@
 DEFAULT_STALL_SECONDS = 1.5
 DEFAULT_FREE_SECONDS = 4.0
 DEFAULT_UNUSED_SECONDS = 9.0
+DEFAULT_COLD_EXCESS = 1.0
+DEFAULT_COLD_SLACK = 0.0
 DEFAULT_LOG_LINES_PER_SECOND = 40.0
 
 MIN_WATCH_SECONDS = 2.5
@@ -251,6 +254,8 @@
 MAX_LIMITS_PER_ROUND = 12
 LIMIT_EXPIRY_INTERVAL_SECONDS = 5.0
 HOST_VIEW_REFRESH_SECONDS = 0.25
+# By then a host that starts has heard of the others through the seeds.
+HOST_VIEW_STARTING_SECONDS = 1.0
 
 HEADER_RETRY_AFTER = "retry-after"
 # Headers of answers that every HTTP server may send, and that state nothing about it.
@@ -269,6 +274,8 @@
 MAX_REPORTED_HEADERS = 64
 MAX_LOGGED_HEADER_CHARACTERS = 80
 
+COLD_EXPIRY_INTERVAL_SECONDS = 1.0
+LOST_EVACUATION_CHECK_SECONDS = 1.0
 COOLDOWN_BATCH_SECONDS = 0.005
 COOLDOWN_EXPIRY_INTERVAL_SECONDS = 5.0
 # In a larger fleet a new cooldown is sent to the hosts of the cell only.
@@ -281,6 +288,7 @@
 MAX_EVENTS_PER_REQUEST = 24
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 ROUTE_METRICS = "/metrics"
+ROUTE_EVACUATIONS = "/evacuations"
 ROUTE_SUSPECTS = "/suspects"
 
 # A target's first event may take this many times the predicted time plus the route's
--- a/libraries/gateway/tarragonward_gateway/operators.py
+++ b/libraries/gateway/tarragonward_gateway/operators.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from typing import Any
 
 from absl import logging
 
@@ -40,6 +42,7 @@
 class OperatorsTask:
     """The metrics server, if the settings name its address, and the log's drop count.
 
+    `GET /evacuations` lists the failure domains that get no work by operators' orders.
     `GET /suspects` lists the requests during which targets crashed; `DELETE` of one, by
     its fingerprint, allows all hosts to send it again.
 
@@ -55,6 +58,8 @@
     ) -> None:
         self._state = state
         self._suspects = suspects
+        # Returns the orders to evacuate failure domains.
+        self.describe_evacuations: Callable[[], list[dict[str, Any]]] = list
         address = state.settings.metrics
         self._server = HttpServer(address, self._async_handle) if address else None
         self._background = BackgroundTasks(state.metrics)
@@ -106,6 +111,8 @@
         if request.path == c.ROUTE_METRICS:
             body = self._state.metrics.write_exposition()
             await responder.async_send_bytes(STATUS_OK, body, (CONTENT_TYPE,))
+        elif request.path == c.ROUTE_EVACUATIONS:
+            await responder.async_send_json(STATUS_OK, self.describe_evacuations())
         elif request.path == c.ROUTE_SUSPECTS:
             await responder.async_send_json(STATUS_OK, self._suspects.describe())
         elif request.method == METHOD_DELETE and self._lift_suspect(request.path):
--- a/libraries/gateway/tarragonward_gateway/peers.py
+++ b/libraries/gateway/tarragonward_gateway/peers.py
@@ -100,6 +100,11 @@
         peers = self.members.get_peers()
         return tuple(peer.identity.address for peer in peers if not peer.is_leaving)
 
+    def get_domain(self, address: Address) -> str:
+        """Return the failure domain of a peer, "" if it is not known."""
+        peer = self.members.get_peer(address)
+        return peer.failure_domain if peer is not None else ""
+
     def get_known_ips(self) -> frozenset[str]:
         """Return the IP addresses of the hosts that this one knows, lost ones too."""
         known = self.members.get_known_addresses(read_clock())
@@ -116,7 +121,9 @@
             known = self.members.get_known_addresses(now)
             most = max(len(known), self.members.get_max_known_host_count(now))
             names = frozenset(map(str, known))
-            view = HostView(str(self.members.own.address), names, most)
+            is_starting = now - self._state.started_at < c.HOST_VIEW_STARTING_SECONDS
+            own = str(self.members.own.address)
+            view = HostView(own, names, most, is_starting)
             if view != self._host_view:
                 self._host_view = view
             self._host_view_at = now
--- a/libraries/gateway/tarragonward_gateway/placing.py
+++ b/libraries/gateway/tarragonward_gateway/placing.py
@@ -11,6 +11,7 @@
 from . import const as c
 from .choices import SendChoice, TargetRequirements
 from .context import ForwardContext
+from .failure_domains.homes import combine_homes
 from .reservations import Lease, ReservationTask
 from .state import GatewayState
 from .targets import TargetChooser
@@ -44,6 +45,7 @@
         self._exchange = exchange
         self._context = context
         self._route = context.route
+        self._homes = combine_homes(context.route, context.account)
         self._tokens = tokens
         self._loop = asyncio.get_running_loop()
         self._leader = ""
@@ -167,6 +169,7 @@
             tried=self.tried,
             leader=leader,
             is_suspect=self.is_suspect,
+            homes=self._homes,
         )
 
     def _compute_aim_at(self) -> float:
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -53,6 +53,7 @@
     target_name: str = "x-target"
     weight_versions: str = "x-weight-versions"
     leaving: str = "x-target-leaving"
+    cold_ms: str = "x-target-cold-ms"
 
 
 @dataclass(frozen=True)
@@ -142,6 +143,9 @@
     def parse_target(self, record: Record) -> RegisteredTarget | None:
         """Return the target that a record registers, None if it registers none."""
 
+    def get_evacuated_domain(self, key: str) -> str | None:
+        """Return the failure domain whose evacuation a key orders, else None."""
+
     def get_target_name(self, key: str) -> str | None:
         """Return the name of the target that a key belongs to, None for other keys."""
 
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from absl import logging
@@ -78,6 +78,10 @@
         self.record_store = RecordStore(self._get_version)
         self._parsed_tables: OrderedDict[bytes, RoutingTable | None] = OrderedDict()
         self.on_table: list[Callable[[], None]] = []
+        # Called with new records, and whether the source came back from a copy.
+        self.on_records: list[Callable[[Sequence[Record], bool], None]] = []
+        # Called with each new entry of a target.
+        self.on_target: list[Callable[[RegisteredTarget], None]] = []
         self._control = HttpServer(
             state.settings.control, RecordHandler(state, self.record_store).async_handle
         )
@@ -337,6 +341,8 @@
             self._state.metrics.count("source_restorations")
             log_event("source_restored", epoch=get_epoch(batch.complete_revision))
         new = self.record_store.apply(batch, after)
+        for notify in self.on_records:
+            notify(new, is_restored)
         removed = [record for record in new if record.value is None]
         for record in new:
             if record.value is not None:
@@ -368,6 +374,8 @@
                 address=target.address,
                 ready=target.is_ready,
             )
+            for notify in self.on_target:
+                notify(target)
 
     def _suspend(self, target: RegisteredTarget) -> None:
         """Send nothing to a withdrawn target until its entry is known to be current.
--- a/libraries/gateway/tarragonward_gateway/relays.py
+++ b/libraries/gateway/tarragonward_gateway/relays.py
@@ -25,6 +25,7 @@
 
 from . import const as c
 from .clock import read_clock
+from .failure_domains.homes import HomePolicy
 from .state import GatewayState
 from .targets import TargetChooser
 
@@ -51,6 +52,7 @@
         # The addresses of peers that may be asked, and IP addresses that may ask.
         self.get_peers: Callable[[], Collection[Address]] = lambda: ()
         self.get_hosts: Callable[[], Collection[str]] = lambda: ()
+        self.get_domain: Callable[[Address], str] = lambda peer: ""
         # By service: the search for a peer that reaches it.
         self._prove_tasks: dict[str, asyncio.Task[bool | None]] = {}
         chooser.probes.async_check_by_relay = self.async_check
@@ -116,13 +118,25 @@
         task.add_done_callback(lambda _: self._prove_tasks.pop(service, None))
 
     def build_connector(
-        self, target: RegisteredTarget, on_relay: Callable[[Address], None] | None
+        self,
+        target: RegisteredTarget,
+        on_relay: Callable[[Address], None] | None,
+        homes: frozenset[str] | None = None,
     ) -> Connector:
         """Return a connector to a target through peers.
 
-        on_relay is called with the address of the peer that has connected.
+        on_relay is called with the address of the peer that has connected. homes are
+        the regions of the peers that may see the request, None if all may.
         """
-        return partial(self._async_connect, target, on_relay)
+        return partial(self._async_connect, target, on_relay, homes)
+
+    def _list_peers(self, homes: frozenset[str] | None) -> list[Address]:
+        policy = HomePolicy(self._state.settings.regions)
+        return [
+            peer
+            for peer in self.get_peers()
+            if policy.allows(homes, self.get_domain(peer))
+        ]
 
     def _is_lost(self, peer: Address) -> bool:
         return self._directory.is_lost(peer, read_clock())
@@ -134,11 +148,12 @@
         self,
         target: RegisteredTarget,
         on_relay: Callable[[Address], None] | None = None,
+        homes: frozenset[str] | None = None,
     ) -> Connection:
         """Connect through the first peer that can; raise NotConnectedError if none."""
         service, asked = target.service, set[Address]()
-        peers = self.get_peers()
-        self._directory.retain_only(peers)
+        self._directory.retain_only(self.get_peers())
+        peers = self._list_peers(homes)
         while len(asked) < c.MAX_RELAYS_ASKED:
             peer = self._directory.choose(service, peers, asked, read_clock())
             if peer is None:
--- a/libraries/gateway/tarragonward_gateway/reload.py
+++ b/libraries/gateway/tarragonward_gateway/reload.py
@@ -19,7 +19,7 @@
 
 TASK_NAME = "settings"
 # Settings that are read at each use; all others are bound at the start.
-RELOADABLE_FIELDS = ("bounds", "seeds")
+RELOADABLE_FIELDS = ("bounds", "regions", "seeds")
 
 
 @dataclass(frozen=True)
--- a/libraries/gateway/tarragonward_gateway/settings.py
+++ b/libraries/gateway/tarragonward_gateway/settings.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import tomllib
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -23,7 +24,11 @@
 
 @dataclass(frozen=True)
 class Bounds:
-    """Limits that operators set for all hosts; times in seconds."""
+    """Limits that operators set for all hosts; times in seconds.
+
+    A cold target tolerates, of all hosts together and in each second, cold_excess times
+    its published rate plus cold_slack requests.
+    """
 
     drain_seconds: float = c.DEFAULT_DRAIN_SECONDS
     grace_seconds: float = c.DEFAULT_GRACE_SECONDS
@@ -35,12 +40,17 @@
     stall_seconds: float = c.DEFAULT_STALL_SECONDS
     free_seconds: float = c.DEFAULT_FREE_SECONDS
     unused_seconds: float = c.DEFAULT_UNUSED_SECONDS
+    cold_excess: float = c.DEFAULT_COLD_EXCESS
+    cold_slack: float = c.DEFAULT_COLD_SLACK
     log_lines_per_second: float = c.DEFAULT_LOG_LINES_PER_SECOND
 
 
 @dataclass(frozen=True)
 class GatewaySettings:
-    """The settings of one forwarding entry host."""
+    """The settings of one forwarding entry host.
+
+    regions has the region of each failure domain, for requests with home regions.
+    """
 
     name: str
     failure_domain: str
@@ -52,6 +62,7 @@
     source: Address
     bounds: Bounds
     metrics: Address | None = None
+    regions: Mapping[str, str] = field(default_factory=dict)
 
 
 def _parse_address(value: Any) -> Address:
@@ -84,6 +95,7 @@
             vol.Required(c.CONF_SOURCE): _parse_address,
             vol.Optional(c.CONF_METRICS): _parse_address,
         },
+        vol.Optional(c.CONF_REGIONS, default=dict): {str: str},
         vol.Optional(c.CONF_BOUNDS, default=dict): {
             vol.Optional(name): _NUMBER for name in Bounds.__dataclass_fields__
         },
@@ -113,5 +125,6 @@
         name=host[c.CONF_NAME],
         failure_domain=host[c.CONF_FAILURE_DOMAIN],
         bounds=Bounds(**checked[c.CONF_BOUNDS]),
+        regions=checked[c.CONF_REGIONS],
         **addresses,
     )
--- a/libraries/gateway/tarragonward_gateway/statements.py
+++ b/libraries/gateway/tarragonward_gateway/statements.py
@@ -8,18 +8,20 @@
 
 from tarragonward_core import log_event
 from tarragonward_membership import RegisteredTarget, hash_name
-from tarragonward_placement import FleetUsageTracker, TargetCooldowns, TargetLimits
+from tarragonward_placement import FleetUsageTracker
 
 from . import const as c
 from .clock import read_clock
-from .headers import parse_cooldown_seconds, parse_load, parse_rate
+from .headers import parse_cooldown_seconds, parse_count, parse_load, parse_rate
 from .heads import is_from_other_boot, is_not_run
+from .sending import SendLimits
 from .state import GatewayState
 
 __all__ = ["TargetStatements"]
 
 LEAVING = "1"
 STATUS_UNAVAILABLE = 503
+MILLISECONDS = 1_000
 
 
 class TargetStatements:
@@ -34,14 +36,14 @@
         self,
         state: GatewayState,
         usage: FleetUsageTracker,
-        limits: TargetLimits,
-        cooldowns: TargetCooldowns,
+        limits: SendLimits,
         clock: Callable[[], float],
     ) -> None:
         self._state = state
         self._usage = usage
-        self._limits = limits
-        self._cooldowns = cooldowns
+        self._limits = limits.advertised
+        self._cold = limits.cold
+        self._cooldowns = limits.cooldowns
         self._clock = clock
         names = state.headers
         self._known = {getattr(names, field.name) for field in fields(names)}
@@ -78,6 +80,8 @@
             self._record_load(target, headers[names.load])
         if names.limit in headers:
             self.record_limit(target, headers[names.limit])
+        if names.cold_ms in headers:
+            self._record_cold(target, headers[names.cold_ms])
         if headers.get(names.leaving, "").strip() == LEAVING:
             self._record_leaving(target)
         if status == STATUS_UNAVAILABLE and c.HEADER_RETRY_AFTER in headers:
@@ -111,6 +115,15 @@
             while len(self._idle_at) > c.MAX_IDLE_TARGETS:
                 self._idle_at.popitem(last=False)
 
+    def _record_cold(self, target: RegisteredTarget, text: str) -> None:
+        milliseconds = parse_count(text)
+        if milliseconds is None:
+            return
+        seconds = milliseconds / MILLISECONDS
+        if self._cold.record(hash_name(target.id), seconds, read_clock()):
+            self._state.metrics.count("cold_targets")
+            log_event("target_cold", target=target.id, seconds=seconds)
+
     def _record_leaving(self, target: RegisteredTarget) -> None:
         if self._state.registry.mark_leaving(target):
             self._state.metrics.count("targets_stated_leaving")
--- a/libraries/gateway/tarragonward_gateway/target_paths.py
+++ b/libraries/gateway/tarragonward_gateway/target_paths.py
@@ -17,9 +17,11 @@
 __all__ = ["TargetPaths"]
 
 Target = TypeVar("Target", bound=RegisteredTarget)
-# Returns what connects to a target through a peer, and tells which peer it was.
+# Returns what connects to a target through a peer in one of the regions, in any if
+# there are none, and tells which peer it was.
 ConnectorBuilder = Callable[
-    [RegisteredTarget, Callable[[Address], None] | None], Connector
+    [RegisteredTarget, Callable[[Address], None] | None, frozenset[str] | None],
+    Connector,
 ]
 
 
@@ -66,13 +68,13 @@
         """Return the connector of a send through a peer, None for a direct one."""
         if not choice.is_relayed or self.build_connector is None:
             return None
-        return self.build_connector(choice.target, choice.record_relay)
+        return self.build_connector(choice.target, choice.record_relay, choice.homes)
 
     def get_order_connector(self, target: RegisteredTarget) -> Connector | None:
         """Return the connector of an order through a peer, None for a direct one."""
         if self.build_connector is None or not self.must_relay(target):
             return None
-        return self.build_connector(target, None)
+        return self.build_connector(target, None, None)
 
     def has_lost_link(self, choice: SendChoice) -> bool:
         """Return whether a send may hang on a link, or a peer, that is lost by now."""
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -9,26 +9,20 @@
 from functools import lru_cache
 from typing import Any
 
-from tarragonward_membership import RegisteredTarget, hash_name
+from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
     Cell,
     ConcurrencyLimits,
     EngineUsage,
     Evidence,
     FleetUsageTracker,
-    HostView,
     PrefillPlan,
     PromptRequirements,
-    TargetCooldowns,
     TargetHealthTracker,
-    TargetLimits,
     plan_prefill,
     widen_plan,
 )
-from tarragonward_placement.const import (
-    MAX_LIMIT_WAIT_SECONDS,
-    MIN_PARALLEL_PREFILL_SECONDS,
-)
+from tarragonward_placement.const import MIN_PARALLEL_PREFILL_SECONDS
 from tarragonward_requests import SendFault
 from tarragonward_routes import Service
 
@@ -36,8 +30,10 @@
 from .choices import SendChoice, TargetRequirements
 from .clock import read_clock
 from .connection_shares import ConnectionShares
+from .failure_domains.homes import HomePolicy
 from .place_queue import PlaceQueue
 from .probes import EVIDENCE_BY_FAULT, TargetProber
+from .sending import SendLimits
 from .state import GatewayState
 from .statements import TargetStatements
 from .target_paths import TargetPaths
@@ -46,7 +42,6 @@
 
 SECTION = "prompts"
 MAX_CACHED_ORDER_KEYS = 4_096
-SINGLE_HOST_VIEW = HostView("", frozenset({""}), 1)
 
 
 class TargetChooser:
@@ -65,15 +60,12 @@
             str, dict[Callable[[EngineUsage], None], None]
         ] = {}
         self.usage.on_long_prefill.append(self._notify_prefill)
-        # The request rates to which targets have limited all hosts together.
-        self.limits = TargetLimits(state.random)
-        self.get_host_view: Callable[[], HostView] = lambda: SINGLE_HOST_VIEW
-        self.cooldowns = TargetCooldowns()
+        self.send_limits = SendLimits(state.random, self._get_cold_rate)
+        self.limits = self.send_limits.advertised
+        self.cooldowns = self.send_limits.cooldowns
         self.concurrency = ConcurrencyLimits()
         self._place_queues: dict[str, PlaceQueue] = {}
-        self.statements = TargetStatements(
-            state, self.usage, self.limits, self.cooldowns, clock
-        )
+        self.statements = TargetStatements(state, self.usage, self.send_limits, clock)
         self._connections = ConnectionShares(state, self.statements, self._in_flight)
         self.target_health = TargetHealthTracker()
         self.paths = TargetPaths(self.target_health)
@@ -96,11 +88,19 @@
         """Choose a target and record the send; return None if no target remains."""
         choice = self.find(requirements)
         if choice is not None:
+            choice.homes = requirements.homes
             choice.is_relayed = self.paths.must_relay(choice.target)
             self.paths.start_trial(choice.target, choice.is_relayed)
-            self.limits.record_send(hash_name(choice.target.id))
+            self.send_limits.record_send(choice.target)
         return choice
 
+    def count_in_flight_by_domain(self) -> Counter[str]:
+        """Return how many requests of this host are in flight by failure domain."""
+        counts: Counter[str] = Counter()
+        for target in self._state.registry.get_all():
+            counts[target.failure_domain] += self._in_flight[target.id]
+        return counts
+
     def count_disconnected(self, service: str) -> int:
         """Return how many ready targets of a service this host can't connect to."""
         return self.probes.reachability.count_disconnected(service)
@@ -132,22 +132,18 @@
 
     def cancel_send(self, target: RegisteredTarget) -> None:
         """Undo the record of a send to a target that was chosen and sent nothing."""
-        self.limits.refund_send(hash_name(target.id))
+        self.send_limits.refund_send(target)
 
     def compute_wait(self, service: str) -> float | None:
         """Return the seconds until a target of a service accepts a request.
 
-        None if no target is ready, or one neither cools down nor has a rate limit.
+        None if no target is ready, or nothing limits what is sent to one of them.
         """
-        now, view = read_clock(), self.get_host_view()
-        waits = []
+        now = read_clock()
+        waits: list[float] = []
         for target in self._state.registry.get_ready(service):
-            number = hash_name(target.id)
-            wait = self.cooldowns.compute_wait(target.id, now)
-            if self.limits.is_limited(number):
-                limit_wait = self.limits.compute_wait(number, view, now)
-                wait = max(wait, min(limit_wait, MAX_LIMIT_WAIT_SECONDS))
-            elif not wait:
+            wait = self.send_limits.compute_wait(target, now)
+            if wait is None:
                 return None
             waits.append(wait)
         if not waits:
@@ -186,14 +182,9 @@
         self, requirements: TargetRequirements
     ) -> tuple[Sequence[RegisteredTarget], Sequence[RegisteredTarget]]:
         """Return the targets that may get the request, and the best of them."""
-        allowed = [
-            target
-            for target in self._state.registry.get_ready(requirements.service)
-            if requirements.allows(target)
-        ]
-        ready = self._connections.select(allowed)
+        ready = self._connections.select(self._list_allowed(requirements))
         now = read_clock()
-        ready = self.cooldowns.get_available(self._filter_limited(ready), now)
+        ready = self.send_limits.filter(ready, now)
         if not ready:
             return (), ()
         preferred = self.cooldowns.prefer(ready, now, is_retry=bool(requirements.tried))
@@ -222,13 +213,20 @@
             return SendChoice(self._choose_least_busy(ready))
         return self._plan(requirements, ready, service)
 
-    def _filter_limited(self, ready: list[RegisteredTarget]) -> list[RegisteredTarget]:
-        """Return the targets whose rate limits allow one more request of this host."""
-        if not len(self.limits):
-            return ready
-        now, view = read_clock(), self.get_host_view()
-        may_send = self.limits.may_send
-        return [t for t in ready if may_send(hash_name(t.id), view, now)]
+    def _list_allowed(self, requirements: TargetRequirements) -> list[RegisteredTarget]:
+        """Return the ready targets that a request has not tried and may go to."""
+        homes = HomePolicy(self._state.settings.regions)
+        return [
+            target
+            for target in self._state.registry.get_ready(requirements.service)
+            if requirements.allows(target)
+            and homes.allows(requirements.homes, target.failure_domain)
+        ]
+
+    def _get_cold_rate(self, service: str) -> float:
+        table = self._state.table
+        found = table.services.get(service) if table is not None else None
+        return found.cold_requests_per_second if found is not None else 0.0
 
     def may_hold(self, requirements: TargetRequirements) -> bool:
         """Return whether a request is held rather than sent to a full target.
@@ -246,8 +244,7 @@
 
     def _lacks_connections(self, requirements: TargetRequirements) -> bool:
         """Return whether only this host's share of connections keeps a request back."""
-        ready = self._state.registry.get_ready(requirements.service)
-        allowed = [target for target in ready if requirements.allows(target)]
+        allowed = self._list_allowed(requirements)
         is_free = bool(self._connections.select(allowed))
         return bool(allowed) and not is_free and not requirements.leader
 
@@ -398,9 +395,6 @@
         random = self._state.random.random
         return min(ready, key=lambda t: (self._in_flight[t.id], random()))
 
-    def _is_limited(self, target_id: str) -> bool:
-        return self.limits.is_limited(hash_name(target_id))
-
     def _restrict_to_cell(
         self, requirements: TargetRequirements, ready: Sequence[RegisteredTarget]
     ) -> Sequence[RegisteredTarget]:
@@ -473,9 +467,12 @@
         plan = plan_among(in_cell)
         if len(in_cell) < len(by_id) and self.allows_cross_cell(requirements.service):
             plan = widen_plan(plan, prompt, lambda: plan_among(by_id))
-        if plan is not None and any(map(self._is_limited, plan.prefill_engines[1:])):
+        if plan is not None and any(
+            map(self.send_limits.is_rate_limited, plan.prefill_engines[1:])
+        ):
             # A target's rate limit does not count the prefill that it does for others.
-            free = [name for name in in_cell if not self._is_limited(name)]
+            is_limited = self.send_limits.is_rate_limited
+            free = [name for name in in_cell if not is_limited(name)]
             plan = plan_among(free) or plan
         if plan is None:
             return None
--- a/libraries/membership/tarragonward_membership/__init__.py
+++ b/libraries/membership/tarragonward_membership/__init__.py
@@ -2,6 +2,7 @@
 
 from .demands import OTHER_ACCOUNTS
 from .encoding import hash_name
+from .evacuations import Evacuation, EvacuationBegun, EvacuationEnded, Evacuations
 from .hellos import Hello, PeerEntry
 from .loads import LoadReport
 from .membership import Membership
@@ -51,6 +52,10 @@
 __all__ = [
     "OTHER_ACCOUNTS",
     "Effect",
+    "Evacuation",
+    "EvacuationBegun",
+    "EvacuationEnded",
+    "Evacuations",
     "Event",
     "Gossip",
     "GossipReceived",
--- a/libraries/membership/tarragonward_membership/const.py
+++ b/libraries/membership/tarragonward_membership/const.py
@@ -96,3 +96,8 @@
 HOST_COUNT_RETENTION_SECONDS = 300.0
 HOST_COUNT_STARTUP_SECONDS = 60.0
 STARTUP_HOSTS_PER_SEED = 3
+
+# Orders to evacuate failure domains. Any writer may publish one, so they are bounded.
+MAX_EVACUATIONS = 256
+# How long an order stays in force that the source has lost by coming back from a copy.
+LOST_EVACUATION_SECONDS = 30.0
--- a/libraries/membership/tarragonward_membership/registry.py
+++ b/libraries/membership/tarragonward_membership/registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -93,6 +93,7 @@
         )
         self._leaving_boots: OrderedDict[tuple[str, int | None], None] = OrderedDict()
         self._suspended_boots: set[tuple[str, int | None]] = set()
+        self._evacuated_domains: frozenset[str] = frozenset()
         # Caches, cleared by each change and rebuilt on demand.
         self._by_service: dict[str, tuple[RegisteredTarget, ...]] = {}
         self._address_holders: dict[Address, RegisteredTarget] = {}
@@ -107,6 +108,11 @@
         self._services = frozenset(names)
         self._clear_caches()
 
+    def set_evacuated(self, domains: Collection[str]) -> None:
+        """Set the failure domains whose targets get no work until further notice."""
+        self._evacuated_domains = frozenset(domains)
+        self._clear_caches()
+
     def apply(self, record: RegisteredTarget | WithdrawnTarget) -> bool:
         """Apply a record; return whether it changed the known targets.
 
@@ -160,11 +166,13 @@
     def is_usable(self, target: RegisteredTarget) -> bool:
         """Return whether a boot may get work.
 
-        It is ready by its record, and neither leaving nor suspended.
+        It is ready by its record, neither leaving nor suspended, and its failure domain
+        is not being evacuated.
         """
         boot = target.name, target.incarnation
         is_out = boot in self._leaving_boots or boot in self._suspended_boots
-        return target.is_ready and not is_out
+        is_evacuated = target.failure_domain in self._evacuated_domains
+        return target.is_ready and not is_out and not is_evacuated
 
     def is_withdrawn(self, target: RegisteredTarget) -> bool:
         """Return whether the last record of a boot was its withdrawal."""
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -2,6 +2,7 @@
 
 from .affinity import CacheUpdate, PrefixIndex, hash_blocks
 from .cells import Cell, LocatedMember, choose_cell, partition_hosts
+from .cold_targets import ColdBound, ColdTargets
 from .concurrency import ConcurrencyLimits
 from .const import (
     BLOCK_TOKENS,
@@ -56,6 +57,8 @@
 __all__ = [
     "parse_digest",
     "parse_summary",
+    "ColdBound",
+    "ColdTargets",
     "ConcurrencyLimits",
     "RelayDirectory",
     "HostView",
--- a/libraries/placement/tarragonward_placement/cells.py
+++ b/libraries/placement/tarragonward_placement/cells.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -33,7 +33,10 @@
 
 
 def choose_cell(
-    own: LocatedMember, hosts: Iterable[LocatedMember], engines: Iterable[LocatedMember]
+    own: LocatedMember,
+    hosts: Iterable[LocatedMember],
+    engines: Iterable[LocatedMember],
+    cold_domains: Collection[str] = (),
 ) -> Cell:
     """Return the cell of one host; hosts are those known to be alive.
 
@@ -42,6 +45,11 @@
     host can notify every other at once, but the hosts of a cell can. Membership is a
     hint: if two hosts see different members, they share an engine, which may then
     refuse.
+
+    The hosts of a failure domain without engines, as while it is evacuated, join the
+    cells of the other domains. So do hosts and engines of cold_domains, in which most
+    engines have just started: a cold engine takes few requests, and hosts that went
+    back to their own engines at once would crowd on the few that they may use.
     """
     members = {host.name: host for host in hosts}
     members[own.name] = own
@@ -49,15 +57,17 @@
     if len(members) <= c.MAX_SINGLE_CELL_HOSTS:
         return Cell(frozenset(members), frozenset(e.name for e in known), True)
     domains = sorted({host.failure_domain for host in members.values()})
+    domains = [domain for domain in domains if domain not in cold_domains] or domains
+    domain_by_engine = {engine.name: _find_domain(engine, domains) for engine in known}
+    serving = sorted(set(domain_by_engine.values())) or domains
+    own_domain = _find_domain(own, serving)
     domain_hosts = _order_by_hash(
         host.name
         for host in members.values()
-        if host.failure_domain == own.failure_domain
+        if _find_domain(host, serving) == own_domain
     )
     domain_engines = _order_by_hash(
-        engine.name
-        for engine in known
-        if _find_domain(engine, domains) == own.failure_domain
+        name for name, domain in domain_by_engine.items() if domain == own_domain
     )
     count = _count_cells(len(domain_hosts), len(domain_engines))
     cell_index = domain_hosts.index(own.name) * count // len(domain_hosts)
@@ -94,11 +104,11 @@
     return max(1, min(count, engines // c.MIN_CELL_ENGINES))
 
 
-def _find_domain(engine: LocatedMember, domains: Sequence[str]) -> str:
-    """Return the domain whose hosts use an engine: its own, if it has any hosts."""
-    if engine.failure_domain in domains:
-        return engine.failure_domain
-    return domains[int.from_bytes(_hash_name(engine.name)[:4]) % len(domains)]
+def _find_domain(member: LocatedMember, domains: Sequence[str]) -> str:
+    """Return the domain of a host or an engine, another one if it isn't among these."""
+    if member.failure_domain in domains:
+        return member.failure_domain
+    return domains[int.from_bytes(_hash_name(member.name)[:4]) % len(domains)]
 
 
 def _take_slice(names: Sequence[str], cell_index: int, count: int) -> list[str]:
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -175,6 +175,9 @@
 LIMIT_RETENTION_SECONDS = 60.0
 MAX_LIMIT_WAIT_SECONDS = 1.0
 
+# A longer time is taken for an error of whoever published it.
+MAX_COLD_SECONDS = 600.0
+
 # Cooldowns that targets ask for with a refusal.
 MAX_COOLDOWN_SECONDS = 86_400.0
 MAX_TARGET_COOLDOWNS = 4_096
--- a/libraries/placement/tarragonward_placement/target_limits.py
+++ b/libraries/placement/tarragonward_placement/target_limits.py
@@ -24,12 +24,14 @@
 
     max_known_hosts is the highest number of hosts that this host knew, or a peer
     reported, recently. Above the real number it leaves a part of a limit unused; below
-    it the hosts together could exceed the limit.
+    it the hosts together could exceed the limit. is_starting: this host started too
+    recently to have heard of all others.
     """
 
     own: str
     known_hosts: frozenset[str]
     max_known_hosts: int
+    is_starting: bool = False
 
 
 @dataclass(frozen=True)
@@ -167,6 +169,14 @@
             if has_ended or number not in numbers:
                 del self._limits[number]
 
+    def forget(self, number: int) -> None:
+        """Forget the limit of a target."""
+        self._limits.pop(number, None)
+
+    def compute_share(self, number: int, rate: float, view: HostView) -> float:
+        """Return this host's share of a target's rate, in requests per second."""
+        return compute_host_share(number, rate, view)
+
     def iterate(self) -> Iterator[int]:
         """Yield the targets that advertise a limit, or did so recently."""
         yield from self._limits
@@ -174,7 +184,7 @@
     def _accrue(self, number: int, limit: _Limit, view: HostView, now: float) -> None:
         assert limit.rate is not None
         if limit.share_inputs is None or limit.share_inputs != (limit.rate, view):
-            limit.share = compute_host_share(number, limit.rate, view)
+            limit.share = self.compute_share(number, limit.rate, view)
             limit.share_inputs = limit.rate, view
         accrued = limit.share * max(0.0, now - limit.accrued_at)
         limit.allowance = min(1.0, limit.allowance + accrued)
@@ -183,14 +193,20 @@
             limit.allowance = min(limit.allowance, 0.0)
 
 
-def compute_host_share(number: int, rate: float, view: HostView) -> float:
+def compute_host_share(
+    number: int,
+    rate: float,
+    view: HostView,
+    hosts_per_rate: float = c.LIMIT_HOSTS_PER_RATE,
+    min_hosts: float = c.LIMIT_MIN_HOSTS,
+) -> float:
     """Return this host's share of a target's rate, in requests per second.
 
     A target is used by the hosts that come first in a hash of the target and the host.
     Hosts with different views choose differently: a host assumes that all hosts it does
-    not know come before it.
+    not know come before it. hosts_per_rate and min_hosts bound their number.
     """
-    host_count = int(c.LIMIT_HOSTS_PER_RATE * rate) + c.LIMIT_MIN_HOSTS
+    host_count = max(1, int(hosts_per_rate * rate + min_hosts))
     if rate < c.LIMIT_MIN_RATE:
         return 0.0
     if host_count >= view.max_known_hosts:
--- a/libraries/placement/tests/test_cells.py
+++ b/libraries/placement/tests/test_cells.py
@@ -76,6 +76,47 @@
     assert used == {engine.name for engine in engines}
 
 
+def test_hosts_of_a_domain_without_engines_join_the_cells_of_the_others():
+    """An evacuated domain's hosts know nothing of the prompts on the others' engines.
+
+    They would send their prompts behind long ones that the others have just placed.
+    """
+    hosts = build_hosts(60)
+    engines = [engine for engine in build_engines(60) if engine.failure_domain != "c"]
+    cells = choose_all(hosts, engines)
+    used = set().union(*(cell.engines for cell in cells.values()))
+    assert used == {engine.name for engine in engines}
+    for host, cell in cells.items():
+        assert cell.engines
+        assert all(
+            host.name in cells[other].hosts
+            for other in hosts
+            if other.name in cell.hosts
+        )
+    sizes = {cell: len(cell.hosts) for cell in cells.values()}
+    assert max(sizes.values()) <= 1.5 * min(sizes.values())
+
+
+def test_engines_of_a_cold_domain_are_shared_out_until_they_are_warm():
+    """A domain returns from an evacuation; its hosts may use few of its engines yet."""
+    hosts, engines = build_hosts(60), build_engines(60)
+    cells = {host: choose_cell(host, hosts, engines, {"c"}) for host in hosts}
+    used = set().union(*(cell.engines for cell in cells.values()))
+    assert used == {engine.name for engine in engines}
+    warm = {engine.name for engine in engines if engine.failure_domain != "c"}
+    for cell in cells.values():
+        assert len(cell.engines & warm) >= len(warm) // len(set(cells.values()))
+
+
+def test_a_fleet_that_is_all_cold_keeps_its_cells():
+    """All engines were restarted; there is nowhere else to go."""
+    hosts, engines = build_hosts(60), build_engines(60)
+    for host in hosts:
+        assert choose_cell(host, hosts, engines, set(DOMAINS)) == choose_cell(
+            host, hosts, engines
+        )
+
+
 def test_a_lost_member_moves_only_hosts_at_cell_boundaries():
     """A host dies; others learn of it at different times and still share engines."""
     hosts, engines = build_hosts(75), build_engines(69)
--- a/libraries/routes/tarragonward_routes/table.py
+++ b/libraries/routes/tarragonward_routes/table.py
@@ -43,7 +43,8 @@
 
     attempts is the maximum number of targets that a request is sent to. Priority 0 is
     the most urgent. aim_seconds is the latency goal for the first event of an answer,
-    pause_aim_seconds that for the pauses between its events, 0 for none.
+    pause_aim_seconds that for the pauses between its events, 0 for none. Requests stay
+    within home_regions; without any they may go to each region.
     """
 
     name: str
@@ -58,6 +59,7 @@
     is_public: bool = False
     is_resumable: bool = False
     pause_aim_seconds: float = 0.0
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def may_run_again(self) -> bool:
@@ -76,20 +78,31 @@
 
 @dataclass(frozen=True)
 class Service:
-    """A group of equivalent targets; max_connections is per target, over all hosts."""
+    """A group of equivalent targets; max_connections is per target, over all hosts.
+
+    A target is cold for about cold_seconds after its start. Meanwhile it tolerates
+    cold_requests_per_second of all hosts together, any number where this is 0.0.
+    """
 
     name: str
     max_connections: int
     health_path: str = "/"
     engine: EngineModel | None = None
+    cold_seconds: float = 0.0
+    cold_requests_per_second: float = 0.0
 
 
 @dataclass(frozen=True)
 class Account:
-    """A client account; its priority, if set, overrides that of the route."""
+    """A client account; its priority, if set, overrides that of the route.
+
+    Its requests stay within home_regions, and within those of the route as well;
+    without any they may go to each region.
+    """
 
     name: str
     priority: int | None = None
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/libraries/standins/tarragonward_standins/platform_checker.py
+++ b/libraries/standins/tarragonward_standins/platform_checker.py
@@ -10,10 +10,16 @@
 
 from .platform_clients import NOT_RUN_STATUSES, Attempt, ClientRequest
 from .platform_concentration import Concentration, find_unserved_at_one_host
+from .platform_domains import (
+    Evacuation,
+    find_crowds_at_cold_runners,
+    find_sends_away_from_home,
+    find_sends_to_evacuated_zones,
+)
 from .platform_links import LinkCut, find_neglected_callers
 from .platform_model_runner import build_stream_event
 from .platform_reservations import ReservationRecord, check_reservations
-from .platform_runner import Arrival, RateLimitPeriod
+from .platform_runner import Arrival, ColdPeriod, RateLimitPeriod
 from .platform_segments import (
     find_neglected_prompts,
     find_sends_of_crashing_segments,
@@ -74,6 +80,11 @@
     host_starts: HostStarts = field(default_factory=dict)
     cuts: Sequence[LinkCut] = ()
     concentrations: Sequence[Concentration] = ()
+    evacuations: Sequence[Evacuation] = ()
+    cold_periods: Sequence[ColdPeriod] = ()
+    # Home regions by tenant, and the region of each zone.
+    homes: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    regions: Mapping[str, str] = field(default_factory=dict)
     violations: list[tuple[Rule, str]] = field(default_factory=list)
 
     def check(self) -> list[tuple[Rule, str]]:
@@ -116,9 +127,20 @@
             self.requests, self.arrivals, self.concentrations
         ):
             self._add_violation("RECOVER", found)
+        self._check_domains(attempts)
         self.violations += check_reservations(self.reservations, self.now)
         return self.violations
 
+    def _check_domains(self, attempts: Sequence[Attempt]) -> None:
+        for found in find_sends_to_evacuated_zones(
+            attempts, self.arrivals, self.evacuations, self.host_starts
+        ):
+            self._add_violation("EVAC", found)
+        for found in find_crowds_at_cold_runners(self.arrivals, self.cold_periods):
+            self._add_violation("FAILBACK", found)
+        for found in find_sends_away_from_home(self.arrivals, self.homes, self.regions):
+            self._add_violation("HOME", found)
+
     def _add_violation(self, rule: Rule, request_id: str) -> None:
         self.violations.append((rule, request_id))
 
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -28,6 +28,7 @@
 __all__ = [
     "CRASH_PREFIX",
     "Arrival",
+    "ColdPeriod",
     "RateLimitPeriod",
     "PlatformRunner",
     "RunnerFaults",
@@ -61,6 +62,8 @@
     max_connections: int = 110
     heartbeat_seconds: float = 1.2
     host: str = "127.0.0.1"
+    # How many requests per second a cold runner tolerates, any number if 0.0.
+    cold_per_second: float = 0.0
 
 
 @dataclass
@@ -115,6 +118,17 @@
     states_leaving: bool = False
     # For how many seconds the runner asked to get nothing when it refused the request.
     cooldown_seconds: float | None = None
+    zone: str = ""
+
+
+@dataclass
+class ColdPeriod:
+    """A period in which a runner is cold and tolerates a rate per second."""
+
+    runner_id: str
+    rate: float
+    began_at: float
+    ended_at: float
 
 
 @dataclass
@@ -158,6 +172,7 @@
         self.crashing_segments: Collection[str] = ()
         self._crash_task: asyncio.Task[None] | None = None
         self.limits: list[RateLimitPeriod] = []
+        self.cold_periods: list[ColdPeriod] = []
         # While set, all requests are refused with this many seconds of Retry-After.
         self.cooldown_seconds: float | None = None
         self._address = Address(plan.host, 0)
@@ -229,6 +244,17 @@
         if rate is not None:
             self.limits.append(RateLimitPeriod(self.id, rate, now))
 
+    def become_cold(self, seconds: float) -> None:
+        """Tolerate few requests for a while; the next check-in reports it."""
+        now = asyncio.get_running_loop().time()
+        rate = self.plan.cold_per_second
+        self.cold_periods.append(ColdPeriod(self.id, rate, now, now + seconds))
+
+    def _count_cold_milliseconds(self) -> int:
+        now = asyncio.get_running_loop().time()
+        ends = [period.ended_at for period in self.cold_periods]
+        return int(max(0.0, max(ends, default=now) - now) * MILLISECONDS)
+
     def _build_statements(self, arrival: Arrival) -> tuple[tuple[str, str], ...]:
         """Return the headers that state something about this runner."""
         headers = self._build_limit_header(arrival)
@@ -286,7 +312,7 @@
                 "version": "v1",
                 "slots": self.plan.slots,
                 "state": "draining" if self.is_draining else "ready",
-                "coldLeftMs": 0,
+                "coldLeftMs": self._count_cold_milliseconds(),
                 "seq": self._seq,
             },
         )
@@ -358,6 +384,7 @@
             request.headers,
             hashlib.sha256(request.body).hexdigest(),
             self.withdrawn_at,
+            zone=self.plan.zone,
         )
         self.arrivals.append(arrival)
         return arrival
@@ -436,7 +463,8 @@
         self, request: PlainRequest, writer: asyncio.StreamWriter
     ) -> bool:
         status = 503 if self.is_draining or self.is_full() else 200
-        headers = [("X-Instance-Id", self.id), ("Content-Length", "0")]
+        cold = ("X-Cold-Ms", str(self._count_cold_milliseconds()))
+        headers = [("X-Instance-Id", self.id), cold, ("Content-Length", "0")]
         writer.write(build_head(status, headers))
         return True
 
--- a/libraries/standins/tarragonward_standins/platform_settings.py
+++ b/libraries/standins/tarragonward_standins/platform_settings.py
@@ -1,4 +1,4 @@
-"""Render a host's settings template as the platform does."""
+"""Render a host's settings template as the platform does, and define its values."""
 
 from __future__ import annotations
 
@@ -7,7 +7,32 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-__all__ = ["render_settings"]
+__all__ = ["BOUNDS", "LIMITS", "render_settings"]
+
+BOUNDS: Mapping[str, Any] = {
+    "addrReuseS": 2,
+    "applyMs": 2000,
+    "drainMs": 2000,
+    "graceS": 8,
+    "lossSlackMs": 200,
+    "maxHoldMs": 20000,
+    "passMs": 120,
+    "retryRatio": 0.2,
+    "retrySlack": 106,
+    "retryWindowS": 10,
+    "stableWindowMs": 3000,
+    "stall_ms": 1500,
+    "freeMs": 4000,
+    "idleMaxMs": 9000,
+    "coldExcess": 1.5,
+    "coldSlack": 5,
+}
+LIMITS = {
+    "headerBytes": 16384,
+    "bodyBytes": 4194304,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
 
 TAG = re.compile(r"\{\{\s*([#^/]?)\s*([^}|\s]+)\s*(\|json)?\s*\}\}")
 SEPARATOR = ","
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -22,6 +22,7 @@
 from .platform_checker import Checker, ConfigVersion
 from .platform_clients import ClientRequest, PlatformClient
 from .platform_concentration import Concentration
+from .platform_domains import ZoneOperator
 from .platform_engine import PassSizes
 from .platform_links import CutKind, HostLinks
 from .platform_model_runner import ModelRunner, RunnersByAddress
@@ -34,7 +35,7 @@
     describe_route,
 )
 from .platform_runner import Arrival, PlatformRunner, RunnerPlan
-from .platform_settings import render_settings
+from .platform_settings import BOUNDS, LIMITS, render_settings
 from .platform_store import PlatformStore, StoreEndpoint, StoreFault
 
 __all__ = [
@@ -53,33 +54,12 @@
 BALANCER_INTERVAL_SECONDS = 0.5
 FAILED_CHECKS_UNTIL_REMOVAL = 2
 EXPIRY_SECONDS = 3.6
+COLD_SECONDS = 3.0
 DRAIN_SECONDS = 3.0
 STOP_SECONDS = 12.0
 # A crashed runner is replaced by a new incarnation after a delay in this range.
 CRASH_RESTART_SECONDS = (1.5, 3.0)
 CONFIG_KEY = "op/config"
-BOUNDS: Mapping[str, Any] = {
-    "addrReuseS": 2,
-    "applyMs": 2000,
-    "drainMs": 2000,
-    "graceS": 8,
-    "lossSlackMs": 200,
-    "maxHoldMs": 20000,
-    "passMs": 120,
-    "retryRatio": 0.2,
-    "retrySlack": 106,
-    "retryWindowS": 10,
-    "stableWindowMs": 3000,
-    "stall_ms": 1500,
-    "freeMs": 4000,
-    "idleMaxMs": 9000,
-}
-LIMITS = {
-    "headerBytes": 16384,
-    "bodyBytes": 4194304,
-    "headerTimeoutMs": 3000,
-    "idleTimeoutMs": 15000,
-}
 
 
 @dataclass(frozen=True)
@@ -93,6 +73,9 @@
     sizes: PassSizes = field(default_factory=PassSizes)
     seed: int = 1
     accounts: int = 3
+    # The region of each zone; zones that are missing are in region "calm".
+    regions: Mapping[str, str] = field(default_factory=dict)
+    cold_per_second: float = 0.0
 
 
 @dataclass
@@ -131,6 +114,8 @@
         self.plain: list[PlatformRunner] = []
         self.clients: list[PlatformClient] = []
         self.concentrations: list[Concentration] = []
+        # The home regions of tenants that have some.
+        self.homes: dict[str, frozenset[str]] = {}
         self._concentrated_share = 0.0
         # Segments of prompts that crash model runners.
         self.crashing_segments: set[str] = set()
@@ -143,6 +128,7 @@
         self._seeds = itertools.count(plan.seed * 1_000)
         self._balancer_task: asyncio.Task[None] | None = None
         self._runners: list[PlatformRunner] = []
+        self.operator = ZoneOperator(self.store, self._runners)
         self._replacement_tasks: set[asyncio.Task[None]] = set()
         self._ports: list[int] = []
         self._host_starts: dict[Address, list[float]] = defaultdict(list)
@@ -186,7 +172,10 @@
         """Write the next version of the configuration to the store."""
         self.version += self.random.randint(1, 3)
         services = [self._describe_model_service(), self._describe_plain_service()]
-        tenants = [{"name": n, "apiKeys": [k]} for n, k in self.tenants.items()]
+        tenants = [
+            {"name": n, "apiKeys": [k], "homeRegions": sorted(self.homes.get(n, ()))}
+            for n, k in self.tenants.items()
+        ]
         document = {
             "version": self.version,
             "routes": routes,
@@ -248,6 +237,10 @@
             self._host_starts,
             [cut for host in self.hosts for cut in host.links.cuts],
             self.concentrations,
+            self.operator.evacuations,
+            [period for runner in self._runners for period in runner.cold_periods],
+            self.homes,
+            self.plan.regions,
         ).check()
 
     @property
@@ -266,7 +259,9 @@
 
     async def async_add_plain(self, zone: str) -> PlatformRunner:
         """Start one more runner of the plain service."""
-        plan = RunnerPlan(PLAIN_SERVICE, zone)
+        plan = RunnerPlan(
+            PLAIN_SERVICE, zone, cold_per_second=self.plan.cold_per_second
+        )
         runner = PlatformRunner(plan, self.store, self.arrivals, next(self._seeds))
         await self._async_start_runner(runner)
         return runner
@@ -274,7 +269,14 @@
     async def async_add_model(self, zone: str) -> ModelRunner:
         """Start one more model runner."""
         slots = self.plan.sizes.slots
-        plan = RunnerPlan(MODEL_SERVICE, zone, slots, queue=32, max_connections=270)
+        plan = RunnerPlan(
+            MODEL_SERVICE,
+            zone,
+            slots,
+            queue=32,
+            max_connections=270,
+            cold_per_second=self.plan.cold_per_second,
+        )
         runner = ModelRunner(
             plan,
             self.store,
@@ -414,7 +416,9 @@
             "ip": host.front.host,
             "zone": host.zone,
             "region": "calm",
-            "zones": dict.fromkeys(self.plan.zones, "calm"),
+            "zones": {
+                zone: self.plan.regions.get(zone, "calm") for zone in self.plan.zones
+            },
             "listen": {
                 "front": str(host.front),
                 "ready": str(host.ready),
@@ -445,6 +449,7 @@
             "maxConns": 270,
             "protocol": "h1",
             "tls": False,
+            **self._describe_cold_start(),
             "engine": {
                 "slots": sizes.slots,
                 "kvCapacity": sizes.memory_tokens,
@@ -470,4 +475,8 @@
             "maxConns": 110,
             "protocol": "h1",
             "tls": False,
+            **self._describe_cold_start(),
         }
+
+    def _describe_cold_start(self) -> dict[str, float]:
+        return {"coldS": COLD_SECONDS, "coldPerS": self.plan.cold_per_second}
