Let the published configuration evacuate failure domains for the daemon

The daemon had no way to keep new work off a failure domain but to take each target out of the configuration, which ends what runs there.

--- a/libraries/cli/tarragonward_cli/status.py
+++ b/libraries/cli/tarragonward_cli/status.py
@@ -89,6 +89,7 @@
         "name": status.get("name", "-"),
         "incarnation": incarnation or "-",
         "configuration": status.get("configuration_number", "-"),
+        "evacuated": ",".join(status.get("evacuated_domains", ())) or "-",
         "members": "-" if is_unreachable else len(status["members"]),
         "in flight": status.get("in_flight", "-"),
         "draining": status.get("draining", "-"),
--- a/libraries/config/tarragonward_config/const.py
+++ b/libraries/config/tarragonward_config/const.py
@@ -48,6 +48,7 @@
 ATTR_TOKEN_SHA256 = "token_sha256"
 ATTR_VERSION = "version"
 ATTR_WEIGHT = "weight"
+ATTR_EVACUATED_DOMAINS = "evacuated_failure_domains"
 ATTR_WEIGHT_STORE = "weight_store"
 
 KIND_ENGINE = "engine"
--- a/libraries/config/tarragonward_config/document.py
+++ b/libraries/config/tarragonward_config/document.py
@@ -86,7 +86,8 @@
 class Configuration:
     """A published configuration, read-only.
 
-    parallel_loads is how many engines may load weights at once; None is unlimited.
+    parallel_loads is how many engines may load weights at once; None is unlimited. The
+    targets of evacuated_domains get no new work.
     """
 
     client_accounts: MappingProxyType[str, ClientAccount]
@@ -94,6 +95,7 @@
     services: MappingProxyType[str, Service]
     targets: MappingProxyType[str, Target]
     parallel_loads: int | None = None
+    evacuated_domains: frozenset[str] = frozenset()
 
     def find_account(self, token: str) -> ClientAccount | None:
         """Return the account of a bearer token.
@@ -113,6 +115,10 @@
         """Return the engines that serve a model."""
         return [t for t in self.targets.values() if model in t.models]
 
+    def is_evacuated(self, target: Target) -> bool:
+        """Return whether a target gets no new work, by its failure domain."""
+        return target.failure_domain in self.evacuated_domains
+
     def find_operation(self, service: str, operation: str) -> Operation | None:
         """Return an operation of a service, or None if it is not published."""
         found = self.services.get(service)
@@ -208,6 +214,7 @@
             }
         },
         vol.Required(c.ATTR_TARGETS): {_NAME: _check_target},
+        vol.Optional(c.ATTR_EVACUATED_DOMAINS, default=list): [_NAME],
         vol.Optional(c.ATTR_WEIGHT_STORE, default=dict): {
             vol.Optional(c.ATTR_PARALLEL_LOADS): _POSITIVE,
         },
@@ -244,6 +251,7 @@
             for section, build in BUILDERS.items()
         },
         parallel_loads=checked[c.ATTR_WEIGHT_STORE].get(c.ATTR_PARALLEL_LOADS),
+        evacuated_domains=frozenset(checked[c.ATTR_EVACUATED_DOMAINS]),
     )
     _check_references(configuration, source)
     return configuration
--- a/libraries/daemon/tarragonward_daemon/calls.py
+++ b/libraries/daemon/tarragonward_daemon/calls.py
@@ -239,10 +239,11 @@
         """Return the service's targets, with this host's failure domain first."""
         domain = self._host.settings.failure_domain
         leaving = self._membership.leaving_targets
+        configuration = self._host.configuration
         targets = [
             target
-            for target in self._host.configuration.get_service_targets(service)
-            if target.name not in leaving
+            for target in configuration.get_service_targets(service)
+            if target.name not in leaving and not configuration.is_evacuated(target)
         ]
         return sorted(targets, key=lambda target: target.failure_domain != domain)
 
--- a/libraries/daemon/tarragonward_daemon/configuration.py
+++ b/libraries/daemon/tarragonward_daemon/configuration.py
@@ -237,7 +237,10 @@
             return
         self._host.configuration_state = state
         log_event(
-            "configuration_in_force", number=state.number, sequence=state.sequence
+            "configuration_in_force",
+            number=state.number,
+            sequence=state.sequence,
+            evacuated=",".join(sorted(state.configuration.evacuated_domains)) or None,
         )
 
     async def _async_pull_from_peers(self) -> None:
--- a/libraries/daemon/tarragonward_daemon/core.py
+++ b/libraries/daemon/tarragonward_daemon/core.py
@@ -84,6 +84,12 @@
             )
         return self.configuration_state.configuration
 
+    @property
+    def evacuated_domains(self) -> frozenset[str]:
+        """Return the failure domains whose targets get no new work."""
+        state = self.configuration_state
+        return frozenset() if state is None else state.configuration.evacuated_domains
+
     @property
     def configuration_number(self) -> int:
         """Return the number of the active configuration, -1 without one."""
--- a/libraries/daemon/tarragonward_daemon/models.py
+++ b/libraries/daemon/tarragonward_daemon/models.py
@@ -68,7 +68,12 @@
     def get_engines(self, model: str) -> list[Target]:
         """Return the engines of a model that accept new work."""
         engines = self.host.configuration.get_engines(model)
-        return [engine for engine in engines if not self.is_leaving(engine)]
+        is_evacuated = self.host.configuration.is_evacuated
+        return [
+            engine
+            for engine in engines
+            if not self.is_leaving(engine) and not is_evacuated(engine)
+        ]
 
     async def async_run(
         self,
--- a/libraries/daemon/tarragonward_daemon/operators.py
+++ b/libraries/daemon/tarragonward_daemon/operators.py
@@ -49,6 +49,11 @@
             "Other hosts in this host's view.",
             lambda: len(membership.membership.get_members()),
         )
+        host.metrics.add_gauge(
+            "domains_evacuated",
+            "Failure domains whose targets get no new work by the configuration.",
+            lambda: len(host.evacuated_domains),
+        )
 
     def check_head(self, head: HttpHead) -> None:
         """Refuse an invalid request by its head, before its body is buffered."""
@@ -112,6 +117,7 @@
             "identity": str(self._host.identity),
             "failure_domain": self._host.settings.failure_domain,
             "configuration_number": self._host.configuration_number,
+            "evacuated_domains": sorted(self._host.evacuated_domains),
             "draining": self._host.is_draining,
             "in_flight": self._host.requests_in_flight,
             "invariant_violations": invariants.count,
@@ -136,6 +142,7 @@
                     "address": str(target.address),
                     "failure_domain": target.failure_domain,
                     "leaving": target.name in self._membership.leaving_targets,
+                    "evacuated": self._host.configuration.is_evacuated(target),
                 }
                 for target in targets
             ]
--- a/libraries/daemon/tests/test_models.py
+++ b/libraries/daemon/tests/test_models.py
@@ -92,3 +92,17 @@
     completion = replace(COMPLETION, priority=requested)
     run = ModelRun(daemon.models, "r", account, completion, 1.0, BlockedSink())
     assert run.build_placement_request(1, 0.0).priority == expected
+
+
+async def test_evacuated_engine_gets_no_new_work(daemon, engine):
+    """The order is a part of the configuration; what runs there must not be cut off."""
+    running = daemon.host.configuration.targets["engine"]
+    document = daemon.host.configuration_state.document
+    order = {**document, "evacuated_failure_domains": ["north"]}
+    daemon.host.configuration_state = build_state(1, 1, order)
+    assert daemon.models.get_engines("m") == []
+    assert not daemon.models.is_leaving(running)
+    assert daemon.host.evacuated_domains == {"north"}
+    daemon.host.configuration_state = build_state(2, 2, document)
+    assert daemon.models.get_engines("m") == [running]
+    assert not daemon.host.evacuated_domains
