Hold prompts in an order: by urgency, then fair between client accounts

What callers would see while all engines are full: a client account with twenty prompts held at a host is served twenty times before the next account, and once it fills the queue (256) all others are refused. The published urgency was read and used by nothing.

WaitOrder is start-time fair queueing by the time that a prompt occupies a place; urgency goes first. Fair within a host only; over all hosts not begun.

--- a/libraries/bench/tarragonward_bench/harm/limits.py
+++ b/libraries/bench/tarragonward_bench/harm/limits.py
@@ -11,6 +11,7 @@
 
 from .host import GossipHost, Section
 from .target_run import TargetRun
+from .views import HostViewCache
 
 __all__ = ["LimitPlan", "LimitRun", "run_limit_seed"]
 
@@ -61,25 +62,11 @@
         self.limits = TargetLimits(self.random)
         self.gossip = LimitGossip(self.limits)
         self.sections[SECTION] = Section(self._build, self._apply)
-        self._view: HostView | None = None
-        self._view_at = float("-inf")
+        self._views = HostViewCache(self)
 
     @property
     def view(self) -> HostView:
-        now = self.world.now
-        if (
-            self._view is None
-            or now - self._view_at >= gateway_const.HOST_VIEW_REFRESH_SECONDS
-        ):
-            known_addresses = self.members.get_known_addresses(now)
-            max_hosts = max(
-                len(known_addresses), self.members.get_max_known_host_count(now)
-            )
-            self._view = HostView(
-                str(self.address), frozenset(map(str, known_addresses)), max_hosts
-            )
-            self._view_at = now
-        return self._view
+        return self._views.get()
 
     def handle_answer(self, target: _Target, rate: float | None) -> None:
         if not self.run_or_defer(self.handle_answer, target, rate):
--- a/libraries/bench/tarragonward_bench/harm/runs.py
+++ b/libraries/bench/tarragonward_bench/harm/runs.py
@@ -6,6 +6,7 @@
 import sys
 import time
 
+from .cold import ColdPlan, ColdRun
 from .cooldowns import CooldownPlan, CooldownRun
 from .crashes import CrashPlan, CrashRun
 from .limits import LimitPlan, LimitRun
@@ -40,7 +41,9 @@
         help="share of prompts with a segment that begins to crash targets",
     )
     parser.add_argument(
-        "--kinds", nargs="+", default=["crashes", "segments", "limits", "cooldowns"]
+        "--kinds",
+        nargs="+",
+        default=["crashes", "segments", "limits", "cooldowns", "cold"],
     )
     parser.add_argument("--calm", action="store_true", help="no faults of hosts")
     options = parser.parse_args()
@@ -73,6 +76,7 @@
         "segments": segment,
         "limits": limit,
         "cooldowns": cooldown,
+        "cold": ColdRun(ColdPlan(**settings), seed),
     }
     for run in (run for name, run in runs.items() if name in options.kinds):
         began = time.monotonic()
--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -3,6 +3,8 @@
 import pytest
 
 from tarragonward_bench.harm import (
+    ColdPlan,
+    ColdRun,
     CooldownPlan,
     CooldownRun,
     CrashPlan,
@@ -11,6 +13,7 @@
     LimitRun,
     SegmentPlan,
     SegmentRun,
+    run_cold_seed,
     run_cooldown_seed,
     run_crash_seed,
     run_limit_seed,
@@ -18,7 +21,7 @@
 )
 from tarragonward_bench.harm.spread import measure_crash_propagation
 from tarragonward_gateway.suspect_gossip import SuspectGossip
-from tarragonward_placement import TargetCooldowns, target_limits
+from tarragonward_placement import TargetCooldowns, cold_targets, target_limits
 from tarragonward_requests import SegmentTracker, const
 
 
@@ -123,3 +126,20 @@
         turning_share=0.2,
     )
     SegmentRun(plan, seed).run()
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_cold_targets_are_not_crowded(seed):
+    """Hosts are killed, frozen and cut off while targets start again, cold."""
+    assert run_cold_seed(seed)
+
+
+def test_runs_detect_hosts_that_each_send_to_a_cold_target_at_its_full_rate(
+    monkeypatch,
+):
+    """Each host alone stays below the bound, but all hosts together exceed it."""
+    monkeypatch.setattr(
+        cold_targets, "compute_host_share", lambda number, rate, *_: 0.9 * rate
+    )
+    with pytest.raises(AssertionError, match="in a second"):
+        ColdRun(ColdPlan(hosts=40, requests_a_second=600.0), 1).run()
--- a/libraries/gateway/tarragonward_gateway/placing.py
+++ b/libraries/gateway/tarragonward_gateway/placing.py
@@ -102,14 +102,37 @@
         queue = self._chooser.get_place_queue(self._context.service)
         begun_at = self._loop.time()
         seconds = (self._context.deadline - begun_at) * c.PLACE_HOLD_SHARE
-        is_hopeless = queue.predict_wait(begun_at) > seconds
-        if is_hopeless or len(queue) >= c.MAX_HELD_REQUESTS or self._state.is_draining:
+        account, urgency = self._get_account(), self._get_urgency()
+        ahead = queue.count_before(account, urgency)
+        is_hopeless = queue.predict_wait(begun_at, ahead) > seconds
+        if is_hopeless or self._state.is_draining:
+            return False
+        if not queue.make_room(account, urgency):
             return False
         self._state.metrics.count("requests_held")
-        is_free = await queue.async_wait(self._has_place, begun_at + seconds)
+        is_free = await queue.async_wait(
+            self._has_place, begun_at + seconds, account, urgency, self._estimate_cost()
+        )
         self.held_seconds += self._loop.time() - begun_at
         return is_free
 
+    def _estimate_cost(self) -> float:
+        """Return for how many seconds the prompt occupies a place of an engine."""
+        table = self._state.table
+        service = table.services.get(self._context.service) if table else None
+        if self._tokens is None or service is None or service.engine is None:
+            return c.DEFAULT_HELD_COST_SECONDS
+        return service.engine.estimate_occupancy(*self._tokens)
+
+    def _get_account(self) -> str:
+        return self._context.account.name if self._context.account is not None else ""
+
+    def _get_urgency(self) -> int:
+        """Return the published urgency: the account's, else that of the route."""
+        account = self._context.account
+        own = account.priority if account is not None else None
+        return self._route.priority if own is None else own
+
     def _has_place(self) -> bool:
         # A request whose targets have gone stops waiting too, and is refused.
         return not self._chooser.are_all_full(self.build_requirements())
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -281,7 +281,14 @@
 
     def get_place_queue(self, service: str) -> PlaceQueue:
         """Return the queue of the requests to a service that wait for a place."""
-        return self._place_queues.setdefault(service, PlaceQueue())
+        queue = self._place_queues.get(service)
+        if queue is None:
+            queue = self._place_queues[service] = PlaceQueue()
+            queue.on_displaced = self._record_displaced
+        return queue
+
+    def _record_displaced(self, account: str) -> None:
+        self._state.metrics.count("held_requests_displaced", account=account)
 
     def must_wait(self, requirements: TargetRequirements) -> bool:
         """Return whether a request waits for a place, behind those that wait already.
--- a/libraries/gateway/tests/test_place_queue.py
+++ b/libraries/gateway/tests/test_place_queue.py
@@ -146,3 +146,81 @@
     await asyncio.gather(*tasks)
     assert order == list("abc")
     assert len(queue) == 0
+
+
+async def async_hold(queue, account, served, is_free, urgency=1):
+    until = asyncio.get_running_loop().time() + 5.0
+    if await queue.async_wait(lambda: bool(is_free), until, account, urgency):
+        is_free.pop()
+        served.append(account)
+
+
+async def async_free(queue, is_free, count):
+    for _ in range(count):
+        is_free.append(True)
+        queue.record_release(0.0)
+        await asyncio.sleep(0.01)
+
+
+async def test_small_account_is_not_held_behind_all_requests_of_a_large_one():
+    """A client account sends many times its share while all engines are full."""
+    queue, served, is_free = PlaceQueue(), [], []
+    accounts = ["large"] * 20 + ["small"] * 2
+    tasks = [
+        asyncio.ensure_future(async_hold(queue, account, served, is_free))
+        for account in accounts
+    ]
+    await asyncio.sleep(0.01)
+    await async_free(queue, is_free, 4)
+    assert sorted(served) == ["large", "large", "small", "small"]
+    await async_free(queue, is_free, 18)
+    await asyncio.gather(*tasks)
+    assert len(queue) == 0
+
+
+async def test_more_urgent_request_that_comes_later_gets_the_next_place():
+    queue, served, is_free = PlaceQueue(), [], []
+    tasks = [
+        asyncio.ensure_future(async_hold(queue, name, served, is_free, urgency))
+        for name, urgency in (("later", 1), ("now", 0))
+    ]
+    await asyncio.sleep(0.01)
+    await async_free(queue, is_free, 2)
+    await asyncio.gather(*tasks)
+    assert served == ["now", "later"]
+
+
+async def test_full_queue_makes_room_for_an_account_below_its_share(monkeypatch):
+    """Otherwise an account that fills the queue would have all others refused."""
+    monkeypatch.setattr(c, "MAX_HELD_REQUESTS", 5)
+    queue, served, is_free, displaced = PlaceQueue(), [], [], []
+    queue.on_displaced = displaced.append
+    large = [
+        asyncio.ensure_future(async_hold(queue, "large", served, is_free))
+        for _ in range(5)
+    ]
+    await asyncio.sleep(0.01)
+    assert not queue.make_room("large", 1)
+    assert queue.make_room("small", 1)
+    small = asyncio.ensure_future(async_hold(queue, "small", served, is_free))
+    await asyncio.sleep(0.01)
+    assert displaced == ["large"]
+    assert [task.done() for task in large] == [False] * 4 + [True]
+    await async_free(queue, is_free, 5)
+    await asyncio.gather(*large, small)
+    assert sorted(served) == ["large"] * 4 + ["small"]
+    assert len(queue) == 0
+
+
+async def test_held_request_that_leaves_lets_the_next_one_look_for_a_place():
+    """Its caller has gone; the others must not wait for it."""
+    queue, served, is_free = PlaceQueue(), [], [True]
+    is_free.clear()
+    first = asyncio.ensure_future(async_hold(queue, "a", served, is_free))
+    second = asyncio.ensure_future(async_hold(queue, "a", served, is_free))
+    await asyncio.sleep(0.01)
+    first.cancel()
+    await asyncio.sleep(0.01)
+    await async_free(queue, is_free, 1)
+    await second
+    assert served == ["a"] and len(queue) == 0
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -52,6 +52,7 @@
 from .relocation import predict_event_wait, should_migrate
 from .target_cooldowns import TargetCooldowns
 from .target_limits import HostView, LimitEntry, TargetLimits, compute_host_share
+from .wait_order import Waiting, WaitOrder
 from .widening import widen_plan
 
 __all__ = [
@@ -102,6 +103,8 @@
     "ReservePart",
     "RetryGroup",
     "TargetHealthTracker",
+    "WaitOrder",
+    "Waiting",
     "choose_cell",
     "partition_hosts",
     "choose_loads",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -191,3 +191,6 @@
 PROVEN_RELAY_SECONDS = 5.0
 # So many different peers that can't reach a service show that its targets have ended.
 MAX_UNABLE_RELAYS = 6
+
+# Accounts whose last served request is remembered while others wait.
+MAX_REMEMBERED_ACCOUNTS = 4_096
--- a/libraries/routes/tarragonward_routes/engine.py
+++ b/libraries/routes/tarragonward_routes/engine.py
@@ -40,6 +40,12 @@
             + pairs * self.seconds_per_token_pair
         ) / parts
 
+    def estimate_occupancy(self, prompt_tokens: int, output_tokens: int) -> float:
+        """Return for how long a prompt occupies a place of an engine, half full."""
+        passes = output_tokens / max(self.stride_steps, 1)
+        decode_seconds = self.compute_decode_seconds(self.slots // 2, 0)
+        return self.compute_prefill_seconds(prompt_tokens) + passes * decode_seconds
+
     def compute_decode_seconds(
         self, decoding_requests: int, context_tokens: int
     ) -> float:
