Name two methods by what they return

Evacuations.list and SendLimits.filter hid builtins of the same name from whoever reads their classes: get_orders and select now, like their neighbours.

--- a/libraries/gateway/tarragonward_gateway/failure_domains/evacuation_task.py
+++ b/libraries/gateway/tarragonward_gateway/failure_domains/evacuation_task.py
@@ -82,7 +82,7 @@
                 "is_published": order.lost_at is None,
                 "targets": self._count_targets(order.domain),
             }
-            for order in self._orders.list()
+            for order in self._orders.get_orders()
         ]
 
     def _apply(self, domain: str, record: Record, is_restored: bool) -> None:
--- a/libraries/gateway/tarragonward_gateway/sending/send_limits.py
+++ b/libraries/gateway/tarragonward_gateway/sending/send_limits.py
@@ -37,7 +37,7 @@
         self.cooldowns = TargetCooldowns()
         self.get_host_view: Callable[[], HostView] = lambda: SINGLE_HOST_VIEW
 
-    def filter(
+    def select(
         self, targets: Sequence[RegisteredTarget], now: float
     ) -> Sequence[RegisteredTarget]:
         """Return the targets that may get one more request of this host now."""
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -184,7 +184,7 @@
         """Return the targets that may get the request, and the best of them."""
         ready = self._connections.select(self._list_allowed(requirements))
         now = read_clock()
-        ready = self.send_limits.filter(ready, now)
+        ready = self.send_limits.select(ready, now)
         if not ready:
             return (), ()
         preferred = self.cooldowns.prefer(ready, now, is_retry=bool(requirements.tried))
--- a/libraries/membership/tarragonward_membership/evacuations.py
+++ b/libraries/membership/tarragonward_membership/evacuations.py
@@ -58,7 +58,7 @@
         """Return the failure domains whose targets get no work."""
         return frozenset(self._orders)
 
-    def list(self) -> tuple[Evacuation, ...]:
+    def get_orders(self) -> tuple[Evacuation, ...]:
         """Return the orders in force, by the name of their domain."""
         return tuple(order for _, order in sorted(self._orders.items()))
 
--- a/libraries/membership/tests/test_evacuations.py
+++ b/libraries/membership/tests/test_evacuations.py
@@ -25,7 +25,7 @@
     orders = Evacuations()
     orders.begin("b", 1.0)
     orders.begin("a", 2.0)
-    assert [order.domain for order in orders.list()] == ["a", "b"]
+    assert [order.domain for order in orders.get_orders()] == ["a", "b"]
     orders.end("b", 3.0)
     assert orders.domains == {"a"}
 
@@ -52,7 +52,7 @@
     orders.end("a", 10.0, is_restored=True)
     assert orders.begin("a", 12.0) is None
     assert orders.end_lost(1_000.0) == []
-    assert orders.list()[0].began_at == 0.0
+    assert orders.get_orders()[0].began_at == 0.0
 
 
 def test_orders_are_bounded():
