Look only at the targets that are limited or cold before each send

What it cost: with one cold target of 3,000 each choice of a target looked at all of them, 14.7 ms of a core beside other work (by hand, 300 hosts known); with 100 cold ones 23.2 ms. In a large fleet some target has nearly always just started. The cells' search for cold domains ends at once while none is cold.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -73,6 +73,7 @@
         self.relays.get_hosts = self.peers.get_known_ips
         self.relays.get_domain = self.peers.get_domain
         self.targets.get_cell = self.cells.get
+        self.cells.has_cold = self.targets.send_limits.has_cold
         self.cells.is_cold = self.targets.send_limits.is_cold
         self.cell_gossip = CellGossip(self.state, self.peers, self.targets)
         self.forwarder = Forwarder(self.state, self.targets, self.reservations)
--- a/libraries/gateway/tarragonward_gateway/cells.py
+++ b/libraries/gateway/tarragonward_gateway/cells.py
@@ -30,6 +30,7 @@
         self._cells: dict[str, tuple[float, Cell]] = {}
         self._polling_order_at = float("-inf")
         self._polling_order = PollingOrder(1, 0)
+        self.has_cold: Callable[[], bool] = lambda: False
         self.is_cold: Callable[[RegisteredTarget], bool] = lambda target: False
 
     def get(self, service: str) -> Cell:
@@ -81,7 +82,7 @@
     def _find_cold_domains(self, ready: Iterable[RegisteredTarget]) -> set[str]:
         """Return the failure domains in which most of the ready targets are cold."""
         counts: Counter[str] = Counter()
-        for target in ready:
+        for target in ready if self.has_cold() else ():
             counts[target.failure_domain] += 1 if self.is_cold(target) else -1
         return {domain for domain, surplus in counts.items() if surplus > 0}
 
--- a/libraries/gateway/tarragonward_gateway/sending/send_limits.py
+++ b/libraries/gateway/tarragonward_gateway/sending/send_limits.py
@@ -41,10 +41,20 @@
         self, targets: Sequence[RegisteredTarget], now: float
     ) -> Sequence[RegisteredTarget]:
         """Return the targets that may get one more request of this host now."""
-        if len(self.advertised) or len(self.cold):
-            targets = [each for each in targets if self._is_within_rates(each, now)]
+        # Few of a large fleet's targets are limited, and this is asked for each send.
+        limited = {*self.advertised.iterate(), *self.cold.iterate()}
+        if limited:
+            targets = [
+                each
+                for each in targets
+                if hash_name(each.id) not in limited or self._is_within_rates(each, now)
+            ]
         return self.cooldowns.get_available(targets, now)
 
+    def has_cold(self) -> bool:
+        """Return whether any target was cold lately."""
+        return len(self.cold) > 0
+
     def is_cold(self, target: RegisteredTarget) -> bool:
         """Return whether a target is cold and tolerates few requests."""
         is_cold = self.cold.is_cold(hash_name(target.id), read_clock())
--- a/libraries/placement/tarragonward_placement/cold_targets.py
+++ b/libraries/placement/tarragonward_placement/cold_targets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 
 from . import const as c
@@ -75,6 +75,10 @@
             self._until[number] = now + min(seconds, c.MAX_COLD_SECONDS)
         return not was_cold
 
+    def iterate(self) -> Iterator[int]:
+        """Yield the targets that were cold lately."""
+        yield from self._until
+
     def is_cold(self, number: int, now: float) -> bool:
         """Return whether a target is cold."""
         return self._until.get(number, now) > now
