--- a/tests/test_platform_domains.py
+++ b/tests/test_platform_domains.py
@@ -42,7 +42,7 @@
 @pytest.mark.parametrize(
     ("key", "domain"),
     [
-        ("op/evacuate/bog-a", "bog-a"),
+        ("op/evacuate/north-a", "north-a"),
         ("op/evacuate/a/b", "a/b"),
         ("op/evacuate/", None),
         ("op/evacuate", None),
