Log what is known of a suspect request that is sent, and what a lost connection was taken for

Now target_chosen has suspicion, crashes_known, crashes_counted and crashes_cleared for each request under which targets crashed, send_failed has the cause that was found for a lost connection, and suspect_acquitted the answer's status and whether it had begun to run. Metrics: suspect_sends, lost_connections, by label. send_failed is logged once the cause is known, some milliseconds later. No decision reads any of it.

--- a/libraries/gateway/tarragonward_gateway/heads.py
+++ b/libraries/gateway/tarragonward_gateway/heads.py
@@ -6,6 +6,7 @@
 
 from tarragonward_core import ConnectionLostError
 from tarragonward_membership import RegisteredTarget
+from tarragonward_placement import Evidence
 from tarragonward_wire import HttpStream
 
 from .const import HEADER_RETRY_AFTER
@@ -22,6 +23,7 @@
 
 STATUS_CLIENT_ERROR = 400
 STATUS_MISDIRECTED = 421
+STATUS_SERVER_ERROR = 500
 STATUS_UNAVAILABLE = 503
 NOT_RUN_STATUSES = (408, 429, 503)
 CONTENT_ENCODING = "content-encoding"
@@ -83,6 +85,18 @@
             raise SpoiledAnswerError("answer has the id of another request")
         return is_not_run(names, stream.status, stream.headers)
 
+    def classify(self, target: RegisteredTarget, stream: HttpStream) -> Evidence:
+        """Return what an answer's head tells of the health of its target."""
+        # A head does not count as an answer: a faulty target may send a good head and
+        # a bad body, and its failures would then never be consecutive.
+        if is_from_other_boot(self._names, target, stream.status, stream.headers):
+            return Evidence.REPLACED
+        if self.is_refusal(stream):
+            return Evidence.ANSWERED
+        if stream.status >= STATUS_SERVER_ERROR:
+            return Evidence.FAILED
+        return Evidence.CONNECTED
+
     def check(self, stream: HttpStream) -> None:
         """Raise SpoiledAnswerError if the answer cannot be forwarded."""
         names = self._names
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -54,7 +54,6 @@
 from .heads import (
     AnswerHeadCheck,
     SpoiledAnswerError,
-    is_from_other_boot,
     is_out_of_places,
 )
 from .idle_policy import IdlePolicy
@@ -71,7 +70,7 @@
 )
 from .send_headers import build_send_headers
 from .state import GatewayState
-from .suspects import RequestIdentity, SuspectMonitor
+from .suspects import UNKNOWN, RequestIdentity, SuspectMonitor
 from .targets import TargetChooser
 
 __all__ = ["ForwardedRequest"]
@@ -249,6 +248,7 @@
             prefill_engines,
             relayed=choice.is_relayed or None,
             **self._placer.describe(),
+            **self._suspects.describe_send(self._identity, self._suspect_verdict),
         )
         self._placer.record_chosen(target)
         try:
@@ -288,14 +288,20 @@
             self._placer.abandoned = target.id
         if event.fault is SendFault.MOVED and not self._exchange.is_streaming:
             self._chooser.probes.check_in_background(target)
-        self._observer.record_failure(
-            "send_failed",
-            fault=event.fault.value,
-            error=str(err),
-            fingerprint=self._identity.fingerprint.hex() if is_lost else None,
-        )
-        if is_lost and not is_link_fault(err):
-            await self._suspects.async_record_lost(self._identity, choice)
+        cause = UNKNOWN if is_lost else None
+        try:
+            if is_lost:
+                cause = await self._suspects.async_record_lost(
+                    self._identity, choice, is_link_fault(err)
+                )
+        finally:
+            self._observer.record_failure(
+                "send_failed",
+                fault=event.fault.value,
+                error=str(err),
+                fingerprint=self._identity.fingerprint.hex() if is_lost else None,
+                cause=cause,
+            )
 
     def _refund_retry(self) -> None:
         """Return a retry that was never sent to the retry budget."""
@@ -306,16 +312,7 @@
             self._retry_counted_at = None
 
     def _record_head_evidence(self, choice: SendChoice, stream: HttpStream) -> None:
-        # A head does not count as an answer: a faulty target may send a good head and
-        # a bad body, and its failures would then never be consecutive.
-        evidence = Evidence.CONNECTED
-        names, target = self._state.headers, choice.target
-        if is_from_other_boot(names, target, stream.status, stream.headers):
-            evidence = Evidence.REPLACED
-        elif self._head_check.is_refusal(stream):
-            evidence = Evidence.ANSWERED
-        elif stream.status >= STATUS_SERVER_ERROR:
-            evidence = Evidence.FAILED
+        evidence = self._head_check.classify(choice.target, stream)
         self._chooser.record_evidence(choice, evidence)
 
     async def _async_attempt(
@@ -433,7 +430,7 @@
             self._chooser.record_evidence(choice, Evidence.ANSWERED)
             is_success = stream.status < STATUS_MULTIPLE_CHOICES
             self._suspects.record_answered(
-                self._identity, choice.sent_at if is_success else None
+                self._identity, choice.sent_at if is_success else None, stream.status
             )
         return TargetAnswered(is_failure=stream.status >= STATUS_SERVER_ERROR)
 
@@ -463,7 +460,9 @@
             if self._exchange.last_event_id is None:
                 raise SpoiledAnswerError("event stream ended without an event")
             self._start_answer(stream)
-        self._suspects.record_answered(self._identity, choice.answer_began_at)
+        self._suspects.record_answered(
+            self._identity, choice.answer_began_at, stream.status
+        )
         await self._responder.async_finish()
         self._exchange.has_ended = True
         return None
--- a/libraries/gateway/tarragonward_gateway/suspects.py
+++ b/libraries/gateway/tarragonward_gateway/suspects.py
@@ -27,11 +27,16 @@
 from .probes import TargetProber
 from .state import GatewayState
 
-__all__ = ["RequestIdentity", "SuspectMonitor"]
+__all__ = ["UNKNOWN", "RequestIdentity", "SuspectMonitor"]
 
 HOST = "host"
 MAX_LOGGED_SEGMENTS = 8
 NEVER = "never"
+# What a lost connection was caused by.
+CRASH = "crash"
+LINK_FAULT = "link_fault"
+TARGET_CONNECTED = "target_connected"
+UNKNOWN = "unknown"
 SEPARATOR = ","
 
 
@@ -120,15 +125,46 @@
             identity, read_clock(), self.is_isolated(), self.get_trial_delay
         )
 
+    def describe_send(
+        self, identity: RequestIdentity, verdict: SendVerdict
+    ) -> dict[str, Any]:
+        """Return what is known of a request that is sent, for logs; empty if nothing.
+
+        A send of a request under which targets have crashed is counted.
+        """
+        evidence = self.suspects.get_evidence(identity)
+        if not evidence.known:
+            return {}
+        self._state.metrics.count("suspect_sends", verdict.verdict.value)
+        return {
+            "fingerprint": identity.fingerprint.hex(),
+            "suspicion": verdict.verdict.value,
+            "crashes_known": evidence.known,
+            "crashes_counted": evidence.counted,
+            "crashes_cleared": evidence.cleared,
+        }
+
     async def async_record_lost(
-        self, identity: RequestIdentity, choice: SendChoice
-    ) -> None:
-        """Record a crash if the target that lost the connection has ended."""
+        self, identity: RequestIdentity, choice: SendChoice, is_link_fault: bool
+    ) -> str:
+        """Record a crash if the target that lost the connection has ended.
+
+        Return the conclusion, for logs.
+        """
+        conclusion = await self._async_conclude(identity, choice, is_link_fault)
+        self._state.metrics.count("lost_connections", conclusion)
+        return conclusion
+
+    async def _async_conclude(
+        self, identity: RequestIdentity, choice: SendChoice, is_link_fault: bool
+    ) -> str:
+        if is_link_fault:
+            return LINK_FAULT
         target = choice.target
         # A target that accepts a new connection has not crashed. Counting it would turn
         # all requests on an unreliable link into suspects.
         if not await self._probes.async_has_ended(target):
-            return
+            return TARGET_CONNECTED
         fingerprint, now = identity.fingerprint, read_clock()
         described = self._describe_segments(identity.segments, now)
         sent_at = now if choice.sent_at is None else choice.sent_at
@@ -140,16 +176,18 @@
             target=target.id,
             fingerprint=fingerprint.hex(),
             targets=self.tracker.count(fingerprint),
+            known=self.tracker.get_evidence(fingerprint).known,
             has_events=choice.answer_began_at is not None,
             segments=described,
         )
         _notify(self.on_change, [fingerprint])
         _notify(self.on_segment_change, segments)
+        return CRASH
 
     def record_answered(
-        self, identity: RequestIdentity, began_at: float | None
+        self, identity: RequestIdentity, began_at: float | None, status: int
     ) -> None:
-        """Record that a target answered a request completely.
+        """Record that a target answered a request completely, with a status.
 
         began_at is when the answer to a prompt began, or when the prompt was sent; None
         if the target refused it or had nothing left to answer.
@@ -157,7 +195,12 @@
         cleared = self.suspects.record_answered(identity, began_at, read_clock())
         self._report_cleared(cleared.segments)
         if cleared.is_request:
-            log_event("suspect_acquitted", fingerprint=identity.fingerprint.hex())
+            log_event(
+                "suspect_acquitted",
+                fingerprint=identity.fingerprint.hex(),
+                status=status,
+                has_begun=began_at is not None,
+            )
             _notify(self.on_change, [identity.fingerprint])
 
     def record_steady_stream(self, identity: RequestIdentity, began_at: float) -> None:
--- a/libraries/gateway/tests/test_operators.py
+++ b/libraries/gateway/tests/test_operators.py
@@ -10,11 +10,13 @@
 from tarragonward_core import Address, LineBudget, event_log
 from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.operators import OperatorsTask
-from tarragonward_requests import Verdict
+from tarragonward_requests import Verdict, fingerprint_request
 from tarragonward_routes import EngineModel, RequestKind
 from tarragonward_standins import RawCaller, answer_with, async_reset, stream_events
 from tarragonward_wire import async_send_http
 
+SUSPECT = fingerprint_request("town", "GET", "app.example", b"/app/x", b"")
+
 
 @pytest.fixture
 def lines(monkeypatch):
@@ -58,6 +60,23 @@
     assert "reason=lost" in text
 
 
+async def test_lost_connection_logs_its_cause(make_site, lines):
+    site = await make_site(async_reset, attempts=1)
+    await site.async_ask()
+    [failed] = [line for line in lines if b"event=send_failed" in line]
+    assert b"cause=target_connected" in failed
+    assert site.state.metrics.get_count("lost_connections") == 1
+
+
+async def test_send_of_a_suspect_logs_what_is_known_of_it(make_site, lines):
+    site = await make_site(async_reset, attempts=1)
+    site.forwarder.suspects.tracker.record_crash(SUSPECT, 0, 7, read_clock())
+    await site.async_ask()
+    [chosen] = [line for line in lines if b"event=target_chosen" in line]
+    assert b"suspicion=clear crashes_known=1 crashes_counted=1" in chosen
+    assert site.state.metrics.get_count("suspect_sends") == 1
+
+
 async def test_disconnected_caller_is_logged_as_such(make_site, lines):
     async def script(request, writer):
         await asyncio.sleep(30)
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -62,7 +62,7 @@
     parse_segments,
 )
 from .shared_budget import RetryBudgetBounds, SharedRetryBudget
-from .suspects import Suspect, SuspectEntry, SuspectTracker, Verdict
+from .suspects import CrashEvidence, Suspect, SuspectEntry, SuspectTracker, Verdict
 from .sweep import HeldResource, OrphanSweep, OwnerStatus
 
 __all__ = [
@@ -80,6 +80,7 @@
     "CallerDisconnected",
     "CancelAttempt",
     "ClearedSuspects",
+    "CrashEvidence",
     "CrashSuspects",
     "DeadlineTimerFired",
     "DeliverText",
--- a/libraries/requests/tarragonward_requests/crash_suspects.py
+++ b/libraries/requests/tarragonward_requests/crash_suspects.py
@@ -8,7 +8,7 @@
 
 from .segment_suspects import SegmentTracker
 from .segment_verdicts import STRICTNESS, PromptContext
-from .suspects import SuspectTracker, Verdict
+from .suspects import CrashEvidence, SuspectTracker, Verdict
 
 __all__ = ["ClearedSuspects", "CrashSuspects", "SendVerdict", "SuspectIdentity"]
 
@@ -100,6 +100,13 @@
             return by_request
         return SendVerdict(found.verdict, found.wait_seconds, found.segments)
 
+    def get_evidence(self, identity: SuspectIdentity) -> CrashEvidence:
+        """Return the crashes that are known of a request."""
+        if not self.requests.may_contain(identity.body_size):
+            return CrashEvidence()
+        explained = self.segments.get_explained_targets(identity.segments)
+        return self.requests.get_evidence(identity.fingerprint, explained)
+
     def record_crash(
         self, identity: SuspectIdentity, target: int, sent_at: float, now: float
     ) -> tuple[bytes, ...]:
--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -11,7 +11,7 @@
 from . import const as c
 from .fingerprints import FINGERPRINT_BYTES
 
-__all__ = ["Suspect", "SuspectEntry", "SuspectTracker", "Verdict"]
+__all__ = ["CrashEvidence", "Suspect", "SuspectEntry", "SuspectTracker", "Verdict"]
 
 MILLISECONDS = 1_000
 MAX_INTEGER = 1 << 62
@@ -29,6 +29,19 @@
     REFUSED = "refused"
 
 
+@dataclass(frozen=True)
+class CrashEvidence:
+    """The crashes that are known of a request, as numbers of targets.
+
+    Of the known ones, counted are those that decide its verdict. cleared are further
+    ones that a complete answer has cleared it of.
+    """
+
+    known: int = 0
+    counted: int = 0
+    cleared: int = 0
+
+
 @dataclass(frozen=True)
 class SuspectEntry:
     """Gossip between hosts about one request; times are in seconds.
@@ -195,6 +208,17 @@
                 explained |= others
         return len(targets - explained)
 
+    def get_evidence(
+        self, fingerprint: bytes, explained: frozenset[int] = frozenset()
+    ) -> CrashEvidence:
+        """Return the crashes that are known of a request; explained as in evaluate."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return CrashEvidence()
+        known = len(suspect.uncleared_targets)
+        counted = self.count(fingerprint, explained)
+        return CrashEvidence(known, counted, len(suspect.crashes) - known)
+
     def get_refused_crashes(self, excluded: bytes | None) -> list[frozenset[int]]:
         """Return the targets that crashed under each refused request but one."""
         return [
