--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -24,12 +24,32 @@
 from tarragonward_placement import TargetCooldowns, cold_targets, target_limits
 from tarragonward_requests import SegmentTracker, const
 
+# Seeds of runs with many crashing requests, and whether hosts fail in them.
+CROWDED_SEEDS = ((7, False), (4, True), (6, True), (7, True), (123, True), (128, True))
+
 
 @pytest.mark.parametrize("seed", range(1, 5))
 def test_crashing_requests_are_soon_refused(seed):
     assert run_crash_seed(seed)
 
 
+def test_requests_that_crash_the_same_targets_are_all_refused_in_time():
+    """Each one's crashes seem explained by another's, so all of them are sent on."""
+    late = {}
+    for seed, has_troubles in CROWDED_SEEDS:
+        plan = CrashPlan(
+            targets=18,
+            crashing_requests=8,
+            requests_a_second=54.0,
+            has_troubles=has_troubles,
+        )
+        try:
+            CrashRun(plan, seed).run()
+        except AssertionError as err:
+            late[seed, has_troubles] = str(err)
+    assert not late
+
+
 def test_runs_detect_hosts_that_share_no_crashes(monkeypatch):
     """Without gossip each host would let a request crash three targets."""
     monkeypatch.setattr(SuspectGossip, "take_due", lambda self, now: [])
--- /dev/null
+++ b/libraries/requests/tests/test_crash_suspects.py
@@ -0,0 +1,66 @@
+"""Tests of the verdicts on requests and on the segments of their prompts."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from tarragonward_requests import CrashSuspects, Verdict
+from tarragonward_requests import const as c
+
+BODY_BYTES = 10
+# The users' bound on sends by connected hosts after a request has ended three targets.
+MAX_LATE_SENDS = 3
+STEP_SECONDS = 10.0
+
+
+@dataclass(frozen=True)
+class Identity:
+    """A request for the trackers."""
+
+    fingerprint: bytes
+    segments: tuple[bytes, ...] = ()
+    body_size: int = BODY_BYTES
+    account: int = 1
+
+
+def make_culprits(count, has_segments):
+    """Return requests that crash targets, each with a segment of its own or none."""
+    names = [bytes([number]) * 8 for number in range(count)]
+    segments = [(b"s" + name[1:],) if has_segments else () for name in names]
+    return [Identity(*each) for each in zip(names, segments, strict=True)]
+
+
+def send_until_refused(suspects, culprit, first_target, now):
+    """Send a request that crashes each target; return the sends and the time."""
+    for sends in range(20):
+        found = suspects.evaluate(culprit, now)
+        if found.verdict is Verdict.REFUSED:
+            return sends, now
+
+        if found.verdict is not Verdict.LATER:
+            target = first_target + sends
+            suspects.record_crash(culprit, target, now, now + 0.1)
+        now += STEP_SECONDS
+    return sends, now
+
+
+@pytest.mark.parametrize("has_segments", [False, True])
+@pytest.mark.parametrize("count", [2, 3, 6])
+def test_requests_that_crash_the_same_targets_do_not_excuse_each_other(
+    count, has_segments
+):
+    """A refused request is sent on whenever a worse one seems to explain its crashes."""
+    suspects = CrashSuspects()
+    first, *others = make_culprits(count, has_segments)
+    sends, now = send_until_refused(suspects, first, 0, 0.0)
+    assert sends == c.REFUSE_AFTER_CRASHES
+    late = 0
+    for number, other in enumerate(others, 1):
+        # It ran beside the first one each time, and on one more target.
+        known = suspects.requests.get(first.fingerprint).crashes
+        for target in (*known, 100 * number):
+            suspects.record_crash(other, target, now, now + 0.1)
+            now += STEP_SECONDS
+        sends, now = send_until_refused(suspects, first, 100 * number + 1, now)
+        late += sends
+    assert late <= MAX_LATE_SENDS
