Send a host that joins the suspects it missed, the worst first

What callers see: hosts that have started, or were cut off, send a request that the others have long refused, each of them up to three times. Cause: a suspect is told to all hosts when it changes; a host that was not there learns it by gossip rounds, six suspects in each fourth round. With 93 suspects known that takes longer than the 3 s after which a host has to keep to the refusal.

Two of the hosts that were there before, chosen by the joining host's address, send it all they know at once, up to 144 suspects, those with the most crashes first. It joins also when it is heard again after it was given up.

--- a/libraries/bench/tarragonward_bench/harm/crashes.py
+++ b/libraries/bench/tarragonward_bench/harm/crashes.py
@@ -124,6 +124,8 @@
         self._schedule_send()
 
     def _build(self) -> list[object] | None:
+        self.gossip.record_round(self._world.now)
+        self._schedule_send()
         fingerprints = self.gossip.choose_next()
         return self.gossip.build(fingerprints, self._world.now) or None
 
@@ -133,7 +135,8 @@
 
     def _schedule_send(self) -> None:
         if self.gossip.due_at is not None:
-            self._world.schedule_at(self.gossip.due_at, self._send_due)
+            due_at = max(self._world.now, self.gossip.due_at)
+            self._world.schedule_at(due_at, self._send_due)
 
     def _send_due(self) -> None:
         if not self._host.run_or_defer(self._send_due):
--- a/libraries/gateway/tarragonward_gateway/suspect_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_gossip.py
@@ -5,7 +5,7 @@
 import hashlib
 import random
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -14,11 +14,13 @@
 from tarragonward_membership.const import MAX_MESH_PEERS
 
 from . import const as c
+from .joins import PeerJoins
 from .turns import Rotation
 
 __all__ = ["CrashTracker", "SuspectGossip", "SuspectMessage", "choose_aggregators"]
 
 RANK_BYTES = 8
+NOW = float("-inf")
 
 
 class CrashTracker(Protocol):
@@ -36,6 +38,9 @@
     def is_near_verdict(self, fingerprint: bytes) -> bool:
         """Return whether it has almost enough crashes to be refused."""
 
+    def count(self, fingerprint: bytes) -> int:
+        """Return how many crashes nothing explains and no answer has cleared."""
+
     def build_entry(self, fingerprint: bytes, now: float) -> Any | None:
         """Return an entry with a fingerprint and pack(), None without a suspect."""
 
@@ -63,8 +68,8 @@
     In a small fleet each crash is sent to all hosts. In a large one a first crash is
     sent to a few aggregators in each failure domain, chosen by the fingerprint, which
     add up the crashes that different hosts saw. From the second crash on, all hosts are
-    notified at once. The gossip rounds repeat it for hosts that start, resume or
-    reconnect.
+    notified at once. A host that starts or reconnects is sent all that it missed. The
+    gossip rounds repeat it, as messages may be lost.
     """
 
     def __init__(
@@ -76,12 +81,27 @@
         self._due: dict[bytes, float] = {}
         self._rotation = Rotation()
         self._rounds = 0
+        self._joins = PeerJoins(members.own)
+        # Messages to peers that have just joined.
+        self._catch_ups: list[SuspectMessage] = []
 
     @property
     def due_at(self) -> float | None:
         """Return when the next message is due, None if there is none."""
+        if self._catch_ups:
+            return NOW
         return min(self._due.values(), default=None)
 
+    def record_round(self, now: float) -> None:
+        """Schedule what the peers that have joined since the last round missed."""
+        joined = self._joins.update(self._members.get_peers(), now)
+        if not joined:
+            return
+        known = sorted(self._list_public(), key=self._tracker.count, reverse=True)
+        del known[c.MAX_SUSPECTS_PER_JOINED_PEER :]
+        for address in joined:
+            self._catch_ups += _split_messages((address,), known)
+
     def record_change(
         self, fingerprint: bytes, now: float, is_urgent: bool = True
     ) -> None:
@@ -101,12 +121,10 @@
         for fingerprint in [f for f, due_at in self._due.items() if due_at <= now]:
             del self._due[fingerprint]
             by_hosts[self._choose_recipients(fingerprint)].append(fingerprint)
-        size = c.MAX_SUSPECTS_PER_MESSAGE
-        return [
-            SuspectMessage(hosts, tuple(sent[start : start + size]))
-            for hosts, sent in by_hosts.items()
-            for start in range(0, len(sent), size)
-        ]
+        messages, self._catch_ups = self._catch_ups, []
+        for hosts, sent in by_hosts.items():
+            messages += _split_messages(hosts, sent)
+        return messages
 
     def build(self, fingerprints: Iterable[bytes], now: float) -> list[Any]:
         """Return the entries of these suspects in wire form."""
@@ -122,12 +140,7 @@
         is_mesh = len(self._members.get_peers()) <= MAX_MESH_PEERS
         if is_mesh and self._rounds % c.MESH_ROUNDS_PER_SUSPECT_ROUND:
             return []
-        known = [
-            fingerprint
-            for fingerprint, _ in self._tracker.items()
-            if self._tracker.is_for_all_hosts(fingerprint)
-        ]
-        return self._rotation.take(known, c.MAX_SUSPECTS_PER_ROUND)
+        return self._rotation.take(self._list_public(), c.MAX_SUSPECTS_PER_ROUND)
 
     def merge(self, data: Iterable[Any], age: float, now: float) -> None:
         """Apply the entries of another host; raise ValueError if one is malformed."""
@@ -138,6 +151,14 @@
             elif self._tracker.is_covered_by(entry):
                 self._due.pop(entry.fingerprint, None)
 
+    def _list_public(self) -> list[bytes]:
+        """Return the suspects that all hosts should know."""
+        return [
+            fingerprint
+            for fingerprint, _ in self._tracker.items()
+            if self._tracker.is_for_all_hosts(fingerprint)
+        ]
+
     def _choose_recipients(self, fingerprint: bytes) -> tuple[Address, ...]:
         peers = self._members.get_peers()
         everyone = tuple(peer.identity.address for peer in peers)
@@ -171,6 +192,16 @@
         return steps * c.TRIAL_DELAY_STEP_SECONDS
 
 
+def _split_messages(
+    hosts: tuple[Address, ...], fingerprints: Sequence[bytes]
+) -> list[SuspectMessage]:
+    size = c.MAX_SUSPECTS_PER_MESSAGE
+    return [
+        SuspectMessage(hosts, tuple(fingerprints[start : start + size]))
+        for start in range(0, len(fingerprints), size)
+    ]
+
+
 def choose_aggregators(
     fingerprint: bytes, peers: Iterable[KnownPeer]
 ) -> tuple[Address, ...]:
--- a/libraries/gateway/tarragonward_gateway/suspect_task.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_task.py
@@ -100,8 +100,12 @@
         self._start_timer()
 
     def _build(self) -> list[Any] | None:
-        selected = self._outgoing or self.gossip.choose_next()
-        return self.gossip.build(selected, read_clock()) or None
+        now = read_clock()
+        if self._outgoing:
+            return self.gossip.build(self._outgoing, now) or None
+        self.gossip.record_round(now)
+        self._start_timer()
+        return self.gossip.build(self.gossip.choose_next(), now) or None
 
     def _merge(self, host: str, data: Any, age: float) -> None:
         self.gossip.merge(data, age, read_clock())
--- a/libraries/gateway/tests/test_suspect_task.py
+++ b/libraries/gateway/tests/test_suspect_task.py
@@ -16,7 +16,12 @@
 from tarragonward_gateway.suspects import SuspectMonitor
 from tarragonward_membership import KnownPeer
 from tarragonward_placement import TargetHealthTracker
-from tarragonward_requests import PromptContext, SegmentTracker, Verdict
+from tarragonward_requests import (
+    PromptContext,
+    SegmentTracker,
+    SuspectTracker,
+    Verdict,
+)
 
 FINGERPRINT = b"12345678"
 SEGMENT = b"abcdefgh"
@@ -105,6 +110,30 @@
         await new.async_unload()
 
 
+def test_peer_that_joins_is_sent_all_suspects_with_the_worst_first():
+    """By a few a round, a host that starts learns of a refused request too late."""
+    tracker = SuspectTracker()
+    for number in range(100):
+        for target in range(3 if number == 70 else 2):
+            tracker.record_crash(bytes([number]) * 8, number, target, 1.0)
+    peers = build_peers(4)
+    present = list(peers[1:3])
+    members = SimpleNamespace(
+        get_peers=lambda: present, own=peers[0].identity, failure_domain="d0"
+    )
+    gossip = SuspectGossip(tracker, members, random.Random(1))
+    gossip.record_round(0.0)
+    gossip.take_due(0.0)
+    present.append(peers[3])
+    gossip.record_round(0.5)
+    messages = gossip.take_due(0.5)
+    assert {message.hosts for message in messages} == {(peers[3].identity.address,)}
+    told = [each for message in messages for each in message.fingerprints]
+    assert len(told) == 100
+    assert told[0] == bytes([70]) * 8
+    assert not gossip.take_due(1.0)
+
+
 async def test_suspect_cleared_by_an_operator_is_cleared_at_all_hosts(hosts, wait_for):
     for target in range(3):
         hosts[0].crash(target)
