Try a request whose crashes are explained alone, and count its crash there

Cause: explained crashes did not count. The class: what is known against a request is discounted by something that is no proof.

Now a request with enough crashes to be refused, of which some are explained, is tried alone: by one host first (the others follow by rank, 0.3 s apart, from when they first put it off), and a crash of a target that ran nothing else for that host has no other explanation: all of its crashes count. Requests with fewer crashes are sent as before. The mark travels in the number of the target, which hosts of the version before count like any other. A trial for a segment is announced for the request as well, and the other way round.

A lone crash of a segment counted the same way, and explained segments tried alone: reverted, as sound prompts of a session beside the cause were refused (test_prompt_beside_another_ones_segment_is_answered, test_segment_beside_the_cause_is_not_refused).

--- a/libraries/bench/tarragonward_bench/harm/crashes.py
+++ b/libraries/bench/tarragonward_bench/harm/crashes.py
@@ -285,6 +285,7 @@
                 host.suspects.segments.record_prompt(request.segments)
             self._send(attempt, verdict is Verdict.ALONE)
         else:
+            host.suspects.record_deferred(request, attempt.verdict, self.world.now)
             self.handle_ended(request, host)
 
     def _send(self, attempt: _Attempt, is_isolated_attempt: bool) -> None:
@@ -322,8 +323,7 @@
         host.suspects.begin_isolated_attempt(attempt.request, verdict, self.world.now)
         for segment in verdict.segments:
             host.segments.record_change(segment)
-        if not verdict.segments:
-            host.record_change(attempt.request.fingerprint)
+        host.record_change(attempt.request.fingerprint)
 
     def _go_on(self, target: _Target, attempt: _Attempt) -> None:
         host = attempt.host
@@ -383,7 +383,9 @@
         now = self.world.now
         host.suspects.end_isolated_attempt(request, attempt.verdict)
         sent_at = attempt.sent_at
-        segments = host.suspects.record_crash(request, target.boot, sent_at, now)
+        segments = host.suspects.record_crash(
+            request, target.boot, sent_at, now, attempt.verdict
+        )
         host.record_change(request.fingerprint)
         for segment in segments:
             host.segments.record_change(segment)
--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -50,6 +50,15 @@
     assert not late
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_hosts_that_stay_refuse_all_of_many_crashing_requests_in_time(seed):
+    """Requests that run on the same targets seem to explain each other's crashes."""
+    plan = CrashPlan(
+        targets=18, crashing_requests=8, requests_a_second=54.0, has_troubles=False
+    )
+    assert CrashRun(plan, seed).run()
+
+
 def test_runs_detect_hosts_that_share_no_crashes(monkeypatch):
     """Without gossip each host would let a request crash three targets."""
     monkeypatch.setattr(SuspectGossip, "take_due", lambda self, now: [])
--- a/libraries/daemon/tarragonward_daemon/model_run.py
+++ b/libraries/daemon/tarragonward_daemon/model_run.py
@@ -238,11 +238,12 @@
     def _check_suspect(self, attempt: int, stack: ExitStack) -> PromptBlamed | None:
         """Return how to end a prompt that may crash another engine, else None."""
         suspects = self._shared.suspects
-        found = suspects.evaluate(self._identity)
+        found = self._suspect_verdict = suspects.evaluate(self._identity)
         if found.verdict is Verdict.REFUSED:
             suspects.record_refused(self._identity, found)
             return PromptBlamed(attempt)
         if found.verdict is Verdict.LATER:
+            suspects.record_deferred(self._identity, found)
             return PromptBlamed(attempt, found.wait_seconds)
         if found.verdict is Verdict.ALONE:
             stack.enter_context(suspects.isolated_attempt(self._identity, found))
@@ -340,7 +341,9 @@
                 self._failed_engines.add(target)
             if fault is AttemptFault.CRASHED:
                 suspects = self._shared.suspects
-                suspects.record_crash(self._identity, target, self._opened_at)
+                suspects.record_crash(
+                    self._identity, target, self._opened_at, self._suspect_verdict
+                )
         log_event(
             "attempt_failed",
             request_id=self._request_id,
--- a/libraries/daemon/tarragonward_daemon/suspects.py
+++ b/libraries/daemon/tarragonward_daemon/suspects.py
@@ -119,14 +119,24 @@
         self._host.metrics.count("prompts_blamed")
         self.suspects.record_refused(identity, verdict, _now())
 
+    def record_deferred(self, identity: PromptIdentity, verdict: SendVerdict) -> None:
+        """Record that a prompt has to wait until it may be tried."""
+        self.suspects.record_deferred(identity, verdict, _now())
+
     def record_crash(
-        self, identity: PromptIdentity, engine: str, sent_at: float
+        self,
+        identity: PromptIdentity,
+        engine: str,
+        sent_at: float,
+        verdict: SendVerdict | None = None,
     ) -> None:
-        """Record that an engine crashed while it ran a prompt."""
+        """Record that an engine crashed while it ran a prompt, sent by a verdict."""
         # An engine that is back has the name of the one that crashed.
         boot = int(time.time() // c.CRASH_TIME_BUCKET_SECONDS)
         number = hash_name(f"{engine}@{boot}")
-        segments = self.suspects.record_crash(identity, number, sent_at, _now())
+        segments = self.suspects.record_crash(
+            identity, number, sent_at, _now(), verdict or SendVerdict()
+        )
         log_event("crash_noted", target=engine, fingerprint=identity.fingerprint.hex())
         self._notify([identity.fingerprint], segments)
 
@@ -142,8 +152,7 @@
     ) -> Iterator[None]:
         """Tell the other hosts that this one is trying a suspect prompt."""
         self.suspects.begin_isolated_attempt(identity, verdict, _now())
-        is_request = not verdict.segments
-        self._notify([identity.fingerprint] if is_request else [], verdict.segments)
+        self._notify([identity.fingerprint], verdict.segments)
         try:
             yield
         finally:
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -225,6 +225,7 @@
             self._suspects.record_refused(self._identity, found)
             return self._handle_event(Blamed())
         if found.verdict is Verdict.LATER:
+            self._suspects.record_deferred(self._identity, found)
             return self._handle_event(Blamed(found.wait_seconds))
         return None
 
@@ -292,7 +293,7 @@
         try:
             if is_lost:
                 cause = await self._suspects.async_record_lost(
-                    self._identity, choice, is_link_fault(err)
+                    self._identity, choice, self._suspect_verdict, is_link_fault(err)
                 )
         finally:
             self._observer.record_failure(
--- a/libraries/gateway/tarragonward_gateway/suspects.py
+++ b/libraries/gateway/tarragonward_gateway/suspects.py
@@ -15,6 +15,7 @@
     SegmentTracker,
     SendVerdict,
     SuspectTracker,
+    Verdict,
     fingerprint_request,
     fingerprint_segments,
     parse_segments,
@@ -145,21 +146,25 @@
         }
 
     async def async_record_lost(
-        self, identity: RequestIdentity, choice: SendChoice, is_link_fault: bool
+        self,
+        identity: RequestIdentity,
+        choice: SendChoice,
+        verdict: SendVerdict,
+        is_link_fault: bool,
     ) -> str:
         """Record a crash if the target that lost the connection has ended.
 
-        Return the conclusion, for logs.
+        verdict is the one by which the request was sent. Return the cause of the loss.
         """
-        conclusion = await self._async_conclude(identity, choice, is_link_fault)
-        self._state.metrics.count("lost_connections", conclusion)
-        return conclusion
-
-    async def _async_conclude(
-        self, identity: RequestIdentity, choice: SendChoice, is_link_fault: bool
+        cause = LINK_FAULT
+        if not is_link_fault:
+            cause = await self._async_find_cause(identity, choice, verdict)
+        self._state.metrics.count("lost_connections", cause)
+        return cause
+
+    async def _async_find_cause(
+        self, identity: RequestIdentity, choice: SendChoice, verdict: SendVerdict
     ) -> str:
-        if is_link_fault:
-            return LINK_FAULT
         target = choice.target
         # A target that accepts a new connection has not crashed. Counting it would turn
         # all requests on an unreliable link into suspects.
@@ -169,7 +174,7 @@
         described = self._describe_segments(identity.segments, now)
         sent_at = now if choice.sent_at is None else choice.sent_at
         number = hash_name(target.id)
-        segments = self.suspects.record_crash(identity, number, sent_at, now)
+        segments = self.suspects.record_crash(identity, number, sent_at, now, verdict)
         self._state.metrics.count("requests_lost_in_crashes")
         log_event(
             "crash_noted",
@@ -216,16 +221,28 @@
             self._state.metrics.count("prompts_refused_by_segment")
         self.suspects.record_refused(identity, verdict, read_clock())
 
+    def record_deferred(self, identity: RequestIdentity, verdict: SendVerdict) -> None:
+        """Record that a request has to wait until it may be tried."""
+        self.suspects.record_deferred(identity, verdict, read_clock())
+
+    def has_become_suspect(
+        self, identity: RequestIdentity, verdict: SendVerdict
+    ) -> bool:
+        """Return whether a request may no longer be sent by an earlier verdict."""
+        now_valid = self.evaluate(identity).verdict
+        if verdict.verdict is Verdict.ALONE:
+            # This host's own attempt is what makes others wait.
+            return now_valid is Verdict.REFUSED
+        return now_valid is not Verdict.CLEAR
+
     @contextmanager
     def isolated_attempt(
         self, identity: RequestIdentity, verdict: SendVerdict
     ) -> Iterator[None]:
         """Announce to the other hosts that this one is trying a suspect request."""
         self.suspects.begin_isolated_attempt(identity, verdict, read_clock())
-        if verdict.segments:
-            _notify(self.on_segment_change, verdict.segments)
-        else:
-            _notify(self.on_change, [identity.fingerprint])
+        _notify(self.on_segment_change, verdict.segments)
+        _notify(self.on_change, [identity.fingerprint])
         try:
             yield
         finally:
--- a/libraries/requests/tarragonward_requests/crash_suspects.py
+++ b/libraries/requests/tarragonward_requests/crash_suspects.py
@@ -81,7 +81,9 @@
 
         get_trial_delay is as in PromptContext.
         """
-        by_request = self._evaluate_request(identity, now, is_host_isolated)
+        by_request = self._evaluate_request(
+            identity, now, is_host_isolated, get_trial_delay
+        )
         if not len(self.segments):
             return by_request
         is_known = self.requests.may_contain(identity.body_size)
@@ -108,19 +110,32 @@
         return self.requests.get_evidence(identity.fingerprint, explained)
 
     def record_crash(
-        self, identity: SuspectIdentity, target: int, sent_at: float, now: float
+        self,
+        identity: SuspectIdentity,
+        target: int,
+        sent_at: float,
+        now: float,
+        verdict: SendVerdict = CLEAR,
     ) -> tuple[bytes, ...]:
         """Record that a target crashed during a request; return the segments.
 
-        sent_at is when the request was sent to the target.
+        sent_at is when the request was sent to the target, by this verdict.
         """
+        is_isolated = verdict.verdict is Verdict.ALONE
         self.requests.record_crash(
-            identity.fingerprint, identity.body_size, target, now
+            identity.fingerprint, identity.body_size, target, now, is_isolated
         )
         return self.segments.record_crash(
             identity.segments, identity.account, target, sent_at, now
         )
 
+    def record_deferred(
+        self, identity: SuspectIdentity, verdict: SendVerdict, now: float
+    ) -> None:
+        """Record that a request has to wait until it may be tried."""
+        if verdict.verdict is Verdict.LATER:
+            self.requests.record_deferred(identity.fingerprint, now)
+
     def record_answered(
         self, identity: SuspectIdentity, began_at: float | None, now: float
     ) -> ClearedSuspects:
@@ -160,8 +175,7 @@
         """Record that this host is trying a suspect request alone on a target."""
         for segment in verdict.segments:
             self.segments.begin_isolated_attempt(segment, now)
-        if not verdict.segments:
-            self.requests.begin_isolated_attempt(identity.fingerprint, now)
+        self.requests.begin_isolated_attempt(identity.fingerprint, now)
 
     def end_isolated_attempt(
         self, identity: SuspectIdentity, verdict: SendVerdict
@@ -169,8 +183,7 @@
         """Record that the isolated attempt has ended."""
         for segment in verdict.segments:
             self.segments.end_isolated_attempt(segment)
-        if not verdict.segments:
-            self.requests.end_isolated_attempt(identity.fingerprint)
+        self.requests.end_isolated_attempt(identity.fingerprint)
 
     def expire(self, now: float) -> None:
         """Remove suspects without recent activity."""
@@ -178,12 +191,21 @@
         self.segments.expire(now)
 
     def _evaluate_request(
-        self, identity: SuspectIdentity, now: float, is_host_isolated: bool
+        self,
+        identity: SuspectIdentity,
+        now: float,
+        is_host_isolated: bool,
+        get_trial_delay: Callable[[bytes], float],
     ) -> SendVerdict:
         if not self.requests.may_contain(identity.body_size):
             return CLEAR
         fingerprint = identity.fingerprint
+        if self.requests.get(fingerprint) is None:
+            return CLEAR
         explained = self.segments.get_explained_targets(identity.segments)
-        verdict = self.requests.evaluate(fingerprint, now, is_host_isolated, explained)
-        wait = self.requests.get_wait_seconds(fingerprint, now, is_host_isolated)
+        delay = get_trial_delay(fingerprint)
+        verdict = self.requests.evaluate(
+            fingerprint, now, is_host_isolated, explained, delay
+        )
+        wait = self.requests.get_wait_seconds(fingerprint, now, is_host_isolated, delay)
         return SendVerdict(verdict, wait)
--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -16,6 +16,9 @@
 MILLISECONDS = 1_000
 MAX_INTEGER = 1 << 62
 NEVER = float("-inf")
+# Marks the number of a target that crashed in an isolated attempt. Hosts whose version
+# does not know the mark count such a target like any other.
+ISOLATED_MARK = 1 << 40
 
 
 class Verdict(Enum):
@@ -47,8 +50,9 @@
     """Gossip between hosts about one request; times are in seconds.
 
     crashes has a number for each target that crashed while running the request; cleared
-    is the subset that a complete answer has cleared the request of. idle_seconds is the
-    time since any host saw a crash, an answer or a refusal of the request.
+    is the subset that a complete answer has cleared the request of, and isolated the
+    subset that crashed in isolated attempts. idle_seconds is the time since any host
+    saw a crash, an answer or a refusal of the request.
     """
 
     fingerprint: bytes
@@ -57,6 +61,7 @@
     cleared: tuple[int, ...]
     idle_seconds: float
     attempt_seconds: float = 0.0
+    isolated: tuple[int, ...] = ()
 
     def pack(self) -> tuple[Any, ...]:
         """Return the entry in wire format, with times in milliseconds."""
@@ -64,7 +69,7 @@
             _pack_seconds(self.idle_seconds),
             _pack_seconds(self.attempt_seconds),
         )
-        targets = list(self.crashes), list(self.cleared)
+        targets = self._mark(self.crashes), self._mark(self.cleared)
         return self.fingerprint, self.body_size, *targets, idle, attempt
 
     @classmethod
@@ -83,12 +88,16 @@
         return cls(
             fingerprint,
             size,
-            tuple(crashes),
-            tuple(cleared),
+            tuple(unmark_target(each) for each in crashes),
+            tuple(unmark_target(each) for each in cleared),
             idle / MILLISECONDS,
             min(attempt / MILLISECONDS, c.ISOLATED_ATTEMPT_SECONDS),
+            tuple(unmark_target(each) for each in crashes if each & ISOLATED_MARK),
         )
 
+    def _mark(self, targets: tuple[int, ...]) -> list[int]:
+        return [mark_target(each, each in self.isolated) for each in targets]
+
 
 @dataclass
 class Suspect:
@@ -102,24 +111,40 @@
     last_activity_at: float
     # Crashed targets in the order in which they became known; True if cleared.
     crashes: dict[int, bool] = field(default_factory=dict)
+    # The crashed targets that ran nothing else that their hosts knew of.
+    isolated: set[int] = field(default_factory=set)
     attempt_until: float = NEVER
     # When this host itself last saw a target crash under the request.
     last_local_crash_at: float = NEVER
+    # When this host first put the request off after the last crash that it knows of.
+    deferred_at: float = NEVER
 
     @property
     def uncleared_targets(self) -> frozenset[int]:
         """Return the crashed targets that no answer has cleared the request of."""
         return frozenset(t for t, cleared in self.crashes.items() if not cleared)
 
-    def record_crash(self, target: int) -> None:
+    @property
+    def has_crashed_isolated(self) -> bool:
+        """Return whether a target crashed that ran nothing else."""
+        return not self.isolated.isdisjoint(self.uncleared_targets)
+
+    def record_crash(self, target: int, is_isolated: bool = False) -> None:
         """Add a crashed target; each target counts once."""
+        if is_isolated:
+            self.isolated.add(target)
         if target in self.crashes:
             return
         if len(self.crashes) >= c.MAX_CRASHES_PER_SUSPECT:
-            # The oldest cleared target, or the oldest of all if none is cleared.
-            evicted = max(self.crashes, key=self.crashes.__getitem__)
+            evicted = max(self.crashes, key=self._rank_for_eviction)
             del self.crashes[evicted]
+            self.isolated.discard(evicted)
         self.crashes[target] = False
+        self.deferred_at = NEVER
+
+    def _rank_for_eviction(self, target: int) -> tuple[bool, bool]:
+        """Return a key that is highest for a cleared target, else for a shared one."""
+        return self.crashes[target], target not in self.isolated
 
     def clear(self, targets: Iterable[int]) -> None:
         """Clear the request of the crashes of these targets."""
@@ -168,10 +193,17 @@
         now: float,
         is_host_isolated: bool = False,
         explained: frozenset[int] = frozenset(),
+        trial_delay: float = 0.0,
     ) -> Verdict:
         """Return how a request may be sent.
 
-        explained are targets whose crashes something else is known to have caused.
+        explained are targets whose crashes something else is known to have caused. They
+        do not prove that the request is harmless: two requests that crash their targets
+        and run on the same ones explain each other's crashes. So a request with enough
+        crashes to be refused, some of them explained, is tried alone, first by the host
+        with the least trial_delay, and a crash in an isolated attempt has no other
+        explanation.
+
         An isolated host knows only its own crashes. Several isolated hosts would each
         let the request crash three more targets, so there one crash is enough to delay
         its next attempt.
@@ -182,26 +214,26 @@
         count = self.count(fingerprint, explained)
         if count >= c.REFUSE_AFTER_CRASHES:
             return Verdict.REFUSED
-        if (
-            count
-            and is_host_isolated
-            and now < suspect.last_local_crash_at + c.ISOLATED_HOST_RETRY_DELAY_SECONDS
-        ):
+        known = len(suspect.uncleared_targets)
+        if self.get_wait_seconds(fingerprint, now, is_host_isolated, trial_delay):
             return Verdict.LATER
-        if count < c.RUN_ALONE_AFTER_CRASHES:
+        if known < c.REFUSE_AFTER_CRASHES and count < c.RUN_ALONE_AFTER_CRASHES:
             return Verdict.CLEAR
-        return Verdict.LATER if now < suspect.attempt_until else Verdict.ALONE
+        return Verdict.ALONE
 
     def count(self, fingerprint: bytes, explained: frozenset[int] = frozenset()) -> int:
         """Return how many crashed targets nothing else explains, as a worse suspect.
 
         Otherwise a request that repeatedly runs beside the one that crashes its targets
-        would be refused together with it.
+        would be refused together with it. All of them count after a crash in an
+        isolated attempt.
         """
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return 0
         targets = suspect.uncleared_targets
+        if suspect.has_crashed_isolated:
+            return len(targets)
         for refused in self._refused:
             others = self._suspects[refused].uncleared_targets
             if len(others) > len(targets):
@@ -228,27 +260,46 @@
         ]
 
     def get_wait_seconds(
-        self, fingerprint: bytes, now: float, is_host_isolated: bool = False
+        self,
+        fingerprint: bytes,
+        now: float,
+        is_host_isolated: bool = False,
+        trial_delay: float = 0.0,
     ) -> float:
         """Return how many seconds a request with the verdict LATER has to wait."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return 0.0
-        until = suspect.attempt_until
-        if is_host_isolated:
+        known = len(suspect.uncleared_targets)
+        until = suspect.attempt_until if known >= c.RUN_ALONE_AFTER_CRASHES else NEVER
+        if known >= c.REFUSE_AFTER_CRASHES:
+            first = now if suspect.deferred_at == NEVER else suspect.deferred_at
+            until = max(until, first + trial_delay)
+        if known and is_host_isolated:
             until = max(
                 until, suspect.last_local_crash_at + c.ISOLATED_HOST_RETRY_DELAY_SECONDS
             )
         return max(0.0, until - now)
 
+    def record_deferred(self, fingerprint: bytes, now: float) -> None:
+        """Record that a request has to wait until it may be tried."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and suspect.deferred_at == NEVER:
+            suspect.deferred_at = now
+
     def record_crash(
-        self, fingerprint: bytes, body_size: int, target: int, now: float
+        self,
+        fingerprint: bytes,
+        body_size: int,
+        target: int,
+        now: float,
+        is_isolated: bool = False,
     ) -> None:
-        """Record that a target crashed while it ran a request."""
+        """Record that a target crashed while it ran a request, isolated or not."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             suspect = self._add(fingerprint, body_size, now)
-        suspect.record_crash(target)
+        suspect.record_crash(target, is_isolated)
         suspect.last_local_crash_at = now
         suspect.last_activity_at = max(now, suspect.last_activity_at)
         self._update_refused(fingerprint)
@@ -317,6 +368,7 @@
             tuple(t for t, cleared in suspect.crashes.items() if cleared),
             now - suspect.last_activity_at,
             max(0.0, suspect.attempt_until - now),
+            tuple(suspect.isolated),
         )
 
     def merge(self, entry: SuspectEntry, now: float, age: float = 0.0) -> bool:
@@ -332,7 +384,7 @@
             )
         before = len(suspect.uncleared_targets)
         for target in entry.crashes:
-            suspect.record_crash(target)
+            suspect.record_crash(target, target in entry.isolated)
         suspect.clear(entry.cleared)
         suspect.last_activity_at = max(
             suspect.last_activity_at, sent_at - entry.idle_seconds
@@ -392,6 +444,16 @@
             del self._size_counts[size]
 
 
+def mark_target(target: int, is_isolated: bool) -> int:
+    """Return the number of a crashed target as it is sent to other hosts."""
+    return target | ISOLATED_MARK if is_isolated else target
+
+
+def unmark_target(number: int) -> int:
+    """Return the number of a crashed target that another host has sent."""
+    return number & ~ISOLATED_MARK
+
+
 def _pack_seconds(seconds: float) -> int:
     return int(max(0.0, seconds) * MILLISECONDS)
 
--- a/libraries/requests/tests/test_crash_suspects.py
+++ b/libraries/requests/tests/test_crash_suspects.py
@@ -37,9 +37,10 @@
         if found.verdict is Verdict.REFUSED:
             return sends, now
 
+        suspects.record_deferred(culprit, found, now)
         if found.verdict is not Verdict.LATER:
             target = first_target + sends
-            suspects.record_crash(culprit, target, now, now + 0.1)
+            suspects.record_crash(culprit, target, now, now + 0.1, found)
         now += STEP_SECONDS
     return sends, now
 
@@ -49,7 +50,7 @@
 def test_requests_that_crash_the_same_targets_do_not_excuse_each_other(
     count, has_segments
 ):
-    """A refused request is sent on whenever a worse one seems to explain its crashes."""
+    """A refused request is sent on whenever a worse one seems to explain its."""
     suspects = CrashSuspects()
     first, *others = make_culprits(count, has_segments)
     sends, now = send_until_refused(suspects, first, 0, 0.0)
