Check a request's verdict again when it is written to a target

A request is judged when it is taken. While it waits for a place, a reservation or a connection, other hosts tell of its crashes, and it was sent all the same.

--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -271,10 +271,9 @@
             await self._async_handle_error(choice, event, err)
         if isinstance(event, SendFailed):
             self._chooser.record_failure(choice, event.fault)
-            is_lost = event.fault is SendFault.LOST
-            return (self._check_suspect() if is_lost else None) or self._handle_event(
-                event
-            )
+            may_be_suspect = event.fault in (SendFault.LOST, SendFault.WITHHELD)
+            blamed = self._check_suspect() if may_be_suspect else None
+            return blamed or self._handle_event(event)
         return self._handle_event(event) if event is not None else None
 
     async def _async_handle_error(
@@ -366,6 +365,8 @@
         # for no more requests.
         if not self._chooser.accepts_requests(choice.target):
             raise SendWithheldError("the target asked for no more requests")
+        if self._suspects.has_become_suspect(self._identity, self._suspect_verdict):
+            raise SendWithheldError("the request crashed targets meanwhile")
         choice.sent_at = read_clock()
         self._exchange.record_sent()
 
--- a/libraries/gateway/tests/test_crashes.py
+++ b/libraries/gateway/tests/test_crashes.py
@@ -9,6 +9,7 @@
 from tarragonward_standins import answer_with, async_reset
 
 MARK = b"crash"
+CRASHING = fingerprint_request("town", "POST", "app.example", b"/app/x", MARK)
 FINGERPRINT = fingerprint_request("town", "POST", "app.example", b"/app/x", b"other")
 
 
@@ -50,6 +51,36 @@
     assert (await ask(site, b"other")).status == 200
 
 
+async def test_request_that_became_suspect_since_it_was_placed_is_not_sent(make_site):
+    """Other hosts told of its crashes while it waited for a place."""
+    site = await make_crashing_site(make_site, 8)
+    suspects, chooser = site.forwarder.suspects, site.chooser
+    accepts_requests = chooser.accepts_requests
+
+    def learn_of_crashes(target):
+        for number in range(3):
+            suspects.tracker.record_crash(CRASHING, len(MARK), number, read_clock())
+        return accepts_requests(target)
+
+    chooser.accepts_requests = learn_of_crashes
+    answer = await ask(site, MARK)
+    assert (answer.status, answer.get("x-result-code")) == (503, ["2009"])
+    assert site.runs == 0
+
+
+async def test_request_whose_crashes_are_explained_is_tried_alone_once(make_site):
+    """Two requests that crash targets ran on the same ones and excuse each other."""
+    site = await make_crashing_site(make_site, 8)
+    tracker = site.forwarder.suspects.tracker
+    for number in range(4):
+        tracker.record_crash(FINGERPRINT, 9, number, read_clock())
+        if number:
+            tracker.record_crash(CRASHING, len(MARK), number, read_clock())
+    for _ in range(6):
+        await ask(site, MARK)
+    assert site.runs == 1
+
+
 async def test_dropped_connection_makes_no_suspect(make_site):
     """Lost connections on an unreliable link must not turn requests into suspects."""
     site = await make_site(*[async_reset] * 2, attempts=2)
