Let a daemon repeat all known suspects in turn

They are repeated in turn now. test_all_known_suspects_are_sent_again_in_turn fails without it: 16 of 48.

--- a/libraries/daemon/tarragonward_daemon/suspects.py
+++ b/libraries/daemon/tarragonward_daemon/suspects.py
@@ -92,6 +92,8 @@
         self._membership = membership
         self._changed: tuple[set[bytes], set[bytes]] = (set(), set())
         self._is_changed = asyncio.Event()
+        # How many suspects were sent again.
+        self._repeated = 0
         self._background = BackgroundTasks(host.metrics)
         self._push_tasks: set[asyncio.Task[None]] = set()
 
@@ -194,9 +196,13 @@
     def _repeat_known(self) -> None:
         """Send a few suspects again, for hosts that have started or missed them."""
         trackers = (self.suspects.requests, self.suspects.segments)
+        first = self._repeated
+        self._repeated += c.MAX_REPEATED_SUSPECTS
         for tracker, changed in zip(trackers, self._changed, strict=True):
             known = [f for f, _ in tracker.items() if tracker.is_for_all_hosts(f)]
-            changed.update(known[-c.MAX_REPEATED_SUSPECTS :])
+            begin = first % max(1, len(known))
+            repeated = (*known[begin:], *known[:begin])
+            changed.update(repeated[: c.MAX_REPEATED_SUSPECTS])
 
     def _send_changes(self) -> None:
         self._is_changed.clear()
--- a/libraries/daemon/tests/test_suspect_task.py
+++ b/libraries/daemon/tests/test_suspect_task.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tarragonward_core import FrameError, Metrics
+from tarragonward_daemon import const as c
 from tarragonward_daemon.completions import Completion
 from tarragonward_daemon.suspects import PromptIdentity, SuspectNews, SuspectTask
 from tarragonward_requests import Verdict
@@ -60,3 +61,19 @@
 async def test_malformed_news_is_refused(entry):
     with pytest.raises(FrameError):
         make_task().handle_news(SuspectNews((), (entry,)))
+
+
+def test_all_known_suspects_are_sent_again_in_turn():
+    """A host that starts learned only of the last few suspects of the others."""
+    host = make_task()
+    for number in range(3 * c.MAX_REPEATED_SUSPECTS):
+        for target in range(2):
+            host.suspects.requests.record_crash(
+                number.to_bytes(8, "big"), 1, target, 0.0
+            )
+    repeated = set()
+    for _ in range(3):
+        host._repeat_known()
+        repeated |= host._changed[0]
+        host._changed[0].clear()
+    assert len(repeated) == 3 * c.MAX_REPEATED_SUSPECTS
