--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -50,7 +50,7 @@
     assert not late
 
 
-@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 7])
 def test_hosts_that_stay_refuse_all_of_many_crashing_requests_in_time(seed):
     """Requests that run on the same targets seem to explain each other's crashes."""
     plan = CrashPlan(
--- a/libraries/gateway/tests/test_crashes.py
+++ b/libraries/gateway/tests/test_crashes.py
@@ -72,10 +72,10 @@
     """Two requests that crash targets ran on the same ones and excuse each other."""
     site = await make_crashing_site(make_site, 8)
     tracker = site.forwarder.suspects.tracker
-    for number in range(4):
+    for number in range(8):
         tracker.record_crash(FINGERPRINT, 9, number, read_clock())
-        if number:
-            tracker.record_crash(CRASHING, len(MARK), number, read_clock())
+    for number in range(3):
+        tracker.record_crash(CRASHING, len(MARK), number, read_clock())
     for _ in range(6):
         await ask(site, MARK)
     assert site.runs == 1
