--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -250,8 +250,7 @@
 MAX_SUSPECTS_PER_ROUND = 6
 MESH_ROUNDS_PER_SUSPECT_ROUND = 4
 SUSPECT_EXPIRY_INTERVAL_SECONDS = 10.0
-# A peer that has joined is sent the suspects that it missed, those with the most
-# crashes first, by a few of the hosts that were there before.
+# A peer that has joined is sent what is refused by a few of the hosts that were there.
 SPONSORS_PER_JOINED_PEER = 2
 PEER_SETTLE_SECONDS = 2.0
 MAX_SUSPECTS_PER_JOINED_PEER = 144
--- a/libraries/gateway/tarragonward_gateway/suspect_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_gossip.py
@@ -38,8 +38,8 @@
     def is_near_verdict(self, fingerprint: bytes) -> bool:
         """Return whether it has almost enough crashes to be refused."""
 
-    def count(self, fingerprint: bytes) -> int:
-        """Return how many crashes nothing explains and no answer has cleared."""
+    def has_enough_crashes(self, fingerprint: bytes) -> bool:
+        """Return whether it is refused unless something explains its crashes."""
 
     def build_entry(self, fingerprint: bytes, now: float) -> Any | None:
         """Return an entry with a fingerprint and pack(), None without a suspect."""
@@ -68,8 +68,8 @@
     In a small fleet each crash is sent to all hosts. In a large one a first crash is
     sent to a few aggregators in each failure domain, chosen by the fingerprint, which
     add up the crashes that different hosts saw. From the second crash on, all hosts are
-    notified at once. A host that starts or reconnects is sent all that it missed. The
-    gossip rounds repeat it, as messages may be lost.
+    notified at once. In a small fleet a host that starts or reconnects is sent what is
+    refused. The gossip rounds repeat all that all hosts should know.
     """
 
     def __init__(
@@ -93,14 +93,21 @@
         return min(self._due.values(), default=None)
 
     def record_round(self, now: float) -> None:
-        """Schedule what the peers that have joined since the last round missed."""
-        joined = self._joins.update(self._members.get_peers(), now)
-        if not joined:
+        """Schedule what is refused for peers that have joined since the last round."""
+        peers = self._members.get_peers()
+        joined = self._joins.update(peers, now)
+        # In a large fleet hosts learn of each other one by one, so a peer that is new
+        # to this host has mostly been there for long.
+        if not joined or len(peers) > MAX_MESH_PEERS:
             return
-        known = sorted(self._list_public(), key=self._tracker.count, reverse=True)
-        del known[c.MAX_SUSPECTS_PER_JOINED_PEER :]
+        refused = [
+            fingerprint
+            for fingerprint, _ in self._tracker.items()
+            if self._tracker.has_enough_crashes(fingerprint)
+        ]
+        del refused[c.MAX_SUSPECTS_PER_JOINED_PEER :]
         for address in joined:
-            self._catch_ups += _split_messages((address,), known)
+            self._catch_ups += _split_messages((address,), refused)
 
     def record_change(
         self, fingerprint: bytes, now: float, is_urgent: bool = True
--- a/libraries/requests/tarragonward_requests/segment_suspects.py
+++ b/libraries/requests/tarragonward_requests/segment_suspects.py
@@ -184,6 +184,10 @@
         suspect = self._suspects.get(segment)
         return suspect is not None and suspect.is_common
 
+    def has_enough_crashes(self, segment: bytes) -> bool:
+        """Return whether a segment is refused unless something explains its crashes."""
+        return segment in self._blamed
+
     def is_near_verdict(self, segment: bytes) -> bool:
         """Return whether at most one crash more is needed to refuse a segment."""
         suspect = self._suspects.get(segment)
--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -343,6 +343,10 @@
         """Return False: a request has nothing in common with most others."""
         return False
 
+    def has_enough_crashes(self, fingerprint: bytes) -> bool:
+        """Return whether a request is refused unless something explains its crashes."""
+        return fingerprint in self._refused
+
     def is_near_verdict(self, fingerprint: bytes) -> bool:
         """Return whether at most one crash more is needed to refuse a request."""
         return self.is_for_all_hosts(fingerprint)
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -158,6 +158,34 @@
     assert 3 <= len(crashed_runners) <= 6, format_failure(site, report)
 
 
+async def async_repeat(site, body, until):
+    """Repeat a request at any host, four times at once, until a task ends."""
+    plan = build_request_plan(
+        "/draft/crash",
+        "stream",
+        body=body,
+        headers=(("X-Model", "m"), ("X-Token-Counts", "2000,400")),
+        is_resumable=True,
+    )
+    clients = [site.add_client() for _ in range(4)]
+    while not until.done():
+        await asyncio.gather(*(client.async_request(plan) for client in clients))
+        await asyncio.sleep(0.3)
+
+
+async def test_many_requests_that_crash_the_same_runners_are_sent_to_few_runners(
+    make_site,
+):
+    """Requests that ran on the same runners seem to explain each other's crashes."""
+    site = await make_site(PlatformPlan(models_per_zone=3))
+    day = PlatformDay(site, DayPlan(seconds=12.0, drafts_per_second=8, seed=9))
+    day_task = asyncio.ensure_future(day.async_play())
+    bodies = [CRASH_PREFIX + bytes([number]) for number in range(8)]
+    await asyncio.gather(*(async_repeat(site, body, day_task) for body in bodies))
+    report = await day_task
+    assert not report.violations, format_failure(site, report)
+
+
 async def test_a_runner_that_states_a_rate_limit_is_not_sent_more(make_site):
     """One of three runners accepts one request per second from all hosts together."""
     site = await make_site(PlatformPlan(plain_per_zone=1))
