--- a/libraries/bench/tarragonward_bench/harm/crashes.py
+++ b/libraries/bench/tarragonward_bench/harm/crashes.py
@@ -116,7 +116,12 @@
     ) -> None:
         self._host, self._section = host, section
         self._world = host.world
-        self.gossip = SuspectGossip(tracker, host.members, host.random)
+        self.gossip = SuspectGossip(
+            tracker,
+            host.members,
+            host.random,
+            tells_joined=isinstance(tracker, SuspectTracker),
+        )
         host.sections[section] = Section(self._build, self._apply)
 
     def record_change(self, fingerprint: bytes, is_urgent: bool = True) -> None:
--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -75,7 +75,7 @@
         CrashRun(CrashPlan(crashing_requests=0, has_troubles=False), 1).run()
 
 
-@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("seed", [*range(1, 5), 8, 20])
 def test_segments_that_crash_targets_are_soon_refused(seed):
     """Prompts, no two alike, share a segment; sound ones share all of the others."""
     assert run_segment_seed(seed)
--- a/libraries/gateway/tarragonward_gateway/suspect_gossip.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_gossip.py
@@ -68,12 +68,17 @@
     In a small fleet each crash is sent to all hosts. In a large one a first crash is
     sent to a few aggregators in each failure domain, chosen by the fingerprint, which
     add up the crashes that different hosts saw. From the second crash on, all hosts are
-    notified at once. In a small fleet a host that starts or reconnects is sent what is
-    refused. The gossip rounds repeat all that all hosts should know.
+    notified at once. The gossip rounds repeat it for hosts that start, resume or
+    reconnect; with tells_joined such a host is sent what is refused at once, in a small
+    fleet.
     """
 
     def __init__(
-        self, tracker: CrashTracker, members: SeedMembership, rng: random.Random
+        self,
+        tracker: CrashTracker,
+        members: SeedMembership,
+        rng: random.Random,
+        tells_joined: bool = False,
     ) -> None:
         self._tracker = tracker
         self._members = members
@@ -81,7 +86,7 @@
         self._due: dict[bytes, float] = {}
         self._rotation = Rotation()
         self._rounds = 0
-        self._joins = PeerJoins(members.own)
+        self._joins = PeerJoins(members.own) if tells_joined else None
         # Messages to peers that have just joined.
         self._catch_ups: list[SuspectMessage] = []
 
@@ -94,6 +99,8 @@
 
     def record_round(self, now: float) -> None:
         """Schedule what is refused for peers that have joined since the last round."""
+        if self._joins is None:
+            return
         peers = self._members.get_peers()
         joined = self._joins.update(peers, now)
         # In a large fleet hosts learn of each other one by one, so a peer that is new
--- a/libraries/gateway/tarragonward_gateway/suspect_task.py
+++ b/libraries/gateway/tarragonward_gateway/suspect_task.py
@@ -32,7 +32,9 @@
         self._background = BackgroundTasks(state.metrics)
         requests = _SectionExchange(
             SECTION,
-            SuspectGossip(suspects.tracker, peers.members, state.random),
+            SuspectGossip(
+                suspects.tracker, peers.members, state.random, tells_joined=True
+            ),
             peers,
         )
         segments = _SectionExchange(
--- a/libraries/gateway/tests/test_suspect_task.py
+++ b/libraries/gateway/tests/test_suspect_task.py
@@ -121,7 +121,7 @@
     members = SimpleNamespace(
         get_peers=lambda: present, own=peers[0].identity, failure_domain="d0"
     )
-    gossip = SuspectGossip(tracker, members, random.Random(1))
+    gossip = SuspectGossip(tracker, members, random.Random(1), tells_joined=True)
     gossip.record_round(0.0)
     gossip.take_due(0.0)
     present.append(peers[3])
