--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -50,6 +50,12 @@
     assert not late
 
 
+def test_many_crashing_requests_are_refused_in_time_after_a_loss_of_all_hosts():
+    """All hosts are killed at once, and what they knew is lost with them."""
+    plan = CrashPlan(targets=18, crashing_requests=8, requests_a_second=54.0)
+    assert CrashRun(plan, 1).run()
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 7])
 def test_hosts_that_stay_refuse_all_of_many_crashing_requests_in_time(seed):
     """Requests that run on the same targets seem to explain each other's crashes."""
