Send a trial that this host has announced itself

A request that is tried alone is not looked at again now. test_announced_trial_is_not_withheld fails without it by reading (the old line returned whether the verdict is REFUSED); not run on the old code.

--- a/libraries/gateway/tarragonward_gateway/suspects.py
+++ b/libraries/gateway/tarragonward_gateway/suspects.py
@@ -229,11 +229,9 @@
         self, identity: RequestIdentity, verdict: SendVerdict
     ) -> bool:
         """Return whether a request may no longer be sent by an earlier verdict."""
-        now_valid = self.evaluate(identity).verdict
-        if verdict.verdict is Verdict.ALONE:
-            # This host's own attempt is what makes others wait.
-            return now_valid is Verdict.REFUSED
-        return now_valid is not Verdict.CLEAR
+        # This host's own isolated attempt is what makes all others wait.
+        is_isolated = verdict.verdict is Verdict.ALONE
+        return not is_isolated and self.evaluate(identity).verdict is not Verdict.CLEAR
 
     @contextmanager
     def isolated_attempt(
--- a/libraries/gateway/tests/test_crashes.py
+++ b/libraries/gateway/tests/test_crashes.py
@@ -5,7 +5,7 @@
 
 from tarragonward_gateway.choices import TargetRequirements
 from tarragonward_gateway.clock import read_clock
-from tarragonward_requests import Verdict, fingerprint_request
+from tarragonward_requests import SendVerdict, Verdict, fingerprint_request
 from tarragonward_standins import answer_with, async_reset
 
 MARK = b"crash"
@@ -68,6 +68,15 @@
     assert site.runs == 0
 
 
+async def test_announced_trial_is_not_withheld(make_site, monkeypatch):
+    """While a segment's trial is announced, its prompts are refused at all hosts."""
+    suspects = (await make_crashing_site(make_site, 1)).forwarder.suspects
+    refused = SendVerdict(Verdict.REFUSED)
+    monkeypatch.setattr(suspects, "evaluate", lambda identity: refused)
+    assert not suspects.has_become_suspect(None, SendVerdict(Verdict.ALONE))
+    assert suspects.has_become_suspect(None, SendVerdict(Verdict.CLEAR))
+
+
 async def test_request_whose_crashes_are_explained_is_tried_alone_once(make_site):
     """Two requests that crash targets ran on the same ones and excuse each other."""
     site = await make_crashing_site(make_site, 8)
