--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# The stand-ins of the cases need the standard library alone: nothing is downloaded.
+# Their byte code is made, so that a broken file shows here.
+set -eu
+cd "$(dirname "$0")"
+python3 -m compileall -q lab [0-9]*
