--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -251,12 +251,17 @@
                 continue
             writer.close()
             break
+        self.register(boot, service, f"{self.runner_ip}:{port}", zone)
+        return boot
+
+    def register(self, boot: str, service: str, address: str, zone: str) -> None:
+        """Write a runner's entry, as it does itself."""
         entry = {
             "service": service,
-            "address": f"{self.runner_ip}:{port}",
+            "address": address,
             "zone": zone,
             "version": "v1",
-            "slots": settings["slots"],
+            "slots": 8,
             "state": "ready",
             "coldLeftMs": 0,
             "stage": "hybrid",
@@ -264,7 +269,6 @@
             "seq": 1,
         }
         self.store.put(f"servers/{boot}", entry)
-        return boot
 
     async def async_kill_runner(self, name: str) -> None:
         """End a runner's process with SIGKILL."""
