--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from .http import async_read_head
+from .link import Link
 from .store import Store
 
 REPOSITORY = Path(__file__).resolve().parents[2]
@@ -126,7 +127,8 @@
         self.hosts: list[asyncio.subprocess.Process] = []
         self.runners: dict[str, asyncio.subprocess.Process] = {}
         self.addresses: dict[str, tuple[int, str]] = {}
-        self.services: dict[str, str] = {}
+        # The links before the runners, by place, where a case has some.
+        self.links: dict[str, Link] = {}
         self.version = 0
         self.boots = 0
         self.journal = folder / "runners.jsonl"
@@ -216,6 +218,13 @@
         writer.close()
         return head is not None and " 200" in head[0]
 
+    async def async_add_link(self, name: str, zone: str) -> None:
+        """Put a link before the place of a runner that is not started yet."""
+        port = find_port([self.runner_ip])
+        self.addresses[name] = (port, zone)
+        self.links[name] = Link(self.runner_ip, port)
+        await self.links[name].async_start()
+
     async def async_start_runner(
         self, name: str, service: str, zone: str, **behaviour: Any
     ) -> str:
@@ -251,6 +260,8 @@
                 continue
             writer.close()
             break
+        if name in self.links:
+            port = self.links[name].port
         self.register(boot, service, f"{self.runner_ip}:{port}", zone)
         return boot
 
