--- /dev/null
+++ b/review/7/play.py
@@ -0,0 +1,110 @@
+"""A host's connection to the store goes silent; later a zone's runners are removed."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "standins-2"))
+
+from stand import (  # noqa: E402
+    BOUNDS,
+    BROKEN,
+    HELD,
+    CaseError,
+    Client,
+    Record,
+    Runner,
+    Site,
+    build_configuration,
+    describe_route,
+    describe_service,
+    is_troubled,
+    run_case,
+)
+
+RUNNERS_PER_ZONE = 3
+CLIENTS = 12
+PAUSE_SECONDS = 0.05
+DRAIN_SECONDS = BOUNDS["drainMs"] / 1_000
+STABLE_SECONDS = BOUNDS["stableWindowMs"] / 1_000
+# Until the watches that follow the last change are open.
+WATCH_SECONDS = 0.4
+SERVE_SECONDS = 4.0
+
+
+async def async_press(site: Site, until: float) -> None:
+    """Send lookups to the last host, on kept connections."""
+
+    async def async_send(delay: float) -> None:
+        await asyncio.sleep(delay)
+        client = Client(site.hosts[-1], site.record)
+        while time.monotonic() < until:
+            await client.async_send("GET", "/facing/1")
+            await asyncio.sleep(PAUSE_SECONDS)
+        client.close()
+
+    step = PAUSE_SECONDS / CLIENTS
+    await asyncio.gather(*(async_send(number * step) for number in range(CLIENTS)))
+
+
+async def async_play(folder: Path, record: Record) -> int:
+    """Play the case; return its exit code."""
+    site = Site(folder, record)
+    await site.async_start()
+    for zone in "abc":
+        for _ in range(RUNNERS_PER_ZONE):
+            runner = Runner(site.store, "shelf-api", zone, record)
+            site.runners.append(runner)
+            await runner.async_start()
+    routes = [describe_route("facing", "idempotent", "shelf-api")]
+    services = [describe_service("shelf-api")]
+    site.store.put("op/config", build_configuration(7, routes, services))
+    try:
+        await site.async_start_hosts()
+        return await async_remove(site, record, routes, services)
+    finally:
+        await site.async_stop()
+
+
+async def async_remove(site: Site, record: Record, routes: list, services: list) -> int:
+    """Silence a connection, remove a zone's entries, and look for late requests."""
+    await asyncio.sleep(STABLE_SECONDS)
+    site.store.put("op/config", build_configuration(9, routes, services))
+    await asyncio.sleep(WATCH_SECONDS)
+    if is_troubled():
+        if not site.proxies[-1].silence():
+            raise CaseError("the host had no connection to the store")
+        record.write("open connections of", site.hosts[-1].name, "to the store: silent")
+    removed_in = STABLE_SECONDS + 0.1
+    press = asyncio.create_task(
+        async_press(site, time.monotonic() + removed_in + SERVE_SECONDS)
+    )
+    await asyncio.sleep(removed_in)
+    # They have not reported that they are draining, and go on serving.
+    gone = [runner for runner in site.runners if runner.zone == "c"]
+    acked_at = {}
+    for runner in gone:
+        runner.stop_beats()
+        site.store.delete(f"servers/{runner.id}")
+        acked_at[runner.id] = time.monotonic()
+        record.write("the entry of", runner.id, "is removed")
+    await press
+    late = sorted(
+        at - acked_at[runner.id]
+        for runner in gone
+        for at, _ in runner.runs
+        if at > acked_at[runner.id] + DRAIN_SECONDS
+    )
+    last = max(at - acked_at[each.id] for each in gone for at, _ in each.runs)
+    text = f"{len(late)} requests later than drainMs; the last after {last:.3f} s"
+    record.write(text)
+    print(text)
+    return BROKEN if late else HELD
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(FOLDER, async_play))
