--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,4 +1,7 @@
-"""A host's connection to the store goes silent; later a zone's runners are removed."""
+"""A host's connection to the store goes silent; later a zone's runners are removed.
+
+This is played six times over; new runners take the place of the removed ones.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +9,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
@@ -27,6 +31,7 @@
 )
 
 RUNNERS_PER_ZONE = 3
+ROUNDS = 6
 CLIENTS = 12
 PAUSE_SECONDS = 0.05
 DRAIN_SECONDS = BOUNDS["drainMs"] / 1_000
@@ -56,24 +61,25 @@
     site = Site(folder, record)
     await site.async_start()
     for zone in "abc":
-        for _ in range(RUNNERS_PER_ZONE):
-            runner = Runner(site.store, "shelf-api", zone, record)
-            site.runners.append(runner)
-            await runner.async_start()
+        await async_add_runners(site, zone)
     routes = [describe_route("facing", "idempotent", "shelf-api")]
     services = [describe_service("shelf-api")]
     site.store.put("op/config", build_configuration(7, routes, services))
     try:
         await site.async_start_hosts()
-        return await async_remove(site, record, routes, services)
+        late = 0
+        for number in range(ROUNDS):
+            document = build_configuration(7 + 2 * (number + 1), routes, services)
+            late += await async_remove(site, record, document)
+        return BROKEN if late else HELD
     finally:
         await site.async_stop()
 
 
-async def async_remove(site: Site, record: Record, routes: list, services: list) -> int:
-    """Silence a connection, remove a zone's entries, and look for late requests."""
+async def async_remove(site: Site, record: Record, document: dict[str, Any]) -> int:
+    """Silence a connection, remove a zone's entries; return the late requests."""
     await asyncio.sleep(STABLE_SECONDS)
-    site.store.put("op/config", build_configuration(9, routes, services))
+    site.store.put("op/config", document)
     await asyncio.sleep(WATCH_SECONDS)
     if is_troubled():
         if not site.proxies[-1].silence():
@@ -93,17 +99,24 @@
         acked_at[runner.id] = time.monotonic()
         record.write("the entry of", runner.id, "is removed")
     await press
-    late = sorted(
-        at - acked_at[runner.id]
-        for runner in gone
-        for at, _ in runner.runs
-        if at > acked_at[runner.id] + DRAIN_SECONDS
-    )
-    last = max(at - acked_at[each.id] for each in gone for at, _ in each.runs)
-    text = f"{len(late)} requests later than drainMs; the last after {last:.3f} s"
+    ages = [at - acked_at[runner.id] for runner in gone for at, _ in runner.runs]
+    late = sum(age > DRAIN_SECONDS for age in ages)
+    text = f"{late} requests later than drainMs; the last after {max(ages):.3f} s"
     record.write(text)
     print(text)
-    return BROKEN if late else HELD
+    for runner in gone:
+        runner.stop()
+        site.runners.remove(runner)
+    await async_add_runners(site, "c")
+    return late
+
+
+async def async_add_runners(site: Site, zone: str) -> None:
+    """Start the runners of a zone."""
+    for _ in range(RUNNERS_PER_ZONE):
+        runner = Runner(site.store, "shelf-api", zone, site.record)
+        site.runners.append(runner)
+        await runner.async_start()
 
 
 if __name__ == "__main__":
