--- a/review/6/play.py
+++ b/review/6/play.py
@@ -8,10 +8,7 @@
 from collections import Counter
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins-2"))
-
-from stand import (  # noqa: E402
+from stand import (
     BROKEN,
     HELD,
     Client,
@@ -26,6 +23,7 @@
     run_case,
 )
 
+FOLDER = Path(__file__).resolve().parent
 # At two of three runners, two answers of five are lost: share 0.6, x 0.4.
 FAULTY_ZONES = "ab"
 LOST_OF_FIVE = 2
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -11,10 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins-2"))
-
-from stand import (  # noqa: E402
+from stand import (
     BOUNDS,
     BROKEN,
     HELD,
@@ -30,6 +27,7 @@
     run_case,
 )
 
+FOLDER = Path(__file__).resolve().parent
 RUNNERS_PER_ZONE = 3
 ROUNDS = 6
 CLIENTS = 12
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -9,10 +9,7 @@
 from collections import Counter
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins-2"))
-
-from stand import (  # noqa: E402
+from stand import (
     BOUNDS,
     BROKEN,
     HELD,
@@ -30,6 +27,7 @@
     run_case,
 )
 
+FOLDER = Path(__file__).resolve().parent
 TOKENS_PER_EVENT = 46
 EVENTS = 12
 PAUSE_SECONDS = 0.05
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # nothing to install, and this only checks that python3 can read them.
 set -eu
 cd "$(dirname "$0")"
-for file in standins-2/stand.py [4-8]/play.py \
+for file in [4-8]/stand.py [4-8]/play.py \
     ../libraries/standins/tarragonward_standins/platform_settings.py; do
     python3 -c 'import sys; compile(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1], "exec")' "$file"
 done
