Log why a host is not ready, and why a request is withheld

The four hypotheses of the loss of all machines can't be told apart by the logs: a host that isn't ready says nothing, and a request that is refused for crashes logs neither what is known of it nor since and until when.

host_not_ready each second with the reason (no_table, no_targets, draining), the seconds and the age of what is known, host_ready, not_ready_seconds and not_ready_reports_total; request_withheld with verdict, segments, crashes known and counted, seconds since the last and left to wait, requests_withheld_total. No decision changes.

--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -22,7 +22,7 @@
 from .failure_domains import EvacuationTask
 from .forwarder import Forwarder
 from .gate_task import GateTask
-from .health import HealthRoutes
+from .health import HealthRoutes, ReadinessTask
 from .limit_task import LimitTask
 from .operators import OperatorsTask
 from .peers import Peers
@@ -85,7 +85,9 @@
         )
         self.gate = GateTask(self.state, self.callers)
         self.forwarder.on_outcome.append(self.gate.record_outcome)
-        self.health = HttpServer(settings.health, HealthRoutes(self.state).async_handle)
+        health_routes = HealthRoutes(self.state)
+        self.health = HttpServer(settings.health, health_routes.async_handle)
+        self.readiness = ReadinessTask(self.state, health_routes)
         self.suspect_task = SuspectTask(self.state, self.peers, self.forwarder.suspects)
         self.limit_task = LimitTask(self.state, self.peers, self.targets)
         self.cooldown_task = CooldownTask(self.state, self.peers, self.targets)
@@ -138,6 +140,7 @@
             self.gate,
             self.callers,
             self.health,
+            self.readiness,
             self.settings,
         )
         async with AsyncExitStack() as stack:
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -162,6 +162,8 @@
 RELAY_CHECK_TIMEOUT_SECONDS = 0.1
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
+# How often a host that is not ready logs the reason.
+READINESS_REPORT_SECONDS = 1.0
 # A host without a routing table holds a request for up to START_HOLD_SECONDS, during
 # its first STARTUP_SECONDS only, and for at most this share of the caller's time limit.
 START_HOLD_SECONDS = 0.5
--- a/libraries/gateway/tarragonward_gateway/suspects.py
+++ b/libraries/gateway/tarragonward_gateway/suspects.py
@@ -219,12 +219,30 @@
         self._state.metrics.count("requests_blamed")
         if verdict.segments:
             self._state.metrics.count("prompts_refused_by_segment")
+        self._log_withheld(identity, verdict)
         self.suspects.record_refused(identity, verdict, read_clock())
 
     def record_deferred(self, identity: RequestIdentity, verdict: SendVerdict) -> None:
         """Record that a request has to wait until it may be tried."""
+        self._log_withheld(identity, verdict)
         self.suspects.record_deferred(identity, verdict, read_clock())
 
+    def _log_withheld(self, identity: RequestIdentity, verdict: SendVerdict) -> None:
+        """Log why a request is not sent, since when and until when."""
+        now = read_clock()
+        withholding = self.suspects.describe_withholding(identity, verdict, now)
+        self._state.metrics.count("requests_withheld", verdict.verdict.value)
+        log_event(
+            "request_withheld",
+            fingerprint=identity.fingerprint.hex(),
+            verdict=verdict.verdict.value,
+            segments=SEPARATOR.join(each.hex() for each in verdict.segments),
+            crashes_known=withholding.evidence.known,
+            crashes_counted=withholding.evidence.counted,
+            last_crash_seconds=withholding.last_crash_seconds,
+            wait_seconds=verdict.wait_seconds,
+        )
+
     def has_become_suspect(
         self, identity: RequestIdentity, verdict: SendVerdict
     ) -> bool:
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -6,8 +6,9 @@
 from dataclasses import replace
 
 import pytest
+from absl import logging
 
-from tarragonward_core import Address
+from tarragonward_core import Address, event_log
 from tarragonward_gateway import GatewaySettings, HeaderNames, Paths, ReservationAnswer
 from tarragonward_gateway.app import _build_limits
 from tarragonward_gateway.forwarder import Forwarder
@@ -145,6 +146,17 @@
         return await self.async_ask("POST", lines=[f"X-Tokens: {tokens}"])
 
 
+@pytest.fixture
+def lines(monkeypatch):
+    """Return the lines that are logged, as a list that grows."""
+    written = []
+    monkeypatch.setattr(event_log, "write", lambda data: written.append(data) or True)
+    verbosity = logging.get_verbosity()
+    logging.set_verbosity(logging.INFO)
+    yield written
+    logging.set_verbosity(verbosity)
+
+
 @pytest.fixture
 async def make_site():
     sites = []
--- a/libraries/gateway/tests/test_operators.py
+++ b/libraries/gateway/tests/test_operators.py
@@ -4,8 +4,6 @@
 from dataclasses import replace
 
 import orjson
-import pytest
-from absl import logging
 
 from tarragonward_core import Address, LineBudget, event_log
 from tarragonward_gateway.clock import read_clock
@@ -18,16 +16,6 @@
 SUSPECT = fingerprint_request("town", "GET", "app.example", b"/app/x", b"")
 
 
-@pytest.fixture
-def lines(monkeypatch):
-    written = []
-    monkeypatch.setattr(event_log, "write", lambda data: written.append(data) or True)
-    verbosity = logging.get_verbosity()
-    logging.set_verbosity(logging.INFO)
-    yield written
-    logging.set_verbosity(verbosity)
-
-
 async def async_wait_for_end(lines):
     async with asyncio.timeout(5):
         while not any(b"event=request_ended" in data for data in lines):
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -1,6 +1,12 @@
 """Decision logic without I/O for model requests, forwarded requests and calls."""
 
-from .crash_suspects import ClearedSuspects, CrashSuspects, SendVerdict, SuspectIdentity
+from .crash_suspects import (
+    ClearedSuspects,
+    CrashSuspects,
+    SendVerdict,
+    SuspectIdentity,
+    Withholding,
+)
 from .events import (
     EventStreamSplitter,
     NextEvents,
@@ -134,6 +140,7 @@
     "TextArrived",
     "TimeOver",
     "Verdict",
+    "Withholding",
     "Wait",
     "fingerprint_request",
     "fingerprint_segments",
--- a/libraries/requests/tarragonward_requests/crash_suspects.py
+++ b/libraries/requests/tarragonward_requests/crash_suspects.py
@@ -10,7 +10,13 @@
 from .segment_verdicts import STRICTNESS, PromptContext
 from .suspects import CrashEvidence, SuspectTracker, Verdict
 
-__all__ = ["ClearedSuspects", "CrashSuspects", "SendVerdict", "SuspectIdentity"]
+__all__ = [
+    "ClearedSuspects",
+    "CrashSuspects",
+    "SendVerdict",
+    "SuspectIdentity",
+    "Withholding",
+]
 
 
 class SuspectIdentity(Protocol):
@@ -57,6 +63,17 @@
     segments: tuple[bytes, ...] = ()
 
 
+@dataclass(frozen=True)
+class Withholding:
+    """Why a request is not sent: its crashes, or those of a segment of its prompt.
+
+    last_crash_seconds is the time since the last of these crashes that this host knows.
+    """
+
+    evidence: CrashEvidence
+    last_crash_seconds: float
+
+
 CLEAR = SendVerdict()
 
 
@@ -109,6 +126,20 @@
         explained = self.segments.get_explained_targets(identity.segments)
         return self.requests.get_evidence(identity.fingerprint, explained)
 
+    def describe_withholding(
+        self, identity: SuspectIdentity, verdict: SendVerdict, now: float
+    ) -> Withholding:
+        """Return what a verdict against a request rests on."""
+        if not verdict.segments:
+            suspect = self.requests.get(identity.fingerprint)
+            last = suspect.last_crash_at if suspect is not None else now
+            return Withholding(self.get_evidence(identity), now - last)
+        known = [self.segments.get(each) for each in verdict.segments]
+        worst = max(filter(None, known), key=lambda each: len(each.uncleared))
+        last = max(crash.crashed_at for crash in worst.uncleared.values())
+        evidence = CrashEvidence(len(worst.uncleared), worst.count_crashes())
+        return Withholding(evidence, now - last)
+
     def record_crash(
         self,
         identity: SuspectIdentity,
--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -114,6 +114,8 @@
     # The crashed targets that ran nothing else that their hosts knew of.
     isolated: set[int] = field(default_factory=set)
     attempt_until: float = NEVER
+    # When this host last learned of another crashed target, from itself or a peer.
+    last_crash_at: float = NEVER
     # When this host itself last saw a target crash under the request.
     last_local_crash_at: float = NEVER
     # When this host first put the request off after the last crash that it knows of.
@@ -129,12 +131,15 @@
         """Return whether a target crashed that ran nothing else."""
         return not self.isolated.isdisjoint(self.uncleared_targets)
 
-    def record_crash(self, target: int, is_isolated: bool = False) -> None:
+    def record_crash(
+        self, target: int, crashed_at: float, is_isolated: bool = False
+    ) -> None:
         """Add a crashed target; each target counts once."""
         if is_isolated:
             self.isolated.add(target)
         if target in self.crashes:
             return
+        self.last_crash_at = max(self.last_crash_at, crashed_at)
         if len(self.crashes) >= c.MAX_CRASHES_PER_SUSPECT:
             evicted = max(self.crashes, key=self._rank_for_eviction)
             del self.crashes[evicted]
@@ -299,7 +304,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             suspect = self._add(fingerprint, body_size, now)
-        suspect.record_crash(target, is_isolated)
+        suspect.record_crash(target, now, is_isolated)
         suspect.last_local_crash_at = now
         suspect.last_activity_at = max(now, suspect.last_activity_at)
         self._update_refused(fingerprint)
@@ -388,7 +393,7 @@
             )
         before = len(suspect.uncleared_targets)
         for target in entry.crashes:
-            suspect.record_crash(target, target in entry.isolated)
+            suspect.record_crash(target, sent_at, target in entry.isolated)
         suspect.clear(entry.cleared)
         suspect.last_activity_at = max(
             suspect.last_activity_at, sent_at - entry.idle_seconds
