--- a/libraries/requests/tests/test_crash_suspects.py
+++ b/libraries/requests/tests/test_crash_suspects.py
@@ -11,6 +11,8 @@
 # The users' bound on sends by connected hosts after a request has ended three targets.
 MAX_LATE_SENDS = 3
 STEP_SECONDS = 10.0
+# The users' bound on the time until the service is back.
+RECOVERY_SECONDS = 12.0
 
 
 @dataclass(frozen=True)
@@ -99,3 +101,50 @@
         suspects.record_answered(request, None, now + 1.0)
 
     assert count_sends(crash) <= c.REFUSE_AFTER_CRASHES + MAX_LATE_SENDS
+
+
+@pytest.mark.parametrize("spread_seconds", [0.0, 3.0])
+def test_request_in_progress_at_all_lost_targets_is_served_when_they_are_back(
+    spread_seconds,
+):
+    """A power loss ends many targets, and a popular request ran on each of them."""
+    suspects = CrashSuspects()
+    request = Identity(b"lookup_1")
+    at_once = suspects.evaluate(request, 0.0)
+    targets = 6
+    for number in range(targets):
+        now = spread_seconds * number / targets
+        found = suspects.evaluate(request, now) if spread_seconds else at_once
+        if found.verdict in (Verdict.CLEAR, Verdict.ALONE):
+            suspects.record_crash(request, number, now - 0.1, now, found)
+    assert wait_until_sent(suspects, request, spread_seconds) <= RECOVERY_SECONDS
+
+
+@pytest.mark.parametrize("was_answered", [False, True])
+@pytest.mark.parametrize("gap_seconds", [0.05, 0.3, 0.6])
+def test_segment_of_prompts_at_all_lost_targets_is_served_when_they_are_back(
+    was_answered, gap_seconds
+):
+    """Targets that lose power one after the other all ran prompts with one segment."""
+    suspects = CrashSuspects()
+    now = 0.0
+    if was_answered:
+        suspects.record_answered(Identity(b"prompt_0", (b"segment1",)), now, now)
+    for number in range(21):
+        prompt = Identity(f"prompt{number:02}".encode(), (b"segment1",))
+        now += gap_seconds
+        suspects.record_crash(prompt, number, now - 0.01, now)
+    prompt = Identity(b"prompt_x", (b"segment1",))
+    assert wait_until_sent(suspects, prompt, now) <= RECOVERY_SECONDS
+
+
+def wait_until_sent(suspects, request, now):
+    """Return after how many seconds a request may be sent again."""
+    for step in range(1_000):
+        found = suspects.evaluate(request, now + step)
+        if found.verdict in (Verdict.CLEAR, Verdict.ALONE):
+            return step
+        suspects.record_deferred(request, found, now + step)
+        if found.verdict is Verdict.REFUSED:
+            suspects.record_refused(request, found, now + step)
+    return 1_000
--- a/libraries/standins/tarragonward_standins/platform_day.py
+++ b/libraries/standins/tarragonward_standins/platform_day.py
@@ -34,6 +34,9 @@
     keeps_connections: bool = True
     crashing: CrashingSegments | None = None
     seed: int = 1
+    # Different requests of the idempotent route, and its share of the calls.
+    distinct_lookups: int = 99
+    lookup_share: float = 0.5
 
 
 @dataclass
@@ -141,12 +144,13 @@
             return self._draw_draft(disconnect_after_seconds, HUGE_PROMPT_TOKENS)
         if self._random.random() * rate < self._plan.drafts_per_second:
             return self._draw_draft(disconnect_after_seconds)
-        if self._random.random() < 0.5:
+        if self._random.random() < self._plan.lookup_share:
+            number = self._random.randrange(self._plan.distinct_lookups)
             return RequestPlan(
                 "/look/",
                 "idempotent",
                 HOST_NAME,
-                f"/look/{self._random.randrange(99)}?x=%2f",
+                f"/look/{number}?x=%2f",
                 "GET",
                 disconnect_after_seconds=disconnect_after_seconds,
             )
--- a/libraries/standins/tarragonward_standins/platform_model_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_model_runner.py
@@ -9,6 +9,8 @@
 
 import orjson
 
+from tarragonward_core import Address
+
 from .platform_engine import PassEngine, PassSizes, PassWork
 from .platform_http import PlainRequest, reset_connection
 from .platform_reservations import ReservationLog
@@ -77,9 +79,10 @@
         seed: int,
         sizes: PassSizes,
         runners_by_address: RunnersByAddress,
+        address: Address | None = None,
         report_lag_seconds: float = 0.2,
     ) -> None:
-        super().__init__(plan, store, arrivals, seed)
+        super().__init__(plan, store, arrivals, seed, address)
         self.engine = PassEngine(sizes)
         self._runners_by_address = runners_by_address
         self._streams: dict[PassWork, _Stream] = {}
--- a/libraries/standins/tarragonward_standins/platform_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_runner.py
@@ -145,7 +145,12 @@
     """One incarnation of a plain service's runner; the base of model runners."""
 
     def __init__(
-        self, plan: RunnerPlan, store: PlatformStore, arrivals: ArrivalLog, seed: int
+        self,
+        plan: RunnerPlan,
+        store: PlatformStore,
+        arrivals: ArrivalLog,
+        seed: int,
+        address: Address | None = None,
     ) -> None:
         self.plan = plan
         self.faults = RunnerFaults()
@@ -175,7 +180,7 @@
         self.cold_periods: list[ColdPeriod] = []
         # While set, all requests are refused with this many seconds of Retry-After.
         self.cooldown_seconds: float | None = None
-        self._address = Address(plan.host, 0)
+        self._address = address or Address(plan.host, 0)
         self._handlers: dict[
             tuple[str, str],
             Callable[[PlainRequest, asyncio.StreamWriter], Awaitable[bool]],
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 from collections import defaultdict
-from collections.abc import Coroutine, Mapping
+from collections.abc import Coroutine, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -32,6 +32,8 @@
     MODEL_SERVICE,
     PLAIN_SERVICE,
     ROUTES,
+    describe_model_service,
+    describe_plain_service,
     describe_route,
 )
 from .platform_runner import Arrival, PlatformRunner, RunnerPlan
@@ -73,6 +75,7 @@
     sizes: PassSizes = field(default_factory=PassSizes)
     seed: int = 1
     accounts: int = 3
+    plain_work_seconds: float = 0.03
     # The region of each zone; zones that are missing are in region "calm".
     regions: Mapping[str, str] = field(default_factory=dict)
     cold_per_second: float = 0.0
@@ -171,7 +174,11 @@
     def publish(self, routes: list[dict[str, Any]]) -> None:
         """Write the next version of the configuration to the store."""
         self.version += self.random.randint(1, 3)
-        services = [self._describe_model_service(), self._describe_plain_service()]
+        cold = self.plan.cold_per_second
+        services = [
+            describe_model_service(self.plan.sizes, COLD_SECONDS, cold),
+            describe_plain_service(COLD_SECONDS, cold),
+        ]
         tenants = [
             {"name": n, "apiKeys": [k], "homeRegions": sorted(self.homes.get(n, ()))}
             for n, k in self.tenants.items()
@@ -257,12 +264,27 @@
         self.clients.append(client)
         return client
 
+    @property
+    def runners(self) -> tuple[PlatformRunner, ...]:
+        """Return all runners so far."""
+        return tuple(self._runners)
+
     async def async_add_plain(self, zone: str) -> PlatformRunner:
         """Start one more runner of the plain service."""
         plan = RunnerPlan(
-            PLAIN_SERVICE, zone, cold_per_second=self.plan.cold_per_second
+            PLAIN_SERVICE,
+            zone,
+            work_seconds=self.plan.plain_work_seconds,
+            cold_per_second=self.plan.cold_per_second,
+        )
+        return await self._async_add_plain(plan)
+
+    async def _async_add_plain(
+        self, plan: RunnerPlan, address: Address | None = None
+    ) -> PlatformRunner:
+        runner = PlatformRunner(
+            plan, self.store, self.arrivals, next(self._seeds), address
         )
-        runner = PlatformRunner(plan, self.store, self.arrivals, next(self._seeds))
         await self._async_start_runner(runner)
         return runner
 
@@ -277,6 +299,11 @@
             max_connections=270,
             cold_per_second=self.plan.cold_per_second,
         )
+        return await self._async_add_model(plan)
+
+    async def _async_add_model(
+        self, plan: RunnerPlan, address: Address | None = None
+    ) -> ModelRunner:
         runner = ModelRunner(
             plan,
             self.store,
@@ -284,10 +311,24 @@
             next(self._seeds),
             self.plan.sizes,
             self._runners_by_address,
+            address,
         )
         await self._async_start_runner(runner)
         return runner
 
+    async def async_start_again(self, lost: PlatformRunner) -> None:
+        """Start a new incarnation of a crashed runner at its address."""
+        if isinstance(lost, ModelRunner):
+            self.models.append(await self._async_add_model(lost.plan, lost.address))
+        else:
+            self.plain.append(await self._async_add_plain(lost.plan, lost.address))
+
+    def keep_until_unload(self, tasks: Iterable[asyncio.Task[None]]) -> None:
+        """Cancel tasks at the end of the site, if they are not done by then."""
+        for task in tasks:
+            self._replacement_tasks.add(task)
+            task.add_done_callback(self._replacement_tasks.discard)
+
     async def _async_start_runner(self, runner: PlatformRunner) -> None:
         runner.crashing_segments = self.crashing_segments
         runner.on_crash.append(self._replace)
@@ -306,9 +347,7 @@
         self._start_task(runner.async_drain(DRAIN_SECONDS))
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._replacement_tasks.add(task)
-        task.add_done_callback(self._replacement_tasks.discard)
+        self.keep_until_unload([asyncio.create_task(coroutine)])
 
     def _replace(self, crashed: PlatformRunner) -> None:
         self._start_task(self._async_replace(crashed))
@@ -440,43 +479,3 @@
                 "valueBytes": 1_048_576,
             },
         }
-
-    def _describe_model_service(self) -> dict[str, Any]:
-        sizes = self.plan.sizes
-        return {
-            "name": MODEL_SERVICE,
-            "healthPath": "/health",
-            "maxConns": 270,
-            "protocol": "h1",
-            "tls": False,
-            **self._describe_cold_start(),
-            "engine": {
-                "slots": sizes.slots,
-                "kvCapacity": sizes.memory_tokens,
-                "stride": sizes.stride,
-                "chunk": sizes.chunk,
-                "step_ms": sizes.step_ms,
-                "per_seq_ms": sizes.per_seq_ms,
-                "context_per_k": sizes.context_per_k,
-                "read_per_s": sizes.read_per_s,
-                "pairs_per_m": sizes.pairs_per_m,
-                "report_lag_ms": 200.0,
-                "hopMs": sizes.hop_ms,
-                "usual": {"prompt": 5_000, "answer": 600},
-                "models": [{"name": "m"}],
-                "delays": [],
-            },
-        }
-
-    def _describe_plain_service(self) -> dict[str, Any]:
-        return {
-            "name": PLAIN_SERVICE,
-            "healthPath": "/health",
-            "maxConns": 110,
-            "protocol": "h1",
-            "tls": False,
-            **self._describe_cold_start(),
-        }
-
-    def _describe_cold_start(self) -> dict[str, float]:
-        return {"coldS": COLD_SECONDS, "coldPerS": self.plan.cold_per_second}
