Try what is refused for its crashes again, also after a loss of all targets

What callers saw (our runs): all runners of a service lose power for less than a second, and a lookup that most callers ask for is refused for an hour, at all hosts; a segment of prompts for 512 s or longer.

Cause: crashes prove nothing by their number. A request that was on three targets when they went is taken for the cause, refused for good, each refusal renews it, all hosts are told, and hosts that start are told by the others. Only an answer clears it, and none can come as it is not sent. The class: a belief without an end, held against what it was not about.

Mend: what is refused is tried alone again 10 s after its last crash, then after times that grow six-fold with each trial that failed, not with the number of crashes; a segment after 6 s at most, then ten-fold. In the daemon hosts try at different times within 3 s.

--- a/libraries/daemon/tarragonward_daemon/const.py
+++ b/libraries/daemon/tarragonward_daemon/const.py
@@ -110,6 +110,8 @@
 # Prompts that crash engines. Of a long prompt only the first blocks count.
 MAX_SUSPECT_BLOCKS = 64
 CRASH_TIME_BUCKET_SECONDS = 2.0
+# Hosts try a refused prompt at different times within this.
+TRIAL_SPREAD_SECONDS = 3.0
 SUSPECT_BATCH_SECONDS = 0.02
 SUSPECT_ROUND_SECONDS = 2.0
 MAX_REPEATED_SUSPECTS = 16
--- a/libraries/daemon/tarragonward_daemon/suspects.py
+++ b/libraries/daemon/tarragonward_daemon/suspects.py
@@ -29,6 +29,7 @@
 
 METHOD = "POST"
 TASK_NAME = "suspects"
+MILLISECONDS = 1_000
 GONE_STATES = frozenset({MemberState.DEAD, MemberState.LEAVING})
 # What an entry of another version, or a corrupt one, may raise.
 ENTRY_ERRORS = (ArithmeticError, LookupError, TypeError, ValueError)
@@ -110,7 +111,9 @@
 
     def evaluate(self, identity: PromptIdentity) -> SendVerdict:
         """Return whether and how a prompt may be sent."""
-        return self.suspects.evaluate(identity, _now())
+        return self.suspects.evaluate(
+            identity, _now(), get_trial_delay=self._compute_trial_delay
+        )
 
     def record_admitted(self, identity: PromptIdentity) -> None:
         """Record a prompt that is not refused for what it may do to engines."""
@@ -176,6 +179,14 @@
             raise FrameError(f"suspect entry is malformed: {err}") from None
         self._notify(*relayed)
 
+    def _compute_trial_delay(self, fingerprint: bytes) -> float:
+        """Return by how many seconds this host's trials come later than others'.
+
+        Hosts that all try a refused prompt when it is due would each crash an engine.
+        """
+        name = f"{self._host.identity.address} {fingerprint.hex()}"
+        return hash_name(name) % MILLISECONDS / MILLISECONDS * c.TRIAL_SPREAD_SECONDS
+
     def _notify(self, requests: Iterable[bytes], segments: Iterable[bytes]) -> None:
         self._changed[0].update(requests)
         self._changed[1].update(segments)
--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -59,6 +59,13 @@
 # Requests that are suspected of crashing the targets that run them.
 RUN_ALONE_AFTER_CRASHES = 2
 REFUSE_AFTER_CRASHES = 3
+# A refused request is tried again this long after its last crash. The time grows with
+# each trial that fails, up to the retention of a refused request.
+REFUSED_TRIAL_SECONDS = 10.0
+REFUSED_TRIAL_GROWTH = 6.0
+MAX_REFUSED_TRIAL_STEPS = 3
+# A crash that comes this much later than the one before ended a trial.
+MIN_TRIAL_GAP_SECONDS = 5.0
 MAX_SUSPECTS = 1_024
 MAX_CRASHES_PER_SUSPECT = 8
 SUSPECT_RETENTION_SECONDS = 600.0
@@ -93,6 +100,10 @@
 ANSWERED_SEGMENT_TRIAL_SECONDS = 2.0
 SEGMENT_TRIAL_GROWTH = 4.0
 MAX_SEGMENT_TRIAL_STEPS = 4
+# Targets that lose power one after the other add crashes, but no failed trials. So this
+# bounds the time by the trials that failed.
+MAX_SEGMENT_TRIAL_SECONDS = 6.0
+FAILED_SEGMENT_TRIAL_GROWTH = 10.0
 MAX_SUSPECT_SEGMENTS = 1_024
 MAX_CRASHES_PER_SEGMENT = 16
 # The segments of one prompt that become suspects in a crash.
--- a/libraries/requests/tarragonward_requests/segment_entries.py
+++ b/libraries/requests/tarragonward_requests/segment_entries.py
@@ -202,6 +202,16 @@
                 has_cleared = True
         return has_cleared
 
+    def count_failed_trials(self) -> int:
+        """Return how many crashes came under prompts sent long after the one before."""
+        crashes = sorted(
+            (crash.crashed_at, crash.sent_at) for crash in self.uncleared.values()
+        )
+        return sum(
+            sent_at >= before + c.ANSWERED_SEGMENT_TRIAL_SECONDS
+            for (before, _), (_, sent_at) in pairwise(crashes)
+        )
+
     def count_crashes(self, targets: Collection[int] | None = None) -> int:
         """Return how many uncleared crashes, of these targets, came apart.
 
--- a/libraries/requests/tarragonward_requests/segment_verdicts.py
+++ b/libraries/requests/tarragonward_requests/segment_verdicts.py
@@ -212,8 +212,10 @@
     )
     steps = max(0, suspect.count_crashes() - get_crash_limit(suspect))
     growth = c.SEGMENT_TRIAL_GROWTH ** min(steps, c.MAX_SEGMENT_TRIAL_STEPS)
+    failed_growth = c.FAILED_SEGMENT_TRIAL_GROWTH ** suspect.count_failed_trials()
+    wait = min(seconds * growth, c.MAX_SEGMENT_TRIAL_SECONDS * failed_growth)
     last = max(crash.crashed_at for crash in suspect.uncleared.values())
-    overdue_seconds = prompt.now - (last + seconds * growth)
+    overdue_seconds = prompt.now - (last + wait)
     if overdue_seconds < 0.0 or suspect.compute_attempt_end() > prompt.now:
         return False
     return overdue_seconds >= prompt.get_trial_delay(segment)
--- a/libraries/requests/tarragonward_requests/suspects.py
+++ b/libraries/requests/tarragonward_requests/suspects.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import pairwise
 from typing import Any
 
 from . import const as c
@@ -111,11 +112,11 @@
     last_activity_at: float
     # Crashed targets in the order in which they became known; True if cleared.
     crashes: dict[int, bool] = field(default_factory=dict)
+    # When this host learned of the crash of each target, from itself or a peer.
+    learned_at: dict[int, float] = field(default_factory=dict)
     # The crashed targets that ran nothing else that their hosts knew of.
     isolated: set[int] = field(default_factory=set)
     attempt_until: float = NEVER
-    # When this host last learned of another crashed target, from itself or a peer.
-    last_crash_at: float = NEVER
     # When this host itself last saw a target crash under the request.
     last_local_crash_at: float = NEVER
     # When this host first put the request off after the last crash that it knows of.
@@ -131,6 +132,27 @@
         """Return whether a target crashed that ran nothing else."""
         return not self.isolated.isdisjoint(self.uncleared_targets)
 
+    @property
+    def last_crash_at(self) -> float:
+        """Return when this host learned of the last crash that is not cleared."""
+        times = (self.learned_at[target] for target in self.uncleared_targets)
+        return max(times, default=NEVER)
+
+    @property
+    def retry_at(self) -> float:
+        """Return when the request is tried again if it is refused.
+
+        A power loss adds many crashes at about the same time, but no failed trials.
+        """
+        times = sorted(self.learned_at[target] for target in self.uncleared_targets)
+        failed_trials = sum(
+            later - earlier >= c.MIN_TRIAL_GAP_SECONDS
+            for earlier, later in pairwise(times)
+        )
+        steps = min(failed_trials, c.MAX_REFUSED_TRIAL_STEPS)
+        delay = c.REFUSED_TRIAL_SECONDS * c.REFUSED_TRIAL_GROWTH**steps
+        return self.last_crash_at + delay
+
     def record_crash(
         self, target: int, crashed_at: float, is_isolated: bool = False
     ) -> None:
@@ -139,12 +161,12 @@
             self.isolated.add(target)
         if target in self.crashes:
             return
-        self.last_crash_at = max(self.last_crash_at, crashed_at)
         if len(self.crashes) >= c.MAX_CRASHES_PER_SUSPECT:
             evicted = max(self.crashes, key=self._rank_for_eviction)
-            del self.crashes[evicted]
+            del self.crashes[evicted], self.learned_at[evicted]
             self.isolated.discard(evicted)
         self.crashes[target] = False
+        self.learned_at[target] = crashed_at
         self.deferred_at = NEVER
 
     def _rank_for_eviction(self, target: int) -> tuple[bool, bool]:
@@ -217,7 +239,7 @@
         if suspect is None:
             return Verdict.CLEAR
         count = self.count(fingerprint, explained)
-        if count >= c.REFUSE_AFTER_CRASHES:
+        if count >= c.REFUSE_AFTER_CRASHES and now < suspect.retry_at:
             return Verdict.REFUSED
         known = len(suspect.uncleared_targets)
         if self.get_wait_seconds(fingerprint, now, is_host_isolated, trial_delay):
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -317,11 +317,19 @@
         return runner
 
     async def async_start_again(self, lost: PlatformRunner) -> None:
-        """Start a new incarnation of a crashed runner at its address."""
+        """Start a new incarnation of a crashed runner, at its address if it is free."""
+        try:
+            await self._async_start_at(lost, lost.address)
+        except OSError:
+            await self._async_start_at(lost, None)
+
+    async def _async_start_at(
+        self, lost: PlatformRunner, address: Address | None
+    ) -> None:
         if isinstance(lost, ModelRunner):
-            self.models.append(await self._async_add_model(lost.plan, lost.address))
+            self.models.append(await self._async_add_model(lost.plan, address))
         else:
-            self.plain.append(await self._async_add_plain(lost.plan, lost.address))
+            self.plain.append(await self._async_add_plain(lost.plan, address))
 
     def keep_until_unload(self, tasks: Iterable[asyncio.Task[None]]) -> None:
         """Cancel tasks at the end of the site, if they are not done by then."""
