Tell the published table from a copy of its bytes under another key

Cause: parsed tables were kept by their bytes alone. The copy was parsed first, as no table, and that was then returned for the table. The class: what came first under the same bytes decides who said it.

Mend: kept by key and bytes; keys that mean nothing to a host are neither parsed nor stored (items of others, of any size, were held and handed to peers). They still end watches, and are followed by the same pause.

--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from typing import Any
 
 from absl import logging
 
 from tarragonward_core import BackgroundTasks, FrameError, TargetError, log_event
 from tarragonward_membership import RegisteredTarget, WithdrawnTarget
-from tarragonward_routes import RoutingTable
 from tarragonward_wire import HttpServer
 
 from . import const as c
@@ -37,6 +37,7 @@
 from .paged_read import PagedRead
 from .peers import Peers
 from .ports import HistoryLostError, Record, RecordParser, RecordReader, SourceError
+from .published_tables import PublishedTables
 from .pulls import PullLimit
 from .readers import PollingOrder
 from .record_exchange import RecordHandler, async_pull_records, pack_age, unpack_age
@@ -75,8 +76,10 @@
         self._pull_limit = PullLimit()
         self._wake = asyncio.Event()
         self._has_announced = False
-        self.record_store = RecordStore(self._get_version)
-        self._parsed_tables: OrderedDict[bytes, RoutingTable | None] = OrderedDict()
+        self._tables = PublishedTables(parser)
+        self.record_store = RecordStore(
+            self._tables.get_version, self._tables.is_relevant
+        )
         self.on_table: list[Callable[[], None]] = []
         # Called with new records, and whether the source came back from a copy.
         self.on_records: list[Callable[[Sequence[Record], bool], None]] = []
@@ -203,12 +206,16 @@
         age = read.age_seconds + max(0.0, read_suspended_seconds() - suspended)
         new = self.apply(RecordBatch(read.records, read.revision, False), after)
         is_gap = not read.records and read.revision > after
-        return SourceAnswered(bool(new), is_gap, age)
+        # Items of others end watches, too, so they are followed by the same pause.
+        has_others = any(not self.record_store.is_relevant(r.key) for r in read.records)
+        return SourceAnswered(bool(new) or has_others, is_gap, age)
 
     async def _async_read_page(self) -> SourceAnswered | PageRead:
         requested_at = read_clock()
         after = self._paged_read.get_after_key(requested_at)
         page = await self._reader.async_read_page(after, c.READ_SILENCE_TIMEOUT_SECONDS)
+        records = filter(lambda r: self.record_store.is_relevant(r.key), page.records)
+        page = replace(page, records=tuple(records))
         read = self._paged_read.add_page(page, requested_at)
         if read is None:
             return PageRead()
@@ -353,7 +360,8 @@
     def _apply_record(self, record: Record, is_restored: bool) -> None:
         name = self._parser.get_target_name(record.key)
         if name is None:
-            self._apply_table(record)
+            if self._parser.is_table(record.key):
+                self._apply_table(record)
             return
         target = self._parser.parse_target(record)
         if target is None:
@@ -391,7 +399,7 @@
         )
 
     def _apply_table(self, record: Record) -> None:
-        table = self._parse_table(record)
+        table = self._tables.parse(record)
         if table is None:
             self._record_refused_table(record)
         elif self._state.install_table(table):
@@ -399,34 +407,15 @@
             for notify in self.on_table:
                 notify()
 
-    def _get_version(self, record: Record) -> int | None:
-        """Return the version of a record of the table, None for other records."""
-        if record.value is None or not self._parser.is_table(record.key):
-            return None
-        table = self._parse_table(record)
-        return table.version if table is not None else None
-
-    def _parse_table(self, record: Record) -> RoutingTable | None:
-        # A table is compared with the known one, stored and applied, and a large one
-        # takes long to parse.
-        tables, value = self._parsed_tables, record.value or b""
-        if value not in tables:
-            tables[value] = self._parser.parse_table(record)
-        tables.move_to_end(value)
-        while len(tables) > c.MAX_PARSED_TABLES:
-            tables.popitem(last=False)
-        return tables[value]
-
     def _record_refused_table(self, record: Record) -> None:
-        if self._parser.is_table(record.key):
-            # The host keeps the previous table, so nothing else would show the refusal.
-            self._state.metrics.count("tables_refused")
-            log_event(
-                "table_refused",
-                level=logging.ERROR,
-                key=record.key,
-                revision=format_revision(record.revision),
-            )
+        # The host keeps the previous table, so nothing else would show the refusal.
+        self._state.metrics.count("tables_refused")
+        log_event(
+            "table_refused",
+            level=logging.ERROR,
+            key=record.key,
+            revision=format_revision(record.revision),
+        )
 
     def _withdraw(
         self, records: Iterable[Record], is_full_read: bool, is_restored: bool
--- a/libraries/gateway/tarragonward_gateway/record_store.py
+++ b/libraries/gateway/tarragonward_gateway/record_store.py
@@ -33,15 +33,21 @@
     greatest revision of any record applied, or of a snapshot; a peer whose
     complete_revision is lower lacks something.
 
+    is_relevant tells whether a key means anything here. The source holds items of
+    others, too, of any number and size; they are not stored.
+
     get_version returns the version of a record that is numbered by its writer, None for
     others. After the source came back from a copy, an older version may have a newer
     revision; it does not replace the newer version, and its absence withdraws nothing.
     """
 
     def __init__(
-        self, get_version: Callable[[Record], int | None] = lambda record: None
+        self,
+        get_version: Callable[[Record], int | None] = lambda record: None,
+        is_relevant: Callable[[str], bool] = lambda key: True,
     ) -> None:
         self._get_version = get_version
+        self.is_relevant = is_relevant
         self._records: dict[str, Record] = {}
         self._withdrawn: dict[str, int] = {}
         self._forgotten_revision = 0
@@ -82,6 +88,8 @@
         return RecordBatch(tuple(records), self.complete_revision, is_snapshot)
 
     def _store(self, record: Record) -> bool:
+        if not self.is_relevant(record.key):
+            return False
         known = self._records.get(record.key)
         if known is not None:
             revision = known.revision
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -55,6 +55,9 @@
     def is_table(self, key):
         return key == "table"
 
+    def get_evacuated_domain(self, key):
+        return None
+
     def parse_table(self, record):
         version, _, _routes = (record.value or b"").partition(b" ")
         if not self.is_table(record.key) or not version.isdigit():
@@ -399,3 +402,34 @@
     state, _ = await start(SECOND, second)
     await async_wait_for_table(state, 7)
     assert holder.table.version == 7
+
+
+async def test_copy_of_the_table_under_another_key_does_not_replace_it(start):
+    """A copy that is read first was taken for the table, and no host became ready."""
+    table = b"7 routes"
+    source = Source({"a-copy": Record("a-copy", 1, table)})
+    source.put("table", table)
+    state, _ = await start(FIRST, source)
+    async with asyncio.timeout(APPLY_SECONDS):
+        await state.has_table.wait()
+    source.put("a-draft", b"8 routes")
+    await asyncio.sleep(0.3)
+    assert state.table.version == 7
+    source.put("table", b"8 routes")
+    async with asyncio.timeout(APPLY_SECONDS):
+        while state.table.version != 8:
+            await asyncio.sleep(0.01)
+    assert state.metrics.get_count("tables_refused") == 0
+
+
+async def test_items_of_others_are_not_stored(start):
+    """Other users of the source may keep items of any number and size there."""
+    source = Source({f"x{n}": Record(f"x{n}", n + 1, b"x" * 10_000) for n in range(50)})
+    source.put("table", b"7 routes")
+    state, task = await start(FIRST, source)
+    async with asyncio.timeout(APPLY_SECONDS):
+        await state.has_table.wait()
+    source.put("x1", b"y" * 10_000)
+    await asyncio.sleep(0.3)
+    assert len(task.record_store) == 1
+    assert task.record_store.complete_revision == source.revision
