--- a/libraries/gateway/tarragonward_gateway/app.py
+++ b/libraries/gateway/tarragonward_gateway/app.py
@@ -13,7 +13,7 @@
 
 from tarragonward_core import event_log, log_event
 from tarragonward_routes import CallerLimits
-from tarragonward_wire import HttpLimits, HttpServer
+from tarragonward_wire import HttpLimits, HttpServer, async_bind
 
 from . import const as c
 from .cell_gossip import CellGossip
@@ -145,7 +145,7 @@
         )
         async with AsyncExitStack() as stack:
             for component in components:
-                await component.async_setup()
+                await async_bind(component.async_setup, self._stop_requested.is_set)
                 stack.push_async_callback(component.async_unload)
             log_event("host_started", callers=self.callers.address)
             await self._stop_requested.wait()
--- a/libraries/wire/tarragonward_wire/__init__.py
+++ b/libraries/wire/tarragonward_wire/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on both sides, and authenticated msgpack streams between hosts."""
 
+from .binding import async_bind
 from .body_budget import BodyBudget
 from .codec import decode_message, encode_message, register_message
 from .frames import BadFrame, FrameStream, RefusedFrameError, async_handshake
@@ -51,6 +52,7 @@
     "RefusedFrameError",
     "Responder",
     "async_accepts_connections",
+    "async_bind",
     "async_open_http",
     "async_send_http",
     "async_connect_by_link",
--- a/libraries/wire/tarragonward_wire/const.py
+++ b/libraries/wire/tarragonward_wire/const.py
@@ -57,3 +57,6 @@
 RECEIPT_PROBE_INTERVAL_SECONDS = 0.5
 RECONNECT_MIN_DELAY_SECONDS = 0.1
 RECONNECT_MAX_DELAY_SECONDS = 0.5
+# A starting host tries to bind an address that is taken this often, and for this long.
+BIND_RETRY_SECONDS = 0.25
+BIND_RETRY_LIMIT_SECONDS = 60.0
