Give up answers without end in each reader

What our tests showed on the code before (a server that sends one of eight kinds without end): heads that announce more heads (100 Continue) are read until the caller's deadline; bodies in chunks of one byte take minutes of processor time up to the size limit; a line, as the tool reads them, grows without a bound; plain answers of 16 MiB each add up over all requests, and would end a host of 300 MB; a relay's frames beyond the buffer raise within the transport.

Tests: each reader against each kind: HTTP client, lines, relays, links between hosts, forwarded answers and streams, records of peers, the store, orders.

--- a/libraries/gateway/tarragonward_gateway/answers.py
+++ b/libraries/gateway/tarragonward_gateway/answers.py
@@ -1,11 +1,40 @@
-"""Send the error answers of this host itself."""
+"""Read the answers of targets, and send the error answers of this host itself."""
 
 from __future__ import annotations
 
-from tarragonward_core import ResultCode
-from tarragonward_wire import Responder, build_error_body
+from tarragonward_core import ConnectionLostError, ResultCode, TargetError
+from tarragonward_wire import BodyBudget, HttpStream, Responder, build_error_body
 
-__all__ = ["async_send_refusal"]
+from . import const as c
+from .heads import SpoiledAnswerError
+
+__all__ = ["async_read_answer", "async_send_refusal"]
+
+
+async def async_read_answer(stream: HttpStream, budget: BodyBudget) -> bytes:
+    """Return the body of an answer; raise SpoiledAnswerError if it is too large.
+
+    Targets in trouble may send bodies without end, to many requests at once. So the
+    answers that are being read share a budget.
+    """
+    body = bytearray()
+    reserved = 0
+
+    def reserve() -> None:
+        nonlocal reserved
+        if not budget.reserve(len(body) - reserved):
+            raise TargetError("the answers exceed the memory for them")
+        reserved = len(body)
+
+    try:
+        await stream.async_read_into(body, c.MAX_ANSWER_BYTES, reserve)
+    except ConnectionLostError:
+        raise
+    except TargetError as err:
+        raise SpoiledAnswerError(str(err)) from None
+    finally:
+        budget.release(reserved)
+    return bytes(body)
 
 
 async def async_send_refusal(
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -161,6 +161,8 @@
 # A request that has lost its connection waits for this check.
 RELAY_CHECK_TIMEOUT_SECONDS = 0.1
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Of all answers that are being read at the same time.
+MAX_ANSWERS_BYTES = 48 * 1024 * 1024
 NOT_READY_RETRY_SECONDS = 0.3
 # How often a host that is not ready logs the reason.
 READINESS_REPORT_SECONDS = 1.0
--- a/libraries/gateway/tarragonward_gateway/record_exchange.py
+++ b/libraries/gateway/tarragonward_gateway/record_exchange.py
@@ -136,8 +136,9 @@
         timeout=c.PEER_PULL_TIMEOUT_SECONDS,
         inactivity_timeout=c.PEER_PULL_TIMEOUT_SECONDS,
         on_progress=on_progress,
+        max_bytes=c.MAX_RECORDS_BYTES,
     )
-    if answer.status != STATUS_OK or len(answer.body) > c.MAX_RECORDS_BYTES:
+    if answer.status != STATUS_OK:
         raise TargetError(f"no usable records, status {answer.status}")
     try:
         format_number, age, packed = msgpack.unpackb(answer.body)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -6,7 +6,6 @@
 from contextlib import AsyncExitStack, ExitStack
 from functools import partial
 
-from tarragonward_core import ConnectionLostError, TargetError
 from tarragonward_placement import EngineUsage, Evidence
 from tarragonward_requests import (
     AbortConnection,
@@ -42,7 +41,7 @@
 
 from . import const as c
 from .answer_ends import async_check_end
-from .answers import async_send_refusal
+from .answers import async_read_answer, async_send_refusal
 from .choices import SendChoice
 from .clock import read_clock
 from .context import ForwardContext
@@ -416,12 +415,7 @@
         is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
         if is_stream and stream.status == STATUS_OK:
             return await self._async_forward_stream(choice, stream)
-        try:
-            body = await stream.async_read_body(c.MAX_ANSWER_BYTES)
-        except ConnectionLostError:
-            raise
-        except TargetError as err:
-            raise SpoiledAnswerError(str(err)) from None
+        body = await async_read_answer(stream, self._state.answers)
         await async_check_end(stream, choice, self._chooser.probes)
         has_body = self._request.method != METHOD_HEAD and (
             stream.status not in BODILESS_STATUSES
--- a/libraries/gateway/tarragonward_gateway/state.py
+++ b/libraries/gateway/tarragonward_gateway/state.py
@@ -11,7 +11,9 @@
 from tarragonward_membership import TargetRegistry
 from tarragonward_requests import RetryBudgetBounds, SharedRetryBudget
 from tarragonward_routes import RoutingTable
+from tarragonward_wire import BodyBudget
 
+from . import const as c
 from .clock import read_clock
 from .ports import HeaderNames, Paths
 from .settings import GatewaySettings
@@ -37,6 +39,8 @@
     is_admitting: bool = True
     count_sharing_hosts: Callable[[], int] = lambda: 1
     budget: SharedRetryBudget = field(init=False)
+    # The bodies of answers that are being read from targets.
+    answers: BodyBudget = field(default_factory=lambda: BodyBudget(c.MAX_ANSWERS_BYTES))
 
     def __post_init__(self) -> None:
         """Create the retry budget from the settings."""
--- a/libraries/requests/tarragonward_requests/events.py
+++ b/libraries/requests/tarragonward_requests/events.py
@@ -11,6 +11,7 @@
 # A blank line ends an event; lines end with LF or CRLF (HTML standard, 9.2.5).
 EVENT_BOUNDARY = re.compile(rb"\r?\n\r?\n")
 ID_FIELD = b"id:"
+MAX_BOUNDARY_BYTES = 4
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -50,9 +51,12 @@
 
         Raise ValueError if an event exceeds the size limit.
         """
+        # What was searched before is not searched again: an event that comes in many
+        # small pieces would take ever longer.
+        search_from = max(0, len(self._partial) - MAX_BOUNDARY_BYTES)
         buffered = self._partial + data
         events, start = [], 0
-        for end in EVENT_BOUNDARY.finditer(buffered):
+        for end in EVENT_BOUNDARY.finditer(buffered, search_from):
             event = buffered[start : end.end()]
             events.append(StreamEvent(event, _find_event_id(event)))
             start = end.end()
--- a/libraries/wire/tarragonward_wire/http_client.py
+++ b/libraries/wire/tarragonward_wire/http_client.py
@@ -35,6 +35,11 @@
 ]
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_LINE_BYTES = 4 * 1024 * 1024
+MAX_INFORMATIONAL_ANSWERS = 16
+# An answer in chunks of a byte takes as much processor time as one many times its size.
+MAX_TINY_CHUNKS = 32 * 1024
+TINY_CHUNK_BYTES = 8
 
 # Connects to the target of a request in place of a connection to its address. Raises
 # OSError or NotConnectedError if there is none, and nothing has been sent then.
@@ -79,6 +84,8 @@
         # Whether only the end of the connection has ended the answer. A target that
         # crashes closes its connections, too, so the answer may be incomplete.
         self.has_ended_with_connection = False
+        self._chunks = 0
+        self._body_bytes = 0
         self.status = 0
         self.headers: dict[str, str] = {}
         self.raw_headers: RawHeaders = ()
@@ -90,9 +97,10 @@
 
     async def async_read_head(self) -> None:
         """Read the status line and the headers."""
-        event = await self._async_next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INFORMATIONAL_ANSWERS):
             event = await self._async_next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                break
         if not isinstance(event, h11.Response):
             raise ConnectionLostError("connection closed before the answer")
         self.status = event.status_code
@@ -109,6 +117,7 @@
         while True:
             event = await self._async_next_event()
             if isinstance(event, h11.Data):
+                self._check_chunk(len(event.data))
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
@@ -117,15 +126,30 @@
                     "connection closed before the end of the answer"
                 )
 
+    def _check_chunk(self, chunk_bytes: int) -> None:
+        """Raise ConnectionLostError if the body comes in very many tiny chunks."""
+        self._chunks += 1
+        self._body_bytes += chunk_bytes
+        is_tiny = self._body_bytes < self._chunks * TINY_CHUNK_BYTES
+        if is_tiny and self._chunks > MAX_TINY_CHUNKS:
+            raise ConnectionLostError("the answer consists of tiny chunks")
+
     async def async_iterate_lines(self) -> AsyncIterator[bytes]:
-        """Yield the lines of the body without line endings."""
-        rest = b""
+        """Yield the lines of the body without line endings.
+
+        Raise TargetError if a line exceeds MAX_LINE_BYTES.
+        """
+        rest = bytearray()
         async for chunk in self.async_iterate_chunks():
-            *lines, rest = (rest + chunk).split(b"\n")
+            *lines, last = chunk.split(b"\n")
             for line in lines:
-                yield line.rstrip(b"\r")
+                yield bytes(rest + line).rstrip(b"\r")
+                rest.clear()
+            rest += last
+            if len(rest) > MAX_LINE_BYTES:
+                raise TargetError("a line of the answer exceeds the size limit")
         if rest:
-            yield rest
+            yield bytes(rest)
 
     async def async_read_body(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
         """Read the rest of the body; raise TargetError if it is too large."""
@@ -299,6 +323,7 @@
     before_write: Callable[[], None] | None = None,
     on_progress: Callable[[], None] | None = None,
     connect: Connector | None = None,
+    max_bytes: int = MAX_ANSWER_BYTES,
 ) -> HttpAnswer:
     """Send a request and return the complete answer within timeout seconds.
 
@@ -306,6 +331,8 @@
     aborted when nothing arrives for that many seconds, or MAX_TRANSFER_SECONDS after
     its head. on_progress is called for the head and for each part of the body.
 
+    Raise TargetError if the body exceeds max_bytes.
+
     connect is that of async_open_http.
 
     Raise NotConnectedError or ConnectionLostError like async_open_http; a timeout
@@ -333,7 +360,7 @@
                 connect=connect,
             ) as stream,
         ):
-            await stream.async_read_into(body_read, on_progress=record_progress)
+            await stream.async_read_into(body_read, max_bytes, record_progress)
             return HttpAnswer(
                 stream.status,
                 stream.headers,
--- a/libraries/wire/tarragonward_wire/relay_client.py
+++ b/libraries/wire/tarragonward_wire/relay_client.py
@@ -45,11 +45,18 @@
         self._stream = stream
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         self.result: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        # The caller may have left by the time that the result is known.
+        self.result.add_done_callback(lambda done: done.cancelled() or done.exception())
 
     def data_received(self, data: bytes) -> None:
         """Handle the answer to the request, then the target's bytes and their end."""
-        self._unpacker.feed(data)
-        for item in self._unpacker:
+        try:
+            self._unpacker.feed(data)
+            items = list(self._unpacker)
+        except (ValueError, msgpack.UnpackException):
+            self._abort()
+            return
+        for item in items:
             if not self.result.done():
                 self.result.set_result(item)
             elif isinstance(item, bytes):
@@ -57,7 +64,14 @@
             elif isinstance(item, int):
                 self._end(RelayEnd(item))
             else:
-                self.connection_lost(None)
+                self._abort()
+                return
+
+    def _abort(self) -> None:
+        """Give the connection up, as the host sends bytes that mean nothing."""
+        self.connection_lost(None)
+        if self._transport is not None:
+            self._transport.abort()
 
     def eof_received(self) -> bool:
         """Fail unless the target's end was reported before."""
