--- a/libraries/bench/tests/test_harm.py
+++ b/libraries/bench/tests/test_harm.py
@@ -56,6 +56,13 @@
     assert CrashRun(plan, 1).run()
 
 
+@pytest.mark.parametrize("seed", [66, 77, 80])
+def test_many_crashing_requests_are_refused_in_time_amid_losses_of_hosts(seed):
+    """Hosts that start know too little, and eight requests excuse each other."""
+    plan = CrashPlan(targets=18, crashing_requests=8, requests_a_second=54.0)
+    assert CrashRun(plan, seed).run()
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 7])
 def test_hosts_that_stay_refuse_all_of_many_crashing_requests_in_time(seed):
     """Requests that run on the same targets seem to explain each other's crashes."""
@@ -163,6 +170,15 @@
     SegmentRun(plan, seed).run()
 
 
+@pytest.mark.parametrize("seed", [13, 37, 60, 70, 74, 76, 89, 93, 99])
+def test_segment_in_half_of_the_prompts_that_begins_to_crash_targets(seed):
+    """Sound prompts are refused, or targets crash on, amid losses of hosts."""
+    plan = SegmentPlan(
+        crashing_segments=1, requests_a_second=54.0, targets=18, turning_share=0.5
+    )
+    SegmentRun(plan, seed).run()
+
+
 @pytest.mark.parametrize("seed", range(1, 5))
 def test_cold_targets_are_not_crowded(seed):
     """Hosts are killed, frozen and cut off while targets start again, cold."""
