Leave an engine whose stream line has no end

The daemon buffered a line of an engine's stream without a bound. It is left after 1 MiB, as a line has some kilobytes at most. The test sends it each kind of bytes without end: 1 of 8 failed before, 8 hold.

--- a/libraries/daemon/tarragonward_daemon/const.py
+++ b/libraries/daemon/tarragonward_daemon/const.py
@@ -107,6 +107,7 @@
     "invalid": ResultCode.INVALID_PATCH,
 }
 
+MAX_STREAM_LINE_BYTES = 1024 * 1024
 # Prompts that crash engines. Of a long prompt only the first blocks count.
 MAX_SUSPECT_BLOCKS = 64
 CRASH_TIME_BUCKET_SECONDS = 2.0
--- a/libraries/daemon/tarragonward_daemon/engines.py
+++ b/libraries/daemon/tarragonward_daemon/engines.py
@@ -158,6 +158,8 @@
         *lines, remainder = (remainder + chunk).split(b"\n")
         for item in _join_lines(lines):
             yield item
+        if len(remainder) > c.MAX_STREAM_LINE_BYTES:
+            raise TargetError("engine sent a stream line without an end")
 
 
 def _join_lines(lines: list[bytes]) -> list[StreamText | StreamEnd]:
