--- a/libraries/daemon/tarragonward_daemon/app.py
+++ b/libraries/daemon/tarragonward_daemon/app.py
@@ -8,14 +8,7 @@
 
 from tarragonward_config import Settings
 from tarragonward_core import HostIdentity, log_event, new_incarnation
-from tarragonward_wire import (
-    BodyBudget,
-    HttpLimits,
-    HttpServer,
-    PeerLinks,
-    PeerServer,
-    async_bind,
-)
+from tarragonward_wire import BodyBudget, HttpLimits, HttpServer, PeerLinks, PeerServer
 
 from . import const as c
 from .callers import CallerRoutes
@@ -123,7 +116,7 @@
         """Serve until drained or stopped."""
         async with AsyncExitStack() as stack:
             for component in self._get_components():
-                await async_bind(component.async_setup, self._drain_requested.is_set)
+                await component.async_setup()
                 stack.push_async_callback(component.async_unload)
             stack.push_async_callback(self.links.async_unload)
             log_event("host_started", identity=self.host.identity)
