--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -21,6 +21,7 @@
 from .model_runs import run_model_requests
 from .pause_runs import run_pauses_seed
 from .reach_runs import run_reach_seed
+from .power_runs import run_power_seed
 from .segment_runs import run_segments_seed
 from .soak_calls import run_calls_seed
 from .soak_configuration import run_configuration_seed
@@ -49,6 +50,7 @@
 PROCESS_MACHINES: dict[str, Machine] = {
     "links": run_links_seed,
     "pauses": run_pauses_seed,
+    "power": run_power_seed,
     "prompts": run_segments_seed,
 }
 
