--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -20,8 +20,8 @@
 from .membership_runs import run_membership_seed
 from .model_runs import run_model_requests
 from .pause_runs import run_pauses_seed
-from .reach_runs import run_reach_seed
 from .power_runs import run_power_seed
+from .reach_runs import run_reach_seed
 from .segment_runs import run_segments_seed
 from .soak_calls import run_calls_seed
 from .soak_configuration import run_configuration_seed
