--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -128,6 +128,8 @@
 MAX_WITHDRAWN_RECORDS = 4_096
 # The table in force and one that is being compared with it.
 MAX_PARSED_TABLES = 2
+# Of each table, if the marks of routes contradict each other.
+MAX_LOGGED_ROUTES = 4
 RECORDS_PATH = "/records"
 RECORDS_FORMAT = 3
 # zlib's fastest level reduces a table of 1,570 routes (332,829 bytes) to a seventh in
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -37,7 +37,7 @@
 from .paged_read import PagedRead
 from .peers import Peers
 from .ports import HistoryLostError, Record, RecordParser, RecordReader, SourceError
-from .published_tables import PublishedTables
+from .published_tables import PublishedTables, log_ignored_marks
 from .pulls import PullLimit
 from .readers import PollingOrder
 from .record_exchange import RecordHandler, async_pull_records, pack_age, unpack_age
@@ -404,6 +404,8 @@
             self._record_refused_table(record)
         elif self._state.install_table(table):
             log_event("table_in_force", version=table.version, routes=len(table.routes))
+            if ignored := log_ignored_marks(table):
+                self._state.metrics.count("routes_with_ignored_marks", by=ignored)
             for notify in self.on_table:
                 notify()
 
--- a/libraries/gateway/tarragonward_gateway/published_tables.py
+++ b/libraries/gateway/tarragonward_gateway/published_tables.py
@@ -4,12 +4,13 @@
 
 from collections import OrderedDict
 
+from tarragonward_core import log_event
 from tarragonward_routes import RoutingTable
 
 from . import const as c
 from .ports import Record, RecordParser
 
-__all__ = ["PublishedTables"]
+__all__ = ["PublishedTables", "log_ignored_marks"]
 
 
 class PublishedTables:
@@ -52,3 +53,18 @@
             or parser.get_target_name(key) is not None
             or parser.get_evacuated_domain(key) is not None
         )
+
+
+def log_ignored_marks(table: RoutingTable) -> int:
+    """Log the first routes whose marks contradict their kind; return how many do."""
+    routes = [route for route in table.routes if route.ignored_marks]
+    for route in routes[: c.MAX_LOGGED_ROUTES]:
+        log_event(
+            "route_marks_ignored",
+            version=table.version,
+            route=route.name,
+            kind=route.kind.value,
+            marks=",".join(route.ignored_marks),
+            routes=len(routes),
+        )
+    return len(routes)
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -115,6 +115,7 @@
                 is_stream=self._route.kind is RequestKind.STREAM,
                 max_sends=self._route.attempts,
                 deadline=context.deadline,
+                may_resume=self._route.may_resume,
             ),
             last_event_id=self._read_last_id(),
         )
@@ -178,6 +179,9 @@
         await self._async_end(effect)
 
     def _read_last_id(self) -> int | None:
+        """Return the last event that the caller has, if the stream may be resumed."""
+        if not self._route.may_resume:
+            return None
         headers = self._request.headers
         return parse_count(headers.get(self._state.headers.last_event_id, ""))
 
--- a/libraries/gateway/tests/test_failures.py
+++ b/libraries/gateway/tests/test_failures.py
@@ -71,6 +71,19 @@
     the caller repeat it, so the caller gets 502 at once and no other target is tried.
     """
     site = await make_site(script, answer_with(), kind=ONCE)
+    await async_check_sent_once(site)
+
+
+@pytest.mark.parametrize("script", INVALID_ANSWERS)
+async def test_non_idempotent_request_runs_once_whatever_else_is_marked(
+    make_site, script
+):
+    """A mark for streams on a non-idempotent route must not allow a second run."""
+    site = await make_site(script, answer_with(), kind=ONCE, is_resumable=True)
+    await async_check_sent_once(site)
+
+
+async def async_check_sent_once(site):
     answer = await site.async_ask("POST")
     assert answer.status == 502
     assert not answer.get("retry-after")
@@ -310,6 +323,23 @@
     assert site.runs == 1
 
 
+async def test_begun_stream_of_idempotent_route_is_not_continued(make_site):
+    """Another run must not continue an answer on a route that is not for streams."""
+    site = await make_site(
+        stream_events([1, 2], is_ended=False), stream_events([3]), is_resumable=True
+    )
+    answer = await site.async_ask("POST")
+    assert not answer.is_complete
+    assert (answer.body, site.runs) == (build_event(1) + build_event(2), 1)
+
+
+async def test_whole_answer_is_kept_where_streams_may_not_be_resumed(make_site):
+    """Events up to the caller's Last-Event-Id must not be left out of another run."""
+    site = await make_site(stream_events([1, 2]), kind=RequestKind.STREAM)
+    answer = await site.async_ask("POST", lines=["Last-Event-Id: 1"])
+    assert answer.body == build_event(1) + build_event(2)
+
+
 async def test_callers_last_event_id_is_sent_to_first_target(make_site):
     site = await make_site(
         stream_events([]), kind=RequestKind.STREAM, is_resumable=True
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -59,12 +59,17 @@
 
 @dataclass(frozen=True)
 class ExchangePolicy:
-    """What the route allows; deadline is in seconds of the event loop's clock."""
+    """What the route allows; deadline is in seconds of the event loop's clock.
+
+    may_run_again: a request that may have been run may be sent again. may_resume: also
+    once the caller has a part of the answer, which the next target continues.
+    """
 
     may_run_again: bool
     is_stream: bool
     max_sends: int
     deadline: float
+    may_resume: bool = False
 
 
 @dataclass(frozen=True)
@@ -190,6 +195,9 @@
         invariants.check(
             self.policy.may_run_again or not self.may_have_run, "sent_at_most_once"
         )
+        invariants.check(
+            self.policy.may_resume or not self.is_streaming, "resumed_where_allowed"
+        )
         invariants.check(not self.has_ended, "nothing_sent_after_the_end")
         self.sends += 1
         self._possible_runs += 1
@@ -223,6 +231,8 @@
         """
         if self._resends >= c.MAX_RESENDS_TO_PREVIOUS_TARGET or self.sends == 0:
             return False
+        if not self._is_repeat_allowed():
+            return False
         if self.policy.deadline - now <= c.MIN_SEND_SECONDS:
             return False
         self._resends += 1
@@ -241,7 +251,8 @@
         if not (self.is_streaming and self._has_abandoned) or self.can_send_again(now):
             return False
         self._has_abandoned = False
-        return self.policy.deadline - now > c.MIN_SEND_SECONDS
+        has_time = self.policy.deadline - now > c.MIN_SEND_SECONDS
+        return has_time and self._is_repeat_allowed()
 
     def count_unplaced_resend(self) -> None:
         """Count a resend that found its previous target unavailable as a send."""
@@ -259,10 +270,15 @@
 
     def can_send_again(self, now: float) -> bool:
         """Return whether the request may be sent to one more target."""
-        if self.may_have_run and not self.policy.may_run_again:
-            return False
         has_time = self.policy.deadline - now > c.MIN_SEND_SECONDS
-        return has_time and self.sends < self.policy.max_sends
+        is_allowed = has_time and self._is_repeat_allowed()
+        return is_allowed and self.sends < self.policy.max_sends
+
+    def _is_repeat_allowed(self) -> bool:
+        """Return whether the route allows one more send after what has happened."""
+        if self.is_streaming:
+            return self.policy.may_resume
+        return self.policy.may_run_again or not self.may_have_run
 
     def choose_final_effect(
         self, retry_after_seconds: float | None = None
--- a/libraries/requests/tests/test_exchange.py
+++ b/libraries/requests/tests/test_exchange.py
@@ -88,7 +88,10 @@
 def run_one(seed):
     rng = random.Random(seed)
     is_stream = rng.random() < 0.5
-    policy = ExchangePolicy(rng.random() < 0.5, is_stream, rng.randint(1, 4), DEADLINE)
+    may_run_again = rng.random() < 0.5
+    policy = ExchangePolicy(
+        may_run_again, is_stream, rng.randint(1, 4), DEADLINE, may_resume=may_run_again
+    )
     exchange, targets, now = Exchange(policy), FakeTargets(rng, policy), 0.0
     effect = exchange.start()
     while isinstance(effect, SendTo):
@@ -169,6 +172,20 @@
         exchange.record_sent()
 
 
+@pytest.mark.parametrize("fault", list(SendFault))
+def test_answer_that_may_not_be_resumed_is_not_continued(fault):
+    """A request may be repeated, but another run must not continue its answer."""
+    exchange = Exchange(ExchangePolicy(True, True, 3, DEADLINE))
+    exchange.start()
+    exchange.record_sent()
+    exchange.handle(AnswerStarted(), 0.0, has_budget=True)
+    exchange.handle(EventsGiven(2), 0.0, has_budget=True)
+    for _ in range(2):
+        effect = exchange.handle(SendFailed(fault), 0.1, has_budget=True)
+        assert isinstance(effect, AbortConnection)
+        exchange.has_ended = False
+
+
 @pytest.mark.parametrize(
     "event",
     [
@@ -205,7 +222,7 @@
     The leader gets the prompt again, a bounded number of times. After that each refusal
     counts, and no more than the two targets that the route allows are tried.
     """
-    policy = ExchangePolicy(True, True, max_sends=2, deadline=DEADLINE)
+    policy = ExchangePolicy(True, True, 2, DEADLINE, may_resume=True)
     exchange = Exchange(policy)
     refusal = SendFailed(SendFault.NOT_RUN, is_helper_fault=True)
     effects = []
@@ -229,7 +246,7 @@
     There is no target to return to, and a third one must not be tried. A stream that
     abandoned a working engine returns to that one.
     """
-    exchange = Exchange(ExchangePolicy(True, True, max_sends=2, deadline=DEADLINE))
+    exchange = Exchange(ExchangePolicy(True, True, 2, DEADLINE, may_resume=True))
     exchange.start()
     exchange.record_sent()
     exchange.handle(AnswerStarted(), 0.0, has_budget=True)
@@ -247,7 +264,7 @@
     The stream returns to the abandoned target, which was still working. If that fails
     as well, the route's two targets are used up, and no third target may be tried.
     """
-    exchange = Exchange(ExchangePolicy(True, True, max_sends=2, deadline=DEADLINE))
+    exchange = Exchange(ExchangePolicy(True, True, 2, DEADLINE, may_resume=True))
     exchange.start()
     exchange.record_sent()
     exchange.handle(AnswerStarted(), 0.1, has_budget=True)
--- a/libraries/routes/tarragonward_routes/table.py
+++ b/libraries/routes/tarragonward_routes/table.py
@@ -19,6 +19,7 @@
 ]
 
 SEPARATOR = "/"
+MARK_RESUMABLE = "resumable"
 
 
 class RequestKind(Enum):
@@ -44,7 +45,8 @@
     attempts is the maximum number of targets that a request is sent to. Priority 0 is
     the most urgent. aim_seconds is the latency goal for the first event of an answer,
     pause_aim_seconds that for the pauses between its events, 0 for none. Requests stay
-    within home_regions; without any they may go to each region.
+    within home_regions; without any they may go to each region. is_resumable is the
+    published mark, which has a meaning for streams only: ask may_resume.
     """
 
     name: str
@@ -64,7 +66,18 @@
     @property
     def may_run_again(self) -> bool:
         """Return whether a request that may have been run may be sent again."""
-        return self.kind is RequestKind.IDEMPOTENT or self.is_resumable
+        return self.kind is RequestKind.IDEMPOTENT or self.may_resume
+
+    @property
+    def may_resume(self) -> bool:
+        """Return whether another target may continue an answer that has begun."""
+        return self.kind is RequestKind.STREAM and self.is_resumable
+
+    @property
+    def ignored_marks(self) -> tuple[str, ...]:
+        """Return the published marks that contradict the kind and have no effect."""
+        is_ignored = self.is_resumable and not self.may_resume
+        return (MARK_RESUMABLE,) if is_ignored else ()
 
     def choose_service(self, draw: float) -> str:
         """Return the service for a random number, uniform in [0, 1)."""
--- a/libraries/routes/tests/test_table.py
+++ b/libraries/routes/tests/test_table.py
@@ -1,5 +1,7 @@
 """Tests for the routing table and the engine's performance model."""
 
+from dataclasses import replace
+
 import pytest
 
 from tarragonward_routes import (
@@ -57,6 +59,26 @@
     assert route.choose_service(draw) == service
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_resumable", "may_run_again", "may_resume"),
+    [
+        (RequestKind.IDEMPOTENT, False, True, False),
+        (RequestKind.IDEMPOTENT, True, True, False),
+        (RequestKind.NON_IDEMPOTENT, False, False, False),
+        (RequestKind.NON_IDEMPOTENT, True, False, False),
+        (RequestKind.STREAM, False, False, False),
+        (RequestKind.STREAM, True, True, True),
+    ],
+)
+def test_marks_that_contradict_the_kind_permit_nothing(
+    kind, is_resumable, may_run_again, may_resume
+):
+    """A mark for streams must not allow a second run of a non-idempotent request."""
+    route = replace(build_route("/"), kind=kind, is_resumable=is_resumable)
+    assert (route.may_run_again, route.may_resume) == (may_run_again, may_resume)
+    assert bool(route.ignored_marks) == (is_resumable and not may_resume)
+
+
 def test_a_service_with_weight_zero_is_never_chosen():
     route = build_route("/", shares=(Share("x", 0), Share("y", 10)))
     assert route.choose_service(0.0) == "y"
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -218,6 +218,17 @@
     assert parse_table({**TABLE, "routes": [{**ROUTE, "kind": "other"}]}) is None
 
 
+@pytest.mark.parametrize("value", [False, None, 0, 1, "false", "true", [True]])
+def test_permissions_of_a_route_need_an_explicit_mark(value):
+    """A value that is not true must not allow repeats, or requests without a key."""
+    table = parse_table(
+        {**TABLE, "routes": [{**ROUTE, "resumable": value, "public": value}]}
+    )
+    (route,) = table.routes
+    assert not route.may_run_again
+    assert not route.is_public
+
+
 async def test_a_watch_that_spans_a_restoration_of_the_store_is_no_change(make_reader):
     """The new history may happen to have the revision, and lacks the lost changes."""
     events = {"events": [build_item("op/config", 9)], "asOf": 9}
