--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -44,6 +44,7 @@
 from .record_store import RecordBatch, RecordStore
 from .revisions import format_revision, get_epoch
 from .state import GatewayState
+from .withdrawals import SourceView, choose_linger
 
 __all__ = ["PublicationTask"]
 
@@ -437,42 +438,43 @@
             known = name and self._state.registry.get(name)
             if known:
                 removed.append((known, record.revision))
-        shares = self._choose_linger_shares(
-            [target for target, _ in removed], is_full_read, is_restored
-        )
+        usable = filter(self._state.registry.is_usable, (known for known, _ in removed))
+        counts = Counter(target.service for target in usable)
+        view = self._describe_source(is_full_read, is_restored)
+        lingers = {
+            service: choose_linger(
+                view,
+                self._state.settings.bounds.drain_seconds,
+                count,
+                len(self._state.registry.get_ready(service)),
+            )
+            for service, count in counts.items()
+        }
         for target, revision in removed:
             withdrawn = WithdrawnTarget(target.name, revision)
             is_usable = self._state.registry.is_usable(target)
-            share = shares[target.service] if is_usable else 0.0
-            if not share:
+            linger = lingers[target.service] if is_usable else None
+            if linger is None:
                 self._remove_target(withdrawn)
                 continue
-            log_event("target_lapsed", target=target.id)
-            linger = share * self._state.settings.bounds.drain_seconds
+            log_event(
+                "target_lapsed",
+                target=target.id,
+                reason=linger.reason.value,
+                confirmed_age=view.confirmed_age,
+                seconds=linger.seconds,
+            )
             asyncio.get_running_loop().call_later(
-                linger, self._remove_target, withdrawn
+                linger.seconds, self._remove_target, withdrawn
             )
 
-    def _choose_linger_shares(
-        self, removed: list[RegisteredTarget], is_full_read: bool, is_restored: bool
-    ) -> dict[str, float]:
-        """Return for how much of the drain time each service uses removed targets."""
-        now = read_clock()
-        is_silent = (
-            now - self._state.table_confirmed_at > c.OUTAGE_CONFIRMED_AGE_SECONDS
+    def _describe_source(self, is_full_read: bool, is_restored: bool) -> SourceView:
+        return SourceView(
+            confirmed_age=self._get_confirmed_age(),
+            is_after_outage=self._follower.is_after_outage(read_clock()),
+            is_full_read=is_full_read,
+            is_restored=is_restored,
         )
-        is_outage = is_restored or is_silent or self._follower.is_after_outage(now)
-        usable = filter(self._state.registry.is_usable, removed)
-        counts = Counter(target.service for target in usable)
-        shares = dict.fromkeys((target.service for target in removed), 0.0)
-        for service, count in counts.items():
-            ready = len(self._state.registry.get_ready(service))
-            if is_outage:
-                share_limit = c.LINGER_SHARE if is_full_read else c.GUESSED_LINGER_SHARE
-                shares[service] = share_limit
-            elif count >= max(c.LAPSE_MIN_TARGETS, c.LAPSE_MIN_SHARE * ready):
-                shares[service] = c.GUESSED_LINGER_SHARE
-        return shares
 
     def _remove_target(self, withdrawn: WithdrawnTarget) -> None:
         if self._state.registry.apply(withdrawn):
--- a/libraries/gateway/tarragonward_gateway/reservations.py
+++ b/libraries/gateway/tarragonward_gateway/reservations.py
@@ -113,6 +113,7 @@
             await asyncio.sleep(self._hold_seconds * c.RENEWAL_INTERVAL_SHARE)
             if loop.time() >= check_at:
                 is_used = await self._async_is_used(parts)
+                log_event("reservation_checked", reservation=parts[0].id, used=is_used)
                 if is_used is False:
                     return False
                 check_at = math.inf if is_used else check_at
