--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -119,6 +119,8 @@
 # withdrawal arrived as a change, which can take a second, or the outage is inferred.
 LINGER_SHARE = 0.9
 GUESSED_LINGER_SHARE = 0.6
+# From the choice of a target until its request has arrived.
+SEND_MARGIN_SECONDS = 0.2
 # Longer than the entry of a target that has ended takes to expire.
 RESTORED_TARGET_HOLD_SECONDS = 6.0
 # When this share of a service's ready targets vanishes at once, their records are taken
--- a/libraries/gateway/tarragonward_gateway/following.py
+++ b/libraries/gateway/tarragonward_gateway/following.py
@@ -145,6 +145,10 @@
         """Return whether an outage of the source ended moments ago."""
         return now - self._last_outage_at < c.AFTER_OUTAGE_SECONDS
 
+    def is_after_last_outage(self, time: float) -> bool:
+        """Return whether a time is later than the last sign of an outage."""
+        return time > self._last_outage_at
+
     def handle_answer(self, has_changes: bool, is_gap: bool, now: float) -> None:
         """Process an answer of the source."""
         self._update_outage(now)
--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -469,9 +469,11 @@
             )
 
     def _describe_source(self, is_full_read: bool, is_restored: bool) -> SourceView:
+        follower, confirmed_at = self._follower, self._state.table_confirmed_at
         return SourceView(
             confirmed_age=self._get_confirmed_age(),
-            is_after_outage=self._follower.is_after_outage(read_clock()),
+            is_after_outage=follower.is_after_outage(read_clock()),
+            is_confirmed_since_outage=follower.is_after_last_outage(confirmed_at),
             is_full_read=is_full_read,
             is_restored=is_restored,
         )
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -364,10 +364,10 @@
             self._idle_timeout.give_up()
 
     def _begin_write(self, choice: SendChoice) -> None:
-        # Reserving memory and connecting take time, in which the target may have asked
-        # for no more requests.
-        if not self._chooser.accepts_requests(choice.target):
-            raise SendWithheldError("the target asked for no more requests")
+        # Reserving memory and connecting take time, in which the target may have been
+        # withdrawn or have asked for no more requests.
+        if not self._chooser.may_write(choice.target):
+            raise SendWithheldError("the target is gone or takes no more requests")
         if self._suspects.has_become_suspect(self._identity, self._suspect_verdict):
             raise SendWithheldError("the request crashed targets meanwhile")
         choice.sent_at = read_clock()
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -130,6 +130,11 @@
         is_cooling_down = self.cooldowns.is_cooling_down(target.id, read_clock())
         return self._state.registry.is_usable(target) and not is_cooling_down
 
+    def may_write(self, target: RegisteredTarget) -> bool:
+        """Return whether a target that was chosen earlier may be written to now."""
+        is_registered = self._state.registry.is_registered(target)
+        return is_registered and self.accepts_requests(target)
+
     def cancel_send(self, target: RegisteredTarget) -> None:
         """Undo the record of a send to a target that was chosen and sent nothing."""
         self.send_limits.refund_send(target)
--- a/libraries/gateway/tarragonward_gateway/withdrawals.py
+++ b/libraries/gateway/tarragonward_gateway/withdrawals.py
@@ -24,14 +24,16 @@
     """What a host knows of the source when it hears of withdrawals.
 
     confirmed_age: the seconds since its records were last confirmed to be complete,
-    before the withdrawals. is_after_outage: an outage of the source ended moments ago.
+    before the withdrawals. is_after_outage: an outage of the source ended moments ago;
+    is_confirmed_since_outage: the records were confirmed after the last sign of it.
     is_restored: the source came back from a copy.
     """
 
     confirmed_age: float
-    is_after_outage: bool
-    is_full_read: bool
-    is_restored: bool
+    is_after_outage: bool = False
+    is_confirmed_since_outage: bool = True
+    is_full_read: bool = False
+    is_restored: bool = False
 
 
 @dataclass(frozen=True)
@@ -55,7 +57,19 @@
     share = c.GUESSED_LINGER_SHARE
     if reason is not LapseReason.MANY and view.is_full_read:
         share = c.LINGER_SHARE
-    return Linger(share * drain_seconds, reason)
+    seconds = share * drain_seconds
+    if _may_be_withdrawal(view, reason):
+        # It may be as old as the last confirmation.
+        left = drain_seconds - c.SEND_MARGIN_SECONDS - view.confirmed_age
+        seconds = min(seconds, left)
+    return Linger(seconds, reason) if seconds > 0.0 else None
+
+
+def _may_be_withdrawal(view: SourceView, reason: LapseReason) -> bool:
+    """Return whether the source was there when the records went, and gave them up."""
+    if reason is LapseReason.OUTAGE:
+        return view.is_confirmed_since_outage
+    return reason is LapseReason.MANY
 
 
 def _find_reason(view: SourceView, withdrawn: int, ready: int) -> LapseReason | None:
--- a/libraries/gateway/tests/test_leaving.py
+++ b/libraries/gateway/tests/test_leaving.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tarragonward_gateway.run import ForwardedRequest
+from tarragonward_membership import WithdrawnTarget
 from tarragonward_routes import RequestKind
 from tarragonward_standins import answer_with, refuse_with, stream_events
 
@@ -77,6 +78,22 @@
     assert not site.chooser.target_health.ejected_count
 
 
+async def test_request_whose_target_is_withdrawn_before_its_first_byte_is_not_sent(
+    make_site, monkeypatch
+):
+    """The record is gone by the time the request has its connection."""
+    site = await make_site(answer_with(), answer_with())
+    begin_write = ForwardedRequest._begin_write
+
+    def withdraw_first(request, choice):
+        site.state.registry.apply(WithdrawnTarget("t0", 9))
+        begin_write(request, choice)
+
+    monkeypatch.setattr(ForwardedRequest, "_begin_write", withdraw_first)
+    assert (await site.async_ask()).status == 200
+    assert [len(target.requests) for target in site.targets] == [0, 1]
+
+
 async def test_non_idempotent_request_goes_elsewhere_after_a_refusal(make_site):
     """The refusal proves that the leaving target did not run the request."""
     site = await make_site(
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -289,6 +289,18 @@
     assert len(state.registry.get_ready("s")) == 5
 
 
+async def test_withdrawal_heard_late_stays_within_the_drain_time(start):
+    """A silent watch: the withdrawal of half of a service is heard from a peer."""
+    state, task = await start(FIRST, Source())
+    await async_wait_for(lambda: state.table_confirmed_at > 0)
+    task.apply(build_snapshot(6, 10), 0)
+    withdrawn_at = state.table_confirmed_at = read_clock() - 1.0
+    gone = tuple(Record(f"t/{n}", 11 + n, None) for n in range(3))
+    task.apply(RecordBatch(gone, 13, False), 10)
+    await async_wait_for(lambda: len(state.registry.get_ready("s")) == 3)
+    assert read_clock() - withdrawn_at < state.settings.bounds.drain_seconds
+
+
 async def test_single_withdrawn_target_is_removed_at_once(start):
     state, task = await start(FIRST, Source())
     await async_wait_for(lambda: state.table_confirmed_at > 0)
--- a/libraries/membership/tarragonward_membership/registry.py
+++ b/libraries/membership/tarragonward_membership/registry.py
@@ -191,6 +191,14 @@
             self._suspended_boots.discard(boot)
             self._clear_caches()
 
+    def is_registered(self, target: RegisteredTarget) -> bool:
+        """Return whether a boot is still registered, with the same service."""
+        known = self._targets.get(target.name)
+        if known is None:
+            return False
+        boot = known.incarnation, known.service
+        return boot == (target.incarnation, target.service)
+
     def get(self, name: str) -> RegisteredTarget | None:
         """Return the boot registered under a name, or None where there is none."""
         return self._targets.get(name)
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -34,7 +34,7 @@
 
     SPOILED: the answer was invalid or incomplete. SILENT: the target sent nothing for
     too long. MOVED: the host abandoned a working target for a faster one. WITHHELD: the
-    target asked for no more requests before this one was written.
+    target left, or asked for no more requests, before this one was written.
     """
 
     NO_TARGET = "no target"
