--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -22,6 +22,7 @@
 from .pause_runs import run_pauses_seed
 from .power_runs import run_power_seed
 from .reach_runs import run_reach_seed
+from .reservation_runs import run_reservation_seed
 from .segment_runs import run_segments_seed
 from .soak_calls import run_calls_seed
 from .soak_configuration import run_configuration_seed
@@ -43,6 +44,7 @@
     "limits": run_limit_seed,
     "membership": run_membership_seed,
     "models": run_model_requests,
+    "reservations": run_reservation_seed,
     "segments": run_segment_seed,
 }
 
--- a/libraries/gateway/tarragonward_gateway/choices.py
+++ b/libraries/gateway/tarragonward_gateway/choices.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from tarragonward_core import Address
@@ -62,6 +62,8 @@
     # Whether the target refused the request, which then took no place there.
     is_refused: bool = False
     waiting_since: float | None = None
+    # Called when events of the answer have arrived.
+    on_events: Callable[[], None] = lambda: None
 
     def record_relay(self, peer: Address) -> None:
         """Record the peer that has connected to the target."""
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -190,10 +190,6 @@
 RESERVATION_CALL_TIMEOUT_SECONDS = 0.4
 # Of the time within which the memory of a dead host's reservations must be free.
 RESERVATION_TTL_SHARE = 0.7
-RENEWAL_INTERVAL_SHARE = 0.35
-# Part of the time for which memory may be reserved and not used, after which a host
-# looks whether it is; the rest is for the look and the release.
-UNUSED_CHECK_SHARE = 0.7
 RELEASE_RETRY_SECONDS = 0.1
 MAX_RESERVATION_ATTEMPTS = 4
 RESERVATION_RETRY_SECONDS = 0.04
--- a/libraries/gateway/tarragonward_gateway/idle_policy.py
+++ b/libraries/gateway/tarragonward_gateway/idle_policy.py
@@ -41,6 +41,10 @@
         self._route = context.route
         self._loop = asyncio.get_running_loop()
 
+    def limits_silence(self, choice: SendChoice) -> bool:
+        """Return whether a send may be left for its silence, or for unused memory."""
+        return self._exchange.policy.may_run_again or choice.needs_reservation
+
     def build_timeout(self, choice: SendChoice, plan: PrefillPlan) -> IdleTimeout:
         """Return the idle timeout of a send."""
         aim = max(self._route.aim_seconds, c.SILENCE_MIN_FIRST_SECONDS)
--- a/libraries/gateway/tarragonward_gateway/ports.py
+++ b/libraries/gateway/tarragonward_gateway/ports.py
@@ -8,6 +8,7 @@
 
 from tarragonward_core import TarragonwardError
 from tarragonward_membership import RegisteredTarget
+from tarragonward_placement import ReservationUse
 from tarragonward_routes import RoutingTable
 from tarragonward_wire import Connector
 
@@ -190,5 +191,7 @@
     async def async_release(self, reservation: Reservation, timeout: float) -> bool:
         """End a reservation; return whether the target confirmed the end."""
 
-    async def async_is_used(self, reservation: Reservation, timeout: float) -> bool:
-        """Return whether the target reports that a request uses a reservation."""
+    async def async_read_use(
+        self, reservation: Reservation, timeout: float
+    ) -> ReservationUse:
+        """Return what the target reports of a reservation."""
--- a/libraries/gateway/tarragonward_gateway/reservations.py
+++ b/libraries/gateway/tarragonward_gateway/reservations.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from tarragonward_core import TargetError, log_event, new_incarnation
 from tarragonward_placement import (
@@ -15,6 +15,8 @@
     ReleasePart,
     ReservationGranted,
     ReservationRefused,
+    ReservationTracker,
+    ReservationUse,
     ReservePart,
 )
 
@@ -29,20 +31,29 @@
 class Lease:
     """The reservations of one send, which this host renews until it releases them.
 
-    on_unused() is called after the release if the send has left them unused for too
-    long: its target hangs, or has others to serve first.
+    on_unused() is called after the release if no request uses them: the target hangs,
+    has others to serve first, or has ended the request, and its answer is lost.
     """
 
-    def __init__(self, owner: ReservationTask, parts: Sequence[Reservation]) -> None:
+    def __init__(
+        self,
+        owner: ReservationTask,
+        parts: Sequence[Reservation],
+        tracker: ReservationTracker,
+    ) -> None:
         self._owner = owner
         self._parts = list(parts)
+        self._tracker = tracker
         self.on_unused: Callable[[], None] = lambda: None
         self._renew_task = asyncio.create_task(self._async_keep())
 
+    def record_event(self) -> None:
+        """Record an event of the answer, which shows that the memory is in use."""
+        self._tracker.record_event(asyncio.get_running_loop().time())
+
     async def _async_keep(self) -> None:
-        if await self._owner.async_renew(self._parts):
-            return
-        log_event("reservation_unused", reservation=self._parts[0].id)
+        use = await self._owner.async_keep(self._parts, self._tracker)
+        log_event("reservation_unused", reservation=self._parts[0].id, use=use.value)
         self._release_parts()
         self.on_unused()
 
@@ -100,48 +111,67 @@
             if not is_complete:
                 for engine in requested:
                     self.release(parts[engine])
-        return Lease(self, tuple(parts.values())) if is_complete else requested[-1]
-
-    async def async_renew(self, parts: Sequence[Reservation]) -> bool:
-        """Renew reservations while they are used; return False once they are not."""
-        unused_seconds = self._state.settings.bounds.unused_seconds
+        if not is_complete:
+            return requested[-1]
+        tracker = ReservationTracker(
+            asyncio.get_running_loop().time(),
+            self._hold_seconds,
+            self._state.settings.bounds.free_seconds,
+            self._state.settings.bounds.unused_seconds,
+        )
+        lease = Lease(self, tuple(parts.values()), tracker)
+        choice.on_events = lease.record_event
+        return lease
+
+    async def async_keep(
+        self, parts: Sequence[Reservation], tracker: ReservationTracker
+    ) -> ReservationUse:
+        """Renew reservations until they are not needed; return what showed that."""
         loop = asyncio.get_running_loop()
-        check_at = loop.time() + unused_seconds * c.UNUSED_CHECK_SHARE
-        # The request of an expired ticket is aborted. The interval is short enough for
-        # the next renewal to arrive in time when one is lost.
+        logged, due_at = None, loop.time()
         while True:
-            await asyncio.sleep(self._hold_seconds * c.RENEWAL_INTERVAL_SHARE)
-            if loop.time() >= check_at:
-                is_used = await self._async_is_used(parts)
-                log_event("reservation_checked", reservation=parts[0].id, used=is_used)
-                if is_used is False:
-                    return False
-                check_at = math.inf if is_used else check_at
-            for part in parts:
-                # A restarted target would reserve the memory again, for a request that
-                # it does not have.
-                if not self._state.registry.is_current_boot(part.target):
-                    continue
-                try:
-                    await self._async_reserve_or_renew(part)
-                except TargetError as err:
-                    log_event("renewal_failed", reservation=part.id, error=str(err))
-
-    async def _async_is_used(self, parts: Sequence[Reservation]) -> bool | None:
-        """Return whether a request uses any part, None if no target tells."""
-        answers = set()
+            # Looks that take long must not put off the renewals.
+            due_at = max(due_at + tracker.interval_seconds, loop.time())
+            await asyncio.sleep(due_at - loop.time())
+            use, looked_at = ReservationUse.USED, loop.time()
+            if tracker.needs_report(looked_at):
+                use = await self._async_read_use(parts)
+                self._state.metrics.count("reservation_reports_read")
+            if use is not logged:
+                log_event("reservation_checked", reservation=parts[0].id, use=use.value)
+                logged = use
+            hold_seconds = tracker.choose_hold(use, looked_at, loop.time())
+            if not hold_seconds:
+                return use
+            renewals = (self._async_renew(part, hold_seconds) for part in parts)
+            await asyncio.gather(*renewals)
+
+    async def _async_renew(self, part: Reservation, hold_seconds: float) -> None:
+        # A restarted target would reserve the memory again, for a request that it does
+        # not have.
+        if not self._state.registry.is_current_boot(part.target):
+            return
+        try:
+            await self._async_reserve_or_renew(replace(part, hold_seconds=hold_seconds))
+        except TargetError as err:
+            log_event("renewal_failed", reservation=part.id, error=str(err))
+
+    async def _async_read_use(self, parts: Sequence[Reservation]) -> ReservationUse:
+        """Return whether a request uses any part; one that is used tells for all."""
+        uses = set()
         for part in parts:
             try:
-                is_used = await self._calls.async_is_used(
+                use = await self._calls.async_read_use(
                     part, c.RESERVATION_CALL_TIMEOUT_SECONDS
                 )
             except TargetError as err:
                 log_event("report_failed", reservation=part.id, error=str(err))
                 continue
-            if is_used:
-                return True
-            answers.add(is_used)
-        return False if answers else None
+            if use is ReservationUse.USED:
+                return use
+            uses.add(use)
+        known = (ReservationUse.GONE, ReservationUse.UNUSED)
+        return next((use for use in known if use in uses), ReservationUse.UNKNOWN)
 
     async def _async_reserve_or_renew(self, part: Reservation) -> bool:
         """Reserve or renew a part; return whether the intended incarnation holds it."""
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -328,7 +328,7 @@
             c.RELAYED_CONNECT_TIMEOUT_SECONDS if connect else c.CONNECT_TIMEOUT_SECONDS
         )
         async with AsyncExitStack() as stack:
-            if choice.plan is not None and self._exchange.policy.may_run_again:
+            if choice.plan is not None and self._idle_policy.limits_silence(choice):
                 self._idle_timeout = self._idle_policy.build_timeout(
                     choice, choice.plan
                 )
@@ -366,7 +366,8 @@
     def _begin_write(self, choice: SendChoice) -> None:
         # Reserving memory and connecting take time, in which the target may have been
         # withdrawn or have asked for no more requests.
-        if not self._chooser.may_write(choice.target):
+        is_registered = self._state.registry.is_registered(choice.target)
+        if not (is_registered and self._chooser.accepts_requests(choice.target)):
             raise SendWithheldError("the target is gone or takes no more requests")
         if self._suspects.has_become_suspect(self._identity, self._suspect_verdict):
             raise SendWithheldError("the request crashed targets meanwhile")
--- a/libraries/gateway/tarragonward_gateway/targets.py
+++ b/libraries/gateway/tarragonward_gateway/targets.py
@@ -130,11 +130,6 @@
         is_cooling_down = self.cooldowns.is_cooling_down(target.id, read_clock())
         return self._state.registry.is_usable(target) and not is_cooling_down
 
-    def may_write(self, target: RegisteredTarget) -> bool:
-        """Return whether a target that was chosen earlier may be written to now."""
-        is_registered = self._state.registry.is_registered(target)
-        return is_registered and self.accepts_requests(target)
-
     def cancel_send(self, target: RegisteredTarget) -> None:
         """Undo the record of a send to a target that was chosen and sent nothing."""
         self.send_limits.refund_send(target)
@@ -395,6 +390,7 @@
         """Record that events of an answer arrived, and the decode pace they show."""
         now = self._clock()
         choice.record_first_event(now)
+        choice.on_events()
         pace = choice.compute_pace(events, now)
         if pace is not None:
             self.usage.record_pass(choice.target.id, pace, now)
--- a/libraries/gateway/tests/test_prompts.py
+++ b/libraries/gateway/tests/test_prompts.py
@@ -7,6 +7,7 @@
 from tarragonward_gateway import const as c
 from tarragonward_gateway.settings import Bounds
 from tarragonward_membership import WithdrawnTarget
+from tarragonward_placement import ReservationUse
 from tarragonward_placement import const as placement_const
 from tarragonward_standins import (
     CHUNKED,
@@ -170,8 +171,8 @@
         self.held.discard((reservation.target.id, reservation.id))
         return True
 
-    async def async_is_used(self, reservation, timeout):
-        return self.is_used
+    async def async_read_use(self, reservation, timeout):
+        return ReservationUse.USED if self.is_used else ReservationUse.UNUSED
 
 
 async def test_reserved_memory_is_released_when_the_send_ends(make_engines):
@@ -186,7 +187,7 @@
             await asyncio.sleep(0.01)
 
 
-async def async_hold_memory(make_engines, is_used):
+async def async_hold_memory(make_engines, is_used, **route):
     """Ask for a prompt whose first leader hangs; return its site, orders and task."""
     hangs = [True]
 
@@ -196,7 +197,7 @@
             await asyncio.Event().wait()
         await stream_events([1])(request, writer)
 
-    site = await make_engines(*[answer_unless_hanging] * 4)
+    site = await make_engines(*[answer_unless_hanging] * 4, **route)
     bounds = Bounds(unused_seconds=0.4, free_seconds=0.3)
     site.state.settings = replace(site.state.settings, bounds=bounds)
     orders = site.forwarder._reservations._calls = Orders()
@@ -219,6 +220,27 @@
     asking.cancel()
 
 
+async def test_prompt_whose_answer_is_lost_is_answered_by_another_engine(make_engines):
+    """Its memory was in use and is not any more: the engine is done with it."""
+    orders, asking = await async_hold_memory(make_engines, is_used=True)
+    orders.is_used = False
+    async with asyncio.timeout(3):
+        assert (await asking).status == 200
+
+
+async def test_caller_is_told_at_once_that_a_prompt_with_lost_answer_may_have_run(
+    make_engines,
+):
+    """It may not be sent again, and nobody will answer it any more."""
+    orders, asking = await async_hold_memory(
+        make_engines, is_used=True, is_resumable=False, timeout_seconds=20.0
+    )
+    orders.is_used = False
+    async with asyncio.timeout(5):
+        assert (await asking).status == 502
+    assert not orders.held
+
+
 async def test_unreachable_helper_is_excluded_before_the_send(
     make_engines, monkeypatch
 ):
--- a/libraries/gateway/tests/test_reservations.py
+++ b/libraries/gateway/tests/test_reservations.py
@@ -19,7 +19,7 @@
 from tarragonward_gateway.settings import Bounds
 from tarragonward_gateway.state import GatewayState
 from tarragonward_membership import RegisteredTarget
-from tarragonward_placement import PrefillPlan
+from tarragonward_placement import PrefillPlan, ReservationUse
 
 ADDRESS = Address("127.0.0.1", 9)
 
@@ -65,13 +65,17 @@
         self.held.pop((reservation.target.id, reservation.id), None)
         return True
 
-    async def async_is_used(self, reservation: Reservation, timeout: float) -> bool:
+    async def async_read_use(
+        self, reservation: Reservation, timeout: float
+    ) -> ReservationUse:
         """Return whether a part is in use."""
         target = reservation.target.id
         self.calls.append(("report", target))
         if target in self.without_report:
             raise ConnectionLostError("no report")
-        return target in self.used
+        if (target, reservation.id) not in self.held:
+            return ReservationUse.GONE
+        return ReservationUse.USED if target in self.used else ReservationUse.UNUSED
 
 
 def build_task(
@@ -261,7 +265,53 @@
     """The parts are used in turn; a prompt whose part expires is aborted."""
     targets = FakeTargets()
     assert await async_hold(targets, 0.3) == []
-    assert targets.calls.count(("report", "t1")) == 1
+    # One look with each renewal, at one part.
+    assert targets.calls.count(("report", "t2")) == 0
+    looks = targets.calls.count(("report", "t1"))
+    assert 1 < looks <= targets.calls.count(("reserve", "t1"))
+
+
+async def test_memory_is_released_after_a_request_whose_answer_was_lost() -> None:
+    """The request has ended, and its connection gives no sign of that."""
+    targets = FakeTargets()
+    given_up: list[str] = []
+    task = build_task(targets, free_seconds=0.2)
+    lease = await task.async_reserve(build_choice())
+    assert isinstance(lease, Lease)
+    lease.on_unused = lambda: given_up.append("unused")
+    await async_wait_until(lambda: ("report", "t1") in targets.calls)
+    targets.used = set()
+    await async_wait_until(lambda: bool(given_up) and not targets.held)
+    lease.release()
+    await task.async_unload()
+
+
+async def test_events_show_that_memory_is_used_without_a_look() -> None:
+    """Each look is a call to an engine, which a prompt that is answered can spare."""
+    targets = FakeTargets()
+    task = build_task(targets, free_seconds=1.2)
+    choice = build_choice()
+    lease = await task.async_reserve(choice)
+    async with asyncio.timeout(5):
+        while targets.calls.count(("reserve", "t1")) < 4:
+            choice.on_events()
+            await asyncio.sleep(0.005)
+    assert ("report", "t1") not in targets.calls
+    lease.release()
+    await task.async_unload()
+
+
+async def test_expired_memory_is_not_reserved_anew() -> None:
+    """A host that was frozen must not take memory for a request that was cut off."""
+    targets = FakeTargets()
+    task = build_task(targets, free_seconds=0.2)
+    lease = await task.async_reserve(build_choice())
+    reserved = targets.calls.count(("reserve", "t1"))
+    targets.held.clear()
+    await async_wait_until(lambda: ("release", "t1") in targets.calls)
+    assert targets.calls.count(("reserve", "t1")) == reserved
+    lease.release()
+    await task.async_unload()
 
 
 async def test_memory_is_kept_while_no_target_reports_its_use() -> None:
--- a/libraries/placement/tarragonward_placement/__init__.py
+++ b/libraries/placement/tarragonward_placement/__init__.py
@@ -50,6 +50,7 @@
 from .readings import PrefillPlan, plan_prefill
 from .relays import RelayDirectory
 from .relocation import predict_event_wait, should_migrate
+from .reservation_use import ReservationTracker, ReservationUse
 from .target_cooldowns import TargetCooldowns
 from .target_limits import HostView, LimitEntry, TargetLimits, compute_host_share
 from .wait_order import Waiting, WaitOrder
@@ -101,6 +102,8 @@
     "ReservationGranted",
     "ReservationRefused",
     "ReservePart",
+    "ReservationTracker",
+    "ReservationUse",
     "RetryGroup",
     "TargetHealthTracker",
     "WaitOrder",
--- a/libraries/placement/tarragonward_placement/const.py
+++ b/libraries/placement/tarragonward_placement/const.py
@@ -194,3 +194,13 @@
 
 # Accounts whose last served request is remembered while others wait.
 MAX_REMEMBERED_ACCOUNTS = 4_096
+
+# How often reservations are renewed, as a part of the time that they last, so that one
+# renewal may be lost.
+RENEWAL_INTERVAL_SHARE = 0.35
+# Part of the time within which memory must be free after its use, in which it expires;
+# the rest is for the age of a report.
+UNUSED_EXPIRY_SHARE = 0.875
+# Part of the time for which memory may be reserved and never used, after which it is
+# released; the rest is for the look and the release.
+UNUSED_CHECK_SHARE = 0.7
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -44,7 +44,7 @@
         for order in (
             orders.async_reserve,
             orders.async_release,
-            orders.async_is_used,
+            orders.async_read_use,
         ):
             with pytest.raises(TargetError):
                 await order(reservation, 0.4)
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -8,6 +8,7 @@
 from tarragonward_gateway import Gateway, GatewaySettings, Reservation
 from tarragonward_gateway.settings import Bounds
 from tarragonward_membership import RegisteredTarget
+from tarragonward_placement import ReservationUse
 from tarragonward_platform.const import HEADERS, PATHS
 from tarragonward_platform.documents import DocumentParser
 from tarragonward_platform.orders import RunnerOrders
@@ -39,10 +40,10 @@
 @pytest.mark.parametrize(
     ("body", "expected"),
     [
-        (b'{"tickets": [{"id": "h1.1.1", "state": "used"}]}', True),
-        (b'{"tickets": [{"id": "h1.1.1", "state": "held"}]}', False),
-        (b'{"tickets": [{"id": "h1.1.2", "state": "used"}]}', False),
-        (b'{"tickets": []}', False),
+        (b'{"tickets": [{"id": "h1.1.1", "state": "used"}]}', ReservationUse.USED),
+        (b'{"tickets": [{"id": "h1.1.1", "state": "held"}]}', ReservationUse.UNUSED),
+        (b'{"tickets": [{"id": "h1.1.2", "state": "used"}]}', ReservationUse.GONE),
+        (b'{"tickets": []}', ReservationUse.GONE),
         (b'{"tickets": [7]}', None),
         (b"[]", None),
         (b"{", None),
@@ -55,7 +56,7 @@
     runner = ScriptedTarget(script, "i-1")
     await runner.async_setup()
     target = RegisteredTarget("i-1", "llm", runner.address, "d1", 8, True, 1)
-    asking = RunnerOrders().async_is_used(
+    asking = RunnerOrders().async_read_use(
         Reservation("h1.1.1", target, 1_000, 2.0), 2.0
     )
     if expected is None:
