--- a/libraries/bench/tarragonward_bench/soak.py
+++ b/libraries/bench/tarragonward_bench/soak.py
@@ -14,6 +14,7 @@
 from tarragonward_core import TarragonwardError, invariants
 
 from .budget_runs import run_budget_seed
+from .event_runs import run_event_seed
 from .harm import run_crash_seed, run_limit_seed, run_segment_seed
 from .hearing.runs import run_propagation_seed
 from .link_runs import run_links_seed
@@ -40,6 +41,7 @@
     "calls": run_calls_seed,
     "crashes": run_crash_seed,
     "configuration": run_configuration_seed,
+    "events": run_event_seed,
     "hearing": run_propagation_seed,
     "limits": run_limit_seed,
     "membership": run_membership_seed,
--- a/libraries/gateway/tarragonward_gateway/heads.py
+++ b/libraries/gateway/tarragonward_gateway/heads.py
@@ -16,17 +16,27 @@
 __all__ = [
     "AnswerHeadCheck",
     "SpoiledAnswerError",
+    "is_event_stream",
     "is_from_other_boot",
     "is_not_run",
     "is_out_of_places",
 ]
 
+STATUS_OK = 200
 STATUS_CLIENT_ERROR = 400
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 STATUS_UNAVAILABLE = 503
 NOT_RUN_STATUSES = (408, 429, 503)
 CONTENT_ENCODING = "content-encoding"
+CONTENT_TYPE = "content-type"
+EVENT_STREAM = "text/event-stream"
+
+
+def is_event_stream(stream: HttpStream) -> bool:
+    """Return whether an answer is a series of events."""
+    is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
+    return is_stream and stream.status == STATUS_OK
 
 
 def is_from_other_boot(
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -18,16 +18,15 @@
     ExchangeEvent,
     ExchangePolicy,
     ForwardAnswer,
+    NextEvents,
     Refuse,
     SendFailed,
     SendFault,
     SendTo,
     SendVerdict,
-    StreamEvent,
     TargetAnswered,
     TimeOver,
     Verdict,
-    select_next_events,
 )
 from tarragonward_routes import RequestKind
 from tarragonward_wire import (
@@ -53,6 +52,7 @@
 from .heads import (
     AnswerHeadCheck,
     SpoiledAnswerError,
+    is_event_stream,
     is_out_of_places,
 )
 from .idle_policy import IdlePolicy
@@ -74,13 +74,10 @@
 
 __all__ = ["ForwardedRequest"]
 
-STATUS_OK = 200
 STATUS_MULTIPLE_CHOICES = 300
 STATUS_SERVER_ERROR = 500
 BODILESS_STATUSES = (204, 304)
 METHOD_HEAD = "HEAD"
-CONTENT_TYPE = "content-type"
-EVENT_STREAM = "text/event-stream"
 
 
 class ForwardedRequest:
@@ -119,6 +116,7 @@
             ),
             last_event_id=self._read_last_id(),
         )
+        self._sequence = state.build_sequence(context.service, self._read_last_id())
         self._observer = RequestObserver(
             state,
             context,
@@ -417,8 +415,7 @@
             wait = self._chooser.compute_return_wait(self._context.service)
             return SendFailed(SendFault.NOT_RUN, wait, is_helper_fault)
         self._head_check.check(stream)
-        is_stream = stream.headers.get(CONTENT_TYPE, "").startswith(EVENT_STREAM)
-        if is_stream and stream.status == STATUS_OK:
+        if is_event_stream(stream):
             return await self._async_forward_stream(choice, stream)
         body = await async_read_answer(stream, self._state.answers)
         await async_check_end(stream, choice, self._chooser.probes)
@@ -439,6 +436,7 @@
         self, choice: SendChoice, stream: HttpStream
     ) -> ExchangeEvent | None:
         splitter = EventStreamSplitter()
+        self._sequence.begin_run()
         async for data in stream.async_iterate_chunks():
             try:
                 events = splitter.split(data)
@@ -448,7 +446,7 @@
                 self._record_events(choice, len(events))
                 if self._idle_timeout is not None:
                     self._idle_timeout.pause()
-                await self._async_forward_events(stream, events)
+                await self._async_forward(stream, self._sequence.select(events))
                 # The engine's pace cannot be measured while the caller does not read.
                 choice.waiting_since = self._loop.time()
                 if self._idle_timeout is not None:
@@ -466,6 +464,7 @@
         )
         await self._responder.async_finish()
         self._exchange.has_ended = True
+        self._state.record_whole_stream(self._context.service, self._sequence)
         return None
 
     def _record_events(self, choice: SendChoice, events: int) -> None:
@@ -477,10 +476,8 @@
             self._suspects.record_steady_stream(self._identity, choice.answer_began_at)
         self._chooser.record_events(choice, events)
 
-    async def _async_forward_events(
-        self, stream: HttpStream, events: list[StreamEvent]
-    ) -> None:
-        forwarded = select_next_events(events, self._exchange.last_event_id)
+    async def _async_forward(self, stream: HttpStream, forwarded: NextEvents) -> None:
+        self._exchange.has_position = self._sequence.has_position
         for event in forwarded.events:
             if event.event_id is not None:
                 self._handle_event(EventsGiven(event.event_id))
@@ -492,6 +489,7 @@
             b"".join(event.data for event in forwarded.events)
         )
         if forwarded.has_gap:
+            self._state.record_gap(self._context.service, self._sequence)
             raise SpoiledAnswerError("event ids have a gap: an event is missing")
 
     def _start_answer(self, stream: HttpStream) -> None:
--- a/libraries/gateway/tarragonward_gateway/state.py
+++ b/libraries/gateway/tarragonward_gateway/state.py
@@ -9,7 +9,12 @@
 
 from tarragonward_core import Metrics
 from tarragonward_membership import TargetRegistry
-from tarragonward_requests import RetryBudgetBounds, SharedRetryBudget
+from tarragonward_requests import (
+    EventNumberings,
+    EventSequence,
+    RetryBudgetBounds,
+    SharedRetryBudget,
+)
 from tarragonward_routes import RoutingTable
 from tarragonward_wire import BodyBudget
 
@@ -39,6 +44,7 @@
     is_admitting: bool = True
     count_sharing_hosts: Callable[[], int] = lambda: 1
     budget: SharedRetryBudget = field(init=False)
+    numberings: EventNumberings = field(default_factory=EventNumberings)
     # The bodies of answers that are being read from targets.
     answers: BodyBudget = field(default_factory=lambda: BodyBudget(c.MAX_ANSWERS_BYTES))
 
@@ -86,6 +92,21 @@
         self.budget.record_retry(service, self.count_sharing_hosts(), now)
         return now
 
+    def build_sequence(self, service: str, last_event_id: int | None) -> EventSequence:
+        """Return the events of a stream, from the last one that its caller has."""
+        numbering = self.numberings.get(service, read_clock())
+        return EventSequence(last_event_id, numbering)
+
+    def record_whole_stream(self, service: str, sequence: EventSequence) -> None:
+        """Record how a service numbers the events of its streams."""
+        self.numberings.record_whole_stream(service, sequence, read_clock())
+
+    def record_gap(self, service: str, sequence: EventSequence) -> None:
+        """Record that an event of a stream appears to be missing."""
+        self.metrics.count("event_gaps", service)
+        if sequence.has_contradiction:
+            self.numberings.forget(service)
+
     def install_table(self, table: RoutingTable) -> bool:
         """Replace the routing table if the given one is newer; return whether it is."""
         if self.table is not None and table.version <= self.table.version:
--- a/libraries/gateway/tests/test_failures.py
+++ b/libraries/gateway/tests/test_failures.py
@@ -312,6 +312,63 @@
     assert answer.body == b"".join(build_event(number) for number in (1, 2, 3))
 
 
+@pytest.mark.parametrize("is_resumable", [True, False])
+async def test_stream_whose_ids_count_tokens_is_whole(make_site, is_resumable):
+    """Ids that increase by more than one must not be taken for missing events."""
+    ids = [46, 92, 138, 150]
+    site = await make_site(
+        stream_events(ids),
+        stream_events(ids),
+        kind=RequestKind.STREAM,
+        is_resumable=is_resumable,
+    )
+    answer = await site.async_ask("POST")
+    assert answer.is_complete
+    assert answer.body == b"".join(map(build_event, ids))
+    assert site.runs == 1
+
+
+async def test_stream_whose_ids_count_tokens_resumes_after_its_last_event(make_site):
+    site = await make_site(
+        stream_events([46, 92], is_ended=False),
+        stream_events([138, 184]),
+        kind=RequestKind.STREAM,
+        is_resumable=True,
+    )
+    answer = await site.async_ask("POST")
+    assert answer.is_complete
+    assert answer.body == b"".join(map(build_event, [46, 92, 138, 184]))
+    assert site.targets[1].requests[0].get("last-event-id") == ["92"]
+
+
+async def test_numbering_learned_from_one_stream_serves_the_next_ones(make_site):
+    """The first event has one token; only the first stream needs a second target."""
+    ids = [1, 47, 93]
+    site = await make_site(
+        stream_events(ids),
+        stream_events(ids),
+        kind=RequestKind.STREAM,
+        is_resumable=True,
+    )
+    for _ in range(3):
+        answer = await site.async_ask("POST")
+        assert answer.body == b"".join(map(build_event, ids))
+    assert site.runs == 4
+
+
+async def test_stream_without_ids_is_not_resumed(make_site):
+    """Another run would start over, and the caller would get the events twice."""
+
+    async def script(request, writer):
+        writer.write(build_answer(request, b"", "200 OK", STREAM_LINES, [CHUNKED]))
+        writer.write(build_chunk(b"data: a\n\n"))
+
+    site = await make_site(script, script, kind=RequestKind.STREAM, is_resumable=True)
+    answer = await site.async_ask("POST")
+    assert not answer.is_complete
+    assert (answer.body, site.runs) == (b"data: a\n\n", 1)
+
+
 async def test_stream_that_is_not_resumable_is_aborted(make_site):
     site = await make_site(
         stream_events([1, 2], is_ended=False),
--- a/libraries/requests/tarragonward_requests/__init__.py
+++ b/libraries/requests/tarragonward_requests/__init__.py
@@ -7,11 +7,11 @@
     SuspectIdentity,
     Withholding,
 )
+from .event_sequence import EventNumbering, EventNumberings, EventSequence
 from .events import (
     EventStreamSplitter,
     NextEvents,
     StreamEvent,
-    select_next_events,
 )
 from .exchange import (
     AbortConnection,
@@ -94,6 +94,9 @@
     "Effect",
     "EndRequest",
     "Event",
+    "EventNumbering",
+    "EventNumberings",
+    "EventSequence",
     "EventStreamSplitter",
     "EventsGiven",
     "Exchange",
@@ -147,5 +150,4 @@
     "mint_key_prefix",
     "parse_key",
     "parse_segments",
-    "select_next_events",
 ]
--- a/libraries/requests/tarragonward_requests/const.py
+++ b/libraries/requests/tarragonward_requests/const.py
@@ -105,6 +105,10 @@
 MAX_SEGMENT_TRIAL_SECONDS = 6.0
 FAILED_SEGMENT_TRIAL_GROWTH = 10.0
 MAX_SUSPECT_SEGMENTS = 1_024
+# For how long a service's numbering of events is remembered after a stream showed it.
+EVENT_NUMBERING_SECONDS = 600.0
+# A stream with fewer steps may show consecutive ids by chance.
+MIN_COUNTING_STEPS = 4
 MAX_CRASHES_PER_SEGMENT = 16
 # The segments of one prompt that become suspects in a crash.
 MAX_SUSPECT_SEGMENTS_PER_PROMPT = 64
--- a/libraries/requests/tarragonward_requests/events.py
+++ b/libraries/requests/tarragonward_requests/events.py
@@ -3,24 +3,29 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["EventStreamSplitter", "NextEvents", "StreamEvent", "select_next_events"]
+__all__ = ["EventStreamSplitter", "NextEvents", "StreamEvent"]
 
 # A blank line ends an event; lines end with LF or CRLF (HTML standard, 9.2.5).
 EVENT_BOUNDARY = re.compile(rb"\r?\n\r?\n")
 ID_FIELD = b"id:"
+DATA_FIELD = re.compile(rb"^data(:|\r?$)", re.MULTILINE)
+MAX_ID_DIGITS = 18
 MAX_BOUNDARY_BYTES = 4
 MAX_EVENT_BYTES = 1024 * 1024
 
 
 @dataclass(frozen=True)
 class StreamEvent:
-    """A whole event with its blank line; event_id is None without a numeric id."""
+    """A whole event with its blank line; event_id is None without a numeric id.
+
+    has_data: it is no mere comment, so a caller must not get it twice.
+    """
 
     data: bytes
     event_id: int | None
+    has_data: bool = True
 
 
 @dataclass(frozen=True)
@@ -58,7 +63,8 @@
         events, start = [], 0
         for end in EVENT_BOUNDARY.finditer(buffered, search_from):
             event = buffered[start : end.end()]
-            events.append(StreamEvent(event, _find_event_id(event)))
+            has_data = DATA_FIELD.search(event) is not None
+            events.append(StreamEvent(event, _find_event_id(event), has_data))
             start = end.end()
         self._partial = buffered[start:]
         if len(self._partial) > MAX_EVENT_BYTES:
@@ -66,29 +72,10 @@
         return events
 
 
-def select_next_events(
-    events: Iterable[StreamEvent], last_event_id: int | None
-) -> NextEvents:
-    """Return the events that follow the last one that was forwarded, None if none was.
-
-    A resumed stream may repeat earlier events, which are left out.
-    """
-    selected = []
-    for event in events:
-        if event.event_id is not None and last_event_id is not None:
-            if event.event_id <= last_event_id:
-                continue
-            if event.event_id != last_event_id + 1:
-                return NextEvents(tuple(selected), has_gap=True)
-        selected.append(event)
-        if event.event_id is not None:
-            last_event_id = event.event_id
-    return NextEvents(tuple(selected))
-
-
 def _find_event_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= MAX_ID_DIGITS
+            return int(text) if is_number else None
     return None
--- a/libraries/requests/tarragonward_requests/exchange.py
+++ b/libraries/requests/tarragonward_requests/exchange.py
@@ -179,6 +179,8 @@
         self.has_held_answer = False
         # Whether the head of a streamed answer was sent to the caller.
         self.is_streaming = False
+        # Whether last_event_id tells all that the caller has of a streamed answer.
+        self.has_position = True
         self.has_ended = False
 
     @property
@@ -277,7 +279,7 @@
     def _is_repeat_allowed(self) -> bool:
         """Return whether the route allows one more send after what has happened."""
         if self.is_streaming:
-            return self.policy.may_resume
+            return self.policy.may_resume and self.has_position
         return self.policy.may_run_again or not self.may_have_run
 
     def choose_final_effect(
--- a/libraries/standins/tarragonward_standins/platform_clients.py
+++ b/libraries/standins/tarragonward_standins/platform_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -20,6 +21,7 @@
 BACKOFF_SECONDS = 0.05
 STATUSES_WITHOUT_BODY = (204, 304)
 EVENT_END = b"\n\n"
+EVENT_ID = re.compile(rb"^id: ([0-9]+)$", re.MULTILINE)
 
 Headers = dict[str, str]
 
@@ -215,7 +217,8 @@
         deadline: float,
     ) -> None:
         plan = request.plan
-        attempt.last_event_id = request.received_events.count(EVENT_END)
+        ids = EVENT_ID.findall(request.received_events)
+        attempt.last_event_id = int(ids[-1]) if ids else 0
         remaining = deadline - asyncio.get_running_loop().time()
         headers = [
             ("Host", plan.host),
--- a/libraries/standins/tarragonward_standins/platform_model_runner.py
+++ b/libraries/standins/tarragonward_standins/platform_model_runner.py
@@ -41,10 +41,15 @@
 RunnersByAddress = dict[str, "ModelRunner"]
 
 
-def build_stream_event(prompt_id: str, number: int, is_last: bool) -> bytes:
-    """Return one event of the answer to a prompt, the same from every runner."""
+def build_stream_event(
+    prompt_id: str, number: int, is_last: bool, step: int = 1
+) -> bytes:
+    """Return one event of the answer to a prompt, the same from every runner.
+
+    Ids increase by step.
+    """
     end = " end" if is_last else ""
-    return f"id: {number}\ndata: {prompt_id} {number}{end}\n\n".encode()
+    return f"id: {number * step}\ndata: {prompt_id} {number}{end}\n\n".encode()
 
 
 @dataclass(frozen=True)
@@ -81,8 +86,10 @@
         runners_by_address: RunnersByAddress,
         address: Address | None = None,
         report_lag_seconds: float = 0.2,
+        event_step: int = 1,
     ) -> None:
         super().__init__(plan, store, arrivals, seed, address)
+        self._event_step = event_step
         self.engine = PassEngine(sizes)
         self._runners_by_address = runners_by_address
         self._streams: dict[PassWork, _Stream] = {}
@@ -299,7 +306,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         arrival.status = 200
-        skipped = int(request.headers.get("last-event-id", "0"))
+        skipped = int(request.headers.get("last-event-id", "0")) // self._event_step
         prompt_id = request.headers.get("x-prompt-prefix", "").rpartition(",")[2]
         number = 0
         is_last = False
@@ -326,7 +333,8 @@
                     return False
             if number <= skipped:
                 continue
-            data = build_stream_event(prompt_id, number, is_last)
+            step = self._event_step
+            data = build_stream_event(prompt_id, number, is_last, step)
             if sent_version != self.weights_version:
                 sent_version = self.weights_version
                 data = f"{WEIGHTS_HEADER.lower()}: {sent_version}\n".encode() + data
--- a/libraries/standins/tarragonward_standins/platform_site.py
+++ b/libraries/standins/tarragonward_standins/platform_site.py
@@ -62,6 +62,8 @@
 # A crashed runner is replaced by a new incarnation after a delay in this range.
 CRASH_RESTART_SECONDS = (1.5, 3.0)
 CONFIG_KEY = "op/config"
+# Streams count their events, or the tokens in them.
+EVENT_STEPS = (1, 46)
 
 
 @dataclass(frozen=True)
@@ -129,6 +131,8 @@
         self._template = template.read_text(encoding="utf-8")
         self._runners_by_address: RunnersByAddress = {}
         self._seeds = itertools.count(plan.seed * 1_000)
+        # A generator of its own, so that other draws stay the same.
+        self._event_step = random.Random(plan.seed).choice(EVENT_STEPS)
         self._balancer_task: asyncio.Task[None] | None = None
         self._runners: list[PlatformRunner] = []
         self.operator = ZoneOperator(self.store, self._runners)
@@ -312,6 +316,7 @@
             self.plan.sizes,
             self._runners_by_address,
             address,
+            event_step=self._event_step,
         )
         await self._async_start_runner(runner)
         return runner
