--- a/libraries/gateway/tarragonward_gateway/publications.py
+++ b/libraries/gateway/tarragonward_gateway/publications.py
@@ -365,7 +365,7 @@
                 self._apply_table(record)
             return
         target = self._parser.parse_target(record)
-        if target is None:
+        if target is None or self._state.registry.lacks_incarnation(target):
             # Any writer may overwrite a target's entry. The target is removed, as its
             # state is unknown; its own next record, a second later, registers it again.
             self._state.metrics.count("target_records_refused")
--- a/libraries/gateway/tests/test_publications.py
+++ b/libraries/gateway/tests/test_publications.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from contextlib import AsyncExitStack, suppress
+from dataclasses import replace
 
 import pytest
 
@@ -301,6 +302,32 @@
     assert read_clock() - withdrawn_at < state.settings.bounds.drain_seconds
 
 
+async def test_target_whose_record_was_overwritten_returns_with_its_own_next_one(
+    start, monkeypatch
+):
+    """Another writer names a service for a target of another one, without its boot."""
+    state, task = await start(FIRST, Source())
+    await async_wait_for(lambda: state.table_confirmed_at > 0)
+    parse = task._parser.parse_target
+
+    def parse_with_boot(record):
+        target = parse(record)
+        if record.value == b"2":
+            return replace(target, service="other")
+        return replace(target, incarnation=7) if target else None
+
+    monkeypatch.setattr(task._parser, "parse_target", parse_with_boot)
+    for revision, value in ((1, b"true"), (2, b"2")):
+        batch = RecordBatch((Record("t/a", revision, value),), revision, False)
+        task.apply(batch, revision - 1)
+    assert not state.registry.get_ready("other")
+    assert not state.registry.get_ready("s")
+    assert state.metrics.get_count("target_records_refused") == 1
+    own = RecordBatch((Record("t/a", 3, b"true"),), 3, False)
+    task.apply(own, 2)
+    assert [target.name for target in state.registry.get_ready("s")] == ["a"]
+
+
 async def test_single_withdrawn_target_is_removed_at_once(start):
     state, task = await start(FIRST, Source())
     await async_wait_for(lambda: state.table_confirmed_at > 0)
--- a/libraries/membership/tarragonward_membership/registry.py
+++ b/libraries/membership/tarragonward_membership/registry.py
@@ -119,6 +119,8 @@
         A boot that was registered as leaving once stays so, as a boot that leaves ends.
         The store may come back from a copy that is older than the target's report.
         """
+        if isinstance(record, RegisteredTarget) and self.lacks_incarnation(record):
+            return False
         if isinstance(record, RegisteredTarget) and not record.is_ready:
             self.mark_leaving(record)
         if record.revision <= self._get_revision(record.name):
@@ -137,6 +139,15 @@
         self._clear_caches()
         return True
 
+    def lacks_incarnation(self, record: RegisteredTarget) -> bool:
+        """Return whether a record is no target's own: its boots state an incarnation.
+
+        If it counted as that of a later boot, the running one would be superseded, and
+        none of its further records accepted.
+        """
+        last = self._last_boots.get(record.name)
+        return record.incarnation is None and last is not None
+
     def apply_snapshot(
         self, records: Iterable[RegisteredTarget], revision: int
     ) -> None:
--- a/libraries/membership/tests/test_registry.py
+++ b/libraries/membership/tests/test_registry.py
@@ -216,3 +216,25 @@
     registry.resume(boot)
     assert len(registry.get_ready("s")) == 1
     assert not registry.is_withdrawn(boot)
+
+
+@pytest.mark.parametrize("change", [{"service": "other"}, {"is_ready": False}, {}])
+def test_record_of_another_writer_supersedes_no_boot(registry, change):
+    """A record without the incarnation that a target states is not the target's own."""
+    own = replace(build("i-1", 1), incarnation=7)
+    registry.apply(own)
+    foreign = replace(own, revision=2, incarnation=None, **change)
+    assert registry.lacks_incarnation(foreign)
+    assert not registry.apply(foreign)
+    assert registry.apply(replace(own, revision=3))
+    assert get_ready_ids(registry) == ["i-1"]
+    assert registry.is_current_boot(own)
+    # The target's own report that it leaves is heard.
+    assert registry.apply(replace(own, revision=4, is_ready=False))
+    assert get_ready_ids(registry) == []
+
+
+def test_boots_that_begin_to_state_an_incarnation_are_accepted(registry):
+    registry.apply(build("i-1", 1))
+    assert registry.apply(replace(build("i-1", 2), incarnation=7))
+    assert get_ready_ids(registry) == ["i-1"]
