--- a/libraries/gateway/tarragonward_gateway/answer_ends.py
+++ b/libraries/gateway/tarragonward_gateway/answer_ends.py
@@ -9,13 +9,13 @@
 
 from . import const as c
 from .choices import SendChoice
-from .probes import TargetProber
+from .targets import TargetChooser
 
 __all__ = ["async_check_end"]
 
 
 async def async_check_end(
-    stream: HttpStream, choice: SendChoice, probes: TargetProber
+    stream: HttpStream, choice: SendChoice, chooser: TargetChooser
 ) -> None:
     """Raise ConnectionLostError if an answer may be cut that has just ended.
 
@@ -29,5 +29,10 @@
     now = asyncio.get_running_loop().time()
     if choice.compute_silence(now) > c.MAX_END_SILENCE_SECONDS:
         raise ConnectionLostError("the stream was closed after a silence")
-    if await probes.async_has_ended(choice.target):
+    if await chooser.probes.async_has_ended(choice.target):
         raise ConnectionLostError("the target ended with its answer")
+    # A later boot may use the address by now. While this host was frozen or cut off,
+    # the silence before the close told nothing.
+    connect = chooser.paths.get_connector(choice)
+    if not await chooser.probes.async_confirm_boot(choice.target, connect):
+        raise ConnectionLostError("the boot that answered is not known to go on")
--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -239,6 +239,9 @@
 MAX_END_SILENCE_SECONDS = 0.5
 # A target that has lost a connection goes on if it leaves a new one open for this long.
 END_CHECK_SECONDS = 0.015
+# A health check waits for a place at a target, like a request.
+BOOT_CHECK_TIMEOUT_SECONDS = 1.0
+MAX_HEALTH_ANSWER_BYTES = 65_536
 # A stream whose events have arrived for this long shows that its target goes on.
 STEADY_STREAM_SECONDS = 1.0
 # Changes to suspects within this time are sent together.
--- a/libraries/gateway/tarragonward_gateway/probes.py
+++ b/libraries/gateway/tarragonward_gateway/probes.py
@@ -7,7 +7,13 @@
 from contextlib import suppress
 from functools import partial
 
-from tarragonward_core import Address, BackgroundTasks, SharedChecks, log_event
+from tarragonward_core import (
+    Address,
+    BackgroundTasks,
+    SharedChecks,
+    TargetError,
+    log_event,
+)
 from tarragonward_membership import RegisteredTarget
 from tarragonward_placement import (
     DomainEjected,
@@ -18,7 +24,7 @@
     TargetRestored,
 )
 from tarragonward_requests import SendFault
-from tarragonward_wire import PauseTimeout
+from tarragonward_wire import Connector, PauseTimeout, async_send_http
 
 from . import const as c
 from .clock import read_clock
@@ -28,6 +34,9 @@
 __all__ = ["EVIDENCE_BY_FAULT", "TargetProber"]
 
 TASK_NAME = "probes"
+METHOD_GET = "GET"
+STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 RelayCheck = Callable[[RegisteredTarget], Awaitable[bool | None]]
 EVIDENCE_BY_FAULT = {
     SendFault.NOT_CONNECTED: Evidence.NOT_CONNECTED,
@@ -169,6 +178,41 @@
         check = partial(self._async_check_ended, target)
         return await self._end_checks.async_run(target.id, check)
 
+    async def async_confirm_boot(
+        self, target: RegisteredTarget, connect: Connector | None = None
+    ) -> bool:
+        """Return whether a boot answers a health check, connected to by connect.
+
+        Boots that share a name are told apart by the registry alone.
+        """
+        names, table = self._state.headers, self._state.table
+        service = table.services.get(target.service) if table is not None else None
+        if service is None:
+            return False
+        try:
+            answer = await async_send_http(
+                target.address,
+                METHOD_GET,
+                service.health_path,
+                headers={names.expected_target: target.name},
+                timeout=c.BOOT_CHECK_TIMEOUT_SECONDS,
+                connect=connect,
+                max_bytes=c.MAX_HEALTH_ANSWER_BYTES,
+            )
+        except TargetError as err:
+            log_event("boot_unconfirmed", target=target.id, error=str(err))
+            return False
+        name = answer.headers.get(names.target_name, "")
+        # A full target refuses without its name, another one as misdirected.
+        is_refusal = answer.status == STATUS_UNAVAILABLE and not name
+        is_named = answer.status != STATUS_MISDIRECTED and name == target.name
+        is_same = is_refusal or is_named
+        if not is_same:
+            log_event(
+                "boot_unconfirmed", target=target.id, status=answer.status, by=name
+            )
+        return is_same and self._state.registry.is_current_boot(target)
+
     async def _async_check_ended(self, target: RegisteredTarget) -> bool:
         # A proxy in front of a target that has just ended may still accept connections,
         # and closes them at once.
--- a/libraries/gateway/tarragonward_gateway/run.py
+++ b/libraries/gateway/tarragonward_gateway/run.py
@@ -418,7 +418,7 @@
         if is_event_stream(stream):
             return await self._async_forward_stream(choice, stream)
         body = await async_read_answer(stream, self._state.answers)
-        await async_check_end(stream, choice, self._chooser.probes)
+        await async_check_end(stream, choice, self._chooser)
         has_body = self._request.method != METHOD_HEAD and (
             stream.status not in BODILESS_STATUSES
         )
@@ -451,7 +451,7 @@
                 choice.waiting_since = self._loop.time()
                 if self._idle_timeout is not None:
                     self._idle_timeout.resume()
-        await async_check_end(stream, choice, self._chooser.probes)
+        await async_check_end(stream, choice, self._chooser)
         if splitter.has_partial_event:
             raise SpoiledAnswerError("event stream ended within an event")
         if not self._exchange.is_streaming:
--- a/libraries/gateway/tests/conftest.py
+++ b/libraries/gateway/tests/conftest.py
@@ -108,7 +108,7 @@
         table = RoutingTable(
             self.version,
             (Route("r", "app.example", "/app/", shares=(Share("s", 1),), **options),),
-            {"s": Service("s", 100)},
+            {"s": Service("s", 100, health_path="/health")},
             limits or CallerLimits(),
             {"k1": Account("town")},
             needs_key=True,
--- a/libraries/gateway/tests/test_answer_ends.py
+++ b/libraries/gateway/tests/test_answer_ends.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tarragonward_routes import RequestKind
 from tarragonward_standins import (
     answer_with,
@@ -40,6 +42,13 @@
     assert (await site.async_ask("POST")).body == b"whole"
 
 
+async def test_answer_of_a_full_target_is_complete(make_site):
+    """It refuses the health check, where another boot would say that it is another."""
+    site = await make_site(end_with_connection(b"whole"), kind=ONCE)
+    site.targets[0].is_full = True
+    assert (await site.async_ask("POST")).body == b"whole"
+
+
 async def test_answer_cut_by_a_crash_does_not_look_complete(make_site):
     """The answer has no length, and the target's kernel closes the connection."""
     sites = []
@@ -66,6 +75,47 @@
     assert sites[0].targets[1].requests[0].get("last-event-id") == ["2"]
 
 
+def restart_within(body, sites, later_id="t9", lines=()):
+    """Return a script: the target ends, and a later boot is at once at its address."""
+
+    async def script(request, writer):
+        writer.write(build_answer(request, body, lines=lines, framing=()))
+        await writer.drain()
+        [target] = [t for t in sites[0].targets if request in t.requests]
+        target.id = later_id
+
+    return script
+
+
+@pytest.mark.parametrize("later_id", ["t9", ""])
+async def test_answer_cut_by_a_crash_is_not_complete_as_a_later_boot_is_there(
+    make_site, later_id
+):
+    """The later boot accepts connections, and says who it is, or not."""
+    sites = []
+    script = restart_within(b"part", sites, later_id)
+    sites.append(await make_site(script, answer_with(), kind=ONCE))
+    assert (await sites[0].async_ask("POST")).status == 502
+    assert not sites[0].targets[1].requests
+
+
+async def test_stream_cut_by_a_crash_is_resumed_as_a_later_boot_is_there(make_site):
+    """A host that was frozen reads the part and the close at once."""
+    sites = []
+    events = b"".join(map(build_event, (1, 2)))
+    sites.append(
+        await make_site(
+            restart_within(events, sites, lines=STREAM_LINES),
+            stream_events((3, 4)),
+            kind=RequestKind.STREAM,
+            is_resumable=True,
+        )
+    )
+    answer = await sites[0].async_ask()
+    assert answer.is_complete
+    assert answer.body == b"".join(map(build_event, range(1, 5)))
+
+
 async def test_stream_that_ends_with_its_connection_is_complete(make_site):
     events = b"".join(map(build_event, (1, 2)))
     script = end_with_connection(events, STREAM_LINES)
--- a/libraries/standins/tarragonward_standins/scripted.py
+++ b/libraries/standins/tarragonward_standins/scripted.py
@@ -31,6 +31,7 @@
 CHUNKED = "Transfer-Encoding: chunked"
 HEAD_END = b"\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+HEALTH_REQUEST = "GET /health "
 STREAM_LINES = ("Content-Type: text/event-stream",)
 STATUSES_WITHOUT_BODY = (204, 304)
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -69,12 +70,14 @@
 class ScriptedTarget:
     """A target that answers one request per connection by a script.
 
+    One with an id answers health checks by itself, unless it is full.
     caller_left is set when the caller has closed its connection.
     """
 
     script: Script
     id: str = ""
     reads_body: bool = True
+    is_full: bool = False
     requests: list[RawRequest] = field(default_factory=list)
     caller_left: asyncio.Event = field(default_factory=asyncio.Event)
     _server: asyncio.Server | None = None
@@ -103,6 +106,11 @@
             if self.reads_body:
                 length = int((request.get("content-length") or ["0"])[0])
                 request.body = await reader.readexactly(length)
+            if self._answers_health and request.first_line.startswith(HEALTH_REQUEST):
+                writer.write(self._build_health_answer(request))
+                await writer.drain()
+                writer.close()
+                return
             self.requests.append(request)
             watch_task = asyncio.ensure_future(self._async_watch(reader))
             try:
@@ -112,6 +120,19 @@
                 watch_task.cancel()
         writer.close()
 
+    @property
+    def _answers_health(self) -> bool:
+        return bool(self.id)
+
+    def _build_health_answer(self, request: RawRequest) -> bytes:
+        """Return what a target says to a health check, with its id."""
+        if self.is_full:
+            return b"HTTP/1.1 503 Busy\r\nContent-Length: 0" + HEAD_END
+        is_expected = request.get("x-expected-target") in ([], [self.id])
+        status = "200 OK" if is_expected else "421 Misdirected"
+        lines = [f"HTTP/1.1 {status}", f"X-Target: {self.id}", "Content-Length: 0"]
+        return "\r\n".join(lines).encode() + HEAD_END
+
     async def _async_play(
         self, request: RawRequest, writer: asyncio.StreamWriter
     ) -> None:
