Connect a peer to the boot that it asks for by id

A test with two hosts and real sockets fails on the code before (503) and holds. The registry finds boots by id; a target without an incarnation has its name as id, as before.

--- a/libraries/gateway/tarragonward_gateway/relays.py
+++ b/libraries/gateway/tarragonward_gateway/relays.py
@@ -205,7 +205,7 @@
 
     def _resolve(self, host: str, request: RelayRequest) -> Address | RelayResult:
         """Return the address of a target that a peer asks to be connected to."""
-        target = self._state.registry.get(request.target)
+        target = self._state.registry.get_boot(request.target)
         if host not in self.get_hosts() or target is None or self._state.is_draining:
             return RelayResult.NOT_ACCEPTED
         if not self._chooser.accepts_requests(target):
@@ -216,8 +216,8 @@
             return RelayResult.SERVICE_UNREACHABLE
         return RelayResult.TARGET_UNREACHABLE
 
-    def _record_unreachable(self, name: str) -> None:
-        target = self._state.registry.get(name)
+    def _record_unreachable(self, boot_id: str) -> None:
+        target = self._state.registry.get_boot(boot_id)
         if target is not None:
             self._chooser.probes.record(target, Evidence.NOT_CONNECTED)
 
--- a/libraries/gateway/tests/test_relays.py
+++ b/libraries/gateway/tests/test_relays.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import replace
 
 import pytest
 
@@ -9,6 +10,7 @@
 from tarragonward_gateway import probes
 from tarragonward_gateway.clock import read_clock
 from tarragonward_gateway.relays import RelayTask
+from tarragonward_membership import build_boot_id
 from tarragonward_placement import Evidence
 from tarragonward_requests import SendFault
 from tarragonward_routes import RequestKind
@@ -66,6 +68,19 @@
     assert pair.cut.chooser.target_health.is_disconnected(target)
 
 
+async def test_host_without_links_reaches_targets_that_state_their_boot(make_pair):
+    """A peer is asked for a boot by its id, which is not the target's name."""
+    pair = await make_pair(answer_with(), has_links=True)
+    (target,) = pair.cut.state.registry.get_all()
+    boot_id = build_boot_id(target.name, 1_754_000_000_000)
+    boot = replace(target, id=boot_id, incarnation=1_754_000_000_000, revision=9)
+    for site in (pair.cut, pair.peer):
+        site.state.registry.apply(boot)
+    pair.lose_links()
+    assert (await pair.cut.async_ask()).status == 200
+    assert pair.cut.state.metrics.get_count("relayed_connects") >= 1
+
+
 async def test_non_idempotent_request_runs_once_through_a_peer(make_pair):
     """The target resets after it got the request; the peer must not send it again."""
     pair = await make_pair(async_reset, answer_with(), kind=RequestKind.NON_IDEMPOTENT)
--- a/libraries/membership/tarragonward_membership/registry.py
+++ b/libraries/membership/tarragonward_membership/registry.py
@@ -214,6 +214,14 @@
         """Return the boot registered under a name, or None where there is none."""
         return self._targets.get(name)
 
+    def get_boot(self, boot_id: str) -> RegisteredTarget | None:
+        """Return the registered boot with an id, or None if there is none."""
+        known = self._targets.get(boot_id)
+        if known is not None and known.id == boot_id:
+            return known
+        boots = self._targets.values()
+        return next((each for each in boots if each.id == boot_id), None)
+
     def is_current_boot(self, target: RegisteredTarget) -> bool:
         """Return whether no later boot of the target has superseded this one."""
         return (target.name, target.incarnation) not in self._superseded_boots
