--- a/libraries/requests/tarragonward_requests/event_sequence.py
+++ b/libraries/requests/tarragonward_requests/event_sequence.py
@@ -17,8 +17,7 @@
 class EventNumbering(Enum):
     """How the targets of a service number the events of a stream.
 
-    COUNTING: ids increase by one. SPARSE: they increase by more, or by less than that
-    at times.
+    COUNTING: ids increase by one. SPARSE: mostly by more, not always by the same.
     """
 
     UNKNOWN = "unknown"
