Keep targets whose records lapsed while the source was silent for seconds

A live source confirms a host's records within 2.2 s and an answer, as the host asks then, so records that nobody confirmed for 2.4 s were not given up by it. The two new rows of test_targets_are_used_on_if_their_records_lapsed_in_an_outage fail on the commit before.

--- a/libraries/gateway/tarragonward_gateway/const.py
+++ b/libraries/gateway/tarragonward_gateway/const.py
@@ -64,6 +64,8 @@
 # healthy fleet the age stays below half of it.
 MAX_CONFIRMED_AGE_SECONDS = 2.2
 CONFIRMED_AGE_CHECK_SECONDS = 0.1
+# By then a source that is there has answered the query that follows.
+SOURCE_AWAY_AGE_SECONDS = MAX_CONFIRMED_AGE_SECONDS + 0.2
 READ_SILENCE_TIMEOUT_SECONDS = 1.5
 # An older paged read is restarted; the source keeps its change history for longer.
 MAX_PAGED_READ_AGE_SECONDS = 8.0
--- a/libraries/gateway/tarragonward_gateway/withdrawals.py
+++ b/libraries/gateway/tarragonward_gateway/withdrawals.py
@@ -66,7 +66,12 @@
 
 
 def _may_be_withdrawal(view: SourceView, reason: LapseReason) -> bool:
-    """Return whether the source was there when the records went, and gave them up."""
+    """Return whether the source was there when the records went, and gave them up.
+
+    A host whose records nobody confirms asks the source, so a live one confirms them.
+    """
+    if view.confirmed_age > c.SOURCE_AWAY_AGE_SECONDS:
+        return False
     if reason is LapseReason.OUTAGE:
         return view.is_confirmed_since_outage
     return reason is LapseReason.MANY
--- a/libraries/gateway/tests/test_withdrawals.py
+++ b/libraries/gateway/tests/test_withdrawals.py
@@ -31,6 +31,9 @@
     [
         (SourceView(4.0, True, False, True), LapseReason.OUTAGE),
         (SourceView(9.0), LapseReason.UNCONFIRMED),
+        # The source was silent for less than it takes to see that it fails.
+        (SourceView(2.5), LapseReason.MANY),
+        (SourceView(4.0), LapseReason.MANY),
         (SourceView(4.0, is_restored=True), LapseReason.RESTORED),
     ],
 )
