--- a/libraries/gateway/tarragonward_gateway/headers.py
+++ b/libraries/gateway/tarragonward_gateway/headers.py
@@ -56,12 +56,20 @@
     removed = {name.encode("ascii") for name in (*set_by_host, *stripped)}
     kept = _remove_hop_by_hop(headers, removed)
     added = (
-        (name.encode("ascii"), value.encode("latin-1"))
+        (name.encode("ascii"), _encode_value(value))
         for name, value in set_by_host.items()
     )
     return (*kept, *added)
 
 
+def _encode_value(value: str) -> bytes:
+    """Return a header's value in bytes; the name of a client account is any text."""
+    try:
+        return value.encode("latin-1")
+    except UnicodeEncodeError:
+        return value.encode("utf-8")
+
+
 def build_answer_headers(headers: RawHeaders, has_body: bool = True) -> RawHeaders:
     """Return a target's headers for the caller.
 
--- a/libraries/gateway/tests/test_headers.py
+++ b/libraries/gateway/tests/test_headers.py
@@ -1,8 +1,11 @@
 """Tests of the headers that are forwarded to targets."""
 
+from dataclasses import replace
+
 import pytest
 
 from tarragonward_gateway.headers import parse_rate
+from tarragonward_routes import Account
 from tarragonward_standins import answer_with
 
 
@@ -20,6 +23,21 @@
     assert seen.body == b"abcd"
 
 
+@pytest.mark.parametrize(
+    ("name", "encoding"),
+    [("town", "ascii"), ("Cámara", "latin-1"), ("Țiriac", "utf-8")],
+)
+async def test_account_of_any_name_is_served(make_site, name, encoding):
+    """A name that is not Latin-1 must not end each request of its account in 500."""
+    site = await make_site(answer_with())
+    table = replace(site.state.table, accounts_by_key={"k1": Account(name)})
+    site.state.table = table
+    assert (await site.async_ask()).status == 200
+    (seen,) = site.targets[0].requests
+    (value,) = seen.get("x-client-account")
+    assert value.encode("latin-1").decode(encoding) == name
+
+
 @pytest.mark.parametrize(
     ("text", "rate"),
     [
