--- a/libraries/bench/tarragonward_bench/hearing/silent_watch.py
+++ b/libraries/bench/tarragonward_bench/hearing/silent_watch.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from tarragonward_gateway import const as gateway_const
 from tarragonward_gateway.withdrawals import SourceView, choose_linger
 
 from .host import Fleet, Host, build_address
@@ -32,6 +33,9 @@
 STEP_SECONDS = 0.005
 GIVEN_UP_SECONDS = 10.0
 DRAIN_SECONDS = 2.0
+LINGER_SECONDS = gateway_const.GUESSED_LINGER_SHARE * DRAIN_SECONDS
+# Within this a peer has reported a change to all others.
+REPORT_SECONDS = 0.25
 
 
 @dataclass(frozen=True)
@@ -104,9 +108,9 @@
 # How long a target is used that was withdrawn: what the product does, and other ways.
 WAYS: dict[str, Callable[[HeardWithdrawal], float]] = {
     "product": compute_use_seconds,
-    "0.6 from hearing": lambda heard: heard.heard_age + 0.6 * DRAIN_SECONDS,
-    "0.6 from the first report": lambda heard: max(
-        heard.heard_age, min(heard.heard_age, 0.25) + 0.6 * DRAIN_SECONDS
+    "part from hearing": lambda heard: heard.heard_age + LINGER_SECONDS,
+    "part from the first report": lambda heard: max(
+        heard.heard_age, min(heard.heard_age, REPORT_SECONDS) + LINGER_SECONDS
     ),
     "no linger": lambda heard: heard.heard_age,
 }
